Add the workspace, shared names, platform interfaces, purity check and design page

Cause: a new repository needs the design and the interfaces before the parts can be built side by side. Change: Go workspace with pinned linters, the api and platform modules, an analyzer that keeps decision libraries free of clocks, goroutines and sockets, and docs/design.md.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+MODULES := api core platform fakes server ctl bench tools
+PACKAGES := $(patsubst %,./%/...,$(MODULES))
+BIN := bin
+
+.PHONY: all build test lint fmt demo measure capacity clean
+
+all: lint build test
+
+build:
+	mkdir -p $(BIN)
+	go build $(PACKAGES)
+	go build -o $(BIN)/ ./server/cmd/... ./ctl/cmd/... ./bench/cmd/...
+
+test:
+	go test -race -timeout 300s $(PACKAGES)
+
+fmt:
+	go run mvdan.cc/gofumpt -w $(MODULES)
+
+lint:
+	@out=$$(go run mvdan.cc/gofumpt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted (run make fmt):"; echo "$$out"; exit 1; fi
+	go vet $(PACKAGES)
+	go run honnef.co/go/tools/cmd/staticcheck $(PACKAGES)
+	go run ./tools/cmd/purity ./core/...
+
+demo: build
+	$(BIN)/demo
+
+measure: build
+	$(BIN)/measure
+
+capacity: build
+	$(BIN)/capacity
+
+clean:
+	rm -rf $(BIN)
