--- /dev/null
+++ b/api/wire/wire.go
@@ -0,0 +1,139 @@
+// Package wire defines the frames and payloads that entry VMs exchange, and
+// their encoding in CBOR.
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+)
+
+// MaxFrame bounds a frame in bytes: a request body of 1 MiB and its headers fit.
+const MaxFrame = 2 << 20
+
+// Type names the payload of a frame.
+type Type string
+
+// The types of frame.
+const (
+	TypeHello     Type = "hello"
+	TypeHeartbeat Type = "heartbeat"
+	TypeAuthority Type = "authority"
+	TypeAssign    Type = "assign"
+	TypeAssignAck Type = "assign_ack"
+	TypeHandover  Type = "handover"
+	TypeForward   Type = "forward"
+	TypeReply     Type = "reply"
+	TypeCancel    Type = "cancel"
+	TypeConfig    Type = "config"
+)
+
+// Frame is the unit of transfer. Call matches a reply with its request; it is 0
+// on messages that expect no reply.
+type Frame struct {
+	Type    Type            `cbor:"1,keyasint"`
+	Call    uint64          `cbor:"2,keyasint,omitempty"`
+	Payload cbor.RawMessage `cbor:"3,keyasint,omitempty"`
+}
+
+// Hello is the first frame on a connection.
+type Hello struct {
+	VM          api.VMID        `cbor:"1,keyasint"`
+	Incarnation api.Incarnation `cbor:"2,keyasint"`
+}
+
+// Held says that the sender holds a shard.
+type Held struct {
+	Shard api.ShardID `cbor:"1,keyasint"`
+	Fence api.Fence   `cbor:"2,keyasint"`
+}
+
+// Heartbeat is sent to every VM at a fixed interval.
+type Heartbeat struct {
+	Incarnation api.Incarnation `cbor:"1,keyasint"`
+	Leaving     bool            `cbor:"2,keyasint,omitempty"`
+	Hears       []api.VMID      `cbor:"3,keyasint,omitempty"`
+	Held        []Held          `cbor:"4,keyasint,omitempty"`
+	Revision    uint64          `cbor:"5,keyasint"`
+	Stale       bool            `cbor:"6,keyasint,omitempty"` // takes no new work: its configuration is unconfirmed
+}
+
+// Config carries a whole configuration in its stored form. An empty Document
+// asks the receiver to send the one that it has.
+type Config struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Document []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Assign tells a witness which upstream owns each range of a shard. Owners
+// holds the index of the owner in Upstreams, or -1, for each range from First.
+type Assign struct {
+	Shard     api.ShardID      `cbor:"1,keyasint"`
+	Fence     api.Fence        `cbor:"2,keyasint"`
+	Seq       uint64           `cbor:"3,keyasint"`
+	First     int              `cbor:"4,keyasint"`
+	Upstreams []api.UpstreamID `cbor:"5,keyasint"`
+	Owners    []int16          `cbor:"6,keyasint"`
+}
+
+// Forward asks the holder of a shard to run a request.
+type Forward struct {
+	Shard      api.ShardID `cbor:"1,keyasint"`
+	Range      int         `cbor:"2,keyasint"`
+	Method     string      `cbor:"3,keyasint"`
+	Path       string      `cbor:"4,keyasint"`
+	Body       []byte      `cbor:"5,keyasint,omitempty"`
+	Key        string      `cbor:"6,keyasint,omitempty"`
+	RequestID  string      `cbor:"7,keyasint,omitempty"`
+	Idempotent bool        `cbor:"8,keyasint,omitempty"`
+	TimeoutMs  int64       `cbor:"9,keyasint"`
+	Caller     string      `cbor:"10,keyasint,omitempty"`
+	Revision   uint64      `cbor:"11,keyasint"`
+}
+
+// Reply is the answer to a Forward: a refusal or a whole answer.
+type Reply struct {
+	Refusal      *api.Refusal `cbor:"1,keyasint,omitempty"`
+	RetryAfterMs int64        `cbor:"2,keyasint,omitempty"`
+	Status       int          `cbor:"3,keyasint,omitempty"`
+	ContentType  string       `cbor:"4,keyasint,omitempty"`
+	Body         []byte       `cbor:"5,keyasint,omitempty"`
+	Repeated     bool         `cbor:"6,keyasint,omitempty"` // the recorded answer of an earlier run
+}
+
+// Cancel withdraws the call with the frame's number.
+type Cancel struct{}
+
+// ErrFrame means that a frame could not be decoded.
+var ErrFrame = errors.New("frame is not valid CBOR of this protocol: check that both VMs run compatible versions")
+
+// Encode returns the encoding of a frame with the payload.
+func Encode(kind Type, call uint64, payload any) ([]byte, error) {
+	raw, err := cbor.Marshal(payload)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode %s", kind)
+	}
+	data, err := cbor.Marshal(Frame{Type: kind, Call: call, Payload: raw})
+	return data, errors.Wrapf(err, "encode %s", kind)
+}
+
+// Decode parses a frame.
+func Decode(data []byte) (Frame, error) {
+	var frame Frame
+	if len(data) > MaxFrame {
+		return frame, errors.Wrapf(ErrFrame, "%d bytes, more than %d", len(data), MaxFrame)
+	}
+	if err := cbor.Unmarshal(data, &frame); err != nil {
+		return frame, errors.Wrap(ErrFrame, err.Error())
+	}
+	return frame, nil
+}
+
+// Unpack parses the payload of a frame into out.
+func (f Frame) Unpack(out any) error {
+	if err := cbor.Unmarshal(f.Payload, out); err != nil {
+		return errors.Wrapf(ErrFrame, "%s: %v", f.Type, err)
+	}
+	return nil
+}
