Add core/config: document, strict parser, typed changes and their conflict rule

Cause: the daemon and the tool need one configuration document with checked values, and changes that conflict visibly and repeat without a second effect. Change: core/config with Document, Parse, Validate, Change, Apply, Encode, Decode, Diff and Newer; core/config/strict decodes JSON with comments and reports all problems with file and line.

--- /dev/null
+++ b/core/config/strict/problem.go
@@ -0,0 +1,96 @@
+// Package strict decodes JSON with comments into Go values and refuses
+// whatever the target type does not declare. It reports all problems of a file
+// with their lines, so that an operator can correct them in one pass.
+package strict
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Problem is one reason why a file is refused.
+type Problem struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`  // from 1; 0 when the value came from no file
+	Field   string `json:"field"` // path such as services[0].slots; empty for the whole file
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// Error returns the problem as "file:line: field: message; remedy: remedy".
+func (p *Problem) Error() string {
+	var b strings.Builder
+	if p.File != "" {
+		b.WriteString(p.File)
+		if p.Line > 0 {
+			fmt.Fprintf(&b, ":%d", p.Line)
+		}
+		b.WriteString(": ")
+	}
+	if p.Field != "" {
+		b.WriteString(p.Field + ": ")
+	}
+	b.WriteString(p.Message + "; remedy: " + p.Remedy)
+	return b.String()
+}
+
+// Errors holds all problems of a file in the order of their lines.
+type Errors []*Problem
+
+// Error returns one line for each problem.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, p := range e {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap lets errors.As find a single Problem.
+func (e Errors) Unwrap() []error {
+	all := make([]error, len(e))
+	for i, p := range e {
+		all[i] = p
+	}
+	return all
+}
+
+// Collector gathers problems and adds the file and line of each field. The
+// zero Collector serves values that came from no file.
+type Collector struct {
+	file     string
+	lines    map[string]int
+	problems Errors
+}
+
+// Add records a problem with a field.
+func (c *Collector) Add(field, remedy, format string, args ...any) {
+	c.problems = append(c.problems, &Problem{
+		File: c.file, Line: c.line(field), Field: field, Message: fmt.Sprintf(format, args...), Remedy: remedy,
+	})
+}
+
+// Err returns the recorded problems as Errors, or nil when there is none.
+func (c *Collector) Err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	sort.SliceStable(c.problems, func(i, j int) bool { return c.problems[i].Line < c.problems[j].Line })
+	return c.problems
+}
+
+// line returns the line of a field, or of the nearest enclosing value for a
+// field that the file does not contain.
+func (c *Collector) line(field string) int {
+	for {
+		if line, ok := c.lines[field]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(field, ".[")
+		if cut < 0 {
+			return c.lines[""]
+		}
+		field = field[:cut]
+	}
+}
--- /dev/null
+++ b/core/config/validate.go
@@ -0,0 +1,316 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"dandelionhill.dev/core/config/strict"
+)
+
+const (
+	// MaxBodyLimit is the largest permitted MaxBody in bytes. Bodies are
+	// buffered whole, and a peer frame of 2 MiB must hold one with its headers.
+	MaxBodyLimit = 1 << 20
+	// maxRanges bounds the ranges of a service: grants list ranges by number.
+	maxRanges = 1 << 16
+	// maxCount bounds slots, connections and queue lengths.
+	maxCount = 1 << 16
+	maxWait  = 10 * time.Minute
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// ValidName reports whether a name of a VM, service, upstream, preset, domain
+// or region has the permitted form. Names appear in row keys and URLs, so "/"
+// and spaces are not permitted.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
+// Parse reads a configuration file: JSON with comments. The error is
+// strict.Errors with every problem of the file.
+func Parse(name string, data []byte) (*Document, error) {
+	doc := &Document{}
+	c, ok := strict.Decode(name, data, doc)
+	if err := c.Err(); !ok || err != nil {
+		// Cross-field checks on partly decoded values would report problems
+		// that the file does not have, so only independent ones are added.
+		if ok {
+			v := &validator{Collector: c, partial: true}
+			v.document(doc)
+		}
+		return nil, c.Err()
+	}
+	v := &validator{Collector: c}
+	v.document(doc)
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+// Validate checks a document that came from no file. The error is strict.Errors.
+func Validate(doc *Document) error {
+	v := &validator{Collector: &strict.Collector{}}
+	v.document(doc)
+	return v.Err()
+}
+
+// ParseService reads a file that holds one service, without the checks that
+// need the rest of the document.
+func ParseService(name string, data []byte) (*Service, error) {
+	s := &Service{}
+	c, ok := strict.Decode(name, data, s)
+	if !ok || c.Err() != nil {
+		return nil, c.Err()
+	}
+	v := &validator{Collector: c}
+	v.service("", s)
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// ParsePreset reads a file that holds one preset.
+func ParsePreset(name string, data []byte) (*Preset, error) {
+	p := &Preset{}
+	c, ok := strict.Decode(name, data, p)
+	if !ok || c.Err() != nil {
+		return nil, c.Err()
+	}
+	v := &validator{Collector: c}
+	v.preset("", p)
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+type validator struct {
+	*strict.Collector
+	// partial is true when some fields could not be decoded: a field with its
+	// zero value may then be one that has been reported already.
+	partial bool
+}
+
+const nameRemedy = "use 1 to 63 lower-case letters, digits, dots, hyphens or underscores, starting with a letter or digit"
+
+func (v *validator) name(field, name string) {
+	if name == "" && v.partial {
+		return
+	}
+	if !ValidName(name) {
+		v.Add(field, nameRemedy, "%q is not a valid name", name)
+	}
+}
+
+// unique reports a second use of a name and returns whether it is the first.
+func (v *validator) unique(seen map[string]string, field, name, what string) bool {
+	if name == "" && v.partial {
+		return true
+	}
+	if first, dup := seen[name]; dup {
+		v.Add(field, "remove one of them or change its value", "%s %q is used twice, first by %s", what, name, first)
+		return false
+	}
+	seen[name] = field
+	return true
+}
+
+func (v *validator) between(field string, value, least, most int, unit string) {
+	if value == 0 && v.partial {
+		return
+	}
+	if value < least || value > most {
+		v.Add(field, fmt.Sprintf("choose a number of %s from %d to %d", unit, least, most), "%d is out of range", value)
+	}
+}
+
+func (v *validator) share(field string, value, most float64, unit string) {
+	if math.IsNaN(value) || value < 0 || value > most {
+		v.Add(field, fmt.Sprintf("choose a %s from 0 to %g", unit, most), "%g is out of range", value)
+	}
+}
+
+func (v *validator) wait(field string, value Duration, least time.Duration) {
+	if value == 0 && v.partial {
+		return
+	}
+	if value.D() < least || value.D() > maxWait {
+		v.Add(field, fmt.Sprintf("choose a time from %s to %s", least, maxWait), "%s is out of range", value)
+	}
+}
+
+func (v *validator) document(doc *Document) {
+	v.name("region", doc.Region)
+	domains := map[string]string{}
+	for i, f := range doc.FailureDomains {
+		field := fmt.Sprintf("failure_domains[%d].name", i)
+		v.name(field, string(f.Name))
+		v.unique(domains, field, string(f.Name), "failure domain")
+	}
+	if len(doc.FailureDomains) == 0 && !v.partial {
+		v.Add("failure_domains", "list at least one failure domain", "there is no failure domain")
+	}
+	v.services(doc, domains)
+	v.presets(doc)
+	seen := map[string]string{}
+	for i, vm := range doc.VMsOut {
+		field := fmt.Sprintf("vms_out[%d]", i)
+		v.name(field, string(vm))
+		v.unique(seen, field, string(vm), "VM")
+	}
+	seen = map[string]string{}
+	for i, id := range doc.LostUpstreams {
+		field := fmt.Sprintf("lost_upstreams[%d]", i)
+		v.unique(seen, field, string(id), "upstream")
+		if _, _, ok := doc.Upstream(id); !ok && !v.partial {
+			v.Add(field, "remove it or add the upstream to a service", "no service has the upstream %q", id)
+		}
+	}
+	if len(doc.Operations) > MaxOperations {
+		v.Add("operations", fmt.Sprintf("keep the last %d", MaxOperations), "there are %d operations", len(doc.Operations))
+	}
+}
+
+func (v *validator) services(doc *Document, domains map[string]string) {
+	names, ids, addresses := map[string]string{}, map[string]string{}, map[string]string{}
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		path := fmt.Sprintf("services[%d]", i)
+		v.unique(names, path+".name", string(s.Name), "service")
+		v.service(path, s)
+		for j, u := range s.Upstreams {
+			at := fmt.Sprintf("%s.upstreams[%d]", path, j)
+			v.unique(ids, at+".id", string(u.ID), "upstream")
+			if a, err := netip.ParseAddrPort(u.Address); err == nil {
+				v.unique(addresses, at+".address", a.String(), "address")
+			}
+			if _, ok := domains[string(u.FailureDomain)]; !ok && !(v.partial && (u.FailureDomain == "" || len(domains) == 0)) {
+				v.Add(at+".failure_domain", "use a name from failure_domains or add it there", "there is no failure domain %q", u.FailureDomain)
+			}
+		}
+	}
+}
+
+// service checks what does not depend on the rest of the document.
+func (v *validator) service(path string, s *Service) {
+	dot := func(name string) string {
+		if path == "" {
+			return name
+		}
+		return path + "." + name
+	}
+	v.name(dot("name"), string(s.Name))
+	v.between(dot("ranges"), s.Ranges, 1, maxRanges, "ranges")
+	v.between(dot("shards"), s.Shards, 1, maxRanges, "shards")
+	v.between(dot("slots"), s.Slots, 1, maxCount, "concurrent executions")
+	v.between(dot("connections"), s.Connections, 1, maxCount, "connections")
+	v.between(dot("max_body"), s.MaxBody, 1, MaxBodyLimit, "bytes")
+	switch s.UpstreamChecks {
+	case ChecksFence, ChecksDeadline, ChecksNone:
+	default:
+		if !(v.partial && s.UpstreamChecks == "") {
+			v.Add(dot("upstream_checks"), `write "fence", "deadline" or "none"`, "%q is not a kind of check", s.UpstreamChecks)
+		}
+	}
+	if !v.partial {
+		if s.Connections < s.Slots {
+			v.Add(dot("connections"), "allow at least one connection for each slot", "%d connections cannot use %d slots", s.Connections, s.Slots)
+		}
+		if s.Shards > s.Ranges {
+			v.Add(dot("shards"), "use at most as many shards as ranges", "%d shards cannot divide %d ranges", s.Shards, s.Ranges)
+		}
+		if s.Shards > len(s.Upstreams) {
+			v.Add(dot("shards"), "use fewer shards or list more upstreams", "%d shards need at least as many upstreams, there are %d", s.Shards, len(s.Upstreams))
+		}
+	}
+	for j, u := range s.Upstreams {
+		at := dot(fmt.Sprintf("upstreams[%d]", j))
+		v.name(at+".id", string(u.ID))
+		v.Address(at+".address", u.Address)
+	}
+}
+
+// Address records a problem unless the value is a usable IP:port.
+func (v *validator) Address(field, address string) {
+	if address == "" && v.partial {
+		return
+	}
+	if message := BadAddress(address); message != "" {
+		v.Add(field, `write an IP address and a port, such as "10.0.0.1:8080"`, "%s", message)
+	}
+}
+
+// BadAddress says why an address is not a usable IP:port, or returns "".
+func BadAddress(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		return fmt.Sprintf("%q is not an IP address with a port", address)
+	case a.Port() == 0:
+		return fmt.Sprintf("%q has port 0", address)
+	case a.Addr().IsUnspecified() || a.Addr().IsMulticast():
+		return fmt.Sprintf("%q is not the address of one machine", address)
+	}
+	return ""
+}
+
+func (v *validator) presets(doc *Document) {
+	names := map[string]string{}
+	for i := range doc.Presets {
+		p := &doc.Presets[i]
+		path := fmt.Sprintf("presets[%d]", i)
+		v.unique(names, path+".name", p.Name, "preset")
+		v.preset(path, p)
+		if v.partial {
+			continue
+		}
+		for _, s := range doc.Services {
+			if limit := float64(s.Slots) * p.SlotFactor; limit < 1 {
+				v.Add(path+".slot_factor", "raise the factor", "service %s would get %g requests in flight for each upstream: none could run", s.Name, limit)
+			} else if int(limit) > s.Connections {
+				v.Add(path+".slot_factor", "lower the factor or allow more connections",
+					"service %s would get %d requests in flight over %d connections for each upstream", s.Name, int(limit), s.Connections)
+			}
+		}
+	}
+	if v.partial {
+		return
+	}
+	if len(doc.Presets) == 0 {
+		v.Add("presets", "define at least one preset", "there is no preset")
+	}
+	if _, ok := names[doc.ActivePreset]; !ok {
+		v.Add("active_preset", "name one of the presets", "there is no preset %q", doc.ActivePreset)
+	}
+}
+
+func (v *validator) preset(path string, p *Preset) {
+	dot := func(name string) string {
+		if path == "" {
+			return name
+		}
+		return path + "." + name
+	}
+	v.name(dot("name"), p.Name)
+	v.between(dot("queue_length"), p.QueueLength, 1, maxCount, "requests")
+	v.share(dot("slot_factor"), p.SlotFactor, 16, "ratio")
+	v.share(dot("retry_budget"), p.RetryBudget, 1, "share")
+	v.share(dot("hedge_budget"), p.HedgeBudget, 1, "share")
+	v.share(dot("domain_reserve"), p.DomainReserve, 0.9, "share")
+	v.share(dot("ramp_step"), p.RampStep, 64, "number of slots")
+	if p.RampStep == 0 && !v.partial {
+		v.Add(dot("ramp_step"), "choose a number of slots above 0", "a cold upstream would never reach its full limit")
+	}
+	v.between(dot("cold_start"), p.ColdStart, 1, maxCount, "requests in flight")
+	v.share(dot("moves_per_second"), p.MovesPerSecond, 10000, "number of moves a second")
+	if !(p.RebalanceAbove == 0 && v.partial) && !(p.RebalanceAbove >= 1 && p.RebalanceAbove <= 100) {
+		v.Add(dot("rebalance_above"), "choose a ratio of maximum to mean load from 1 to 100", "%g is out of range", p.RebalanceAbove)
+	}
+	v.wait(dot("rebalance_after"), p.RebalanceAfter, 0)
+	v.wait(dot("default_timeout"), p.DefaultTimeout, time.Millisecond)
+	v.wait(dot("lame_duck"), p.LameDuck, 0)
+}
