Add the planner of range moves

Change: Planner.Plan places ranges without a permitted owner by load relative to capacity, heavy ranges first, and relieves upstreams that stay above the threshold. Each upstream has its own timer, so a short straggler loses nothing while others are being balanced. Measured: go test -race ./core/placement passes; 96 ranges on 8 upstreams, two lost, give exactly 24 moves and 16 ranges on each of the others.

--- /dev/null
+++ b/core/placement/balance.go
@@ -0,0 +1,100 @@
+package placement
+
+import "slices"
+
+// minGainShare is the least part of the tolerated excess by which a move that
+// cannot bring both sides under the limit must lower the higher one. Smaller
+// gains are within the noise of the measured load and would move ranges back
+// and forth.
+const minGainShare = 1.0 / 3
+
+// meanRatio returns the mean load relative to capacity of the upstreams that
+// take part in balance moves.
+func (a *assignment) meanRatio() float64 {
+	var load, capacity float64
+	for _, n := range a.nodes {
+		if n.balanced() {
+			load += n.load
+			capacity += n.up.Capacity
+		}
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return load / capacity
+}
+
+// relieve moves one range away from the donor. To move few ranges, it takes the
+// lightest range that brings the donor under the limit, or else the heaviest
+// one, as far as the receiver stays under the limit too. If nothing fits, the
+// move that lowers the higher of the two loads most is taken.
+func (a *assignment) relieve(donor *node, limit, tolerated float64) (Move, bool) {
+	need := donor.load - limit*donor.up.Capacity
+	best, to, covers := -1, (*node)(nil), false
+	for i, r := range donor.ranges {
+		if r.load <= 0 {
+			continue
+		}
+		if best >= 0 {
+			held := donor.ranges[best].load
+			if covers && (r.load < need || r.load >= held) || !covers && r.load < need && r.load <= held {
+				continue
+			}
+		}
+		if n := a.receiver(donor, r.load, limit); n != nil {
+			best, to, covers = i, n, r.load >= need
+		}
+	}
+	if best < 0 {
+		best, to = a.compromise(donor, minGainShare*tolerated)
+	}
+	if best < 0 {
+		return Move{}, false
+	}
+	return a.move(donor, to, best), true
+}
+
+// receiver returns the upstream with the lowest load relative to capacity that
+// stays under the limit with the further load.
+func (a *assignment) receiver(donor *node, load, limit float64) *node {
+	var to *node
+	for _, n := range a.nodes {
+		if n == donor || !n.balanced() || !n.fits(load) || (n.load+load)/n.up.Capacity > limit {
+			continue
+		}
+		if to == nil || n.ratio() < to.ratio() {
+			to = n
+		}
+	}
+	return to
+}
+
+// compromise returns the range and receiver whose higher load after the move is
+// lowest, if that is lower than the donor's present load by minGain.
+func (a *assignment) compromise(donor *node, minGain float64) (int, *node) {
+	best, to, lowest := -1, (*node)(nil), donor.ratio()-minGain
+	for i, r := range donor.ranges {
+		if r.load <= 0 {
+			continue
+		}
+		after := (donor.load - r.load) / donor.up.Capacity
+		for _, n := range a.nodes {
+			if n == donor || !n.balanced() || !n.fits(r.load) {
+				continue
+			}
+			if higher := max(after, (n.load+r.load)/n.up.Capacity); higher < lowest {
+				best, to, lowest = i, n, higher
+			}
+		}
+	}
+	return best, to
+}
+
+// move applies the move of the donor's range at position i.
+func (a *assignment) move(donor, to *node, i int) Move {
+	r := donor.ranges[i]
+	donor.load -= r.load
+	donor.ranges = slices.Delete(donor.ranges, i, i+1)
+	to.add(r)
+	return Move{Range: r.id, From: donor.up.ID, To: to.up.ID}
+}
--- /dev/null
+++ b/core/placement/planner.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"time"
+
+	"dandelionhill.dev/api"
+)
+
+// stopShare is the part of the tolerated excess at which an upstream stops
+// giving ranges away. It is slightly below 1 so that noise in the measured load
+// does not start the next round at once, and no lower because every further
+// range moved is churn.
+const stopShare = 0.9
+
+// Planner plans the moves of one shard. The zero value is ready to use. It
+// remembers how long each upstream has been overloaded and how much of the
+// budget for balance moves is left.
+type Planner struct {
+	excess   map[api.UpstreamID]excess
+	tokens   float64
+	refilled time.Duration
+	started  bool
+}
+
+// excess is the history of an upstream whose load is above the threshold.
+type excess struct {
+	since    time.Duration
+	shedding bool // lasted long enough; ranges move until the load is below the stop threshold
+}
+
+// Plan returns the moves to start now, the most urgent first. Forced moves come
+// first and are neither delayed nor limited. Balance moves follow within the
+// budget of the policy.
+func (p *Planner) Plan(now time.Duration, in Input, policy Policy) []Move {
+	a := newAssignment(in)
+	moves := a.placeForced()
+	p.refill(now, policy.MovesPerSecond)
+	return append(moves, p.balance(now, a, policy)...)
+}
+
+// refill adds the budget earned since the last plan. At most one second's worth
+// (and at least one move) is kept, so that a quiet hour does not pay for a burst.
+func (p *Planner) refill(now time.Duration, perSecond float64) {
+	limit := max(perSecond, 1)
+	if !p.started {
+		p.started, p.tokens = true, limit
+	} else if now > p.refilled {
+		p.tokens += perSecond * (now - p.refilled).Seconds()
+	}
+	p.tokens = min(p.tokens, limit)
+	p.refilled = max(p.refilled, now)
+}
+
+// balance plans moves away from upstreams whose load has been above the
+// threshold for long enough.
+func (p *Planner) balance(now time.Duration, a *assignment, policy Policy) []Move {
+	above := policy.RebalanceAbove
+	if above <= 1 {
+		above = DefaultPolicy().RebalanceAbove
+	}
+	stop := 1 + (above-1)*stopShare
+	mean := a.meanRatio()
+	p.observe(now, a, mean, above, stop, policy.RebalanceAfter)
+	if mean <= 0 || policy.MovesPerSecond <= 0 {
+		return nil
+	}
+	var moves []Move
+	stuck := map[api.UpstreamID]bool{}
+	for p.tokens >= 1 {
+		donor := p.nextDonor(a, stop*mean, stuck)
+		if donor == nil {
+			break
+		}
+		move, ok := a.relieve(donor, stop*mean, (above-1)*mean)
+		if !ok {
+			stuck[donor.up.ID] = true
+			continue
+		}
+		p.tokens--
+		moves = append(moves, move)
+	}
+	return moves
+}
+
+// observe updates how long each upstream has been overloaded. Every upstream
+// has its own timer, so that a short straggler loses no ranges while others are
+// being balanced.
+func (p *Planner) observe(now time.Duration, a *assignment, mean, above, stop float64, after time.Duration) {
+	next := make(map[api.UpstreamID]excess)
+	for _, n := range a.nodes {
+		if !n.balanced() || mean <= 0 {
+			continue
+		}
+		e, known := p.excess[n.up.ID]
+		ratio := n.ratio()
+		switch {
+		case known && e.shedding && ratio > stop*mean:
+		case ratio > above*mean:
+			if !known || e.shedding {
+				e = excess{since: now}
+			}
+			e.shedding = now-e.since >= after
+		default:
+			continue
+		}
+		next[n.up.ID] = e
+	}
+	p.excess = next
+}
+
+// nextDonor returns the most loaded upstream that is shedding ranges.
+func (p *Planner) nextDonor(a *assignment, limit float64, stuck map[api.UpstreamID]bool) *node {
+	var donor *node
+	for _, n := range a.nodes {
+		if !p.excess[n.up.ID].shedding || stuck[n.up.ID] || n.ratio() <= limit {
+			continue
+		}
+		if donor == nil || n.ratio() > donor.ratio() {
+			donor = n
+		}
+	}
+	return donor
+}
--- /dev/null
+++ b/core/placement/planner_test.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+)
+
+// fleet returns n active upstreams of capacity 10, one after the other in the
+// given number of failure domains.
+func fleet(n, domains int) []Upstream {
+	ups := make([]Upstream, n)
+	for i := range ups {
+		ups[i] = Upstream{
+			ID: api.UpstreamID(fmt.Sprintf("u%02d", i)), Domain: api.FailureDomain(fmt.Sprintf("d%d", i%domains)),
+			Capacity: 10, State: Active,
+		}
+	}
+	return ups
+}
+
+// testInput returns ranges without owner, each with load 1.
+func testInput(ranges int, ups []Upstream) Input {
+	in := Input{Upstreams: ups, Owners: map[int]api.UpstreamID{}, Load: map[int]float64{}, Pinned: map[api.UpstreamID]bool{}}
+	for r := range ranges {
+		in.Owners[r], in.Load[r] = "", 1
+	}
+	return in
+}
+
+func apply(in Input, moves []Move) {
+	for _, m := range moves {
+		in.Owners[m.Range] = m.To
+	}
+}
+
+func counts(in Input) map[api.UpstreamID]int {
+	out := map[api.UpstreamID]int{}
+	for _, owner := range in.Owners {
+		out[owner]++
+	}
+	return out
+}
+
+// Guards against keys without an owner, and against moves of keys whose owner
+// stays, when upstreams leave.
+func TestForcedMovesAreMinimalAndEven(t *testing.T) {
+	for _, state := range []UpstreamState{Lost, Out, Draining} {
+		in := testInput(96, fleet(8, 4))
+		var p Planner
+		apply(in, p.Plan(0, in, DefaultPolicy()))
+		for _, n := range counts(in) {
+			require.Equal(t, 12, n)
+		}
+		in.Upstreams[3].State, in.Upstreams[7].State = state, state
+		moves := p.Plan(0, in, DefaultPolicy())
+		require.Len(t, moves, 24)
+		for _, m := range moves {
+			require.True(t, m.Forced)
+			require.Contains(t, []api.UpstreamID{"u03", "u07"}, m.From)
+		}
+		apply(in, moves)
+		for _, n := range counts(in) {
+			require.Equal(t, 16, n)
+		}
+	}
+}
+
+// Guards against moving a range while its old owner may still run requests.
+func TestPinnedUpstreamKeepsRanges(t *testing.T) {
+	in := testInput(20, fleet(4, 4))
+	var p Planner
+	apply(in, p.Plan(0, in, DefaultPolicy()))
+	in.Upstreams[0].State, in.Pinned["u00"] = Lost, true
+	require.Empty(t, p.Plan(0, in, DefaultPolicy()))
+	in.Upstreams = in.Upstreams[1:]
+	require.Empty(t, p.Plan(0, in, DefaultPolicy()), "removed from the list while pinned")
+	in.Pinned = nil
+	require.Len(t, p.Plan(0, in, DefaultPolicy()), 5)
+}
+
+// Guards against a cold upstream that gets more than its ramp allows.
+func TestColdUpstreamsReceiveWithinCapacity(t *testing.T) {
+	in := testInput(30, fleet(4, 4))
+	in.Upstreams[1].State, in.Upstreams[1].Capacity = Cold, 3
+	var p Planner
+	apply(in, p.Plan(0, in, DefaultPolicy()))
+	require.Equal(t, map[api.UpstreamID]int{"u00": 9, "u01": 3, "u02": 9, "u03": 9}, counts(in))
+
+	for i := range in.Upstreams { // without an active one, keys still need an owner
+		in.Upstreams[i].State = Cold
+	}
+	in.Upstreams[0].State = Out
+	moves := p.Plan(0, in, DefaultPolicy())
+	require.Len(t, moves, 9)
+}
+
+// Guards against churn by a short straggler, and checks hysteresis and budget
+// when an imbalance lasts.
+func TestBalanceMovesWaitAndKeepBudget(t *testing.T) {
+	in := testInput(100, fleet(4, 4))
+	in.Upstreams[3].State = Out
+	var p Planner
+	apply(in, p.Plan(0, in, DefaultPolicy()))
+	in.Upstreams[3].State = Active
+	policy := Policy{RebalanceAbove: 1.15, RebalanceAfter: 10 * time.Second, MovesPerSecond: 2}
+	require.Empty(t, p.Plan(time.Second, in, policy))
+	require.Empty(t, p.Plan(10999*time.Millisecond, in, policy))
+	total := 0
+	for now := 11 * time.Second; now < 40*time.Second; now += 500 * time.Millisecond {
+		moves := p.Plan(now, in, policy)
+		require.LessOrEqual(t, len(moves), 2)
+		if now > 11*time.Second {
+			require.LessOrEqual(t, len(moves), 1)
+		}
+		for _, m := range moves {
+			require.Equal(t, api.UpstreamID("u03"), m.To)
+		}
+		total += len(moves)
+		apply(in, moves)
+	}
+	require.Equal(t, 6+5+5, total, "three upstreams go from 34, 33 and 33 to 28; the mean is 25")
+}
+
+// Guards against results that depend on the order of maps or slices.
+func TestPlanIsDeterministic(t *testing.T) {
+	in := testInput(200, fleet(9, 3))
+	for r := range in.Load {
+		in.Load[r] = float64(r%17) * 0.1
+	}
+	var first Planner
+	want := first.Plan(0, in, DefaultPolicy())
+	for range 20 {
+		in.Upstreams = append(in.Upstreams[1:], in.Upstreams[0])
+		var p Planner
+		require.Equal(t, want, p.Plan(0, in, DefaultPolicy()))
+	}
+}
