Add shards, members, hot keys and the reserve check

Change: Shards spreads each failure domain over all shards and ignores states, so a domain that leaves changes no shard. Members balances places and preferred holders over VMs. HotKeys splits and merges with two thresholds and delays. FitsWithoutLargestDomain compares a load with the capacity left.

--- /dev/null
+++ b/core/placement/hotkeys.go
@@ -0,0 +1,190 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// HotKeyConfig says when a key gets a range of its own.
+type HotKeyConfig struct {
+	// Ranges is the number of ordinary ranges of the service. Ranges of hot
+	// keys are numbered from there upwards.
+	Ranges int
+	// SplitShare is the share of its upstream's capacity above which a key is
+	// hot (hot_key_share).
+	SplitShare float64
+	// MergeShare is the share below which a hot key goes back to its ordinary
+	// range. The distance to SplitShare keeps keys near one threshold in place.
+	MergeShare float64
+	// SplitAfter and MergeAfter are how long a key must stay beyond the
+	// threshold.
+	SplitAfter, MergeAfter time.Duration
+	// ReuseAfter is how long the number of a merged range stays unused, so that
+	// no VM with an older configuration sends another key's requests to it.
+	ReuseAfter time.Duration
+	// Max bounds the number of ranges of hot keys.
+	Max int
+}
+
+// DefaultHotKeyConfig returns thresholds for keys that become hot within
+// seconds and change within minutes. Max covers the 650 hottest keys of the
+// target scale.
+func DefaultHotKeyConfig(ranges int) HotKeyConfig {
+	return HotKeyConfig{
+		Ranges: ranges, SplitShare: 0.1, MergeShare: 0.05,
+		SplitAfter: 2 * time.Second, MergeAfter: 30 * time.Second, ReuseAfter: 10 * time.Second, Max: 1024,
+	}
+}
+
+// KeyLoad is the measured load of a key as a share of the capacity of its
+// upstream.
+type KeyLoad struct {
+	Key   string
+	Share float64
+}
+
+// HotKeyChange gives a key a range of its own (Split), or merges that range back
+// into the ordinary range of the key. A new range starts with the owner of the
+// key's ordinary range, so the split itself moves no key; before a merge the
+// range must be moved to that owner.
+type HotKeyChange struct {
+	Key   string
+	Range int
+	Split bool
+}
+
+// HotKeys decides which keys have a range of their own.
+type HotKeys struct {
+	cfg  HotKeyConfig
+	hot  map[string]*hotKey
+	rise map[string]time.Duration // candidates and since when they are above SplitShare
+	// ids has the state of each number from cfg.Ranges upwards.
+	ids []hotRange
+}
+
+type hotKey struct {
+	id       int
+	quiet    bool
+	quietFor time.Duration // since when, if quiet
+}
+
+type hotRange struct {
+	used  bool
+	freed time.Duration
+	fresh bool // never used
+}
+
+// NewHotKeys returns a decision state without hot keys.
+func NewHotKeys(cfg HotKeyConfig) *HotKeys {
+	return &HotKeys{cfg: cfg, hot: map[string]*hotKey{}, rise: map[string]time.Duration{}}
+}
+
+// Restore takes over the hot keys of an earlier holder, with their ranges.
+// Entries that name an ordinary range are ignored.
+func (h *HotKeys) Restore(now time.Duration, ranges map[string]int) {
+	for key, id := range ranges {
+		if id < h.cfg.Ranges {
+			continue
+		}
+		h.hot[key] = &hotKey{id: id, quiet: true, quietFor: now}
+		h.slot(id).used = true
+	}
+}
+
+// Ranges returns the range of every hot key.
+func (h *HotKeys) Ranges() map[string]int {
+	out := make(map[string]int, len(h.hot))
+	for key, k := range h.hot {
+		out[key] = k.id
+	}
+	return out
+}
+
+// Observe takes the loads of the keys worth tracking, at regular intervals. A
+// key that is not listed has no load. It returns merges, then splits, the
+// hottest key first.
+func (h *HotKeys) Observe(now time.Duration, loads []KeyLoad) []HotKeyChange {
+	sorted := slices.Clone(loads)
+	slices.SortFunc(sorted, func(x, y KeyLoad) int {
+		return cmp.Or(cmp.Compare(y.Share, x.Share), cmp.Compare(x.Key, y.Key))
+	})
+	return append(h.merge(now, sorted), h.split(now, sorted)...)
+}
+
+func (h *HotKeys) merge(now time.Duration, loads []KeyLoad) []HotKeyChange {
+	share := make(map[string]float64, len(loads))
+	for _, l := range loads {
+		share[l.Key] = max(share[l.Key], l.Share)
+	}
+	var changes []HotKeyChange
+	for key, k := range h.hot {
+		if share[key] >= h.cfg.MergeShare {
+			k.quiet = false
+			continue
+		}
+		if !k.quiet {
+			k.quiet, k.quietFor = true, now
+		}
+		if now-k.quietFor >= h.cfg.MergeAfter {
+			changes = append(changes, HotKeyChange{Key: key, Range: k.id})
+		}
+	}
+	slices.SortFunc(changes, func(x, y HotKeyChange) int { return cmp.Compare(x.Range, y.Range) })
+	for _, c := range changes {
+		delete(h.hot, c.Key)
+		*h.slot(c.Range) = hotRange{freed: now}
+	}
+	return changes
+}
+
+func (h *HotKeys) split(now time.Duration, loads []KeyLoad) []HotKeyChange {
+	rise := map[string]time.Duration{}
+	var changes []HotKeyChange
+	for _, l := range loads {
+		if l.Share <= h.cfg.SplitShare {
+			break
+		}
+		if h.hot[l.Key] != nil {
+			continue
+		}
+		since, known := h.rise[l.Key]
+		if !known {
+			since = now
+		}
+		if now-since >= h.cfg.SplitAfter {
+			if id, ok := h.allocate(now); ok {
+				h.hot[l.Key] = &hotKey{id: id}
+				changes = append(changes, HotKeyChange{Key: l.Key, Range: id, Split: true})
+				continue
+			}
+		}
+		rise[l.Key] = since
+	}
+	h.rise = rise
+	return changes
+}
+
+// allocate returns the lowest number that is free for use.
+func (h *HotKeys) allocate(now time.Duration) (int, bool) {
+	if len(h.hot) >= h.cfg.Max {
+		return 0, false
+	}
+	for i := range h.ids {
+		if s := &h.ids[i]; !s.used && (s.fresh || now-s.freed >= h.cfg.ReuseAfter) {
+			s.used = true
+			return h.cfg.Ranges + i, true
+		}
+	}
+	id := h.cfg.Ranges + len(h.ids)
+	h.slot(id).used = true
+	return id, true
+}
+
+// slot returns the state of a range number, adding unused numbers before it.
+func (h *HotKeys) slot(id int) *hotRange {
+	for len(h.ids) <= id-h.cfg.Ranges {
+		h.ids = append(h.ids, hotRange{fresh: true})
+	}
+	return &h.ids[id-h.cfg.Ranges]
+}
--- /dev/null
+++ b/core/placement/layout_test.go
@@ -0,0 +1,131 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+)
+
+// Guards against shards that miss a failure domain, own the wrong share of
+// ranges or change without need.
+func TestShards(t *testing.T) {
+	shards := Shards("s", 4, 1024, fleet(25, 4))
+	next := 0
+	home := map[api.UpstreamID]int{}
+	for i, s := range shards {
+		require.Equal(t, next, s.First)
+		require.InDelta(t, 1024*float64(len(s.Upstreams))/25, s.Last-s.First+1, 1)
+		next = s.Last + 1
+		domains := map[string]bool{}
+		for _, id := range s.Upstreams {
+			var n int
+			_, err := fmt.Sscanf(string(id), "u%d", &n)
+			require.NoError(t, err)
+			domains[fmt.Sprint(n%4)] = true
+			home[id] = i
+		}
+		require.Len(t, domains, 4)
+	}
+	require.Equal(t, 1024, next)
+	require.Len(t, home, 25)
+
+	moved := 0
+	for i, s := range Shards("s", 4, 1024, fleet(26, 4)) {
+		for _, id := range s.Upstreams {
+			if old, known := home[id]; known && old != i {
+				moved++
+			}
+		}
+	}
+	require.LessOrEqual(t, moved, 6, "a quarter of the upstreams")
+	require.Len(t, Shards("s", 4, 1024, fleet(2, 2)), 2)
+	require.Equal(t, []Shard{{First: 0, Last: 1023}}, Shards("s", 4, 1024, nil))
+}
+
+// Guards against members in one failure domain and against VMs with more
+// shards than others.
+func TestMembers(t *testing.T) {
+	var vms []VM
+	for i := range 12 {
+		vms = append(vms, VM{ID: api.VMID(fmt.Sprintf("vm%02d", i)), Domain: api.FailureDomain(fmt.Sprint(i % 4))})
+	}
+	domain := func(id api.VMID) api.FailureDomain {
+		for _, vm := range vms {
+			if vm.ID == id {
+				return vm.Domain
+			}
+		}
+		return ""
+	}
+	places, holders := map[api.VMID]int{}, map[api.VMID]int{}
+	for i := range 8 {
+		m := Members(api.ShardID{Service: "s", Index: i}, vms)
+		require.Len(t, m, 3)
+		domains := map[api.FailureDomain]bool{}
+		for _, id := range m {
+			places[id]++
+			domains[domain(id)] = true
+		}
+		require.Len(t, domains, 3)
+		holders[m[0]]++
+	}
+	require.Len(t, holders, 8)
+	for id, n := range places {
+		require.LessOrEqual(t, n, 3, "%s: 24 places over 12 VMs", id)
+	}
+	members := Members(api.ShardID{Service: "s"}, vms)
+	vm, ok := Replacement(api.ShardID{Service: "s"}, members, members[1], vms)
+	require.True(t, ok)
+	require.NotContains(t, members, vm)
+	require.NotContains(t, []api.FailureDomain{domain(members[0]), domain(members[2])}, domain(vm))
+	require.Len(t, Members(api.ShardID{Service: "s"}, vms[:2]), 2)
+}
+
+// Guards against hot keys that flap between ranges, and against a range number
+// that is given to another key while requests for the former one may be on
+// their way.
+func TestHotKeys(t *testing.T) {
+	h := NewHotKeys(HotKeyConfig{
+		Ranges: 100, SplitShare: 0.1, MergeShare: 0.05, SplitAfter: 2 * time.Second,
+		MergeAfter: 30 * time.Second, ReuseAfter: 10 * time.Second, Max: 2,
+	})
+	var got []HotKeyChange
+	at := map[HotKeyChange]time.Duration{}
+	for now := time.Duration(0); now <= 60*time.Second; now += time.Second {
+		loads := []KeyLoad{{Key: "noisy", Share: 0.05 + 0.1*float64(now/time.Second%2)}, {Key: "calm", Share: 0.09}}
+		if now < 10*time.Second {
+			loads = append(loads, KeyLoad{Key: "burst", Share: 0.3})
+		}
+		if now >= 20*time.Second {
+			loads = append(loads, KeyLoad{Key: "late", Share: 0.2}, KeyLoad{Key: "third", Share: 0.11})
+		}
+		for _, c := range h.Observe(now, loads) {
+			got = append(got, c)
+			at[c] = now
+		}
+	}
+	split, merge := HotKeyChange{Key: "burst", Range: 100, Split: true}, HotKeyChange{Key: "burst", Range: 100}
+	late, third := HotKeyChange{Key: "late", Range: 101, Split: true}, HotKeyChange{Key: "third", Range: 102, Split: true}
+	require.Equal(t, []HotKeyChange{split, late, merge, third}, got)
+	require.Equal(t, map[HotKeyChange]time.Duration{
+		split: 2 * time.Second, late: 22 * time.Second, merge: 40 * time.Second, third: 40 * time.Second,
+	}, at)
+	require.Equal(t, map[string]int{"late": 101, "third": 102}, h.Ranges())
+}
+
+// Guards against a preset that promises a reserve it does not have.
+func TestFitsWithoutLargestDomain(t *testing.T) {
+	ups := fleet(5, 2) // 30 and 20
+	require.True(t, FitsWithoutLargestDomain(ups, 20))
+	require.False(t, FitsWithoutLargestDomain(ups, 20.1))
+	ups[0].State = Out // 20 and 20
+	require.True(t, FitsWithoutLargestDomain(ups, 20))
+	ups[1].State, ups[1].Capacity = Cold, 1
+	require.True(t, FitsWithoutLargestDomain(ups, 11))
+	require.False(t, FitsWithoutLargestDomain(ups, 12))
+	require.True(t, FitsWithoutLargestDomain(nil, 0))
+}
