--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/placement"
+)
+
+func testShards() []placement.Shard {
+	return []placement.Shard{{First: 0, Last: 99}, {First: 100, Last: 255}}
+}
+
+// Guards against ranges that are not equal slices, and against a hot key that
+// changes its shard.
+func TestKeysGoToRangesAndShards(t *testing.T) {
+	plain := New("s", 256, testShards(), nil)
+	hot := New("s", 256, testShards(), map[string]int{"k7": 256, "k8": 3})
+	counts := make([]int, 256)
+	for i := range 100_000 {
+		key := fmt.Sprintf("k%d", i)
+		rng, shard, ok := plain.Keyed(key)
+		require.True(t, ok)
+		require.Equal(t, rng >= 100, shard.Index == 1)
+		counts[rng]++
+		hotRange, hotShard, ok := hot.Keyed(key)
+		require.True(t, ok)
+		require.Equal(t, shard, hotShard)
+		if key == "k7" {
+			rng = 256
+		}
+		require.Equal(t, rng, hotRange)
+	}
+	for _, n := range counts {
+		require.InDelta(t, 100_000.0/256, n, 120, "six standard deviations")
+	}
+	for _, absent := range []int{-1, 256, 1000} {
+		_, ok := plain.Shard(absent)
+		require.False(t, ok)
+	}
+	_, ok := New("s", 256, nil, nil).ByFingerprint(1)
+	require.False(t, ok)
+}
+
+// Guards against two different requests with one fingerprint because the parts
+// run into each other.
+func TestFingerprintSeparatesParts(t *testing.T) {
+	seen := map[uint64]string{}
+	for _, r := range [][4]string{
+		{"s", "GET", "/a", "b"},
+		{"s", "GET", "/ab", ""},
+		{"s", "GET/", "ab", ""},
+		{"sG", "ET", "/a", "b"},
+		{"s", "GET", "", "/ab"},
+		{"s", "PUT", "/a", "b"},
+		{"s", "GET", "/a", "b\x00"},
+	} {
+		f := Fingerprint(api.ServiceName(r[0]), r[1], r[2], []byte(r[3]))
+		require.Equal(t, f, Fingerprint(api.ServiceName(r[0]), r[1], r[2], []byte(r[3])))
+		require.NotContains(t, seen, f, "%v and %v", r, seen[f])
+		seen[f] = fmt.Sprint(r)
+	}
+}
+
+// Guards against routing to a former holder.
+func TestHighestFenceWins(t *testing.T) {
+	s := api.ShardID{Service: "s"}
+	claim := func(version, ballot uint64) map[api.ShardID]api.Fence {
+		return map[api.ShardID]api.Fence{s: api.NewFence(version, ballot)}
+	}
+	h := NewHolders(DefaultClaimExpiry)
+	expect := func(now time.Duration, want api.VMID) {
+		t.Helper()
+		got, _, ok := h.Holder(now, s)
+		require.Equal(t, want != "", ok)
+		require.Equal(t, want, got)
+	}
+	expect(0, "")
+	h.Heard(0, "a", claim(1, 1))
+	expect(0, "a")
+	h.Heard(time.Second, "b", claim(1, 2))
+	h.Heard(time.Second, "a", claim(1, 1))
+	expect(time.Second, "b")
+	h.Heard(2*time.Second, "c", claim(2, 1))
+	h.Heard(2*time.Second, "b", nil)
+	expect(2*time.Second, "c")
+	h.Heard(3*time.Second, "c", nil)
+	expect(3*time.Second, "")
+	h.Heard(3*time.Second, "a", claim(1, 1))
+	expect(3*time.Second, "")
+	h.Heard(5*time.Second, "a", claim(1, 1)) // the higher fence was last heard 3 s ago
+	expect(5*time.Second, "a")
+	h.Forget("a")
+	expect(5*time.Second, "")
+	h.Heard(6*time.Second, "a", claim(1, 3))
+	expect(8999*time.Millisecond, "a")
+	expect(9*time.Second, "")
+}
