Fix the division of a service into shards in the document

Cause: a division derived from the list of upstreams changes with that list, and holders with different revisions could then own one range or upstream at once. Change: layout and shard of each upstream are computed when first put, stored in the document and kept.

--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -36,6 +36,7 @@
 		return nil, err
 	}
 	next := a.doc
+	layoutServices(next, doc)
 	next.Revision = a.revision
 	next.Operations = append(next.Operations, Operation{
 		ID: ch.OperationID, Revision: next.Revision, By: ch.By, Kind: ch.Kind, Entity: ch.Entity(), Digest: digest,
--- a/core/config/apply_service.go
+++ b/core/config/apply_service.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		kept[u.ID] = true
-		u.Drained, u.ModifiedAt = before.Drained, before.ModifiedAt
+		u.Drained, u.Shard, u.ModifiedAt = before.Drained, before.Shard, before.ModifiedAt
 		if *u == before {
 			continue
 		}
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -79,6 +79,9 @@
 	MaxBody int `json:"max_body"`
 	// Upstreams lists the servers that run the requests.
 	Upstreams []Upstream `json:"upstreams"`
+	// Layout holds the ranges of each shard. It is derived when the service is
+	// first put and never changes; a value in a file is ignored.
+	Layout []Span `json:"layout,omitempty"`
 	// ModifiedAt is the revision that last put the service.
 	ModifiedAt uint64 `json:"modified_at,omitempty"`
 }
@@ -91,6 +94,9 @@
 	FailureDomain api.FailureDomain `json:"failure_domain"`
 	// Drained is true while operators keep the upstream from new work.
 	Drained bool `json:"drained,omitempty"`
+	// Shard is the shard that uses the upstream. It is derived when the upstream
+	// is first put and never changes; a value in a file is ignored.
+	Shard int `json:"shard,omitempty"`
 	// ModifiedAt is the revision that last changed the upstream.
 	ModifiedAt uint64 `json:"modified_at,omitempty"`
 }
--- /dev/null
+++ b/server/peer/hub.go
@@ -0,0 +1,405 @@
+// Package peer carries frames between entry VMs over WebSocket. Each VM dials
+// every peer and uses that connection for its own messages, calls and their
+// replies, so a connection that breaks affects one direction only.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+)
+
+// Path is the HTTP path of the WebSocket endpoint.
+const Path = "/peer/v1"
+
+const (
+	// queueFrames bounds the frames that wait to be written to one peer. More
+	// than that means that the peer does not read; messages are then dropped.
+	queueFrames = 1024
+	// writeTimeout ends a connection whose peer does not read.
+	writeTimeout = 2 * time.Second
+	// redialDelay keeps a lost peer from being dialled in a tight loop.
+	redialDelay = 100 * time.Millisecond
+	// dialTimeout bounds one attempt to connect.
+	dialTimeout = time.Second
+)
+
+// ErrNotSent means that a frame was not given to the peer's connection, so it
+// had no effect.
+var ErrNotSent = errors.New("no connection to the VM: the frame was not sent")
+
+// ErrLost means that the connection broke, or the caller gave up, after a frame
+// was queued; whether the peer acted on it is unknown.
+var ErrLost = errors.New("the connection to the VM was lost before the reply: the effect is unknown")
+
+// Peer is another entry VM.
+type Peer struct {
+	ID      api.VMID
+	Address string // ip:port
+}
+
+// Handler receives frames. Its methods run on the goroutine that reads the
+// sender's connection, except Call, which has a goroutine of its own.
+type Handler interface {
+	// Message handles a frame that expects no reply.
+	Message(from api.VMID, frame wire.Frame)
+	// Call handles a frame that expects a reply and returns the reply's payload.
+	Call(ctx context.Context, from api.VMID, frame wire.Frame) any
+}
+
+// Config holds what a Hub needs to know.
+type Config struct {
+	Self        api.VMID
+	Incarnation api.Incarnation
+	Peers       []Peer
+	TLS         *tls.Config // for dialling; nil for plain connections
+	Log         zerolog.Logger
+	// Authorize checks the first frame against the connection; nil accepts all.
+	Authorize func(r *http.Request, hello wire.Hello) error
+}
+
+// Hub holds the connections of one VM.
+type Hub struct {
+	cfg     Config
+	handler Handler
+	links   map[api.VMID]*link
+}
+
+// NewHub returns a hub; Run connects it.
+func NewHub(cfg Config, handler Handler) *Hub {
+	hub := &Hub{cfg: cfg, handler: handler, links: map[api.VMID]*link{}}
+	for _, p := range cfg.Peers {
+		if p.ID != cfg.Self {
+			hub.links[p.ID] = newLink(p)
+		}
+	}
+	return hub
+}
+
+// Run dials all peers until ctx ends.
+func (h *Hub) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, l := range h.links {
+		group.Go(func() { h.dialLoop(ctx, l) })
+	}
+	group.Wait()
+}
+
+// Peers returns the configured peers but the VM itself.
+func (h *Hub) Peers() []api.VMID {
+	ids := make([]api.VMID, 0, len(h.links))
+	for id := range h.links {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Send queues a message to a peer. It reports whether it was queued.
+func (h *Hub) Send(to api.VMID, kind wire.Type, payload any) bool {
+	l, ok := h.links[to]
+	if !ok {
+		return false
+	}
+	data, err := wire.Encode(kind, 0, payload)
+	if err != nil {
+		h.cfg.Log.Error().Err(err).Str("event", "frame_not_encoded").Str("type", string(kind)).Msg("")
+		return false
+	}
+	return l.enqueue(data)
+}
+
+// Call sends a request to a peer and decodes the reply into out. The error is
+// ErrNotSent or ErrLost.
+func (h *Hub) Call(ctx context.Context, to api.VMID, kind wire.Type, payload, out any) error {
+	l, ok := h.links[to]
+	if !ok {
+		return errors.Wrapf(ErrNotSent, "VM %s is not among the peers of the settings", to)
+	}
+	number, replies := l.open()
+	defer l.close(number)
+	data, err := wire.Encode(kind, number, payload)
+	if err != nil {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
+	if !l.enqueue(data) {
+		return errors.Wrapf(ErrNotSent, "VM %s", to)
+	}
+	select {
+	case frame, ok := <-replies:
+		if !ok {
+			return errors.Wrapf(ErrLost, "VM %s", to)
+		}
+		return frame.Unpack(out)
+	case <-ctx.Done():
+		h.cancel(l, number)
+		return errors.Wrapf(ErrLost, "VM %s: %v", to, ctx.Err())
+	}
+}
+
+// cancel tells the peer that nobody waits for a call any longer.
+func (h *Hub) cancel(l *link, number uint64) {
+	if data, err := wire.Encode(wire.TypeCancel, number, wire.Cancel{}); err == nil {
+		l.enqueue(data)
+	}
+}
+
+func (h *Hub) dialLoop(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		if err := h.dial(ctx, l); err != nil {
+			h.cfg.Log.Debug().Err(err).Str("event", "peer_not_connected").Str("peer", string(l.peer.ID)).Msg("")
+		}
+		select {
+		case <-time.After(redialDelay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// dial connects to a peer and serves the connection until it breaks.
+func (h *Hub) dial(ctx context.Context, l *link) error {
+	scheme, client := "ws://", &http.Client{}
+	if h.cfg.TLS != nil {
+		scheme, client = "wss://", &http.Client{Transport: &http.Transport{TLSClientConfig: h.cfg.TLS}}
+	}
+	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	defer cancelDial()
+	conn, _, err := websocket.Dial(dialCtx, scheme+l.peer.Address+Path, &websocket.DialOptions{HTTPClient: client})
+	if err != nil {
+		return errors.Wrap(err, "dial")
+	}
+	defer conn.CloseNow()
+	conn.SetReadLimit(wire.MaxFrame)
+	hello, err := wire.Encode(wire.TypeHello, 0, wire.Hello{VM: h.cfg.Self, Incarnation: h.cfg.Incarnation})
+	if err != nil {
+		return err
+	}
+	if err := conn.Write(dialCtx, websocket.MessageBinary, hello); err != nil {
+		return errors.Wrap(err, "greet")
+	}
+	connCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	queue := l.connect()
+	defer l.disconnect()
+	go func() {
+		defer cancel()
+		writeLoop(connCtx, conn, queue)
+	}()
+	for {
+		_, data, err := conn.Read(connCtx)
+		if err != nil {
+			return errors.Wrap(err, "read")
+		}
+		frame, err := wire.Decode(data)
+		if err != nil {
+			return err
+		}
+		l.deliver(frame)
+	}
+}
+
+func writeLoop(ctx context.Context, conn *websocket.Conn, queue <-chan []byte) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case data := <-queue:
+			writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := conn.Write(writeCtx, websocket.MessageBinary, data)
+			cancel()
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// ServeHTTP accepts a peer's connection and handles its frames.
+func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer conn.CloseNow()
+	conn.SetReadLimit(wire.MaxFrame)
+	hello, err := h.greet(r, conn)
+	if err != nil {
+		h.cfg.Log.Warn().Err(err).Str("event", "peer_refused").Str("remote", r.RemoteAddr).Msg("")
+		conn.Close(websocket.StatusPolicyViolation, "not a known VM")
+		return
+	}
+	in := &inbound{hub: h, from: hello.VM, conn: conn, running: map[uint64]context.CancelFunc{}}
+	in.serve(r.Context())
+}
+
+// greet reads and checks the first frame.
+func (h *Hub) greet(r *http.Request, conn *websocket.Conn) (wire.Hello, error) {
+	var hello wire.Hello
+	ctx, cancel := context.WithTimeout(r.Context(), dialTimeout)
+	defer cancel()
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return hello, errors.Wrap(err, "read greeting")
+	}
+	frame, err := wire.Decode(data)
+	if err != nil {
+		return hello, err
+	}
+	if frame.Type != wire.TypeHello {
+		return hello, errors.Errorf("first frame is %q: expected %q", frame.Type, wire.TypeHello)
+	}
+	if err := frame.Unpack(&hello); err != nil {
+		return hello, err
+	}
+	if _, known := h.links[hello.VM]; !known {
+		return hello, errors.Errorf("VM %q is not among the peers: add it to the settings", hello.VM)
+	}
+	if h.cfg.Authorize != nil {
+		return hello, h.cfg.Authorize(r, hello)
+	}
+	return hello, nil
+}
+
+// inbound is a connection that a peer dialled.
+type inbound struct {
+	hub  *Hub
+	from api.VMID
+	conn *websocket.Conn
+
+	mu      sync.Mutex
+	running map[uint64]context.CancelFunc
+}
+
+func (in *inbound) serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		_, data, err := in.conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		frame, err := wire.Decode(data)
+		if err != nil {
+			in.hub.cfg.Log.Warn().Err(err).Str("event", "frame_refused").Str("peer", string(in.from)).Msg("")
+			return
+		}
+		switch {
+		case frame.Type == wire.TypeCancel:
+			in.cancel(frame.Call)
+		case frame.Call != 0:
+			in.start(ctx, frame)
+		default:
+			in.hub.handler.Message(in.from, frame)
+		}
+	}
+}
+
+func (in *inbound) start(ctx context.Context, frame wire.Frame) {
+	callCtx, cancel := context.WithCancel(ctx)
+	in.mu.Lock()
+	in.running[frame.Call] = cancel
+	in.mu.Unlock()
+	go func() {
+		defer in.cancel(frame.Call)
+		in.reply(ctx, frame.Call, in.hub.handler.Call(callCtx, in.from, frame))
+	}()
+}
+
+func (in *inbound) cancel(number uint64) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if cancel, ok := in.running[number]; ok {
+		cancel()
+		delete(in.running, number)
+	}
+}
+
+func (in *inbound) reply(ctx context.Context, number uint64, payload any) {
+	data, err := wire.Encode(wire.TypeReply, number, payload)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := in.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		in.conn.CloseNow()
+	}
+}
+
+// link is the connection that this VM dials to one peer.
+type link struct {
+	peer Peer
+
+	mu    sync.Mutex
+	next  uint64
+	queue chan []byte // nil while not connected
+	calls map[uint64]chan wire.Frame
+}
+
+func newLink(p Peer) *link { return &link{peer: p, calls: map[uint64]chan wire.Frame{}} }
+
+func (l *link) connect() <-chan []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue = make(chan []byte, queueFrames)
+	return l.queue
+}
+
+// disconnect ends all calls: their replies can no longer arrive.
+func (l *link) disconnect() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue = nil
+	for number, replies := range l.calls {
+		close(replies)
+		delete(l.calls, number)
+	}
+}
+
+func (l *link) enqueue(data []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queue == nil {
+		return false
+	}
+	select {
+	case l.queue <- data:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) open() (uint64, <-chan wire.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	replies := make(chan wire.Frame, 1)
+	l.calls[l.next] = replies
+	return l.next, replies
+}
+
+func (l *link) close(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.calls, number)
+}
+
+// deliver gives a reply to its call. A reply whose call has ended is dropped.
+func (l *link) deliver(frame wire.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if replies, ok := l.calls[frame.Call]; ok && frame.Type == wire.TypeReply {
+		replies <- frame
+		delete(l.calls, frame.Call)
+	}
+}
+
