Add upstream leases

Cause: a key may run on one upstream only, also when its holder or upstream is paused, lost or cut off.

--- /dev/null
+++ b/core/lease/guard.go
@@ -0,0 +1,118 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+)
+
+// Checks says which checks an upstream makes: the setting upstream_checks.
+type Checks string
+
+// The values of upstream_checks.
+const (
+	ChecksFence    Checks = "fence"    // fence, granted ranges, lapse, deadline
+	ChecksDeadline Checks = "deadline" // the deadline only
+	ChecksNone     Checks = "none"
+)
+
+// The reasons for which a Guard refuses a grant or a request.
+var (
+	ErrLowerFence     = errors.New("the fence is lower than one already accepted: another VM holds the shard")
+	ErrUngrantedFence = errors.New("no grant with this fence was accepted: send a grant first")
+	ErrLapsedGrant    = errors.New("the grant ends before now on this upstream's clock: take a new reading")
+	ErrOldGrant       = errors.New("a later grant with this fence was accepted: ignore the answer")
+	ErrNotGranted     = errors.New("the range is not granted to this upstream: send the request to its owner")
+	ErrLapsed         = errors.New("the lease has lapsed: renew it")
+	ErrDeadline       = errors.New("the deadline has passed on this upstream's clock: the request was not run")
+	ErrBeyondLease    = errors.New("the deadline is after the end of the lease: shorten it")
+)
+
+// Guard is the upstream's side of a lease. Its times are readings of the
+// upstream's own clock. A restarted upstream starts with a new Guard.
+type Guard struct {
+	checks Checks
+	fence  api.Fence
+	until  time.Duration
+	ranges map[int]bool
+}
+
+// NewGuard returns a guard that has accepted no grant.
+func NewGuard(checks Checks) *Guard { return &Guard{checks: checks, ranges: map[int]bool{}} }
+
+// Fence returns the highest fence accepted.
+func (g *Guard) Fence() api.Fence { return g.fence }
+
+// Until returns the end of the lease.
+func (g *Guard) Until() time.Duration { return g.until }
+
+// Owns reports whether a range is granted at now.
+func (g *Guard) Owns(now time.Duration, rng int) bool { return now < g.until && g.ranges[rng] }
+
+// Ranges returns the ranges of the last grant, in order.
+func (g *Guard) Ranges() []int {
+	all := make([]int, 0, len(g.ranges))
+	for rng := range g.ranges {
+		all = append(all, rng)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Grant takes a grant, which replaces the one before. With ChecksFence, grants
+// of one fence are ordered by their end, so that a delayed or repeated grant
+// does not give a range back that a later grant took away.
+func (g *Guard) Grant(now time.Duration, fence api.Fence, until time.Duration, ranges []int) error {
+	if g.checks == ChecksFence {
+		switch {
+		case fence < g.fence:
+			return ErrLowerFence
+		case until <= now:
+			return ErrLapsedGrant
+		case fence == g.fence && until < g.until:
+			return ErrOldGrant
+		case fence == g.fence && until == g.until && !g.equalRanges(ranges):
+			return ErrOldGrant
+		}
+	}
+	g.fence, g.until = fence, until
+	g.ranges = make(map[int]bool, len(ranges))
+	for _, rng := range ranges {
+		g.ranges[rng] = true
+	}
+	return nil
+}
+
+func (g *Guard) equalRanges(ranges []int) bool {
+	sorted := slices.Sorted(slices.Values(ranges))
+	return slices.Equal(slices.Compact(sorted), g.Ranges())
+}
+
+// Check decides whether a request may start. A run that starts ends by its deadline.
+func (g *Guard) Check(now time.Duration, fence api.Fence, rng int, deadline time.Duration) error {
+	if g.checks == ChecksNone {
+		return nil
+	}
+	if deadline <= now {
+		return ErrDeadline
+	}
+	if g.checks == ChecksDeadline {
+		return nil
+	}
+	switch {
+	case fence < g.fence:
+		return ErrLowerFence
+	case fence > g.fence:
+		return ErrUngrantedFence
+	case now >= g.until:
+		return ErrLapsed
+	case !g.ranges[rng]:
+		return ErrNotGranted
+	case deadline > g.until:
+		return ErrBeyondLease
+	}
+	return nil
+}
