Add authority over shards

Cause: a shard needs at most one holder, also without the store. Change: package core/authority, a deterministic machine with renewals, claims, release to a successor, abstention and replacement of members. If the quorum of a claim has too few members that remember, the candidate first raises the record's version through the store; the holder's renewals restore the memory of a restarted member without the store. - A process without a record takes its first one from the store only. - A release reserves the shard for the successor until the lease would have lapsed, because only the successor knows the upstream leases.

--- /dev/null
+++ b/core/authority/types.go
@@ -0,0 +1,138 @@
+// Package authority decides which entry VM may act as holder of one shard.
+//
+// A Machine is the state of one VM for one shard. The holder has authority for
+// a lease that a majority of the shard's members promised, counted from the
+// time at which the holder sent its request. Section 4 of docs/design.md gives
+// the rules. The machine is deterministic: time and messages are parameters,
+// and everything that it wants done is returned as actions.
+package authority
+
+import (
+	"slices"
+	"time"
+
+	"dandelionhill.dev/api"
+)
+
+// Record is the row of a shard in the table service.
+type Record struct {
+	Shard   api.ShardID
+	Version uint64
+	Members []api.VMID
+	Next    []api.VMID // set while the members change: both lists must then give a majority
+	WriteID string
+}
+
+// same reports whether two records are the result of one write.
+func (r Record) same(o Record) bool {
+	return r.Shard == o.Shard && r.Version == o.Version && r.WriteID == o.WriteID &&
+		slices.Equal(r.Members, o.Members) && slices.Equal(r.Next, o.Next)
+}
+
+// eligible lists the VMs that may become holder, in the order of their rank.
+// While the members change only future members may, so that the holder which
+// ends the change stays a member.
+func (r Record) eligible() []api.VMID {
+	if len(r.Next) > 0 {
+		return r.Next
+	}
+	return r.Members
+}
+
+// Config holds the times of the protocol.
+type Config struct {
+	Lease, RenewEvery, RankDelay time.Duration
+	Drift                        float64 // bound on the relative rate error between two clocks
+	// Incarnation identifies this run of the process. It keeps answers to an
+	// earlier run apart and lets a holder tell a restarted member that it knows
+	// the highest ballot again. Without it a restarted member relies on the store.
+	Incarnation api.Incarnation
+}
+
+// DefaultConfig returns the times of docs/design.md.
+func DefaultConfig() Config {
+	return Config{
+		Lease:      time.Second,
+		RenewEvery: 200 * time.Millisecond,
+		RankDelay:  50 * time.Millisecond,
+		Drift:      0.01,
+	}
+}
+
+// Promise returns the time for which a member binds itself, and for which a
+// process that may have forgotten a promise abstains.
+func (c Config) Promise() time.Duration {
+	return time.Duration(float64(c.Lease)*(1+c.Drift)) + 1
+}
+
+// MessageType names a message between members.
+type MessageType string
+
+// The messages between members.
+const (
+	Renew    MessageType = "renew"
+	RenewAck MessageType = "renew_ack"
+	Claim    MessageType = "claim"
+	ClaimAck MessageType = "claim_ack"
+	Release  MessageType = "release"
+)
+
+// Message is sent from one member to another.
+type Message struct {
+	Type   MessageType
+	Record Record
+	// Ballot is the ballot of a request; in a refusal, the highest ballot that the member knows.
+	Ballot, Seq uint64
+	// Successor is the VM to which a holder releases the shard. A release
+	// without it withdraws a claim that failed.
+	Successor api.VMID
+	OK        bool
+	// Incarnation is that of the requesting process; answers repeat it.
+	Incarnation api.Incarnation
+	// Forgets says in an answer that the member may have forgotten ballots.
+	Forgets bool
+	// Member is, in an answer, the incarnation of the member. In a renewal it
+	// is the incarnation that reported Forgets to this holder: that process now
+	// learns from the renewal which ballots were used.
+	Member api.Incarnation
+}
+
+// Action is something that the owner of a Machine must do.
+type Action interface{ isAction() }
+
+// Send asks for a message to be sent.
+type Send struct {
+	To      api.VMID
+	Message Message
+}
+
+// WriteRecord asks for the shard's row to be written if it still has BaseVersion.
+type WriteRecord struct {
+	Record      Record
+	BaseVersion uint64
+}
+
+// ReadRecord asks for a transactional read of the shard's row, to be passed to Learn.
+type ReadRecord struct{}
+
+// Gained reports that this VM has become holder.
+type Gained struct{ Fence api.Fence }
+
+// Lost reports that this VM is no longer holder.
+type Lost struct{ Fence api.Fence }
+
+func (Send) isAction()        {}
+func (WriteRecord) isAction() {}
+func (ReadRecord) isAction()  {}
+func (Gained) isAction()      {}
+func (Lost) isAction()        {}
+
+// WriteResult is the outcome of a WriteRecord.
+type WriteResult int
+
+// The outcomes of a write.
+const (
+	WriteOK       WriteResult = iota // the row now holds the record
+	WriteConflict                    // the row had another version
+	WriteUnknown                     // the answer was lost
+)
