--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -81,7 +81,10 @@
 }
 
 // Observe takes a reading. restarted means that the upstream has a new
-// incarnation: its earlier leases and runs have ended.
+// incarnation: its earlier runs have ended, and the holder must grant its
+// ranges again. A grant that was sent before can still reach the new process,
+// so a range may go to another upstream only once the new process has
+// acknowledged a grant without it, or after the lapse.
 func (t *Table) Observe(up api.UpstreamID, r Reading) (restarted bool) {
 	u := t.get(up)
 	if u.former[r.Incarnation] {
@@ -101,9 +104,13 @@
 		// The answer may be older than the present incarnation; a later one will tell.
 		return false
 	}
-	former := u.former
-	former[u.reading.Incarnation] = true
-	*u = upstream{known: true, reading: r, firstReceived: r.ReceivedAt, former: former}
+	u.former[u.reading.Incarnation] = true
+	// A grant sent to the former process can still reach the new one, so the
+	// time of lapse stays.
+	*u = upstream{
+		known: true, reading: r, firstReceived: r.ReceivedAt, former: u.former,
+		lapseAt: u.lapseAt, inherited: u.inherited,
+	}
 	return true
 }
 
@@ -176,6 +183,16 @@
 	return u == nil || now >= u.lapseAt
 }
 
+// LastOffer returns the end of the lease offered last to this incarnation. A
+// range has left a reachable upstream when the upstream has acknowledged a
+// grant without it that ends after LastOffer at the time of its withdrawal.
+func (t *Table) LastOffer(up api.UpstreamID) time.Duration {
+	if u := t.ups[up]; u != nil {
+		return u.lastUntil
+	}
+	return 0
+}
+
 // Forget removes an upstream that has left the shard. Call it only after its
 // leases have lapsed: afterwards Lapsed is true.
 func (t *Table) Forget(up api.UpstreamID) { delete(t.ups, up) }
