--- /dev/null
+++ b/core/lease/property_test.go
@@ -0,0 +1,210 @@
+package lease
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"dandelionhill.dev/api"
+)
+
+// TestMain fixes the seed of rapid unless a seed is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// grantInFlight is a grant or a reading that has not arrived.
+type grantInFlight struct {
+	at      time.Duration // true time of arrival
+	deliver func()
+}
+
+// pair is a table and a guard whose clocks run at different rates, with delays between them.
+type pair struct {
+	intN         func(n int) int
+	now          time.Duration // true time
+	tableRate    float64
+	guardRate    float64
+	table        *Table
+	guard        *Guard
+	incarnation  int
+	flights      []grantInFlight
+	authority    time.Duration // on the table's clock
+	sendFromRead bool          // broken: the holder counts its lease from the arrival of the reading
+	sends        int
+	wrong        string
+}
+
+func newPair(intN func(n int) int, drift float64, sendFromRead bool) *pair {
+	cfg := DefaultConfig()
+	cfg.Drift = drift
+	p := &pair{
+		intN: intN, table: NewTable(cfg), guard: NewGuard(ChecksFence), sendFromRead: sendFromRead,
+		tableRate: 1, guardRate: 1, authority: 2 * time.Second,
+	}
+	if intN(2) == 0 {
+		p.tableRate = 1.0098
+	} else {
+		p.guardRate = 1.0098
+	}
+	return p
+}
+
+func (p *pair) tableClock() time.Duration { return time.Duration(float64(p.now) * p.tableRate) }
+func (p *pair) guardClock() time.Duration {
+	return time.Minute + time.Duration(float64(p.now)*p.guardRate)
+}
+
+func (p *pair) later(fn func()) {
+	delay := time.Duration(p.intN(3000)) * time.Microsecond
+	if p.intN(6) == 0 {
+		delay = time.Duration(p.intN(900)) * ms
+	}
+	p.flights = append(p.flights, grantInFlight{p.now + delay, fn})
+}
+
+// exchange sends a grant, or a question without one, and handles the answer.
+func (p *pair) exchange() {
+	sent := p.tableClock()
+	until, ok := p.table.Offer(sent, p.authority, "u")
+	p.later(func() {
+		accepted := ok && p.guard.Grant(p.guardClock(), 1, until, []int{0}) == nil
+		r := Reading{Incarnation: api.Incarnation(fmt.Sprint(p.incarnation)), Clock: p.guardClock().Truncate(ms), SentAt: sent}
+		p.later(func() {
+			r.ReceivedAt = p.tableClock()
+			if p.sendFromRead {
+				r.SentAt = r.ReceivedAt
+			}
+			if !p.table.Observe("u", r) && accepted {
+				p.table.Acknowledge("u", until)
+			}
+		})
+	})
+}
+
+// check compares what the table believes with the guard, at one true time.
+func (p *pair) check() {
+	now, clock := p.tableClock(), p.guardClock()
+	// After a restart that the table has not seen, the new process may hold an
+	// older grant or none. It refuses what the table still allows.
+	u := p.table.ups["u"]
+	same := u != nil && u.reading.Incarnation == api.Incarnation(fmt.Sprint(p.incarnation))
+	if p.table.Lapsed(now, "u") && p.guard.Owns(clock, 0) {
+		p.wrong = "lapsed for the table, not for the guard"
+	}
+	if clock < p.guard.Until() && now >= p.authority {
+		p.wrong = "the lease outlasts the authority"
+	}
+	if same && p.table.MaySend(now, "u") && clock >= p.guard.Until() {
+		p.wrong = "the table may send after the lapse"
+	}
+	wanted := now + time.Duration(p.intN(700))*ms
+	if deadline, ok := p.table.Deadline(now, wanted, "u"); ok {
+		p.sends++
+		if same && deadline > p.guard.Until() {
+			p.wrong = "the deadline is after the lease"
+		}
+		left := time.Duration(float64(wanted-now) / p.tableRate * p.guardRate)
+		if deadline > clock+left+ms {
+			p.wrong = "the deadline is later than asked for"
+		}
+	}
+}
+
+func (p *pair) run(steps int) {
+	for range steps {
+		p.now += time.Duration(p.intN(60000)) * time.Microsecond
+		for k := 0; k < len(p.flights); {
+			if p.flights[k].at > p.now {
+				k++
+				continue
+			}
+			f := p.flights[k]
+			p.flights = append(p.flights[:k], p.flights[k+1:]...)
+			if p.intN(10) > 0 {
+				f.deliver()
+			}
+			k = 0
+		}
+		switch p.intN(40) {
+		case 0:
+			p.now += time.Duration(p.intN(1200)) * ms // both idle
+		case 1:
+			p.incarnation++
+			p.guard = NewGuard(ChecksFence)
+		case 2, 3: // idle until just after the lapse
+			if u := p.table.ups["u"]; u != nil && u.lapseAt > p.tableClock() {
+				p.now = time.Duration(float64(u.lapseAt)/p.tableRate) + 10*time.Microsecond
+				if p.check(); p.wrong != "" {
+					return
+				}
+				continue
+			}
+		}
+		if now := p.tableClock(); now < p.authority {
+			p.authority = max(p.authority, now+time.Duration(p.intN(1000))*ms)
+			p.exchange()
+		}
+		if p.check(); p.wrong != "" {
+			return
+		}
+	}
+}
+
+// The table must never believe more than the guard allows, with clocks at the
+// limit of the drift, delayed and lost answers, and restarts.
+func TestTableAgreesWithGuard(t *testing.T) {
+	sends := 0
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		p := newPair(rand.New(rand.NewPCG(seed, 3)).IntN, 0.01, false)
+		p.run(120)
+		if p.wrong != "" {
+			t.Fatalf("at %v: %s", p.now, p.wrong)
+		}
+		sends += p.sends
+	})
+	assert.Positive(t, sends, "no request was ever allowed")
+	t.Logf("%d requests allowed", sends)
+}
+
+// The checks must notice a table that ignores drift and one that counts its
+// lease from the arrival of a reading.
+func TestBrokenTablesAreCaught(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		drift    float64
+		fromRead bool
+		want     string
+	}{
+		{"no drift", 0, false, "lapsed for the table"},
+		{"counted from arrival", 0.01, true, "may send after the lapse"},
+	} {
+		found := false
+		for seed := uint64(1); seed <= 500 && !found; seed++ {
+			p := newPair(rand.New(rand.NewPCG(seed, 3)).IntN, c.drift, c.fromRead)
+			p.run(120)
+			if found = strings.Contains(p.wrong, c.want); found {
+				t.Logf("%s: caught with seed %d", c.name, seed)
+			}
+		}
+		assert.True(t, found, "%s is not noticed", c.name)
+	}
+}
