Add crash evidence

Change: core/crash keeps suspects, quarantine, the limit of two unproven runs, and exchange between VMs. For a fingerprint that succeeded before, only the crash of a run that was alone counts as the second crash, because the loss of a failure domain breaks many connections that carry the same harmless request. Conclusion: an unproven fingerprint crashes at most two upstreams at the level of this package.

--- /dev/null
+++ b/core/crash/evidence.go
@@ -0,0 +1,235 @@
+// Package crash keeps evidence of requests that crash upstreams. A request in
+// flight on a broken connection becomes a suspect, a suspect runs alone, and a
+// fingerprint that crashes again is quarantined.
+package crash
+
+import "time"
+
+// Verdict says how a request with a given fingerprint may run.
+type Verdict int
+
+const (
+	// Normal allows a run next to others.
+	Normal Verdict = iota
+	// Solo allows a run alone on its upstream.
+	Solo
+	// Wait asks the caller to ask again when a run of the fingerprint has ended.
+	Wait
+	// Quarantined forbids a run.
+	Quarantined
+)
+
+// String returns the name of v.
+func (v Verdict) String() string {
+	switch v {
+	case Normal:
+		return "normal"
+	case Solo:
+		return "solo"
+	case Wait:
+		return "wait"
+	default:
+		return "quarantined"
+	}
+}
+
+// Config holds the limits of Evidence.
+type Config struct {
+	// Quarantine is how long a fingerprint is refused after its second crash.
+	Quarantine time.Duration
+	// SuspectTTL is how long a suspect that does not run stays one.
+	SuspectTTL time.Duration
+	// ProvenTTL is how long a success is remembered after the last run.
+	ProvenTTL time.Duration
+	// Capacity bounds the fingerprints kept without a run in progress.
+	Capacity int
+	// Unproven is the number of runs at once of a fingerprint that never succeeded.
+	Unproven int
+}
+
+// DefaultConfig returns the limits of section 7.4 of the design page.
+func DefaultConfig() Config {
+	return Config{
+		Quarantine: 10 * time.Minute,
+		SuspectTTL: 10 * time.Minute,
+		ProvenTTL:  10 * time.Minute,
+		Capacity:   65536,
+		Unproven:   2,
+	}
+}
+
+// record is what is known about one fingerprint.
+type record struct {
+	fingerprint uint64
+	crashes     int // crashes since the last success
+	proven      bool
+	alone       bool // the run in progress was admitted as a suspect
+	running     int
+	until       time.Duration // end of the quarantine, or of the memory
+	class       class
+	on          *list // the list that holds the record, if any
+	prev, next  *record
+}
+
+// Evidence is the crash evidence of one shard. It is not safe for concurrent use.
+type Evidence struct {
+	cfg     Config
+	now     time.Duration
+	records map[uint64]*record
+	idle    [classes]list // records without a run, oldest first
+	busy    list          // suspects and quarantined records with a run
+}
+
+// New returns empty evidence.
+func New(cfg Config) *Evidence {
+	def := DefaultConfig()
+	if cfg.Quarantine <= 0 {
+		cfg.Quarantine = def.Quarantine
+	}
+	if cfg.SuspectTTL <= 0 {
+		cfg.SuspectTTL = def.SuspectTTL
+	}
+	if cfg.ProvenTTL <= 0 {
+		cfg.ProvenTTL = def.ProvenTTL
+	}
+	if cfg.Capacity <= 0 {
+		cfg.Capacity = def.Capacity
+	}
+	if cfg.Unproven <= 0 {
+		cfg.Unproven = def.Unproven
+	}
+	return &Evidence{cfg: cfg, records: map[uint64]*record{}}
+}
+
+// Admit says how a request may run. It reserves nothing: the holder asks on
+// arrival and again directly before Started, because the verdict can change
+// while the request is queued.
+func (e *Evidence) Admit(now time.Duration, fingerprint uint64) Verdict {
+	e.advance(now)
+	r := e.records[fingerprint]
+	switch {
+	case r == nil:
+		return Normal
+	case r.class == quarantined:
+		return Quarantined
+	case r.crashes > 0 && r.running > 0:
+		return Wait
+	case r.crashes > 0:
+		return Solo
+	case !r.proven && r.running >= e.cfg.Unproven:
+		return Wait
+	default:
+		return Normal
+	}
+}
+
+// Started records the start of a run. Every Started is followed by one of
+// Succeeded, Ended, or Crashed with the fingerprint.
+func (e *Evidence) Started(now time.Duration, fingerprint uint64) {
+	e.advance(now)
+	r := e.records[fingerprint]
+	if r == nil {
+		r = &record{fingerprint: fingerprint}
+		e.records[fingerprint] = r
+	}
+	if r.running == 0 {
+		r.alone = r.crashes > 0
+	}
+	r.running++
+	e.file(r)
+}
+
+// Succeeded records that a run gave a complete answer, which clears a suspect.
+// A quarantine stays in force: the success of a run that started earlier does
+// not undo two crashes.
+func (e *Evidence) Succeeded(now time.Duration, fingerprint uint64) {
+	e.advance(now)
+	r := e.records[fingerprint]
+	if r == nil {
+		return
+	}
+	if r.class != quarantined {
+		r.crashes = 0
+		r.proven = true
+		r.alone = false
+	}
+	e.leave(r)
+}
+
+// Ended records that a run ended with neither an answer nor a crash, for
+// example because the upstream shed it.
+func (e *Evidence) Ended(now time.Duration, fingerprint uint64) {
+	e.advance(now)
+	if r := e.records[fingerprint]; r != nil {
+		e.leave(r)
+	}
+}
+
+// Crashed records that a connection broke with these requests in flight. A
+// fingerprint that occurs more than once counts as one crash.
+func (e *Evidence) Crashed(now time.Duration, inFlight []uint64) {
+	e.advance(now)
+	for i, fingerprint := range inFlight {
+		r := e.records[fingerprint]
+		if r == nil {
+			r = &record{fingerprint: fingerprint}
+			e.records[fingerprint] = r
+		}
+		if !contains(inFlight[:i], fingerprint) {
+			e.blame(r)
+		}
+		e.leave(r)
+	}
+}
+
+// blame counts one crash of r. A fingerprint that has succeeded before may be
+// in flight on many upstreams when a failure domain is lost, so for it only
+// the crash of a run that was alone is a second crash. An unproven fingerprint
+// runs at most twice at once, so counting each crash limits it to two.
+func (e *Evidence) blame(r *record) {
+	if r.class == quarantined {
+		return
+	}
+	if r.crashes > 0 && (!r.proven || r.alone) {
+		r.crashes = 2
+		r.proven = false
+		r.class = quarantined
+		r.until = e.now + e.cfg.Quarantine
+		return
+	}
+	r.crashes = 1
+}
+
+func contains(all []uint64, fingerprint uint64) bool {
+	for _, f := range all {
+		if f == fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
+// leave ends one run of r.
+func (e *Evidence) leave(r *record) {
+	if r.running > 0 {
+		r.running--
+	}
+	if r.running == 0 {
+		r.alone = false
+	}
+	e.file(r)
+}
+
+// Len returns the number of fingerprints kept.
+func (e *Evidence) Len() int { return len(e.records) }
+
+// Quarantined returns the number of fingerprints in quarantine.
+func (e *Evidence) Quarantined() int {
+	n := e.idle[quarantined].n
+	for r := e.busy.first; r != nil; r = r.next {
+		if r.class == quarantined {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/crash/exchange.go
@@ -0,0 +1,75 @@
+package crash
+
+import "time"
+
+// Entry is evidence in the form that heartbeats carry. Left is a time span
+// because VMs share no clock.
+type Entry struct {
+	Fingerprint uint64        `json:"fingerprint"`
+	Quarantined bool          `json:"quarantined"`
+	Left        time.Duration `json:"left"`
+}
+
+// minLeft is the shortest remaining time that Merge accepts. VMs that send
+// each other entries about to expire would otherwise renew them for each other
+// by the delay of a heartbeat.
+const minLeft = time.Second
+
+// Snapshot returns at most limit entries: quarantined fingerprints before
+// suspects, newer ones before older ones. Suspects with a run in progress are
+// included.
+func (e *Evidence) Snapshot(limit int) []Entry {
+	var out []Entry
+	add := func(r *record, left time.Duration) {
+		if len(out) < limit && left > 0 {
+			out = append(out, Entry{r.fingerprint, r.class == quarantined, left})
+		}
+	}
+	for r := e.idle[quarantined].last; r != nil && len(out) < limit; r = r.prev {
+		add(r, r.until-e.now)
+	}
+	for r := e.busy.last; r != nil && len(out) < limit; r = r.prev {
+		if r.class == quarantined {
+			add(r, r.until-e.now)
+		} else {
+			add(r, e.cfg.SuspectTTL)
+		}
+	}
+	for r := e.idle[suspect].last; r != nil && len(out) < limit; r = r.prev {
+		add(r, r.until-e.now)
+	}
+	return out
+}
+
+// Merge adds entries of another VM. It never shortens or extends what is known,
+// and a fingerprint that succeeded here does not become a suspect again.
+func (e *Evidence) Merge(now time.Duration, entries []Entry) {
+	e.advance(now)
+	for _, entry := range entries {
+		if entry.Left < minLeft {
+			continue
+		}
+		e.merge(entry)
+	}
+}
+
+func (e *Evidence) merge(entry Entry) {
+	r := e.records[entry.Fingerprint]
+	if r != nil && (r.class == quarantined || !entry.Quarantined && (r.proven || r.crashes > 0)) {
+		return
+	}
+	if r == nil {
+		r = &record{fingerprint: entry.Fingerprint}
+		e.records[entry.Fingerprint] = r
+	}
+	r.crashes = 1
+	if entry.Quarantined {
+		r.crashes = 2
+		r.class = quarantined
+		r.until = e.now + min(entry.Left, e.cfg.Quarantine)
+	}
+	e.file(r)
+	if r.class == suspect && r.running == 0 {
+		r.until = e.now + min(entry.Left, e.cfg.SuspectTTL)
+	}
+}
