Add the ramp of one upstream

Change: core/ramp has slow start by windows of normal answers, halving on sheds or slow answers, detection of a silent turn to cold, and load reports that only lower the limit, by at most half.

--- /dev/null
+++ b/core/ramp/ramp.go
@@ -0,0 +1,229 @@
+// Package ramp limits what one upstream receives to what it has been seen to
+// bear: slow start after a cold start, halving on sheds or slow answers, and
+// detection of an upstream that becomes cold without restarting.
+package ramp
+
+import (
+	"math"
+	"time"
+)
+
+// Config holds the thresholds of a Ramp.
+type Config struct {
+	// Window is the least number of answers that one decision is based on.
+	Window int
+	// Step is what a window of normal answers adds to the limit.
+	Step float64
+	// NormalFactor times the normal latency is the highest window mean at which the limit rises.
+	NormalFactor float64
+	// SlowFactor times the normal latency is the window mean from which the limit is halved.
+	SlowFactor float64
+	// ColdFactor times the normal latency, together with sheds, restarts the ramp.
+	ColdFactor float64
+	// ShedShare is the share of sheds in a window that halves the limit of a warm upstream.
+	ShedShare float64
+	// Learn is the weight of a window mean in the normal latency.
+	Learn float64
+	// ReportTTL is how long a load report is taken into account.
+	ReportTTL time.Duration
+	// ReportFloor is the least share of the limit that a load report leaves.
+	ReportFloor float64
+	// Normal is the normal latency of the service, zero if not known.
+	Normal time.Duration
+}
+
+// DefaultConfig returns the values of section 7.3 of the design page.
+func DefaultConfig() Config {
+	return Config{
+		// A mean of 16 lognormal times with sigma 0.5 has a relative error of 13%,
+		// so the factors below are more than three errors away from 1.
+		Window:       16,
+		Step:         1,
+		NormalFactor: 1.5,
+		SlowFactor:   2,
+		ColdFactor:   3,
+		ShedShare:    0.1,
+		Learn:        0.05,
+		ReportTTL:    2 * time.Second,
+		// Reports may mislead, so one cannot take more than half of the limit.
+		ReportFloor: 0.5,
+	}
+}
+
+// window collects the answers since the last decision.
+type window struct {
+	answers, sheds int
+	total          time.Duration
+}
+
+func (w *window) mean() time.Duration {
+	if w.answers == 0 {
+		return 0
+	}
+	return w.total / time.Duration(w.answers)
+}
+
+// Ramp is the state for one upstream. It is not safe for concurrent use.
+type Ramp struct {
+	cfg      Config
+	cold     bool
+	limit    float64 // requests in flight; has no meaning while it covers full
+	full     int     // from the last call of Limit
+	normal   time.Duration
+	window   window
+	halvedAt int // answers and sheds that still belong to the load before the last halving
+	load     float64
+	loadAt   time.Duration
+	reported bool
+}
+
+// New returns a ramp that starts with one request if cold.
+func New(cfg Config, cold bool) *Ramp {
+	def := DefaultConfig()
+	setDefault(&cfg.Window, def.Window)
+	setDefault(&cfg.Step, def.Step)
+	setDefault(&cfg.NormalFactor, def.NormalFactor)
+	setDefault(&cfg.SlowFactor, def.SlowFactor)
+	setDefault(&cfg.ColdFactor, def.ColdFactor)
+	setDefault(&cfg.ShedShare, def.ShedShare)
+	setDefault(&cfg.Learn, def.Learn)
+	setDefault(&cfg.ReportTTL, def.ReportTTL)
+	setDefault(&cfg.ReportFloor, def.ReportFloor)
+	r := &Ramp{cfg: cfg, normal: cfg.Normal, limit: math.Inf(1)}
+	if cold {
+		r.Restart(0)
+	}
+	return r
+}
+
+func setDefault[T int | float64 | time.Duration](value *T, def T) {
+	if *value <= 0 {
+		*value = def
+	}
+}
+
+// Restart begins a slow start, for example after a new incarnation. The normal
+// latency is kept: the service is the same.
+func (r *Ramp) Restart(time.Duration) {
+	r.cold = true
+	r.limit = 1
+	r.window = window{}
+	r.halvedAt = 0
+	r.reported = false
+}
+
+// SetNormal sets the normal latency, for example to the median over the warm
+// upstreams of the service. Without it a cold upstream is compared with itself.
+func (r *Ramp) SetNormal(normal time.Duration) {
+	if normal > 0 {
+		r.normal = normal
+	}
+}
+
+// Normal returns the normal latency, zero if not known.
+func (r *Ramp) Normal() time.Duration { return r.normal }
+
+// Cold reports whether the ramp has not reached the full limit yet.
+func (r *Ramp) Cold() bool { return r.cold }
+
+// Limit returns how many requests may be in flight when the upstream's own
+// limit is full. It is at least 1 unless full is 0.
+func (r *Ramp) Limit(now time.Duration, full int) int {
+	r.full = full
+	if full <= 0 {
+		return 0
+	}
+	if r.limit >= float64(full) {
+		r.limit = math.Inf(1)
+		r.cold = false
+	}
+	limit := math.Min(r.limit, float64(full))
+	if r.reported && now-r.loadAt < r.cfg.ReportTTL && r.load > 1 {
+		limit *= math.Max(1/r.load, r.cfg.ReportFloor)
+	}
+	return max(1, int(limit))
+}
+
+// Report takes a load report, where 1 is full use. Reports lag and may
+// mislead: a load over 1 lowers the limit for a while, any other load restores
+// nothing that answers have not earned.
+func (r *Ramp) Report(now time.Duration, load float64) {
+	if math.IsNaN(load) || load < 0 {
+		return
+	}
+	r.load, r.loadAt, r.reported = load, now, true
+}
+
+// Observe takes one answer: its latency, or that the upstream shed the request.
+func (r *Ramp) Observe(now, took time.Duration, shed bool) {
+	if shed {
+		r.window.sheds++
+	} else {
+		r.window.answers++
+		r.window.total += max(took, 0)
+	}
+	if r.halvedAt > 0 {
+		// The request may have been sent before the limit was halved.
+		r.halvedAt--
+		if r.halvedAt == 0 {
+			r.window = window{}
+		}
+		return
+	}
+	if shed && r.cold {
+		r.halve()
+		return
+	}
+	if r.window.answers+r.window.sheds >= r.windowSize() {
+		r.decide(now)
+	}
+}
+
+// windowSize is the number of answers per decision: at least two for each
+// request that may be in flight, so that a window reflects the present limit.
+func (r *Ramp) windowSize() int {
+	return max(r.cfg.Window, 2*int(math.Min(r.limit, float64(max(r.full, 1)))))
+}
+
+// decide ends a window.
+func (r *Ramp) decide(now time.Duration) {
+	w := r.window
+	r.window = window{}
+	mean := w.mean()
+	times := 0.0
+	if r.normal > 0 {
+		times = float64(mean) / float64(r.normal)
+	}
+	shedShare := float64(w.sheds) / float64(w.answers+w.sheds)
+	switch {
+	case !r.cold && w.sheds > 0 && times >= r.cfg.ColdFactor:
+		r.Restart(now)
+	case shedShare >= r.cfg.ShedShare, r.cold && times >= r.cfg.SlowFactor:
+		r.halve()
+	case times <= r.cfg.NormalFactor:
+		r.learn(mean)
+		r.limit += r.cfg.Step
+	case !r.cold:
+		r.learn(mean)
+	}
+}
+
+// halve lowers the limit and ignores the answers to what is already in flight.
+func (r *Ramp) halve() {
+	before := math.Min(r.limit, float64(max(r.full, 1)))
+	r.limit = math.Max(1, math.Floor(before/2))
+	r.window = window{}
+	r.halvedAt = int(before) - 1
+}
+
+// learn moves the normal latency towards a window mean. While the ramp is cold
+// it only falls, so that slow cold answers do not become normal.
+func (r *Ramp) learn(mean time.Duration) {
+	switch {
+	case mean <= 0:
+	case r.normal == 0:
+		r.normal = mean
+	case !r.cold || mean < r.normal:
+		r.normal += time.Duration(r.cfg.Learn * float64(mean-r.normal))
+	}
+}
--- /dev/null
+++ b/core/ramp/ramp_test.go
@@ -0,0 +1,82 @@
+package ramp_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"dandelionhill.dev/core/ramp"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	normal = 10 * time.Millisecond
+	full   = 6
+)
+
+// observe feeds n equal answers and returns the limit after each.
+func observe(r *ramp.Ramp, n int, took time.Duration, shed bool) int {
+	for range n {
+		r.Limit(0, full)
+		r.Observe(0, took, shed)
+	}
+	return r.Limit(0, full)
+}
+
+func cold() *ramp.Ramp { return ramp.New(ramp.Config{Window: 16, Normal: normal}, true) }
+
+// TestSlowStart guards against a cold upstream that gets full load at once.
+func TestSlowStart(t *testing.T) {
+	r := cold()
+	require.Equal(t, 1, r.Limit(0, full))
+	for want := 2; want <= full; want++ {
+		require.Equal(t, want-1, observe(r, 15, normal, false))
+		require.Equal(t, want, observe(r, 1, normal, false))
+	}
+	require.False(t, r.Cold())
+	require.Equal(t, 0, r.Limit(0, 0))
+}
+
+// TestSlowAnswersDoNotRaise guards against a ramp that takes cold answers for normal ones.
+func TestSlowAnswersDoNotRaise(t *testing.T) {
+	r := cold()
+	require.Equal(t, 1, observe(r, 31*16, 18*time.Millisecond, false))
+	require.Equal(t, 4, observe(r, 48, normal, false))
+	require.Equal(t, 2, observe(r, 16, 2*normal, false), "slow answers halve")
+	require.Equal(t, normal, r.Normal())
+}
+
+// TestShedsHalve guards against load that stays above what a cold upstream bears.
+func TestShedsHalve(t *testing.T) {
+	r := cold()
+	require.Equal(t, 4, observe(r, 48, normal, false))
+	require.Equal(t, 2, observe(r, 4, 0, true), "the sheds of one load halve once")
+	require.Equal(t, 1, observe(r, 1, 0, true))
+	require.Equal(t, 1, observe(r, 50, 0, true))
+}
+
+// TestSilentCold guards against full load on an upstream that became cold without a new incarnation.
+func TestSilentCold(t *testing.T) {
+	r := ramp.New(ramp.Config{Window: 16, Normal: normal}, false)
+	require.Equal(t, full, observe(r, 100, normal, false))
+	require.Equal(t, full, observe(r, 32, 3*normal, false), "a straggler without sheds is not cold")
+	r.SetNormal(normal)
+	observe(r, 1, 0, true)
+	require.Equal(t, 1, observe(r, 15, 3*normal, false))
+	require.True(t, r.Cold())
+}
+
+// TestReportsOnlyLower guards against load reports that raise a limit or stop an upstream.
+func TestReportsOnlyLower(t *testing.T) {
+	r := cold()
+	r.Report(0, 0)
+	require.Equal(t, 1, r.Limit(0, full))
+	w := ramp.New(ramp.Config{Normal: normal}, false)
+	for _, load := range []float64{0, 0.5, 1, math.NaN(), -3} {
+		w.Report(0, load)
+		require.Equal(t, full, w.Limit(0, full))
+	}
+	w.Report(0, math.Inf(1))
+	require.Equal(t, full/2, w.Limit(time.Second, full))
+	require.Equal(t, full, w.Limit(2*time.Second, full), "an old report has no effect")
+}
