Add the scheduler of one shard

Change: core/dispatch queues by key and caller. Starts take turns between a ring of keys and a ring of callers; order is kept within one key and caller. Admission estimates the wait from the place in both rings, so the queue of a hot key does not cause refusals of other keys.

--- /dev/null
+++ b/core/dispatch/deadlines.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import "time"
+
+// deadlines is a binary heap of queued items, earliest deadline first. Items
+// know their place, so that removal needs no search.
+type deadlines []*item
+
+func (d deadlines) before(i, j int) bool {
+	if d[i].req.Deadline != d[j].req.Deadline {
+		return d[i].req.Deadline < d[j].req.Deadline
+	}
+	return d[i].req.ID < d[j].req.ID
+}
+
+func (d deadlines) swap(i, j int) {
+	d[i], d[j] = d[j], d[i]
+	d[i].place, d[j].place = i, j
+}
+
+// push adds it unless it has no deadline.
+func (d *deadlines) push(it *item) {
+	it.place = noPlace
+	if it.req.Deadline == 0 {
+		return
+	}
+	it.place = len(*d)
+	*d = append(*d, it)
+	d.up(it.place)
+}
+
+// remove takes it out if it is in.
+func (d *deadlines) remove(it *item) {
+	i := it.place
+	if i == noPlace {
+		return
+	}
+	last := len(*d) - 1
+	d.swap(i, last)
+	(*d)[last] = nil
+	*d = (*d)[:last]
+	it.place = noPlace
+	if i < last {
+		d.down(i)
+		d.up(i)
+	}
+}
+
+// due returns the first item if its deadline is before the given time.
+func (d deadlines) due(before time.Duration) *item {
+	if len(d) == 0 || d[0].req.Deadline >= before {
+		return nil
+	}
+	return d[0]
+}
+
+func (d deadlines) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !d.before(i, parent) {
+			return
+		}
+		d.swap(i, parent)
+		i = parent
+	}
+}
+
+func (d deadlines) down(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(d) {
+			return
+		}
+		if child+1 < len(d) && d.before(child+1, child) {
+			child++
+		}
+		if !d.before(child, i) {
+			return
+		}
+		d.swap(i, child)
+		i = child
+	}
+}
--- /dev/null
+++ b/core/dispatch/estimate.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// service estimates the service time of an upstream or a lane.
+type service struct {
+	mean, dev float64 // in nanoseconds; dev is the mean deviation
+	n         int
+}
+
+// observe adds one service time. Early observations weigh more, so that the
+// configured value does not linger.
+func (s *service) observe(took time.Duration, smoothing float64) {
+	s.n++
+	weight := math.Max(smoothing, 1/float64(s.n))
+	x := float64(took)
+	if s.n == 1 {
+		s.mean, s.dev = x, x/2
+		return
+	}
+	s.dev += weight * (math.Abs(x-s.mean) - s.dev)
+	s.mean += weight * (x - s.mean)
+}
+
+// or returns s, or the configured service time while nothing has been observed.
+func (s service) or(expected time.Duration) service {
+	if s.n == 0 {
+		return service{mean: float64(expected), dev: float64(expected) / 2}
+	}
+	return s
+}
+
+// least is a service time that few runs stay below.
+func (s service) least() time.Duration {
+	return time.Duration(math.Max(s.mean/4, s.mean-2*s.dev))
+}
+
+// likely is a service time that most runs stay below.
+func (s service) likely(margin float64) time.Duration {
+	return time.Duration(s.mean + margin*s.dev)
+}
+
+// outlook is what a new request can expect of a lane.
+type outlook struct {
+	room bool    // it can start at once
+	rate float64 // starts per nanosecond
+	cold bool    // only cold upstreams are open
+}
+
+func (q *Queue) outlook(l *lane) outlook {
+	o := outlook{cold: true}
+	free := 0
+	add := func(u *upstream) {
+		if !u.limit.Open || u.limit.InFlight <= 0 {
+			return
+		}
+		o.rate += float64(u.limit.InFlight) / u.service.or(q.cfg.ServiceTime).mean
+		o.cold = o.cold && u.limit.Cold
+		if u != l.soloUp && !u.solo {
+			free += max(0, u.limit.InFlight-u.inFlight)
+		}
+	}
+	if l.up != nil {
+		add(l.up)
+	} else {
+		for _, u := range q.upstreams {
+			add(u)
+		}
+	}
+	o.room = free > l.queued
+	return o
+}
+
+// ahead estimates how many queued requests start before a new one. Its flow
+// gets every second turn from the keys' ring and every second from the callers'
+// ring, so a long queue of a hot key does not count in full.
+func (l *lane) ahead(r Request) float64 {
+	keys, callers := l.keyRing.n, l.callerRing.n
+	flowsOfKey, flowsOfCaller, own := 1, 1, 0
+	k := l.keys[keyID{r.Key, r.Range}]
+	if k == nil || k.inLane.on == nil {
+		keys++
+	}
+	c := l.callers[r.Caller]
+	if c == nil || c.inLane.on == nil {
+		callers++
+	}
+	f := l.flows[flowID{keyID{r.Key, r.Range}, r.Caller}]
+	linked := f != nil && f.inKey.on != nil
+	if f != nil {
+		own = f.items.n
+	}
+	if k != nil {
+		flowsOfKey = k.ready.n
+	}
+	if c != nil {
+		flowsOfCaller = c.ready.n
+	}
+	if !linked {
+		flowsOfKey++
+		flowsOfCaller++
+	}
+	share := 0.5/float64(keys*max(1, flowsOfKey)) + 0.5/float64(callers*max(1, flowsOfCaller))
+	return math.Min(float64(l.queued), float64(own+1)/share-1)
+}
+
+// wait estimates the time until a new request starts.
+func (q *Queue) wait(l *lane, r Request, o outlook) time.Duration {
+	s := l.service.or(q.cfg.ServiceTime)
+	wait := 0.0
+	if !o.room {
+		wait = (l.ahead(r) + 1) / o.rate
+	}
+	if r.Solo {
+		wait += s.mean
+	}
+	if k := l.keys[keyID{r.Key, r.Range}]; k != nil && q.cfg.KeyInFlight > 0 {
+		over := k.queued + k.running + 1 - q.cfg.KeyInFlight
+		wait = math.Max(wait, float64(over)*s.mean/float64(q.cfg.KeyInFlight))
+	}
+	return time.Duration(wait)
+}
