--- /dev/null
+++ b/fakes/upstream/http.go
@@ -0,0 +1,247 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/platform"
+	"dandelionhill.dev/platform/upstreamhttp"
+)
+
+// CrashMarker in the path of a request crashes every server that runs it.
+const CrashMarker = "crash-upstream"
+
+// coldFactor is how much longer a run takes on a cold server.
+const coldFactor = 3
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+upstreamhttp.HealthPath, s.health)
+	mux.HandleFunc("POST "+upstreamhttp.GrantPath, s.grant)
+	mux.HandleFunc("POST "+upstreamhttp.DrainPath, s.drain)
+	mux.HandleFunc("/", s.serve)
+	return mux
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, s.report())
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	s.wait()
+	var grant platform.Grant
+	if err := json.NewDecoder(r.Body).Decode(&grant); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var ranges []int
+	for _, span := range grant.Ranges {
+		for i := span.First; i <= span.Last; i++ {
+			ranges = append(ranges, i)
+		}
+	}
+	s.wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.guard.Grant(s.clock(), grant.Fence, time.Duration(grant.UntilMs)*time.Millisecond, ranges)
+	result := platform.GrantResult{Accepted: err == nil, Health: s.report()}
+	if err != nil {
+		result.Reason = err.Error()
+	}
+	writeJSON(w, result)
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	s.wait()
+	var body struct{ On bool }
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = body.On
+	writeJSON(w, s.report())
+}
+
+// report returns the health report; the load in it is old.
+func (s *Server) report() platform.Health {
+	now := time.Now()
+	s.loads = append(s.loads, loadSample{now, float64(s.running+s.waiting) / float64(s.cfg.Slots)})
+	for len(s.loads) > 1 && now.Sub(s.loads[1].at) >= s.cfg.ReportLag {
+		s.loads = s.loads[1:]
+	}
+	load := s.loads[0].load
+	if s.faults.Mislead {
+		load = 0
+	}
+	return platform.Health{
+		Incarnation: s.incarnation, ClockMs: s.clock().Milliseconds(), Fence: s.guard.Fence(),
+		Ready: true, Draining: s.draining, Load: load,
+	}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.wait()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set(api.HeaderNonce, r.Header.Get(api.HeaderNonce))
+	deadline := time.Duration(headerInt(r, api.HeaderDeadline)) * time.Millisecond
+	fence := api.Fence(headerInt(r, api.HeaderFence))
+	rng := int(headerInt(r, api.HeaderRange))
+	ctx, stop, reason := s.enter(r.Context(), fence, rng, deadline)
+	if reason != "" {
+		shed(w, reason)
+		return
+	}
+	defer stop()
+	run := &Run{
+		Upstream: s.cfg.ID, Key: r.Header.Get(api.HeaderKey), RequestID: r.Header.Get(api.HeaderRequestID),
+		Fence: fence, Start: time.Now(),
+	}
+	s.record(run, false)
+	run.Completed = s.execute(ctx, r.URL.Path)
+	run.End = time.Now()
+	s.record(run, true)
+	s.answer(w, r, run, body)
+}
+
+// enter checks the request, waits for a slot and returns the context of the
+// run. A reason means that the request was not run.
+func (s *Server) enter(ctx context.Context, fence api.Fence, rng int, deadline time.Duration) (context.Context, func(), string) {
+	s.mu.Lock()
+	if s.waiting >= s.cfg.Queue+s.cfg.Slots {
+		s.stats.Sheds++
+		s.mu.Unlock()
+		return nil, nil, "queue is full"
+	}
+	s.waiting++
+	if s.cold() {
+		s.stats.ColdOver = math.Max(s.stats.ColdOver, float64(s.waiting+s.running)/2)
+	}
+	slots := s.slots
+	s.mu.Unlock()
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+		return nil, nil, "caller left"
+	}
+	s.wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+	if err := s.guard.Check(s.clock(), fence, rng, deadline); err != nil {
+		s.stats.Refused++
+		<-slots
+		return nil, nil, err.Error()
+	}
+	s.running++
+	runCtx, cancel := context.WithTimeout(ctx, deadline-s.clock())
+	return runCtx, func() {
+		cancel()
+		<-slots
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+	}, ""
+}
+
+// execute spends the service time. It reports whether the run completed.
+func (s *Server) execute(ctx context.Context, path string) bool {
+	if strings.Contains(path, CrashMarker) {
+		s.mu.Lock()
+		s.crash()
+		s.mu.Unlock()
+		return false
+	}
+	s.mu.Lock()
+	mean := float64(s.cfg.ServiceTime)
+	took := time.Duration(mean/2 + s.rng.ExpFloat64()*mean/2)
+	if s.faults.Straggle > 0 {
+		took = time.Duration(float64(took) * s.faults.Straggle)
+	}
+	if s.cold() {
+		took *= coldFactor
+	}
+	s.mu.Unlock()
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	s.wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	s.stats.Runs++
+	return true
+}
+
+// answer repeats the request so that callers can check that it is theirs.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, run *Run, body []byte) {
+	s.mu.Lock()
+	faults, incarnation := s.faults, s.incarnation
+	s.mu.Unlock()
+	if !run.Completed {
+		panic(http.ErrAbortHandler)
+	}
+	text := fmt.Sprintf("%s %s %s key=%s id=%s body=%s", s.cfg.ID, r.Method, r.URL.Path, run.Key, run.RequestID, body)
+	h := w.Header()
+	h.Set(api.HeaderIncarnation, string(incarnation))
+	h.Set("Content-Type", "text/plain")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	if faults.Cross {
+		h.Set(api.HeaderNonce, "crossed")
+	}
+	if faults.Truncate {
+		text = text[:len(text)/2]
+	}
+	io.WriteString(w, text)
+	if faults.Truncate {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) record(run *Run, ended bool) {
+	if s.cfg.Recorder == nil {
+		return
+	}
+	if ended {
+		s.cfg.Recorder.Ended(run)
+		return
+	}
+	s.cfg.Recorder.Started(run)
+}
+
+func shed(w http.ResponseWriter, reason string) {
+	w.Header().Set(api.HeaderShed, "true")
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func headerInt(r *http.Request, name string) int64 {
+	n, _ := strconv.ParseInt(r.Header.Get(name), 10, 64)
+	return n
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/server/control/assign.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/server/holder"
+)
+
+// assigned sends a new assignment of a held shard to the witnesses. The owners
+// it names are granted their ranges once one witness has it, so that the
+// assignment survives the loss of this VM.
+func (c *Control) assigned(s *shardState, a wire.Assign) {
+	if s.held == nil || a.Fence != s.held.Fence() {
+		return
+	}
+	s.assign = &a
+	others := c.others(s)
+	if len(others) == 0 {
+		s.held.Assigned(a.Seq)
+		return
+	}
+	for _, vm := range others {
+		c.sender.Send(vm, wire.TypeAssign, a)
+	}
+}
+
+// assignAck tells a holder that a witness keeps an assignment.
+type assignAck struct {
+	Shard api.ShardID `cbor:"1,keyasint"`
+	Fence api.Fence   `cbor:"2,keyasint"`
+	Seq   uint64      `cbor:"3,keyasint"`
+}
+
+func (c *Control) receiveAssign(from api.VMID, frame wire.Frame) error {
+	var a wire.Assign
+	if err := frame.Unpack(&a); err != nil {
+		return err
+	}
+	s := c.shards[a.Shard]
+	if s == nil {
+		return nil
+	}
+	if s.assign == nil || a.Fence > s.assign.Fence || a.Fence == s.assign.Fence && a.Seq >= s.assign.Seq {
+		s.assign = &a
+	}
+	c.sender.Send(from, wire.TypeAssignAck, assignAck{a.Shard, a.Fence, a.Seq})
+	return nil
+}
+
+func (c *Control) receiveAssignAck(frame wire.Frame) error {
+	var ack assignAck
+	if err := frame.Unpack(&ack); err != nil {
+		return err
+	}
+	if s := c.shards[ack.Shard]; s != nil && s.held != nil && s.held.Fence() == ack.Fence {
+		s.held.Assigned(ack.Seq)
+	}
+	return nil
+}
+
+const (
+	// freezeTimeout bounds the wait for running requests in a handover.
+	freezeTimeout = 5 * time.Second
+	// handoverTimeout bounds the transfer to the successor.
+	handoverTimeout = 2 * time.Second
+)
+
+// handOver gives a held shard to another member.
+func (c *Control) handOver(s *shardState) {
+	rec, ok := s.machine.Record()
+	if !ok || s.handing {
+		return
+	}
+	to, ok := c.successor(rec.Members)
+	if !ok {
+		return
+	}
+	s.handing = true
+	held := s.held
+	c.cfg.Log.Info().Str("event", "handover").Stringer("shard", s.id).Str("to", string(to)).Msg("")
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freezeTimeout)
+		h := held.Freeze(ctx)
+		cancel()
+		ctx, cancel = context.WithTimeout(context.Background(), handoverTimeout)
+		defer cancel()
+		var reply wire.Reply
+		err := c.sender.Call(ctx, to, wire.TypeHandover, h, &reply)
+		c.post(func() { c.handedOver(s, held, to, err) })
+	}()
+}
+
+// handedOver gives up the authority. If the transfer failed, the successor
+// starts without the memory of request IDs and treats them as forgotten.
+func (c *Control) handedOver(s *shardState, held *holder.Shard, to api.VMID, err error) {
+	s.handing = false
+	if err != nil {
+		c.cfg.Log.Warn().Err(err).Str("event", "handover_failed").Stringer("shard", s.id).Str("to", string(to)).Msg("")
+	}
+	if s.held != held {
+		return
+	}
+	c.perform(s, s.machine.Release(c.cfg.Clock(), to))
+	c.lose(s)
+}
+
+// ReceiveHandover keeps what a former holder leaves for this VM.
+func (c *Control) ReceiveHandover(ctx context.Context, frame wire.Frame) wire.Reply {
+	var h holder.Handover
+	if err := frame.Unpack(&h); err != nil {
+		c.cfg.Log.Warn().Err(err).Str("event", "handover_refused").Msg("")
+		return wire.Reply{Refusal: api.Refuse(api.BadRequest, err.Error())}
+	}
+	err := c.do(ctx, func() {
+		if s := c.shards[h.Shard]; s != nil {
+			s.handover = &h
+		}
+	})
+	if err != nil {
+		return wire.Reply{Refusal: api.Refuse(api.Stopping, err.Error())}
+	}
+	return wire.Reply{Status: 200}
+}
+
+// Leave hands over all shards and waits until none is held or ctx ends.
+func (c *Control) Leave(ctx context.Context) error {
+	err := c.do(ctx, func() {
+		c.leaving = true
+		c.publish(c.cfg.Clock())
+		c.heartbeat(c.cfg.Clock())
+	})
+	if err != nil {
+		return err
+	}
+	return nil
+}
+
+// HandOverAll hands over all shards and waits until none is held or ctx ends.
+func (c *Control) HandOverAll(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		held := 0
+		err := c.do(ctx, func() {
+			for _, s := range c.shards {
+				if s.held != nil {
+					held++
+					c.handOver(s)
+				}
+			}
+		})
+		if err != nil || held == 0 {
+			return err
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/server/control/configuration.go
@@ -0,0 +1,244 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/platform"
+)
+
+// ConfigKey is the row of the table service that holds the configuration.
+const ConfigKey = "config/head"
+
+// ErrNoStore means that the table service cannot be reached, so nothing can be changed.
+var ErrNoStore = errors.New("the table service does not answer: send the same operation again later; requests go on meanwhile")
+
+func (c *Control) revision() uint64 {
+	if c.doc == nil {
+		return 0
+	}
+	return c.doc.Revision
+}
+
+// install adopts a document unless an equal or newer one is in use.
+func (c *Control) install(doc *config.Document, version uint64) {
+	if doc == nil {
+		return
+	}
+	c.docVersion = max(c.docVersion, version)
+	if c.doc != nil && doc.Revision <= c.doc.Revision {
+		return
+	}
+	c.doc = doc
+	c.cfg.Metrics.ConfigRevision.Set(float64(doc.Revision))
+	c.cfg.Log.Info().Str("event", "configuration").Uint64("revision", doc.Revision).Str("preset", doc.ActivePreset).Msg("")
+	c.configureShards()
+	c.publish(c.cfg.Clock())
+	c.heartbeat(c.cfg.Clock())
+}
+
+func (c *Control) receiveConfig(from api.VMID, frame wire.Frame) error {
+	var msg wire.Config
+	if err := frame.Unpack(&msg); err != nil {
+		return err
+	}
+	if len(msg.Document) == 0 {
+		return c.sendConfig(from, msg.Revision)
+	}
+	doc, err := config.Decode(msg.Document)
+	if err != nil {
+		return err
+	}
+	c.install(doc, 0)
+	return nil
+}
+
+// sendConfig sends the document to a VM that has an older one.
+func (c *Control) sendConfig(to api.VMID, revision uint64) error {
+	if c.revision() <= revision {
+		return nil
+	}
+	data, err := config.Encode(c.doc)
+	if err != nil {
+		return err
+	}
+	c.sender.Send(to, wire.TypeConfig, wire.Config{Revision: c.doc.Revision, Document: data})
+	return nil
+}
+
+// confirmByMajority confirms the configuration by contact with more than half
+// of the VMs, none of which has a newer one. Every accepted change is known to
+// more than half of them.
+func (c *Control) confirmByMajority(now time.Duration) {
+	if c.doc == nil || !c.members.Majority(now) {
+		return
+	}
+	for _, vm := range c.members.Hears(now) {
+		if c.peers[vm].revision > c.doc.Revision {
+			return
+		}
+	}
+	c.confirmed = max(c.confirmed, now+confirmFor)
+}
+
+// readStore reads the configuration and the records of shards in one
+// transaction, so that the result is not an older state.
+func (c *Control) readStore(ctx context.Context) {
+	if c.reading {
+		return
+	}
+	c.reading = true
+	keys := []string{ConfigKey}
+	for id := range c.shards {
+		keys = append(keys, recordKey(id))
+	}
+	sentAt := c.cfg.Clock()
+	go func() {
+		result, err := c.cfg.Table.Commit(ctx, platform.Txn{Reads: keys})
+		c.cfg.Metrics.StoreCall("read", err)
+		c.post(func() {
+			c.reading = false
+			if c.stored = err == nil; c.stored {
+				c.storeRead(ctx, sentAt, result.Rows)
+			}
+		})
+	}()
+}
+
+func (c *Control) storeRead(ctx context.Context, sentAt time.Duration, rows []platform.Row) {
+	for _, row := range rows {
+		if row.Key != ConfigKey {
+			c.learnRecord(ctx, row)
+			continue
+		}
+		if row.Version == 0 {
+			continue
+		}
+		doc, err := config.Decode(row.Value)
+		if err != nil {
+			c.cfg.Log.Error().Err(err).Str("event", "configuration_not_decoded").Msg("")
+			continue
+		}
+		c.install(doc, row.Version)
+		c.confirmed = max(c.confirmed, sentAt+confirmFor)
+	}
+}
+
+// maxAttempts bounds the attempts of one change against other operators'
+// writes. Each failed attempt means that another change was accepted.
+const maxAttempts = 8
+
+// Change applies a change to the newest document and writes it. It returns the
+// document that contains the change. A lost answer is resolved by reading: the
+// operation ID in the row says whether the write took effect.
+func (c *Control) Change(ctx context.Context, change config.Change, dryRun bool) (*config.Document, error) {
+	for range maxAttempts {
+		doc, version, err := c.readHead(ctx)
+		if err != nil {
+			return nil, err
+		}
+		next, err := config.Apply(doc, change)
+		if err != nil || dryRun {
+			return next, err
+		}
+		if doc != nil && next.Revision == doc.Revision {
+			return next, c.spread(ctx, next, version)
+		}
+		data, err := config.Encode(next)
+		if err != nil {
+			return nil, err
+		}
+		result, err := c.cfg.Table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: ConfigKey, Version: version}},
+			Puts:       []platform.Put{{Key: ConfigKey, Value: data}},
+		})
+		c.cfg.Metrics.StoreCall("write", err)
+		if err == nil && result.Committed {
+			return next, c.spread(ctx, next, version+1)
+		}
+		// Lost answer or another operator's write: read again.
+	}
+	return nil, errors.New("the configuration changed at every attempt: send the same operation again")
+}
+
+// spread installs a written document here and sends it to every VM.
+func (c *Control) spread(ctx context.Context, doc *config.Document, version uint64) error {
+	return c.do(ctx, func() {
+		c.install(doc, version)
+		for _, vm := range c.cfg.VMs {
+			if vm.ID != c.cfg.Self.ID {
+				_ = c.sendConfig(vm.ID, c.peers[vm.ID].revision)
+			}
+		}
+	})
+}
+
+func (c *Control) readHead(ctx context.Context) (*config.Document, uint64, error) {
+	result, err := c.cfg.Table.Commit(ctx, platform.Txn{Reads: []string{ConfigKey}})
+	c.cfg.Metrics.StoreCall("read", err)
+	if err != nil || len(result.Rows) != 1 {
+		return nil, 0, errors.WithMessage(ErrNoStore, "read configuration")
+	}
+	row := result.Rows[0]
+	if row.Version == 0 {
+		return nil, 0, nil
+	}
+	doc, err := config.Decode(row.Value)
+	return doc, row.Version, err
+}
+
+// Progress says how far a revision has come.
+type Progress struct {
+	Accepted bool       // known to more than half of the VMs
+	InForce  bool       // every VM that may still send work has it
+	Have     []api.VMID // the VMs that have it
+	Missing  []api.VMID // those that may still work without it
+}
+
+// Progress reports which VMs have a revision.
+func (c *Control) Progress(ctx context.Context, revision uint64) (Progress, error) {
+	var p Progress
+	err := c.do(ctx, func() {
+		now := c.cfg.Clock()
+		for _, vm := range c.cfg.VMs {
+			switch {
+			case c.hasRevision(vm.ID, revision):
+				p.Have = append(p.Have, vm.ID)
+			case c.hasStopped(now, vm.ID):
+			default:
+				p.Missing = append(p.Missing, vm.ID)
+			}
+		}
+		p.Accepted = 2*len(p.Have) > len(c.cfg.VMs)
+		p.InForce = p.Accepted && len(p.Missing) == 0
+	})
+	return p, err
+}
+
+func (c *Control) hasRevision(vm api.VMID, revision uint64) bool {
+	if vm == c.cfg.Self.ID {
+		return c.revision() >= revision
+	}
+	return c.peers[vm].revision >= revision
+}
+
+// hasStopped reports whether a VM without the newest revision surely takes no
+// new work: it said so, it is gone, or it cannot have been confirmed since.
+func (c *Control) hasStopped(now time.Duration, vm api.VMID) bool {
+	peer, heard := c.peers[vm]
+	switch {
+	case vm == c.cfg.Self.ID:
+		return false
+	case c.members.Gone(vm):
+		return true
+	case heard && peer.stale && now-peer.heardAt < confirmFor:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/server/control/control.go
@@ -0,0 +1,211 @@
+// Package control owns the control state of one VM: its configuration, its view
+// of the other VMs, and its part in the authority over shards. One goroutine
+// changes that state; traffic reads immutable snapshots.
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/core/membership"
+	"dandelionhill.dev/core/placement"
+	"dandelionhill.dev/core/route"
+	"dandelionhill.dev/platform"
+	"dandelionhill.dev/server/metrics"
+)
+
+// Intervals of the control loop.
+const (
+	// tickEvery paces timers; authority times are multiples of it.
+	tickEvery = 20 * time.Millisecond
+	// heartbeatEvery is the interval of heartbeats to every VM.
+	heartbeatEvery = 200 * time.Millisecond
+	// storeEvery is the interval of reads of the configuration and records: 12
+	// VMs make 24 reads a second, 1% of what the table service bears.
+	storeEvery = 500 * time.Millisecond
+	// listEvery is the interval of reads of the platform's list of VMs.
+	listEvery = time.Second
+	// maintainEvery is the interval at which members of shards are checked.
+	maintainEvery = time.Second
+	// confirmFor is how long a confirmation of the configuration lasts. A VM
+	// without one takes no new work.
+	confirmFor = 2 * time.Second
+	// eventQueue bounds the events that wait for the control goroutine.
+	eventQueue = 4096
+)
+
+// Sender carries messages to other VMs.
+type Sender interface {
+	Send(to api.VMID, kind wire.Type, payload any) bool
+	Call(ctx context.Context, to api.VMID, kind wire.Type, payload, out any) error
+}
+
+// Config holds what the control loop needs from its surroundings.
+type Config struct {
+	Self        placement.VM
+	Incarnation api.Incarnation
+	VMs         []placement.VM // all entry VMs of the settings, this one included
+	Table       platform.Table
+	VMList      platform.VMList
+	Dial        func(address string, service config.Service) platform.Upstream
+	Clock       func() time.Duration
+	Metrics     *metrics.Metrics
+	Log         zerolog.Logger
+}
+
+// Control is the control state of one VM.
+type Control struct {
+	cfg      Config
+	sender   Sender
+	events   chan func()
+	snapshot atomic.Pointer[Snapshot]
+
+	// The fields below belong to the control goroutine.
+	doc        *config.Document
+	docVersion uint64 // version of the row that doc was read from or written to
+	members    *membership.Table
+	peers      map[api.VMID]peerState
+	holders    *route.Holders
+	shards     map[api.ShardID]*shardState
+	confirmed  time.Duration // until when the configuration is confirmed
+	started    time.Duration
+	leaving    bool
+	stored     bool // the last store call succeeded
+
+	nextHeartbeat, nextMaintain time.Duration
+	reading                     bool // a read of the store is in progress
+}
+
+// peerState is what a VM last said in a heartbeat.
+type peerState struct {
+	revision uint64
+	stale    bool
+	heardAt  time.Duration
+}
+
+// New returns a control loop; Run runs it. SetSender must be called before Run.
+func New(cfg Config) *Control {
+	peers := make([]api.VMID, 0, len(cfg.VMs))
+	for _, vm := range cfg.VMs {
+		if vm.ID != cfg.Self.ID {
+			peers = append(peers, vm.ID)
+		}
+	}
+	c := &Control{
+		cfg: cfg, events: make(chan func(), eventQueue),
+		members: membership.New(cfg.Self.ID, membership.DefaultConfig(), peers),
+		peers:   map[api.VMID]peerState{},
+		holders: route.NewHolders(route.DefaultClaimExpiry),
+		shards:  map[api.ShardID]*shardState{},
+		started: cfg.Clock(),
+	}
+	c.snapshot.Store(&Snapshot{})
+	return c
+}
+
+// SetSender sets what carries messages to other VMs.
+func (c *Control) SetSender(sender Sender) { c.sender = sender }
+
+// Snapshot returns the newest state for traffic.
+func (c *Control) Snapshot() *Snapshot { return c.snapshot.Load() }
+
+// Run runs the control loop until ctx ends.
+func (c *Control) Run(ctx context.Context) {
+	go c.pollList(ctx)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	store := time.NewTicker(storeEvery)
+	defer store.Stop()
+	c.readStore(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			c.closeShards()
+			return
+		case event := <-c.events:
+			event()
+		case <-ticker.C:
+			c.tick()
+		case <-store.C:
+			c.readStore(ctx)
+		}
+	}
+}
+
+// post runs f on the control goroutine.
+func (c *Control) post(f func()) { c.events <- f }
+
+// do runs f on the control goroutine and waits for it, or for ctx.
+func (c *Control) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	select {
+	case c.events <- func() { f(); close(done) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Control) tick() {
+	now := c.cfg.Clock()
+	for _, change := range c.members.Tick(now) {
+		c.memberChanged(change)
+	}
+	for _, s := range c.shards {
+		c.tickShard(now, s)
+	}
+	c.confirmByMajority(now)
+	if now >= c.nextHeartbeat {
+		c.nextHeartbeat = now + heartbeatEvery
+		c.heartbeat(now)
+	}
+	if now >= c.nextMaintain {
+		c.nextMaintain = now + maintainEvery
+		c.maintain(now)
+	}
+	c.publish(now)
+}
+
+// Message implements peer.Handler.
+func (c *Control) Message(from api.VMID, frame wire.Frame) {
+	c.post(func() { c.receive(from, frame) })
+}
+
+func (c *Control) receive(from api.VMID, frame wire.Frame) {
+	var err error
+	switch frame.Type {
+	case wire.TypeHeartbeat:
+		err = c.receiveHeartbeat(from, frame)
+	case wire.TypeAuthority:
+		err = c.receiveAuthority(from, frame)
+	case wire.TypeAssign:
+		err = c.receiveAssign(from, frame)
+	case wire.TypeAssignAck:
+		err = c.receiveAssignAck(frame)
+	case wire.TypeConfig:
+		err = c.receiveConfig(from, frame)
+	}
+	if err != nil {
+		c.cfg.Log.Warn().Err(err).Str("event", "message_refused").Str("peer", string(from)).Msg("")
+	}
+}
+
+// broadcast sends a message to every other VM.
+func (c *Control) broadcast(kind wire.Type, payload any) {
+	for _, vm := range c.cfg.VMs {
+		if vm.ID != c.cfg.Self.ID {
+			c.sender.Send(vm.ID, kind, payload)
+		}
+	}
+}
--- /dev/null
+++ b/server/control/snapshot.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/core/route"
+	"dandelionhill.dev/server/holder"
+)
+
+// Snapshot is the state that traffic reads. It never changes.
+type Snapshot struct {
+	Document *config.Document
+	Services map[api.ServiceName]Service
+	Holders  map[api.ShardID]Holder
+	Local    map[api.ShardID]*holder.Shard
+	// FreshUntil is when the configuration needs to be confirmed again, on the
+	// monotonic clock.
+	FreshUntil time.Duration
+	// Out means that operators have taken this VM out.
+	Out bool
+	// Leaving means that this VM is stopping.
+	Leaving bool
+}
+
+// Service is a service with its routes.
+type Service struct {
+	config.Service
+	Routes *route.Table
+}
+
+// Holder says which VM holds a shard.
+type Holder struct {
+	VM    api.VMID
+	Fence api.Fence
+}
+
+// Ready reports whether callers may be sent to this VM.
+func (s *Snapshot) Ready(now time.Duration) bool {
+	return s.Document != nil && now < s.FreshUntil && !s.Out && !s.Leaving
+}
+
+// publish makes the present state visible to traffic.
+func (c *Control) publish(now time.Duration) {
+	old := c.snapshot.Load()
+	next := &Snapshot{
+		Document: c.doc, FreshUntil: c.confirmed, Leaving: c.leaving,
+		Holders: map[api.ShardID]Holder{},
+		Local:   map[api.ShardID]*holder.Shard{},
+	}
+	if c.doc != nil {
+		next.Out = c.doc.VMOut(c.cfg.Self.ID)
+		next.Services = old.Services
+		if old.Document != c.doc {
+			next.Services = services(c.doc)
+		}
+	}
+	held := 0
+	for id, s := range c.shards {
+		if s.held != nil {
+			next.Local[id] = s.held
+			next.Holders[id] = Holder{c.cfg.Self.ID, s.held.Fence()}
+			held++
+			continue
+		}
+		if vm, fence, ok := c.holders.Holder(now, id); ok {
+			next.Holders[id] = Holder{vm, fence}
+		}
+	}
+	c.cfg.Metrics.ShardsHeld.Set(float64(held))
+	c.snapshot.Store(next)
+}
+
+func services(doc *config.Document) map[api.ServiceName]Service {
+	out := map[api.ServiceName]Service{}
+	for _, s := range doc.Services {
+		out[s.Name] = Service{Service: s, Routes: route.New(s.Name, s.Ranges, s.PlacementShards(), nil)}
+	}
+	return out
+}
--- /dev/null
+++ b/server/daemon/daemon.go
@@ -0,0 +1,193 @@
+// Package daemon assembles the parts of one entry VM and starts and stops them.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/core/placement"
+	"dandelionhill.dev/platform"
+	"dandelionhill.dev/platform/tablehttp"
+	"dandelionhill.dev/platform/upstreamhttp"
+	"dandelionhill.dev/platform/vmhttp"
+	"dandelionhill.dev/server/admin"
+	"dandelionhill.dev/server/control"
+	"dandelionhill.dev/server/entry"
+	"dandelionhill.dev/server/metrics"
+	"dandelionhill.dev/server/peer"
+	"dandelionhill.dev/server/settings"
+)
+
+// headerTimeout bounds the time to read a request's header, so that idle
+// connections do not hold resources.
+const headerTimeout = 10 * time.Second
+
+// Daemon is one entry VM.
+type Daemon struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	control  *control.Control
+	hub      *peer.Hub
+	entry    *entry.Entry
+	certs    *certificates
+	servers  []*http.Server
+	cancel   context.CancelFunc
+}
+
+// frames gives the frames of other VMs to the parts that handle them.
+type frames struct {
+	*control.Control
+	entry *entry.Entry
+}
+
+// Call implements peer.Handler.
+func (f frames) Call(ctx context.Context, from api.VMID, frame wire.Frame) any {
+	switch frame.Type {
+	case wire.TypeForward:
+		var forward wire.Forward
+		if err := frame.Unpack(&forward); err != nil {
+			return wire.Reply{Refusal: api.Refuse(api.BadRequest, err.Error())}
+		}
+		return f.entry.Local(ctx, &forward)
+	case wire.TypeHandover:
+		return f.ReceiveHandover(ctx, frame)
+	default:
+		return wire.Reply{Refusal: api.Refuse(api.BadRequest, "unknown call "+string(frame.Type))}
+	}
+}
+
+// New assembles a daemon; Start starts it.
+func New(s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	certs, err := loadCertificates(s)
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	m := metrics.New()
+	incarnation := api.Incarnation(uuid.NewString()[:8])
+	self := placement.VM{ID: s.VM, Domain: s.FailureDomain}
+	vms := []placement.VM{self}
+	var peers []peer.Peer
+	for _, p := range s.Others() {
+		vms = append(vms, placement.VM{ID: p.ID, Domain: p.FailureDomain})
+		peers = append(peers, peer.Peer{ID: p.ID, Address: p.Address})
+	}
+	ctl := control.New(control.Config{
+		Self: self, Incarnation: incarnation, VMs: vms,
+		Table:  tablehttp.New("http://" + s.Platform.Table),
+		VMList: vmhttp.New("http://" + s.Platform.VMs),
+		Dial: func(address string, service config.Service) platform.Upstream {
+			return upstreamhttp.New(address, service.Connections, service.MaxBody)
+		},
+		Clock: clock, Metrics: m, Log: log,
+	})
+	d := &Daemon{settings: s, log: log, control: ctl, certs: certs}
+	handler := &frames{Control: ctl}
+	d.hub = peer.NewHub(peer.Config{
+		Self: s.VM, Incarnation: incarnation, Peers: peers, Log: log,
+		TLS: certs.peerClient(), Authorize: certs.authorizePeer,
+	}, handler)
+	d.entry = entry.New(entry.Config{
+		Self: s.VM, Snapshot: ctl.Snapshot, Forward: d.hub, Clock: clock, Metrics: m, Log: log,
+	})
+	handler.entry = d.entry
+	ctl.SetSender(d.hub)
+	peerMux := http.NewServeMux()
+	peerMux.Handle(peer.Path, d.hub)
+	adminHandler := admin.New(admin.Config{
+		Self: s.VM, Control: ctl, Settings: s, Clock: clock, Metrics: m, Log: log,
+	}).Handler()
+	d.servers = []*http.Server{
+		{Addr: s.Listen.Callers, Handler: d.entry.Handler(), ReadHeaderTimeout: headerTimeout},
+		{Addr: s.Listen.Peers, Handler: peerMux, ReadHeaderTimeout: headerTimeout, TLSConfig: certs.peerServer()},
+		{Addr: s.Listen.Admin, Handler: adminHandler, ReadHeaderTimeout: headerTimeout, TLSConfig: certs.adminServer()},
+	}
+	return d, nil
+}
+
+// Start listens on all addresses and runs the control loop.
+func (d *Daemon) Start() error {
+	listeners := make([]net.Listener, 0, len(d.servers))
+	for _, server := range d.servers {
+		listener, err := net.Listen("tcp", server.Addr)
+		if err != nil {
+			for _, l := range listeners {
+				l.Close()
+			}
+			return errors.Wrapf(err, "listen on %s: choose an address of this VM that no other program uses", server.Addr)
+		}
+		listeners = append(listeners, listener)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for i, server := range d.servers {
+		go d.serve(server, listeners[i])
+	}
+	go d.hub.Run(ctx)
+	go d.control.Run(ctx)
+	go d.certs.watch(ctx, d.log)
+	d.log.Info().Str("event", "started").Str("vm", string(d.settings.VM)).Str("callers", d.settings.Listen.Callers).Msg("")
+	return nil
+}
+
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+	var err error
+	if server.TLSConfig != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error().Err(err).Str("event", "listener_failed").Str("address", server.Addr).Msg("")
+	}
+}
+
+// Stop stops gracefully: readiness falls first, then the VM stops accepting,
+// hands its shards over and lets running requests finish.
+func (d *Daemon) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.StopTimeout))
+	defer cancel()
+	d.log.Info().Str("event", "stopping").Msg("")
+	if err := d.control.Leave(ctx); err != nil {
+		return err
+	}
+	lameDuck := time.Duration(0)
+	if doc := d.control.Snapshot().Document; doc != nil {
+		lameDuck = time.Duration(doc.Active().LameDuck)
+	}
+	select {
+	case <-time.After(lameDuck):
+	case <-ctx.Done():
+	}
+	stopErr := d.control.HandOverAll(ctx)
+	if err := d.servers[0].Shutdown(ctx); err != nil && stopErr == nil {
+		stopErr = errors.Wrap(err, "stop accepting callers")
+	}
+	if err := d.entry.Stop(ctx); err != nil && stopErr == nil {
+		stopErr = err
+	}
+	d.Kill()
+	d.log.Info().Str("event", "stopped").Err(stopErr).Msg("")
+	return stopErr
+}
+
+// Kill stops at once, as a crash would.
+func (d *Daemon) Kill() {
+	d.cancel()
+	for _, server := range d.servers {
+		server.Close()
+	}
+}
+
+// Control returns the control state, for the checks of tests.
+func (d *Daemon) Control() *control.Control { return d.control }
--- /dev/null
+++ b/server/entry/entry.go
@@ -0,0 +1,297 @@
+// Package entry accepts callers' HTTP requests, finds the shard of each, and
+// forwards it to the shard's holder.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/dedup"
+	"dandelionhill.dev/core/retry"
+	"dandelionhill.dev/core/route"
+	"dandelionhill.dev/server/control"
+	"dandelionhill.dev/server/metrics"
+	"dandelionhill.dev/server/peer"
+)
+
+// reservedPrefix starts the paths that upstreams keep for control calls.
+const reservedPrefix = "/-/"
+
+// maxTimeout bounds the deadline that a caller may ask for. A forgotten caller
+// must not keep a place in a queue.
+const maxTimeout = 60 * time.Second
+
+// Caller of other VMs.
+type Forwarder interface {
+	Call(ctx context.Context, to api.VMID, kind wire.Type, payload, out any) error
+}
+
+// Config holds what the entry needs from its surroundings.
+type Config struct {
+	Self     api.VMID
+	Snapshot func() *control.Snapshot
+	Forward  Forwarder
+	Clock    func() time.Duration
+	Metrics  *metrics.Metrics
+	Log      zerolog.Logger
+}
+
+// Entry serves callers.
+type Entry struct {
+	cfg      Config
+	stopping atomic.Bool
+	running  sync.WaitGroup
+
+	mu      sync.Mutex
+	retries map[api.ServiceName]*retry.Budget
+	rng     *rand.Rand
+}
+
+// New returns an entry.
+func New(cfg Config) *Entry {
+	return &Entry{
+		cfg: cfg, retries: map[api.ServiceName]*retry.Budget{},
+		rng: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
+	}
+}
+
+// Handler serves "/{service}/..." for callers.
+func (e *Entry) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.HandleFunc("/{service}", e.serve)
+	r.HandleFunc("/{service}/*", e.serve)
+	return r
+}
+
+// Stop refuses new requests and waits for those that run, or for ctx.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.stopping.Store(true)
+	done := make(chan struct{})
+	go func() { e.running.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "requests were still running")
+	}
+}
+
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	e.running.Add(1)
+	defer e.running.Done()
+	start := e.cfg.Clock()
+	name := api.ServiceName(chi.URLParam(r, "service"))
+	snapshot := e.cfg.Snapshot()
+	service, known := snapshot.Services[name]
+	var reply *wire.Reply
+	if refused := e.admit(snapshot, known, name); refused != nil {
+		reply = refusal(refused)
+	} else if f, refused := e.parse(w, r, service); refused != nil {
+		reply = refusal(refused)
+	} else {
+		f.Revision = snapshot.Document.Revision
+		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(f.TimeoutMs)*time.Millisecond)
+		reply = e.run(ctx, name, f)
+		cancel()
+	}
+	if !known {
+		name = "unknown"
+	}
+	respond(w, reply)
+	outcome := api.Answered
+	if reply.Refusal != nil {
+		outcome = reply.Refusal.Outcome
+	}
+	e.cfg.Metrics.Response(name, outcome, reply.Refusal, e.cfg.Clock()-start)
+	if outcome == api.Unknown {
+		// Operators must see a lost reservation before its caller does.
+		e.cfg.Log.Warn().Str("event", "outcome_unknown").Str("service", string(name)).
+			Str("kind", string(reply.Refusal.Kind)).Str("request_id", r.Header.Get(api.HeaderRequestID)).Msg("")
+	}
+}
+
+func refusal(r *api.Refusal) *wire.Reply {
+	return &wire.Reply{Refusal: r, RetryAfterMs: r.RetryAfter.Milliseconds()}
+}
+
+// admit refuses requests that this VM may not take.
+func (e *Entry) admit(s *control.Snapshot, known bool, name api.ServiceName) *api.Refusal {
+	switch {
+	case e.stopping.Load():
+		return api.Refuse(api.Stopping, "this VM is stopping")
+	case s.Document == nil:
+		return api.Refuse(api.StaleConfiguration, "this VM has no configuration yet").After(time.Second)
+	case s.Out:
+		return api.Refuse(api.Draining, "this VM was taken out")
+	case e.cfg.Clock() >= s.FreshUntil:
+		return api.Refuse(api.StaleConfiguration, "this VM cannot confirm its configuration").After(time.Second)
+	case !known:
+		return api.Refuse(api.UnknownService, "there is no service "+strconv.Quote(string(name)))
+	default:
+		return nil
+	}
+}
+
+// parse turns a caller's request into a Forward.
+func (e *Entry) parse(w http.ResponseWriter, r *http.Request, service control.Service) (*wire.Forward, *api.Refusal) {
+	timeout, refused := timeoutOf(r, e.cfg.Snapshot())
+	if refused != nil {
+		return nil, refused
+	}
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/"+string(service.Name))
+	if path == "" {
+		path = "/"
+	}
+	if strings.HasPrefix(path, reservedPrefix) {
+		return nil, api.Refuse(api.BadRequest, "paths that start with "+reservedPrefix+" are reserved")
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	body, refused := readBody(w, r, service.MaxBody)
+	if refused != nil {
+		return nil, refused
+	}
+	f := &wire.Forward{
+		Method: r.Method, Path: path, Body: body, TimeoutMs: timeout.Milliseconds(),
+		Key: r.Header.Get(api.HeaderKey), RequestID: r.Header.Get(api.HeaderRequestID),
+		Caller: callerOf(r),
+	}
+	f.Idempotent, refused = idempotent(r)
+	if refused != nil {
+		return nil, refused
+	}
+	return f, e.route(service, f)
+}
+
+// route sets the shard and range of a request.
+func (e *Entry) route(service control.Service, f *wire.Forward) *api.Refusal {
+	if !f.Idempotent {
+		if f.RequestID == "" {
+			return api.Refuse(api.BadRequest, "a request that may not be repeated needs a UUID version 7 in "+api.HeaderRequestID)
+		}
+		if _, err := dedup.ParseID(f.RequestID); err != nil {
+			return api.Refuse(api.InvalidID, err.Error())
+		}
+	}
+	var ok bool
+	switch {
+	case service.Keyed && f.Key == "":
+		return api.Refuse(api.BadRequest, "service "+string(service.Name)+" is divided by key: send the key in "+api.HeaderKey)
+	case service.Keyed:
+		f.Range, f.Shard, ok = service.Routes.Keyed(f.Key)
+	case f.Idempotent:
+		f.Shard, ok = service.Routes.ByFingerprint(route.Fingerprint(service.Name, f.Method, f.Path, f.Body))
+	default:
+		f.Shard, ok = service.Routes.ByRequestID(f.RequestID)
+	}
+	if !ok {
+		return api.Refuse(api.NoHolder, "no shard serves this request").After(time.Second)
+	}
+	return nil
+}
+
+func timeoutOf(r *http.Request, s *control.Snapshot) (time.Duration, *api.Refusal) {
+	text := r.Header.Get(api.HeaderTimeout)
+	if text == "" {
+		return time.Duration(s.Document.Active().DefaultTimeout), nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return 0, api.Refuse(api.BadRequest, api.HeaderTimeout+" must be a whole number of milliseconds from 1 to 60000")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func idempotent(r *http.Request) (bool, *api.Refusal) {
+	switch text := r.Header.Get(api.HeaderIdempotent); text {
+	case "":
+		return r.Method == http.MethodGet || r.Method == http.MethodHead, nil
+	case "true", "false":
+		return text == "true", nil
+	default:
+		return false, api.Refuse(api.BadRequest, api.HeaderIdempotent+" must be true or false")
+	}
+}
+
+func callerOf(r *http.Request) string {
+	if name := r.Header.Get(api.HeaderCaller); name != "" {
+		return name
+	}
+	host, _, _ := strings.Cut(r.RemoteAddr, ":")
+	return host
+}
+
+// readBody reads the whole body. A body that ends before its stated length is
+// refused: the upstream must not see half a request.
+func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *api.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, api.Refuse(api.TooLarge, "the body is longer than "+strconv.Itoa(limit)+" bytes")
+	case err != nil:
+		return nil, api.Refuse(api.BadRequest, "the body was cut off")
+	default:
+		return body, nil
+	}
+}
+
+// respond writes the outcome of a request.
+func respond(w http.ResponseWriter, reply *wire.Reply) {
+	h := w.Header()
+	if reply.Refusal == nil {
+		h.Set(api.HeaderOutcome, string(api.Answered))
+		if reply.ContentType != "" {
+			h.Set("Content-Type", reply.ContentType)
+		}
+		h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+		w.WriteHeader(reply.Status)
+		w.Write(reply.Body)
+		return
+	}
+	r := reply.Refusal
+	h.Set(api.HeaderOutcome, string(r.Outcome))
+	h.Set(api.HeaderRefusal, string(r.Kind))
+	h.Set("Content-Type", "application/json")
+	if reply.RetryAfterMs > 0 {
+		h.Set("Retry-After", strconv.FormatInt((reply.RetryAfterMs+999)/1000, 10))
+	}
+	w.WriteHeader(r.Status())
+	json.NewEncoder(w).Encode(refusalBody{r, reply.RetryAfterMs})
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct {
+	*api.Refusal
+	RetryAfterMs int64 `json:"retry_after_ms"`
+}
+
+// Local runs a forwarded request on a shard of this VM.
+func (e *Entry) Local(ctx context.Context, f *wire.Forward) *wire.Reply {
+	s := e.cfg.Snapshot()
+	if s.Document == nil || e.cfg.Clock() >= s.FreshUntil {
+		return refusal(api.Refuse(api.StaleConfiguration, "the holder cannot confirm its configuration").After(time.Second))
+	}
+	shard := s.Local[f.Shard]
+	if shard == nil {
+		return refusal(api.Refuse(api.NotHolder, "VM "+string(e.cfg.Self)+" does not hold shard "+f.Shard.String()))
+	}
+	return shard.Serve(ctx, f)
+}
+
+var _ Forwarder = (*peer.Hub)(nil)
--- /dev/null
+++ b/server/holder/run.go
@@ -0,0 +1,205 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/dispatch"
+	"dandelionhill.dev/platform"
+)
+
+// startRun sends a request to an upstream. The queue has counted the run, so
+// every path leads to endRun or to queue.Done.
+func (s *Shard) startRun(now time.Duration, start dispatch.Start) {
+	r, up := s.requests[start.ID], s.ups[start.Upstream]
+	if r == nil || up == nil {
+		s.queue.Done(now, start.ID, start.Upstream, 0, false)
+		return
+	}
+	deadline, ok := s.leases.Deadline(now, min(r.deadline, s.authority), up.id)
+	if !ok || !s.maySend(now, up) {
+		s.queue.Done(now, start.ID, up.id, 0, false)
+		s.notStarted(r, api.Refuse(api.NoOwner, "the lease of the upstream ended before the request could start").After(retryHint))
+		return
+	}
+	if !s.allowed(now, r, start) {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	timer := time.AfterFunc(r.deadline-now, cancel)
+	current := &run{up: up, hedge: start.Hedge, started: now, cancel: cancel}
+	r.runs[up.id] = current
+	r.attempts++
+	up.running[r.id] = r
+	s.evidence.Started(now, r.fingerprint)
+	s.monitor.Sent(up.id)
+	if !start.Hedge {
+		s.scheduleHedge(r, up.id)
+	}
+	req := platform.Request{
+		Service: s.cfg.ID.Service, Method: r.forward.Method, Path: r.forward.Path, Body: r.forward.Body,
+		Key: r.forward.Key, RequestID: r.forward.RequestID, Range: r.forward.Range,
+		Fence: s.cfg.Fence, DeadlineMs: deadline.Milliseconds(),
+	}
+	go func() {
+		resp, err := up.client.Send(ctx, req)
+		timer.Stop()
+		cancelled := ctx.Err() != nil
+		cancel()
+		s.endRun(r, current, resp, err, cancelled)
+	}()
+}
+
+// allowed asks again whether the fingerprint may run: a crash may have happened
+// while the request was queued.
+func (s *Shard) allowed(now time.Duration, r *request, start dispatch.Start) bool {
+	verdict := s.evidence.Admit(now, r.fingerprint)
+	if verdict == crash.Normal || verdict == crash.Solo && start.Solo {
+		return true
+	}
+	s.queue.Done(now, start.ID, start.Upstream, 0, false)
+	if start.Hedge {
+		return false
+	}
+	if verdict == crash.Quarantined {
+		s.finish(r, refusal(api.Refuse(api.Quarantined, "this request has crashed upstreams")))
+		return false
+	}
+	s.later(r, waitUnproven, func(now time.Duration) { s.enqueue(now, r) })
+	return false
+}
+
+// notStarted handles a start that found its upstream unusable.
+func (s *Shard) notStarted(r *request, refused *api.Refusal) {
+	if len(r.runs) > 0 {
+		return
+	}
+	if !s.retryReply(r, refused) {
+		s.finish(r, refusal(refused))
+	}
+}
+
+// scheduleHedge starts a second copy of an idempotent request on another
+// upstream if the first takes longer than usual.
+func (s *Shard) scheduleHedge(r *request, first api.UpstreamID) {
+	if !s.hedgeable(r) || r.hedged {
+		return
+	}
+	delay, ok := s.hedges.Delay()
+	if !ok {
+		return
+	}
+	s.later(r, delay, func(now time.Duration) {
+		if r.hedged || len(r.runs) != 1 || s.evidence.Admit(now, r.fingerprint) != crash.Normal || !s.hedges.Allow(now) {
+			return
+		}
+		r.hedged = true
+		refused := s.queue.Admit(now, dispatch.Request{
+			ID: r.id, Caller: r.forward.Caller, Deadline: r.deadline, Hedge: true, Avoid: first,
+		})
+		result := "sent"
+		if refused != nil {
+			result = "refused"
+		}
+		s.cfg.Metrics.Hedges.WithLabelValues(string(s.cfg.ID.Service), result).Inc()
+	})
+}
+
+// endRun takes the result of a call.
+func (s *Shard) endRun(r *request, current *run, resp platform.Response, err error, cancelled bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock()
+	up, took := current.up, now-current.started
+	delete(r.runs, up.id)
+	delete(up.running, r.id)
+	s.queue.Done(now, r.id, up.id, took, err == nil && !resp.Shed)
+	var failure *platform.SendError
+	switch {
+	case err == nil && resp.Shed:
+		up.ramp.Observe(now, took, true)
+		s.evidence.Ended(now, r.fingerprint)
+		s.retryOrEnd(r, api.Refuse(api.Shed, "the upstream shed the request").After(retryHint))
+	case err == nil:
+		s.answered(now, r, current, resp, took)
+	case errors.As(err, &failure) && failure.Outcome == api.NotRun:
+		s.evidence.Ended(now, r.fingerprint)
+		s.retryOrEnd(r, api.Refuse(api.NoOwner, "the upstream could not be reached").After(retryHint))
+	default:
+		s.broken(now, r, up, failure, cancelled)
+		s.retryOrEnd(r, s.failed(cancelled, err))
+	}
+	s.refresh(now)
+	s.pump(now)
+}
+
+// failed is the refusal for a call whose effect is unknown.
+func (s *Shard) failed(cancelled bool, err error) *api.Refusal {
+	if cancelled {
+		return api.Refuse(api.UpstreamTimeout, "the upstream did not answer in time")
+	}
+	return api.Refuse(api.UpstreamFailed, "the connection to the upstream failed: "+err.Error())
+}
+
+// answered handles a whole answer.
+func (s *Shard) answered(now time.Duration, r *request, current *run, resp platform.Response, took time.Duration) {
+	up := current.up
+	up.ramp.Observe(now, took, false)
+	s.monitor.Observe(now, up.id, took)
+	s.evidence.Succeeded(now, r.fingerprint)
+	s.cfg.Metrics.UpstreamLatency.WithLabelValues(string(s.cfg.ID.Service)).Observe(took.Seconds())
+	if s.hedgeable(r) && !current.hedge {
+		s.hedges.Observe(took)
+	}
+	if current.hedge && !r.finished {
+		s.cfg.Metrics.Hedges.WithLabelValues(string(s.cfg.ID.Service), "won").Inc()
+	}
+	reply := &wire.Reply{Status: resp.Status, ContentType: resp.ContentType, Body: resp.Body}
+	if r.finished {
+		// The caller was told that the outcome is unknown; its repeat gets the answer.
+		s.remember(r, reply)
+		return
+	}
+	s.finish(r, reply)
+}
+
+// broken records evidence of a crash: a connection that broke with requests in
+// flight makes all of them suspects, once for each incarnation of the upstream.
+func (s *Shard) broken(now time.Duration, r *request, up *upstream, failure *platform.SendError, cancelled bool) {
+	if failure == nil || !failure.Broken || cancelled {
+		s.evidence.Ended(now, r.fingerprint)
+		return
+	}
+	if up.crashed == up.incarnation {
+		// The other connections of the same crash: this run was recorded with the first.
+		if up.recorded[r.id] {
+			delete(up.recorded, r.id)
+			return
+		}
+	}
+	up.crashed = up.incarnation
+	up.recorded = map[uint64]bool{}
+	fingerprints := []uint64{r.fingerprint}
+	for id, other := range up.running {
+		fingerprints = append(fingerprints, other.fingerprint)
+		up.recorded[id] = true
+	}
+	s.evidence.Crashed(now, fingerprints)
+	s.cfg.Log.Warn().Str("event", "upstream_connection_broke").Str("upstream", string(up.id)).
+		Int("in_flight", len(fingerprints)).Msg("")
+	up.poke()
+}
+
+// retryOrEnd tries a request again or ends it, unless another copy still runs.
+func (s *Shard) retryOrEnd(r *request, refused *api.Refusal) {
+	if r.finished || len(r.runs) > 0 {
+		return
+	}
+	if !s.retryReply(r, refused) {
+		s.finish(r, refusal(refused))
+	}
+}
--- /dev/null
+++ b/server/holder/upstream.go
@@ -0,0 +1,207 @@
+package holder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/lease"
+	"dandelionhill.dev/core/ramp"
+	"dandelionhill.dev/platform"
+)
+
+// controlTimeout bounds one health or grant call. It is below the lease, so
+// that a call that hangs does not use up the time of the next one.
+const controlTimeout = 200 * time.Millisecond
+
+// upstream is what the holder knows of one upstream.
+type upstream struct {
+	id     api.UpstreamID
+	domain api.FailureDomain
+	client platform.Upstream
+	ramp   *ramp.Ramp
+	kick   chan struct{} // wakes the session before its interval ends
+	since  time.Duration // when this VM first tried to reach it
+
+	answered    bool          // it has answered a control call
+	lastAnswer  time.Duration // when it last did
+	incarnation api.Incarnation
+	state       upstreamState
+	running     map[uint64]*request
+
+	wanted   uint64 // the number of the newest change of its ranges
+	granted  uint64 // the newest change that it has acknowledged
+	drainSet bool   // it has acknowledged a drain
+	// recorded lists the runs that a crash of this incarnation has been counted for.
+	crashed  api.Incarnation
+	recorded map[uint64]bool
+}
+
+// upstreamState is what operators and reports say about an upstream.
+type upstreamState struct {
+	drained       bool // operators drain it
+	out           bool // its failure domain is taken out
+	removed       bool // it left the configuration
+	confirmedLost bool // an operator confirmed that it runs nothing
+	draining      bool // it reports that it is leaving
+}
+
+// unavailable reports whether the upstream gets no new work by decision.
+func (s upstreamState) unavailable() bool {
+	return s.drained || s.out || s.removed || s.confirmedLost || s.draining
+}
+
+// poke starts the next control call at once.
+func (u *upstream) poke() {
+	select {
+	case u.kick <- struct{}{}:
+	default:
+	}
+}
+
+// session renews the lease of one upstream until the shard is closed.
+func (s *Shard) session(up *upstream) {
+	every := lease.DefaultConfig().RenewEvery
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-up.kick:
+		case <-timer.C:
+		}
+		s.renew(up)
+		timer.Reset(every)
+	}
+}
+
+// renew makes one control call: a grant if a lease can be offered, else a
+// health report, which gives the reading that the next grant counts from.
+func (s *Shard) renew(up *upstream) {
+	ctx, cancel := context.WithTimeout(s.ctx, controlTimeout)
+	defer cancel()
+	s.mu.Lock()
+	now := s.cfg.Clock()
+	grant, version, ok := s.grant(now, up)
+	drain := up.state.unavailable() && !up.state.out
+	s.mu.Unlock()
+	if drain != up.drainSet {
+		if health, err := up.client.Drain(ctx, drain); err == nil {
+			up.drainSet = drain
+			s.observe(up, health, now)
+			return
+		}
+	}
+	if !ok {
+		health, err := up.client.Health(ctx)
+		s.count(err == nil, "health")
+		if err == nil && s.observe(up, health, now) {
+			up.poke()
+		}
+		return
+	}
+	result, err := up.client.Grant(ctx, grant)
+	s.count(err == nil && result.Accepted, "grant")
+	if err != nil {
+		return
+	}
+	s.observe(up, result.Health, now)
+	if !result.Accepted {
+		s.cfg.Log.Warn().Str("event", "grant_refused").Str("upstream", string(up.id)).
+			Stringer("fence", grant.Fence).Str("reason", result.Reason).Msg("")
+		return
+	}
+	s.accepted(up, grant, version)
+}
+
+func (s *Shard) count(ok bool, call string) {
+	result := call + "_ok"
+	if !ok {
+		result = call + "_failed"
+	}
+	s.cfg.Metrics.LeaseRenewals.WithLabelValues(string(s.cfg.ID.Service), result).Inc()
+}
+
+// grant returns the next grant for an upstream and the number of the newest
+// change of ranges that it contains.
+func (s *Shard) grant(now time.Duration, up *upstream) (platform.Grant, uint64, bool) {
+	if s.closed || now >= s.authority {
+		return platform.Grant{}, 0, false
+	}
+	until, ok := s.leases.Offer(now, s.authority, up.id)
+	if !ok {
+		return platform.Grant{}, 0, false
+	}
+	return platform.Grant{
+		Service: s.cfg.ID.Service,
+		Fence:   s.cfg.Fence,
+		UntilMs: until.Milliseconds(),
+		Ranges:  spans(s.ranges.grantable(up.id)),
+	}, up.wanted, true
+}
+
+// spans joins consecutive ranges.
+func spans(ranges []int) []platform.RangeSpan {
+	slices.Sort(ranges)
+	out := []platform.RangeSpan{}
+	for _, r := range ranges {
+		if n := len(out); n > 0 && out[n-1].Last == r-1 {
+			out[n-1].Last = r
+			continue
+		}
+		out = append(out, platform.RangeSpan{First: r, Last: r})
+	}
+	return out
+}
+
+// observe takes a report of an upstream. It returns true if this was the first
+// report of an incarnation, so that a grant can follow at once.
+func (s *Shard) observe(up *upstream, health platform.Health, sentAt time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock()
+	first := !up.answered || up.incarnation != health.Incarnation
+	restarted := s.leases.Observe(up.id, lease.Reading{
+		Incarnation: health.Incarnation,
+		Clock:       time.Duration(health.ClockMs) * time.Millisecond,
+		SentAt:      sentAt,
+		ReceivedAt:  now,
+	})
+	if restarted {
+		up.ramp.Restart(now)
+		up.granted = 0
+		up.drainSet = false
+		s.cfg.Log.Info().Str("event", "upstream_restarted").Str("upstream", string(up.id)).
+			Str("incarnation", string(health.Incarnation)).Msg("")
+	}
+	up.answered, up.lastAnswer, up.incarnation = true, now, health.Incarnation
+	up.state.draining = health.Draining && !up.drainSet
+	up.ramp.Report(now, health.Load)
+	return first
+}
+
+// accepted records that an upstream has acknowledged a grant.
+func (s *Shard) accepted(up *upstream, grant platform.Grant, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock()
+	s.leases.Acknowledge(up.id, time.Duration(grant.UntilMs)*time.Millisecond)
+	up.granted = max(up.granted, version)
+	s.settle(now)
+	s.refresh(now)
+	s.pump(now)
+}
+
+// lost reports whether an upstream cannot be reached and its leases have ended.
+func (s *Shard) lost(now time.Duration, up *upstream) bool {
+	if up.state.confirmedLost {
+		return true
+	}
+	quiet := now - up.since
+	if up.answered {
+		quiet = now - up.lastAnswer
+	}
+	return quiet > reachTimeout && !s.leases.MaySend(now, up.id)
+}
--- /dev/null
+++ b/server/logs/logs.go
@@ -0,0 +1,35 @@
+// Package logs sets up the daemon's log: one line of key=value pairs for each event.
+package logs
+
+import (
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+)
+
+// New returns a logger that writes lines such as
+// "time=2026-01-02T15:04:05.000Z level=info event=started vm=a1".
+func New(w io.Writer, level string, vm api.VMID) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Errorf("log level %q is unknown: use debug, info, warn or error", level)
+	}
+	writer := zerolog.ConsoleWriter{
+		Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		PartsOrder:  []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
+		FormatLevel: func(v any) string { return "level=" + text(v) },
+		FormatTimestamp: func(v any) string {
+			return "time=" + text(v)
+		},
+	}
+	return zerolog.New(writer).Level(parsed).With().Timestamp().Str("vm", string(vm)).Logger(), nil
+}
+
+func text(v any) string {
+	s, _ := v.(string)
+	return s
+}
