--- a/core/config/strict/decode.go
+++ b/core/config/strict/decode.go
@@ -24,33 +24,33 @@
 // Decode reads JSON with comments into the struct that into points to. Fields
 // are those with a json tag; a field is required unless its tag has omitempty.
 // The returned Collector holds the problems found and accepts those of later
-// checks. ok is false when the text is not an object and no field was set.
-func Decode(name string, data []byte, into any) (c *Collector, ok bool) {
-	c = &Collector{file: name, lines: map[string]int{}}
+// checks. Values that could not be decoded stay as they were.
+func Decode(name string, data []byte, into any) *Collector {
+	c := &Collector{file: name, lines: map[string]int{}}
 	if len(data) > MaxBytes {
-		c.Add("", "split or shorten the file", "the file has %d bytes, the limit is %d", len(data), MaxBytes)
-		return c, false
+		c.fail("", "split or shorten the file", "the file has %d bytes, the limit is %d", len(data), MaxBytes)
+		return c
 	}
 	if line := tooDeep(data); line > 0 {
 		c.lines[""] = line
-		c.Add("", "remove the nested brackets", "values are nested more than %d deep", maxDepth)
-		return c, false
+		c.fail("", "remove the nested brackets", "values are nested more than %d deep", maxDepth)
+		return c
 	}
 	tree, err := hujson.Parse(data)
 	if err != nil {
 		line, message := syntaxError(err)
 		c.lines[""] = line
-		c.Add("", "correct the JSON syntax at this line", "%s", message)
-		return c, false
+		c.fail("", "correct the JSON syntax at this line", "%s", message)
+		return c
 	}
 	d := &decoder{Collector: c, data: data}
 	if tree.Value.Kind() != '{' {
 		d.mark("", tree)
-		c.Add("", "start the file with { and end it with }", "the file holds %s, not an object", kindName(tree))
-		return c, false
+		c.fail("", "start the file with { and end it with }", "the file holds %s, not an object", kindName(tree))
+		return c
 	}
 	d.value("", tree, reflect.ValueOf(into).Elem())
-	return c, true
+	return c
 }
 
 // tooDeep returns the line at which the nesting exceeds maxDepth, or 0.
@@ -148,10 +148,10 @@
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
 		if duration {
-			d.Add(path, `write a string with a unit, such as "250ms"`, "%s has no unit", kindName(v))
+			d.fail(path, `write a string with a unit, such as "250ms"`, "%s has no unit", kindName(v))
 			return
 		}
-		d.Add(path, "write a string", "the value is %s, not a string", kindName(v))
+		d.fail(path, "write a string", "the value is %s, not a string", kindName(v))
 		return
 	}
 	if err := into.UnmarshalText([]byte(literal.String())); err != nil {
@@ -159,14 +159,14 @@
 		if duration {
 			remedy = `write a number with a unit, such as "250ms"`
 		}
-		d.Add(path, remedy, "%s", err)
+		d.fail(path, remedy, "%s", err)
 	}
 }
 
 func (d *decoder) object(path string, v hujson.Value, into reflect.Value) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		d.Add(path, "write an object: { ... }", "the value is %s, not an object", kindName(v))
+		d.fail(path, "write an object: { ... }", "the value is %s, not an object", kindName(v))
 		return
 	}
 	fields, names := structFields(into.Type())
@@ -178,11 +178,11 @@
 		switch {
 		case !known:
 			d.mark(field, member.Name)
-			d.Add(field, "remove it or use one of "+strings.Join(names, ", "), "there is no field %q here", name)
+			d.add(field, "remove it or use one of "+strings.Join(names, ", "), "there is no field %q here", name)
 		case seen[name]:
 			first := d.lines[field]
 			d.mark(field, member.Name)
-			d.Add(field, "keep one of the two", "the field is given twice, first at line %d", first)
+			d.add(field, "keep one of the two", "the field is given twice, first at line %d", first)
 		default:
 			d.value(field, member.Value, into.Field(f.index))
 		}
@@ -190,7 +190,7 @@
 	}
 	for _, name := range names {
 		if !seen[name] && !fields[name].optional {
-			d.Add(join(path, name), "add the field "+strconv.Quote(name), "the field is missing")
+			d.fail(join(path, name), "add the field "+strconv.Quote(name), "the field is missing")
 		}
 	}
 }
@@ -198,7 +198,7 @@
 func (d *decoder) array(path string, v hujson.Value, into reflect.Value) {
 	array, ok := v.Value.(*hujson.Array)
 	if !ok {
-		d.Add(path, "write a list: [ ... ]", "the value is %s, not a list", kindName(v))
+		d.fail(path, "write a list: [ ... ]", "the value is %s, not a list", kindName(v))
 		return
 	}
 	into.Set(reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements)))
@@ -217,34 +217,34 @@
 	switch into.Kind() {
 	case reflect.String:
 		if kind != '"' {
-			d.Add(path, "write a string in quotes", "the value is %s, not a string", kindName(v))
+			d.fail(path, "write a string in quotes", "the value is %s, not a string", kindName(v))
 			return
 		}
 		into.SetString(literal.String())
 	case reflect.Bool:
 		if kind != 't' && kind != 'f' {
-			d.Add(path, "write true or false", "the value is %s, not true or false", kindName(v))
+			d.fail(path, "write true or false", "the value is %s, not true or false", kindName(v))
 			return
 		}
 		into.SetBool(kind == 't')
 	case reflect.Int, reflect.Int64:
 		n, err := strconv.ParseInt(text, 10, into.Type().Bits())
 		if kind != '0' || err != nil {
-			d.Add(path, "write a whole number without quotes or unit", "%s is not a whole number in range", shown(v))
+			d.fail(path, "write a whole number without quotes or unit", "%s is not a whole number in range", shown(v))
 			return
 		}
 		into.SetInt(n)
 	case reflect.Uint64:
 		n, err := strconv.ParseUint(text, 10, 64)
 		if kind != '0' || err != nil {
-			d.Add(path, "write a whole number from 0 without quotes or unit", "%s is not a whole number in range", shown(v))
+			d.fail(path, "write a whole number from 0 without quotes or unit", "%s is not a whole number in range", shown(v))
 			return
 		}
 		into.SetUint(n)
 	case reflect.Float64:
 		n, err := strconv.ParseFloat(text, 64)
 		if kind != '0' || err != nil {
-			d.Add(path, "write a number without quotes or unit", "%s is not a number in range", shown(v))
+			d.fail(path, "write a number without quotes or unit", "%s is not a number in range", shown(v))
 			return
 		}
 		into.SetFloat(n)
--- a/core/config/strict/problem.go
+++ b/core/config/strict/problem.go
@@ -61,11 +61,60 @@
 type Collector struct {
 	file     string
 	lines    map[string]int
+	broken   map[string]bool // fields whose values could not be decoded
 	problems Errors
 }
 
-// Add records a problem with a field.
+// Add records a problem with a field. It ignores fields without a decoded
+// value: their problem is recorded already, and their zero value means nothing.
 func (c *Collector) Add(field, remedy, format string, args ...any) {
+	if c.Decoded(field) {
+		c.add(field, remedy, format, args...)
+	}
+}
+
+// Decoded reports whether a field holds a value from the file. Checks that
+// compare fields use it to leave out those without one.
+func (c *Collector) Decoded(field string) bool {
+	if len(c.broken) == 0 {
+		return true
+	}
+	for ; field != ""; field = parent(field) {
+		if c.broken[field] {
+			return false
+		}
+	}
+	return !c.broken[""]
+}
+
+// DecodedWithin reports whether a field and everything inside it hold values
+// from the file.
+func (c *Collector) DecodedWithin(field string) bool {
+	for broken := range c.broken {
+		for ; broken != ""; broken = parent(broken) {
+			if broken == field {
+				return false
+			}
+		}
+	}
+	return c.Decoded(field)
+}
+
+// parent returns the path of the enclosing value.
+func parent(field string) string {
+	return field[:max(strings.LastIndexAny(field, ".["), 0)]
+}
+
+// fail records a problem that leaves a field without a value.
+func (c *Collector) fail(field, remedy, format string, args ...any) {
+	c.add(field, remedy, format, args...)
+	if c.broken == nil {
+		c.broken = map[string]bool{}
+	}
+	c.broken[field] = true
+}
+
+func (c *Collector) add(field, remedy, format string, args ...any) {
 	c.problems = append(c.problems, &Problem{
 		File: c.file, Line: c.line(field), Field: field, Message: fmt.Sprintf(format, args...), Remedy: remedy,
 	})
@@ -83,14 +132,10 @@
 // line returns the line of a field, or of the nearest enclosing value for a
 // field that the file does not contain.
 func (c *Collector) line(field string) int {
-	for {
+	for ; field != ""; field = parent(field) {
 		if line, ok := c.lines[field]; ok {
 			return line
 		}
-		cut := strings.LastIndexAny(field, ".[")
-		if cut < 0 {
-			return c.lines[""]
-		}
-		field = field[:cut]
 	}
+	return c.lines[""]
 }
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -32,19 +32,9 @@
 // strict.Errors with every problem of the file.
 func Parse(name string, data []byte) (*Document, error) {
 	doc := &Document{}
-	c, ok := strict.Decode(name, data, doc)
-	if err := c.Err(); !ok || err != nil {
-		// Cross-field checks on partly decoded values would report problems
-		// that the file does not have, so only independent ones are added.
-		if ok {
-			v := &validator{Collector: c, partial: true}
-			v.document(doc)
-		}
-		return nil, c.Err()
-	}
-	v := &validator{Collector: c}
+	v := &validator{strict.Decode(name, data, doc)}
 	v.document(doc)
-	if err := c.Err(); err != nil {
+	if err := v.Err(); err != nil {
 		return nil, err
 	}
 	return doc, nil
@@ -52,7 +42,7 @@
 
 // Validate checks a document that came from no file. The error is strict.Errors.
 func Validate(doc *Document) error {
-	v := &validator{Collector: &strict.Collector{}}
+	v := &validator{&strict.Collector{}}
 	v.document(doc)
 	return v.Err()
 }
@@ -61,13 +51,9 @@
 // need the rest of the document.
 func ParseService(name string, data []byte) (*Service, error) {
 	s := &Service{}
-	c, ok := strict.Decode(name, data, s)
-	if !ok || c.Err() != nil {
-		return nil, c.Err()
-	}
-	v := &validator{Collector: c}
+	v := &validator{strict.Decode(name, data, s)}
 	v.service("", s)
-	if err := c.Err(); err != nil {
+	if err := v.Err(); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -76,53 +62,45 @@
 // ParsePreset reads a file that holds one preset.
 func ParsePreset(name string, data []byte) (*Preset, error) {
 	p := &Preset{}
-	c, ok := strict.Decode(name, data, p)
-	if !ok || c.Err() != nil {
-		return nil, c.Err()
-	}
-	v := &validator{Collector: c}
+	v := &validator{strict.Decode(name, data, p)}
 	v.preset("", p)
-	if err := c.Err(); err != nil {
+	if err := v.Err(); err != nil {
 		return nil, err
 	}
 	return p, nil
 }
 
-type validator struct {
-	*strict.Collector
-	// partial is true when some fields could not be decoded: a field with its
-	// zero value may then be one that has been reported already.
-	partial bool
+type validator struct{ *strict.Collector }
+
+// dot returns the path of a field of the value at path.
+func dot(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
 }
 
 const nameRemedy = "use 1 to 63 lower-case letters, digits, dots, hyphens or underscores, starting with a letter or digit"
 
 func (v *validator) name(field, name string) {
-	if name == "" && v.partial {
-		return
-	}
 	if !ValidName(name) {
 		v.Add(field, nameRemedy, "%q is not a valid name", name)
 	}
 }
 
-// unique reports a second use of a name and returns whether it is the first.
-func (v *validator) unique(seen map[string]string, field, name, what string) bool {
-	if name == "" && v.partial {
-		return true
+// unique reports a second use of a name.
+func (v *validator) unique(seen map[string]string, field, name, what string) {
+	if !v.Decoded(field) {
+		return
 	}
 	if first, dup := seen[name]; dup {
 		v.Add(field, "remove one of them or change its value", "%s %q is used twice, first by %s", what, name, first)
-		return false
+		return
 	}
 	seen[name] = field
-	return true
 }
 
 func (v *validator) between(field string, value, least, most int, unit string) {
-	if value == 0 && v.partial {
-		return
-	}
 	if value < least || value > most {
 		v.Add(field, fmt.Sprintf("choose a number of %s from %d to %d", unit, least, most), "%d is out of range", value)
 	}
@@ -135,9 +113,6 @@
 }
 
 func (v *validator) wait(field string, value Duration, least time.Duration) {
-	if value == 0 && v.partial {
-		return
-	}
 	if value.D() < least || value.D() > maxWait {
 		v.Add(field, fmt.Sprintf("choose a time from %s to %s", least, maxWait), "%s is out of range", value)
 	}
@@ -151,7 +126,7 @@
 		v.name(field, string(f.Name))
 		v.unique(domains, field, string(f.Name), "failure domain")
 	}
-	if len(doc.FailureDomains) == 0 && !v.partial {
+	if len(doc.FailureDomains) == 0 {
 		v.Add("failure_domains", "list at least one failure domain", "there is no failure domain")
 	}
 	v.services(doc, domains)
@@ -166,7 +141,7 @@
 	for i, id := range doc.LostUpstreams {
 		field := fmt.Sprintf("lost_upstreams[%d]", i)
 		v.unique(seen, field, string(id), "upstream")
-		if _, _, ok := doc.Upstream(id); !ok && !v.partial {
+		if _, _, ok := doc.Upstream(id); !ok && v.DecodedWithin("services") {
 			v.Add(field, "remove it or add the upstream to a service", "no service has the upstream %q", id)
 		}
 	}
@@ -188,7 +163,7 @@
 			if a, err := netip.ParseAddrPort(u.Address); err == nil {
 				v.unique(addresses, at+".address", a.String(), "address")
 			}
-			if _, ok := domains[string(u.FailureDomain)]; !ok && !(v.partial && (u.FailureDomain == "" || len(domains) == 0)) {
+			if _, ok := domains[string(u.FailureDomain)]; !ok && v.DecodedWithin("failure_domains") {
 				v.Add(at+".failure_domain", "use a name from failure_domains or add it there", "there is no failure domain %q", u.FailureDomain)
 			}
 		}
@@ -197,38 +172,29 @@
 
 // service checks what does not depend on the rest of the document.
 func (v *validator) service(path string, s *Service) {
-	dot := func(name string) string {
-		if path == "" {
-			return name
-		}
-		return path + "." + name
-	}
-	v.name(dot("name"), string(s.Name))
-	v.between(dot("ranges"), s.Ranges, 1, maxRanges, "ranges")
-	v.between(dot("shards"), s.Shards, 1, maxRanges, "shards")
-	v.between(dot("slots"), s.Slots, 1, maxCount, "concurrent executions")
-	v.between(dot("connections"), s.Connections, 1, maxCount, "connections")
-	v.between(dot("max_body"), s.MaxBody, 1, MaxBodyLimit, "bytes")
+	v.name(dot(path, "name"), string(s.Name))
+	v.between(dot(path, "ranges"), s.Ranges, 1, maxRanges, "ranges")
+	v.between(dot(path, "shards"), s.Shards, 1, maxRanges, "shards")
+	v.between(dot(path, "slots"), s.Slots, 1, maxCount, "concurrent executions")
+	v.between(dot(path, "connections"), s.Connections, 1, maxCount, "connections")
+	v.between(dot(path, "max_body"), s.MaxBody, 1, MaxBodyLimit, "bytes")
 	switch s.UpstreamChecks {
 	case ChecksFence, ChecksDeadline, ChecksNone:
 	default:
-		if !(v.partial && s.UpstreamChecks == "") {
-			v.Add(dot("upstream_checks"), `write "fence", "deadline" or "none"`, "%q is not a kind of check", s.UpstreamChecks)
-		}
+		v.Add(dot(path, "upstream_checks"), `write "fence", "deadline" or "none"`, "%q is not a kind of check", s.UpstreamChecks)
 	}
-	if !v.partial {
-		if s.Connections < s.Slots {
-			v.Add(dot("connections"), "allow at least one connection for each slot", "%d connections cannot use %d slots", s.Connections, s.Slots)
-		}
-		if s.Shards > s.Ranges {
-			v.Add(dot("shards"), "use at most as many shards as ranges", "%d shards cannot divide %d ranges", s.Shards, s.Ranges)
-		}
-		if s.Shards > len(s.Upstreams) {
-			v.Add(dot("shards"), "use fewer shards or list more upstreams", "%d shards need at least as many upstreams, there are %d", s.Shards, len(s.Upstreams))
-		}
+	slots, shards := v.Decoded(dot(path, "slots")), v.Decoded(dot(path, "shards"))
+	if slots && s.Connections < s.Slots {
+		v.Add(dot(path, "connections"), "allow at least one connection for each slot", "%d connections cannot use %d slots", s.Connections, s.Slots)
+	}
+	if shards && v.Decoded(dot(path, "ranges")) && s.Shards > s.Ranges {
+		v.Add(dot(path, "shards"), "use at most as many shards as ranges", "%d shards cannot divide %d ranges", s.Shards, s.Ranges)
+	}
+	if shards && v.Decoded(dot(path, "upstreams")) && s.Shards > len(s.Upstreams) {
+		v.Add(dot(path, "shards"), "use fewer shards or list more upstreams", "%d shards need at least as many upstreams, there are %d", s.Shards, len(s.Upstreams))
 	}
 	for j, u := range s.Upstreams {
-		at := dot(fmt.Sprintf("upstreams[%d]", j))
+		at := dot(path, fmt.Sprintf("upstreams[%d]", j))
 		v.name(at+".id", string(u.ID))
 		v.Address(at+".address", u.Address)
 	}
@@ -236,9 +202,6 @@
 
 // Address records a problem unless the value is a usable IP:port.
 func (v *validator) Address(field, address string) {
-	if address == "" && v.partial {
-		return
-	}
 	if message := BadAddress(address); message != "" {
 		v.Add(field, `write an IP address and a port, such as "10.0.0.1:8080"`, "%s", message)
 	}
@@ -265,10 +228,11 @@
 		path := fmt.Sprintf("presets[%d]", i)
 		v.unique(names, path+".name", p.Name, "preset")
 		v.preset(path, p)
-		if v.partial {
-			continue
-		}
-		for _, s := range doc.Services {
+		for j, s := range doc.Services {
+			at := fmt.Sprintf("services[%d]", j)
+			if !v.Decoded(at+".slots") || !v.Decoded(at+".connections") {
+				continue
+			}
 			if limit := float64(s.Slots) * p.SlotFactor; limit < 1 {
 				v.Add(path+".slot_factor", "raise the factor", "service %s would get %g requests in flight for each upstream: none could run", s.Name, limit)
 			} else if int(limit) > s.Connections {
@@ -277,40 +241,31 @@
 			}
 		}
 	}
-	if v.partial {
-		return
-	}
 	if len(doc.Presets) == 0 {
 		v.Add("presets", "define at least one preset", "there is no preset")
 	}
-	if _, ok := names[doc.ActivePreset]; !ok {
+	if _, ok := names[doc.ActivePreset]; !ok && v.DecodedWithin("presets") {
 		v.Add("active_preset", "name one of the presets", "there is no preset %q", doc.ActivePreset)
 	}
 }
 
 func (v *validator) preset(path string, p *Preset) {
-	dot := func(name string) string {
-		if path == "" {
-			return name
-		}
-		return path + "." + name
-	}
-	v.name(dot("name"), p.Name)
-	v.between(dot("queue_length"), p.QueueLength, 1, maxCount, "requests")
-	v.share(dot("slot_factor"), p.SlotFactor, 16, "ratio")
-	v.share(dot("retry_budget"), p.RetryBudget, 1, "share")
-	v.share(dot("hedge_budget"), p.HedgeBudget, 1, "share")
-	v.share(dot("domain_reserve"), p.DomainReserve, 0.9, "share")
-	v.share(dot("ramp_step"), p.RampStep, 64, "number of slots")
-	if p.RampStep == 0 && !v.partial {
-		v.Add(dot("ramp_step"), "choose a number of slots above 0", "a cold upstream would never reach its full limit")
-	}
-	v.between(dot("cold_start"), p.ColdStart, 1, maxCount, "requests in flight")
-	v.share(dot("moves_per_second"), p.MovesPerSecond, 10000, "number of moves a second")
-	if !(p.RebalanceAbove == 0 && v.partial) && !(p.RebalanceAbove >= 1 && p.RebalanceAbove <= 100) {
-		v.Add(dot("rebalance_above"), "choose a ratio of maximum to mean load from 1 to 100", "%g is out of range", p.RebalanceAbove)
-	}
-	v.wait(dot("rebalance_after"), p.RebalanceAfter, 0)
-	v.wait(dot("default_timeout"), p.DefaultTimeout, time.Millisecond)
-	v.wait(dot("lame_duck"), p.LameDuck, 0)
+	v.name(dot(path, "name"), p.Name)
+	v.between(dot(path, "queue_length"), p.QueueLength, 1, maxCount, "requests")
+	v.share(dot(path, "slot_factor"), p.SlotFactor, 16, "ratio")
+	v.share(dot(path, "retry_budget"), p.RetryBudget, 1, "share")
+	v.share(dot(path, "hedge_budget"), p.HedgeBudget, 1, "share")
+	v.share(dot(path, "domain_reserve"), p.DomainReserve, 0.9, "share")
+	v.share(dot(path, "ramp_step"), p.RampStep, 64, "number of slots")
+	if p.RampStep == 0 {
+		v.Add(dot(path, "ramp_step"), "choose a number of slots above 0", "a cold upstream would never reach its full limit")
+	}
+	v.between(dot(path, "cold_start"), p.ColdStart, 1, maxCount, "requests in flight")
+	v.share(dot(path, "moves_per_second"), p.MovesPerSecond, 10000, "number of moves a second")
+	if !(p.RebalanceAbove >= 1 && p.RebalanceAbove <= 100) {
+		v.Add(dot(path, "rebalance_above"), "choose a ratio of maximum to mean load from 1 to 100", "%g is out of range", p.RebalanceAbove)
+	}
+	v.wait(dot(path, "rebalance_after"), p.RebalanceAfter, 0)
+	v.wait(dot(path, "default_timeout"), p.DefaultTimeout, time.Millisecond)
+	v.wait(dot(path, "lame_duck"), p.LameDuck, 0)
 }
