Add the retry rules of the holder and the entry layer

Change: Budget.Decide checks outcome, idempotence, layer, attempts, remaining time and budget in this order, and takes budget only for a retry. Each layer retries only its own kinds; a hint delays a retry by at least its value.

--- /dev/null
+++ b/core/retry/retry.go
@@ -0,0 +1,160 @@
+// Package retry decides whether a request is sent again, and when. Requests
+// that were not run and idempotent requests are retried, within a budget that
+// is a share of the requests and inside the time that the caller allows.
+package retry
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"dandelionhill.dev/api"
+)
+
+// Layer is the part of the router that retries.
+type Layer string
+
+const (
+	// Holder retries calls to upstreams.
+	Holder Layer = "holder"
+	// Entry retries forwarding after not_holder, and nothing else.
+	Entry Layer = "entry"
+)
+
+// Reason says why a request is or is not retried. Reasons label counters.
+type Reason string
+
+// The reasons.
+const (
+	Retried       Reason = "retried"        // the request is sent again
+	WasAnswered   Reason = "answered"       // there is nothing to retry
+	MayHaveRun    Reason = "may_have_run"   // unknown outcome of a request that may not be repeated
+	KindIsFinal   Reason = "kind_is_final"  // a repeat would be refused as well
+	OtherLayer    Reason = "other_layer"    // another layer retries this kind
+	AttemptsSpent Reason = "attempts_spent" // the limit of attempts is reached
+	NoTime        Reason = "no_time"        // the delay does not fit into the caller's time
+	NoBudget      Reason = "no_budget"      // too many retries for the number of requests
+)
+
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	return []Reason{Retried, WasAnswered, MayHaveRun, KindIsFinal, OtherLayer, AttemptsSpent, NoTime, NoBudget}
+}
+
+// Config configures a Budget.
+type Config struct {
+	Layer       Layer
+	Share       float64       // retries per request
+	Burst       float64       // budget that can be saved
+	MaxAttempts int           // calls of one request, the first included
+	BaseDelay   time.Duration // upper bound of the first backoff
+	MaxDelay    time.Duration // upper bound of every backoff
+	MinRun      time.Duration // time that must be left after the delay
+}
+
+// DefaultConfig returns the defaults of a layer. Both layers retry at most twice.
+func DefaultConfig(layer Layer) Config {
+	return Config{
+		Layer: layer, Share: 0.1, Burst: 10, MaxAttempts: 3,
+		BaseDelay: 5 * time.Millisecond, MaxDelay: 200 * time.Millisecond, MinRun: time.Millisecond,
+	}
+}
+
+// Attempt describes a call that has ended.
+type Attempt struct {
+	Outcome    api.Outcome
+	Kind       api.Kind // of the refusal; empty if the outcome is answered
+	Idempotent bool
+	Number     int           // calls made for this request so far, from 1
+	Remaining  time.Duration // until the caller's deadline
+	RetryAfter time.Duration // the delay that the refusing side asked for, 0 if none
+}
+
+// Budget holds the retry budget of one service in one layer.
+type Budget struct {
+	cfg    Config
+	tokens float64
+}
+
+// NewBudget returns a budget with one saved retry, so that the first failure
+// after a start can be retried.
+func NewBudget(cfg Config) *Budget {
+	return &Budget{cfg: cfg, tokens: math.Min(1, cfg.Burst)}
+}
+
+// Request earns budget for one new request. Retries earn nothing.
+func (b *Budget) Request() {
+	b.tokens = math.Min(b.cfg.Burst, b.tokens+b.cfg.Share)
+}
+
+// budgetError absorbs the rounding of repeated additions of the share.
+const budgetError = 1e-9
+
+// Decide says whether to send the request again after delay. It takes budget
+// only if it does. The budget counts requests, so now has no influence on it.
+func (b *Budget) Decide(_ time.Duration, a Attempt, rng *rand.Rand) (delay time.Duration, ok bool, reason Reason) {
+	if reason, final := b.final(a); final {
+		return 0, false, reason
+	}
+	delay = b.Backoff(a.Number, rng)
+	if a.RetryAfter > 0 {
+		// The jitter is added so that requests with the same hint do not return together.
+		delay += a.RetryAfter
+	}
+	if delay < 0 || delay > a.Remaining-b.cfg.MinRun {
+		return 0, false, NoTime
+	}
+	if b.tokens < 1-budgetError {
+		return 0, false, NoBudget
+	}
+	b.tokens = math.Max(0, b.tokens-1)
+	return delay, true, Retried
+}
+
+// final reports whether a must not be retried whatever the time and budget.
+func (b *Budget) final(a Attempt) (Reason, bool) {
+	switch {
+	case a.Outcome == api.Answered:
+		return WasAnswered, true
+	case a.Outcome != api.NotRun && !a.Idempotent:
+		return MayHaveRun, true
+	}
+	switch layerOf(a.Kind) {
+	case "":
+		return KindIsFinal, true
+	case b.cfg.Layer:
+	default:
+		return OtherLayer, true
+	}
+	if a.Number >= b.cfg.MaxAttempts {
+		return AttemptsSpent, true
+	}
+	return "", false
+}
+
+// layerOf returns the layer that retries a kind, and "" for kinds that nobody
+// retries: a repeat would be refused for the same cause, or, as with a full
+// queue, would add load where there is too much.
+func layerOf(kind api.Kind) Layer {
+	switch kind {
+	case api.NotHolder:
+		return Entry
+	case api.Shed, api.Cold, api.Draining, api.UpstreamFailed, api.UpstreamTimeout:
+		return Holder
+	}
+	return ""
+}
+
+// Backoff returns a delay that is uniform between 0 and a bound that doubles
+// with each call made, up to MaxDelay.
+func (b *Budget) Backoff(number int, rng *rand.Rand) time.Duration {
+	bound := b.cfg.BaseDelay
+	for i := 1; i < number && bound < b.cfg.MaxDelay; i++ {
+		bound *= 2
+	}
+	bound = min(bound, b.cfg.MaxDelay)
+	if bound <= 0 {
+		return 0
+	}
+	return time.Duration(rng.Int64N(int64(bound) + 1))
+}
