Run the whole path: entry VMs, stand-ins, load, demo

Cause: the parts were built apart; a newcomer needs one command that runs them. Change: admin interface, status and explain, a loopback deployment for tests and the demo, a bounded load with resends, history checks.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -27,6 +27,7 @@
 	TypeReply     Type = "reply"
 	TypeCancel    Type = "cancel"
 	TypeConfig    Type = "config"
+	TypeStatus    Type = "status"
 )
 
 // Frame is the unit of transfer. Call matches a reply with its request; it is 0
--- /dev/null
+++ b/bench/cluster/cluster_test.go
@@ -0,0 +1,79 @@
+package cluster
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/config"
+)
+
+// patience bounds waits for states that must come; it is no measurement.
+const patience = 30 * time.Second
+
+func example(t *testing.T, name string) *config.Document {
+	t.Helper()
+	path := "../../examples/" + name + "/configuration.json"
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	doc, err := config.Parse(path, data)
+	require.NoError(t, err)
+	return doc
+}
+
+func start(t *testing.T, o Options) (*Cluster, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	if dir := os.Getenv("DANDELIONHILL_LOGS"); dir != "" {
+		o.LogDirectory = dir
+	}
+	c, err := Start(ctx, o)
+	require.NoError(t, err)
+	t.Cleanup(c.Stop)
+	require.NoError(t, c.WaitServing(ctx))
+	return c, ctx
+}
+
+func post(ctx context.Context, t *testing.T, url, key, id, body string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set(api.HeaderKey, key)
+	req.Header.Set(api.HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(data)
+}
+
+// TestWholePath guards against any break between a caller and the owner of its
+// key, through every VM, and against a repeat that runs a second time.
+func TestWholePath(t *testing.T) {
+	c, ctx := start(t, Options{
+		Document: example(t, "elozokozosseg"), VMs: 4, UpstreamsPerService: 8,
+		ServiceTime: 2 * time.Millisecond, Seed: 1,
+	})
+	id := uuid.Must(uuid.NewV7()).String()
+	resp, first := post(ctx, t, c.VMs[0].URL("foglalas", "/slots/7"), "key-7", id, "reserve")
+	require.Equal(t, http.StatusOK, resp.StatusCode, first)
+	require.Equal(t, string(api.Answered), resp.Header.Get(api.HeaderOutcome))
+	require.Contains(t, first, "key=key-7 id="+id+" body=reserve")
+	for _, vm := range c.VMs {
+		resp, again := post(ctx, t, vm.URL("foglalas", "/slots/7"), "key-7", id, "reserve")
+		require.Equal(t, http.StatusOK, resp.StatusCode, again)
+		require.Equal(t, first, again, "a repeat gets the recorded answer")
+	}
+	resp, body := post(ctx, t, c.VMs[1].URL("kiszallitas", "/bills"), "", uuid.Must(uuid.NewV7()).String(), "bill")
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
+}
--- /dev/null
+++ b/bench/cluster/vm.go
@@ -0,0 +1,208 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/admin"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/server/daemon"
+	"dandelionhill.dev/server/logs"
+	"dandelionhill.dev/server/settings"
+)
+
+// VM is one entry VM, in this process or as a process of its own.
+type VM struct {
+	Settings *settings.Settings
+
+	cluster *Cluster
+	daemon  *daemon.Daemon
+	process *exec.Cmd
+	logFile *os.File
+	exited  chan error
+}
+
+// URL returns the address of a path of a service at this VM.
+func (vm *VM) URL(service api.ServiceName, path string) string {
+	return "http://" + vm.Settings.Listen.Callers + "/" + string(service) + path
+}
+
+// Start starts the VM, as a new incarnation if it ran before.
+func (vm *VM) Start() error {
+	log, err := vm.openLog()
+	if err != nil {
+		return err
+	}
+	if vm.cluster.options.Binary != "" {
+		return vm.startProcess()
+	}
+	if vm.daemon, err = daemon.New(vm.Settings, log); err != nil {
+		return err
+	}
+	return vm.daemon.Start()
+}
+
+func (vm *VM) openLog() (zerolog.Logger, error) {
+	dir := vm.cluster.options.LogDirectory
+	if dir == "" {
+		return discard, nil
+	}
+	file, err := os.OpenFile(filepath.Join(dir, string(vm.Settings.VM)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return discard, errors.Wrap(err, "open log")
+	}
+	vm.logFile = file
+	return logs.New(file, "info", vm.Settings.VM)
+}
+
+func (vm *VM) startProcess() error {
+	path := filepath.Join(vm.cluster.dir, string(vm.Settings.VM)+".json")
+	data, err := json.Marshal(vm.Settings)
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	cmd := exec.Command(vm.cluster.options.Binary, "-settings", path)
+	if vm.logFile != nil {
+		cmd.Stderr = vm.logFile
+	}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start daemon")
+	}
+	vm.process = cmd
+	vm.exited = make(chan error, 1)
+	go func() { vm.exited <- cmd.Wait() }()
+	return nil
+}
+
+// Kill ends the VM at once, as a crash would.
+func (vm *VM) Kill() {
+	switch {
+	case vm.process != nil:
+		vm.process.Process.Kill()
+		<-vm.exited
+		vm.process = nil
+	case vm.daemon != nil:
+		vm.daemon.Kill()
+		vm.daemon = nil
+	}
+	if vm.logFile != nil {
+		vm.logFile.Close()
+		vm.logFile = nil
+	}
+}
+
+// Running reports whether the VM has been started and not killed or stopped.
+func (vm *VM) Running() bool { return vm.process != nil || vm.daemon != nil }
+
+// Pause stops the VM's process until Resume. It has no effect on a VM in this process.
+func (vm *VM) Pause() { vm.signal(syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (vm *VM) Resume() { vm.signal(syscall.SIGCONT) }
+
+func (vm *VM) signal(sig os.Signal) {
+	if vm.process != nil {
+		vm.process.Process.Signal(sig)
+	}
+}
+
+// stopLimit bounds a graceful stop beyond the VM's own bound.
+const stopLimit = 15 * time.Second
+
+// Stop stops the VM gracefully and waits for it.
+func (vm *VM) Stop(ctx context.Context) error {
+	if vm.daemon != nil {
+		err := vm.daemon.Stop(ctx)
+		vm.daemon = nil
+		return err
+	}
+	if vm.process == nil {
+		return nil
+	}
+	vm.signal(syscall.SIGTERM)
+	select {
+	case err := <-vm.exited:
+		vm.process = nil
+		return errors.Wrap(err, "daemon")
+	case <-time.After(stopLimit):
+		vm.Kill()
+		return errors.Errorf("VM %s did not stop within %v", vm.Settings.VM, stopLimit)
+	}
+}
+
+// Daemon returns the VM's daemon if it runs in this process.
+func (vm *VM) Daemon() *daemon.Daemon { return vm.daemon }
+
+// Change sends a change to the VM's admin interface.
+func (vm *VM) Change(ctx context.Context, change config.Change) (admin.ChangeResult, error) {
+	var result admin.ChangeResult
+	err := vm.call(ctx, http.MethodPost, admin.PathChanges, change, &result)
+	return result, err
+}
+
+// Operation asks how far an operation has come.
+func (vm *VM) Operation(ctx context.Context, id string) (admin.OperationStatus, error) {
+	var status admin.OperationStatus
+	err := vm.call(ctx, http.MethodGet, admin.PathOperations+id, nil, &status)
+	return status, err
+}
+
+// Status asks for the deployment as the VM sees it.
+func (vm *VM) Status(ctx context.Context) (admin.Status, error) {
+	var status admin.Status
+	err := vm.call(ctx, http.MethodGet, admin.PathStatus, nil, &status)
+	return status, err
+}
+
+// Config asks for the document in force.
+func (vm *VM) Config(ctx context.Context) (*config.Document, error) {
+	doc := new(config.Document)
+	err := vm.call(ctx, http.MethodGet, admin.PathConfig, nil, doc)
+	return doc, err
+}
+
+func (vm *VM) call(ctx context.Context, method, path string, in, out any) error {
+	var body bytes.Buffer
+	if in != nil {
+		if err := json.NewEncoder(&body).Encode(in); err != nil {
+			return errors.Wrap(err, "encode")
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+vm.Settings.Listen.Admin+path, &body)
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Authorization", "Bearer "+Token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "call admin interface")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if resp.StatusCode != http.StatusOK {
+		refused := new(admin.Error)
+		if json.Unmarshal(data, refused) == nil && refused.Kind != "" {
+			return refused
+		}
+		return errors.Errorf("status %d: %.200s", resp.StatusCode, data)
+	}
+	return errors.Wrap(json.Unmarshal(data, out), "decode answer")
+}
--- /dev/null
+++ b/bench/cmd/demo/main.go
@@ -0,0 +1,236 @@
+// Command demo runs a shipped example on loopback: stand-ins of the platform and
+// the upstreams, and entry VMs as processes of their own. It sends a bounded
+// load, switches the preset, takes a failure domain out and brings it back,
+// kills an upstream and an entry VM, and checks what must always hold.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/bench/cluster"
+	"dandelionhill.dev/bench/history"
+	"dandelionhill.dev/bench/load"
+	"dandelionhill.dev/core/config"
+)
+
+// totalLimit bounds the whole demo.
+const totalLimit = 40 * time.Second
+
+func main() {
+	example := flag.String("example", "examples/elozokozosseg/configuration.json", "configuration to run")
+	vms := flag.Int("vms", 4, "number of entry VMs")
+	rate := flag.Float64("rate", 400, "requests a second")
+	binary := flag.String("daemon", "bin/dandelionhilld", "daemon program; empty runs the VMs in this process")
+	seed := flag.Uint64("seed", 1, "seed of the load and the stand-ins")
+	logs := flag.String("logs", "", "directory for the logs of the VMs")
+	flag.Parse()
+	ctx, cancel := context.WithTimeout(context.Background(), totalLimit)
+	defer cancel()
+	d := demo{example: *example, vms: *vms, rate: *rate, binary: *binary, seed: *seed, logs: *logs}
+	if err := d.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+type demo struct {
+	example string
+	vms     int
+	rate    float64
+	binary  string
+	seed    uint64
+	logs    string
+
+	cluster *cluster.Cluster
+	log     history.Log
+}
+
+// step is something that an operator or the world does while the load runs.
+type step struct {
+	at   time.Duration // after the start of the load
+	name string
+	do   func(ctx context.Context) error
+}
+
+func (d *demo) run(ctx context.Context) error {
+	data, err := os.ReadFile(d.example)
+	if err != nil {
+		return errors.Wrap(err, "read example")
+	}
+	doc, err := config.Parse(d.example, data)
+	if err != nil {
+		return err
+	}
+	binary := d.binary
+	if binary != "" {
+		if binary, err = filepath.Abs(binary); err != nil {
+			return err
+		}
+	}
+	d.cluster, err = cluster.Start(ctx, cluster.Options{
+		Document: doc, VMs: d.vms, ServiceTime: 4 * time.Millisecond, Recorder: &d.log,
+		ListLag: 2 * time.Second, Binary: binary, LogDirectory: d.logs, Seed: d.seed,
+	})
+	if err != nil {
+		return err
+	}
+	defer d.cluster.Stop()
+	if err := d.cluster.WaitServing(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("%s: %d entry VMs, %d upstreams, %.0f requests a second\n", doc.Region, d.vms, len(d.cluster.Upstreams), d.rate)
+	report, err := d.loadWithSteps(ctx)
+	if err != nil {
+		return err
+	}
+	for _, vm := range d.cluster.VMs {
+		if vm.Running() {
+			if err := vm.Stop(ctx); err != nil {
+				return err
+			}
+		}
+	}
+	return d.report(report)
+}
+
+// loadWithSteps sends the load while the steps are taken.
+func (d *demo) loadWithSteps(ctx context.Context) (*load.Report, error) {
+	steps := d.steps()
+	length := steps[len(steps)-1].at + 3*time.Second
+	loadCtx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	done := make(chan *load.Report, 1)
+	go func() { done <- load.Run(loadCtx, d.load()) }()
+	start := time.Now()
+	for _, s := range steps {
+		time.Sleep(time.Until(start.Add(s.at)))
+		fmt.Printf("%5.1f s  %s\n", time.Since(start).Seconds(), s.name)
+		if err := s.do(ctx); err != nil {
+			cancel()
+			<-done
+			return nil, errors.WithMessage(err, s.name)
+		}
+	}
+	return <-done, nil
+}
+
+func (d *demo) load() load.Options {
+	o := load.Options{
+		Entries: d.entries, Keys: 500, Zipf: 1.2, Rate: d.rate, Workers: 200,
+		Timeout: 2 * time.Second, Resend: 3, Seed: d.seed,
+	}
+	for _, s := range d.cluster.Document.Services {
+		o.Targets = append(o.Targets, load.Target{Service: s.Name, Keyed: s.Keyed, Repeatable: 0.5})
+	}
+	return o
+}
+
+// entries lists the VMs as the platform's balancer would: a killed VM is found
+// out by its failed health check.
+func (d *demo) entries() []string {
+	var out []string
+	for _, vm := range d.cluster.VMs {
+		if vm.Running() {
+			out = append(out, "http://"+vm.Settings.Listen.Callers)
+		}
+	}
+	return out
+}
+
+func (d *demo) steps() []step {
+	domain := d.cluster.Document.FailureDomains[1].Name
+	change := func(id string, kind config.ChangeKind, name string) func(context.Context) error {
+		return func(ctx context.Context) error { return d.change(ctx, id, kind, name) }
+	}
+	return []step{
+		{2 * time.Second, "switch to preset peak", change("demo-1", config.SetPreset, "peak")},
+		{4 * time.Second, "take failure domain " + string(domain) + " out", change("demo-2", config.DomainOut, string(domain))},
+		{7 * time.Second, "bring failure domain " + string(domain) + " back", change("demo-3", config.DomainIn, string(domain))},
+		{9 * time.Second, "kill the upstream " + string(d.victim()), d.killUpstream},
+		{11 * time.Second, "kill the entry VM " + string(d.cluster.VMs[d.vms-1].Settings.VM), d.killVM},
+		{13 * time.Second, "restart both", d.restart},
+	}
+}
+
+// victim is the first upstream of the first service.
+func (d *demo) victim() api.UpstreamID { return d.cluster.Document.Services[0].Upstreams[0].ID }
+
+func (d *demo) change(ctx context.Context, id string, kind config.ChangeKind, name string) error {
+	vm := d.cluster.VMs[0]
+	doc, err := vm.Config(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = vm.Change(ctx, config.Change{OperationID: id, BaseRevision: doc.Revision, Kind: kind, Name: name})
+	return err
+}
+
+func (d *demo) killUpstream(context.Context) error {
+	d.cluster.Upstreams[d.victim()].Crash()
+	return nil
+}
+
+func (d *demo) killVM(context.Context) error {
+	d.cluster.VMs[d.vms-1].Kill()
+	return nil
+}
+
+func (d *demo) restart(context.Context) error {
+	if err := d.cluster.Upstreams[d.victim()].Restart(); err != nil {
+		return err
+	}
+	return d.cluster.VMs[d.vms-1].Start()
+}
+
+// report prints the table and fails if something that must hold was broken.
+func (d *demo) report(r *load.Report) error {
+	runs := d.log.Runs()
+	answered := 0
+	for _, result := range r.Results {
+		if result.Outcome == api.Answered {
+			answered++
+		}
+	}
+	gap, key := history.LongestGap(r.Results)
+	broken := map[string][]string{
+		"runs counted twice":         history.Duplicates(runs),
+		"key owners overlapping":     history.Overlaps(runs),
+		"false refusals as not run":  history.FalseNotRun(r.Results, runs),
+		"answers of another request": history.Wrong(r.Results),
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "requests\t%d\n", len(r.Results))
+	fmt.Fprintf(w, "answered\t%d\t(%.2f%%)\n", answered, 100*float64(answered)/float64(max(1, len(r.Results))))
+	for _, c := range history.Refusals(r.Results) {
+		fmt.Fprintf(w, "%s\t%d\n", c.Label, c.N)
+	}
+	for _, name := range []string{"runs counted twice", "key owners overlapping", "false refusals as not run", "answers of another request"} {
+		fmt.Fprintf(w, "%s\t%d\t(must be 0)\n", name, len(broken[name]))
+	}
+	fmt.Fprintf(w, "longest unavailable time of a key\t%d ms\t(%s)\n", gap.Milliseconds(), key)
+	fmt.Fprintf(w, "p50 / p99 of answered requests\t%.1f ms / %.1f ms\n",
+		float64(r.Latency.ValueAtQuantile(50))/1000, float64(r.Latency.ValueAtQuantile(99))/1000)
+	w.Flush()
+	return verdict(broken, answered)
+}
+
+func verdict(broken map[string][]string, answered int) error {
+	if answered == 0 {
+		return errors.New("no request was answered")
+	}
+	for name, cases := range broken {
+		if len(cases) > 0 {
+			return errors.Errorf("%s: %s", name, cases[0])
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/history/history.go
@@ -0,0 +1,174 @@
+// Package history records the runs of upstreams and checks them against what
+// must always hold: one owner of a key at a time, at most one run of a request
+// that may not be repeated, and true refusals.
+package history
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"dandelionhill.dev/bench/load"
+	"dandelionhill.dev/fakes/upstream"
+)
+
+// Log implements upstream.Recorder.
+type Log struct {
+	mu   sync.Mutex
+	runs []*upstream.Run
+}
+
+// Started implements upstream.Recorder.
+func (l *Log) Started(run *upstream.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, run)
+}
+
+// Ended implements upstream.Recorder. The run is already in the log; the lock
+// makes its end visible to Runs.
+func (l *Log) Ended(*upstream.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+}
+
+// Runs returns the runs so far. Call it when no run is in progress.
+func (l *Log) Runs() []*upstream.Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.runs)
+}
+
+// Duplicates lists the request IDs that ran more than once.
+func Duplicates(runs []*upstream.Run) []string {
+	counts := map[string]int{}
+	for _, r := range runs {
+		if r.RequestID != "" {
+			counts[r.RequestID]++
+		}
+	}
+	var out []string
+	for id, n := range counts {
+		if n > 1 {
+			out = append(out, fmt.Sprintf("%s ran %d times", id, n))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Overlaps lists pairs of runs for one key that were in progress on different
+// upstreams at the same time.
+func Overlaps(runs []*upstream.Run) []string {
+	byKey := map[string][]*upstream.Run{}
+	for _, r := range runs {
+		if r.Key != "" {
+			byKey[r.Key] = append(byKey[r.Key], r)
+		}
+	}
+	var out []string
+	for key, list := range byKey {
+		slices.SortFunc(list, func(a, b *upstream.Run) int { return a.Start.Compare(b.Start) })
+		var open *upstream.Run // the earlier run that ends last
+		for _, r := range list {
+			if open != nil && open.Upstream != r.Upstream && (open.End.IsZero() || r.Start.Before(open.End)) {
+				out = append(out, fmt.Sprintf("key %s ran on %s from %v to %v and on %s from %v",
+					key, open.Upstream, open.Start, open.End, r.Upstream, r.Start))
+			}
+			if open == nil || r.End.IsZero() || !open.End.IsZero() && r.End.After(open.End) {
+				open = r
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// FalseNotRun lists requests that were refused as not run by every attempt but
+// did run.
+func FalseNotRun(results []load.Result, runs []*upstream.Run) []string {
+	ran := map[string]bool{}
+	for _, r := range runs {
+		ran[r.RequestID] = true
+	}
+	var out []string
+	for _, r := range results {
+		if r.RequestID != "" && r.NotRun && ran[r.RequestID] {
+			out = append(out, fmt.Sprintf("%s was refused as not run (%s) and ran", r.RequestID, r.Refusal))
+		}
+	}
+	return out
+}
+
+// Wrong lists answers that do not belong to their requests.
+func Wrong(results []load.Result) []string {
+	var out []string
+	for _, r := range results {
+		if r.Wrong != "" {
+			out = append(out, r.Wrong)
+		}
+	}
+	return out
+}
+
+// LongestGap returns the longest time for which requests for one key were sent
+// but none was answered, and the key.
+func LongestGap(results []load.Result) (time.Duration, string) {
+	byKey := map[string][]load.Result{}
+	for _, r := range results {
+		if r.Target.Keyed {
+			byKey[r.Key] = append(byKey[r.Key], r)
+		}
+	}
+	longest, worst := time.Duration(0), ""
+	for key, list := range byKey {
+		slices.SortFunc(list, func(a, b load.Result) int { return a.Start.Compare(b.Start) })
+		var failing time.Time // start of the first request since the last success
+		for _, r := range list {
+			if r.Outcome != "answered" {
+				if failing.IsZero() {
+					failing = r.Start
+				}
+				continue
+			}
+			if !failing.IsZero() {
+				if gap := r.Start.Add(r.Took).Sub(failing); gap > longest {
+					longest, worst = gap, key
+				}
+			}
+			if r.Took > longest {
+				longest, worst = r.Took, key
+			}
+			failing = time.Time{}
+		}
+	}
+	return longest, worst
+}
+
+// Count is a number of results by label.
+type Count struct {
+	Label string
+	N     int
+}
+
+// Refusals counts results without an answer by outcome and kind.
+func Refusals(results []load.Result) []Count {
+	counts := map[string]int{}
+	for _, r := range results {
+		if r.Outcome != "answered" {
+			kind := string(r.Refusal)
+			if kind == "" {
+				kind = "connection lost"
+			}
+			counts[string(r.Outcome)+" "+kind]++
+		}
+	}
+	out := make([]Count, 0, len(counts))
+	for label, n := range counts {
+		out = append(out, Count{label, n})
+	}
+	slices.SortFunc(out, func(a, b Count) int { return cmp.Compare(b.N, a.N) })
+	return out
+}
--- /dev/null
+++ b/bench/load/load.go
@@ -0,0 +1,226 @@
+// Package load sends a bounded load to entry VMs and classifies the outcomes.
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+
+	"dandelionhill.dev/api"
+)
+
+// Target is one service that gets load.
+type Target struct {
+	Service api.ServiceName
+	Keyed   bool
+	// Repeatable is the share of requests that are idempotent.
+	Repeatable float64
+}
+
+// Options describes a load.
+type Options struct {
+	// Entries returns the base URLs of the VMs that a balancer would use now.
+	Entries func() []string
+	Targets []Target
+	Keys    int     // number of different keys
+	Zipf    float64 // exponent of the popularity of keys, above 1; 0 is uniform
+	Rate    float64 // requests a second, all targets together
+	Workers int     // requests in progress at once
+	Timeout time.Duration
+	// Resend is the number of times a request without an answer is sent again,
+	// through another VM and with the same request ID.
+	Resend int
+	Seed   uint64
+}
+
+// Result is the outcome of one request, after its resends.
+type Result struct {
+	Target    Target
+	Key       string
+	RequestID string // empty if idempotent
+	Outcome   api.Outcome
+	Refusal   api.Kind
+	Attempts  int
+	Start     time.Time
+	Took      time.Duration
+	// NotRun is true if every attempt was refused as not run.
+	NotRun bool
+	// Wrong describes an answer that does not belong to the request.
+	Wrong string
+}
+
+// Report sums up a load.
+type Report struct {
+	Results []Result
+	Latency *hdrhistogram.Histogram // microseconds, of answered requests
+}
+
+// Run sends the load until ctx ends and waits for the requests in progress.
+func Run(ctx context.Context, o Options) *Report {
+	g := &generator{o: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), client: newClient(o.Workers)}
+	defer g.client.CloseIdleConnections()
+	if o.Zipf > 1 {
+		g.zipf = rand.NewZipf(g.rng, o.Zipf, 1, uint64(o.Keys-1))
+	}
+	report := &Report{Latency: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	places := make(chan struct{}, o.Workers)
+	start := time.Now()
+	for n := 0; ctx.Err() == nil; n++ {
+		due := start.Add(time.Duration(float64(n) / o.Rate * float64(time.Second)))
+		if !sleepUntil(ctx, due) {
+			break
+		}
+		select {
+		case places <- struct{}{}:
+		case <-ctx.Done():
+			continue
+		}
+		job := g.next()
+		group.Go(func() {
+			defer func() { <-places }()
+			result := g.send(job)
+			mu.Lock()
+			defer mu.Unlock()
+			report.Results = append(report.Results, result)
+			if result.Outcome == api.Answered {
+				report.Latency.RecordValue(result.Took.Microseconds())
+			}
+		})
+	}
+	group.Wait()
+	return report
+}
+
+func sleepUntil(ctx context.Context, due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func newClient(workers int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+}
+
+type generator struct {
+	o      Options
+	rng    *rand.Rand // used by the goroutine of Run only
+	zipf   *rand.Zipf
+	client *http.Client
+	count  int
+}
+
+// job is one request to send.
+type job struct {
+	target Target
+	number int
+	key    string
+	id     string
+	first  int // index of the first entry tried
+}
+
+func (g *generator) next() job {
+	g.count++
+	t := g.o.Targets[g.rng.IntN(len(g.o.Targets))]
+	j := job{target: t, number: g.count, first: g.rng.IntN(1 << 20)}
+	key := g.rng.IntN(g.o.Keys)
+	if g.zipf != nil {
+		key = int(g.zipf.Uint64())
+	}
+	j.key = fmt.Sprintf("key-%d", key)
+	if g.rng.Float64() >= t.Repeatable {
+		j.id = uuid.Must(uuid.NewV7()).String()
+	}
+	return j
+}
+
+// send sends a request until it is answered or its resends are used up. A
+// request that may not be repeated keeps its ID, so it cannot run twice.
+func (g *generator) send(j job) Result {
+	r := Result{Target: j.target, Key: j.key, RequestID: j.id, Start: time.Now(), NotRun: true}
+	for r.Attempts <= g.o.Resend {
+		entries := g.o.Entries()
+		if len(entries) == 0 {
+			time.Sleep(time.Millisecond)
+			r.Attempts++
+			continue
+		}
+		g.attempt(j, entries[(j.first+r.Attempts)%len(entries)], &r)
+		r.Attempts++
+		if r.Outcome == api.Answered {
+			r.NotRun = false
+			break
+		}
+		if r.Outcome == api.Unknown {
+			r.NotRun = false
+		}
+	}
+	r.Took = time.Since(r.Start)
+	return r
+}
+
+func (g *generator) attempt(j job, base string, r *Result) {
+	// The client's own bound only guards against a VM that does not answer at all.
+	ctx, cancel := context.WithTimeout(context.Background(), g.o.Timeout+time.Second)
+	defer cancel()
+	r.Outcome, r.Refusal = api.Unknown, ""
+	method, body := http.MethodPost, fmt.Sprintf("order %d", j.number)
+	if j.id == "" {
+		method, body = http.MethodGet, ""
+	}
+	path := fmt.Sprintf("/orders/%d", j.number)
+	req, err := http.NewRequestWithContext(ctx, method, base+"/"+string(j.target.Service)+path, strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set(api.HeaderTimeout, fmt.Sprint(g.o.Timeout.Milliseconds()))
+	req.Header.Set(api.HeaderCaller, fmt.Sprintf("caller-%d", j.number%16))
+	if j.target.Keyed {
+		req.Header.Set(api.HeaderKey, j.key)
+	}
+	if j.id != "" {
+		req.Header.Set(api.HeaderRequestID, j.id)
+	}
+	resp, err := g.client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return
+	}
+	r.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
+	r.Refusal = api.Kind(resp.Header.Get(api.HeaderRefusal))
+	if r.Outcome == api.Answered && resp.StatusCode == http.StatusOK {
+		want := fmt.Sprintf(" %s %s key=%s id=%s body=%s", method, path, keyOf(j), j.id, body)
+		if !strings.HasSuffix(string(answer), want) {
+			r.Wrong = fmt.Sprintf("got %q, want an answer that ends in %q", answer, want)
+		}
+	}
+}
+
+func keyOf(j job) string {
+	if j.target.Keyed {
+		return j.key
+	}
+	return ""
+}
--- a/server/admin/admin.go
+++ b/server/admin/admin.go
@@ -5,14 +5,15 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/admin"
 	"dandelionhill.dev/core/config"
 	"dandelionhill.dev/server/control"
 	"dandelionhill.dev/server/metrics"
@@ -22,9 +23,16 @@
 // maxChange bounds a change in bytes: a service with thousands of upstreams fits.
 const maxChange = 4 << 20
 
+// healthTimeout is how long the control loop may take to answer a health check.
+const healthTimeout = time.Second
+
+// watchPoll is the interval at which a watch looks for a newer revision.
+const watchPoll = 50 * time.Millisecond
+
 // Config holds what the admin interface needs from its surroundings.
 type Config struct {
 	Self     api.VMID
+	Version  string
 	Control  *control.Control
 	Settings *settings.Settings
 	Clock    func() time.Duration
@@ -41,19 +49,24 @@
 // Handler serves the interface. Everything but health checks needs a credential.
 func (a *Admin) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Get("/healthz", a.healthz)
-	r.Get("/readyz", a.readyz)
-	r.Handle("/metrics", a.cfg.Metrics.Handler())
-	r.Route("/v1", func(r chi.Router) {
+	r.Get(admin.PathHealth, a.healthz)
+	r.Get(admin.PathReady, a.readyz)
+	r.Group(func(r chi.Router) {
 		r.Use(a.authenticate)
-		r.Post("/changes", a.change)
+		r.Handle("/metrics", a.cfg.Metrics.Handler())
+		r.Get(admin.PathStatus, a.status)
+		r.Get(admin.PathConfig, a.config)
+		r.Post(admin.PathChanges, a.change)
+		r.Get(admin.PathOperations+"{id}", a.operation)
+		r.Get(admin.PathExplain, a.explain)
+		r.Get(admin.PathWatch, a.watch)
 	})
 	return r
 }
 
 // healthz says that the process runs; only a restart would mend a failure.
 func (a *Admin) healthz(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+	ctx, cancel := context.WithTimeout(r.Context(), healthTimeout)
 	defer cancel()
 	if _, err := a.cfg.Control.Progress(ctx, 0); err != nil {
 		http.Error(w, "the control loop does not answer", http.StatusServiceUnavailable)
@@ -79,50 +92,153 @@
 		token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		operator, ok := a.cfg.Settings.Authenticate(token)
 		if !found || !ok {
-			fail(w, http.StatusUnauthorized, "unauthorized", "the call has no valid credential",
-				"send the token of an operator who is listed in the VM's settings")
+			fail(w, &admin.Error{
+				Kind: admin.Unauthorized, Message: "the call has no valid credential",
+				Remedy: "send the token of an operator who is listed in the VM's settings",
+			})
 			return
 		}
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, operator)))
 	})
 }
 
+func (a *Admin) status(w http.ResponseWriter, r *http.Request) {
+	status, err := a.cfg.Control.Status(r.Context())
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	status.Version = a.cfg.Version
+	answer(w, status)
+}
+
+func (a *Admin) config(w http.ResponseWriter, _ *http.Request) {
+	doc := a.cfg.Control.Snapshot().Document
+	if doc == nil {
+		fail(w, noConfiguration())
+		return
+	}
+	answer(w, doc)
+}
+
+func noConfiguration() *admin.Error {
+	return &admin.Error{
+		Kind: admin.NotFound, Message: "this VM has no configuration yet",
+		Remedy: "write the first document with dandelionctl init, or wait until the VM has read it",
+	}
+}
+
 func (a *Admin) change(w http.ResponseWriter, r *http.Request) {
 	var ch config.Change
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&ch); err != nil {
-		fail(w, http.StatusBadRequest, "bad_change", err.Error(), "send the change that dandelionctl makes")
+		fail(w, &admin.Error{Kind: admin.BadRequest, Message: err.Error(), Remedy: "send the change that dandelionctl makes"})
 		return
 	}
 	ch.By, _ = r.Context().Value(operatorKey{}).(string)
-	doc, err := a.cfg.Control.Change(r.Context(), ch, r.URL.Query().Get("dry_run") == "true")
+	dryRun := r.URL.Query().Get(admin.QueryDryRun) == "true"
+	before := a.cfg.Control.Snapshot().Document
+	doc, err := a.cfg.Control.Change(r.Context(), ch, dryRun)
 	if err != nil {
-		failChange(w, err)
+		failWith(w, err)
 		return
 	}
-	answer(w, map[string]uint64{"revision": doc.Revision})
+	result := admin.ChangeResult{DryRun: dryRun}
+	for _, d := range config.Diff(before, doc) {
+		result.Differences = append(result.Differences, admin.Difference{Entity: d.Entity, Kind: string(d.Kind)})
+	}
+	result.OperationStatus = admin.OperationStatus{OperationID: ch.OperationID, State: admin.StateUnknown}
+	if !dryRun {
+		a.cfg.Log.Info().Str("event", "change").Str("operation", ch.OperationID).Str("kind", string(ch.Kind)).
+			Str("by", ch.By).Uint64("revision", doc.Revision).Msg("")
+		if result.OperationStatus, err = a.progress(r.Context(), doc, ch.OperationID); err != nil {
+			failWith(w, err)
+			return
+		}
+	}
+	answer(w, result)
 }
 
-func failChange(w http.ResponseWriter, err error) {
-	var conflict *config.ErrConflict
-	var refused *config.ErrRefused
+// progress says how far an operation of a document has come.
+func (a *Admin) progress(ctx context.Context, doc *config.Document, id string) (admin.OperationStatus, error) {
+	status := admin.OperationStatus{OperationID: id, State: admin.StateUnknown}
+	op, ok := doc.Operation(id)
+	if !ok {
+		return status, nil
+	}
+	progress, err := a.cfg.Control.Progress(ctx, op.Revision)
+	if err != nil {
+		return status, err
+	}
+	status.Revision, status.VMs, status.Waiting = op.Revision, progress.Have, progress.Missing
 	switch {
-	case errors.As(err, &conflict):
-		fail(w, http.StatusConflict, "conflict", conflict.Message(), conflict.Remedy())
-	case errors.As(err, &refused):
-		fail(w, http.StatusUnprocessableEntity, string(refused.Kind), refused.Message, refused.Remedy)
-	case errors.Is(err, control.ErrNoStore):
-		fail(w, http.StatusServiceUnavailable, "store_unavailable", err.Error(), "send the same operation again later")
+	case progress.InForce:
+		status.State = admin.StateInForce
+	case progress.Accepted:
+		status.State = admin.StateAccepted
 	default:
-		fail(w, http.StatusInternalServerError, "internal", err.Error(), "send the same operation again")
+		status.State = admin.StatePending
 	}
+	return status, nil
 }
 
-func fail(w http.ResponseWriter, status int, kind, message, remedy string) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(map[string]string{"kind": kind, "message": message, "remedy": remedy})
+func (a *Admin) operation(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	doc := a.cfg.Control.Snapshot().Document
+	if doc == nil || !known(doc, id) {
+		// The write may be newer than what this VM knows.
+		stored, err := a.cfg.Control.Stored(r.Context())
+		if err != nil {
+			failWith(w, err)
+			return
+		}
+		doc = stored
+	}
+	if doc == nil {
+		answer(w, admin.OperationStatus{OperationID: id, State: admin.StateUnknown})
+		return
+	}
+	status, err := a.progress(r.Context(), doc, id)
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	answer(w, status)
+}
+
+func known(doc *config.Document, id string) bool {
+	_, ok := doc.Operation(id)
+	return ok
+}
+
+func (a *Admin) watch(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get(admin.QuerySince), 10, 64)
+	if err != nil {
+		fail(w, &admin.Error{Kind: admin.BadRequest, Message: "since is not a revision", Remedy: "send a whole number from 0"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), admin.WatchWait)
+	defer cancel()
+	ticker := time.NewTicker(watchPoll)
+	defer ticker.Stop()
+	for {
+		if doc := a.cfg.Control.Snapshot().Document; doc != nil && doc.Revision > since {
+			data, err := json.Marshal(doc)
+			if err != nil {
+				failWith(w, err)
+				return
+			}
+			answer(w, admin.Watch{Revision: doc.Revision, Document: data})
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			answer(w, admin.Watch{Revision: since})
+			return
+		}
+	}
 }
 
 func answer(w http.ResponseWriter, value any) {
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -58,6 +58,8 @@
 			return wire.Reply{Refusal: api.Refuse(api.BadRequest, err.Error())}
 		}
 		return f.entry.Local(ctx, &forward)
+	case wire.TypeStatus:
+		return f.Held()
 	case wire.TypeHandover:
 		return f.ReceiveHandover(ctx, frame)
 	default:
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -282,4 +282,3 @@
 	}
 	return false
 }
-
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -230,8 +230,7 @@
 // refresh tells the queue what each upstream may be given now.
 func (s *Shard) refresh(now time.Duration) {
 	limits := make([]dispatch.Limit, 0, len(s.ups))
-	full := int(float64(s.service.Slots)*s.preset.SlotFactor + 0.5)
-	full = max(1, min(full, s.service.Connections))
+	full := s.full()
 	for id, up := range s.ups {
 		limits = append(limits, dispatch.Limit{
 			Upstream: id,
@@ -244,6 +243,12 @@
 	s.queue.SetLimits(limits)
 }
 
+// full is the limit of a warm upstream.
+func (s *Shard) full() int {
+	full := int(float64(s.service.Slots)*s.preset.SlotFactor + 0.5)
+	return max(1, min(full, s.service.Connections))
+}
+
 // maySend reports whether requests may go to an upstream now.
 func (s *Shard) maySend(now time.Duration, up *upstream) bool {
 	return !s.closed && now < s.authority && !up.state.unavailable() && s.leases.MaySend(now, up.id)
--- /dev/null
+++ b/server/holder/status.go
@@ -0,0 +1,61 @@
+package holder
+
+import (
+	"fmt"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+)
+
+// Status describes a shard to operators.
+type Status struct {
+	Shard     api.ShardID      `cbor:"1,keyasint"`
+	Fence     api.Fence        `cbor:"2,keyasint"`
+	Upstreams []UpstreamStatus `cbor:"3,keyasint"`
+	Assign    wire.Assign      `cbor:"4,keyasint"`
+}
+
+// UpstreamStatus describes an upstream to operators.
+type UpstreamStatus struct {
+	ID          api.UpstreamID  `cbor:"1,keyasint"`
+	State       string          `cbor:"2,keyasint"`
+	Incarnation api.Incarnation `cbor:"3,keyasint"`
+	InFlight    int             `cbor:"4,keyasint"`
+	Limit       int             `cbor:"5,keyasint"`
+	Queued      int             `cbor:"6,keyasint"`
+	Ranges      int             `cbor:"7,keyasint"`
+}
+
+// Status returns the present state of the shard.
+func (s *Shard) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock()
+	status := Status{Shard: s.cfg.ID, Fence: s.cfg.Fence, Assign: s.assignment()}
+	owned := map[api.UpstreamID]int{}
+	for i := range s.ranges.ranges {
+		owned[s.ranges.ranges[i].owner]++
+	}
+	for id, up := range s.ups {
+		status.Upstreams = append(status.Upstreams, UpstreamStatus{
+			ID: id, State: string(s.placementState(now, up)), Incarnation: up.incarnation,
+			InFlight: len(up.running), Limit: up.ramp.Limit(now, s.full()), Queued: s.queue.QueuedFor(id), Ranges: owned[id],
+		})
+	}
+	return status
+}
+
+// Owner returns the owner of a range and why it is the owner.
+func (s Status) Owner(rng int) (api.UpstreamID, string) {
+	i := rng - s.Assign.First
+	if i < 0 || i >= len(s.Assign.Owners) || s.Assign.Owners[i] < 0 {
+		return "", "no upstream can take it, or it has just been placed"
+	}
+	owner := s.Assign.Upstreams[s.Assign.Owners[i]]
+	for _, u := range s.Upstreams {
+		if u.ID == owner {
+			return owner, fmt.Sprintf("it is %s and owns %d ranges of the shard (assignment %d)", u.State, u.Ranges, s.Assign.Seq)
+		}
+	}
+	return owner, "it owned the range before it left the configuration"
+}
--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -402,4 +402,3 @@
 		delete(l.calls, frame.Call)
 	}
 }
-
