Add straggler detectors, their calibration and the Monitor

Change: EWMA, CUSUM and Shiryaev-Roberts with head start (kept as a logarithm), Calibrate by seeded simulation, and a Monitor that compares each answer with the median of the other upstreams. A slowdown of all upstreams is recognised by the latest answers of the peers. A straggler recovers by a CUSUM in the opposite direction, fed by occasional probes.

--- /dev/null
+++ b/core/straggler/calibrate.go
@@ -0,0 +1,159 @@
+package straggler
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// Kind names a detector.
+type Kind string
+
+// The detectors.
+const (
+	KindEWMA  Kind = "ewma"
+	KindCUSUM Kind = "cusum"
+	KindSR    Kind = "shiryaev_roberts"
+)
+
+// Kinds returns all kinds of detector.
+func Kinds() []Kind { return []Kind{KindEWMA, KindCUSUM, KindSR} }
+
+// Setting holds the parameters of a detector.
+type Setting struct {
+	Kind      Kind
+	Threshold float64 // EWMA: deviations; CUSUM: log likelihood ratio; SR: nu
+	HeadStart float64 // SR only
+	Weight    float64 // EWMA only
+}
+
+// New returns a detector with the setting.
+func (s Setting) New(model Model) Detector {
+	switch s.Kind {
+	case KindEWMA:
+		return NewEWMA(model, s.Weight, s.Threshold)
+	case KindSR:
+		return NewShiryaevRoberts(model, s.HeadStart, s.Threshold)
+	default:
+		return NewCUSUM(model, s.Threshold)
+	}
+}
+
+// limit returns the observation at which n equal observations in a row bring
+// the statistic from rest to its threshold. Observations above it are cut, so
+// that fewer than n cannot raise an alarm from rest.
+func (s Setting) limit(model Model, n float64) float64 {
+	switch s.Kind {
+	case KindEWMA:
+		return model.Mean + model.Deviation*s.Threshold/(1-math.Pow(1-s.Weight, n))
+	case KindSR:
+		return model.observation((math.Log(s.Threshold) - math.Log1p(s.HeadStart)) / n)
+	default:
+		return model.observation(s.Threshold / n)
+	}
+}
+
+const (
+	// calibrationSteps bisections fix the threshold to a millionth of its range,
+	// far below the error of the simulation.
+	calibrationSteps = 20
+	// headStartSteps bisections fix the logarithm of the head start to a few per
+	// cent of its range; the delay is flat near the balance.
+	headStartSteps = 8
+	// settled is the number of observations after which the delay no longer
+	// depends on the head start.
+	settled = 200
+)
+
+// Calibrate finds the threshold at which a detector of the kind raises a false
+// alarm once in arl observations on average. Each trial simulates runs times
+// arl observations, so the relative error of the average is about 1/sqrt(runs).
+// For the Shiryaev-Roberts procedure it also finds the head start with equal
+// delays for a change at the first observation and for a late one, which is
+// close to the minimax choice. The same seed gives the same setting.
+func Calibrate(kind Kind, model Model, arl float64, runs int, seed uint64) Setting {
+	s := Setting{Kind: kind, Weight: DefaultWeight}
+	s = SetThreshold(s, model, arl, runs, seed)
+	if kind != KindSR {
+		return s
+	}
+	// R[n] - n - r is a martingale, so the average run length is nu/c - r with a
+	// constant c for the overshoot. That gives nu for each head start tried.
+	c := s.Threshold / arl
+	low, high := math.Log(0.01), math.Log(arl)
+	for range headStartSteps {
+		mid := (low + high) / 2
+		s.HeadStart = math.Exp(mid)
+		s.Threshold = c * (arl + s.HeadStart)
+		if meanDelay(s, model, 0, 10*runs, seed) > meanDelay(s, model, settled, 10*runs, seed) {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	s.HeadStart = math.Exp((low + high) / 2)
+	return SetThreshold(s, model, arl, runs, seed)
+}
+
+// SetThreshold returns s with the threshold for the average run length arl. It
+// keeps the head start and the weight.
+func SetThreshold(s Setting, model Model, arl float64, runs int, seed uint64) Setting {
+	// The statistics of CUSUM and of SR in logarithmic form exceed log(arl) by at
+	// most the head start and the overshoot; an EWMA stays below its widest run.
+	low, high := 0.0, 2*math.Log(arl)+10
+	set := func(h float64) {
+		s.Threshold = h
+		if s.Kind == KindSR {
+			s.Threshold = math.Exp(h)
+		}
+	}
+	for range calibrationSteps {
+		mid := (low + high) / 2
+		set(mid)
+		if AverageRunLength(s, model, arl, runs, seed) < arl {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	set((low + high) / 2)
+	return s
+}
+
+// AverageRunLength simulates about runs times arl observations before any
+// change, restarting the detector after each alarm, and returns the
+// observations per alarm. The last, unfinished run counts as observations only,
+// which makes the estimate that of a run with exponential length.
+func AverageRunLength(s Setting, model Model, arl float64, runs int, seed uint64) float64 {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	d := s.New(model)
+	total, alarms := int(arl)*runs, 0
+	for range total {
+		if d.Observe(model.Mean + model.Deviation*rng.NormFloat64()) {
+			alarms++
+			d.Reset()
+		}
+	}
+	return float64(total) / math.Max(float64(alarms), 0.5)
+}
+
+// meanDelay returns the mean number of observations from a change after the
+// given number of observations to the alarm. Runs with a false alarm before the
+// change are restarted, so the delay is conditional on none.
+func meanDelay(s Setting, model Model, change, runs int, seed uint64) float64 {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	d := s.New(model)
+	total := 0
+	for range runs {
+		d.Reset()
+		for i := 0; i < change; i++ {
+			if d.Observe(model.Mean + model.Deviation*rng.NormFloat64()) {
+				d.Reset()
+				i = -1
+			}
+		}
+		for alarm := false; !alarm; total++ {
+			alarm = d.Observe(model.Mean + model.Shift + model.Deviation*rng.NormFloat64())
+		}
+	}
+	return float64(total) / float64(runs)
+}
--- /dev/null
+++ b/core/straggler/detector_test.go
@@ -0,0 +1,80 @@
+package straggler
+
+import (
+	"flag"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Property tests draw the same cases on every run.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// The recursion of the paper in plain form, for short sequences that do not overflow.
+func TestShiryaevRobertsMatchesPlainRecursion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rapid.Float64Range(0, 50).Draw(t, "r")
+		xs := rapid.SliceOfN(rapid.Float64Range(-2, 2), 1, 30).Draw(t, "xs")
+		d := NewShiryaevRoberts(DefaultModel, r, 1e300)
+		plain := r
+		for _, x := range xs {
+			d.Observe(x)
+			plain = (1 + plain) * math.Exp(DefaultModel.logRatio(x))
+			require.InEpsilon(t, plain, math.Exp(d.logR), 1e-9)
+		}
+	})
+}
+
+// A frozen or broken upstream must not leave a statistic that never recovers.
+func TestDetectorsSurviveExtremeObservations(t *testing.T) {
+	for _, kind := range Kinds() {
+		d := DefaultSettings[kind].New(DefaultModel)
+		require.False(t, d.Observe(math.NaN()), kind)
+		require.True(t, d.Observe(math.Inf(1)), kind)
+		for range 100 {
+			d.Observe(0)
+		}
+		require.False(t, d.Observe(0), "%s stays at its threshold", kind)
+		for range 10000 {
+			d.Observe(math.Inf(-1))
+		}
+		alarm := false
+		for i := 0; i < 10 && !alarm && kind != KindEWMA; i++ {
+			alarm = d.Observe(10)
+			require.False(t, math.IsNaN(statistic(d)), kind)
+		}
+		d.Reset()
+		require.False(t, d.Observe(0), kind)
+	}
+}
+
+func statistic(d Detector) float64 {
+	switch d := d.(type) {
+	case *EWMA:
+		return d.average
+	case *CUSUM:
+		return d.sum
+	case *ShiryaevRoberts:
+		return d.logR
+	}
+	return math.NaN()
+}
+
+// The default settings must have the average run length that their comment
+// states. The tolerance is four standard errors of the two simulations.
+func TestDefaultSettingsHaveTheirAverageRunLength(t *testing.T) {
+	for _, kind := range Kinds() {
+		require.InEpsilon(t, 1e6, AverageRunLength(DefaultSettings[kind], DefaultModel, 1e6, 40, 7), 4*math.Sqrt(1.0/40+1.0/100), kind)
+	}
+}
+
+// A threshold taken from a simulation with too few alarms would be arbitrary.
+func TestCalibrateReachesTheRequestedRunLength(t *testing.T) {
+	for _, kind := range Kinds() {
+		s := Calibrate(kind, Model{Deviation: 1, Shift: 1}, 200, 400, 3)
+		require.InEpsilon(t, 200, AverageRunLength(s, Model{Deviation: 1, Shift: 1}, 200, 400, 4), 4*math.Sqrt(2.0/400), kind)
+		require.Equal(t, s, Calibrate(kind, Model{Deviation: 1, Shift: 1}, 200, 400, 3), "same seed, same setting")
+	}
+}
--- /dev/null
+++ b/core/straggler/monitor_test.go
@@ -0,0 +1,154 @@
+package straggler
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+)
+
+// feed lets n upstreams answer every 10 ms with log-normal latency.
+type feed struct {
+	m    *Monitor
+	rng  *rand.Rand
+	now  time.Duration
+	n    int
+	slow map[int]float64 // factor by upstream; absent means 1
+}
+
+func newFeed(n int, seed uint64) *feed {
+	return &feed{m: NewMonitor(DefaultConfig()), rng: rand.New(rand.NewPCG(seed, 0)), n: n, slow: map[int]float64{}}
+}
+
+func name(i int) api.UpstreamID { return api.UpstreamID(fmt.Sprintf("u%d", i)) }
+
+// rounds lets every upstream answer count times, in random order. A straggler
+// answers only its probes if spare is set.
+func (f *feed) rounds(count int, spare bool) {
+	for range count {
+		f.now += 10 * time.Millisecond
+		f.m.Tick(f.now)
+		for _, i := range f.rng.Perm(f.n) {
+			if spare && f.m.Penalty(name(i)) > 1 {
+				continue
+			}
+			factor := f.slow[i]
+			if factor == 0 {
+				factor = 1
+			}
+			f.m.Observe(f.now, name(i), time.Duration(factor*20e6*math.Exp(0.5*f.rng.NormFloat64())))
+		}
+	}
+}
+
+func (f *feed) stragglers() (marked []int) {
+	for i := range f.n {
+		if f.m.Straggling(name(i)) {
+			marked = append(marked, i)
+		}
+	}
+	return marked
+}
+
+func TestMonitorFindsStragglerAndLetsItRecover(t *testing.T) {
+	for _, n := range []int{2, 3, 6, 30} {
+		f := newFeed(n, 1)
+		f.rounds(200, false)
+		require.Empty(t, f.stragglers(), n)
+		f.slow[1] = 10
+		f.rounds(20, false)
+		require.Equal(t, []int{1}, f.stragglers(), n)
+		require.Greater(t, f.m.Penalty(name(1)), 3.0)
+		require.Equal(t, 1.0, f.m.Penalty(name(0)))
+		f.rounds(3000, true)
+		require.Equal(t, []int{1}, f.stragglers(), "probes of a slow upstream must not end its mark")
+		f.slow[1] = 1
+		f.rounds(2500, true)
+		require.Empty(t, f.stragglers(), "%d upstreams: probes every 16 s at most must find the recovery", n)
+	}
+}
+
+// Marking upstreams would move load for no benefit when a shared dependency is
+// slow. Single marks are false alarms like others: the test allows them in one
+// run of 20, and never two at a time.
+func TestMonitorIgnoresCommonSlowdown(t *testing.T) {
+	const runs = 200
+	for _, factor := range []float64{2, 10, 100} {
+		marked := 0
+		for seed := range uint64(runs) {
+			f := newFeed(6, seed)
+			f.rounds(200, false)
+			for i := range f.n {
+				f.slow[i] = factor
+			}
+			most := 0
+			for range 100 {
+				f.rounds(1, false)
+				most = max(most, len(f.stragglers()))
+			}
+			require.LessOrEqual(t, most, 1, "factor %v seed %d", factor, seed)
+			marked += most
+		}
+		require.LessOrEqual(t, marked, runs/20, "factor %v", factor)
+	}
+}
+
+// A single long answer, such as one large request, is not a straggler.
+func TestMonitorIgnoresOutliers(t *testing.T) {
+	f := newFeed(6, 1)
+	f.rounds(200, false)
+	for range 20 {
+		f.m.Observe(f.now, name(2), time.Hour)
+		f.m.Observe(f.now, name(2), 20*time.Millisecond)
+		require.Empty(t, f.stragglers())
+		f.rounds(20, false)
+	}
+}
+
+// With most upstreams slow the rest must not be left alone with the load.
+func TestMonitorMarksOnlyAMinority(t *testing.T) {
+	f := newFeed(6, 1)
+	f.rounds(200, false)
+	for i := range 4 {
+		f.slow[i] = 10
+		f.rounds(30, true)
+		require.LessOrEqual(t, len(f.stragglers()), 2)
+	}
+}
+
+// The iteration order of maps must not influence decisions.
+func TestMonitorIsDeterministic(t *testing.T) {
+	a, b := newFeed(30, 9), newFeed(30, 9)
+	for range 50 {
+		a.slow[3], b.slow[3] = 4, 4
+		a.rounds(5, true)
+		b.rounds(5, true)
+		for i := range 30 {
+			require.Equal(t, a.m.Penalty(name(i)), b.m.Penalty(name(i)))
+		}
+	}
+}
+
+func TestMonitorForgetsAbsentUpstreams(t *testing.T) {
+	f := newFeed(6, 1)
+	f.rounds(200, false)
+	f.slow[0] = 10
+	f.rounds(30, false)
+	require.Equal(t, []int{0}, f.stragglers())
+	f.m.Tick(f.now + time.Hour)
+	require.Empty(t, f.m.upstreams)
+	require.Zero(t, f.m.marked)
+}
+
+func TestLonelyUpstreamIsNeverAStraggler(t *testing.T) {
+	f := newFeed(1, 1)
+	f.rounds(200, false)
+	f.slow[0] = 10
+	f.rounds(200, false)
+	require.Empty(t, f.stragglers())
+}
