Add dandelionctl and its admin client

Cause: operators need one tool to check, read and change the configuration. The token goes only to loopback addresses without --ca, and redirects are not followed. Conclusion: the tool works against the interface in api/admin; it has not run against the daemon, which is written elsewhere.

--- /dev/null
+++ b/ctl/client/client.go
@@ -0,0 +1,290 @@
+// Package client talks to the admin interface of the entry VMs.
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/admin"
+	"dandelionhill.dev/core/config"
+)
+
+// ErrUnreachable means that no admin address gave an answer.
+var ErrUnreachable = errors.New("no admin address answered")
+
+// ErrSettings means that the client cannot be used with its options.
+var ErrSettings = errors.New("unusable option")
+
+// defaultAttempt bounds one attempt at one address, so that a VM that accepts
+// connections and never answers does not use up the whole time.
+const defaultAttempt = 5 * time.Second
+
+// Options says how to reach the admin interface.
+type Options struct {
+	// Addresses are IP:port, tried in this order.
+	Addresses []string
+	// Token is the operator's bearer token.
+	Token string
+	// CA is a file of certificates that sign the servers'. Without it the client
+	// uses plain HTTP, and only to loopback addresses.
+	CA string
+	// Certificate and Key are files of the operator's own certificate, for
+	// servers that ask for one.
+	Certificate, Key string
+}
+
+// Client sends requests to the first admin address that answers.
+type Client struct {
+	http  *http.Client
+	bases []string
+	token string
+	// Attempt bounds one attempt at one address.
+	Attempt time.Duration
+	// Sleep waits between two questions about an operation. Tests replace it.
+	Sleep func(ctx context.Context, d time.Duration) error
+}
+
+// New checks the options and returns a client.
+func New(o Options) (*Client, error) {
+	if len(o.Addresses) == 0 {
+		return nil, errors.Wrap(ErrSettings, "there is no admin address: give at least one --admin IP:port")
+	}
+	c := &Client{token: o.Token, Attempt: defaultAttempt, Sleep: sleep}
+	scheme := "http"
+	transport := &http.Transport{}
+	if o.CA != "" {
+		scheme = "https"
+		config, err := tlsConfig(o)
+		if err != nil {
+			return nil, err
+		}
+		transport.TLSClientConfig = config
+	} else if o.Certificate != "" || o.Key != "" {
+		return nil, errors.Wrap(ErrSettings, "--cert and --key need --ca")
+	}
+	for _, address := range o.Addresses {
+		a, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, errors.Wrapf(ErrSettings, "admin address %q is not IP:port", address)
+		}
+		if o.CA == "" && !a.Addr().IsLoopback() {
+			return nil, errors.Wrapf(ErrSettings, "without --ca the token would be readable on the way to %s: give --ca", a)
+		}
+		c.bases = append(c.bases, scheme+"://"+a.String())
+	}
+	// A redirect would send the token to an address that the operator did not name.
+	c.http = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return c, nil
+}
+
+func tlsConfig(o Options) (*tls.Config, error) {
+	pem, err := os.ReadFile(o.CA)
+	if err != nil {
+		return nil, errors.Wrapf(ErrSettings, "cannot read --ca: %s", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Wrapf(ErrSettings, "--ca %s holds no certificate", o.CA)
+	}
+	config := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	if o.Certificate != "" || o.Key != "" {
+		pair, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
+		if err != nil {
+			return nil, errors.Wrapf(ErrSettings, "cannot use --cert and --key: %s", err)
+		}
+		config.Certificates = []tls.Certificate{pair}
+	}
+	return config, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Status returns the deployment as one VM sees it.
+func (c *Client) Status(ctx context.Context) (*admin.Status, error) {
+	s := &admin.Status{}
+	return s, c.get(ctx, admin.PathStatus, nil, s)
+}
+
+// Config returns the document in force.
+func (c *Client) Config(ctx context.Context) (*config.Document, error) {
+	doc := &config.Document{}
+	return doc, c.get(ctx, admin.PathConfig, nil, doc)
+}
+
+// Explain says where a request with a key goes.
+func (c *Client) Explain(ctx context.Context, service api.ServiceName, key string) (*admin.Explanation, error) {
+	e := &admin.Explanation{}
+	return e, c.get(ctx, admin.PathExplain, url.Values{admin.QueryService: {string(service)}, admin.QueryKey: {key}}, e)
+}
+
+// Operation returns the state of an operation. It asks all addresses until one
+// knows the operation, because a VM may lag behind the one that wrote it.
+func (c *Client) Operation(ctx context.Context, id string) (*admin.OperationStatus, error) {
+	var unknown *admin.OperationStatus
+	var lastErr error
+	for _, base := range c.bases {
+		s := &admin.OperationStatus{}
+		err := c.call(ctx, c.Attempt, http.MethodGet, base+admin.PathOperations+url.PathEscape(id), nil, s)
+		switch {
+		case err == nil && s.State != admin.StateUnknown:
+			return s, nil
+		case err == nil:
+			unknown = s
+		case !retryable(err):
+			return nil, err
+		default:
+			lastErr = err
+		}
+	}
+	if unknown != nil {
+		return unknown, nil
+	}
+	return nil, unreachable(lastErr)
+}
+
+// Watch returns when the revision exceeds since, or after admin.WatchWait with
+// a nil document.
+func (c *Client) Watch(ctx context.Context, since uint64) (*config.Document, error) {
+	w := &admin.Watch{}
+	query := url.Values{admin.QuerySince: {strconv.FormatUint(since, 10)}}
+	if err := c.each(ctx, admin.WatchWait+c.Attempt, admin.PathWatch, query, w); err != nil {
+		return nil, err
+	}
+	if len(w.Document) == 0 || w.Revision <= since {
+		return nil, nil
+	}
+	doc := &config.Document{}
+	if err := json.Unmarshal(w.Document, doc); err != nil {
+		return nil, errors.Wrap(err, "the document of a watch cannot be read: use the dandelionctl of the server's version")
+	}
+	return doc, nil
+}
+
+// get asks the addresses in turn.
+func (c *Client) get(ctx context.Context, path string, query url.Values, into any) error {
+	return c.each(ctx, c.Attempt, path, query, into)
+}
+
+func (c *Client) each(ctx context.Context, attempt time.Duration, path string, query url.Values, into any) error {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	var lastErr error
+	for _, base := range c.bases {
+		err := c.call(ctx, attempt, http.MethodGet, base+path, nil, into)
+		if err == nil || !retryable(err) {
+			return err
+		}
+		lastErr = err
+	}
+	return unreachable(lastErr)
+}
+
+// callError is a request without a usable answer.
+type callError struct {
+	address string
+	// sent is false when the request cannot have reached the server.
+	sent bool
+	// answered is true when there was an answer that cannot be used.
+	answered bool
+	err      error
+}
+
+func (e *callError) Error() string { return e.address + ": " + e.err.Error() }
+func (e *callError) Unwrap() error { return e.err }
+
+// unreachable keeps the error of a server that answered and wraps others.
+func unreachable(err error) error {
+	var answered *admin.Error
+	var failed *callError
+	if errors.As(err, &answered) || errors.As(err, &failed) && failed.answered {
+		return err
+	}
+	return errors.Wrapf(ErrUnreachable, "%v; remedy: give other addresses with --admin, or more --timeout", err)
+}
+
+// retryable reports whether another address may give a better answer.
+func retryable(err error) bool {
+	var answered *admin.Error
+	return !errors.As(err, &answered) || answered.Status() >= http.StatusInternalServerError
+}
+
+// call sends one request to one address.
+func (c *Client) call(ctx context.Context, attempt time.Duration, method, target string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, attempt)
+	defer cancel()
+	// Nothing reaches the server before the transport has a connection.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "cannot build the request")
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	address := request.URL.Host
+	response, err := c.http.Do(request)
+	if err != nil {
+		return &callError{address: address, sent: connected.Load(), err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, admin.MaxBody+1))
+	if err != nil {
+		return &callError{address: address, sent: true, err: err}
+	}
+	if len(data) > admin.MaxBody {
+		return &callError{address: address, sent: true, answered: true, err: errors.Errorf("the answer exceeds %d bytes", admin.MaxBody)}
+	}
+	if response.StatusCode != http.StatusOK {
+		return answerError(response.StatusCode, address, data)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return &callError{address: address, sent: true, answered: true, err: errors.Wrap(err, "the answer is not the expected JSON of an entry VM of this version")}
+	}
+	return nil
+}
+
+// answerError returns the server's typed error, or one with the kind that fits
+// the status when the body holds none, as with a proxy between.
+func answerError(status int, address string, data []byte) error {
+	e := &admin.Error{}
+	if json.Unmarshal(data, e) == nil && e.Kind != "" && e.Status() == status {
+		return e
+	}
+	text := strings.TrimSpace(string(data[:min(len(data), 200)]))
+	e = &admin.Error{Kind: admin.Internal, Message: address + " answered status " + strconv.Itoa(status) + ": " + text, Remedy: "check that the address is an admin address of an entry VM"}
+	switch {
+	case status == http.StatusUnauthorized || status == http.StatusForbidden:
+		e.Kind, e.Remedy = admin.Unauthorized, "give a valid token with --token-file"
+	case status < http.StatusInternalServerError:
+		e.Kind = admin.BadRequest
+	}
+	return e
+}
