--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -37,6 +37,9 @@
 	}
 	next := a.doc
 	layoutServices(next, doc)
+	if err := checkShards(next); err != nil {
+		return nil, err
+	}
 	next.Revision = a.revision
 	next.Operations = append(next.Operations, Operation{
 		ID: ch.OperationID, Revision: next.Revision, By: ch.By, Kind: ch.Kind, Entity: ch.Entity(), Digest: digest,
--- a/core/config/apply_test.go
+++ b/core/config/apply_test.go
@@ -156,11 +156,60 @@
 	domain, ok := doc.Domain("howrah")
 	require.True(t, ok && domain.Out)
 	doc = apply(t, doc, "lost", "anna", ConfirmLost, "tray-3")
+	doc, err = Apply(doc, Change{OperationID: "add", BaseRevision: doc.Revision, Kind: AddUpstream, Name: "trayhouse", Upstream: &Upstream{ID: "tray-4", Address: "127.0.0.1:9004", FailureDomain: "howrah"}})
+	require.NoError(t, err)
 	require.True(t, doc.Lost("tray-3"))
 	require.False(t, apply(t, doc, "back", "anna", Undrain, "tray-3").Lost("tray-3"))
 	require.False(t, apply(t, doc, "gone", "anna", RemoveUpstream, "tray-3").Lost("tray-3"))
 }
 
+// TestNoShardLosesItsLastUpstream guards against ranges that no upstream of
+// their shard could serve.
+func TestNoShardLosesItsLastUpstream(t *testing.T) {
+	doc := first(t)
+	counts := map[int]int{}
+	for _, u := range doc.Services[0].Upstreams {
+		counts[u.Shard]++
+	}
+	require.Len(t, counts, 2)
+	for i, u := range doc.Services[0].Upstreams {
+		drained := apply(t, doc, "drain", "anna", DrainUpstream, string(u.ID))
+		_, err := Apply(drained, Change{OperationID: fmt.Sprint("remove-", i), BaseRevision: drained.Revision, Kind: RemoveUpstream, Name: string(u.ID)})
+		if counts[u.Shard] == 1 {
+			require.ErrorContains(t, err, "would have no upstream")
+		} else {
+			require.NoError(t, err)
+		}
+	}
+}
+
+// TestNewUpstreamsJoinTheSmallestShard puts a new upstream before the known ones
+// in the file: its place in the list must not matter.
+func TestNewUpstreamsJoinTheSmallestShard(t *testing.T) {
+	doc, err := Parse("sample.json", []byte(sample))
+	require.NoError(t, err)
+	doc.Services[0].Upstreams = append(doc.Services[0].Upstreams, Upstream{ID: "tray-4", Address: "127.0.0.1:9004", FailureDomain: "howrah"})
+	doc, err = Apply(nil, Change{OperationID: "init", Kind: Init, Document: doc})
+	require.NoError(t, err)
+	for _, u := range doc.Services[0].Upstreams {
+		if u.Shard == 1 { // leaves two upstreams in shard 0 and one in shard 1
+			doc = apply(t, doc, "drain", "anna", DrainUpstream, string(u.ID))
+			doc = apply(t, doc, "remove", "anna", RemoveUpstream, string(u.ID))
+			break
+		}
+	}
+	file := doc.Clone().Services[0]
+	file.Upstreams = append([]Upstream{{ID: "tray-5", Address: "127.0.0.1:9005", FailureDomain: "howrah"}}, file.Upstreams...)
+	next, err := Apply(doc, Change{OperationID: "put", BaseRevision: doc.Revision, Kind: PutService, Service: &file})
+	require.NoError(t, err)
+	for _, u := range doc.Services[0].Upstreams {
+		after, _, _ := next.Upstream(u.ID)
+		require.Equal(t, u.Shard, after.Shard, "%s changed its shard", u.ID)
+	}
+	added, _, _ := next.Upstream("tray-5")
+	require.Equal(t, 1, added.Shard)
+}
+
 // TestForgottenOperationIsNotRepeated repeats an operation after the document
 // has forgotten its ID: it must be refused and not take effect again.
 func TestForgottenOperationIsNotRepeated(t *testing.T) {
--- a/core/config/layout.go
+++ b/core/config/layout.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"slices"
+
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/placement"
 )
@@ -24,14 +26,20 @@
 			continue
 		}
 		s.Layout = before.Layout
+		// New upstreams are placed last, so that all others count.
+		var added []int
 		for j := range s.Upstreams {
 			u := &s.Upstreams[j]
 			if known, ok := find(before.Upstreams, u.ID); ok {
 				u.Shard = known.Shard
 			} else {
-				u.Shard = smallestShard(s, j)
+				u.Shard = -1
+				added = append(added, j)
 			}
 		}
+		for _, j := range added {
+			s.Upstreams[j].Shard = smallestShard(doc, s)
+		}
 	}
 }
 
@@ -54,17 +62,21 @@
 }
 
 // smallestShard returns the shard with the fewest upstreams for its ranges
-// among the upstreams before index end.
-func smallestShard(s *Service, end int) int {
+// among the upstreams that have a shard. Drained and lost upstreams do not
+// count, so that a new one can replace the last upstream of a shard.
+func smallestShard(doc *Document, s *Service) int {
 	counts := make([]int, len(s.Layout))
-	for _, u := range s.Upstreams[:end] {
-		if u.Shard < len(counts) {
+	for _, u := range s.Upstreams {
+		if u.Shard >= 0 && u.Shard < len(counts) && !u.Drained && !doc.Lost(u.ID) {
 			counts[u.Shard]++
 		}
 	}
 	best, bestShare := 0, 0.0
 	for i, span := range s.Layout {
-		share := float64(counts[i]+1) / float64(span.Last-span.First+1)
+		share := 0.0 // a shard that no upstream serves comes first
+		if counts[i] > 0 {
+			share = float64(counts[i]+1) / float64(span.Last-span.First+1)
+		}
 		if i == 0 || share < bestShare {
 			best, bestShare = i, share
 		}
@@ -72,6 +84,24 @@
 	return best
 }
 
+// checkShards refuses a document with a shard that has no upstream: its ranges
+// could not move to the upstreams of another shard.
+func checkShards(doc *Document) error {
+	for _, s := range doc.Services {
+		has := make([]bool, len(s.Layout))
+		for _, u := range s.Upstreams {
+			if u.Shard >= 0 && u.Shard < len(has) {
+				has[u.Shard] = true
+			}
+		}
+		if i := slices.Index(has, false); i >= 0 {
+			return refuse(NotPermitted, "drain the upstream, or confirm its loss, then add another one, which joins a shard without active upstreams, then remove the first",
+				"shard %d of service %s would have no upstream", i, s.Name)
+		}
+	}
+	return nil
+}
+
 // PlacementShards returns the division of the service in the form that routing takes.
 func (s Service) PlacementShards() []placement.Shard {
 	shards := make([]placement.Shard, len(s.Layout))
--- a/core/config/sample_test.go
+++ b/core/config/sample_test.go
@@ -70,8 +70,8 @@
 		{Change{Kind: DrainUpstream, Name: "tray-1"}, "upstream tray-1", Changed},
 		{Change{Kind: Undrain, Name: "tray-1"}, "upstream tray-1", Changed},
 		{Change{Kind: ConfirmLost, Name: "tray-3"}, "upstream tray-3", Changed},
-		{Change{Kind: RemoveUpstream, Name: "tray-3"}, "upstream tray-3", Removed},
 		{Change{Kind: AddUpstream, Name: "trayhouse", Upstream: &Upstream{ID: "tray-4", Address: "127.0.0.1:9004", FailureDomain: "barasat"}}, "upstream tray-4", Added},
+		{Change{Kind: RemoveUpstream, Name: "tray-3"}, "upstream tray-3", Removed},
 	}
 	for i, c := range changes {
 		c.ch.OperationID = fmt.Sprintf("op-%d", i)
