dandelionctl: derive the exit code from the status when the error kind is unknown

Cause: a server of another version can answer with kinds that this tool does not know, and their message and remedy were replaced by a general text. Change: the message and remedy of any JSON error are kept; a kind that does not belong to the status is replaced by the one that does; a result without an operation ID gets that of the change.

--- a/ctl/client/change.go
+++ b/ctl/client/change.go
@@ -47,6 +47,9 @@
 	}
 	for sends := 1; ; sends++ {
 		result, doubtful, err := c.send(ctx, body, sends-1)
+		if err == nil {
+			result.OperationID = ch.OperationID
+		}
 		if err == nil || !doubtful {
 			return result, err
 		}
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -271,20 +271,37 @@
 	return nil
 }
 
-// answerError returns the server's typed error, or one with the kind that fits
-// the status when the body holds none, as with a proxy between.
+// answerError returns the server's typed error. A kind that does not belong to
+// the status, as from a server of another version, is replaced by the one that
+// does, so that the exit code is right; a body without an error is quoted.
 func answerError(status int, address string, data []byte) error {
 	e := &admin.Error{}
-	if json.Unmarshal(data, e) == nil && e.Kind != "" && e.Status() == status {
+	if json.Unmarshal(data, e) != nil || e.Message == "" {
+		text := strings.TrimSpace(string(data[:min(len(data), 200)]))
+		e = &admin.Error{
+			Message: address + " answered status " + strconv.Itoa(status) + ": " + text,
+			Remedy:  "check that the address is an admin address of an entry VM",
+		}
+	}
+	if e.Status() == status && e.Kind != "" {
 		return e
 	}
-	text := strings.TrimSpace(string(data[:min(len(data), 200)]))
-	e = &admin.Error{Kind: admin.Internal, Message: address + " answered status " + strconv.Itoa(status) + ": " + text, Remedy: "check that the address is an admin address of an entry VM"}
+	if e.Kind != "" {
+		e.Message = string(e.Kind) + ": " + e.Message
+	}
 	switch {
 	case status == http.StatusUnauthorized || status == http.StatusForbidden:
-		e.Kind, e.Remedy = admin.Unauthorized, "give a valid token with --token-file"
-	case status < http.StatusInternalServerError:
-		e.Kind = admin.BadRequest
+		e.Kind = admin.Unauthorized
+	case status == http.StatusConflict:
+		e.Kind = admin.Conflict
+	case status == http.StatusServiceUnavailable:
+		e.Kind = admin.StoreUnavailable
+	case status >= http.StatusInternalServerError:
+		e.Kind = admin.Internal
+	case status == http.StatusNotFound:
+		e.Kind = admin.NotFound
+	default:
+		e.Kind = admin.Refused
 	}
 	return e
 }
--- a/ctl/cmd/dandelionctl/main_test.go
+++ b/ctl/cmd/dandelionctl/main_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"testing"
 
+	"github.com/google/subcommands"
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api/admin"
@@ -317,3 +318,33 @@
 	require.Equal(t, int(exitFailure), code)
 	require.Contains(t, errOut, "repeat with --operation-id new-id")
 }
+
+// TestOtherErrorBodies guards against exit codes that depend on the exact kind:
+// a server of another version, or a proxy, may answer with other bodies.
+func TestOtherErrorBodies(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		code   subcommands.ExitStatus
+		text   string
+	}{
+		{401, `{"kind": "no_credential", "message": "who?", "remedy": "log in"}`, exitUnauthorized, "no_credential: who?; remedy: log in"},
+		{403, "forbidden", exitUnauthorized, "answered status 403: forbidden"},
+		{409, `{"kind": "changed", "message": "m", "remedy": "r"}`, exitConflict, "changed: m"},
+		{422, `{"kind": "not_permitted", "message": "m", "remedy": "r"}`, exitFailure, "not_permitted: m; remedy: r"},
+		{404, "404 page not found", exitFailure, "check that the address is an admin address"},
+		{503, "overloaded", exitUnreachable, "answered status 503"},
+		{500, "{}", exitFailure, "answered status 500"},
+	} {
+		f := newFixture(t, 0)
+		h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+			_, _ = io.WriteString(w, c.body)
+		}))
+		f.args = append(f.args, "--admin", strings.TrimPrefix(h.URL, "http://"))
+		code, _, errOut := f.run("status")
+		h.Close()
+		require.Equal(t, int(c.code), code, "%d %s: %s", c.status, c.body, errOut)
+		require.Contains(t, errOut, c.text)
+	}
+}
