--- a/core/placement/assignment.go
+++ b/core/placement/assignment.go
@@ -15,8 +15,9 @@
 
 // heldRange is a range with its measured load.
 type heldRange struct {
-	id   int
-	load float64
+	id     int
+	load   float64
+	placed bool // moved by this plan already
 }
 
 // node is an upstream with the ranges it owns.
@@ -159,6 +160,7 @@
 			return moves
 		}
 		to := from.nodes[0]
+		r.placed = true
 		to.add(r.heldRange)
 		heap.Fix(from, 0)
 		moves = append(moves, Move{Range: r.id, From: r.from, To: to.up.ID, Forced: true})
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -32,7 +32,7 @@
 	need := donor.load - limit*donor.up.Capacity
 	best, to, covers := -1, (*node)(nil), false
 	for i, r := range donor.ranges {
-		if r.load <= 0 {
+		if r.load <= 0 || r.placed {
 			continue
 		}
 		if best >= 0 {
@@ -74,7 +74,7 @@
 func (a *assignment) compromise(donor *node, minGain float64) (int, *node) {
 	best, to, lowest := -1, (*node)(nil), donor.ratio()-minGain
 	for i, r := range donor.ranges {
-		if r.load <= 0 {
+		if r.load <= 0 || r.placed {
 			continue
 		}
 		after := (donor.load - r.load) / donor.up.Capacity
@@ -95,6 +95,7 @@
 	r := donor.ranges[i]
 	donor.load -= r.load
 	donor.ranges = slices.Delete(donor.ranges, i, i+1)
+	r.placed = true
 	to.add(r)
 	return Move{Range: r.id, From: donor.up.ID, To: to.up.ID}
 }
