Measure placement in virtual time against the baselines

Cause: section 1.6 bounds churn and imbalance, and they were not measured. Change: bench/placement runs the planners of the two keyed services of section 1.2 with uniform, Zipf (0.9) and hot keys. The number of keys per upstream is that of section 1.3. The minimum for a return is a lower bound: the heaviest ranges that make up each upstream's excess over 1.15.

--- /dev/null
+++ b/bench/placement/experiment.go
@@ -0,0 +1,200 @@
+package placement
+
+import (
+	"slices"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/bench/metric"
+	"dandelionhill.dev/core/placement"
+)
+
+// Bounds from section 1.6 of the design page.
+const (
+	churnBound     = 1.1
+	imbalanceBound = 1.15
+	coldBound      = 1.0
+)
+
+const (
+	settleSeconds    = 60
+	observeSeconds   = 30
+	stragglerSeconds = 5
+	stragglerFactor  = 10
+)
+
+// Measure runs all experiments for one seed.
+func Measure(seed uint64) []metric.Metric {
+	var out []metric.Metric
+	for _, dep := range deployments() {
+		r := recorder{seed: seed, deployment: dep.name}
+		for _, load := range []keyLoad{uniform, zipf, hotKeys} {
+			r.load = load
+			r.balance(dep)
+		}
+		r.load = zipf
+		r.domain(dep)
+		r.straggler(dep)
+		r.coldReceivers(dep)
+		out = append(out, r.metrics...)
+	}
+	return out
+}
+
+// recorder collects the metrics of one deployment.
+type recorder struct {
+	seed       uint64
+	deployment string
+	load       keyLoad
+	metrics    []metric.Metric
+}
+
+func (r *recorder) add(name, planner string, value float64, unit, note string) *metric.Metric {
+	r.metrics = append(r.metrics, metric.Metric{
+		Name:  name + "." + string(r.load) + "." + r.deployment + "." + planner,
+		Value: value, Unit: unit, Seed: r.seed, Note: note,
+	})
+	return &r.metrics[len(r.metrics)-1]
+}
+
+func (r *recorder) bound(name, planner string, value float64, unit string, bound float64, note string) {
+	m := r.add(name, planner, value, unit, note)
+	m.Bound, m.HasBound = bound, true
+}
+
+// balance measures the imbalance after settling.
+func (r *recorder) balance(dep deployment) {
+	got := r.settle(dep, shardCount)
+	r.bound("imbalance_max_over_mean", "planner", got.service, "ratio", imbalanceBound, "over all upstreams of the service, expected load")
+	r.bound("imbalance_max_over_mean_in_shard", "planner", got.shard, "ratio", imbalanceBound, "worst shard, expected load")
+	r.add("imbalance_of_shard_means", "planner", got.shardMeans, "ratio",
+		"highest load per upstream of a shard over the mean of the service; no planner of one shard can go below")
+	r.add("imbalance_max_over_mean_one_shard", "planner", r.settle(dep, 1).service, "ratio", "the service as a single shard, for comparison")
+	r.add("imbalance_max_over_mean", "modulo", got.modulo, "ratio", "whole service, by key")
+	r.add("imbalance_max_over_mean", "ring", got.ring, "ratio", "whole service, by key")
+}
+
+// settled has the worst values seen after settling.
+type settled struct{ service, shard, shardMeans, modulo, ring float64 }
+
+func (s *settled) observe(sim *simulation) {
+	service, shard := sim.worstImbalance(observeSeconds)
+	s.service, s.shard = max(s.service, service), max(s.shard, shard)
+	s.shardMeans = max(s.shardMeans, sim.shardMeans())
+	s.modulo = max(s.modulo, imbalance(sim.baselineLoads(sim.baselineOwners("modulo"))))
+	s.ring = max(s.ring, imbalance(sim.baselineLoads(sim.baselineOwners("ring"))))
+}
+
+// settle runs a service until it has settled. Hot keys change three times, and
+// the worst period counts.
+func (r *recorder) settle(dep deployment, shards int) settled {
+	s := newSimulation(dep, r.load, shards, r.seed)
+	var got settled
+	if r.load != hotKeys {
+		s.run(settleSeconds)
+		got.observe(s)
+		return got
+	}
+	ordinary := slices.Clone(s.keys)
+	for range 3 {
+		copy(s.keys, ordinary)
+		heat(s.keys, hotKeyLoad*utilization*dep.slots, s.rng)
+		s.expected = rangeDemand(s.keys, s.hot.Ranges())
+		s.run(hotKeyPeriod - observeSeconds)
+		got.observe(s)
+	}
+	return got
+}
+
+// domain takes the largest failure domain out, settles, and puts it back cold.
+func (r *recorder) domain(dep deployment) {
+	s := newSimulation(dep, r.load, shardCount, r.seed)
+	s.run(settleSeconds)
+	domain := dep.domains[0]
+	in := map[string][]api.UpstreamID{"modulo": s.baselineOwners("modulo"), "ring": s.baselineOwners("ring")}
+	leaving := map[api.UpstreamID]bool{}
+	for _, up := range s.ups {
+		leaving[up.ID] = up.Domain == domain
+	}
+	owned := 0
+	for _, owner := range s.owners {
+		if leaving[owner] {
+			owned++
+		}
+	}
+
+	s.setDomain(domain, placement.Out)
+	s.moved = nil
+	start := s.second
+	s.run(settleSeconds)
+	r.bound("churn_over_minimum_on_departure", "planner", float64(len(s.moved))/float64(owned), "ratio", churnBound,
+		"ranges moved in 60 s over ranges owned by the departed domain")
+	r.add("settled_after_departure", "planner", float64(s.lastMove-start), "s", "time of the last move")
+	service, shard := s.worstImbalance(observeSeconds)
+	r.bound("imbalance_max_over_mean_domain_out", "planner", service, "ratio", imbalanceBound, "over all upstreams in service")
+	r.bound("imbalance_max_over_mean_domain_out_in_shard", "planner", shard, "ratio", imbalanceBound, "worst shard")
+	out := map[string][]api.UpstreamID{"modulo": s.baselineOwners("modulo"), "ring": s.baselineOwners("ring")}
+	for _, name := range []string{"modulo", "ring"} {
+		minimum := 0
+		for _, owner := range in[name] {
+			if leaving[owner] {
+				minimum++
+			}
+		}
+		r.add("churn_over_minimum_on_departure", name, float64(moved(in[name], out[name]))/float64(minimum), "ratio",
+			"keys moved over keys owned by the departed domain")
+		r.add("imbalance_max_over_mean_domain_out", name, imbalance(s.baselineLoads(out[name])), "ratio", "whole service, by key")
+	}
+
+	s.setDomain(domain, placement.Cold)
+	s.moved = nil
+	fewest := s.fewestMoves(imbalanceBound)
+	start = s.second
+	s.run(2 * settleSeconds)
+	r.bound("churn_over_minimum_on_return", "planner", float64(len(s.moved))/float64(fewest), "ratio", churnBound,
+		"ranges moved in 120 s over a lower bound of the moves that bring each shard to 1.15")
+	r.add("settled_after_return", "planner", float64(s.lastMove-start), "s", "time of the last move; the domain warms up in the first 10 s")
+	service, shard = s.worstImbalance(observeSeconds)
+	r.bound("imbalance_max_over_mean_after_return", "planner", service, "ratio", imbalanceBound, "over all upstreams of the service")
+	r.bound("imbalance_max_over_mean_after_return_in_shard", "planner", shard, "ratio", imbalanceBound, "worst shard")
+
+	fair := 0.0
+	for _, up := range s.ups {
+		if leaving[up.ID] {
+			fair += 1 / float64(len(s.ups))
+		}
+	}
+	const note = "moves over the fair share of the returned upstreams"
+	r.add("churn_over_fair_share_on_return", "planner", float64(len(s.moved))/(fair*rangeCount), "ratio", note)
+	for _, name := range []string{"modulo", "ring"} {
+		r.add("churn_over_fair_share_on_return", name, float64(moved(out[name], in[name]))/(fair*keyCount), "ratio", note)
+	}
+}
+
+// straggler makes one upstream slow for a few seconds, which inflates the
+// measured load of its ranges.
+func (r *recorder) straggler(dep deployment) {
+	s := newSimulation(dep, r.load, shardCount, r.seed)
+	s.run(2 * settleSeconds)
+	s.balance, s.forced = 0, 0
+	s.slowdown[s.ups[0].ID] = stragglerFactor
+	s.run(stragglerSeconds)
+	delete(s.slowdown, s.ups[0].ID)
+	s.run(settleSeconds)
+	r.bound("moves_by_5s_straggler", "planner", float64(s.balance+s.forced), "count", 0,
+		"moves within 65 s of the start, measured load ten times too high for 5 s")
+}
+
+// coldReceivers takes a second domain out while the first returns cold, so that
+// ranges have to move to cold upstreams at once.
+func (r *recorder) coldReceivers(dep deployment) {
+	s := newSimulation(dep, r.load, shardCount, r.seed)
+	s.run(settleSeconds)
+	s.setDomain(dep.domains[0], placement.Out)
+	s.run(settleSeconds)
+	s.setDomain(dep.domains[0], placement.Cold)
+	s.run(rampSeconds / 2)
+	s.setDomain(dep.domains[1], placement.Out)
+	s.run(settleSeconds)
+	r.bound("cold_load_over_capacity", "planner", s.coldOver, "ratio", coldBound,
+		"highest planned load of a cold upstream that received a range over what the ramp allows at that time")
+}
--- /dev/null
+++ b/bench/placement/simulation.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/placement"
+	"dandelionhill.dev/core/route"
+)
+
+// windowSeconds is the sliding window over which the load of a range is
+// measured. A window of several seconds halves the noise of one second, and
+// what a straggler adds still leaves it before RebalanceAfter has passed.
+const windowSeconds = 4
+
+// simulation runs the planners of all shards of one service, one plan a second.
+type simulation struct {
+	dep      deployment
+	ups      []placement.Upstream
+	keys     []key
+	expected map[int]float64 // demand of each range
+	owners   map[int]api.UpstreamID
+	shards   []placement.Shard
+	planners []placement.Planner
+	hot      *placement.HotKeys
+	policy   placement.Policy
+	rng      *rand.Rand
+	second   int
+	window   map[int][]float64
+	// slowdown inflates the measured load of an upstream's ranges, as a load
+	// measure that depends on answer times would.
+	slowdown map[api.UpstreamID]float64
+
+	forced, balance int       // moves so far
+	lastMove        int       // second of the latest move
+	coldOver        float64   // highest load over capacity of a cold upstream that received a range
+	moved           []int     // ranges moved since the last reset
+	coldSince       coldTimes // second at which an upstream turned cold
+}
+
+type coldTimes map[api.UpstreamID]int
+
+func newSimulation(dep deployment, load keyLoad, shards int, seed uint64) *simulation {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	ups := dep.fleet()
+	total := utilization * dep.slots * float64(len(ups))
+	s := &simulation{
+		dep: dep, ups: ups, keys: newKeys(load, len(ups), total, rng), owners: map[int]api.UpstreamID{},
+		shards:   placement.Shards(dep.service, shards, rangeCount, ups),
+		planners: make([]placement.Planner, shards),
+		hot:      placement.NewHotKeys(placement.DefaultHotKeyConfig(rangeCount)),
+		policy:   placement.DefaultPolicy(), rng: rng,
+		window: map[int][]float64{}, slowdown: map[api.UpstreamID]float64{}, coldSince: coldTimes{},
+	}
+	for r := range rangeCount {
+		s.owners[r] = ""
+	}
+	s.expected = rangeDemand(s.keys, nil)
+	return s
+}
+
+// run advances the simulation by whole seconds.
+func (s *simulation) run(seconds int) {
+	for range seconds {
+		s.second++
+		s.warm()
+		s.splitHotKeys()
+		measured := s.measure()
+		for i := range s.shards {
+			s.plan(i, measured)
+		}
+	}
+}
+
+// measure adds one second of arrivals to the window and returns the mean.
+func (s *simulation) measure() map[int]float64 {
+	measured := make(map[int]float64, len(s.owners))
+	for _, r := range sortedRanges(s.owners) {
+		sample := poisson(s.expected[r]*requestsPerSlot, s.rng) / requestsPerSlot
+		if factor := s.slowdown[s.owners[r]]; factor > 0 {
+			sample *= factor
+		}
+		w := append(s.window[r], sample)
+		if len(w) > windowSeconds {
+			w = w[len(w)-windowSeconds:]
+		}
+		s.window[r] = w
+		for _, x := range w {
+			measured[r] += x / float64(len(w))
+		}
+	}
+	return measured
+}
+
+// plan runs the planner of one shard and applies its moves at once.
+func (s *simulation) plan(shard int, measured map[int]float64) {
+	in := placement.Input{Owners: map[int]api.UpstreamID{}, Load: measured}
+	for _, up := range s.ups {
+		if slices.Contains(s.shards[shard].Upstreams, up.ID) {
+			in.Upstreams = append(in.Upstreams, up)
+		}
+	}
+	for r, owner := range s.owners {
+		if s.shardOf(r) == shard {
+			in.Owners[r] = owner
+		}
+	}
+	now := time.Duration(s.second) * time.Second
+	for _, m := range s.planners[shard].Plan(now, in, s.policy) {
+		s.owners[m.Range] = m.To
+		s.moved = append(s.moved, m.Range)
+		s.lastMove = s.second
+		if m.Forced {
+			s.forced++
+		} else {
+			s.balance++
+		}
+		s.noteCold(m.To, measured)
+	}
+}
+
+// noteCold records how far a receiving upstream is filled, if it is cold.
+func (s *simulation) noteCold(to api.UpstreamID, measured map[int]float64) {
+	for _, up := range s.ups {
+		if up.ID != to || up.State != placement.Cold {
+			continue
+		}
+		load := 0.0
+		for _, r := range sortedRanges(s.owners) {
+			if s.owners[r] == to {
+				load += measured[r]
+			}
+		}
+		s.coldOver = max(s.coldOver, load/up.Capacity)
+	}
+}
+
+// shardOf returns the shard of a range; a hot range is in the shard of its key.
+func (s *simulation) shardOf(r int) int {
+	if r >= rangeCount {
+		for name, id := range s.hot.Ranges() {
+			if id == r {
+				r = route.RangeOf(name, rangeCount)
+				break
+			}
+		}
+	}
+	return slices.IndexFunc(s.shards, func(sh placement.Shard) bool { return r <= sh.Last })
+}
+
+// splitHotKeys applies the decisions on hot keys. Holders count every key
+// exactly here, with the noise of one second.
+func (s *simulation) splitHotKeys() {
+	share := placement.DefaultHotKeyConfig(rangeCount).MergeShare
+	var loads []placement.KeyLoad
+	for _, k := range s.keys {
+		if k.demand > share*s.dep.slots/2 {
+			seen := poisson(k.demand*requestsPerSlot, s.rng) / requestsPerSlot
+			loads = append(loads, placement.KeyLoad{Key: k.name, Share: seen / s.dep.slots})
+		}
+	}
+	changes := s.hot.Observe(time.Duration(s.second)*time.Second, loads)
+	for _, c := range changes {
+		if c.Split {
+			s.owners[c.Range] = s.owners[route.RangeOf(c.Key, rangeCount)]
+		} else {
+			delete(s.owners, c.Range)
+			delete(s.window, c.Range)
+		}
+	}
+	if len(changes) > 0 {
+		s.expected = rangeDemand(s.keys, s.hot.Ranges())
+	}
+}
+
+// setDomain changes the state of a failure domain's upstreams.
+func (s *simulation) setDomain(domain api.FailureDomain, state placement.UpstreamState) {
+	for i := range s.ups {
+		if s.ups[i].Domain == domain {
+			s.ups[i].State = state
+			if state == placement.Cold {
+				s.coldSince[s.ups[i].ID] = s.second
+			}
+		}
+	}
+	s.warm()
+}
+
+// rampSeconds is how long a cold upstream needs to reach its full capacity.
+const rampSeconds = 10
+
+// warm sets the capacity of cold upstreams, which grows evenly, and makes them
+// active when they have reached all of it.
+func (s *simulation) warm() {
+	for i := range s.ups {
+		up := &s.ups[i]
+		if up.State != placement.Cold {
+			up.Capacity = s.dep.slots
+			continue
+		}
+		age := s.second - s.coldSince[up.ID]
+		up.Capacity = s.dep.slots * float64(age+1) / (rampSeconds + 1)
+		if age >= rampSeconds {
+			up.State, up.Capacity = placement.Active, s.dep.slots
+		}
+	}
+}
+
+func sortedRanges(owners map[int]api.UpstreamID) []int {
+	ranges := make([]int, 0, len(owners))
+	for r := range owners {
+		ranges = append(ranges, r)
+	}
+	slices.Sort(ranges)
+	return ranges
+}
--- /dev/null
+++ b/bench/placement/world.go
@@ -0,0 +1,139 @@
+// Package placement measures the planner in virtual time against hash modulo and
+// a consistent hashing ring, for the keyed services of the two deployments of
+// section 1.2 of the design page.
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/placement"
+	"dandelionhill.dev/core/route"
+)
+
+const (
+	rangeCount = 1024
+	shardCount = 4
+	// keysPerUpstream is the number of keys per node at the target scale of
+	// section 1.3. With far fewer keys the hottest one alone would exceed the
+	// bound of the imbalance, whoever owns it.
+	keysPerUpstream = 11e9 / 13_000
+	// popularKeys are modelled one by one; the rest in as many groups of equal
+	// size, each with the hash of one key.
+	popularKeys = 100_000
+	keyCount    = 2 * popularKeys
+	// zipfExponent is the skew of the popularity of ordinary keys.
+	zipfExponent = 0.9
+	// utilization is the offered load over the capacity with all domains in.
+	utilization = 0.6
+	// requestsPerSlot is the rate that one busy slot serves per second. It sets
+	// how noisy the measured load of a range is.
+	requestsPerSlot = 400
+	// hotKeyCount keys at a time have hotKeyLoad of the mean load of an upstream
+	// each. They are replaced every hotKeyPeriod seconds.
+	hotKeyCount  = 12
+	hotKeyLoad   = 0.3
+	hotKeyPeriod = 120
+)
+
+// deployment is a keyed service of section 1.2.
+type deployment struct {
+	name      string
+	service   api.ServiceName
+	domains   []api.FailureDomain
+	upstreams int
+	slots     float64
+}
+
+func deployments() []deployment {
+	return []deployment{
+		{"elezokozosseg", "foglalas", []api.FailureDomain{"gyor-a", "papa-b", "sopron-c", "tata-d"}, 25, 2},
+		{"hooghly", "trayhouse", []api.FailureDomain{"howrah", "sealdah", "barasat"}, 30, 3},
+	}
+}
+
+func (d deployment) fleet() []placement.Upstream {
+	ups := make([]placement.Upstream, d.upstreams)
+	for i := range ups {
+		ups[i] = placement.Upstream{
+			ID:     api.UpstreamID(fmt.Sprintf("%s-%02d", d.service, i)),
+			Domain: d.domains[i%len(d.domains)], Capacity: d.slots, State: placement.Active,
+		}
+	}
+	return ups
+}
+
+// keyLoad is the distribution of the load over keys.
+type keyLoad string
+
+const (
+	uniform keyLoad = "uniform"
+	zipf    keyLoad = "zipf"
+	hotKeys keyLoad = "hot_keys"
+)
+
+// key is a key with its expected demand in busy slots.
+type key struct {
+	name   string
+	hash   uint64
+	demand float64
+}
+
+// newKeys returns keys whose demands add up to the total.
+func newKeys(load keyLoad, upstreams int, total float64, rng *rand.Rand) []key {
+	keys := make([]key, keyCount)
+	salt := rng.Uint64()
+	group := (keysPerUpstream*float64(upstreams) - popularKeys) / popularKeys
+	sum := 0.0
+	for i := range keys {
+		name := fmt.Sprintf("key-%x-%d", salt, i)
+		keys[i] = key{name: name, hash: xxhash.Sum64String(name), demand: 1}
+		switch {
+		case load == uniform:
+		case i < popularKeys:
+			keys[i].demand = math.Pow(float64(i+1), -zipfExponent)
+		default:
+			middle := popularKeys + group*(float64(i-popularKeys)+0.5)
+			keys[i].demand = group * math.Pow(middle, -zipfExponent)
+		}
+		sum += keys[i].demand
+	}
+	for i := range keys {
+		keys[i].demand *= total / sum
+	}
+	return keys
+}
+
+// heat gives hotKeyCount keys of low popularity, chosen at random, a high demand.
+func heat(keys []key, demand float64, rng *rand.Rand) {
+	for range hotKeyCount {
+		keys[popularKeys/2+rng.IntN(popularKeys/2)].demand = demand
+	}
+}
+
+// poisson draws the number of arrivals for a mean.
+func poisson(mean float64, rng *rand.Rand) float64 {
+	if mean > 50 { // normal approximation
+		return max(0, math.Round(mean+math.Sqrt(mean)*rng.NormFloat64()))
+	}
+	limit, product, n := math.Exp(-mean), rng.Float64(), 0.0
+	for product > limit {
+		product *= rng.Float64()
+		n++
+	}
+	return n
+}
+
+// rangeDemand returns the expected demand of each range, hot ranges included.
+func rangeDemand(keys []key, hot map[string]int) map[int]float64 {
+	demand := make(map[int]float64, rangeCount+len(hot))
+	table := route.New("", rangeCount, nil, hot)
+	for _, k := range keys {
+		demand[table.Range(k.name)] += k.demand
+	}
+	return demand
+}
