Plan balance moves from average loads

Cause: a range's load measured over 4 s has a noise of several per cent. The planner moved ranges because of it, and moved more of them up to 100 s later. Change: the planner keeps an exponentially weighted average per range with RebalanceAfter as time constant, which decides how much to move. Whether an upstream is overloaded still follows from the present load.

--- a/core/placement/assignment.go
+++ b/core/placement/assignment.go
@@ -13,22 +13,24 @@
 // the one upstream with the lowest load.
 const quietShare = 0.01
 
-// heldRange is a range with its measured load.
+// heldRange is a range with its load.
 type heldRange struct {
-	id     int
-	load   float64
-	placed bool // moved by this plan already
+	id       int
+	load     float64 // average
+	measured float64 // as of now
+	placed   bool    // moved by this plan already
 }
 
 // node is an upstream with the ranges it owns.
 type node struct {
-	up     Upstream
-	pinned bool
-	load   float64
-	ranges []heldRange
+	up       Upstream
+	pinned   bool
+	load     float64 // average
+	measured float64 // as of now
+	ranges   []heldRange
 }
 
-// ratio returns the load relative to capacity.
+// ratio returns the average load relative to capacity.
 func (n *node) ratio() float64 {
 	if n.up.Capacity <= 0 {
 		return 0
@@ -36,20 +38,29 @@
 	return n.load / n.up.Capacity
 }
 
+// measuredRatio returns the present load relative to capacity.
+func (n *node) measuredRatio() float64 {
+	if n.up.Capacity <= 0 {
+		return 0
+	}
+	return n.measured / n.up.Capacity
+}
+
 // receives reports whether the node may be given ranges.
 func (n *node) receives() bool { return n.up.State.mayOwn() && n.up.Capacity > 0 }
 
 // balanced reports whether the node takes part in balance moves.
 func (n *node) balanced() bool { return n.receives() && !n.pinned }
 
-// fits reports whether the node may take a further load. Only cold upstreams
+// fits reports whether the node may take a further range. Only cold upstreams
 // have an absolute limit; the others are limited by admission control.
-func (n *node) fits(load float64) bool {
-	return n.up.State != Cold || n.load+load <= n.up.Capacity
+func (n *node) fits(r heldRange) bool {
+	return n.up.State != Cold || max(n.load+r.load, n.measured+r.measured) <= n.up.Capacity
 }
 
 func (n *node) add(r heldRange) {
 	n.load += r.load
+	n.measured += r.measured
 	n.ranges = append(n.ranges, r)
 }
 
@@ -67,7 +78,7 @@
 	from api.UpstreamID
 }
 
-func newAssignment(in Input) *assignment {
+func newAssignment(in Input, averages *averages) *assignment {
 	a := &assignment{nodes: make([]*node, 0, len(in.Upstreams)), count: len(in.Owners)}
 	byID := make(map[api.UpstreamID]*node, len(in.Upstreams))
 	for _, up := range in.Upstreams {
@@ -88,7 +99,8 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		r := heldRange{id: id, load: max(in.Load[id], 0)}
+		measured := max(in.Load[id], 0)
+		r := heldRange{id: id, load: averages.update(id, measured), measured: measured}
 		a.total += r.load
 		owner := in.Owners[id]
 		n := byID[owner]
@@ -100,6 +112,7 @@
 			a.homeless = append(a.homeless, homelessRange{heldRange: r, from: owner})
 		}
 	}
+	averages.trim(in.Owners)
 	return a
 }
 
@@ -152,7 +165,7 @@
 			switch best := cold.nodes[0]; {
 			case len(active.nodes) == 0:
 				from = cold
-			case best.fits(r.load) && rank(best) < rank(active.nodes[0]):
+			case best.fits(r.heldRange) && rank(best) < rank(active.nodes[0]):
 				from = cold
 			}
 		}
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -8,20 +8,21 @@
 // and forth.
 const minGainShare = 1.0 / 3
 
-// meanRatio returns the mean load relative to capacity of the upstreams that
-// take part in balance moves.
-func (a *assignment) meanRatio() float64 {
-	var load, capacity float64
+// meanRatios returns the mean of the average and of the present loads, relative
+// to capacity, of the upstreams that take part in balance moves.
+func (a *assignment) meanRatios() (average, measured float64) {
+	capacity := 0.0
 	for _, n := range a.nodes {
 		if n.balanced() {
-			load += n.load
+			average += n.load
+			measured += n.measured
 			capacity += n.up.Capacity
 		}
 	}
 	if capacity == 0 {
-		return 0
+		return 0, 0
 	}
-	return load / capacity
+	return average / capacity, measured / capacity
 }
 
 // relieve moves one range away from the donor. To move few ranges, it takes the
@@ -41,7 +42,7 @@
 				continue
 			}
 		}
-		if n := a.receiver(donor, r.load, limit); n != nil {
+		if n := a.receiver(donor, r, limit); n != nil {
 			best, to, covers = i, n, r.load >= need
 		}
 	}
@@ -55,11 +56,11 @@
 }
 
 // receiver returns the upstream with the lowest load relative to capacity that
-// stays under the limit with the further load.
-func (a *assignment) receiver(donor *node, load, limit float64) *node {
+// stays under the limit with the further range.
+func (a *assignment) receiver(donor *node, r heldRange, limit float64) *node {
 	var to *node
 	for _, n := range a.nodes {
-		if n == donor || !n.balanced() || !n.fits(load) || (n.load+load)/n.up.Capacity > limit {
+		if n == donor || !n.balanced() || !n.fits(r) || (n.load+r.load)/n.up.Capacity > limit {
 			continue
 		}
 		if to == nil || n.ratio() < to.ratio() {
@@ -79,7 +80,7 @@
 		}
 		after := (donor.load - r.load) / donor.up.Capacity
 		for _, n := range a.nodes {
-			if n == donor || !n.balanced() || !n.fits(r.load) {
+			if n == donor || !n.balanced() || !n.fits(r) {
 				continue
 			}
 			if higher := max(after, (n.load+r.load)/n.up.Capacity); higher < lowest {
@@ -94,6 +95,7 @@
 func (a *assignment) move(donor, to *node, i int) Move {
 	r := donor.ranges[i]
 	donor.load -= r.load
+	donor.measured -= r.measured
 	donor.ranges = slices.Delete(donor.ranges, i, i+1)
 	r.placed = true
 	to.add(r)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -13,9 +13,10 @@
 const stopShare = 0.9
 
 // Planner plans the moves of one shard. The zero value is ready to use. It
-// remembers how long each upstream has been overloaded and how much of the
-// budget for balance moves is left.
+// remembers the average load of each range, how long each upstream has been
+// overloaded, and how much of the budget for balance moves is left.
 type Planner struct {
+	averages averages
 	excess   map[api.UpstreamID]excess
 	tokens   float64
 	refilled time.Duration
@@ -32,7 +33,8 @@
 // first and are neither delayed nor limited. Balance moves follow within the
 // budget of the policy.
 func (p *Planner) Plan(now time.Duration, in Input, policy Policy) []Move {
-	a := newAssignment(in)
+	p.averages.advance(now, policy.RebalanceAfter)
+	a := newAssignment(in, &p.averages)
 	moves := a.placeForced()
 	p.refill(now, policy.MovesPerSecond)
 	return append(moves, p.balance(now, a, policy)...)
@@ -52,15 +54,15 @@
 }
 
 // balance plans moves away from upstreams whose load has been above the
-// threshold for long enough.
+// threshold for long enough. How much to move follows from average loads.
 func (p *Planner) balance(now time.Duration, a *assignment, policy Policy) []Move {
 	above := policy.RebalanceAbove
 	if above <= 1 {
 		above = DefaultPolicy().RebalanceAbove
 	}
 	stop := 1 + (above-1)*stopShare
-	mean := a.meanRatio()
-	p.observe(now, a, mean, above, stop, policy.RebalanceAfter)
+	mean, measured := a.meanRatios()
+	p.observe(now, a, measured, above, stop, policy.RebalanceAfter)
 	if mean <= 0 || policy.MovesPerSecond <= 0 {
 		return nil
 	}
@@ -82,7 +84,8 @@
 	return moves
 }
 
-// observe updates how long each upstream has been overloaded. Every upstream
+// observe updates how long each upstream has been overloaded by its present
+// load; the average would remember a straggler for too long. Every upstream
 // has its own timer, so that a short straggler loses no ranges while others are
 // being balanced.
 func (p *Planner) observe(now time.Duration, a *assignment, mean, above, stop float64, after time.Duration) {
@@ -92,7 +95,7 @@
 			continue
 		}
 		e, known := p.excess[n.up.ID]
-		ratio := n.ratio()
+		ratio := n.measuredRatio()
 		switch {
 		case known && e.shedding && ratio > stop*mean:
 		case ratio > above*mean:
