--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -117,7 +117,7 @@
 	if r.Solo {
 		wait += s.mean
 	}
-	if k := l.keys[keyID{r.Key, r.Range}]; k != nil && q.cfg.KeyInFlight > 0 {
+	if k := l.keys[keyID{r.Key, r.Range}]; k != nil && r.Key != "" && q.cfg.KeyInFlight > 0 {
 		over := k.queued + k.running + 1 - q.cfg.KeyInFlight
 		wait = math.Max(wait, float64(over)*s.mean/float64(q.cfg.KeyInFlight))
 	}
--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -241,7 +241,7 @@
 
 // stopped reports whether no request of k may start.
 func (k *key) stopped(inFlight int) bool {
-	return k.rng != nil && k.rng.held || inFlight > 0 && k.running >= inFlight
+	return k.rng != nil && k.rng.held || inFlight > 0 && k.id.name != "" && k.running >= inFlight
 }
 
 // refreshKey refreshes all flows of k.
--- a/core/dispatch/next.go
+++ b/core/dispatch/next.go
@@ -167,7 +167,7 @@
 	if it.key != nil && q.cfg.KeyInFlight > 0 {
 		q.refreshKey(it.key)
 	}
-	q.running[runID{it.req.ID, u.id}] = run{up: u, lane: it.lane, key: it.key, solo: it.req.Solo}
+	q.running[copyID{it.req.ID, it.req.Hedge}] = run{up: u, lane: it.lane, key: it.key, solo: it.req.Solo}
 	b.starts = append(b.starts, Start{ID: it.req.ID, Upstream: u.id, Solo: it.req.Solo, Hedge: it.req.Hedge})
 }
 
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -26,9 +26,10 @@
 	return max(0, u.limit.InFlight-u.inFlight)
 }
 
-type runID struct {
-	id uint64
-	up api.UpstreamID
+// copyID tells the first copy of a request from its hedge.
+type copyID struct {
+	id    uint64
+	hedge bool
 }
 
 // run is a request in flight.
@@ -47,7 +48,7 @@
 	shared    *lane
 	queued    map[uint64]*item
 	hedges    map[uint64]*item
-	running   map[runID]run
+	running   map[copyID]run
 	ranges    map[int]*rangeState
 	turn      int // where the search for the least loaded upstream begins
 }
@@ -60,7 +61,7 @@
 		shared:  newLane(nil),
 		queued:  map[uint64]*item{},
 		hedges:  map[uint64]*item{},
-		running: map[runID]run{},
+		running: map[copyID]run{},
 		ranges:  map[int]*rangeState{},
 	}
 }
@@ -118,8 +119,8 @@
 	if r.Hedge {
 		return q.admitHedge(r)
 	}
-	if _, ok := q.queued[r.ID]; ok {
-		return api.Refuse(api.DuplicateRunning, "a request with this number is queued already")
+	if q.queued[r.ID] != nil || q.isRunning(r.ID, false) || q.isRunning(r.ID, true) {
+		return api.Refuse(api.DuplicateRunning, "a request with this number is queued or running already")
 	}
 	l := q.laneOf(r.Upstream)
 	o := q.outlook(l)
@@ -140,8 +141,8 @@
 	switch {
 	case r.Solo || r.Upstream != "":
 		return api.Refuse(api.BadRequest, "only unkeyed requests that may run next to others can be hedged")
-	case q.hedges[r.ID] != nil:
-		return api.Refuse(api.DuplicateRunning, "a hedge of this request is queued already")
+	case q.hedges[r.ID] != nil || q.isRunning(r.ID, true):
+		return api.Refuse(api.DuplicateRunning, "a hedge of this request is queued or running already")
 	case l.hedged >= q.cfg.QueueLength:
 		return api.Refuse(api.QueueFull, "queue of hedges is full").After(q.cfg.MinRetryAfter)
 	}
@@ -202,14 +203,24 @@
 	return api.Refuse(kind, message).After(max(delay, q.cfg.MinRetryAfter))
 }
 
+func (q *Queue) isRunning(id uint64, hedge bool) bool {
+	_, ok := q.running[copyID{id, hedge}]
+	return ok
+}
+
 // Done records the end of a run. took is taken into the service time if ok, or
 // if it is already longer than usual.
 func (q *Queue) Done(_ time.Duration, id uint64, up api.UpstreamID, took time.Duration, ok bool) {
-	r, found := q.running[runID{id, up}]
-	if !found {
+	which := copyID{id, false}
+	r, found := q.running[which]
+	if !found || r.up.id != up {
+		which.hedge = true
+		r, found = q.running[which]
+	}
+	if !found || r.up.id != up {
 		return
 	}
-	delete(q.running, runID{id, up})
+	delete(q.running, which)
 	r.up.inFlight--
 	if r.solo {
 		r.up.solo = false
--- a/core/dispatch/queue_test.go
+++ b/core/dispatch/queue_test.go
@@ -123,6 +123,43 @@
 	require.Equal(t, []dispatch.Start{{ID: 3, Upstream: up(2), Solo: true}}, starts)
 }
 
+// TestSoloIsNotStarved guards against a suspect that never finds its upstream
+// empty because others keep starting there.
+func TestSoloIsNotStarved(t *testing.T) {
+	q := newQueue(dispatch.Config{}, 2, 2)
+	at := map[uint64]api.UpstreamID{}
+	for id := uint64(1); id < 40; id++ {
+		admit(t, q, dispatch.Request{ID: id, Caller: fmt.Sprint(id), Solo: id == 9})
+		starts, _ := q.Next(0)
+		for _, s := range starts {
+			at[s.ID] = s.Upstream
+		}
+		if at[9] != "" {
+			return
+		}
+		if id >= 4 {
+			q.Done(0, id-3, at[id-3], ms, true)
+		}
+	}
+	t.Fatal("solo request did not start")
+}
+
+// TestHoldReturnsSolo guards against a suspect of a moving range that starts on the old owner or loses its place.
+func TestHoldReturnsSolo(t *testing.T) {
+	q := newQueue(dispatch.Config{}, 2, 2)
+	admit(t, q, dispatch.Request{ID: 1, Upstream: up(0), Key: "a", Range: 1})
+	require.Equal(t, []uint64{1}, next(q, 0, false))
+	admit(t, q, dispatch.Request{ID: 2, Upstream: up(0), Key: "b", Range: 2, Solo: true}, dispatch.Request{ID: 3, Upstream: up(0), Key: "b", Range: 2})
+	require.Empty(t, next(q, 0, false), "waits for the run in progress")
+	require.Nil(t, q.Admit(0, dispatch.Request{ID: 4, Upstream: up(0), Key: "c", Range: 3}))
+	require.Empty(t, next(q, 0, false), "the solo request keeps the upstream for itself")
+	q.HoldRange(2)
+	require.Equal(t, []uint64{4}, next(q, 0, false), "others may start meanwhile")
+	q.ReleaseRange(2, up(1))
+	require.Equal(t, []uint64{2}, next(q, 0, true))
+	require.Equal(t, []uint64{3}, next(q, 0, true))
+}
+
 // TestDeadlines guards against requests that start although they cannot finish in time.
 func TestDeadlines(t *testing.T) {
 	q := newQueue(dispatch.Config{ServiceTime: 10 * ms}, 1, 1)
