--- /dev/null
+++ b/core/dedup/property_test.go
@@ -0,0 +1,200 @@
+package dedup_test
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/dedup"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// memory is what the history below drives: a Memory or a broken variant.
+type memory interface {
+	Begin(wall time.Time, id string) dedup.Decision
+	Finish(wall time.Time, id string, end dedup.End)
+}
+
+// maker makes memories after a loss, and after a handover from an earlier one.
+type maker struct {
+	fresh   func(start time.Time) memory
+	inherit func(old memory) memory
+}
+
+var modelConfig = dedup.Config{ClockSkew: 500 * time.Millisecond, Retention: 20 * time.Second, Capacity: 12, BodyBytes: 64}
+
+func correct() maker {
+	return maker{
+		fresh:   func(start time.Time) memory { return dedup.New(modelConfig, start) },
+		inherit: func(old memory) memory { return dedup.Restore(modelConfig, old.(*dedup.Memory).Snapshot()) },
+	}
+}
+
+// history drives memories through random requests, repeats, losses and
+// handovers on VMs whose clocks are wrong by up to half of the skew, and
+// returns the greatest number of runs of one ID.
+func history(t *rapid.T, make maker) int {
+	const halfSkew = 250
+	now := start
+	draw := func(lo, hi int, label string) time.Duration {
+		return time.Duration(rapid.IntRange(lo, hi).Draw(t, label)) * time.Millisecond
+	}
+	vmError := draw(-halfSkew, halfSkew, "vm error")
+	wall := func() time.Time { return now.Add(vmError) }
+	m := make.fresh(wall())
+	var ids, open []string
+	runs := map[string]int{}
+	worst := 0
+	send := func(id string) {
+		if m.Begin(wall(), id).Action == dedup.Run {
+			runs[id]++
+			worst = max(worst, runs[id])
+			open = append(open, id)
+		}
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"new": func(*rapid.T) {
+			id := newID(now.Add(draw(-halfSkew, halfSkew, "caller error")), uint64(len(ids)))
+			ids = append(ids, id)
+			send(id)
+		},
+		"repeat": func(*rapid.T) {
+			if len(ids) > 0 {
+				send(rapid.SampledFrom(ids).Draw(t, "id"))
+			}
+		},
+		"finish": func(*rapid.T) {
+			if len(open) == 0 {
+				return
+			}
+			i := rapid.IntRange(0, len(open)-1).Draw(t, "run")
+			id := open[i]
+			open = slices.Delete(open, i, i+1)
+			outcome := rapid.SampledFrom([]api.Outcome{api.Answered, api.Unknown, api.NotRun}).Draw(t, "outcome")
+			if outcome == api.NotRun {
+				runs[id]--
+			}
+			m.Finish(wall(), id, dedup.End{Outcome: outcome, Answer: &dedup.Answer{Body: []byte("0123456789")}})
+		},
+		"time": func(*rapid.T) { now = now.Add(draw(0, 15_000, "step")) },
+		"loss": func(*rapid.T) {
+			// A takeover is at least 1 s after the last run of the lost holder.
+			now = now.Add(draw(1_000, 3_000, "takeover"))
+			vmError = draw(-halfSkew, halfSkew, "vm error")
+			m = make.fresh(wall())
+			open = nil
+		},
+		"handover": func(*rapid.T) {
+			m = make.inherit(m)
+			vmError = draw(-halfSkew, halfSkew, "vm error")
+		},
+	})
+	return worst
+}
+
+// TestAtMostOnce guards against a second run of an ID after a repeat, an
+// expiry, a loss of the memory or a handover.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if n := history(t, correct()); n > 1 {
+			t.Fatalf("one ID ran %d times", n)
+		}
+	})
+}
+
+// forgetful runs an ID again that it should know to be forgotten.
+type forgetful struct{ *dedup.Memory }
+
+func (f forgetful) Begin(wall time.Time, id string) dedup.Decision {
+	d := f.Memory.Begin(wall, id)
+	if d.Refusal != nil && d.Refusal.Kind == api.ForgottenID {
+		return dedup.Decision{Action: dedup.Run}
+	}
+	return d
+}
+
+// impatient runs a repeat instead of waiting for the run in progress.
+type impatient struct{ *dedup.Memory }
+
+func (i impatient) Begin(wall time.Time, id string) dedup.Decision {
+	d := i.Memory.Begin(wall, id)
+	if d.Action == dedup.Wait {
+		d.Action = dedup.Run
+	}
+	return d
+}
+
+// TestCheckerCatches guards against a check of at-most-once that cannot fail:
+// each variant breaks one rule, and the check must find it.
+func TestCheckerCatches(t *testing.T) {
+	noSkew := modelConfig
+	noSkew.ClockSkew = time.Nanosecond
+	variants := map[string]maker{
+		"runs forgotten IDs": {
+			fresh:   func(start time.Time) memory { return forgetful{dedup.New(modelConfig, start)} },
+			inherit: func(old memory) memory { return old },
+		},
+		"repeats a running request": {
+			fresh:   func(start time.Time) memory { return impatient{dedup.New(modelConfig, start)} },
+			inherit: func(old memory) memory { return old },
+		},
+		"loses the memory in a handover": {
+			fresh:   func(start time.Time) memory { return dedup.New(modelConfig, start) },
+			inherit: func(memory) memory { return dedup.New(modelConfig, start) },
+		},
+		"counts a lost memory from long ago": {
+			fresh:   func(time.Time) memory { return dedup.New(modelConfig, start) },
+			inherit: func(old memory) memory { return old },
+		},
+	}
+	for name, variant := range variants {
+		caught := false
+		for seed := 0; seed < 500 && !caught; seed++ {
+			caught = rapid.Custom(func(t *rapid.T) bool { return history(t, variant) > 1 }).Example(seed)
+		}
+		if !caught {
+			t.Errorf("the check does not catch a memory that %s", name)
+		}
+	}
+}
+
+// FuzzParseID guards against IDs that are accepted in two forms, or with
+// another version, and against dates that do not fit the arithmetic.
+func FuzzParseID(f *testing.F) {
+	for _, seed := range []string{
+		"", "0198a1b2-c3d4-7000-8000-000000000001", "0198A1B2-C3D4-7FFF-BFFF-FFFFFFFFFFFF", "0198a1b2-c3d4-4000-8000-000000000001",
+		"0198a1b2-c3d4-7000-c000-000000000001", "{198a1b2-c3d4-7000-8000-000000000001}", "ffffffff-ffff-7fff-bfff-ffffffffffff", "urn:uuid:0198a1b2-c3d4-7000-8000-0000",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := dedup.ParseID(text)
+		m := dedup.New(dedup.Config{}, start)
+		d := m.Begin(start.Add(time.Hour), text)
+		if err != nil {
+			if kind(d) != api.InvalidID {
+				t.Fatalf("%q does not parse, but Begin says %v", text, d)
+			}
+			return
+		}
+		again, err := dedup.ParseID(id.String())
+		if err != nil || again != id || id.Milli() < 0 {
+			t.Fatalf("%q parses as %s, which parses as %s (%v)", text, id, again, err)
+		}
+		if d.Action == dedup.Run && m.Begin(start.Add(time.Hour), id.String()).Action != dedup.Wait {
+			t.Fatalf("%q ran twice", text)
+		}
+	})
+}
