--- /dev/null
+++ b/server/admin/admin.go
@@ -0,0 +1,247 @@
+// Package admin serves operators, health checks and metrics.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/admin"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/server/control"
+	"dandelionhill.dev/server/metrics"
+	"dandelionhill.dev/server/settings"
+)
+
+// maxChange bounds a change in bytes: a service with thousands of upstreams fits.
+const maxChange = 4 << 20
+
+// healthTimeout is how long the control loop may take to answer a health check.
+const healthTimeout = time.Second
+
+// watchPoll is the interval at which a watch looks for a newer revision.
+const watchPoll = 50 * time.Millisecond
+
+// Config holds what the admin interface needs from its surroundings.
+type Config struct {
+	Self     api.VMID
+	Version  string
+	Control  *control.Control
+	Settings *settings.Settings
+	Clock    func() time.Duration
+	Metrics  *metrics.Metrics
+	Log      zerolog.Logger
+}
+
+// Admin is the admin interface.
+type Admin struct{ cfg Config }
+
+// New returns an admin interface.
+func New(cfg Config) *Admin { return &Admin{cfg} }
+
+// Handler serves the interface. Everything but health checks needs a credential.
+func (a *Admin) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(admin.PathHealth, a.healthz)
+	r.Get(admin.PathReady, a.readyz)
+	r.Group(func(r chi.Router) {
+		r.Use(a.authenticate)
+		r.Handle("/metrics", a.cfg.Metrics.Handler())
+		r.Get(admin.PathStatus, a.status)
+		r.Get(admin.PathConfig, a.config)
+		r.Post(admin.PathChanges, a.change)
+		r.Get(admin.PathOperations+"{id}", a.operation)
+		r.Get(admin.PathExplain, a.explain)
+		r.Get(admin.PathWatch, a.watch)
+	})
+	return r
+}
+
+// healthz says that the process runs; only a restart would mend a failure.
+func (a *Admin) healthz(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), healthTimeout)
+	defer cancel()
+	if _, err := a.cfg.Control.Progress(ctx, 0); err != nil {
+		http.Error(w, "the control loop does not answer", http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("ok\n"))
+}
+
+// readyz says whether the balancer may send callers to this VM.
+func (a *Admin) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !a.cfg.Control.Snapshot().Ready(a.cfg.Clock()) {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("ready\n"))
+}
+
+type operatorKey struct{}
+
+// authenticate lets only operators of the settings through.
+func (a *Admin) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		operator, ok := a.cfg.Settings.Authenticate(token)
+		if !found || !ok {
+			fail(w, &admin.Error{
+				Kind: admin.Unauthorized, Message: "the call has no valid credential",
+				Remedy: "send the token of an operator who is listed in the VM's settings",
+			})
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, operator)))
+	})
+}
+
+func (a *Admin) status(w http.ResponseWriter, r *http.Request) {
+	status, err := a.cfg.Control.Status(r.Context())
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	status.Version = a.cfg.Version
+	answer(w, status)
+}
+
+func (a *Admin) config(w http.ResponseWriter, _ *http.Request) {
+	doc := a.cfg.Control.Snapshot().Document
+	if doc == nil {
+		fail(w, noConfiguration())
+		return
+	}
+	answer(w, doc)
+}
+
+func noConfiguration() *admin.Error {
+	return &admin.Error{
+		Kind: admin.NotFound, Message: "this VM has no configuration yet",
+		Remedy: "write the first document with dandelionctl init, or wait until the VM has read it",
+	}
+}
+
+func (a *Admin) change(w http.ResponseWriter, r *http.Request) {
+	var ch config.Change
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&ch); err != nil {
+		fail(w, &admin.Error{Kind: admin.BadRequest, Message: err.Error(), Remedy: "send the change that dandelionctl makes"})
+		return
+	}
+	ch.By, _ = r.Context().Value(operatorKey{}).(string)
+	dryRun := r.URL.Query().Get(admin.QueryDryRun) == "true"
+	before := a.cfg.Control.Snapshot().Document
+	doc, err := a.cfg.Control.Change(r.Context(), ch, dryRun)
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	result := admin.ChangeResult{DryRun: dryRun}
+	for _, d := range config.Diff(before, doc) {
+		result.Differences = append(result.Differences, admin.Difference{Entity: d.Entity, Kind: string(d.Kind)})
+	}
+	result.OperationStatus = admin.OperationStatus{OperationID: ch.OperationID, State: admin.StateUnknown}
+	if !dryRun {
+		a.cfg.Log.Info().Str("event", "change").Str("operation", ch.OperationID).Str("kind", string(ch.Kind)).
+			Str("by", ch.By).Uint64("revision", doc.Revision).Msg("")
+		if result.OperationStatus, err = a.progress(r.Context(), doc, ch.OperationID); err != nil {
+			failWith(w, err)
+			return
+		}
+	}
+	answer(w, result)
+}
+
+// progress says how far an operation of a document has come.
+func (a *Admin) progress(ctx context.Context, doc *config.Document, id string) (admin.OperationStatus, error) {
+	status := admin.OperationStatus{OperationID: id, State: admin.StateUnknown}
+	op, ok := doc.Operation(id)
+	if !ok {
+		return status, nil
+	}
+	progress, err := a.cfg.Control.Progress(ctx, op.Revision)
+	if err != nil {
+		return status, err
+	}
+	status.Revision, status.VMs, status.Waiting = op.Revision, progress.Have, progress.Missing
+	switch {
+	case progress.InForce:
+		status.State = admin.StateInForce
+	case progress.Accepted:
+		status.State = admin.StateAccepted
+	default:
+		status.State = admin.StatePending
+	}
+	return status, nil
+}
+
+func (a *Admin) operation(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	doc := a.cfg.Control.Snapshot().Document
+	if doc == nil || !known(doc, id) {
+		// The write may be newer than what this VM knows.
+		stored, err := a.cfg.Control.Stored(r.Context())
+		if err != nil {
+			failWith(w, err)
+			return
+		}
+		doc = stored
+	}
+	if doc == nil {
+		answer(w, admin.OperationStatus{OperationID: id, State: admin.StateUnknown})
+		return
+	}
+	status, err := a.progress(r.Context(), doc, id)
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	answer(w, status)
+}
+
+func known(doc *config.Document, id string) bool {
+	_, ok := doc.Operation(id)
+	return ok
+}
+
+func (a *Admin) watch(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get(admin.QuerySince), 10, 64)
+	if err != nil {
+		fail(w, &admin.Error{Kind: admin.BadRequest, Message: "since is not a revision", Remedy: "send a whole number from 0"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), admin.WatchWait)
+	defer cancel()
+	ticker := time.NewTicker(watchPoll)
+	defer ticker.Stop()
+	for {
+		if doc := a.cfg.Control.Snapshot().Document; doc != nil && doc.Revision > since {
+			data, err := json.Marshal(doc)
+			if err != nil {
+				failWith(w, err)
+				return
+			}
+			answer(w, admin.Watch{Revision: doc.Revision, Document: data})
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			answer(w, admin.Watch{Revision: since})
+			return
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(value)
+}
