Stop sending to an upstream before a fast clock has ended the lease

An upstream whose clock runs 1% fast has seen the lease lapse up to 6 ms earlier. Change: sending ends at sent_at + duration/(1+drift).

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -125,7 +125,8 @@
 	length := min(t.cfg.Duration, time.Duration(float64(authorityUntil-u.reading.ReceivedAt)/(1+t.cfg.Drift)))
 	until = (u.reading.Clock + length).Truncate(resolution)
 	length = until - u.reading.Clock
-	stopAt := u.reading.SentAt + length
+	// An upstream whose clock runs fast reaches until earlier by the drift.
+	stopAt := u.reading.SentAt + time.Duration(float64(length)/(1+t.cfg.Drift))
 	if length <= 0 || now >= stopAt || until <= u.lastUntil {
 		return 0, false
 	}
