--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -22,8 +22,12 @@
 	"dandelionhill.dev/core/config"
 )
 
-// totalLimit bounds the whole demo.
-const totalLimit = 40 * time.Second
+const (
+	// totalLimit bounds the whole demo.
+	totalLimit = 40 * time.Second
+	// maxHold bounds the time for which a deployment is kept for trials.
+	maxHold = 10 * time.Minute
+)
 
 func main() {
 	example := flag.String("example", "examples/elozokozosseg/configuration.json", "configuration to run")
@@ -32,10 +36,11 @@
 	binary := flag.String("daemon", "bin/dandelionhilld", "daemon program; empty runs the VMs in this process")
 	seed := flag.Uint64("seed", 1, "seed of the load and the stand-ins")
 	logs := flag.String("logs", "", "directory for the logs of the VMs")
+	hold := flag.Duration("hold", 0, "only start the deployment and keep it for this time, for trials with dandelionctl; at most 10m")
 	flag.Parse()
-	ctx, cancel := context.WithTimeout(context.Background(), totalLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), totalLimit+min(*hold, maxHold))
 	defer cancel()
-	d := demo{example: *example, vms: *vms, rate: *rate, binary: *binary, seed: *seed, logs: *logs}
+	d := demo{example: *example, vms: *vms, rate: *rate, binary: *binary, seed: *seed, logs: *logs, hold: min(*hold, maxHold)}
 	if err := d.run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(1)
@@ -49,6 +54,7 @@
 	binary  string
 	seed    uint64
 	logs    string
+	hold    time.Duration
 
 	cluster *cluster.Cluster
 	log     history.Log
@@ -88,6 +94,10 @@
 		return err
 	}
 	fmt.Printf("%s: %d entry VMs, %d upstreams, %.0f requests a second\n", doc.Region, d.vms, len(d.cluster.Upstreams), d.rate)
+	if d.hold > 0 {
+		d.keep(ctx)
+		return nil
+	}
 	report, err := d.loadWithSteps(ctx)
 	if err != nil {
 		return err
@@ -102,6 +112,18 @@
 	return d.report(report)
 }
 
+// keep says how to reach the deployment and waits.
+func (d *demo) keep(ctx context.Context) {
+	fmt.Printf("token: %s\n", cluster.Token)
+	for _, vm := range d.cluster.VMs {
+		fmt.Printf("%s: callers http://%s, admin %s\n", vm.Settings.VM, vm.Settings.Listen.Callers, vm.Settings.Listen.Admin)
+	}
+	select {
+	case <-time.After(d.hold):
+	case <-ctx.Done():
+	}
+}
+
 // loadWithSteps sends the load while the steps are taken.
 func (d *demo) loadWithSteps(ctx context.Context) (*load.Report, error) {
 	steps := d.steps()
--- a/server/admin/admin.go
+++ b/server/admin/admin.go
@@ -46,14 +46,14 @@
 // New returns an admin interface.
 func New(cfg Config) *Admin { return &Admin{cfg} }
 
-// Handler serves the interface. Everything but health checks needs a credential.
+// Handler serves the interface. Everything but health checks and metrics needs a credential.
 func (a *Admin) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(admin.PathHealth, a.healthz)
 	r.Get(admin.PathReady, a.readyz)
+	r.Handle("/metrics", a.cfg.Metrics.Handler())
 	r.Group(func(r chi.Router) {
 		r.Use(a.authenticate)
-		r.Handle("/metrics", a.cfg.Metrics.Handler())
 		r.Get(admin.PathStatus, a.status)
 		r.Get(admin.PathConfig, a.config)
 		r.Post(admin.PathChanges, a.change)
--- a/server/control/assign.go
+++ b/server/control/assign.go
@@ -68,14 +68,20 @@
 	handoverTimeout = 2 * time.Second
 )
 
-// handOver gives a held shard to another member.
-func (c *Control) handOver(s *shardState) {
+// handOverToAny gives a held shard to another member that is available.
+func (c *Control) handOverToAny(s *shardState) {
 	rec, ok := s.machine.Record()
-	if !ok || s.handing {
+	if !ok {
 		return
 	}
-	to, ok := c.successor(rec.Members)
-	if !ok {
+	if to, ok := c.successor(rec.Members); ok {
+		c.handOver(s, to)
+	}
+}
+
+// handOver gives a held shard to another member.
+func (c *Control) handOver(s *shardState, to api.VMID) {
+	if s.handing {
 		return
 	}
 	s.handing = true
@@ -125,17 +131,13 @@
 	return wire.Reply{Status: 200}
 }
 
-// Leave hands over all shards and waits until none is held or ctx ends.
+// Leave tells callers' balancer and the other VMs that this VM is stopping.
 func (c *Control) Leave(ctx context.Context) error {
-	err := c.do(ctx, func() {
+	return c.do(ctx, func() {
 		c.leaving = true
 		c.publish(c.cfg.Clock())
 		c.heartbeat(c.cfg.Clock())
 	})
-	if err != nil {
-		return err
-	}
-	return nil
 }
 
 // HandOverAll hands over all shards and waits until none is held or ctx ends.
@@ -148,7 +150,7 @@
 			for _, s := range c.shards {
 				if s.held != nil {
 					held++
-					c.handOver(s)
+					c.handOverToAny(s)
 				}
 			}
 		})
--- a/server/control/shards.go
+++ b/server/control/shards.go
@@ -30,6 +30,9 @@
 	assign *wire.Assign
 	// handover is what a former holder left for this VM.
 	handover *holder.Handover
+	// preferredSince is when the shard's preferred holder, its first member, was
+	// seen to be available while this VM holds the shard; 0 if it is not.
+	preferredSince time.Duration
 }
 
 // recordKey is the row of a shard's authority record.
@@ -266,13 +269,36 @@
 			continue
 		}
 		if out {
-			c.handOver(s)
+			c.handOverToAny(s)
 			continue
 		}
 		if a, pending := s.held.Assignment(); pending {
 			c.assigned(s, a)
 		}
 		c.replaceMember(now, s)
+		c.returnShard(now, s)
+	}
+}
+
+// returnAfter is how long the preferred holder of a shard must be available
+// before it gets the shard back. It keeps a VM that restarts again and again
+// from moving shards to and fro.
+const returnAfter = 10 * time.Second
+
+// returnShard hands a shard to its preferred holder. Without it the shards
+// would gather on the VMs that were not restarted.
+func (c *Control) returnShard(now time.Duration, s *shardState) {
+	rec, ok := s.machine.Record()
+	if !ok || len(rec.Next) > 0 || len(rec.Members) == 0 || rec.Members[0] == c.cfg.Self.ID || !c.mayBeMember(rec.Members[0]) {
+		s.preferredSince = 0
+		return
+	}
+	switch {
+	case s.preferredSince == 0:
+		s.preferredSince = now
+	case now-s.preferredSince > returnAfter:
+		s.preferredSince = 0
+		c.handOver(s, rec.Members[0])
 	}
 }
 
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -107,7 +108,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, d.hub)
 	adminHandler := admin.New(admin.Config{
-		Self: s.VM, Control: ctl, Settings: s, Clock: clock, Metrics: m, Log: log,
+		Self: s.VM, Version: version(), Control: ctl, Settings: s, Clock: clock, Metrics: m, Log: log,
 	}).Handler()
 	d.servers = []*http.Server{
 		{Addr: s.Listen.Callers, Handler: d.entry.Handler(), ReadHeaderTimeout: headerTimeout},
@@ -191,5 +192,14 @@
 	}
 }
 
+// version returns the version that the program was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "devel"
+	}
+	return info.Main.Version
+}
+
 // Control returns the control state, for the checks of tests.
 func (d *Daemon) Control() *control.Control { return d.control }
