Keep stragglers out of the averages and of the timers

Change: while an upstream's load is far above its average, the average stands still; after 10 s the lowest load seen in that time is taken over. Shorter jumps do not count towards the 10 s. An upstream gives ranges away only if average and present load agree.

--- a/core/placement/assignment.go
+++ b/core/placement/assignment.go
@@ -28,6 +28,9 @@
 	load     float64 // average
 	measured float64 // as of now
 	ranges   []heldRange
+
+	jumping   bool // the present load is far above average, but not yet for long
+	jumpEnded bool // as of this plan that is over, and was too short to count
 }
 
 // ratio returns the average load relative to capacity.
@@ -78,7 +81,7 @@
 	from api.UpstreamID
 }
 
-func newAssignment(in Input, averages *averages) *assignment {
+func newAssignment(in Input, averages *averages, above float64) *assignment {
 	a := &assignment{nodes: make([]*node, 0, len(in.Upstreams)), count: len(in.Owners)}
 	byID := make(map[api.UpstreamID]*node, len(in.Upstreams))
 	for _, up := range in.Upstreams {
@@ -100,7 +103,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		measured := max(in.Load[id], 0)
-		r := heldRange{id: id, load: averages.update(id, measured), measured: measured}
+		r := heldRange{id: id, load: averages.average(id, measured), measured: measured}
 		a.total += r.load
 		owner := in.Owners[id]
 		n := byID[owner]
@@ -112,7 +115,7 @@
 			a.homeless = append(a.homeless, homelessRange{heldRange: r, from: owner})
 		}
 	}
-	averages.trim(in.Owners)
+	averages.updateAll(a, above, in.Owners)
 	return a
 }
 
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -34,10 +34,14 @@
 // budget of the policy.
 func (p *Planner) Plan(now time.Duration, in Input, policy Policy) []Move {
 	p.averages.advance(now, policy.RebalanceAfter)
-	a := newAssignment(in, &p.averages)
+	above := policy.RebalanceAbove
+	if above <= 1 {
+		above = DefaultPolicy().RebalanceAbove
+	}
+	a := newAssignment(in, &p.averages, above)
 	moves := a.placeForced()
 	p.refill(now, policy.MovesPerSecond)
-	return append(moves, p.balance(now, a, policy)...)
+	return append(moves, p.balance(now, a, above, policy)...)
 }
 
 // refill adds the budget earned since the last plan. At most one second's worth
@@ -55,21 +59,17 @@
 
 // balance plans moves away from upstreams whose load has been above the
 // threshold for long enough. How much to move follows from average loads.
-func (p *Planner) balance(now time.Duration, a *assignment, policy Policy) []Move {
-	above := policy.RebalanceAbove
-	if above <= 1 {
-		above = DefaultPolicy().RebalanceAbove
-	}
+func (p *Planner) balance(now time.Duration, a *assignment, above float64, policy Policy) []Move {
 	stop := 1 + (above-1)*stopShare
 	mean, measured := a.meanRatios()
-	p.observe(now, a, measured, above, stop, policy.RebalanceAfter)
+	p.observe(now, a, mean, measured, above, stop, policy.RebalanceAfter)
 	if mean <= 0 || policy.MovesPerSecond <= 0 {
 		return nil
 	}
 	var moves []Move
 	stuck := map[api.UpstreamID]bool{}
 	for p.tokens >= 1 {
-		donor := p.nextDonor(a, stop*mean, stuck)
+		donor := p.nextDonor(a, stop*mean, stop*measured, stuck)
 		if donor == nil {
 			break
 		}
@@ -84,25 +84,28 @@
 	return moves
 }
 
-// observe updates how long each upstream has been overloaded by its present
-// load; the average would remember a straggler for too long. Every upstream
-// has its own timer, so that a short straggler loses no ranges while others are
-// being balanced.
-func (p *Planner) observe(now time.Duration, a *assignment, mean, above, stop float64, after time.Duration) {
+// observe updates how long each upstream has been overloaded, by its present or
+// its average load. Ranges move only if the average agrees at the end of that
+// time: the present load alone would react to noise right after a straggler, and
+// alone it falls below the threshold by noise too often to measure a time.
+// Every upstream has its own timer, so that a short straggler loses no ranges
+// while others are being balanced.
+func (p *Planner) observe(now time.Duration, a *assignment, mean, measured, above, stop float64, after time.Duration) {
 	next := make(map[api.UpstreamID]excess)
 	for _, n := range a.nodes {
 		if !n.balanced() || mean <= 0 {
 			continue
 		}
 		e, known := p.excess[n.up.ID]
-		ratio := n.measuredRatio()
+		known = known && !n.jumpEnded // a straggler's seconds do not count
+		average := n.ratio()
 		switch {
-		case known && e.shedding && ratio > stop*mean:
-		case ratio > above*mean:
+		case known && e.shedding && average > stop*mean:
+		case average > above*mean || n.measuredRatio() > above*measured:
 			if !known || e.shedding {
 				e = excess{since: now}
 			}
-			e.shedding = now-e.since >= after
+			e.shedding = now-e.since >= after && average > above*mean
 		default:
 			continue
 		}
@@ -111,11 +114,13 @@
 	p.excess = next
 }
 
-// nextDonor returns the most loaded upstream that is shedding ranges.
-func (p *Planner) nextDonor(a *assignment, limit float64, stuck map[api.UpstreamID]bool) *node {
+// nextDonor returns the most loaded upstream that is shedding ranges and whose
+// average and present loads are both above their limits. While the present load
+// is far above average, it may be that of a straggler.
+func (p *Planner) nextDonor(a *assignment, limit, measuredLimit float64, stuck map[api.UpstreamID]bool) *node {
 	var donor *node
 	for _, n := range a.nodes {
-		if !p.excess[n.up.ID].shedding || stuck[n.up.ID] || n.ratio() <= limit {
+		if !p.excess[n.up.ID].shedding || n.jumping || stuck[n.up.ID] || n.ratio() <= limit || n.measuredRatio() <= measuredLimit {
 			continue
 		}
 		if donor == nil || n.ratio() > donor.ratio() {
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -126,6 +126,44 @@
 	require.Equal(t, 6+5+5, total, "three upstreams go from 34, 33 and 33 to 28; the mean is 25")
 }
 
+// Guards against moves by an upstream just below the threshold whose load is
+// measured ten times too high for 9 s and slightly above the threshold by noise
+// after that. A lasting jump must still move ranges after 10 s.
+func TestShortJumpMovesNothing(t *testing.T) {
+	run := func(jump time.Duration) (first time.Duration, moves int) {
+		in := testInput(100, fleet(4, 4))
+		var p Planner
+		apply(in, p.Plan(0, in, DefaultPolicy()))
+		p = Planner{} // has not seen the loads of the first placement
+		for now := time.Second; now < 40*time.Second; now += time.Second {
+			for r, owner := range in.Owners {
+				in.Load[r] = 1
+				switch {
+				case owner != "u00":
+				case now >= 10*time.Second && now < 10*time.Second+jump:
+					in.Load[r] = 10
+				case now > 10*time.Second && now < 23*time.Second:
+					in.Load[r] = 1.22 // 1.156 of the mean
+				default:
+					in.Load[r] = 1.19 // 1.136 of the mean
+				}
+			}
+			got := p.Plan(now, in, DefaultPolicy())
+			if len(got) > 0 && moves == 0 {
+				first = now
+			}
+			moves += len(got)
+			apply(in, got)
+		}
+		return first, moves
+	}
+	_, moves := run(9 * time.Second)
+	require.Zero(t, moves)
+	first, moves := run(20 * time.Second)
+	require.NotZero(t, moves)
+	require.Equal(t, 20*time.Second, first)
+}
+
 // Guards against results that depend on the order of maps or slices.
 func TestPlanIsDeterministic(t *testing.T) {
 	in := testInput(200, fleet(9, 3))
