Measure goodput in virtual time

Change: bench/policy has a seeded event loop, a model of upstreams, a shard that drives the real scheduler and ramp, and the goodput measurement.

--- /dev/null
+++ b/bench/policy/engine.go
@@ -0,0 +1,82 @@
+// Package policy measures the request policy of a shard in virtual time: a
+// seeded event loop drives the real scheduler, ramp, memory of request IDs and
+// crash evidence against a simple model of upstreams.
+package policy
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// event is something that happens at a point of virtual time.
+type event struct {
+	at  time.Duration
+	seq uint64 // orders events of the same time by when they were planned
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last].do = nil
+	*e = (*e)[:last]
+	return x
+}
+
+// engine runs events in the order of their time.
+type engine struct {
+	now    time.Duration
+	seq    uint64
+	events events
+	rng    *rand.Rand
+}
+
+func newEngine(seed uint64) *engine {
+	return &engine{rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))}
+}
+
+// after plans do.
+func (e *engine) after(delay time.Duration, do func()) {
+	e.seq++
+	heap.Push(&e.events, event{e.now + max(delay, 0), e.seq, do})
+}
+
+// run runs all events up to the given time.
+func (e *engine) run(until time.Duration) {
+	for len(e.events) > 0 && e.events[0].at <= until {
+		next := heap.Pop(&e.events).(event)
+		e.now = next.at
+		next.do()
+	}
+	e.now = until
+}
+
+// every calls do at random times with the given rate per second, until a time.
+func (e *engine) every(rate float64, until time.Duration, do func()) {
+	e.after(e.exponential(rate), func() {
+		if e.now > until {
+			return
+		}
+		do()
+		e.every(rate, until, do)
+	})
+}
+
+func (e *engine) exponential(rate float64) time.Duration {
+	return time.Duration(e.rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+// lognormal returns a time with the given mean.
+func (e *engine) lognormal(mean time.Duration, sigma float64) time.Duration {
+	return time.Duration(float64(mean) * math.Exp(sigma*e.rng.NormFloat64()-sigma*sigma/2))
+}
--- /dev/null
+++ b/bench/policy/policy_test.go
@@ -0,0 +1,25 @@
+package policy
+
+import (
+	"testing"
+
+	"dandelionhill.dev/bench/metric"
+	"github.com/stretchr/testify/require"
+)
+
+const seed = 1
+
+// checkBounds fails for each metric over its bound: most is the direction of the bound.
+func checkBounds(t *testing.T, most bool, all []metric.Metric) {
+	t.Helper()
+	require.NotEmpty(t, all)
+	for _, m := range all {
+		t.Log(m, m.Note)
+		if m.HasBound && (most && m.Value > m.Bound || !most && m.Value < m.Bound) {
+			t.Errorf("%s is %v, bound %v (%s)", m.Name, m.Value, m.Bound, m.Note)
+		}
+	}
+}
+
+// TestGoodput guards against overload that makes the service do useless work.
+func TestGoodput(t *testing.T) { checkBounds(t, false, Goodput(seed)) }
--- /dev/null
+++ b/bench/policy/shard.go
@@ -0,0 +1,171 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/dispatch"
+	"dandelionhill.dev/core/ramp"
+)
+
+// shape describes the upstreams of a shard and the service they give.
+type shape struct {
+	upstreams, slots int
+	slotFactor       float64
+	mean             time.Duration
+	sigma            float64
+	keyed            bool
+}
+
+// capacity returns the requests per second that all slots can run.
+func (s shape) capacity() float64 {
+	return float64(s.upstreams*s.slots) / s.mean.Seconds()
+}
+
+// call is one request of a caller.
+type call struct {
+	key, caller string
+	owner       int // index of the upstream that owns the key
+	timeout     time.Duration
+	service     time.Duration
+	poison      bool
+	solo        bool
+	ran         func()
+	end         func(call, result)
+
+	id     uint64
+	sentAt time.Duration
+}
+
+// result is how a call ended.
+type result struct {
+	outcome api.Outcome
+	inTime  bool
+	broken  bool
+	refusal *api.Refusal
+}
+
+// shard is what the holder does with the policy packages, without sockets.
+type shard struct {
+	e     *engine
+	shape shape
+	queue *dispatch.Queue
+	ramps map[api.UpstreamID]*ramp.Ramp
+	ups   []*upstream
+	byID  map[api.UpstreamID]*upstream
+	calls map[uint64]*call
+	last  uint64
+	// flying lists the calls in flight per upstream, in the order of their starts.
+	flying map[api.UpstreamID][]uint64
+	// beforeSend may take a start back; see crash.go.
+	beforeSend func(c *call) bool
+	// afterEnd is called for each end of a run, before the caller learns of it.
+	afterEnd func(c *call, up api.UpstreamID, r reply)
+}
+
+func newShard(e *engine, s shape, cfg dispatch.Config) *shard {
+	sh := &shard{
+		e: e, shape: s, queue: dispatch.New(cfg), ramps: map[api.UpstreamID]*ramp.Ramp{},
+		byID: map[api.UpstreamID]*upstream{}, calls: map[uint64]*call{}, flying: map[api.UpstreamID][]uint64{},
+	}
+	for i := range s.upstreams {
+		u := newUpstream(e, api.UpstreamID(fmt.Sprintf("up%02d", i)), s.slots)
+		sh.ups = append(sh.ups, u)
+		sh.byID[u.id] = u
+		sh.ramps[u.id] = ramp.New(ramp.Config{Normal: s.mean + rtt}, false)
+	}
+	sh.setLimits()
+	return sh
+}
+
+// setLimits passes the limits of the ramps to the queue.
+func (sh *shard) setLimits() {
+	var limits []dispatch.Limit
+	full := int(float64(sh.shape.slots) * sh.shape.slotFactor)
+	for _, u := range sh.ups {
+		r := sh.ramps[u.id]
+		limits = append(limits, dispatch.Limit{Upstream: u.id, InFlight: r.Limit(sh.e.now, full), Open: true, Cold: r.Cold()})
+	}
+	sh.queue.SetLimits(limits)
+}
+
+// arrive takes a call of a caller.
+func (sh *shard) arrive(c call) {
+	sh.last++
+	c.id, c.sentAt = sh.last, sh.e.now
+	r := dispatch.Request{ID: c.id, Key: c.key, Caller: c.caller, Solo: c.solo}
+	if c.timeout > 0 {
+		r.Deadline = sh.e.now + c.timeout
+	}
+	if sh.shape.keyed {
+		r.Upstream = sh.ups[c.owner].id
+	}
+	if refusal := sh.queue.Admit(sh.e.now, r); refusal != nil {
+		c.end(c, result{outcome: api.NotRun, refusal: refusal})
+		return
+	}
+	sh.calls[c.id] = &c
+	sh.pump()
+}
+
+// pump starts what can start.
+func (sh *shard) pump() {
+	starts, expired := sh.queue.Next(sh.e.now)
+	for _, id := range expired {
+		sh.finish(id, result{outcome: api.NotRun})
+	}
+	for _, s := range starts {
+		sh.start(s)
+	}
+}
+
+func (sh *shard) start(s dispatch.Start) {
+	c := sh.calls[s.ID]
+	if sh.beforeSend != nil && !sh.beforeSend(c) {
+		sh.queue.Done(sh.e.now, s.ID, s.Upstream, 0, false)
+		sh.finish(s.ID, result{outcome: api.NotRun})
+		sh.e.after(0, sh.pump)
+		return
+	}
+	sentAt := sh.e.now
+	sh.flying[s.Upstream] = append(sh.flying[s.Upstream], s.ID)
+	sh.byID[s.Upstream].send(&job{
+		service: c.service, poison: c.poison, ran: c.ran,
+		reply: func(r reply) { sh.reply(s, r, sh.e.now-sentAt) },
+	})
+}
+
+func (sh *shard) reply(s dispatch.Start, r reply, took time.Duration) {
+	flying := sh.flying[s.Upstream]
+	for i, id := range flying {
+		if id == s.ID {
+			sh.flying[s.Upstream] = append(flying[:i:i], flying[i+1:]...)
+			break
+		}
+	}
+	c := sh.calls[s.ID]
+	sh.queue.Done(sh.e.now, s.ID, s.Upstream, took, r == answered)
+	if r != broken {
+		sh.ramps[s.Upstream].Observe(sh.e.now, took, r == shed)
+		sh.setLimits()
+	}
+	if sh.afterEnd != nil {
+		sh.afterEnd(c, s.Upstream, r)
+	}
+	switch r {
+	case answered:
+		sh.finish(s.ID, result{outcome: api.Answered, inTime: c.timeout == 0 || sh.e.now <= c.sentAt+c.timeout})
+	case shed:
+		sh.finish(s.ID, result{outcome: api.NotRun, refusal: api.Refuse(api.Shed, "upstream shed the request")})
+	case broken:
+		sh.finish(s.ID, result{outcome: api.Unknown, broken: true})
+	}
+	sh.pump()
+}
+
+func (sh *shard) finish(id uint64, r result) {
+	c := sh.calls[id]
+	delete(sh.calls, id)
+	c.end(*c, r)
+}
