Keep short requests apart from a hot key and a flooding caller

Cause: next to a flood of runs four times as long, every short request with a timeout of 100 ms was refused: the long runs made up the service time expected of all requests, and since none of the short ones ran, nothing corrected it. Change: service times are kept per key and per caller, in tables of fixed size, and a familiar key or caller does not count for newcomers; one start in 40 may go to a request that the estimate would refuse; a flow whose key wants nothing else and whose caller wants no more than the average gets every second turn, and is admitted without a margin while fewer than two such flows wait. The estimate of the wait no longer counts a new flow twice.

--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -23,3 +23,13 @@
 
 // TestGoodput guards against overload that makes the service do useless work.
 func TestGoodput(t *testing.T) { checkBounds(t, false, Goodput(seed)) }
+
+// TestFairness guards against short requests that one hot key or one flooding
+// caller pushes out. The page states no bound; the single queue is the baseline.
+func TestFairness(t *testing.T) {
+	all := Fairness(seed)
+	checkBounds(t, false, all)
+	for i := 0; i < len(all); i += 2 {
+		require.Greater(t, all[i].Value, all[i+1].Value, all[i].Name)
+	}
+}
--- a/core/dispatch/deadlines.go
+++ b/core/dispatch/deadlines.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// deadlines is a binary heap of queued items, earliest deadline first. Items
+// deadlines is a binary heap of queued items, earliest latest start first. Items
 // know their place, so that removal needs no search.
 type deadlines []*item
 
 func (d deadlines) before(i, j int) bool {
-	if d[i].req.Deadline != d[j].req.Deadline {
-		return d[i].req.Deadline < d[j].req.Deadline
+	if d[i].latest != d[j].latest {
+		return d[i].latest < d[j].latest
 	}
 	return d[i].req.ID < d[j].req.ID
 }
@@ -46,9 +46,9 @@
 	}
 }
 
-// due returns the first item if its deadline is before the given time.
-func (d deadlines) due(before time.Duration) *item {
-	if len(d) == 0 || d[0].req.Deadline >= before {
+// due returns the first item if its latest start is before now.
+func (d deadlines) due(now time.Duration) *item {
+	if len(d) == 0 || d[0].latest >= now {
 		return nil
 	}
 	return d[0]
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -25,6 +25,14 @@
 	s.mean += weight * (x - s.mean)
 }
 
+// blend returns s mixed with the estimate of a larger group. The weight of s
+// grows with its observations, so that a few do not decide alone.
+func (s service) blend(group service) service {
+	const groupWeight = 2 // observations that the group counts for
+	own := float64(s.n) / float64(s.n+groupWeight)
+	return service{mean: own*s.mean + (1-own)*group.mean, dev: own*s.dev + (1-own)*group.dev, n: s.n + group.n}
+}
+
 // or returns s, or the configured service time while nothing has been observed.
 func (s service) or(expected time.Duration) service {
 	if s.n == 0 {
@@ -74,12 +82,30 @@
 	return o
 }
 
+// isSparse reports whether a new request r would make a flow that wants little.
+func (l *lane) isSparse(r Request) bool {
+	k, c := l.keys[keyID{r.Key, r.Range}], l.callers[r.Caller]
+	if r.Key != "" && k != nil && k.queued+k.running > 0 {
+		return false
+	}
+	return c == nil || l.modest(c, r.Key, 0)
+}
+
+// modest reports whether a caller has no more queued, apart from a number of
+// requests, than callers have on average; without a key it may have nothing.
+// Callers of a hot key are modest, one that floods the lane is not.
+func (l *lane) modest(c *caller, key string, apart int) bool {
+	n := c.queued - apart
+	return n == 0 || key != "" && len(l.callers) > 1 && n*len(l.callers) <= l.queued
+}
+
 // ahead estimates how many queued requests start before a new one. Its flow
 // gets every second turn from the keys' ring and every second from the callers'
-// ring, so a long queue of a hot key does not count in full.
+// ring, so a long queue of a hot key does not count in full. A request comes in
+// the middle of its flow's cycle on average.
 func (l *lane) ahead(r Request) float64 {
 	keys, callers := l.keyRing.n, l.callerRing.n
-	flowsOfKey, flowsOfCaller, own := 1, 1, 0
+	flowsOfKey, flowsOfCaller, own := 0, 0, 0
 	k := l.keys[keyID{r.Key, r.Range}]
 	if k == nil || k.inLane.on == nil {
 		keys++
@@ -103,8 +129,11 @@
 		flowsOfKey++
 		flowsOfCaller++
 	}
+	if l.isSparse(r) {
+		return math.Min(float64(l.queued), float64(2*l.sparse.n)+0.5)
+	}
 	share := 0.5/float64(keys*max(1, flowsOfKey)) + 0.5/float64(callers*max(1, flowsOfCaller))
-	return math.Min(float64(l.queued), float64(own+1)/share-1)
+	return math.Min(float64(l.queued), (float64(own)+0.5)/share)
 }
 
 // wait estimates the time until a new request starts.
--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -1,19 +1,27 @@
 package dispatch
 
-import "dandelionhill.dev/api"
+import (
+	"time"
+
+	"dandelionhill.dev/api"
+)
 
 // noPlace marks an item that is not in the heap of deadlines.
 const noPlace = -1
 
 // item is a queued request.
 type item struct {
-	req    Request
-	lane   *lane
-	key    *key    // nil for hedges
-	caller *caller // nil for hedges
-	flow   *flow   // nil for hedges
-	inFlow node[*item]
-	place  int
+	req                 Request
+	lane                *lane
+	key                 *key    // nil for hedges
+	caller              *caller // nil for hedges
+	flow                *flow   // nil for hedges
+	inFlow              node[*item]
+	place               int
+	try                 bool          // admitted against its expected service time
+	run                 service       // expected service time
+	latest              time.Duration // latest start with which even a fast run meets the deadline
+	keyHash, callerHash uint64
 }
 
 // flow holds the requests of one caller for one key, first come first served.
@@ -27,6 +35,7 @@
 	inKey    node[*flow] // among the ready flows of the key
 	inCaller node[*flow] // among the ready flows of the caller
 	blocked  node[*flow] // among the flows that wait for the end of another solo run
+	sparse   node[*flow] // among the flows of the lane that want little
 }
 
 type keyID struct {
@@ -71,8 +80,10 @@
 	flows      map[flowID]*flow
 	keyRing    ring[*key]
 	callerRing ring[*caller]
-	callerTurn bool
+	sparse     ring[*flow] // ready flows that want little
+	turn       int
 	queued     int
+	tries      int // starts since the last try, up to maxTries
 	due        deadlines
 	solo       *item     // waits for soloUp to be empty
 	soloUp     *upstream // gets no other start meanwhile
@@ -80,6 +91,7 @@
 	hedges     []*hedgeQueue
 	hedged     int
 	service    service
+	newcomer   service // of unfamiliar keys and callers
 }
 
 // hedgeQueue holds the hedges that must not start on one upstream.
@@ -163,7 +175,7 @@
 		return f
 	}
 	f := &flow{id: id, key: q.keyOf(l, id.key), caller: l.callerOf(r.Caller)}
-	f.ofKey.value, f.inKey.value, f.inCaller.value, f.blocked.value = f, f, f, f
+	f.ofKey.value, f.inKey.value, f.inCaller.value, f.blocked.value, f.sparse.value = f, f, f, f, f
 	f.key.flows.pushBack(&f.ofKey)
 	l.flows[id] = f
 	return f
@@ -219,6 +231,9 @@
 		return
 	}
 	if ready {
+		if f.wantsLittle() {
+			l.sparse.pushBack(&f.sparse)
+		}
 		f.key.ready.pushBack(&f.inKey)
 		f.caller.ready.pushBack(&f.inCaller)
 		if f.key.inLane.on == nil {
@@ -231,6 +246,7 @@
 	}
 	f.inKey.drop()
 	f.inCaller.drop()
+	f.sparse.drop()
 	if f.key.ready.n == 0 {
 		f.key.inLane.drop()
 	}
@@ -251,17 +267,30 @@
 	}
 }
 
-// pick returns the request whose turn it is, and passes the turn on.
+// pick returns the request whose turn it is, and passes the turn on. Flows whose
+// key wants nothing else get every second turn, first come first
+// served, so that they need not wait for a whole cycle of the rings.
 func (l *lane) pick() *item {
 	if l.keyRing.n == 0 {
 		return nil
 	}
-	l.callerTurn = !l.callerTurn
+	l.turn++
 	var f *flow
-	if l.callerTurn {
+	switch {
+	case l.turn%2 == 0 && l.sparse.n > 0:
+		f = l.sparse.first.value
+	case l.turn%4 < 2:
 		f = l.callerRing.rotate().value.ready.rotate().value
-	} else {
+	default:
 		f = l.keyRing.rotate().value.ready.rotate().value
 	}
+	f.sparse.drop()
 	return f.items.first.value
 }
+
+// wantsLittle reports whether f holds all that its key wants of the lane, and
+// its caller wants no more than others.
+func (f *flow) wantsLittle() bool {
+	k := f.key
+	return f.items.n == 1 && k.lane.modest(f.caller, k.id.name, 1) && (k.id.name == "" || k.queued == 1 && k.running == 0)
+}
--- a/core/dispatch/next.go
+++ b/core/dispatch/next.go
@@ -33,8 +33,7 @@
 
 // expire drops the requests of l whose deadline even a fast run would miss.
 func (q *Queue) expire(l *lane, b *batch) {
-	least := l.service.or(q.cfg.ServiceTime).least()
-	for it := l.due.due(b.now + least); it != nil; it = l.due.due(b.now + least) {
+	for it := l.due.due(b.now); it != nil; it = l.due.due(b.now) {
 		q.drop(it, b)
 	}
 }
@@ -49,10 +48,14 @@
 // tooLate reports whether it should give way to others: it is not likely to
 // finish in time on u, and more requests wait than u has places.
 func (q *Queue) tooLate(it *item, u *upstream, now time.Duration) bool {
-	if it.req.Deadline == 0 || it.lane.queued <= u.free() {
+	if it.req.Deadline == 0 || it.try || it.lane.queued <= u.free() {
 		return false
 	}
-	return it.req.Deadline < now+u.service.or(q.cfg.ServiceTime).likely(q.cfg.StartMargin)
+	slower := 1.0
+	if s := it.lane.service; s.n > 0 && u.service.n > 0 {
+		slower = max(1, u.service.mean/s.mean)
+	}
+	return it.req.Deadline < now+time.Duration(slower*float64(it.run.likely(q.cfg.StartMargin)))
 }
 
 // serveOwn starts what the upstream of a keyed lane has room for.
@@ -164,10 +167,11 @@
 		}
 	}
 	q.detach(it)
+	it.lane.tries = min(maxTries, it.lane.tries+1)
 	if it.key != nil && q.cfg.KeyInFlight > 0 {
 		q.refreshKey(it.key)
 	}
-	q.running[copyID{it.req.ID, it.req.Hedge}] = run{up: u, lane: it.lane, key: it.key, solo: it.req.Solo}
+	q.running[copyID{it.req.ID, it.req.Hedge}] = run{up: u, lane: it.lane, key: it.key, solo: it.req.Solo, keyHash: it.keyHash, callerHash: it.callerHash}
 	b.starts = append(b.starts, Start{ID: it.req.ID, Upstream: u.id, Solo: it.req.Solo, Hedge: it.req.Hedge})
 }
 
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -38,19 +38,22 @@
 	lane *lane
 	key  *key // nil for hedges
 	solo bool
+
+	keyHash, callerHash uint64
 }
 
 // Queue is the scheduler of one shard. It is not safe for concurrent use.
 type Queue struct {
-	cfg       Config
-	upstreams []*upstream
-	byID      map[api.UpstreamID]*upstream
-	shared    *lane
-	queued    map[uint64]*item
-	hedges    map[uint64]*item
-	running   map[copyID]run
-	ranges    map[int]*rangeState
-	turn      int // where the search for the least loaded upstream begins
+	cfg                   Config
+	upstreams             []*upstream
+	byID                  map[api.UpstreamID]*upstream
+	shared                *lane
+	queued                map[uint64]*item
+	hedges                map[uint64]*item
+	running               map[copyID]run
+	ranges                map[int]*rangeState
+	keyTimes, callerTimes history
+	turn                  int // where the search for the least loaded upstream begins
 }
 
 // New returns an empty queue without upstreams.
@@ -63,6 +66,8 @@
 		hedges:  map[uint64]*item{},
 		running: map[copyID]run{},
 		ranges:  map[int]*rangeState{},
+
+		keyTimes: newHistory(), callerTimes: newHistory(),
 	}
 }
 
@@ -127,15 +132,23 @@
 	if refusal := q.checkLength(l, r, o); refusal != nil {
 		return refusal
 	}
-	if refusal := q.checkDeadline(now, l, r, o); refusal != nil {
+	it := newItem(r)
+	it.run = q.expected(l, it)
+	it.latest = r.Deadline - it.run.least()
+	if refusal := q.checkDeadline(now, l, it, o); refusal != nil {
 		return refusal
 	}
-	it := &item{req: r}
-	it.inFlow.value = it
 	q.attach(l, it)
 	return nil
 }
 
+func newItem(r Request) *item {
+	it := &item{req: r}
+	it.inFlow.value = it
+	it.keyHash, it.callerHash = hashes(r)
+	return it
+}
+
 func (q *Queue) admitHedge(r Request) *api.Refusal {
 	l := q.shared
 	switch {
@@ -146,8 +159,9 @@
 	case l.hedged >= q.cfg.QueueLength:
 		return api.Refuse(api.QueueFull, "queue of hedges is full").After(q.cfg.MinRetryAfter)
 	}
-	it := &item{req: r}
-	it.inFlow.value = it
+	it := newItem(r)
+	it.run = q.expected(l, it)
+	it.latest = r.Deadline - it.run.least()
 	q.attach(l, it)
 	return nil
 }
@@ -180,16 +194,20 @@
 func share(length int, of float64) int { return max(1, int(float64(length)*of)) }
 
 // checkDeadline refuses a request that is not likely to finish in time.
-func (q *Queue) checkDeadline(now time.Duration, l *lane, r Request, o outlook) *api.Refusal {
+func (q *Queue) checkDeadline(now time.Duration, l *lane, it *item, o outlook) *api.Refusal {
+	r := it.req
 	if r.Deadline == 0 {
 		return nil
 	}
-	s := l.service.or(q.cfg.ServiceTime)
-	need := s.least()
+	need := it.run.least()
 	if !o.room && o.rate > 0 {
-		need = q.wait(l, r, o) + s.likely(q.cfg.AdmitMargin)
+		margin := q.cfg.AdmitMargin
+		if l.sparse.n < sparseTries && l.isSparse(r) {
+			margin, it.try = 0, true
+		}
+		need = q.wait(l, r, o) + it.run.likely(margin)
 	}
-	if r.Deadline >= now+need {
+	if r.Deadline >= now+need || q.mayTry(now, l, it, o) {
 		return nil
 	}
 	return q.refuse(api.DeadlineUnmeetable, o, fmt.Sprintf("the answer is expected in %v, later than the deadline", need), now+need-r.Deadline)
@@ -228,6 +246,7 @@
 	if ok || float64(took) > r.up.service.or(q.cfg.ServiceTime).mean {
 		r.up.service.observe(took, q.cfg.Smoothing)
 		r.lane.service.observe(took, q.cfg.Smoothing)
+		q.learn(r, took)
 	}
 	if r.key == nil {
 		return
