Measure the load on cold upstreams

Change: bench/policy measures six ways to be cold, after a restart and after a silent turn, at 80% load. Each is its own subtest.

--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"strings"
 	"testing"
 
 	"dandelionhill.dev/bench/metric"
@@ -33,3 +34,10 @@
 		require.Greater(t, all[i].Value, all[i+1].Value, all[i].Name)
 	}
 }
+
+// TestCold guards against load that a cold upstream cannot bear.
+func TestCold(t *testing.T) {
+	for _, m := range Cold(seed) {
+		t.Run(m.Name+"/"+strings.TrimSpace(strings.Split(m.Note, ";")[1]), func(t *testing.T) { checkBounds(t, true, []metric.Metric{m}) })
+	}
+}
--- a/bench/policy/upstream.go
+++ b/bench/policy/upstream.go
@@ -26,10 +26,12 @@
 // coldness says how an upstream recovers from a cold start. What it bears, in
 // requests in flight, rises from 1 to its slots by one for each warmAfter
 // answers; its service times are slow times as long at first and fall with the
-// share that is still missing.
+// share that is still missing. With flat it is cold for warmAfter answers in all
+// and meanwhile has one slot and bears one more request that waits.
 type coldness struct {
 	warmAfter int
 	slow      float64
+	flat      bool
 }
 
 // upstream models a server with slots, a short queue and sheds beyond it.
@@ -61,7 +63,13 @@
 	if u.cold == nil {
 		return u.bound
 	}
+	if u.cold.flat && u.done < u.cold.warmAfter {
+		return 2
+	}
 	level := 1 + u.done/u.cold.warmAfter
+	if u.cold.flat {
+		level = u.slots
+	}
 	if level >= u.slots {
 		u.cold = nil
 		return u.bound
@@ -73,6 +81,9 @@
 	if u.cold == nil {
 		return 1
 	}
+	if u.cold.flat {
+		return u.cold.slow
+	}
 	missing := 1 - float64(u.done)/float64(u.cold.warmAfter*(u.slots-1))
 	return 1 + (u.cold.slow-1)*max(0, missing)
 }
@@ -93,7 +104,7 @@
 		u.e.after(rtt/2, func() { j.reply(shed) })
 		return
 	}
-	if len(u.running) >= u.slots {
+	if len(u.running) >= u.slots || len(u.running) > 0 && u.cold != nil && u.cold.flat {
 		u.waiting = append(u.waiting, j)
 		return
 	}
@@ -121,7 +132,8 @@
 		j.ran()
 	}
 	u.e.after(rtt/2, func() { j.reply(answered) })
-	if len(u.waiting) > 0 {
+	u.bears() // ends the cold time
+	for len(u.waiting) > 0 && len(u.running) < u.slots && (len(u.running) == 0 || u.cold == nil || !u.cold.flat) {
 		next := u.waiting[0]
 		u.waiting = u.waiting[1:]
 		u.start(next)
