Raise the limit of a cold upstream on more evidence

Cause: with windows of 16 answers and a factor of 1.5, noise and the last part of a cold time passed for normal answers. Change: windows have at least 32 answers and the limit rises at up to 1.25 times the normal latency.

--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -35,11 +35,12 @@
 // DefaultConfig returns the values of section 7.3 of the design page.
 func DefaultConfig() Config {
 	return Config{
-		// A mean of 16 lognormal times with sigma 0.5 has a relative error of 13%,
-		// so the factors below are more than three errors away from 1.
-		Window:       16,
+		// A mean of 32 lognormal times with sigma 0.5 has a relative error of 9%, so
+		// the factors below are more than two errors away from 1. With 16 answers
+		// and a factor of 1.5 cold upstreams got up to twice what they bore.
+		Window:       32,
 		Step:         1,
-		NormalFactor: 1.5,
+		NormalFactor: 1.25,
 		SlowFactor:   2,
 		ColdFactor:   3,
 		ShedShare:    0.1,
