Do not learn the normal latency of an upstream that sheds

Cause: after a silent turn the halved upstream counted as warm, and its slow answers became normal. Change: a window with sheds teaches nothing, and a halved upstream is on the ramp until it has its full limit again.

--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -202,15 +202,20 @@
 	case shedShare >= r.cfg.ShedShare, r.cold && times >= r.cfg.SlowFactor:
 		r.halve()
 	case times <= r.cfg.NormalFactor:
-		r.learn(mean)
 		r.limit += r.cfg.Step
-	case !r.cold:
-		r.learn(mean)
+		fallthrough
+	default:
+		// Answers next to sheds come from an upstream that is in trouble.
+		if w.sheds == 0 {
+			r.learn(mean)
+		}
 	}
 }
 
 // halve lowers the limit and ignores the answers to what is already in flight.
+// Below its full limit an upstream is on the ramp, whatever brought it there.
 func (r *Ramp) halve() {
+	r.cold = true
 	before := math.Min(r.limit, float64(max(r.full, 1)))
 	r.limit = math.Max(1, math.Floor(before/2))
 	r.window = window{}
