Add the tail latency model and count cancelled calls as observations

Change: bench/tail, a seeded discrete-event model of one shard with the Monitor, the hedge controller and least in flight weighted with the penalty. Monitor.Cancelled takes the running time of a call that lost to its hedge as a lower bound of its latency; without it hedging would hide the straggler.

--- /dev/null
+++ b/bench/tail/compare.go
@@ -0,0 +1,176 @@
+package tail
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"dandelionhill.dev/bench/metric"
+	"dandelionhill.dev/core/straggler"
+)
+
+// Options configures Compare.
+type Options struct {
+	Seed     uint64
+	Runs     int // per policy
+	Scenario Scenario
+}
+
+// DefaultOptions returns the options of the reported measurement.
+func DefaultOptions(seed uint64) Options {
+	return Options{Seed: seed, Runs: 20, Scenario: DefaultScenario()}
+}
+
+// NamedScenario is a variation of the default scenario.
+type NamedScenario struct {
+	Name string
+	Scenario
+}
+
+// Scenarios returns the default scenario and three harder ones: a higher load, a
+// shorter slowdown, in which the time to detection weighs more, and service
+// times with more variation.
+func Scenarios() []NamedScenario {
+	busy, short, varied := DefaultScenario(), DefaultScenario(), DefaultScenario()
+	busy.Utilisation = 0.7
+	short.SlowUntil = short.SlowFrom + 5*time.Second
+	varied.Deviation = 1
+	return []NamedScenario{{"default", DefaultScenario()}, {"busy", busy}, {"short", short}, {"varied", varied}}
+}
+
+// Policies returns the policies compared.
+func Policies() []Policy {
+	policies := []Policy{
+		{Name: "random", Random: true},
+		{Name: "least_in_flight"},
+		{Name: "hedge", Hedge: true},
+	}
+	for _, kind := range straggler.Kinds() {
+		policies = append(policies, Policy{Name: "penalty_" + string(kind), Detector: kind})
+	}
+	for _, kind := range straggler.Kinds() {
+		policies = append(policies, Policy{Name: "penalty_" + string(kind) + "_hedge", Detector: kind, Hedge: true})
+	}
+	return policies
+}
+
+// KeyedPolicies returns the policies for a keyed service: keyed requests are
+// never hedged, and no policy moves a key.
+func KeyedPolicies() []Policy {
+	return []Policy{{Name: "keyed"}, {Name: "keyed_penalty_cusum", Detector: straggler.KindCUSUM}}
+}
+
+// Row holds the figures of one policy, each a mean over the runs with its
+// standard error.
+type Row struct {
+	Policy string
+	// Ratio is p99 with one straggler over p99 with none, by run with the same seed.
+	Ratio, RatioP50, Ratio99Others Estimate
+	P99None                        Estimate // seconds
+	ExtraCalls                     Estimate // hedged calls over requests, with straggler
+	MostExtraCalls                 float64  // of any run, with or without straggler
+	Refused                        Estimate // share of requests in the window
+	OtherOwner                     int
+	Detected                       Estimate // seconds from the slowdown to the mark
+	NotDetected                    int
+	FalselyMarked                  Estimate // upstreams per run, with straggler
+}
+
+// Estimate is a mean with its standard error.
+type Estimate struct{ Mean, Error float64 }
+
+// String formats the estimate as mean ± error.
+func (e Estimate) String() string { return fmt.Sprintf("%.3g ± %.1g", e.Mean, e.Error) }
+
+func estimate(values []float64) Estimate {
+	n := float64(len(values))
+	if n == 0 {
+		return Estimate{math.NaN(), math.NaN()}
+	}
+	sum, squares := 0.0, 0.0
+	for _, v := range values {
+		sum += v
+	}
+	for _, v := range values {
+		squares += (v - sum/n) * (v - sum/n)
+	}
+	return Estimate{sum / n, math.Sqrt(squares / math.Max(n-1, 1) / n)}
+}
+
+// Compare runs all policies on the same arrivals.
+func Compare(o Options) []Row {
+	keyed := o.Scenario
+	keyed.Keyed = true
+	policies, keyedPolicies := Policies(), KeyedPolicies()
+	rows := make([]Row, len(policies)+len(keyedPolicies))
+	var running sync.WaitGroup
+	for i := range rows {
+		running.Go(func() {
+			if i < len(policies) {
+				rows[i] = compare(o.Scenario, policies[i], o)
+			} else {
+				rows[i] = compare(keyed, keyedPolicies[i-len(policies)], o)
+			}
+		})
+	}
+	running.Wait()
+	return rows
+}
+
+func compare(sc Scenario, p Policy, o Options) Row {
+	row := Row{Policy: p.Name}
+	var ratio, ratio50, others, none, extra, refused, detected, falsely []float64
+	for i := range o.Runs {
+		seed := o.Seed<<32 | uint64(i)
+		with := Run(sc, p, seed)
+		healthy := sc
+		healthy.Factor = 1
+		without := Run(healthy, p, seed)
+		ratio = append(ratio, with.P99.Seconds()/without.P99.Seconds())
+		ratio50 = append(ratio50, with.P50.Seconds()/without.P50.Seconds())
+		others = append(others, with.OthersP99.Seconds()/without.OthersP99.Seconds())
+		none = append(none, without.P99.Seconds())
+		extra = append(extra, float64(with.Hedges)/float64(with.Requests))
+		for _, r := range []Result{with, without} {
+			row.MostExtraCalls = math.Max(row.MostExtraCalls, float64(r.Hedges)/float64(r.Requests))
+			row.OtherOwner += r.OtherOwner
+		}
+		refused = append(refused, float64(with.Refused)/float64(with.Requests))
+		falsely = append(falsely, float64(with.FalselyMarks))
+		if with.DetectedIn >= 0 {
+			detected = append(detected, with.DetectedIn.Seconds())
+		} else {
+			row.NotDetected++
+		}
+	}
+	row.Ratio, row.RatioP50, row.Ratio99Others = estimate(ratio), estimate(ratio50), estimate(others)
+	row.P99None, row.ExtraCalls, row.Refused = estimate(none), estimate(extra), estimate(refused)
+	row.Detected, row.FalselyMarked = estimate(detected), estimate(falsely)
+	return row
+}
+
+// String formats the row for a log.
+func (r Row) String() string {
+	return fmt.Sprintf("%-32s p99 ratio %v, p50 ratio %v, others' p99 ratio %v, p99 none %v s, extra %v (most %.4f), refused %v, other owner %d, detected %v s (not %d), falsely %v",
+		r.Policy, r.Ratio, r.RatioP50, r.Ratio99Others, r.P99None, r.ExtraCalls, r.MostExtraCalls, r.Refused, r.OtherOwner, r.Detected, r.NotDetected, r.FalselyMarked)
+}
+
+// Bounds of section 1.6 of the design page.
+const (
+	ratioBound = 1.5
+	extraBound = 0.05
+)
+
+// Metrics returns the rows as metrics.
+func Metrics(rows []Row, seed uint64) []metric.Metric {
+	var out []metric.Metric
+	for _, r := range rows {
+		note := fmt.Sprintf("standard error %.2g; aim; without straggler p99 is %v", r.Ratio.Error, time.Duration(r.P99None.Mean*float64(time.Second)).Round(time.Millisecond))
+		out = append(out,
+			metric.Metric{Name: "p99_one_straggler_over_none_" + r.Policy, Value: r.Ratio.Mean, Unit: "ratio", Bound: ratioBound, HasBound: true, Seed: seed, Note: note},
+			metric.Metric{Name: "hedged_extra_calls_" + r.Policy, Value: r.MostExtraCalls, Unit: "share", Bound: extraBound, HasBound: true, Seed: seed, Note: "highest of all runs"},
+			metric.Metric{Name: "straggler_calls_on_other_owner_" + r.Policy, Value: float64(r.OtherOwner), Unit: "calls", Bound: 0, HasBound: true, Seed: seed, Note: "keys served by an upstream that does not own them"})
+	}
+	return out
+}
--- /dev/null
+++ b/bench/tail/pick.go
@@ -0,0 +1,42 @@
+package tail
+
+// pick chooses an upstream with a free slot for r from the common queue, by
+// fewest calls in flight weighted with the penalty, at random among equals. It
+// returns -1 if r should wait.
+func (s *sim) pick(r *request, queued int) int {
+	best, ties := -1, 0
+	bestScore, bestPenalty := 0.0, 1.0
+	healthy := 0
+	for up := range s.inFlight {
+		penalty := s.penalty(up)
+		if penalty == 1 {
+			healthy += s.sc.Slots
+		}
+		if s.inFlight[up] >= s.sc.Slots || r.hedge && (up == r.avoid || penalty > 1) {
+			continue
+		}
+		score := float64(s.inFlight[up]+1) * penalty
+		switch {
+		case best < 0 || score < bestScore:
+			best, bestScore, bestPenalty, ties = up, score, penalty, 1
+		case score == bestScore:
+			ties++
+			if s.choice.IntN(ties) == 0 {
+				best, bestPenalty = up, penalty
+			}
+		}
+	}
+	// A straggler is used only when the last in the queue would otherwise wait
+	// longer than the straggler takes. Both sides are in mean service times.
+	if bestPenalty > 1 && float64(queued) < float64(healthy)*(bestPenalty-1) {
+		return -1
+	}
+	return best
+}
+
+func (s *sim) penalty(up int) float64 {
+	if s.monitor == nil {
+		return 1
+	}
+	return s.monitor.Penalty(s.ids[up])
+}
--- /dev/null
+++ b/bench/tail/sim.go
@@ -0,0 +1,353 @@
+// Package tail measures tail latency while one upstream is a straggler, in a
+// seeded discrete-event model of one shard and its upstreams.
+package tail
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/hedge"
+	"dandelionhill.dev/core/straggler"
+)
+
+// Scenario describes the shard, its load and the straggler.
+type Scenario struct {
+	Keyed       bool // each request has one owner; there is a queue per upstream
+	Upstreams   int
+	Slots       int           // per upstream
+	Service     time.Duration // median of the log-normal service time
+	Deviation   float64       // of its logarithm; half of the variance belongs to the request, half to the call
+	Utilisation float64       // of all slots without straggler
+	Idempotent  float64       // share of requests that may be hedged
+	Factor      float64       // of the straggler's service time; 1 means no straggler
+	SlowFrom    time.Duration
+	SlowUntil   time.Duration
+	End         time.Duration // of the arrivals
+	Deadline    time.Duration // a request that waits longer is refused
+}
+
+// DefaultScenario has 6 upstreams of 3 slots, as dispatchdesk at Hooghly, one
+// of which is ten times slower for 30 s.
+func DefaultScenario() Scenario {
+	return Scenario{
+		Upstreams: 6, Slots: 3, Service: 20 * time.Millisecond, Deviation: 0.5, Utilisation: 0.5, Idempotent: 0.5,
+		Factor: 10, SlowFrom: 10 * time.Second, SlowUntil: 40 * time.Second, End: 45 * time.Second, Deadline: time.Second,
+	}
+}
+
+// Policy is what the holder does about stragglers.
+type Policy struct {
+	Name     string
+	Random   bool           // random choice with a queue per upstream, else one queue and least in flight
+	Detector straggler.Kind // empty: no penalty
+	Hedge    bool
+}
+
+// Result holds the figures of one run.
+type Result struct {
+	P50, P99     time.Duration // of requests that arrived while the straggler was slow
+	Requests     int
+	Hedges       int // extra calls
+	Refused      int // in the same window
+	OtherOwner   int // calls on an upstream that does not own the key
+	OthersP99    time.Duration
+	DetectedIn   time.Duration // from SlowFrom to the mark, -1 if not marked
+	FalselyMarks int           // upstreams other than the straggler that were marked at some time
+}
+
+type request struct {
+	arrival    time.Duration
+	idempotent bool
+	size       float64 // log of the request's own factor
+	owner      int
+	done       bool
+	hedge      bool // waiting in the queue for its second call
+	avoid      int
+	calls      []*call
+}
+
+type call struct {
+	req       *request
+	up        int
+	start     time.Duration
+	hedge     bool
+	cancelled bool
+}
+
+type eventKind int
+
+const (
+	arrive eventKind = iota
+	complete
+	hedgeDue
+	tick
+)
+
+type event struct {
+	at   time.Duration
+	seq  int
+	kind eventKind
+	call *call
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// slow is the index of the straggler.
+const slow = 0
+
+// tickEvery is the interval of Monitor.Tick.
+const tickEvery = 20 * time.Millisecond
+
+type sim struct {
+	sc       Scenario
+	policy   Policy
+	arrivals *rand.Rand // the same for all policies
+	calls    *rand.Rand
+	choice   *rand.Rand
+	now      time.Duration
+	seq      int
+	events   events
+	queues   [][]*request // one, or one per upstream
+	inFlight []int
+	ids      []api.UpstreamID
+	monitor  *straggler.Monitor
+	hedger   *hedge.Controller
+	all      []*request
+	took     []time.Duration // by request in all; negative: refused
+	index    map[*request]int
+	marked   map[int]bool
+	result   Result
+}
+
+// Run simulates the scenario under a policy.
+func Run(sc Scenario, policy Policy, seed uint64) Result {
+	s := &sim{
+		sc: sc, policy: policy,
+		arrivals: rand.New(rand.NewPCG(seed, 1)), calls: rand.New(rand.NewPCG(seed, 2)), choice: rand.New(rand.NewPCG(seed, 3)),
+		queues: make([][]*request, 1), inFlight: make([]int, sc.Upstreams), index: map[*request]int{}, marked: map[int]bool{},
+	}
+	s.result.DetectedIn = -1
+	if sc.Keyed || policy.Random {
+		s.queues = make([][]*request, sc.Upstreams)
+	}
+	for i := range sc.Upstreams {
+		s.ids = append(s.ids, api.UpstreamID(fmt.Sprintf("u%d", i)))
+	}
+	if policy.Detector != "" {
+		cfg := straggler.DefaultConfig()
+		cfg.Setting = straggler.DefaultSettings[policy.Detector]
+		s.monitor = straggler.NewMonitor(cfg)
+		s.schedule(tickEvery, tick, nil)
+	}
+	if policy.Hedge && !sc.Keyed {
+		s.hedger = hedge.NewController(hedge.DefaultConfig())
+	}
+	s.schedule(0, arrive, nil)
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		s.handle(e)
+	}
+	s.summarise()
+	return s.result
+}
+
+func (s *sim) schedule(at time.Duration, kind eventKind, c *call) {
+	s.seq++
+	heap.Push(&s.events, event{at, s.seq, kind, c})
+}
+
+func (s *sim) handle(e event) {
+	switch e.kind {
+	case arrive:
+		s.arrive()
+	case complete:
+		if !e.call.cancelled {
+			s.complete(e.call)
+		}
+	case hedgeDue:
+		s.hedgeDue(e.call)
+	case tick:
+		s.monitor.Tick(s.now)
+		if s.now < s.sc.End {
+			s.schedule(s.now+tickEvery, tick, nil)
+		}
+	}
+	s.dispatch()
+}
+
+func (s *sim) arrive() {
+	if s.now >= s.sc.End {
+		return
+	}
+	r := &request{
+		arrival: s.now, idempotent: s.arrivals.Float64() < s.sc.Idempotent,
+		size: s.sc.Deviation * math.Sqrt(0.5) * s.arrivals.NormFloat64(), owner: s.arrivals.IntN(s.sc.Upstreams), avoid: -1,
+	}
+	s.index[r] = len(s.all)
+	s.all = append(s.all, r)
+	s.took = append(s.took, -1)
+	if s.hedger != nil {
+		s.hedger.Request()
+	}
+	queue := 0
+	if s.sc.Keyed {
+		queue = r.owner
+	} else if s.policy.Random {
+		queue = s.choice.IntN(s.sc.Upstreams)
+	}
+	s.queues[queue] = append(s.queues[queue], r)
+	mean := s.sc.Service.Seconds() * math.Exp(s.sc.Deviation*s.sc.Deviation/2)
+	rate := s.sc.Utilisation * float64(s.sc.Upstreams*s.sc.Slots) / mean
+	s.schedule(s.now+time.Duration(s.arrivals.ExpFloat64()/rate*float64(time.Second)), arrive, nil)
+}
+
+// dispatch starts queued requests while there are slots for them.
+func (s *sim) dispatch() {
+	for q := range s.queues {
+		for len(s.queues[q]) > 0 {
+			r := s.queues[q][0]
+			if r.done || !r.hedge && s.now-r.arrival > s.sc.Deadline {
+				s.queues[q] = s.queues[q][1:]
+				continue
+			}
+			up := q
+			if len(s.queues) == 1 {
+				up = s.pick(r, len(s.queues[q]))
+			} else if s.inFlight[q] >= s.sc.Slots {
+				up = -1
+			}
+			if up < 0 {
+				break
+			}
+			s.queues[q] = s.queues[q][1:]
+			s.start(r, up)
+		}
+	}
+}
+
+func (s *sim) start(r *request, up int) {
+	c := &call{req: r, up: up, start: s.now, hedge: r.hedge}
+	r.hedge = false
+	r.calls = append(r.calls, c)
+	if c.hedge {
+		s.result.Hedges++
+	}
+	if s.sc.Keyed && up != r.owner {
+		s.result.OtherOwner++
+	}
+	s.inFlight[up]++
+	if s.monitor != nil {
+		s.monitor.Sent(s.ids[up])
+	}
+	seconds := s.sc.Service.Seconds() * math.Exp(r.size+s.sc.Deviation*math.Sqrt(0.5)*s.calls.NormFloat64())
+	if up == slow && s.now >= s.sc.SlowFrom && s.now < s.sc.SlowUntil {
+		seconds *= s.sc.Factor
+	}
+	s.schedule(s.now+time.Duration(seconds*float64(time.Second)), complete, c)
+	if s.hedger != nil && r.idempotent && !c.hedge {
+		if delay, ok := s.hedger.Delay(); ok {
+			s.schedule(s.now+delay, hedgeDue, c)
+		}
+	}
+}
+
+func (s *sim) hedgeDue(c *call) {
+	if c.req.done || !s.hedger.Allow(s.now) {
+		return
+	}
+	c.req.hedge, c.req.avoid = true, c.up
+	s.queues[0] = slices.Insert(s.queues[0], 0, c.req)
+}
+
+func (s *sim) complete(c *call) {
+	took := s.now - c.start
+	s.inFlight[c.up]--
+	c.req.done = true
+	s.took[s.index[c.req]] = s.now - c.req.arrival
+	s.observe(c, took)
+	for _, loser := range c.req.calls {
+		if loser == c {
+			continue
+		}
+		loser.cancelled = true
+		s.inFlight[loser.up]--
+		if !loser.hedge {
+			s.hedger.Observe(s.now - loser.start)
+		}
+		if s.monitor != nil {
+			s.monitor.Cancelled(s.now, s.ids[loser.up], s.now-loser.start)
+			s.noteMark(loser.up)
+		}
+	}
+}
+
+func (s *sim) observe(c *call, took time.Duration) {
+	if s.hedger != nil && !c.hedge {
+		s.hedger.Observe(took)
+	}
+	if s.monitor == nil {
+		return
+	}
+	s.monitor.Observe(s.now, s.ids[c.up], took)
+	s.noteMark(c.up)
+}
+
+// noteMark records whether and when an upstream was marked.
+func (s *sim) noteMark(up int) {
+	if !s.monitor.Straggling(s.ids[up]) {
+		return
+	}
+	slowNow := s.sc.Factor > 1 && up == slow && s.now >= s.sc.SlowFrom
+	switch {
+	case slowNow && s.result.DetectedIn < 0:
+		s.result.DetectedIn = s.now - s.sc.SlowFrom
+	case !slowNow:
+		s.marked[up] = true
+	}
+}
+
+func (s *sim) summarise() {
+	var window, others []time.Duration
+	for i, r := range s.all {
+		s.result.Requests++
+		if r.arrival < s.sc.SlowFrom || r.arrival >= s.sc.SlowUntil {
+			continue
+		}
+		took := s.took[i]
+		if took < 0 {
+			// A refused request counts with the whole time that its caller waited.
+			s.result.Refused++
+			took = s.sc.Deadline
+		}
+		window = append(window, took)
+		if r.owner != slow {
+			others = append(others, took)
+		}
+	}
+	s.result.P50, s.result.P99 = quantile(window, 0.5), quantile(window, 0.99)
+	s.result.OthersP99 = quantile(others, 0.99)
+	s.result.FalselyMarks = len(s.marked)
+}
+
+func quantile(xs []time.Duration, q float64) time.Duration {
+	slices.Sort(xs)
+	return xs[int(q*float64(len(xs)-1))]
+}
--- a/core/straggler/monitor.go
+++ b/core/straggler/monitor.go
@@ -235,6 +235,20 @@
 	return u != nil && u.marked
 }
 
+// Cancelled records that a call to up was cancelled unanswered after running
+// for some time, for instance because its hedge won. Its latency would have been
+// at least that, so it counts only if it is slow already.
+func (m *Monitor) Cancelled(now time.Duration, up api.UpstreamID, ran time.Duration) {
+	u := m.upstreams[up]
+	if u == nil {
+		return
+	}
+	normal, _, peers := m.group.around(u)
+	if peers > 0 && logLatency(ran) > normal+m.cfg.Model.Shift/2 {
+		m.Observe(now, up, ran)
+	}
+}
+
 // Sent ends the probe of up, if one is due, because a request has been sent to
 // it. Without this call a probe ends with the next answer or Tick.
 func (m *Monitor) Sent(up api.UpstreamID) {
