Let requests wait rather than go to a straggler

Cause: a straggler that is used whenever the others are full keeps its slots full of slow requests, so the penalty alone does not bound p99.

--- a/core/straggler/monitor.go
+++ b/core/straggler/monitor.go
@@ -301,3 +301,11 @@
 		g.deviation = g.spreads[(n-1)/2]
 	}
 }
+
+// WorthUsing reports whether a request of an unkeyed service should go to an
+// upstream with this penalty although others are only busy: the last of the
+// queued requests would otherwise wait for longer than the straggler takes.
+// Both sides are in mean service times; slots counts those of the other upstreams.
+func WorthUsing(penalty float64, queued, slots int) bool {
+	return penalty <= 1 || float64(queued) >= float64(slots)*(penalty-1)
+}
