Average the first answers in the learnt deviation

Cause: the first answer alone set an upstream's deviation for about a hundred more, and a small one raised false marks where latency varies more than the model assumes. Change: equal weights until the weight falls to 0.01.

--- a/core/straggler/upstream.go
+++ b/core/straggler/upstream.go
@@ -38,6 +38,7 @@
 	recent    [recentAnswers]float64
 	location  float64
 	deviation float64
+	samples   int // that the deviation was learnt from
 
 	// The values of this upstream in the group's sorted lists.
 	inGroup                  bool
@@ -79,11 +80,15 @@
 		return
 	}
 	sample := residual / normalMeanDeviation
-	if u.deviation == 0 {
+	u.samples++
+	if u.samples == 1 {
 		u.deviation = sample
 		return
 	}
-	u.deviation += deviationWeight * clamp(sample-u.deviation, outlierLimit*u.deviation)
+	// The first answers are averaged: otherwise the first one alone would set the
+	// deviation for about a hundred more, and a small one raises false alarms.
+	weight := math.Max(deviationWeight, 1/float64(u.samples))
+	u.deviation += weight * clamp(sample-u.deviation, outlierLimit*u.deviation)
 }
 
 // last returns the latest answer.
