Bind grants and requests to an incarnation, and keep ranges whose runs may go on

Cause: an upstream's clock restarts with its process, so an old grant or request could be valid on the new clock; a run whose answer was not awaited could go on while its range moved; a shard removed and added again kept the incarnation of its authority machine; a range of an upstream that left the configuration was freed without regard to its lease. Change: calls carry the incarnation, and another one refuses them; a range stays with its owner until such a run has ended by its deadline; each machine has an incarnation of its own; the lease decides for upstreams that left.

--- a/api/headers.go
+++ b/api/headers.go
@@ -30,6 +30,7 @@
 	HeaderNonce = "Dandelionhill-Nonce"
 	// HeaderShed is "true" on an answer with which the upstream refuses a request before running it.
 	HeaderShed = "Dandelionhill-Shed"
-	// HeaderIncarnation carries the incarnation of the upstream on its answers.
+	// HeaderIncarnation carries the incarnation of the upstream: on requests, the
+	// one whose clock the deadline is on; on answers, the present one.
 	HeaderIncarnation = "Dandelionhill-Incarnation"
 )
--- a/fakes/upstream/http.go
+++ b/fakes/upstream/http.go
@@ -11,7 +11,10 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/lease"
 	"dandelionhill.dev/platform"
 	"dandelionhill.dev/platform/upstreamhttp"
 )
@@ -19,6 +22,10 @@
 // CrashMarker in the path of a request crashes every server that runs it.
 const CrashMarker = "crash-upstream"
 
+// errOtherIncarnation means that times of the call are on the clock of an
+// earlier incarnation.
+var errOtherIncarnation = errors.New("the call is for another incarnation of this server: take a new reading")
+
 // coldFactor is how much longer a run takes on a cold server.
 const coldFactor = 3
 
@@ -54,7 +61,10 @@
 	s.wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	err := s.guard.Grant(s.clock(), grant.Fence, time.Duration(grant.UntilMs)*time.Millisecond, ranges)
+	err := errOtherIncarnation
+	if grant.Incarnation == s.incarnation {
+		err = s.guard.Grant(s.clock(), grant.Fence, time.Duration(grant.UntilMs)*time.Millisecond, ranges)
+	}
 	result := platform.GrantResult{Accepted: err == nil, Health: s.report()}
 	if err != nil {
 		result.Reason = err.Error()
@@ -102,7 +112,7 @@
 	deadline := time.Duration(headerInt(r, api.HeaderDeadline)) * time.Millisecond
 	fence := api.Fence(headerInt(r, api.HeaderFence))
 	rng := int(headerInt(r, api.HeaderRange))
-	ctx, stop, reason := s.enter(r.Context(), fence, rng, deadline)
+	ctx, stop, reason := s.enter(r, fence, rng, deadline)
 	if reason != "" {
 		shed(w, reason)
 		return
@@ -121,7 +131,8 @@
 
 // enter checks the request, waits for a slot and returns the context of the
 // run. A reason means that the request was not run.
-func (s *Server) enter(ctx context.Context, fence api.Fence, rng int, deadline time.Duration) (context.Context, func(), string) {
+func (s *Server) enter(r *http.Request, fence api.Fence, rng int, deadline time.Duration) (context.Context, func(), string) {
+	ctx := r.Context()
 	s.mu.Lock()
 	if s.waiting >= s.cfg.Queue+s.cfg.Slots {
 		s.stats.Sheds++
@@ -146,7 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting--
-	if err := s.guard.Check(s.clock(), fence, rng, deadline); err != nil {
+	if err := s.check(r, fence, rng, deadline); err != nil {
 		s.stats.Refused++
 		<-slots
 		return nil, nil, err.Error()
@@ -162,6 +173,15 @@
 	}, ""
 }
 
+// check decides whether a request may start. A server that checks nothing does
+// not look at the incarnation either.
+func (s *Server) check(r *http.Request, fence api.Fence, rng int, deadline time.Duration) error {
+	if s.cfg.Checks != lease.ChecksNone && api.Incarnation(r.Header.Get(api.HeaderIncarnation)) != s.incarnation {
+		return errOtherIncarnation
+	}
+	return s.guard.Check(s.clock(), fence, rng, deadline)
+}
+
 // execute spends the service time. It reports whether the run completed.
 func (s *Server) execute(ctx context.Context, path string) bool {
 	if strings.Contains(path, CrashMarker) {
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -76,7 +76,8 @@
 	confirmed  time.Duration // until when the configuration is confirmed
 	started    time.Duration
 	leaving    bool
-	stored     bool // the last store call succeeded
+	machines   uint64 // authority machines made so far
+	stored     bool   // the last store call succeeded
 
 	nextHeartbeat, nextMaintain time.Duration
 	reading                     bool // a read of the store is in progress
--- a/server/control/shards.go
+++ b/server/control/shards.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -46,8 +47,11 @@
 			id := api.ShardID{Service: service.Name, Index: i}
 			wanted[id] = true
 			if c.shards[id] == nil {
+				// A shard that is removed and added again gets a new machine; answers to
+				// the old one must not count for it.
+				c.machines++
 				cfg := authority.DefaultConfig()
-				cfg.Incarnation = c.cfg.Incarnation
+				cfg.Incarnation = c.cfg.Incarnation + api.Incarnation("-"+strconv.FormatUint(c.machines, 10))
 				c.shards[id] = &shardState{id: id, machine: authority.New(c.cfg.Self.ID, id, cfg)}
 			}
 		}
--- a/server/holder/moves.go
+++ b/server/holder/moves.go
@@ -169,13 +169,16 @@
 func (s *Shard) free(now time.Duration, number int, touched map[*upstream]bool) bool {
 	r := s.ranges.at(number)
 	owner := s.ups[r.owner]
-	if r.owner == "" || owner == nil {
+	if r.owner == "" {
 		return true
 	}
+	if owner == nil { // it left the configuration under a former holder
+		return s.leases.Lapsed(now, r.owner)
+	}
 	if s.lost(now, owner) {
 		return s.releasable(now, owner)
 	}
-	if s.queue.RangeInFlight(number) > 0 {
+	if s.queue.RangeInFlight(number) > 0 || now < r.busyUntil {
 		return false
 	}
 	if !r.revoked {
--- a/server/holder/ownership.go
+++ b/server/holder/ownership.go
@@ -1,6 +1,8 @@
 package holder
 
 import (
+	"time"
+
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/config"
 )
@@ -18,8 +20,10 @@
 	// revoke the one that no longer does.
 	change, revoke uint64
 	revoked        bool
-	held           bool    // its requests wait in the queue
-	work           float64 // recent requests, decaying
+	held           bool // its requests wait in the queue
+	// busyUntil is until when a run whose end was not seen may go on.
+	busyUntil time.Duration
+	work      float64 // recent requests, decaying
 }
 
 // ownership holds the ranges of a shard and which assignments are safe.
@@ -44,6 +48,15 @@
 	return &o.ranges[i]
 }
 
+// settled notes that nothing runs on an upstream any longer.
+func (o *ownership) settled(up api.UpstreamID) {
+	for i := range o.ranges {
+		if o.ranges[i].owner == up {
+			o.ranges[i].busyUntil = 0
+		}
+	}
+}
+
 // grantable lists the ranges that an upstream may be granted now.
 func (o *ownership) grantable(up api.UpstreamID) []int {
 	var out []int
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/config"
 	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/dispatch"
+	"dandelionhill.dev/core/lease"
 	"dandelionhill.dev/platform"
 )
 
@@ -43,7 +46,7 @@
 	req := platform.Request{
 		Service: s.cfg.ID.Service, Method: r.forward.Method, Path: r.forward.Path, Body: r.forward.Body,
 		Key: r.forward.Key, RequestID: r.forward.RequestID, Range: r.forward.Range,
-		Fence: s.cfg.Fence, DeadlineMs: deadline.Milliseconds(),
+		Fence: s.cfg.Fence, Incarnation: up.incarnation, DeadlineMs: deadline.Milliseconds(),
 	}
 	go func() {
 		resp, err := up.client.Send(ctx, req)
@@ -130,6 +133,7 @@
 		s.evidence.Ended(now, r.fingerprint)
 		s.retryOrEnd(r, api.Refuse(api.NoOwner, "the upstream could not be reached").After(retryHint))
 	default:
+		s.mayStillRun(r, current)
 		s.broken(now, r, up, failure, cancelled)
 		s.retryOrEnd(r, s.failed(cancelled, err))
 	}
@@ -137,6 +141,23 @@
 	s.pump(now)
 }
 
+// mayStillRun keeps the range of a run whose end was not seen with its owner
+// until the run has surely ended: its deadline was not later than the lease at
+// its start. An upstream that checks nothing may run on for any time, so its
+// range stays until the upstream restarts.
+func (s *Shard) mayStillRun(r *request, current *run) {
+	state := s.ranges.at(r.forward.Range)
+	if state == nil || !s.service.Keyed || state.owner != current.up.id {
+		return
+	}
+	cfg := lease.DefaultConfig()
+	end := current.started + time.Duration(float64(cfg.Duration)*(1+cfg.Drift))
+	if s.service.UpstreamChecks == config.ChecksNone {
+		end = math.MaxInt64
+	}
+	state.busyUntil = max(state.busyUntil, end)
+}
+
 // failed is the refusal for a call whose effect is unknown.
 func (s *Shard) failed(cancelled bool, err error) *api.Refusal {
 	if cancelled {
--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -137,8 +137,10 @@
 	return platform.Grant{
 		Service: s.cfg.ID.Service,
 		Fence:   s.cfg.Fence,
-		UntilMs: until.Milliseconds(),
-		Ranges:  spans(s.ranges.grantable(up.id)),
+
+		Incarnation: up.incarnation,
+		UntilMs:     until.Milliseconds(),
+		Ranges:      spans(s.ranges.grantable(up.id)),
 	}, up.wanted, true
 }
 
@@ -170,6 +172,7 @@
 		ReceivedAt:  now,
 	})
 	if restarted {
+		s.ranges.settled(up.id)
 		up.ramp.Restart(now)
 		up.granted = 0
 		up.drainSet = false
