entry: wait for the next holder during a takeover

Cause: after the loss of an entry VM the routes name the dead holder until another VM claims the shard (about 1 s). A request that could not be sent to it used its two retries within 60 ms and was refused (not_holder).

Change: a not-run request with kind not_holder or no_holder polls the routes every 20 ms inside its deadline; at most 1,024 wait on one VM. A holder that itself refused is asked again after one heartbeat interval. An idempotent request whose connection to the holder broke is forwarded once more. A request that may not be repeated waits at most 300 ms: after an unplanned takeover its ID is unknown to the new holder and it would end unknown (forgotten_id) instead of not run.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -219,7 +219,9 @@
 		if err != nil {
 			return false
 		}
-		req.Header.Set(api.HeaderKey, fmt.Sprintf("probe-%d", i))
+		if s.Keyed { // an unkeyed service may run hedged copies, which have no owner
+			req.Header.Set(api.HeaderKey, fmt.Sprintf("probe-%d", i))
+		}
 		resp, err := vm.cluster.client().Do(req)
 		if err != nil {
 			return false
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -55,6 +55,7 @@
 	cfg      Config
 	stopping atomic.Bool
 	running  sync.WaitGroup
+	waiting  atomic.Int64 // requests that wait for a holder
 
 	mu      sync.Mutex
 	retries map[api.ServiceName]*retry.Budget
--- a/server/entry/forward.go
+++ b/server/entry/forward.go
@@ -9,34 +9,108 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
 	"dandelionhill.dev/core/retry"
+	"dandelionhill.dev/server/control"
 	"dandelionhill.dev/server/peer"
 )
 
-// holderWait is how often a request looks again for the holder of its shard.
-const holderWait = 20 * time.Millisecond
+const (
+	// holderWait is how often a waiting request looks again for the holder of
+	// its shard.
+	holderWait = 20 * time.Millisecond
+	// sameHolderWait is the time after which a holder that refused a request is
+	// asked again although no other VM has claimed the shard: one heartbeat
+	// interval, in which a claim would have arrived.
+	sameHolderWait = 200 * time.Millisecond
+	// unrepeatableWait bounds the wait of a request that may not be repeated. It
+	// is enough for a planned handover, which passes the memory of request IDs
+	// on. After an unplanned takeover the new holder does not know IDs from
+	// before it: the request would end unknown instead of not run.
+	unrepeatableWait = 300 * time.Millisecond
+	// maxWaiting bounds the requests that wait at one VM for a holder. Each
+	// keeps a body of at most 1 MiB in memory.
+	maxWaiting = 1024
+)
+
+// attempt is the result of forwarding a request once.
+type attempt struct {
+	reply  *wire.Reply
+	target control.Holder // empty if no holder was known
+	sent   bool           // the frame was given to the target's connection
+	lost   bool           // the connection broke before the reply
+}
 
 // run forwards a request to the holder of its shard until it has an outcome.
 func (e *Entry) run(ctx context.Context, name api.ServiceName, f *wire.Forward) *wire.Reply {
-	deadline := e.cfg.Clock() + time.Duration(f.TimeoutMs)*time.Millisecond
+	start := e.cfg.Clock()
+	deadline := start + time.Duration(f.TimeoutMs)*time.Millisecond
 	e.earn(name)
+	lost := false
 	for number := 1; ; number++ {
 		f.TimeoutMs = max(1, (deadline - e.cfg.Clock()).Milliseconds())
-		reply := e.forward(ctx, f)
-		if reply.Refusal == nil {
-			return reply
+		last := e.forward(ctx, f)
+		if last.reply.Refusal == nil {
+			return last.reply
+		}
+		waitUntil := deadline
+		switch {
+		case last.lost && f.Idempotent && !lost:
+			lost = true
+		case last.reply.Refusal.Outcome == api.NotRun && isHolderKind(last.reply.Refusal.Kind):
+			if !f.Idempotent {
+				waitUntil = min(deadline, start+unrepeatableWait)
+			}
+		default:
+			delay, again := e.again(name, f, last.reply, number, deadline)
+			if !again || !sleep(ctx, delay) {
+				return last.reply
+			}
+			continue
 		}
-		delay, again := e.again(name, f, reply, number, deadline)
-		if !again {
-			return reply
+		if !e.awaitHolder(ctx, f.Shard, last, waitUntil) {
+			return last.reply
+		}
+	}
+}
+
+// isHolderKind reports whether a refusal ends when the shard has a new holder.
+func isHolderKind(kind api.Kind) bool { return kind == api.NotHolder || kind == api.NoHolder }
+
+// awaitHolder waits until the holder of a shard may accept what the last
+// attempt could not deliver. It returns false if that does not happen before
+// until, or if too many requests wait already. Waiting sends nothing, so it
+// takes nothing from the retry budget.
+func (e *Entry) awaitHolder(ctx context.Context, shard api.ShardID, last attempt, until time.Duration) bool {
+	if e.waiting.Add(1) > maxWaiting {
+		e.waiting.Add(-1)
+		return false
+	}
+	defer e.waiting.Add(-1)
+	askAgain := e.cfg.Clock()
+	if last.sent {
+		askAgain += sameHolderWait
+	}
+	for {
+		if e.cfg.Clock()+holderWait >= until || !sleep(ctx, holderWait) {
+			return false
 		}
-		select {
-		case <-time.After(delay):
-		case <-ctx.Done():
-			return reply
+		target, known := e.cfg.Snapshot().Holders[shard]
+		if known && (target != last.target || e.cfg.Clock() >= askAgain) {
+			return true
 		}
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // again decides whether the entry forwards a refused request once more.
 func (e *Entry) again(name api.ServiceName, f *wire.Forward, reply *wire.Reply, number int, deadline time.Duration) (time.Duration, bool) {
 	e.mu.Lock()
@@ -66,26 +140,26 @@
 }
 
 // forward makes one attempt.
-func (e *Entry) forward(ctx context.Context, f *wire.Forward) *wire.Reply {
+func (e *Entry) forward(ctx context.Context, f *wire.Forward) attempt {
 	s := e.cfg.Snapshot()
 	target, known := s.Holders[f.Shard]
 	if !known {
-		return refusal(api.Refuse(api.NoHolder, "shard "+f.Shard.String()+" has no holder at the moment").After(retryHolder))
+		return attempt{reply: refusal(api.Refuse(api.NoHolder, "shard "+f.Shard.String()+" has no holder at the moment").After(retryHolder))}
 	}
 	if target.VM == e.cfg.Self {
-		return e.Local(ctx, f)
+		return attempt{reply: e.Local(ctx, f), target: target, sent: true}
 	}
 	reply := new(wire.Reply)
 	err := e.cfg.Forward.Call(ctx, target.VM, wire.TypeForward, f, reply)
 	switch {
 	case err == nil:
-		return reply
+		return attempt{reply: reply, target: target, sent: true}
 	case errors.Is(err, peer.ErrNotSent):
-		return refusal(api.Refuse(api.NotHolder, err.Error()).After(holderWait))
+		return attempt{reply: refusal(api.Refuse(api.NotHolder, err.Error()).After(retryHolder)), target: target}
 	case ctx.Err() != nil:
-		return refusal(api.Refuse(api.UpstreamTimeout, "the holder of the shard did not answer in time"))
+		return attempt{reply: refusal(api.Refuse(api.UpstreamTimeout, "the holder of the shard did not answer in time")), target: target, sent: true}
 	default:
-		return refusal(api.Refuse(api.UpstreamFailed, err.Error()))
+		return attempt{reply: refusal(api.Refuse(api.UpstreamFailed, err.Error())), target: target, sent: true, lost: true}
 	}
 }
 
--- /dev/null
+++ b/server/entry/forward_test.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/server/control"
+	"dandelionhill.dev/server/metrics"
+	"dandelionhill.dev/server/peer"
+)
+
+var testShard = api.ShardID{Service: "s"}
+
+// stub answers calls by VM and counts them.
+type stub struct {
+	calls   atomic.Int64
+	answers map[api.VMID]func(out *wire.Reply) error
+}
+
+func (s *stub) Call(_ context.Context, to api.VMID, _ wire.Type, _, out any) error {
+	s.calls.Add(1)
+	return s.answers[to](out.(*wire.Reply))
+}
+
+func newTestEntry(forward Forwarder, snapshot func() *control.Snapshot) *Entry {
+	start := time.Now()
+	return New(Config{
+		Self: "self", Snapshot: snapshot, Forward: forward,
+		Clock: func() time.Duration { return time.Since(start) }, Metrics: metrics.New(), Log: zerolog.Nop(),
+	})
+}
+
+func holders(vm api.VMID, ballot uint64) *control.Snapshot {
+	return &control.Snapshot{Holders: map[api.ShardID]control.Holder{testShard: {VM: vm, Fence: api.NewFence(1, ballot)}}}
+}
+
+func notSent(*wire.Reply) error { return errors.Wrap(peer.ErrNotSent, "old") }
+
+func lostReply(*wire.Reply) error { return errors.Wrap(peer.ErrLost, "old") }
+
+func answered(out *wire.Reply) error {
+	*out = wire.Reply{Status: 200, Body: []byte("ok")}
+	return nil
+}
+
+// Guards against refusals during a takeover: a request that cannot reach the
+// former holder waits for the next one and gets its answer.
+func TestRequestWaitsForTheNewHolder(t *testing.T) {
+	for name, old := range map[string]func(*wire.Reply) error{"not sent": notSent, "lost": lostReply} {
+		t.Run(name, func(t *testing.T) {
+			var current atomic.Pointer[control.Snapshot]
+			current.Store(holders("old", 1))
+			s := &stub{answers: map[api.VMID]func(*wire.Reply) error{
+				"old": func(out *wire.Reply) error {
+					time.AfterFunc(50*time.Millisecond, func() { current.Store(holders("new", 2)) })
+					return old(out)
+				},
+				"new": answered,
+			}}
+			e := newTestEntry(s, current.Load)
+			reply := e.run(t.Context(), "s", &wire.Forward{Shard: testShard, Idempotent: true, TimeoutMs: 30_000})
+			require.Nil(t, reply.Refusal)
+			require.Zero(t, e.waiting.Load())
+		})
+	}
+}
+
+// Guards against a second run: a request that may not be repeated is not sent
+// again after its connection broke.
+func TestLostUnrepeatableRequestIsUnknown(t *testing.T) {
+	s := &stub{answers: map[api.VMID]func(*wire.Reply) error{"old": lostReply}}
+	e := newTestEntry(s, func() *control.Snapshot { return holders("old", 1) })
+	reply := e.run(t.Context(), "s", &wire.Forward{Shard: testShard, RequestID: "id", TimeoutMs: 30_000})
+	require.Equal(t, api.Unknown, reply.Refusal.Outcome)
+	require.EqualValues(t, 1, s.calls.Load())
+}
+
+// Guards against unbounded memory: only so many requests wait at once, and
+// the others are refused as not run at once.
+func TestWaitingIsBounded(t *testing.T) {
+	s := &stub{answers: map[api.VMID]func(*wire.Reply) error{"old": notSent}}
+	e := newTestEntry(s, func() *control.Snapshot { return holders("old", 1) })
+	e.waiting.Store(maxWaiting)
+	reply := e.run(t.Context(), "s", &wire.Forward{Shard: testShard, Idempotent: true, TimeoutMs: 30_000})
+	require.Equal(t, api.NotHolder, reply.Refusal.Kind)
+	require.Equal(t, api.NotRun, reply.Refusal.Outcome)
+	require.EqualValues(t, 1, s.calls.Load())
+	require.EqualValues(t, maxWaiting, e.waiting.Load())
+}
