holder: queue a request again when its upstream accepts no connection

Cause: after the crash of an upstream every request for its keys was refused (no_owner) for about 600 ms: the lease still allowed sending, and a refused connection ended the request although nothing had run.

Change: an upstream that refuses a connection gets no requests until it answers a later control call; the request returns to the queue, where it waits for the upstream or the move of its range (at most 8 times).

--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -128,7 +128,7 @@
 		s.answered(now, r, current, resp, took)
 	case errors.As(err, &failure) && failure.Outcome == api.NotRun:
 		s.evidence.Ended(now, r.fingerprint)
-		s.retryOrEnd(r, api.Refuse(api.NoOwner, "the upstream could not be reached").After(retryHint))
+		s.unreached(now, r, up, cancelled)
 	default:
 		s.broken(now, r, up, failure, cancelled)
 		s.retryOrEnd(r, s.failed(cancelled, err))
@@ -137,6 +137,35 @@
 	s.pump(now)
 }
 
+const (
+	// unreachedWait is the delay before a request is queued again whose upstream
+	// accepted no connection. Its range moves after at most one lease.
+	unreachedWait = 20 * time.Millisecond
+	// maxUnreached bounds the calls of one request that end this way.
+	maxUnreached = 8
+)
+
+// unreached handles a call for which no connection could be made, so that
+// nothing ran. The upstream gets no more requests until it answers a control
+// call, and the request goes back to the queue, where it waits for the upstream
+// or for the move of its range.
+func (s *Shard) unreached(now time.Duration, r *request, up *upstream, cancelled bool) {
+	if !cancelled {
+		up.refuses, up.refusesSince = true, now
+		up.poke()
+	}
+	if r.finished || len(r.runs) > 0 {
+		return
+	}
+	r.attempts-- // nothing was sent, so the call is no retry
+	r.unreached++
+	if cancelled || s.closed || s.frozen || r.unreached >= maxUnreached {
+		s.finish(r, refusal(api.Refuse(api.NoOwner, "the upstream could not be reached").After(retryHint)))
+		return
+	}
+	s.later(r, unreachedWait, func(now time.Duration) { s.enqueue(now, r) })
+}
+
 // failed is the refusal for a call whose effect is unknown.
 func (s *Shard) failed(cancelled bool, err error) *api.Refusal {
 	if cancelled {
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -22,6 +22,7 @@
 	reply       chan *wire.Reply
 	finished    bool
 	attempts    int
+	unreached   int // calls for which no connection could be made
 	hedged      bool
 	runs        map[api.UpstreamID]*run
 	timers      []*time.Timer
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -251,7 +251,7 @@
 
 // maySend reports whether requests may go to an upstream now.
 func (s *Shard) maySend(now time.Duration, up *upstream) bool {
-	return !s.closed && now < s.authority && !up.state.unavailable() && s.leases.MaySend(now, up.id)
+	return !s.closed && now < s.authority && !up.state.unavailable() && !up.refuses && s.leases.MaySend(now, up.id)
 }
 
 // Close refuses what is queued and stops the sessions. Requests that run keep
--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -30,6 +30,12 @@
 	state       upstreamState
 	running     map[uint64]*request
 
+	// refuses means that a request found, at refusesSince, that the upstream accepts no
+	// connection. It gets no requests until it answers a control call that was
+	// sent later.
+	refuses      bool
+	refusesSince time.Duration
+
 	wanted   uint64 // the number of the newest change of its ranges
 	granted  uint64 // the newest change that it has acknowledged
 	drainSet bool   // it has acknowledged a drain
@@ -177,6 +183,9 @@
 			Str("incarnation", string(health.Incarnation)).Msg("")
 	}
 	up.answered, up.lastAnswer, up.incarnation = true, now, health.Incarnation
+	if sentAt > up.refusesSince {
+		up.refuses = false
+	}
 	up.state.draining = health.Draining && !up.drainSet
 	up.ramp.Report(now, health.Load)
 	return first
