--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -193,10 +193,13 @@
 	}
 }
 
-// WaitServing waits until every shard has a holder and every VM is ready, by
+// WaitServing waits until every shard has a holder and every running VM is ready, by
 // asking each service through each VM.
 func (c *Cluster) WaitServing(ctx context.Context) error {
 	for _, vm := range c.VMs {
+		if !vm.Running() {
+			continue
+		}
 		for _, s := range c.Document.Services {
 			for !vm.servesAll(ctx, s) {
 				select {
@@ -234,6 +237,17 @@
 	return true
 }
 
+// Entries lists the VMs that the platform's balancer uses.
+func (c *Cluster) Entries() []string {
+	var out []string
+	for _, vm := range c.VMs {
+		if vm.Serving() {
+			out = append(out, "http://"+vm.Settings.Listen.Callers)
+		}
+	}
+	return out
+}
+
 func (c *Cluster) client() *http.Client { return http.DefaultClient }
 
 // Stop ends everything at once and removes the settings files.
--- a/bench/cluster/vm.go
+++ b/bench/cluster/vm.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,7 @@
 	process *exec.Cmd
 	logFile *os.File
 	exited  chan error
+	serving atomic.Bool // the platform's balancer sends callers here
 }
 
 // URL returns the address of a path of a service at this VM.
@@ -45,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	defer vm.serving.Store(true)
 	if vm.cluster.options.Binary != "" {
 		return vm.startProcess()
 	}
@@ -91,6 +94,7 @@
 
 // Kill ends the VM at once, as a crash would.
 func (vm *VM) Kill() {
+	vm.serving.Store(false)
 	switch {
 	case vm.process != nil:
 		vm.process.Process.Kill()
@@ -106,6 +110,10 @@
 	}
 }
 
+// Serving reports whether the platform's balancer sends callers to the VM. It
+// may be called at any time.
+func (vm *VM) Serving() bool { return vm.serving.Load() }
+
 // Running reports whether the VM has been started and not killed or stopped.
 func (vm *VM) Running() bool { return vm.process != nil || vm.daemon != nil }
 
@@ -124,8 +132,15 @@
 // stopLimit bounds a graceful stop beyond the VM's own bound.
 const stopLimit = 15 * time.Second
 
+// balancerLag is the time in which the platform's balancer finds out that a VM
+// is not ready any longer. It is half of the time for which a stopping VM goes
+// on accepting callers.
+const balancerLag = time.Second
+
 // Stop stops the VM gracefully and waits for it.
 func (vm *VM) Stop(ctx context.Context) error {
+	defer time.AfterFunc(balancerLag, func() { vm.serving.Store(false) }).Stop()
+	defer vm.serving.Store(false)
 	if vm.daemon != nil {
 		err := vm.daemon.Stop(ctx)
 		vm.daemon = nil
--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -125,7 +125,7 @@
 
 func (d *demo) load() load.Options {
 	o := load.Options{
-		Entries: d.entries, Keys: 500, Zipf: 1.2, Rate: d.rate, Workers: 200,
+		Entries: d.cluster.Entries, Keys: 500, Zipf: 1.2, Rate: d.rate, Workers: 200,
 		Timeout: 2 * time.Second, Resend: 3, Seed: d.seed,
 	}
 	for _, s := range d.cluster.Document.Services {
@@ -134,18 +134,6 @@
 	return o
 }
 
-// entries lists the VMs as the platform's balancer would: a killed VM is found
-// out by its failed health check.
-func (d *demo) entries() []string {
-	var out []string
-	for _, vm := range d.cluster.VMs {
-		if vm.Running() {
-			out = append(out, "http://"+vm.Settings.Listen.Callers)
-		}
-	}
-	return out
-}
-
 func (d *demo) steps() []step {
 	domain := d.cluster.Document.FailureDomains[1].Name
 	change := func(id string, kind config.ChangeKind, name string) func(context.Context) error {
--- a/bench/history/history.go
+++ b/bench/history/history.go
@@ -18,6 +18,7 @@
 type Log struct {
 	mu   sync.Mutex
 	runs []*upstream.Run
+	open int
 }
 
 // Started implements upstream.Recorder.
@@ -25,6 +26,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs = append(l.runs, run)
+	l.open++
 }
 
 // Ended implements upstream.Recorder. The run is already in the log; the lock
@@ -32,6 +34,14 @@
 func (l *Log) Ended(*upstream.Run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.open--
+}
+
+// Open returns the number of runs in progress.
+func (l *Log) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
 }
 
 // Runs returns the runs so far. Call it when no run is in progress.
