--- /dev/null
+++ b/core/membership/property_test.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"dandelionhill.dev/api"
+)
+
+// TestMain fixes the seed of the property tests, so that every run gives the
+// same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "500"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// record is what the property test remembers about a VM.
+type record struct {
+	incarnation api.Incarnation
+	heard       time.Duration
+	everHeard   bool
+	listedGone  bool
+	goneAs      map[api.Incarnation]bool
+	streak      int // heartbeats with gaps below two intervals
+}
+
+// Guards against states that contradict what was heard and listed, in any order
+// of heartbeats, restarts and list readings.
+func TestPropertyStatesFollowFromEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := []api.VMID{"b", "c", "d", "e"}
+		cfg := DefaultConfig()
+		table := New("a", cfg, vms)
+		seen := map[api.VMID]*record{}
+		for _, vm := range vms {
+			seen[vm] = &record{incarnation: "x", goneAs: map[api.Incarnation]bool{}}
+		}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 120).Draw(t, "events") {
+			now += time.Duration(rapid.SampledFrom([]int{0, 50, 100, 200, 400, 900, 3000}).Draw(t, "ms")) * time.Millisecond
+			vm := rapid.SampledFrom(vms).Draw(t, "vm")
+			r := seen[vm]
+			switch rapid.SampledFrom([]string{"heard", "heard", "heard", "heard", "restart", "list", "tick"}).Draw(t, "event") {
+			case "restart":
+				r.incarnation += "x"
+				r.streak = 0
+				fallthrough
+			case "heard":
+				if r.everHeard && now-r.heard >= 2*cfg.HeartbeatEvery {
+					r.streak = 0
+				}
+				r.streak++
+				r.heard, r.everHeard = now, true
+				table.Heard(now, Heartbeat{From: vm, Incarnation: r.incarnation, Hears: vms[:rapid.IntRange(0, 4).Draw(t, "hears")]})
+				require.Equal(t, r.incarnation, table.Incarnation(vm))
+				if r.streak >= cfg.RecoverAfter && !table.Gone(vm) {
+					require.Equal(t, Alive, table.State(vm), "after %d consecutive heartbeats", r.streak)
+				}
+			case "list":
+				state := rapid.SampledFrom([]ListState{ListLive, ListGone}).Draw(t, "listed")
+				r.listedGone = r.listedGone || state == ListGone
+				table.Listed(now, map[api.VMID]ListState{vm: state})
+			}
+			if rapid.Bool().Draw(t, "update") {
+				for _, c := range table.Tick(now) {
+					require.NotEqual(t, c.From, c.To)
+					require.Equal(t, c.To, table.State(c.VM))
+				}
+				checkStates(t, table, now, cfg, seen)
+			}
+		}
+	})
+}
+
+func checkStates(t *rapid.T, table *Table, now time.Duration, cfg Config, seen map[api.VMID]*record) {
+	known, heard := 1, 1
+	hears := table.Hears(now)
+	require.True(t, slices.IsSorted(hears))
+	for vm, r := range seen {
+		if table.Gone(vm) {
+			require.True(t, r.listedGone, "%s was never listed as gone", vm)
+			require.Equal(t, Dead, table.State(vm))
+			require.NotContains(t, hears, vm)
+			if r.everHeard { // else the report is about an unknown incarnation
+				r.goneAs[r.incarnation] = true
+			}
+			continue
+		}
+		require.False(t, r.everHeard && r.goneAs[r.incarnation], "%s came back as the same incarnation", vm)
+		known++
+		fresh := r.everHeard && now-r.heard < cfg.SuspectAfter
+		require.Equal(t, fresh, slices.Contains(hears, vm))
+		if fresh {
+			heard++
+		}
+		switch state := table.State(vm); state {
+		case Alive:
+			require.True(t, fresh)
+		case Dead:
+			require.GreaterOrEqual(t, now-r.heard, cfg.DeadAfter)
+		case Unreachable:
+			require.False(t, fresh)
+		default:
+			require.Equal(t, Suspect, state)
+			require.Less(t, now-r.heard, cfg.DeadAfter)
+		}
+	}
+	require.Equal(t, 2*heard > known, table.Majority(now))
+}
