Check that the seconds of a short jump do not count

Change: a load that rises for good right after a 9 s jump moves ranges 10 s after the jump, not 1 s after it. Measured: go test ./core/placement passes, and fails with the timer left running.

--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -130,7 +130,7 @@
 // measured ten times too high for 9 s and slightly above the threshold by noise
 // after that. A lasting jump must still move ranges after 10 s.
 func TestShortJumpMovesNothing(t *testing.T) {
-	run := func(jump time.Duration) (first time.Duration, moves int) {
+	run := func(jump time.Duration, level float64, until time.Duration) (first time.Duration, moves int) {
 		in := testInput(100, fleet(4, 4))
 		var p Planner
 		apply(in, p.Plan(0, in, DefaultPolicy()))
@@ -142,8 +142,8 @@
 				case owner != "u00":
 				case now >= 10*time.Second && now < 10*time.Second+jump:
 					in.Load[r] = 10
-				case now > 10*time.Second && now < 23*time.Second:
-					in.Load[r] = 1.22 // 1.156 of the mean
+				case now > 10*time.Second && now < until:
+					in.Load[r] = level
 				default:
 					in.Load[r] = 1.19 // 1.136 of the mean
 				}
@@ -157,11 +157,13 @@
 		}
 		return first, moves
 	}
-	_, moves := run(9 * time.Second)
+	const slightlyAbove, clearlyAbove = 1.22, 1.36 // 1.156 and 1.25 of the mean
+	_, moves := run(9*time.Second, slightlyAbove, 23*time.Second)
 	require.Zero(t, moves)
-	first, moves := run(20 * time.Second)
-	require.NotZero(t, moves)
+	first, _ := run(20*time.Second, slightlyAbove, 23*time.Second)
 	require.Equal(t, 20*time.Second, first)
+	first, _ = run(9*time.Second, clearlyAbove, time.Minute)
+	require.Equal(t, 29*time.Second, first, "the 9 s of the jump do not count")
 }
 
 // Guards against results that depend on the order of maps or slices.
