Give each shard its own numbers for ranges of hot keys

Cause: the holders of a service's shards decide on hot keys independently and would have given one number to different keys. Change: shard i of n uses the numbers Ranges+i, Ranges+i+n and so on. Measured: go test ./core/placement passes; three shards with three hot keys each use nine numbers.

--- a/core/placement/hotkeys.go
+++ b/core/placement/hotkeys.go
@@ -11,6 +11,9 @@
 	// Ranges is the number of ordinary ranges of the service. Ranges of hot
 	// keys are numbered from there upwards.
 	Ranges int
+	// Shard and Shards let every shard decide on its own: shard i of n uses the
+	// numbers Ranges+i, Ranges+i+n and so on. Zero values mean a single shard.
+	Shard, Shards int
 	// SplitShare is the share of its upstream's capacity above which a key is
 	// hot (hot_key_share).
 	SplitShare float64
@@ -59,7 +62,7 @@
 	cfg  HotKeyConfig
 	hot  map[string]*hotKey
 	rise map[string]time.Duration // candidates and since when they are above SplitShare
-	// ids has the state of each number from cfg.Ranges upwards.
+	// ids has the state of each number that the shard may use, in rising order.
 	ids []hotRange
 }
 
@@ -81,14 +84,15 @@
 }
 
 // Restore takes over the hot keys of an earlier holder, with their ranges.
-// Entries that name an ordinary range are ignored.
+// Entries that name an ordinary range or one of another shard are ignored.
 func (h *HotKeys) Restore(now time.Duration, ranges map[string]int) {
 	for key, id := range ranges {
-		if id < h.cfg.Ranges {
+		i := h.position(id)
+		if i < 0 {
 			continue
 		}
 		h.hot[key] = &hotKey{id: id, quiet: true, quietFor: now}
-		h.slot(id).used = true
+		h.slot(i).used = true
 	}
 }
 
@@ -133,7 +137,7 @@
 	slices.SortFunc(changes, func(x, y HotKeyChange) int { return cmp.Compare(x.Range, y.Range) })
 	for _, c := range changes {
 		delete(h.hot, c.Key)
-		*h.slot(c.Range) = hotRange{freed: now}
+		*h.slot(h.position(c.Range)) = hotRange{freed: now}
 	}
 	return changes
 }
@@ -173,18 +177,31 @@
 	for i := range h.ids {
 		if s := &h.ids[i]; !s.used && (s.fresh || now-s.freed >= h.cfg.ReuseAfter) {
 			s.used = true
-			return h.cfg.Ranges + i, true
+			return h.number(i), true
 		}
 	}
-	id := h.cfg.Ranges + len(h.ids)
-	h.slot(id).used = true
-	return id, true
+	i := len(h.ids)
+	h.slot(i).used = true
+	return h.number(i), true
 }
 
-// slot returns the state of a range number, adding unused numbers before it.
-func (h *HotKeys) slot(id int) *hotRange {
-	for len(h.ids) <= id-h.cfg.Ranges {
+// number returns the range number at a position of ids.
+func (h *HotKeys) number(i int) int { return h.cfg.Ranges + h.cfg.Shard + i*max(h.cfg.Shards, 1) }
+
+// position returns the position of a range number in ids, or -1 if it is not one
+// of this shard's.
+func (h *HotKeys) position(id int) int {
+	offset, step := id-h.cfg.Ranges-h.cfg.Shard, max(h.cfg.Shards, 1)
+	if offset < 0 || offset%step != 0 {
+		return -1
+	}
+	return offset / step
+}
+
+// slot returns the state at a position, adding unused numbers before it.
+func (h *HotKeys) slot(i int) *hotRange {
+	for len(h.ids) <= i {
 		h.ids = append(h.ids, hotRange{fresh: true})
 	}
-	return &h.ids[id-h.cfg.Ranges]
+	return &h.ids[i]
 }
--- a/core/placement/layout_test.go
+++ b/core/placement/layout_test.go
@@ -80,6 +80,24 @@
 	require.Equal(t, map[string]int{"late": 101, "third": 102}, h.Ranges())
 }
 
+// Guards against two shards that give one range number to different keys.
+func TestHotKeysOfShardsUseDifferentRanges(t *testing.T) {
+	owner := map[int]int{}
+	for shard := range 3 {
+		h := NewHotKeys(HotKeyConfig{Ranges: 100, Shard: shard, Shards: 3, SplitShare: 0.1, Max: 4})
+		h.Restore(0, map[string]int{"kept": 103 + shard, "foreign": 104 + shard, "ordinary": shard})
+		for _, c := range h.Observe(0, []KeyLoad{{Key: "kept", Share: 1}, {Key: "a", Share: 1}, {Key: "b", Share: 1}}) {
+			require.True(t, c.Split)
+		}
+		require.Len(t, h.Ranges(), 3)
+		for _, id := range h.Ranges() {
+			require.Equal(t, shard, (id-100)%3)
+			owner[id]++
+		}
+	}
+	require.Len(t, owner, 9)
+}
+
 // Guards against a preset that promises a reserve it does not have.
 func TestFitsWithoutLargestDomain(t *testing.T) {
 	ups := fleet(5, 2) // 30 and 20
