Measure crashes by one request and runs beyond the first

A blind repeat shows duplicates. Callers must not take a refusal of a resend without a holder for a statement about the ID.

--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -41,3 +41,17 @@
 		t.Run(m.Name+"/"+strings.TrimSpace(strings.Split(m.Note, ";")[1]), func(t *testing.T) { checkBounds(t, true, []metric.Metric{m}) })
 	}
 }
+
+// TestCrash guards against one request that crashes upstream after upstream.
+func TestCrash(t *testing.T) {
+	checkBounds(t, true, Crash(seed))
+	crashes, _, _ := crashRun(seed, false)
+	require.Greater(t, crashes, 2, "the measurement must show the crashes that the evidence prevents")
+}
+
+// TestDuplicates guards against second runs under resends and lost memories.
+func TestDuplicates(t *testing.T) {
+	checkBounds(t, true, Duplicates(seed))
+	duplicates, _, _, _ := runOrders(seed, true).count()
+	require.Positive(t, duplicates, "the count must show the runs of a blind repeat")
+}
--- a/bench/policy/shard.go
+++ b/bench/policy/shard.go
@@ -36,6 +36,7 @@
 
 	id     uint64
 	sentAt time.Duration
+	job    *job
 }
 
 // result is how a call ended.
@@ -58,6 +59,8 @@
 	last  uint64
 	// flying lists the calls in flight per upstream, in the order of their starts.
 	flying map[api.UpstreamID][]uint64
+	// dead is a holder that was lost: it does nothing more.
+	dead bool
 	// beforeSend may take a start back; see crash.go.
 	beforeSend func(c *call) bool
 	// afterEnd is called for each end of a run, before the caller learns of it.
@@ -130,10 +133,15 @@
 	}
 	sentAt := sh.e.now
 	sh.flying[s.Upstream] = append(sh.flying[s.Upstream], s.ID)
-	sh.byID[s.Upstream].send(&job{
+	c.job = &job{
 		service: c.service, poison: c.poison, ran: c.ran,
-		reply: func(r reply) { sh.reply(s, r, sh.e.now-sentAt) },
-	})
+		reply: func(r reply) {
+			if !sh.dead {
+				sh.reply(s, r, sh.e.now-sentAt)
+			}
+		},
+	}
+	sh.byID[s.Upstream].send(c.job)
 }
 
 func (sh *shard) reply(s dispatch.Start, r reply, took time.Duration) {
--- a/bench/policy/upstream.go
+++ b/bench/policy/upstream.go
@@ -21,6 +21,7 @@
 	poison  bool
 	ran     func() // called when the run takes effect
 	reply   func(reply)
+	lost    bool // in flight when its upstream crashed
 }
 
 // coldness says how an upstream recovers from a cold start. What it bears, in
@@ -149,6 +150,9 @@
 		lost = append(lost, j)
 	}
 	u.waiting, u.running = nil, map[*job]bool{}
+	for _, j := range lost {
+		j.lost = true
+	}
 	for _, j := range lost {
 		u.e.after(rtt/2, func() { j.reply(broken) })
 	}
