--- /dev/null
+++ b/core/dedup/bench_test.go
@@ -0,0 +1,45 @@
+package dedup_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/dedup"
+)
+
+// BenchmarkRemember measures Begin and Finish, and the bytes per remembered ID
+// with answers without a body.
+func BenchmarkRemember(b *testing.B) {
+	for _, size := range []int{1_000, 10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprint("ids=", size), func(b *testing.B) {
+			now := start.Add(1e9)
+			ids := make([]string, size)
+			for i := range ids {
+				ids[i] = newID(now, uint64(i))
+			}
+			answer := &dedup.Answer{Status: 200}
+			var before, after runtime.MemStats
+			for b.Loop() {
+				b.StopTimer()
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				b.StartTimer()
+				m := dedup.New(dedup.Config{}, start)
+				for _, id := range ids {
+					if d := m.Begin(now, id); d.Action != dedup.Run {
+						b.Fatal(d)
+					}
+					m.Finish(now, id, dedup.End{Outcome: api.Answered, Answer: answer})
+				}
+				b.StopTimer()
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(m.Len()), "B/id")
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(size), "ns/id")
+		})
+	}
+}
