--- a/core/straggler/detector_test.go
+++ b/core/straggler/detector_test.go
@@ -66,15 +66,21 @@
 // states. The tolerance is four standard errors of the two simulations.
 func TestDefaultSettingsHaveTheirAverageRunLength(t *testing.T) {
 	for _, kind := range Kinds() {
-		require.InEpsilon(t, 1e6, AverageRunLength(DefaultSettings[kind], DefaultModel, 1e6, 40, 7), 4*math.Sqrt(1.0/40+1.0/100), kind)
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			require.InEpsilon(t, 1e6, AverageRunLength(DefaultSettings[kind], DefaultModel, 1e6, 40, 7), 4*math.Sqrt(1.0/40+1.0/100))
+		})
 	}
 }
 
 // A threshold taken from a simulation with too few alarms would be arbitrary.
 func TestCalibrateReachesTheRequestedRunLength(t *testing.T) {
 	for _, kind := range Kinds() {
-		s := Calibrate(kind, Model{Deviation: 1, Shift: 1}, 200, 400, 3)
-		require.InEpsilon(t, 200, AverageRunLength(s, Model{Deviation: 1, Shift: 1}, 200, 400, 4), 4*math.Sqrt(2.0/400), kind)
-		require.Equal(t, s, Calibrate(kind, Model{Deviation: 1, Shift: 1}, 200, 400, 3), "same seed, same setting")
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			s := Calibrate(kind, Model{Deviation: 1, Shift: 1}, 200, 400, 3)
+			require.InEpsilon(t, 200, AverageRunLength(s, Model{Deviation: 1, Shift: 1}, 200, 400, 4), 4*math.Sqrt(2.0/400))
+			require.Equal(t, s, Calibrate(kind, Model{Deviation: 1, Shift: 1}, 200, 400, 3), "same seed, same setting")
+		})
 	}
 }
--- a/core/straggler/monitor_test.go
+++ b/core/straggler/monitor_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"dandelionhill.dev/api"
 )
@@ -152,3 +153,97 @@
 	f.rounds(200, false)
 	require.Empty(t, f.stragglers())
 }
+
+// A cancelled call says only that the latency is at least its running time:
+// short ones must not make a straggler look normal.
+func TestCancelledCallsCountOnlyIfSlow(t *testing.T) {
+	f := newFeed(6, 1)
+	f.rounds(200, false)
+	answers := f.m.upstreams[name(1)].answers
+	f.m.Cancelled(f.now, name(1), time.Millisecond)
+	f.m.Cancelled(f.now, "unknown", time.Hour)
+	require.Equal(t, answers, f.m.upstreams[name(1)].answers)
+	for range 10 {
+		f.m.Cancelled(f.now, name(1), 200*time.Millisecond)
+	}
+	require.Equal(t, []int{1}, f.stragglers())
+}
+
+// Without an end of the probe at the first request, many requests would go to a
+// straggler until it has answered one of them.
+func TestProbeEndsWhenARequestIsSent(t *testing.T) {
+	f := newFeed(6, 1)
+	f.rounds(200, false)
+	f.slow[1] = 10
+	f.rounds(20, false)
+	require.Greater(t, f.m.Penalty(name(1)), 1.0)
+	f.m.Tick(f.now + time.Minute)
+	require.Equal(t, 1.0, f.m.Penalty(name(1)), "a probe is due")
+	f.m.Sent(name(1))
+	require.Greater(t, f.m.Penalty(name(1)), 1.0)
+	require.True(t, f.m.Straggling(name(1)))
+}
+
+// An upstream that is slow again soon after its recovery must give more evidence.
+func TestRelapseNeedsMoreEvidence(t *testing.T) {
+	f := newFeed(6, 1)
+	f.rounds(200, false)
+	recovery := func() int {
+		f.slow[1] = 10
+		for len(f.stragglers()) == 0 {
+			f.rounds(1, false)
+		}
+		f.slow[1] = 1
+		f.rounds(1, false) // the normal answers begin
+		f.now += 2 * time.Second
+		n := 0
+		for ; len(f.stragglers()) > 0; n++ {
+			f.rounds(1, false)
+		}
+		return n
+	}
+	first := recovery()
+	require.GreaterOrEqual(t, first+1, DefaultConfig().RecoverAfter)
+	require.GreaterOrEqual(t, recovery(), 2*DefaultConfig().RecoverAfter-1)
+}
+
+// Penalties stay in the documented range whatever is observed.
+func TestPenaltyRange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMonitor(DefaultConfig())
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "pause"))
+			up := name(rapid.IntRange(0, 3).Draw(t, "upstream"))
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				m.Tick(now)
+			case 1:
+				m.Sent(up)
+			case 2:
+				m.Cancelled(now, up, time.Duration(rapid.Int64Range(0, 1e12).Draw(t, "ran")))
+			default:
+				m.Observe(now, up, time.Duration(rapid.Int64Range(-1, 1e12).Draw(t, "took")))
+			}
+			marked := 0
+			for i := range 4 {
+				penalty := m.Penalty(name(i))
+				require.True(t, penalty == 1 || penalty >= 3-1e-9 && penalty <= 20+1e-9, "penalty %v", penalty)
+				if m.Straggling(name(i)) {
+					marked++
+				} else {
+					require.Equal(t, 1.0, penalty)
+				}
+			}
+			require.Equal(t, m.marked, marked)
+			require.LessOrEqual(t, marked, 1, "at most a minority of four")
+		}
+	})
+}
+
+func TestWorthUsing(t *testing.T) {
+	require.True(t, WorthUsing(1, 0, 15), "not a straggler")
+	require.False(t, WorthUsing(10, 1, 15), "the others are only busy")
+	require.True(t, WorthUsing(10, 135, 15), "waiting takes as long as the straggler")
+	require.True(t, WorthUsing(10, 1, 0), "there is no other upstream")
+}
