Take the mean of the two middle peers when they agree

Cause: with an even number of peers the reference was the lower of the two in the middle, so it was too fast and raised false marks, most with two peers. Change: the mean of both if they differ by less than the design slowdown.

--- a/core/straggler/monitor.go
+++ b/core/straggler/monitor.go
@@ -93,7 +93,7 @@
 	if m.group.changed || m.group.answered >= len(m.upstreams) {
 		m.refresh(now)
 	}
-	reference, recent, peers := m.group.around(u)
+	reference, recent, peers := m.group.around(u, m.cfg.Model.Shift)
 	if peers < 1 {
 		return
 	}
@@ -123,7 +123,7 @@
 // Otherwise the latest answers of u must be slower than those of the peers.
 func (m *Monitor) confirm(now time.Duration, u *upstream) {
 	m.refresh(now)
-	normal, recent, peers := m.group.around(u)
+	normal, recent, peers := m.group.around(u, m.cfg.Model.Shift)
 	if peers < 1 {
 		return
 	}
@@ -243,7 +243,7 @@
 	if u == nil {
 		return
 	}
-	normal, _, peers := m.group.around(u)
+	normal, _, peers := m.group.around(u, m.cfg.Model.Shift)
 	if peers > 0 && logLatency(ran) > normal+m.cfg.Model.Shift/2 {
 		m.Observe(now, up, ran)
 	}
--- a/core/straggler/upstream.go
+++ b/core/straggler/upstream.go
@@ -122,7 +122,7 @@
 
 // around returns the median normal and recent latency of the group without u,
 // and the number of peers that they come from.
-func (g *group) around(u *upstream) (normal, recent float64, peers int) {
+func (g *group) around(u *upstream, tolerance float64) (normal, recent float64, peers int) {
 	peers = len(g.normal)
 	if u.inGroup {
 		peers--
@@ -130,19 +130,30 @@
 	if peers < 1 {
 		return 0, 0, 0
 	}
-	return medianWithout(g.normal, u.inGroup, u.groupNormal), medianWithout(g.recent, u.inGroup, u.groupRecent), peers
+	normal = medianWithout(g.normal, u.inGroup, u.groupNormal, tolerance)
+	return normal, medianWithout(g.recent, u.inGroup, u.groupRecent, tolerance), peers
 }
 
-// medianWithout returns the lower median of sorted, without one copy of value
-// if without is true. The lower median of two is the faster one.
-func medianWithout(sorted []float64, without bool, value float64) float64 {
-	n := len(sorted)
-	if !without {
-		return sorted[(n-1)/2]
+// medianWithout returns the median of sorted, without one copy of value if
+// without is true. The median of an even number is the mean of the two in the
+// middle if they agree within tolerance, and else the lower, because the higher
+// may belong to a straggler. Always taking the lower would make the reference
+// too fast and raise false alarms with two peers.
+func medianWithout(sorted []float64, without bool, value, tolerance float64) float64 {
+	n, skipped := len(sorted), len(sorted)
+	if without {
+		skipped, _ = slices.BinarySearch(sorted, value)
+		n--
 	}
-	middle := (n - 2) / 2
-	if position, _ := slices.BinarySearch(sorted, value); position <= middle {
-		return sorted[middle+1]
+	at := func(i int) float64 {
+		if i >= skipped {
+			i++
+		}
+		return sorted[i]
 	}
-	return sorted[middle]
+	lower, upper := at((n-1)/2), at(n/2)
+	if upper-lower > tolerance {
+		return lower
+	}
+	return (lower + upper) / 2
 }
