Retry requests whose upstream could not be reached

Change: the holder retries no_owner, within budget and time like other kinds. Conclusion: a row of the rule table covers it.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -139,7 +139,7 @@
 	switch kind {
 	case api.NotHolder:
 		return Entry
-	case api.Shed, api.Cold, api.Draining, api.UpstreamFailed, api.UpstreamTimeout:
+	case api.Shed, api.Cold, api.Draining, api.NoOwner, api.UpstreamFailed, api.UpstreamTimeout:
 		return Holder
 	}
 	return ""
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -26,6 +26,7 @@
 		"unknown must not run twice":          {Holder, Attempt{Outcome: api.Unknown, Kind: api.UpstreamFailed, Number: 1, Remaining: sec}, MayHaveRun},
 		"unknown and idempotent":              {Holder, Attempt{Outcome: api.Unknown, Kind: api.UpstreamFailed, Idempotent: true, Number: 1, Remaining: sec}, Retried},
 		"not run":                             {Holder, Attempt{Outcome: api.NotRun, Kind: api.Shed, Number: 1, Remaining: sec}, Retried},
+		"upstream not reached":                {Holder, Attempt{Outcome: api.NotRun, Kind: api.NoOwner, Number: 1, Remaining: sec}, Retried},
 		"full queue gets no more load":        {Holder, Attempt{Outcome: api.NotRun, Kind: api.QueueFull, Number: 1, Remaining: sec}, KindIsFinal},
 		"quarantined must not run":            {Holder, Attempt{Outcome: api.NotRun, Kind: api.Quarantined, Idempotent: true, Number: 1, Remaining: sec}, KindIsFinal},
 		"entry leaves upstreams to holder":    {Entry, Attempt{Outcome: api.NotRun, Kind: api.Shed, Number: 1, Remaining: sec}, OtherLayer},
