Hand over a large memory of request IDs in parts

Cause: a handover was one frame of at most 2 MiB; a larger memory could not be sent, and all its IDs were forgotten by the successor. Change: the memory is split into parts of 1 MiB; the successor uses it only when the last part has arrived. Measured: 100 answers of 60 KiB pass through frames and are all recorded after it (go test ./server/holder -run TestHandoverInParts).

--- a/server/control/assign.go
+++ b/server/control/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"dandelionhill.dev/api"
@@ -65,7 +66,7 @@
 	// freezeTimeout bounds the wait for running requests in a handover.
 	freezeTimeout = 5 * time.Second
 	// handoverTimeout bounds the transfer to the successor.
-	handoverTimeout = 2 * time.Second
+	handoverTimeout = 5 * time.Second
 )
 
 // handOverToAny gives a held shard to another member that is available.
@@ -93,12 +94,25 @@
 		cancel()
 		ctx, cancel = context.WithTimeout(context.Background(), handoverTimeout)
 		defer cancel()
-		var reply wire.Reply
-		err := c.sender.Call(ctx, to, wire.TypeHandover, h, &reply)
+		err := c.transfer(ctx, to, h)
 		c.post(func() { c.handedOver(s, held, to, err) })
 	}()
 }
 
+// transfer sends what the successor needs, in parts.
+func (c *Control) transfer(ctx context.Context, to api.VMID, h holder.Handover) error {
+	for _, part := range h.Split() {
+		var reply wire.Reply
+		if err := c.sender.Call(ctx, to, wire.TypeHandover, part, &reply); err != nil {
+			return err
+		}
+		if reply.Refusal != nil {
+			return reply.Refusal
+		}
+	}
+	return nil
+}
+
 // handedOver gives up the authority. If the transfer failed, the successor
 // starts without the memory of request IDs and treats them as forgotten.
 func (c *Control) handedOver(s *shardState, held *holder.Shard, to api.VMID, err error) {
@@ -120,15 +134,25 @@
 		c.cfg.Log.Warn().Err(err).Str("event", "handover_refused").Msg("")
 		return wire.Reply{Refusal: api.Refuse(api.BadRequest, err.Error())}
 	}
+	joined := false
 	err := c.do(ctx, func() {
-		if s := c.shards[h.Shard]; s != nil {
-			s.handover = &h
+		s := c.shards[h.Shard]
+		switch {
+		case s == nil:
+		case h.Part == 0:
+			s.handover, joined = &h, true
+		case s.handover != nil:
+			joined = s.handover.Join(h)
 		}
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		return wire.Reply{Refusal: api.Refuse(api.Stopping, err.Error())}
+	case !joined:
+		return wire.Reply{Refusal: api.Refuse(api.BadRequest, "the part does not continue a handover that this VM knows")}
+	default:
+		return wire.Reply{Status: http.StatusOK}
 	}
-	return wire.Reply{Status: 200}
 }
 
 // Leave tells callers' balancer and the other VMs that this VM is stopping.
--- a/server/control/shards.go
+++ b/server/control/shards.go
@@ -230,7 +230,7 @@
 	c.cfg.Metrics.AuthorityChanges.WithLabelValues("gained").Inc()
 	c.cfg.Log.Info().Str("event", "shard_gained").Stringer("shard", s.id).Stringer("fence", fence).Msg("")
 	in := holder.Inheritance{Assign: s.assign}
-	if h := s.handover; h != nil && (s.assign == nil || h.Fence >= s.assign.Fence) {
+	if h := s.handover; h != nil && h.Last && (s.assign == nil || h.Fence >= s.assign.Fence) {
 		in.Handover, in.Assign = h, &h.Assign
 	}
 	s.handover = nil
--- a/server/holder/handover.go
+++ b/server/holder/handover.go
@@ -18,6 +18,48 @@
 	Memory      dedup.Snapshot                   `cbor:"4,keyasint"`
 	Evidence    []crash.Entry                    `cbor:"5,keyasint"`
 	Outstanding map[api.UpstreamID]time.Duration `cbor:"6,keyasint"`
+	// Part counts the parts from 0; Last marks the last one.
+	Part int  `cbor:"7,keyasint"`
+	Last bool `cbor:"8,keyasint"`
+}
+
+// partSize bounds the memory entries of one part in bytes. It leaves room in a
+// frame of 2 MiB for the assignment, the evidence and the encoding.
+const partSize = 1 << 20
+
+// entryOverhead is a bound on the encoding of an entry without its answer's body.
+const entryOverhead = 256
+
+// Split divides the memory of request IDs over parts that fit into a frame.
+func (h Handover) Split() []Handover {
+	entries := h.Memory.Entries
+	parts := []Handover{h}
+	parts[0].Memory.Entries = nil
+	size := 0
+	for _, e := range entries {
+		need := entryOverhead
+		if e.Answer != nil {
+			need += len(e.Answer.Body) + len(e.Answer.ContentType)
+		}
+		if size += need; size > partSize {
+			size = need
+			parts = append(parts, Handover{Shard: h.Shard, Fence: h.Fence, Part: len(parts)})
+		}
+		last := &parts[len(parts)-1].Memory
+		last.Entries = append(last.Entries, e)
+	}
+	parts[len(parts)-1].Last = true
+	return parts
+}
+
+// Join adds the next part. It reports whether the part belongs to h.
+func (h *Handover) Join(part Handover) bool {
+	if part.Fence != h.Fence || part.Part != h.Part+1 || h.Last {
+		return false
+	}
+	h.Memory.Entries = append(h.Memory.Entries, part.Memory.Entries...)
+	h.Part, h.Last = part.Part, part.Last
+	return true
 }
 
 // evidenceLimit bounds the crash evidence that other VMs are given.
--- /dev/null
+++ b/server/holder/handover_test.go
@@ -0,0 +1,53 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/dedup"
+)
+
+// TestHandoverInParts guards against a memory of request IDs that is too large
+// for one frame: it would be lost, and its IDs forgotten.
+func TestHandoverInParts(t *testing.T) {
+	const entries, body = 100, 60 << 10
+	memory := dedup.New(dedup.DefaultConfig(), time.Now().Add(-time.Minute))
+	wall := time.Now()
+	for range entries {
+		id := uuid.Must(uuid.NewV7()).String()
+		require.Equal(t, dedup.Run, memory.Begin(wall, id).Action)
+		memory.Finish(wall, id, dedup.End{Outcome: api.Answered, Answer: &dedup.Answer{Status: 200, Body: make([]byte, body)}})
+	}
+	whole := Handover{Shard: api.ShardID{Service: "s"}, Fence: api.NewFence(1, 1), Memory: memory.Snapshot()}
+	want := whole.Memory.Entries
+	parts := whole.Split()
+	require.Greater(t, len(parts), entries*body/wire.MaxFrame)
+	var joined Handover
+	for i, part := range parts {
+		data, err := wire.Encode(wire.TypeHandover, 1, part)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), wire.MaxFrame)
+		frame, err := wire.Decode(data)
+		require.NoError(t, err)
+		var received Handover
+		require.NoError(t, frame.Unpack(&received))
+		if i == 0 {
+			joined = received
+			continue
+		}
+		require.False(t, joined.Last)
+		require.True(t, joined.Join(received))
+		require.False(t, joined.Join(received), "a repeated part is refused")
+	}
+	require.True(t, joined.Last)
+	require.Equal(t, len(want), len(joined.Memory.Entries))
+	restored := dedup.Restore(dedup.DefaultConfig(), joined.Memory)
+	for _, e := range want {
+		require.Equal(t, dedup.Recorded, restored.Begin(wall, e.ID.String()).Action)
+	}
+}
