Speed up the placement experiment

Cause: under the race detector the test took a large part of the time limit. Change: what follows from the keys and ranges is computed when they change instead of every second.

--- a/bench/placement/experiment.go
+++ b/bench/placement/experiment.go
@@ -101,7 +101,7 @@
 	for range 3 {
 		copy(s.keys, ordinary)
 		heat(s.keys, hotKeyLoad*utilization*dep.slots, s.rng)
-		s.expected = rangeDemand(s.keys, s.hot.Ranges())
+		s.demandChanged()
 		s.run(hotKeyPeriod - observeSeconds)
 		got.observe(s)
 	}
--- a/bench/placement/observe.go
+++ b/bench/placement/observe.go
@@ -29,7 +29,7 @@
 	for _, id := range s.inService() {
 		loads[id] = 0
 	}
-	for _, r := range sortedRanges(s.owners) {
+	for _, r := range s.ranges {
 		loads[s.owners[r]] += s.expected[r]
 	}
 	return loads
--- a/bench/placement/simulation.go
+++ b/bench/placement/simulation.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,6 +22,9 @@
 	ups      []placement.Upstream
 	keys     []key
 	expected map[int]float64 // demand of each range
+	ranges   []int           // all ranges in rising order
+	home     map[int]int     // shard of each range
+	tracked  []int           // keys with enough demand to be counted one by one
 	owners   map[int]api.UpstreamID
 	shards   []placement.Shard
 	planners []placement.Planner
@@ -57,10 +61,30 @@
 	for r := range rangeCount {
 		s.owners[r] = ""
 	}
-	s.expected = rangeDemand(s.keys, nil)
+	s.demandChanged()
 	return s
 }
 
+// demandChanged updates what follows from the keys and the hot ranges.
+func (s *simulation) demandChanged() {
+	hot := s.hot.Ranges()
+	s.expected = rangeDemand(s.keys, hot)
+	s.ranges = slices.Sorted(maps.Keys(s.owners))
+	s.tracked = s.tracked[:0]
+	least := placement.DefaultHotKeyConfig(rangeCount).MergeShare * s.dep.slots / 2
+	for i, k := range s.keys {
+		if k.demand > least {
+			s.tracked = append(s.tracked, i)
+		}
+	}
+	table := route.New(s.dep.service, rangeCount, s.shards, hot)
+	s.home = make(map[int]int, len(s.ranges))
+	for _, r := range s.ranges {
+		shard, _ := table.Shard(r)
+		s.home[r] = shard.Index
+	}
+}
+
 // run advances the simulation by whole seconds.
 func (s *simulation) run(seconds int) {
 	for range seconds {
@@ -77,7 +101,7 @@
 // measure adds one second of arrivals to the window and returns the mean.
 func (s *simulation) measure() map[int]float64 {
 	measured := make(map[int]float64, len(s.owners))
-	for _, r := range sortedRanges(s.owners) {
+	for _, r := range s.ranges {
 		sample := poisson(s.expected[r]*requestsPerSlot, s.rng) / requestsPerSlot
 		if factor := s.slowdown[s.owners[r]]; factor > 0 {
 			sample *= factor
@@ -103,7 +127,7 @@
 		}
 	}
 	for r, owner := range s.owners {
-		if s.shardOf(r) == shard {
+		if s.home[r] == shard {
 			in.Owners[r] = owner
 		}
 	}
@@ -128,7 +152,7 @@
 			continue
 		}
 		load := 0.0
-		for _, r := range sortedRanges(s.owners) {
+		for _, r := range s.ranges {
 			if s.owners[r] == to {
 				load += measured[r]
 			}
@@ -137,29 +161,14 @@
 	}
 }
 
-// shardOf returns the shard of a range; a hot range is in the shard of its key.
-func (s *simulation) shardOf(r int) int {
-	if r >= rangeCount {
-		for name, id := range s.hot.Ranges() {
-			if id == r {
-				r = route.RangeOf(name, rangeCount)
-				break
-			}
-		}
-	}
-	return slices.IndexFunc(s.shards, func(sh placement.Shard) bool { return r <= sh.Last })
-}
-
 // splitHotKeys applies the decisions on hot keys. Holders count every key
 // exactly here, with the noise of one second.
 func (s *simulation) splitHotKeys() {
-	share := placement.DefaultHotKeyConfig(rangeCount).MergeShare
 	var loads []placement.KeyLoad
-	for _, k := range s.keys {
-		if k.demand > share*s.dep.slots/2 {
-			seen := poisson(k.demand*requestsPerSlot, s.rng) / requestsPerSlot
-			loads = append(loads, placement.KeyLoad{Key: k.name, Share: seen / s.dep.slots})
-		}
+	for _, i := range s.tracked {
+		k := s.keys[i]
+		seen := poisson(k.demand*requestsPerSlot, s.rng) / requestsPerSlot
+		loads = append(loads, placement.KeyLoad{Key: k.name, Share: seen / s.dep.slots})
 	}
 	changes := s.hot.Observe(time.Duration(s.second)*time.Second, loads)
 	for _, c := range changes {
@@ -171,7 +180,7 @@
 		}
 	}
 	if len(changes) > 0 {
-		s.expected = rangeDemand(s.keys, s.hot.Ranges())
+		s.demandChanged()
 	}
 }
 
@@ -207,12 +216,3 @@
 		}
 	}
 }
-
-func sortedRanges(owners map[int]api.UpstreamID) []int {
-	ranges := make([]int, 0, len(owners))
-	for r := range owners {
-		ranges = append(ranges, r)
-	}
-	slices.Sort(ranges)
-	return ranges
-}
