Let runs of unkeyed services use the caller's whole time

Cause: every run had to end within the lease of its upstream, 450 to 600 ms, also on services where no upstream owns a key; a longer bill or dispatch was cut off with unknown outcome. Change: requests of unkeyed services carry no range, need a lease to start and end by the caller's deadline.

--- a/core/lease/guard.go
+++ b/core/lease/guard.go
@@ -31,6 +31,10 @@
 	ErrBeyondLease    = errors.New("the deadline is after the end of the lease: shorten it")
 )
 
+// NoRange is the range of requests to unkeyed services, which no upstream owns
+// exclusively.
+const NoRange = -1
+
 // Guard is the upstream's side of a lease. Its times are readings of the
 // upstream's own clock. A restarted upstream starts with a new Guard.
 type Guard struct {
@@ -109,6 +113,8 @@
 		return ErrUngrantedFence
 	case now >= g.until:
 		return ErrLapsed
+	case rng == NoRange:
+		return nil
 	case !g.ranges[rng]:
 		return ErrNotGranted
 	case deadline > g.until:
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -164,6 +164,16 @@
 // Deadline converts a deadline to the upstream's clock. The result is not
 // later than the deadline, nor than the end of the lease. It fails if no time is left.
 func (t *Table) Deadline(now, deadline time.Duration, up api.UpstreamID) (onUpstreamClock time.Duration, ok bool) {
+	return t.deadline(now, deadline, up, true)
+}
+
+// SharedDeadline is Deadline for requests of unkeyed services, which any
+// upstream may run: they need a lease to start, and may go on after it.
+func (t *Table) SharedDeadline(now, deadline time.Duration, up api.UpstreamID) (onUpstreamClock time.Duration, ok bool) {
+	return t.deadline(now, deadline, up, false)
+}
+
+func (t *Table) deadline(now, deadline time.Duration, up api.UpstreamID, withinLease bool) (time.Duration, bool) {
 	u := t.ups[up]
 	if u == nil || !t.MaySend(now, up) || deadline <= now {
 		return 0, false
@@ -174,8 +184,12 @@
 	earliest := func(at time.Duration) time.Duration {
 		return r.Clock + max(0, time.Duration(float64(at-r.ReceivedAt)/(1+t.cfg.Drift)))
 	}
-	onUpstreamClock = min(earliest(deadline), u.acked.until).Truncate(resolution)
-	return onUpstreamClock, onUpstreamClock > earliest(now)
+	end := earliest(deadline)
+	if withinLease {
+		end = min(end, u.acked.until)
+	}
+	end = end.Truncate(resolution)
+	return end, end > earliest(now)
 }
 
 // Lapsed reports whether every lease that the upstream may hold has ended.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -107,6 +107,8 @@
 	assert.ErrorIs(t, g.Check(100*ms, 5, 3, 700*ms), ErrNotGranted)
 	assert.ErrorIs(t, g.Check(100*ms, 5, 1, 100*ms), ErrDeadline)
 	assert.ErrorIs(t, g.Check(100*ms, 5, 1, 701*ms), ErrBeyondLease)
+	assert.NoError(t, g.Check(100*ms, 5, NoRange, 701*ms), "a request without an owner may outlast the lease")
+	assert.ErrorIs(t, g.Check(100*ms, 4, NoRange, 701*ms), ErrLowerFence)
 	assert.ErrorIs(t, g.Check(700*ms, 5, 1, 800*ms), ErrLapsed)
 	assert.True(t, g.Owns(699*ms, 2))
 	assert.False(t, g.Owns(700*ms, 2))
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -23,7 +23,7 @@
 		s.queue.Done(now, start.ID, start.Upstream, 0, false)
 		return
 	}
-	deadline, ok := s.leases.Deadline(now, min(r.deadline, s.authority), up.id)
+	rng, deadline, ok := s.runLimits(now, r, up)
 	if !ok || !s.maySend(now, up) {
 		s.queue.Done(now, start.ID, up.id, 0, false)
 		s.notStarted(r, api.Refuse(api.NoOwner, "the lease of the upstream ended before the request could start").After(retryHint))
@@ -45,7 +45,7 @@
 	}
 	req := platform.Request{
 		Service: s.cfg.ID.Service, Method: r.forward.Method, Path: r.forward.Path, Body: r.forward.Body,
-		Key: r.forward.Key, RequestID: r.forward.RequestID, Range: r.forward.Range,
+		Key: r.forward.Key, RequestID: r.forward.RequestID, Range: rng,
 		Fence: s.cfg.Fence, Incarnation: up.incarnation, DeadlineMs: deadline.Milliseconds(),
 	}
 	go func() {
@@ -57,6 +57,17 @@
 	}()
 }
 
+// runLimits returns the range of a run and its deadline on the upstream's
+// clock. A run for a key ends within the lease, so that the key has one owner.
+func (s *Shard) runLimits(now time.Duration, r *request, up *upstream) (int, time.Duration, bool) {
+	if s.service.Keyed {
+		deadline, ok := s.leases.Deadline(now, min(r.deadline, s.authority), up.id)
+		return r.forward.Range, deadline, ok
+	}
+	deadline, ok := s.leases.SharedDeadline(now, r.deadline, up.id)
+	return lease.NoRange, deadline, ok
+}
+
 // allowed asks again whether the fingerprint may run: a crash may have happened
 // while the request was queued.
 func (s *Shard) allowed(now time.Duration, r *request, start dispatch.Start) bool {
--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -130,6 +130,14 @@
 	s.cfg.Metrics.LeaseRenewals.WithLabelValues(string(s.cfg.ID.Service), result).Inc()
 }
 
+// granted lists the ranges of the next grant of an upstream.
+func (s *Shard) granted(up *upstream) []platform.RangeSpan {
+	if !s.service.Keyed {
+		return []platform.RangeSpan{}
+	}
+	return spans(s.ranges.grantable(up.id))
+}
+
 // grant returns the next grant for an upstream and the number of the newest
 // change of ranges that it contains.
 func (s *Shard) grant(now time.Duration, up *upstream) (platform.Grant, uint64, bool) {
@@ -146,7 +154,7 @@
 
 		Incarnation: up.incarnation,
 		UntilMs:     until.Milliseconds(),
-		Ranges:      spans(s.ranges.grantable(up.id)),
+		Ranges:      s.granted(up),
 	}, up.wanted, true
 }
 
