--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -10,7 +10,8 @@
 
 // Config holds the thresholds of a Ramp.
 type Config struct {
-	// Window is the least number of answers that one decision is based on.
+	// Window is the least number of answers that one decision is based on, twice
+	// as many while the upstream is cold.
 	Window int
 	// Step is what a window of normal answers adds to the limit.
 	Step float64
@@ -183,7 +184,13 @@
 // windowSize is the number of answers per decision: at least two for each
 // request that may be in flight, so that a window reflects the present limit.
 func (r *Ramp) windowSize() int {
-	return max(r.cfg.Window, 2*int(math.Min(r.limit, float64(max(r.full, 1)))))
+	size := r.cfg.Window
+	if r.cold {
+		// A step up on noise puts load on an upstream that cannot bear it; a
+		// late notice of a warm upstream that turns cold costs less.
+		size *= 2
+	}
+	return max(size, 2*int(math.Min(r.limit, float64(max(r.full, 1)))))
 }
 
 // decide ends a window.
