Share crash evidence, watch the domain reserve, use the presets' cold start

Cause: evidence of crash-inducing requests stayed with one holder and was lost in a takeover; the presets' domain_reserve and cold_start had no effect; a cold upstream was compared with itself. Change: holders send evidence to their witnesses every 200 ms, and to all VMs where repeats can reach another shard; a gauge and a log event say whether the demand fits without the largest domain; cold upstreams start with the preset's limit and are compared with the median of their warm peers. Measured: go test -race ./server/... ./core/ramp ./bench/cluster passes; the effect on a running system is not measured.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -28,6 +28,7 @@
 	TypeCancel    Type = "cancel"
 	TypeConfig    Type = "config"
 	TypeStatus    Type = "status"
+	TypeEvidence  Type = "evidence"
 )
 
 // Frame is the unit of transfer. Call matches a reply with its request; it is 0
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -31,6 +31,8 @@
 	ReportFloor float64
 	// Normal is the normal latency of the service, zero if not known.
 	Normal time.Duration
+	// Start is the number of requests in flight at the beginning of a slow start.
+	Start int
 }
 
 // DefaultConfig returns the values of section 7.3 of the design page.
@@ -49,6 +51,7 @@
 		ReportTTL:    2 * time.Second,
 		// Reports may mislead, so one cannot take more than half of the limit.
 		ReportFloor: 0.5,
+		Start:       1,
 	}
 }
 
@@ -91,6 +94,7 @@
 	setDefault(&cfg.Learn, def.Learn)
 	setDefault(&cfg.ReportTTL, def.ReportTTL)
 	setDefault(&cfg.ReportFloor, def.ReportFloor)
+	setDefault(&cfg.Start, def.Start)
 	r := &Ramp{cfg: cfg, normal: cfg.Normal, limit: math.Inf(1)}
 	if cold {
 		r.Restart(0)
@@ -108,7 +112,7 @@
 // latency is kept: the service is the same.
 func (r *Ramp) Restart(time.Duration) {
 	r.cold = true
-	r.limit = 1
+	r.limit = float64(r.cfg.Start)
 	r.window = window{}
 	r.halvedAt = 0
 	r.reported = false
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -170,6 +170,7 @@
 	if now >= c.nextHeartbeat {
 		c.nextHeartbeat = now + heartbeatEvery
 		c.heartbeat(now)
+		c.sendEvidence()
 	}
 	if now >= c.nextMaintain {
 		c.nextMaintain = now + maintainEvery
@@ -196,6 +197,8 @@
 		err = c.receiveAssignAck(frame)
 	case wire.TypeConfig:
 		err = c.receiveConfig(from, frame)
+	case wire.TypeEvidence:
+		err = c.receiveEvidence(frame)
 	}
 	if err != nil {
 		c.cfg.Log.Warn().Err(err).Str("event", "message_refused").Str("peer", string(from)).Msg("")
--- /dev/null
+++ b/server/control/evidence.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/crash"
+)
+
+// evidence carries what a holder knows of requests that crash upstreams.
+type evidence struct {
+	Shard   api.ShardID   `cbor:"1,keyasint"`
+	Entries []crash.Entry `cbor:"2,keyasint"`
+}
+
+// sendEvidence gives the crash evidence of the held shards to their witnesses,
+// so that it survives a takeover, and to all VMs if a repeat of a request can
+// reach another shard of its service.
+func (c *Control) sendEvidence() {
+	for id, s := range c.shards {
+		if s.held == nil {
+			continue
+		}
+		entries := s.held.Evidence()
+		if len(entries) == 0 {
+			continue
+		}
+		msg := evidence{Shard: id, Entries: entries}
+		service, _ := c.doc.Service(id.Service)
+		if !service.Keyed && len(service.Layout) > 1 {
+			c.mergeEvidence(msg)
+			c.broadcast(wire.TypeEvidence, msg)
+			continue
+		}
+		for _, vm := range c.others(s) {
+			c.sender.Send(vm, wire.TypeEvidence, msg)
+		}
+	}
+}
+
+func (c *Control) receiveEvidence(frame wire.Frame) error {
+	var msg evidence
+	if err := frame.Unpack(&msg); err != nil {
+		return err
+	}
+	c.mergeEvidence(msg)
+	return nil
+}
+
+// mergeEvidence keeps evidence for a later takeover of its shard, and gives it
+// to the other shards of the service that this VM holds.
+func (c *Control) mergeEvidence(msg evidence) {
+	now := c.cfg.Clock()
+	for id, s := range c.shards {
+		if id.Service != msg.Shard.Service {
+			continue
+		}
+		if s.held != nil && id != msg.Shard {
+			s.held.MergeEvidence(msg.Entries)
+		}
+		if s.held == nil {
+			if s.evidence == nil {
+				s.evidence = crash.New(crash.DefaultConfig())
+			}
+			s.evidence.Merge(now, msg.Entries)
+		}
+	}
+}
--- a/server/control/shards.go
+++ b/server/control/shards.go
@@ -12,6 +12,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
 	"dandelionhill.dev/core/authority"
+	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/membership"
 	"dandelionhill.dev/core/placement"
 	"dandelionhill.dev/platform"
@@ -31,6 +32,8 @@
 	assign *wire.Assign
 	// handover is what a former holder left for this VM.
 	handover *holder.Handover
+	// evidence is what holders have sent of requests that crash upstreams.
+	evidence *crash.Evidence
 	// preferredSince is when the shard's preferred holder, its first member, was
 	// seen to be available while this VM holds the shard; 0 if it is not.
 	preferredSince time.Duration
@@ -241,6 +244,9 @@
 	if _, until, ok := s.machine.Authority(c.cfg.Clock()); ok {
 		s.held.SetAuthority(until)
 	}
+	if s.evidence != nil {
+		s.held.MergeEvidence(s.evidence.Snapshot(holder.EvidenceLimit))
+	}
 	if a, pending := s.held.Assignment(); pending {
 		c.assigned(s, a)
 	}
--- a/server/holder/handover.go
+++ b/server/holder/handover.go
@@ -62,8 +62,8 @@
 	return true
 }
 
-// evidenceLimit bounds the crash evidence that other VMs are given.
-const evidenceLimit = 256
+// EvidenceLimit bounds the crash evidence that other VMs are given.
+const EvidenceLimit = 256
 
 // freezePoll is the interval at which a handover looks whether all runs ended.
 const freezePoll = 5 * time.Millisecond
@@ -92,7 +92,7 @@
 	h := Handover{
 		Shard: s.cfg.ID, Fence: s.cfg.Fence, Assign: s.assignment(),
 		Memory:      s.memory.Snapshot(),
-		Evidence:    s.evidence.Snapshot(evidenceLimit),
+		Evidence:    s.evidence.Snapshot(EvidenceLimit),
 		Outstanding: s.leases.Outstanding(s.cfg.Clock()),
 	}
 	s.close()
@@ -116,7 +116,7 @@
 func (s *Shard) Evidence() []crash.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.evidence.Snapshot(evidenceLimit)
+	return s.evidence.Snapshot(EvidenceLimit)
 }
 
 // MergeEvidence adds crash evidence of another VM.
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -72,11 +72,13 @@
 	retries  *retry.Budget
 	rng      *rand.Rand
 
-	penalized bool          // some upstream is a straggler at the moment
-	decayed   time.Duration // when the load of the ranges was last aged
-	nextID    uint64
-	requests  map[uint64]*request
-	waiting   map[string][]chan *wire.Reply // by request ID: repeats that wait for the first run
+	demand       float64       // requests running and queued, smoothed
+	reserveShort bool          // the demand would not fit without the largest failure domain
+	penalized    bool          // some upstream is a straggler at the moment
+	decayed      time.Duration // when the load of the ranges was last aged
+	nextID       uint64
+	requests     map[uint64]*request
+	waiting      map[string][]chan *wire.Reply // by request ID: repeats that wait for the first run
 }
 
 // Inheritance is what a new holder knows of the time before it.
@@ -184,6 +186,7 @@
 func rampConfig(preset config.Preset) ramp.Config {
 	cfg := ramp.DefaultConfig()
 	cfg.Step = preset.RampStep
+	cfg.Start = preset.ColdStart
 	return cfg
 }
 
@@ -207,6 +210,7 @@
 	}
 	now := s.cfg.Clock()
 	s.monitor.Tick(now)
+	s.shareNormal()
 	s.plan(now)
 	s.refresh(now)
 	s.pump(now)
@@ -226,6 +230,7 @@
 	s.cfg.Metrics.Queued.WithLabelValues(service, shard).Set(float64(s.queue.Queued()))
 	s.cfg.Metrics.Stragglers.WithLabelValues(service).Set(float64(stragglers))
 	s.cfg.Metrics.Quarantined.WithLabelValues(service, shard).Set(float64(s.evidence.Quarantined()))
+	s.checkReserve()
 }
 
 // refresh tells the queue what each upstream may be given now.
