Run the placement experiments of both deployments at once

Cause: the test took 42 s under the race detector. Change: one goroutine per deployment; results keep their order.

--- a/bench/placement/experiment.go
+++ b/bench/placement/experiment.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync"
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/bench/metric"
@@ -25,19 +26,28 @@
 	stragglers       = 8
 )
 
-// Measure runs all experiments for one seed.
+// Measure runs all experiments for one seed, both deployments at the same time.
 func Measure(seed uint64) []metric.Metric {
+	deps := deployments()
+	recorders := make([]recorder, len(deps))
+	var running sync.WaitGroup
+	for i, dep := range deps {
+		running.Go(func() {
+			r := &recorders[i]
+			r.seed, r.deployment = seed, dep.name
+			for _, load := range []keyLoad{uniform, zipf, hotKeys} {
+				r.load = load
+				r.balance(dep)
+			}
+			r.load = zipf
+			r.domain(dep)
+			r.straggler(dep)
+			r.coldReceivers(dep)
+		})
+	}
+	running.Wait()
 	var out []metric.Metric
-	for _, dep := range deployments() {
-		r := recorder{seed: seed, deployment: dep.name}
-		for _, load := range []keyLoad{uniform, zipf, hotKeys} {
-			r.load = load
-			r.balance(dep)
-		}
-		r.load = zipf
-		r.domain(dep)
-		r.straggler(dep)
-		r.coldReceivers(dep)
+	for _, r := range recorders {
 		out = append(out, r.metrics...)
 	}
 	return out
