peer: close accepted connections when the hub ends

An HTTP server does not close connections that became WebSockets. A daemon that ended inside a longer-lived process left its peers connected to a hub that no longer acts, and its next incarnation on the same address never heard them.

--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -72,11 +72,14 @@
 	cfg     Config
 	handler Handler
 	links   map[api.VMID]*link
+	ctx     context.Context // ends with Run; accepted connections end with it
+	stop    context.CancelFunc
 }
 
 // NewHub returns a hub; Run connects it.
 func NewHub(cfg Config, handler Handler) *Hub {
 	hub := &Hub{cfg: cfg, handler: handler, links: map[api.VMID]*link{}}
+	hub.ctx, hub.stop = context.WithCancel(context.Background())
 	for _, p := range cfg.Peers {
 		if p.ID != cfg.Self {
 			hub.links[p.ID] = newLink(p)
@@ -85,8 +88,11 @@
 	return hub
 }
 
-// Run dials all peers until ctx ends.
+// Run dials all peers until ctx ends, then closes the connections that were
+// accepted: an HTTP server does not close those that became WebSockets, and the
+// peers would go on sending to a hub that no longer acts.
 func (h *Hub) Run(ctx context.Context) {
+	defer h.stop()
 	var group sync.WaitGroup
 	for _, l := range h.links {
 		group.Go(func() { h.dialLoop(ctx, l) })
@@ -229,6 +235,7 @@
 		return
 	}
 	defer conn.CloseNow()
+	defer context.AfterFunc(h.ctx, func() { conn.CloseNow() })()
 	conn.SetReadLimit(wire.MaxFrame)
 	hello, err := h.greet(r, conn)
 	if err != nil {
