holder: grant range 0 to the upstreams of unkeyed services

Requests of unkeyed services name range 0, but grants to their upstreams had no ranges, so an upstream that checks fences and ranges refused every request of an unkeyed service.

--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -140,14 +140,22 @@
 	if !ok {
 		return platform.Grant{}, 0, false
 	}
+	ranges := spans(s.ranges.grantable(up.id))
+	if !s.service.Keyed {
+		ranges = unkeyedRanges
+	}
 	return platform.Grant{
 		Service: s.cfg.ID.Service,
 		Fence:   s.cfg.Fence,
 		UntilMs: until.Milliseconds(),
-		Ranges:  spans(s.ranges.grantable(up.id)),
+		Ranges:  ranges,
 	}, up.wanted, true
 }
 
+// unkeyedRanges is granted to every upstream of an unkeyed service, whose
+// requests all name range 0: upstreams that check ranges would refuse them.
+var unkeyedRanges = []platform.RangeSpan{{First: 0, Last: 0}}
+
 // spans joins consecutive ranges.
 func spans(ranges []int) []platform.RangeSpan {
 	slices.Sort(ranges)
