--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -216,25 +218,40 @@
 // probeKeys is the number of keys asked for to reach every shard of a service.
 const probeKeys = 64
 
+// probesAtOnce bounds the probes in progress at one VM.
+const probesAtOnce = 16
+
 func (vm *VM) servesAll(ctx context.Context, s config.Service) bool {
+	var failed atomic.Bool
+	var group sync.WaitGroup
+	places := make(chan struct{}, probesAtOnce)
 	for i := range probeKeys {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, vm.URL(s.Name, fmt.Sprintf("/probe/%d", i)), nil)
-		if err != nil {
-			return false
-		}
-		if s.Keyed { // an unkeyed service may run hedged copies, which have no owner
-			req.Header.Set(api.HeaderKey, fmt.Sprintf("probe-%d", i))
-		}
-		resp, err := vm.cluster.client().Do(req)
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
-			return false
-		}
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			if !failed.Load() && !vm.serves(ctx, s, i) {
+				failed.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	return !failed.Load()
+}
+
+func (vm *VM) serves(ctx context.Context, s config.Service, i int) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, vm.URL(s.Name, fmt.Sprintf("/probe/%d", i)), nil)
+	if err != nil {
+		return false
+	}
+	if s.Keyed { // an unkeyed service may run hedged copies, which have no owner
+		req.Header.Set(api.HeaderKey, fmt.Sprintf("probe-%d", i))
+	}
+	resp, err := vm.cluster.client().Do(req)
+	if err != nil {
+		return false
 	}
-	return true
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // Entries lists the VMs that the platform's balancer uses.
--- a/bench/cluster/cluster_test.go
+++ b/bench/cluster/cluster_test.go
@@ -1,7 +1,9 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"os"
@@ -77,3 +79,10 @@
 	resp, body := post(ctx, t, c.VMs[1].URL("kiszallitas", "/bills"), "", uuid.Must(uuid.NewV7()).String(), "bill")
 	require.Equal(t, http.StatusOK, resp.StatusCode, body)
 }
+
+func jsonBody(t *testing.T, value any) io.Reader {
+	t.Helper()
+	data, err := json.Marshal(value)
+	require.NoError(t, err)
+	return bytes.NewReader(data)
+}
--- /dev/null
+++ b/bench/cluster/faults_test.go
@@ -0,0 +1,333 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/admin"
+	"dandelionhill.dev/bench/history"
+	"dandelionhill.dev/bench/load"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/fakes/table"
+	"dandelionhill.dev/fakes/upstream"
+)
+
+// faultRun is a deployment under load while something fails.
+type faultRun struct {
+	*Cluster
+	t    *testing.T
+	ctx  context.Context
+	log  history.Log
+	load load.Options
+}
+
+const faultSeed = 11
+
+// startFaultRun starts four VMs in this process and eight upstreams for each service.
+func startFaultRun(t *testing.T, change func(*Options)) *faultRun {
+	t.Helper()
+	f := &faultRun{t: t}
+	o := Options{
+		Document: example(t, "elozokozosseg"), VMs: 4, UpstreamsPerService: 8,
+		ServiceTime: 2 * time.Millisecond, Recorder: &f.log, Seed: faultSeed,
+	}
+	if change != nil {
+		change(&o)
+	}
+	f.Cluster, f.ctx = start(t, o)
+	f.load = load.Options{
+		Entries: f.Entries, Keys: 100, Zipf: 1.1, Rate: 200, Workers: 100,
+		Timeout: 2 * time.Second, Resend: 2, Seed: faultSeed,
+	}
+	for _, s := range f.Document.Services {
+		f.load.Targets = append(f.load.Targets, load.Target{Service: s.Name, Keyed: s.Keyed, Repeatable: 0.5})
+	}
+	return f
+}
+
+// during runs steps while the load runs, and lets the load go on for a while.
+func (f *faultRun) during(steps func()) *load.Report {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	var report *load.Report
+	var group sync.WaitGroup
+	group.Go(func() { report = load.Run(ctx, f.load) })
+	pause(300 * time.Millisecond)
+	steps()
+	pause(700 * time.Millisecond)
+	cancel()
+	group.Wait()
+	return report
+}
+
+// pause lets the load run; no verdict depends on its length.
+func pause(d time.Duration) { time.Sleep(d) }
+
+// check asserts what must hold whatever fails, and that service returns.
+func (f *faultRun) check(reports ...*load.Report) {
+	f.t.Helper()
+	require.NoError(f.t, f.WaitServing(f.ctx), "service must return")
+	require.Eventually(f.t, func() bool { return f.log.Open() == 0 }, patience, 5*time.Millisecond, "runs must end")
+	runs := f.log.Runs()
+	require.NotEmpty(f.t, runs)
+	require.Empty(f.t, history.Duplicates(runs), "runs of one request ID")
+	require.Empty(f.t, history.Overlaps(runs), "owners of a key")
+	require.Equal(f.t, porcupine.Ok, history.Linearizable(runs), "owners of a key")
+	for _, r := range reports {
+		require.NotEmpty(f.t, r.Results)
+		require.Empty(f.t, history.FalseNotRun(r.Results, runs), "refusals as not run")
+		require.Empty(f.t, history.Wrong(r.Results), "answers of other requests")
+	}
+}
+
+// upstreamOf returns an upstream of a service.
+func (f *faultRun) upstreamOf(service, i int) *upstream.Server {
+	return f.Upstreams[f.Document.Services[service].Upstreams[i].ID]
+}
+
+// holderOf returns the VM that holds a shard.
+func (f *faultRun) holderOf(shard api.ShardID) *VM {
+	f.t.Helper()
+	for _, vm := range f.VMs {
+		if vm.Running() && vm.Daemon().Control().Snapshot().Local[shard] != nil {
+			return vm
+		}
+	}
+	require.FailNow(f.t, "no VM holds the shard", shard.String())
+	return nil
+}
+
+func (f *faultRun) change(vm *VM, id string, base uint64, kind config.ChangeKind, name string) (admin.ChangeResult, error) {
+	return vm.Change(f.ctx, config.Change{OperationID: id, BaseRevision: base, Kind: kind, Name: name})
+}
+
+// Guards against lost keys and second runs when an upstream is killed and restarted.
+func TestUpstreamKilled(t *testing.T) {
+	f := startFaultRun(t, nil)
+	report := f.during(func() {
+		f.upstreamOf(0, 0).Crash()
+		pause(time.Second)
+		require.NoError(t, f.upstreamOf(0, 0).Restart())
+	})
+	f.check(report)
+}
+
+// Guards against two owners when a frozen upstream resumes as if nothing had
+// happened, for both kinds of checks that let a key leave by time.
+func TestUpstreamFrozenAndThawed(t *testing.T) {
+	for _, checks := range []config.Checks{config.ChecksFence, config.ChecksDeadline} {
+		t.Run(string(checks), func(t *testing.T) {
+			f := startFaultRun(t, func(o *Options) {
+				for i := range o.Document.Services {
+					o.Document.Services[i].UpstreamChecks = checks
+				}
+			})
+			report := f.during(func() {
+				f.upstreamOf(0, 0).SetFaults(upstream.Faults{Frozen: true})
+				pause(2 * time.Second)
+				f.upstreamOf(0, 0).SetFaults(upstream.Faults{})
+			})
+			f.check(report)
+		})
+	}
+}
+
+// Guards against a takeover that needs the store: the holder of a shard and one
+// of its upstreams are lost at once while the store is down.
+func TestHolderAndUpstreamLostWithoutStore(t *testing.T) {
+	f := startFaultRun(t, nil)
+	victim := f.holderOf(api.ShardID{Service: f.Document.Services[0].Name})
+	report := f.during(func() {
+		f.Table.SetFaults(table.Faults{Down: true})
+		victim.Kill()
+		f.upstreamOf(0, 0).Crash()
+		require.NoError(t, f.WaitServing(f.ctx), "service without the store")
+	})
+	f.check(report)
+	f.Table.SetFaults(table.Faults{})
+	require.NoError(t, victim.Start())
+	f.check()
+}
+
+// Guards against service from a state that a full restart has lost: nothing is
+// run until the store is back, and then service returns by itself.
+func TestAllVMsRestartedWithoutStore(t *testing.T) {
+	f := startFaultRun(t, nil)
+	before := f.during(func() {})
+	f.Table.SetFaults(table.Faults{Down: true})
+	for _, vm := range f.VMs {
+		vm.Kill()
+	}
+	for _, vm := range f.VMs {
+		require.NoError(t, vm.Start())
+	}
+	during := f.during(func() {})
+	for _, r := range during.Results {
+		require.Equal(t, api.NotRun, r.Outcome, "%+v", r)
+		require.True(t, r.NotRun)
+	}
+	f.Table.SetFaults(table.Faults{})
+	f.check(before, during)
+}
+
+// Guards against a planned stop that cuts off a request or loses the memory of
+// request IDs.
+func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	f := startFaultRun(t, nil)
+	f.load.Resend = 0
+	victim := f.holderOf(api.ShardID{Service: f.Document.Services[0].Name})
+	report := f.during(func() { require.NoError(t, victim.Stop(f.ctx)) })
+	for _, r := range report.Results {
+		require.NotEqual(t, api.Unknown, r.Outcome, "%+v", r)
+	}
+	f.check(report)
+}
+
+// Guards against answers that are passed on although they are cut off or belong
+// to another request.
+func TestTruncatedAndCrossedAnswers(t *testing.T) {
+	f := startFaultRun(t, nil)
+	report := f.during(func() {
+		f.upstreamOf(0, 0).SetFaults(upstream.Faults{Truncate: true})
+		f.upstreamOf(0, 1).SetFaults(upstream.Faults{Cross: true})
+		f.upstreamOf(1, 0).SetFaults(upstream.Faults{Truncate: true})
+		f.upstreamOf(1, 1).SetFaults(upstream.Faults{Cross: true})
+		pause(time.Second)
+		for i := range 2 {
+			f.upstreamOf(0, i).SetFaults(upstream.Faults{})
+			f.upstreamOf(1, i).SetFaults(upstream.Faults{})
+		}
+	})
+	f.check(report)
+}
+
+// Guards against one request that crashes upstream after upstream when its
+// caller sends it again, also under new request IDs.
+func TestRequestThatCrashesUpstreams(t *testing.T) {
+	f := startFaultRun(t, nil)
+	for _, s := range f.Document.Services {
+		crashes := func() (n uint64) {
+			for _, u := range s.Upstreams {
+				n += f.Upstreams[u.ID].Stats().Crashes
+			}
+			return n
+		}
+		for i := range 6 {
+			resp, _ := post(f.ctx, t, f.VMs[i%len(f.VMs)].URL(s.Name, "/"+upstream.CrashMarker), "poison", uuid.Must(uuid.NewV7()).String(), "same")
+			require.NotEqual(t, http.StatusOK, resp.StatusCode)
+		}
+		require.LessOrEqual(t, crashes(), uint64(2), "section 7.4 bounds the upstreams that one request crashes")
+		require.NotZero(t, crashes())
+		for _, u := range s.Upstreams {
+			if server := f.Upstreams[u.ID]; server.Stats().Crashes > 0 {
+				require.NoError(t, server.Restart())
+			}
+		}
+	}
+	f.check()
+}
+
+// Guards against a store whose plain reads lag: restarted VMs must neither
+// bring back an old configuration nor an old record.
+func TestLaggingReads(t *testing.T) {
+	f := startFaultRun(t, nil)
+	result, err := f.change(f.VMs[0], "lag-1", 1, config.SetPreset, "peak")
+	require.NoError(t, err)
+	f.Table.SetFaults(table.Faults{LagReads: true})
+	report := f.during(func() {
+		for _, vm := range f.VMs[:2] {
+			vm.Kill()
+			require.NoError(t, vm.Start())
+			require.NoError(t, f.WaitServing(f.ctx))
+		}
+	})
+	f.check(report)
+	for _, vm := range f.VMs {
+		doc, err := vm.Config(f.ctx)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, doc.Revision, result.Revision)
+		require.Equal(t, "peak", doc.ActivePreset)
+	}
+}
+
+// Guards against changes that are applied twice or lost when the answer to the
+// write is lost, and against an operator's change that another one undoes.
+func TestOperatorRacesWithLostAnswers(t *testing.T) {
+	f := startFaultRun(t, nil)
+	doc, err := f.VMs[0].Config(f.ctx)
+	require.NoError(t, err)
+	domain := string(doc.FailureDomains[1].Name)
+	f.Table.SetFaults(table.Faults{LoseAnswers: 2})
+	type outcome struct {
+		result admin.ChangeResult
+		err    error
+	}
+	race := func(changes ...config.Change) []outcome {
+		out := make([]outcome, len(changes))
+		var group sync.WaitGroup
+		for i, c := range changes {
+			group.Go(func() { out[i].result, out[i].err = f.VMs[i].Change(f.ctx, c) })
+		}
+		group.Wait()
+		return out
+	}
+	report := f.during(func() {
+		for _, o := range race(
+			config.Change{OperationID: "race-preset", BaseRevision: doc.Revision, Kind: config.SetPreset, Name: "peak"},
+			config.Change{OperationID: "race-domain", BaseRevision: doc.Revision, Kind: config.DomainOut, Name: domain},
+		) {
+			require.NoError(t, o.err, "changes of different entities both take effect")
+		}
+		same := race(
+			config.Change{OperationID: "race-a", BaseRevision: doc.Revision + 2, Kind: config.SetPreset, Name: "ordinary"},
+			config.Change{OperationID: "race-b", BaseRevision: doc.Revision + 2, Kind: config.SetPreset, Name: "maintenance"},
+		)
+		failures := 0
+		for _, o := range same {
+			if o.err != nil {
+				failures++
+				var refused *admin.Error
+				require.ErrorAs(t, o.err, &refused)
+				require.Equal(t, admin.Conflict, refused.Kind)
+			}
+		}
+		require.Equal(t, 1, failures, "exactly one of two changes of one entity takes effect")
+		_, err := f.change(f.VMs[2], "race-back", doc.Revision+3, config.DomainIn, domain)
+		require.NoError(t, err)
+	})
+	f.check(report)
+	row, err := f.Table.Get(f.ctx, "config/head")
+	require.NoError(t, err)
+	final, err := config.Decode(row.Value)
+	require.NoError(t, err)
+	require.Equal(t, doc.Revision+4, final.Revision, "four changes took effect, each once")
+}
+
+// Guards against changes by callers that are no operators.
+func TestUnauthenticatedChangeAltersNothing(t *testing.T) {
+	f := startFaultRun(t, nil)
+	before, err := f.Table.Get(f.ctx, "config/head")
+	require.NoError(t, err)
+	for _, token := range []string{"", "Bearer ", "Bearer wrong", "Basic " + Token, Token} {
+		req, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://"+f.VMs[0].Settings.Listen.Admin+admin.PathChanges,
+			jsonBody(t, config.Change{OperationID: "intruder", BaseRevision: 1, Kind: config.SetPreset, Name: "peak"}))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", token)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusUnauthorized, resp.StatusCode, token)
+	}
+	after, err := f.Table.Get(f.ctx, "config/head")
+	require.NoError(t, err)
+	require.Equal(t, before, after)
+}
