--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -149,9 +149,8 @@
 		return platform.Grant{}, 0, false
 	}
 	return platform.Grant{
-		Service: s.cfg.ID.Service,
-		Fence:   s.cfg.Fence,
-
+		Service:     s.cfg.ID.Service,
+		Fence:       s.cfg.Fence,
 		Incarnation: up.incarnation,
 		UntilMs:     until.Milliseconds(),
 		Ranges:      s.granted(up),
