--- a/bench/cluster/vm.go
+++ b/bench/cluster/vm.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -221,3 +222,11 @@
 	}
 	return errors.Wrap(json.Unmarshal(data, out), "decode answer")
 }
+
+// Explain asks where a request with a key goes.
+func (vm *VM) Explain(ctx context.Context, service api.ServiceName, key string) (admin.Explanation, error) {
+	var x admin.Explanation
+	query := url.Values{admin.QueryService: {string(service)}, admin.QueryKey: {key}}
+	err := vm.call(ctx, http.MethodGet, admin.PathExplain+"?"+query.Encode(), nil, &x)
+	return x, err
+}
--- /dev/null
+++ b/bench/cmd/measure/main.go
@@ -0,0 +1,204 @@
+// Command measure prints the measures of section 1.6 of the design page, one
+// line each. It starts deployments on loopback, with the entry VMs as processes
+// of their own, and stops by itself. Its exit code is 1 if an invariant is
+// broken; a missed bound of another measure is printed as MISSED.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/bench/cluster"
+	"dandelionhill.dev/bench/history"
+	"dandelionhill.dev/bench/metric"
+	"dandelionhill.dev/bench/placement"
+	"dandelionhill.dev/core/config"
+)
+
+// totalLimit bounds the whole run.
+const totalLimit = 5 * time.Minute
+
+// experiment is a source of metrics.
+type experiment struct {
+	name string
+	run  func(context.Context, env) ([]metric.Metric, error)
+}
+
+// experiments are run in this order. Add a line for a new one.
+var experiments = []experiment{
+	{"owner_loss", ownerLoss},
+	{"planned_move", plannedMove},
+	{"planned_stop", plannedStop},
+	{"deployment", deployment},
+	{"faults", faults},
+	{"direct", routerOverDirect},
+	{"placement", func(_ context.Context, e env) ([]metric.Metric, error) { return placement.Measure(e.seed), nil }},
+}
+
+// invariants are the measures that must be zero whatever fails.
+var invariants = []string{
+	"ownership_overlaps", "duplicate_runs", "false_not_run", "crossed_or_truncated_answers", "cut_requests_on_planned_stop",
+}
+
+// atLeast are the measures whose bound is a lower one.
+var atLeast = []string{"goodput_at_twice_capacity"}
+
+// env is what the experiments are given.
+type env struct {
+	seed    uint64
+	binary  string
+	example string
+	logs    string
+}
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of the loads and the stand-ins")
+	binary := flag.String("daemon", "bin/dandelionhilld", "daemon program")
+	example := flag.String("example", "examples/elozokozosseg/configuration.json", "configuration to run")
+	only := flag.String("only", "", "experiments to run, separated by commas; empty runs all")
+	logs := flag.String("logs", "", "directory for the logs of the VMs")
+	flag.Parse()
+	ctx, cancel := context.WithTimeout(context.Background(), totalLimit)
+	defer cancel()
+	path, err := filepath.Abs(*binary)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+	os.Exit(runAll(ctx, env{seed: *seed, binary: path, example: *example, logs: *logs}, *only))
+}
+
+// runAll runs the experiments and returns the exit code.
+func runAll(ctx context.Context, e env, only string) int {
+	code := 0
+	var missed []metric.Metric
+	for _, x := range experiments {
+		if only != "" && !has(strings.Split(only, ","), x.name) {
+			continue
+		}
+		start := time.Now()
+		metrics, err := x.run(ctx, e)
+		for _, m := range metrics {
+			fmt.Println(m)
+			if misses(m) {
+				missed = append(missed, m)
+			}
+		}
+		fmt.Fprintf(os.Stderr, "measure: %s took %.0f s\n", x.name, time.Since(start).Seconds())
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "measure: %s: %v\n", x.name, err)
+			code = 1
+		}
+	}
+	for _, m := range missed {
+		fmt.Println("MISSED", m, m.Note)
+		if has(invariants, m.Name) {
+			code = 1
+		}
+	}
+	return code
+}
+
+func misses(m metric.Metric) bool {
+	if !m.HasBound {
+		return false
+	}
+	if has(atLeast, m.Name) {
+		return m.Value < m.Bound
+	}
+	return !(m.Value <= m.Bound) // NaN misses
+}
+
+func has(list []string, name string) bool {
+	for _, s := range list {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
+
+// measured returns a metric without a bound.
+func (e env) measured(name string, value float64, unit, note string) metric.Metric {
+	return metric.Metric{Name: name, Value: value, Unit: unit, Seed: e.seed, Note: note}
+}
+
+// bounded returns a metric with its bound from section 1.6.
+func (e env) bounded(name string, value float64, unit string, bound float64, note string) metric.Metric {
+	m := e.measured(name, value, unit, note)
+	m.Bound, m.HasBound = bound, true
+	return m
+}
+
+// running is a deployment with the history of its upstreams.
+type running struct {
+	*cluster.Cluster
+	log history.Log
+}
+
+// start starts a deployment of the example and waits until it serves.
+func (e env) start(ctx context.Context, vms int, serviceTime time.Duration) (*running, error) {
+	data, err := os.ReadFile(e.example)
+	if err != nil {
+		return nil, errors.Wrap(err, "read example")
+	}
+	doc, err := config.Parse(e.example, data)
+	if err != nil {
+		return nil, err
+	}
+	r := new(running)
+	r.Cluster, err = cluster.Start(ctx, cluster.Options{
+		Document: doc, VMs: vms, ServiceTime: serviceTime, Recorder: &r.log, ListLag: 2 * time.Second,
+		Binary: e.binary, LogDirectory: e.logs, Seed: e.seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := r.WaitServing(ctx); err != nil {
+		r.Stop()
+		return nil, err
+	}
+	return r, nil
+}
+
+// change makes a change through the first running VM.
+func (r *running) change(ctx context.Context, id string, kind config.ChangeKind, name string) error {
+	for _, vm := range r.VMs {
+		if !vm.Serving() {
+			continue
+		}
+		doc, err := vm.Config(ctx)
+		if err != nil {
+			return err
+		}
+		_, err = vm.Change(ctx, config.Change{OperationID: id, BaseRevision: doc.Revision, Kind: kind, Name: name})
+		return err
+	}
+	return errors.New("no VM runs")
+}
+
+// settled waits until no run is in progress, so that the history is complete.
+func (r *running) settled(ctx context.Context) error {
+	for r.log.Open() > 0 {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return errors.New("runs of the upstreams did not end")
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
