Give a hot key a range of its own in the holder of its shard

Cause: the planner could move a hot key only together with its ordinary range. Change: the holder counts keys, asks placement.HotKeys once a second, and keeps the ranges of hot keys next to the ordinary ones. A split starts with the owner of the ordinary range and is used once that owner has acknowledged it; queued requests change their number, and the new number is held until the runs under the old one have ended. A merge moves the range back first and is held until nothing runs under its number. wire.Assign carries the hot keys in a new optional field. Before a planned handover the holder waits for runs of hot keys whose end was not seen, so that a successor which ignores the field is safe. Services with upstream_checks none split no keys.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -76,6 +76,16 @@
 	First     int              `cbor:"4,keyasint"`
 	Upstreams []api.UpstreamID `cbor:"5,keyasint"`
 	Owners    []int16          `cbor:"6,keyasint"`
+	Hot       []HotRange       `cbor:"7,keyasint,omitempty"`
+}
+
+// HotRange is the range that a hot key has of its own. Owner is the index of the
+// owner in Upstreams, or -1. A VM that does not know this field serves the key by
+// its ordinary range.
+type HotRange struct {
+	Key   string `cbor:"1,keyasint"`
+	Range int    `cbor:"2,keyasint"`
+	Owner int16  `cbor:"3,keyasint"`
 }
 
 // Forward asks the holder of a shard to run a request.
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -86,6 +86,19 @@
 	}
 }
 
+// Renumber puts a queued request under another range, at the end of its flow.
+// Its upstream stays, and so does the request if it is not queued.
+func (q *Queue) Renumber(id uint64, number int) {
+	it := q.queued[id]
+	if it == nil || it.req.Range == number {
+		return
+	}
+	q.detach(it)
+	it.req.Range = number
+	it.inFlow.value = it
+	q.attach(q.laneOf(it.req.Upstream), it)
+}
+
 func (q *Queue) move(it *item, up api.UpstreamID) {
 	q.detach(it)
 	it.req.Upstream = up
--- a/server/holder/handover.go
+++ b/server/holder/handover.go
@@ -102,7 +102,7 @@
 func (s *Shard) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.requests) == 0
+	return len(s.requests) == 0 && !s.hotBusy(s.cfg.Clock())
 }
 
 // restore takes over the memory of a former holder.
--- a/server/holder/moves.go
+++ b/server/holder/moves.go
@@ -12,6 +12,7 @@
 // plan asks for moves and starts them.
 func (s *Shard) plan(now time.Duration) {
 	s.decayLoad(now)
+	s.observeHot(now)
 	if !s.service.Keyed || s.frozen || !s.allTried(now) {
 		return
 	}
@@ -47,16 +48,18 @@
 		Pinned: map[api.UpstreamID]bool{},
 	}
 	total := 0.0
-	for i := range s.ranges.ranges {
-		r := &s.ranges.ranges[i]
-		in.Owners[s.ranges.first+i] = r.owner
+	for number, r := range s.ranges.all() {
+		if r.hot != nil && r.hot.phase != hotActive {
+			continue
+		}
+		in.Owners[number] = r.owner
 		if r.to != "" {
-			in.Owners[s.ranges.first+i] = r.to
+			in.Owners[number] = r.to
 		}
 		// A range without requests still has some weight, so that an idle
 		// service is spread evenly.
 		load := r.work + 0.01
-		in.Load[s.ranges.first+i] = load
+		in.Load[number] = load
 		total += load
 	}
 	for id, up := range s.ups {
@@ -132,14 +135,14 @@
 func (s *Shard) settle(now time.Duration) {
 	changed := false
 	touched := map[*upstream]bool{}
-	for i := range s.ranges.ranges {
-		r := &s.ranges.ranges[i]
-		if r.to != "" && s.free(now, s.ranges.first+i, touched) {
+	for number, r := range s.ranges.all() {
+		if r.to != "" && s.free(now, number, touched) {
 			s.ranges.number++
-			*r = rangeState{owner: r.to, assignment: s.ranges.number, work: r.work, held: r.held}
+			*r = rangeState{owner: r.to, assignment: s.ranges.number, work: r.work, held: r.held, hot: r.hot}
 			changed = true
 		}
 	}
+	changed = s.settleHot(now) || changed
 	for up := range touched {
 		up.poke()
 	}
@@ -151,10 +154,8 @@
 
 // release lets the requests of ranges start whose owners have acknowledged them.
 func (s *Shard) release() {
-	for i := range s.ranges.ranges {
-		r := &s.ranges.ranges[i]
+	for number, r := range s.ranges.all() {
 		if r.held == s.ready(r) {
-			number := s.ranges.first + i
 			if r.held = !r.held; r.held {
 				s.queue.HoldRange(number)
 			} else {
@@ -178,7 +179,7 @@
 	if s.lost(now, owner) {
 		return s.releasable(now, owner)
 	}
-	if s.queue.RangeInFlight(number) > 0 || now < r.busyUntil {
+	if s.queue.RangeInFlight(number) > 0 || s.runsElsewhere(r) || now < r.busyUntil {
 		return false
 	}
 	if !r.revoked {
@@ -199,15 +200,19 @@
 		Owners: make([]int16, len(s.ranges.ranges)),
 	}
 	index := map[api.UpstreamID]int16{"": -1}
-	for i := range s.ranges.ranges {
-		owner := s.ranges.ranges[i].owner
+	for number, r := range s.ranges.all() {
+		owner := r.owner
 		n, ok := index[owner]
 		if !ok {
 			n = int16(len(a.Upstreams))
 			index[owner] = n
 			a.Upstreams = append(a.Upstreams, owner)
 		}
-		a.Owners[i] = n
+		if r.hot != nil {
+			a.Hot = append(a.Hot, wire.HotRange{Key: r.hot.key, Range: number, Owner: n})
+			continue
+		}
+		a.Owners[number-s.ranges.first] = n
 	}
 	return a
 }
@@ -222,8 +227,7 @@
 	}
 	s.ranges.safe = number
 	touched := map[*upstream]bool{}
-	for i := range s.ranges.ranges {
-		r := &s.ranges.ranges[i]
+	for _, r := range s.ranges.all() {
 		up := s.ups[r.owner]
 		if up == nil || r.change > 0 || r.assignment > number {
 			continue
@@ -246,8 +250,13 @@
 	return s.assignment(), s.ranges.number > s.ranges.safe
 }
 
-// ready reports whether the owner of a range has acknowledged it.
+// ready reports whether requests of a range may start.
 func (s *Shard) ready(r *rangeState) bool {
+	return s.acknowledged(r) && !s.runsElsewhere(r) && (r.hot == nil || r.hot.phase != hotMerging)
+}
+
+// acknowledged reports whether the owner of a range has acknowledged it.
+func (s *Shard) acknowledged(r *rangeState) bool {
 	up := s.ups[r.owner]
 	return up != nil && r.to == "" && !r.revoked && r.change > 0 && up.granted >= r.change
 }
@@ -268,6 +277,7 @@
 		}
 	}
 	s.ranges.number = 1
+	s.inheritHot(now, a)
 }
 
 // loadHalfLife is the time in which an earlier request counts half in the load
@@ -281,7 +291,7 @@
 	}
 	s.decayed = now
 	const tenth = 0.933 // 0.5^(1/10)
-	for i := range s.ranges.ranges {
-		s.ranges.ranges[i].work *= tenth
+	for _, r := range s.ranges.all() {
+		r.work *= tenth
 	}
 }
--- a/server/holder/ownership.go
+++ b/server/holder/ownership.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"iter"
 	"time"
 
 	"dandelionhill.dev/api"
@@ -23,24 +24,58 @@
 	held           bool // its requests wait in the queue
 	// busyUntil is until when a run whose end was not seen may go on.
 	busyUntil time.Duration
-	work      float64 // recent requests, decaying
+	work      float64   // recent requests, decaying
+	hot       *hotRange // set if the range is that of a hot key
 }
 
 // ownership holds the ranges of a shard and which assignments are safe.
 type ownership struct {
 	first  int
 	ranges []rangeState
-	number uint64 // of the newest assignment
-	safe   uint64 // the newest assignment that survives the loss of this VM
+	number uint64      // of the newest assignment
+	safe   uint64      // the newest assignment that survives the loss of this VM
+	hot    []*hotRange // ranges of hot keys, by number
+	byKey  map[string]*hotRange
+	// hotChanged means that the assignment changed by a hot key and has not been reported.
+	hotChanged bool
 }
 
 func newOwnership(span config.Span) *ownership {
-	o := &ownership{first: span.First, ranges: make([]rangeState, span.Last-span.First+1)}
+	o := &ownership{first: span.First, ranges: make([]rangeState, span.Last-span.First+1), byKey: map[string]*hotRange{}}
 	return o
 }
 
+// all iterates over the ranges with their numbers, those of hot keys last.
+func (o *ownership) all() iter.Seq2[int, *rangeState] {
+	return func(yield func(int, *rangeState) bool) {
+		for i := range o.ranges {
+			if !yield(o.first+i, &o.ranges[i]) {
+				return
+			}
+		}
+		for _, h := range o.hot {
+			if !yield(h.number, &h.state) {
+				return
+			}
+		}
+	}
+}
+
 // at returns the state of a range, or nil if the shard does not have it.
 func (o *ownership) at(rng int) *rangeState {
+	if r := o.ordinary(rng); r != nil {
+		return r
+	}
+	for _, h := range o.hot {
+		if h.number == rng {
+			return &h.state
+		}
+	}
+	return nil
+}
+
+// ordinary returns the state of an ordinary range, or nil.
+func (o *ownership) ordinary(rng int) *rangeState {
 	i := rng - o.first
 	if i < 0 || i >= len(o.ranges) {
 		return nil
@@ -50,9 +85,9 @@
 
 // settled notes that nothing runs on an upstream any longer.
 func (o *ownership) settled(up api.UpstreamID) {
-	for i := range o.ranges {
-		if o.ranges[i].owner == up {
-			o.ranges[i].busyUntil = 0
+	for _, r := range o.all() {
+		if r.owner == up {
+			r.busyUntil = 0
 		}
 	}
 }
@@ -60,10 +95,9 @@
 // grantable lists the ranges that an upstream may be granted now.
 func (o *ownership) grantable(up api.UpstreamID) []int {
 	var out []int
-	for i := range o.ranges {
-		r := &o.ranges[i]
+	for number, r := range o.all() {
 		if r.owner == up && !r.revoked && r.assignment <= o.safe {
-			out = append(out, o.first+i)
+			out = append(out, number)
 		}
 	}
 	return out
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -45,7 +45,7 @@
 	}
 	req := platform.Request{
 		Service: s.cfg.ID.Service, Method: r.forward.Method, Path: r.forward.Path, Body: r.forward.Body,
-		Key: r.forward.Key, RequestID: r.forward.RequestID, Range: r.forward.Range,
+		Key: r.forward.Key, RequestID: r.forward.RequestID, Range: r.rng,
 		Fence: s.cfg.Fence, Incarnation: up.incarnation, DeadlineMs: deadline.Milliseconds(),
 	}
 	go func() {
@@ -140,6 +140,7 @@
 		s.broken(now, r, up, failure, cancelled)
 		s.retryOrEnd(r, s.failed(cancelled, err))
 	}
+	s.endedHot(now, r)
 	s.refresh(now)
 	s.pump(now)
 }
@@ -149,8 +150,7 @@
 // its start. An upstream that checks nothing may run on for any time, so its
 // range stays until the upstream restarts.
 func (s *Shard) mayStillRun(r *request, current *run) {
-	state := s.ranges.at(r.forward.Range)
-	if state == nil || !s.service.Keyed || state.owner != current.up.id {
+	if !s.service.Keyed {
 		return
 	}
 	cfg := lease.DefaultConfig()
@@ -158,7 +158,12 @@
 	if s.service.UpstreamChecks == config.ChecksNone {
 		end = math.MaxInt64
 	}
-	state.busyUntil = max(state.busyUntil, end)
+	// The key may have been given another range since the run started.
+	for _, number := range [...]int{r.rng, s.rangeOf(r.forward)} {
+		if state := s.ranges.at(number); state != nil && state.owner == current.up.id {
+			state.busyUntil = max(state.busyUntil, end)
+		}
+	}
 }
 
 const (
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -17,6 +17,7 @@
 type request struct {
 	id          uint64
 	forward     *wire.Forward
+	rng         int // the number of the range under which it is queued or runs
 	fingerprint uint64
 	deadline    time.Duration
 	reply       chan *wire.Reply
@@ -119,6 +120,7 @@
 	if s.hedgeable(r) {
 		s.hedges.Request()
 	}
+	s.countKey(r)
 	s.enqueue(now, r)
 	if s.penalized { // whether a straggler is worth using depends on the queue
 		s.refresh(now)
@@ -131,9 +133,10 @@
 
 // enqueue gives a request to the queue, or finishes it with a refusal.
 func (s *Shard) enqueue(now time.Duration, r *request) {
-	entry := dispatch.Request{ID: r.id, Key: r.forward.Key, Caller: r.forward.Caller, Range: r.forward.Range, Deadline: r.deadline}
+	r.rng = s.rangeOf(r.forward)
+	entry := dispatch.Request{ID: r.id, Key: r.forward.Key, Caller: r.forward.Caller, Range: r.rng, Deadline: r.deadline}
 	if s.service.Keyed {
-		state := s.ranges.at(r.forward.Range)
+		state := s.ranges.at(r.rng)
 		if state == nil {
 			s.finish(r, refusal(api.Refuse(api.NotHolder, "the range of the key is not in shard "+s.cfg.ID.String())))
 			return
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -61,6 +61,7 @@
 	span    config.Span
 	ups     map[api.UpstreamID]*upstream
 	ranges  *ownership
+	hot     hotKeys
 
 	leases   *lease.Table
 	planner  placement.Planner
@@ -90,7 +91,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	service, _ := doc.Service(cfg.ID.Service)
 	s := &Shard{
-		cfg: cfg, ctx: ctx, cancel: cancel,
+		cfg: cfg, ctx: ctx, cancel: cancel, service: service,
 		span:     service.Layout[cfg.ID.Index],
 		ups:      map[api.UpstreamID]*upstream{},
 		leases:   lease.NewTable(lease.DefaultConfig()),
@@ -103,6 +104,7 @@
 		waiting:  map[string][]chan *wire.Reply{},
 	}
 	s.ranges = newOwnership(s.span)
+	s.hot = newHotKeys(cfg.ID, service, cfg.Clock())
 	s.inherit(in)
 	s.Configure(doc)
 	return s
@@ -226,6 +228,7 @@
 	s.cfg.Metrics.Queued.WithLabelValues(service, shard).Set(float64(s.queue.Queued()))
 	s.cfg.Metrics.Stragglers.WithLabelValues(service).Set(float64(stragglers))
 	s.cfg.Metrics.Quarantined.WithLabelValues(service, shard).Set(float64(s.evidence.Quarantined()))
+	s.cfg.Metrics.HotKeys.WithLabelValues(service, shard).Set(float64(s.hotInUse()))
 }
 
 // refresh tells the queue what each upstream may be given now.
@@ -293,6 +296,7 @@
 	}
 	s.closed = true
 	s.cancel()
+	s.cfg.Metrics.HotKeys.DeleteLabelValues(string(s.cfg.ID.Service), s.cfg.ID.String())
 	for _, r := range s.requests {
 		if len(r.runs) == 0 {
 			s.finish(r, refusal(api.Refuse(api.NotHolder, "this VM no longer holds shard "+s.cfg.ID.String())))
--- a/server/holder/status.go
+++ b/server/holder/status.go
@@ -33,8 +33,8 @@
 	now := s.cfg.Clock()
 	status := Status{Shard: s.cfg.ID, Fence: s.cfg.Fence, Assign: s.assignment()}
 	owned := map[api.UpstreamID]int{}
-	for i := range s.ranges.ranges {
-		owned[s.ranges.ranges[i].owner]++
+	for _, r := range s.ranges.all() {
+		owned[r.owner]++
 	}
 	for id, up := range s.ups {
 		status.Upstreams = append(status.Upstreams, UpstreamStatus{
--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -69,8 +69,9 @@
 // session renews the lease of one upstream until the shard is closed.
 func (s *Shard) session(up *upstream) {
 	every := lease.DefaultConfig().RenewEvery
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(every)
 	defer timer.Stop()
+	up.poke()
 	for {
 		select {
 		case <-s.ctx.Done():
--- a/server/metrics/metrics.go
+++ b/server/metrics/metrics.go
@@ -32,6 +32,7 @@
 	ShardsHeld       prometheus.Gauge
 	Stragglers       *prometheus.GaugeVec // service
 	Quarantined      *prometheus.GaugeVec // service, shard
+	HotKeys          *prometheus.GaugeVec // service, shard
 }
 
 // latencyBuckets spans 0.5 ms to 16 s: the target is 10 ms for 99 in 100.
@@ -62,12 +63,13 @@
 		}),
 		Stragglers:  gauge("stragglers", "Upstreams that answer much more slowly than their peers.", "service"),
 		Quarantined: gauge("quarantined_fingerprints", "Request fingerprints refused because they crashed upstreams.", "service", "shard"),
+		HotKeys:     gauge("hot_keys", "Keys with a range of their own.", "service", "shard"),
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.Requests, m.Refusals, m.Retries, m.Latency, m.UpstreamLatency, m.InFlight, m.Queued, m.Hedges,
 		m.OwnershipChanges, m.LeaseRenewals, m.AuthorityChanges, m.StoreCalls, m.ConfigRevision, m.ShardsHeld,
-		m.Stragglers, m.Quarantined,
+		m.Stragglers, m.Quarantined, m.HotKeys,
 	)
 	return m
 }
