--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -62,7 +62,7 @@
 func (s *Shard) runLimits(now time.Duration, r *request, up *upstream) (int, time.Duration, bool) {
 	if s.service.Keyed {
 		deadline, ok := s.leases.Deadline(now, min(r.deadline, s.authority), up.id)
-		return r.forward.Range, deadline, ok
+		return r.rng, deadline, ok
 	}
 	deadline, ok := s.leases.SharedDeadline(now, r.deadline, up.id)
 	return lease.NoRange, deadline, ok
@@ -151,6 +151,7 @@
 		s.broken(now, r, up, failure, cancelled)
 		s.retryOrEnd(r, s.failed(cancelled, err))
 	}
+	s.endedHot(now, r)
 	s.refresh(now)
 	s.pump(now)
 }
@@ -160,8 +161,7 @@
 // its start. An upstream that checks nothing may run on for any time, so its
 // range stays until the upstream restarts.
 func (s *Shard) mayStillRun(r *request, current *run) {
-	state := s.ranges.at(r.forward.Range)
-	if state == nil || !s.service.Keyed || state.owner != current.up.id {
+	if !s.service.Keyed {
 		return
 	}
 	cfg := lease.DefaultConfig()
@@ -169,7 +169,12 @@
 	if s.service.UpstreamChecks == config.ChecksNone {
 		end = math.MaxInt64
 	}
-	state.busyUntil = max(state.busyUntil, end)
+	// The key may have been given another range since the run started.
+	for _, number := range [...]int{r.rng, s.rangeOf(r.forward)} {
+		if state := s.ranges.at(number); state != nil && state.owner == current.up.id {
+			state.busyUntil = max(state.busyUntil, end)
+		}
+	}
 }
 
 const (
