Mirror the IDs of started requests to witnesses

Weighed: a smaller clock_skew (does not help requests that waited), a row per request (the store cannot take it), mirroring (one round trip between VMs per such request). Change: a request runs only when one witness has its ID; a new holder asks the members but the former holder and begins with the union, back to 30 s. If one does not answer, the memory begins at the takeover as before.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -29,6 +29,10 @@
 	TypeConfig    Type = "config"
 	TypeStatus    Type = "status"
 	TypeEvidence  Type = "evidence"
+
+	TypeMirror        Type = "mirror"
+	TypeMirrorAck     Type = "mirror_ack"
+	TypeMirrorContent Type = "mirror_content"
 )
 
 // Frame is the unit of transfer. Call matches a reply with its request; it is 0
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -199,6 +199,10 @@
 		err = c.receiveConfig(from, frame)
 	case wire.TypeEvidence:
 		err = c.receiveEvidence(frame)
+	case wire.TypeMirror:
+		err = c.receiveMirror(from, frame)
+	case wire.TypeMirrorAck:
+		err = c.receiveMirrorAck(frame)
 	}
 	if err != nil {
 		c.cfg.Log.Warn().Err(err).Str("event", "message_refused").Str("peer", string(from)).Msg("")
--- a/server/control/members.go
+++ b/server/control/members.go
@@ -42,6 +42,11 @@
 		held[h.Shard] = h.Fence
 	}
 	c.holders.Heard(now, from, held)
+	for id, fence := range held {
+		if s := c.shards[id]; s != nil && fence >= s.lastFence {
+			s.lastHolder, s.lastFence = from, fence
+		}
+	}
 	if hb.Revision > c.revision() {
 		c.sender.Send(from, wire.TypeConfig, wire.Config{Revision: c.revision()})
 	}
--- a/server/control/shards.go
+++ b/server/control/shards.go
@@ -13,6 +13,7 @@
 	"dandelionhill.dev/api/wire"
 	"dandelionhill.dev/core/authority"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/dedup"
 	"dandelionhill.dev/core/membership"
 	"dandelionhill.dev/core/placement"
 	"dandelionhill.dev/platform"
@@ -34,6 +35,14 @@
 	handover *holder.Handover
 	// evidence is what holders have sent of requests that crash upstreams.
 	evidence *crash.Evidence
+	// mirror has the IDs of requests that holders have started, since the record
+	// had mirrorVersion; mirrorFence is the highest fence that has sent some.
+	mirror        *dedup.Mirror
+	mirrorVersion uint64
+	mirrorFence   api.Fence
+	// lastHolder is the VM with the highest fence that has said it holds the shard.
+	lastHolder api.VMID
+	lastFence  api.Fence
 	// preferredSince is when the shard's preferred holder, its first member, was
 	// seen to be available while this VM holds the shard; 0 if it is not.
 	preferredSince time.Duration
@@ -85,6 +94,7 @@
 	if _, until, ok := s.machine.Authority(now); ok {
 		s.held.SetAuthority(until)
 	}
+	s.held.SetWitnesses(c.others(s))
 	s.held.Tick()
 }
 
@@ -227,23 +237,41 @@
 	}()
 }
 
-// gain starts to hold a shard.
+// gain prepares to hold a shard. After an unplanned takeover the other members
+// are asked first which requests were started.
 func (c *Control) gain(s *shardState, fence api.Fence) {
 	c.lose(s)
 	c.cfg.Metrics.AuthorityChanges.WithLabelValues("gained").Inc()
 	c.cfg.Log.Info().Str("event", "shard_gained").Stringer("shard", s.id).Stringer("fence", fence).Msg("")
 	in := holder.Inheritance{Assign: s.assign}
-	if h := s.handover; h != nil && h.Last && (s.assign == nil || h.Fence >= s.assign.Fence) {
+	h := s.handover
+	s.handover = nil
+	if h != nil && h.Last && (s.assign == nil || h.Fence >= s.assign.Fence) {
 		in.Handover, in.Assign = h, &h.Assign
+		c.hold(s, fence, in)
+		return
 	}
-	s.handover = nil
+	c.recallIDs(s, s.lastHolder, func(memory *dedup.Snapshot) {
+		held, _, ok := s.machine.Authority(c.cfg.Clock())
+		if !ok || held != fence || s.held != nil || c.shards[s.id] != s {
+			return
+		}
+		in.Memory = memory
+		c.hold(s, fence, in)
+	})
+}
+
+// hold starts to serve a shard.
+func (c *Control) hold(s *shardState, fence api.Fence, in holder.Inheritance) {
 	s.held = holder.New(holder.Config{
 		ID: s.id, Fence: fence, Clock: c.cfg.Clock, Dial: c.cfg.Dial, Metrics: c.cfg.Metrics, Log: c.cfg.Log,
 		Assign: func(a wire.Assign) { c.post(func() { c.assigned(s, a) }) },
+		Mirror: func(to []api.VMID, seq uint64, ids []dedup.ID) { c.sendMirror(s.id, fence, to, seq, ids) },
 	}, c.doc, in, time.Now())
 	if _, until, ok := s.machine.Authority(c.cfg.Clock()); ok {
 		s.held.SetAuthority(until)
 	}
+	s.held.SetWitnesses(c.others(s))
 	if s.evidence != nil {
 		s.held.MergeEvidence(s.evidence.Snapshot(holder.EvidenceLimit))
 	}
@@ -264,6 +292,8 @@
 	c.cfg.Log.Info().Str("event", "shard_lost").Stringer("shard", s.id).Msg("")
 	s.held.Close()
 	s.held = nil
+	// The IDs that this VM has run are not in its mirror.
+	c.mirrorOf(s).Reset(time.Now())
 	c.publish(c.cfg.Clock())
 }
 
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -61,6 +61,8 @@
 		return f.entry.Local(ctx, &forward)
 	case wire.TypeStatus:
 		return f.Held()
+	case wire.TypeMirrorContent:
+		return f.MirrorContent(ctx, frame)
 	case wire.TypeHandover:
 		return f.ReceiveHandover(ctx, frame)
 	default:
--- a/server/holder/moves.go
+++ b/server/holder/moves.go
@@ -6,6 +6,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
 	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/core/dedup"
 	"dandelionhill.dev/core/placement"
 )
 
@@ -266,6 +267,8 @@
 	now := s.cfg.Clock()
 	if h := in.Handover; h != nil {
 		s.restore(now, h)
+	} else if in.Memory != nil {
+		s.memory = dedup.Restore(dedup.DefaultConfig(), *in.Memory)
 	}
 	a := in.Assign
 	if a == nil || a.First != s.ranges.first || len(a.Owners) != len(s.ranges.ranges) {
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -56,6 +56,11 @@
 	decision, repeat := s.begin(f)
 	switch decision.Action {
 	case dedup.Run:
+		if !s.mirrorID(ctx, f.RequestID) {
+			refused := s.notHolder()
+			s.refuseBegun(f.RequestID, refused)
+			return refusal(refused)
+		}
 		return s.await(ctx, s.admit(f, deadline))
 	case dedup.Wait:
 		select {
@@ -259,6 +264,11 @@
 	if id == "" || r.forward.Idempotent {
 		return
 	}
+	s.conclude(id, reply)
+}
+
+// conclude records the outcome of a request ID.
+func (s *Shard) conclude(id string, reply *wire.Reply) {
 	end := dedup.End{Outcome: api.Answered}
 	if reply.Refusal != nil {
 		end.Outcome = reply.Refusal.Outcome
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -43,6 +43,9 @@
 	// Assign reports a new assignment of ranges. The caller calls Assigned with
 	// its number once the assignment would survive the loss of this VM.
 	Assign func(wire.Assign)
+	// Mirror sends request IDs to witnesses. The caller calls Mirrored with the
+	// batch's number when one of them has it. Nil sends nothing.
+	Mirror func(witnesses []api.VMID, seq uint64, ids []dedup.ID)
 }
 
 // Shard is one shard held by this VM.
@@ -77,6 +80,7 @@
 	reserveShort bool          // the demand would not fit without the largest failure domain
 	penalized    bool          // some upstream is a straggler at the moment
 	decayed      time.Duration // when the load of the ranges was last aged
+	mirror       mirroring
 	nextID       uint64
 	requests     map[uint64]*request
 	waiting      map[string][]chan *wire.Reply // by request ID: repeats that wait for the first run
@@ -86,6 +90,8 @@
 type Inheritance struct {
 	Assign   *wire.Assign
 	Handover *Handover
+	// Memory has the request IDs that witnesses know; nil if they do not know all.
+	Memory *dedup.Snapshot
 }
 
 // New returns a shard and starts its sessions with the upstreams.
@@ -212,6 +218,7 @@
 	}
 	now := s.cfg.Clock()
 	s.monitor.Tick(now)
+	s.resendMirror(now)
 	s.shareNormal()
 	s.plan(now)
 	s.refresh(now)
