--- a/server/control/evidence.go
+++ b/server/control/evidence.go
@@ -10,21 +10,19 @@
 type evidence struct {
 	Shard   api.ShardID   `cbor:"1,keyasint"`
 	Entries []crash.Entry `cbor:"2,keyasint"`
+	// Warm has the incarnations of the upstreams that have warmed up.
+	Warm map[api.UpstreamID]api.Incarnation `cbor:"3,keyasint,omitempty"`
 }
 
-// sendEvidence gives the crash evidence of the held shards to their witnesses,
-// so that it survives a takeover, and to all VMs if a repeat of a request can
+// sendEvidence gives the crash evidence of the held shards, and which upstreams
+// are warm, to their witnesses, so that both survive a takeover, and to all VMs if a repeat of a request can
 // reach another shard of its service.
 func (c *Control) sendEvidence() {
 	for id, s := range c.shards {
 		if s.held == nil {
 			continue
 		}
-		entries := s.held.Evidence()
-		if len(entries) == 0 {
-			continue
-		}
-		msg := evidence{Shard: id, Entries: entries}
+		msg := evidence{Shard: id, Entries: s.held.Evidence(), Warm: s.held.Warm()}
 		service, _ := c.doc.Service(id.Service)
 		if !service.Keyed && len(service.Layout) > 1 {
 			c.mergeEvidence(msg)
@@ -50,6 +48,9 @@
 // to the other shards of the service that this VM holds.
 func (c *Control) mergeEvidence(msg evidence) {
 	now := c.cfg.Clock()
+	if s := c.shards[msg.Shard]; s != nil && s.held == nil {
+		s.warm = msg.Warm
+	}
 	for id, s := range c.shards {
 		if id.Service != msg.Shard.Service {
 			continue
--- a/server/control/shards.go
+++ b/server/control/shards.go
@@ -35,6 +35,8 @@
 	handover *holder.Handover
 	// evidence is what holders have sent of requests that crash upstreams.
 	evidence *crash.Evidence
+	// warm has the incarnations of upstreams that the holder has seen warm.
+	warm map[api.UpstreamID]api.Incarnation
 	// mirror has the IDs of requests that holders have started, since the record
 	// had mirrorVersion; mirrorFence is the highest fence that has sent some.
 	mirror        *dedup.Mirror
@@ -243,7 +245,7 @@
 	c.lose(s)
 	c.cfg.Metrics.AuthorityChanges.WithLabelValues("gained").Inc()
 	c.cfg.Log.Info().Str("event", "shard_gained").Stringer("shard", s.id).Stringer("fence", fence).Msg("")
-	in := holder.Inheritance{Assign: s.assign}
+	in := holder.Inheritance{Assign: s.assign, Warm: s.warm}
 	h := s.handover
 	s.handover = nil
 	if h != nil && h.Last && (s.assign == nil || h.Fence >= s.assign.Fence) {
--- a/server/holder/handover.go
+++ b/server/holder/handover.go
@@ -125,3 +125,16 @@
 	defer s.mu.Unlock()
 	s.evidence.Merge(s.cfg.Clock(), entries)
 }
+
+// Warm returns the incarnations of the upstreams that have warmed up.
+func (s *Shard) Warm() map[api.UpstreamID]api.Incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	warm := map[api.UpstreamID]api.Incarnation{}
+	for id, up := range s.ups {
+		if up.answered && !up.ramp.Cold() {
+			warm[id] = up.incarnation
+		}
+	}
+	return warm
+}
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -76,10 +76,11 @@
 	retries  *retry.Budget
 	rng      *rand.Rand
 
-	demand       float64       // requests running and queued, smoothed
-	reserveShort bool          // the demand would not fit without the largest failure domain
-	penalized    bool          // some upstream is a straggler at the moment
-	decayed      time.Duration // when the load of the ranges was last aged
+	demand       float64                            // requests running and queued, smoothed
+	reserveShort bool                               // the demand would not fit without the largest failure domain
+	penalized    bool                               // some upstream is a straggler at the moment
+	decayed      time.Duration                      // when the load of the ranges was last aged
+	warm         map[api.UpstreamID]api.Incarnation // as the former holder saw them
 	mirror       mirroring
 	nextID       uint64
 	requests     map[uint64]*request
@@ -92,6 +93,8 @@
 	Handover *Handover
 	// Memory has the request IDs that witnesses know; nil if they do not know all.
 	Memory *dedup.Snapshot
+	// Warm has the incarnations of upstreams that the former holder saw warm.
+	Warm map[api.UpstreamID]api.Incarnation
 }
 
 // New returns a shard and starts its sessions with the upstreams.
@@ -114,6 +117,7 @@
 	s.ranges = newOwnership(s.span)
 	s.hot = newHotKeys(cfg.ID, service, cfg.Clock())
 	s.inherit(in)
+	s.warm = in.Warm
 	s.Configure(doc)
 	return s
 }
--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -185,6 +185,9 @@
 		SentAt:      sentAt,
 		ReceivedAt:  now,
 	})
+	if !up.answered && s.warm[up.id] == health.Incarnation && health.Incarnation != "" {
+		up.ramp = ramp.New(rampConfig(s.preset), false)
+	}
 	if restarted {
 		s.ranges.settled(up.id)
 		up.ramp.Restart(now)
