Run a very hot key through a takeover in a cluster test

Cause: the wiring of hot keys through witnesses was tested with fakes only. Change: a test in bench/cluster with Zipf load that waits for a split, kills the holder, waits until a witness holds the shard with the hot key, and checks the history of runs.

--- /dev/null
+++ b/bench/cluster/hot_test.go
@@ -0,0 +1,88 @@
+package cluster
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/bench/history"
+	"dandelionhill.dev/bench/load"
+)
+
+var hotGauge = regexp.MustCompile(`(?m)^dandelionhill_hot_keys\{service="foglalas",shard="[^"]+"\} [1-9]`)
+
+// splitsHot reports whether a VM that still runs holds a shard with a hot key.
+func (vm *VM) splitsHot(ctx context.Context, t *testing.T) bool {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Settings.Listen.Admin+"/metrics", nil)
+	require.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return hotGauge.Match(data)
+}
+
+// holderOfHot waits until a VM holds a shard with a hot key.
+func (c *Cluster) holderOfHot(ctx context.Context, t *testing.T) *VM {
+	t.Helper()
+	for {
+		for _, vm := range c.VMs {
+			if vm.Running() && vm.splitsHot(ctx, t) {
+				return vm
+			}
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-ctx.Done():
+			require.Fail(t, "no VM splits a hot key")
+		}
+	}
+}
+
+// TestHotKeyThroughTakeover guards against two owners of a key, duplicate runs
+// and false refusals when a very hot key gets a range of its own under a load
+// with Zipf popularity, and when the holder that split it is lost.
+func TestHotKeyThroughTakeover(t *testing.T) {
+	var log history.Log
+	c, ctx := start(t, Options{
+		Document: example(t, "elozokozosseg"), VMs: 4, UpstreamsPerService: 6,
+		ServiceTime: 4 * time.Millisecond, Recorder: &log, Seed: 1,
+	})
+	loadCtx, end := context.WithCancel(ctx)
+	defer end()
+	done := make(chan *load.Report, 1)
+	go func() {
+		done <- load.Run(loadCtx, load.Options{
+			Entries: c.Entries, Targets: []load.Target{{Service: "foglalas", Keyed: true, Repeatable: 0.3}},
+			Keys: 2000, Zipf: 1.5, Rate: 300, Workers: 100, Timeout: time.Second, Resend: 3, Seed: 1,
+		})
+	}()
+	first := c.holderOfHot(ctx, t)
+	first.Kill()
+	second := c.holderOfHot(ctx, t)
+	require.NotEqual(t, first.Settings.VM, second.Settings.VM)
+	end()
+	report := <-done
+	for log.Open() > 0 {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			require.Fail(t, "runs do not end")
+		}
+	}
+	runs := log.Runs()
+	require.Greater(t, len(runs), 100)
+	require.Empty(t, history.Overlaps(runs))
+	require.Equal(t, porcupine.Ok, history.Linearizable(runs))
+	require.Empty(t, history.Duplicates(runs))
+	require.Empty(t, history.FalseNotRun(report.Results, runs))
+	require.Empty(t, history.Wrong(report.Results))
+}
