Measure the imbalance with hot keys with and without their own ranges

Cause: bench/placement always split hot keys, so the effect was not visible. Change: the same load also without splits, and a load with one key of 0.9 of an upstream's mean load. The comparison with the baselines has 22 pairs now, four more, because of the new load.

--- a/bench/placement/experiment.go
+++ b/bench/placement/experiment.go
@@ -30,7 +30,7 @@
 	var out []metric.Metric
 	for _, dep := range deployments() {
 		r := recorder{seed: seed, deployment: dep.name}
-		for _, load := range []keyLoad{uniform, zipf, hotKeys} {
+		for _, load := range []keyLoad{uniform, zipf, hotKeys, oneHotKey} {
 			r.load = load
 			r.balance(dep)
 		}
@@ -66,12 +66,17 @@
 
 // balance measures the imbalance after settling.
 func (r *recorder) balance(dep deployment) {
-	got := r.settle(dep, shardCount)
+	got := r.settle(dep, shardCount, true)
 	r.bound("imbalance_max_over_mean", "planner", got.service, "ratio", imbalanceBound, "over all upstreams of the service, expected load")
 	r.bound("imbalance_max_over_mean_in_shard", "planner", got.shard, "ratio", imbalanceBound, "worst shard, expected load")
 	r.add("imbalance_of_shard_means", "planner", got.shardMeans, "ratio",
 		"highest load per upstream of a shard over the mean of the service; no planner of one shard can go below")
-	r.add("imbalance_max_over_mean_one_shard", "planner", r.settle(dep, 1).service, "ratio", "the service as a single shard, for comparison")
+	r.add("imbalance_max_over_mean_one_shard", "planner", r.settle(dep, 1, true).service, "ratio", "the service as a single shard, for comparison")
+	if r.load == hotKeys || r.load == oneHotKey {
+		plain := r.settle(dep, shardCount, false)
+		r.add("imbalance_max_over_mean_without_split", "planner", plain.service, "ratio", "hot keys stay in their ordinary ranges, for comparison")
+		r.add("imbalance_max_over_mean_in_shard_without_split", "planner", plain.shard, "ratio", "worst shard, for comparison")
+	}
 	r.add("imbalance_max_over_mean", "modulo", got.modulo, "ratio", "whole service, by key")
 	r.add("imbalance_max_over_mean", "ring", got.ring, "ratio", "whole service, by key")
 }
@@ -89,10 +94,15 @@
 
 // settle runs a service until it has settled. Hot keys change three times, and
 // the worst period counts.
-func (r *recorder) settle(dep deployment, shards int) settled {
+func (r *recorder) settle(dep deployment, shards int, split bool) settled {
 	s := newSimulation(dep, r.load, shards, r.seed)
+	s.noSplit = !split
 	var got settled
-	if r.load != hotKeys {
+	count, load := hotKeyCount, hotKeyLoad
+	if r.load == oneHotKey {
+		count, load = 1, oneKeyLoad
+	}
+	if r.load != hotKeys && r.load != oneHotKey {
 		s.run(settleSeconds)
 		got.observe(s)
 		return got
@@ -100,7 +110,7 @@
 	ordinary := slices.Clone(s.keys)
 	for range 3 {
 		copy(s.keys, ordinary)
-		heat(s.keys, hotKeyLoad*utilization*dep.slots, s.rng)
+		heat(s.keys, count, load*utilization*dep.slots, s.rng)
 		s.demandChanged()
 		s.run(hotKeyPeriod - observeSeconds)
 		got.observe(s)
--- a/bench/placement/experiment_test.go
+++ b/bench/placement/experiment_test.go
@@ -55,8 +55,8 @@
 			}
 		}
 	}
-	if compared != 18 {
-		t.Errorf("compared %d pairs with the baselines, want 18", compared)
+	if compared != 22 {
+		t.Errorf("compared %d pairs with the baselines, want 22", compared)
 	}
 }
 
--- a/bench/placement/simulation.go
+++ b/bench/placement/simulation.go
@@ -31,6 +31,7 @@
 	hot      *placement.HotKeys
 	policy   placement.Policy
 	rng      *rand.Rand
+	noSplit  bool // hot keys stay in their ordinary ranges, for comparison
 	second   int
 	window   map[int][]float64
 	// slowdown inflates the measured load of an upstream's ranges, as a load
@@ -170,6 +171,9 @@
 		seen := poisson(k.demand*requestsPerSlot, s.rng) / requestsPerSlot
 		loads = append(loads, placement.KeyLoad{Key: k.name, Share: seen / s.dep.slots})
 	}
+	if s.noSplit {
+		return
+	}
 	changes := s.hot.Observe(time.Duration(s.second)*time.Second, loads)
 	for _, c := range changes {
 		if c.Split {
--- a/bench/placement/world.go
+++ b/bench/placement/world.go
@@ -38,6 +38,7 @@
 	hotKeyCount  = 12
 	hotKeyLoad   = 0.3
 	hotKeyPeriod = 120
+	oneKeyLoad   = 0.9
 )
 
 // deployment is a keyed service of section 1.2.
@@ -74,6 +75,9 @@
 	uniform keyLoad = "uniform"
 	zipf    keyLoad = "zipf"
 	hotKeys keyLoad = "hot_keys"
+	// oneHotKey is zipf with a single key that has oneKeyLoad of the mean load of
+	// an upstream.
+	oneHotKey keyLoad = "one_hot_key"
 )
 
 // key is a key with its expected demand in busy slots.
@@ -108,9 +112,9 @@
 	return keys
 }
 
-// heat gives hotKeyCount keys of low popularity, chosen at random, a high demand.
-func heat(keys []key, demand float64, rng *rand.Rand) {
-	for range hotKeyCount {
+// heat gives keys of low popularity, chosen at random, a high demand.
+func heat(keys []key, count int, demand float64, rng *rand.Rand) {
+	for range count {
 		keys[popularKeys/2+rng.IntN(popularKeys/2)].demand = demand
 	}
 }
