--- a/bench/placement/experiment.go
+++ b/bench/placement/experiment.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync"
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/bench/metric"
@@ -25,19 +26,28 @@
 	stragglers       = 8
 )
 
-// Measure runs all experiments for one seed.
+// Measure runs all experiments for one seed, both deployments at the same time.
 func Measure(seed uint64) []metric.Metric {
+	deps := deployments()
+	recorders := make([]recorder, len(deps))
+	var running sync.WaitGroup
+	for i, dep := range deps {
+		running.Go(func() {
+			r := &recorders[i]
+			r.seed, r.deployment = seed, dep.name
+			for _, load := range []keyLoad{uniform, zipf, hotKeys, oneHotKey} {
+				r.load = load
+				r.balance(dep)
+			}
+			r.load = zipf
+			r.domain(dep)
+			r.straggler(dep)
+			r.coldReceivers(dep)
+		})
+	}
+	running.Wait()
 	var out []metric.Metric
-	for _, dep := range deployments() {
-		r := recorder{seed: seed, deployment: dep.name}
-		for _, load := range []keyLoad{uniform, zipf, hotKeys, oneHotKey} {
-			r.load = load
-			r.balance(dep)
-		}
-		r.load = zipf
-		r.domain(dep)
-		r.straggler(dep)
-		r.coldReceivers(dep)
+	for _, r := range recorders {
 		out = append(out, r.metrics...)
 	}
 	return out
@@ -71,7 +81,7 @@
 	r.bound("imbalance_max_over_mean_in_shard", "planner", got.shard, "ratio", imbalanceBound, "worst shard, expected load")
 	r.add("imbalance_of_shard_means", "planner", got.shardMeans, "ratio",
 		"highest load per upstream of a shard over the mean of the service; no planner of one shard can go below")
-	r.add("imbalance_max_over_mean_one_shard", "planner", r.settle(dep, 1, true).service, "ratio", "the service as a single shard, for comparison")
+	r.add("imbalance_max_over_mean_four_shards", "planner", r.settle(dep, 4, true).service, "ratio", "the service as four shards, for comparison")
 	if r.load == hotKeys || r.load == oneHotKey {
 		plain := r.settle(dep, shardCount, false)
 		r.add("imbalance_max_over_mean_without_split", "planner", plain.service, "ratio", "hot keys stay in their ordinary ranges, for comparison")
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -10,7 +10,8 @@
 
 // Config holds the thresholds of a Ramp.
 type Config struct {
-	// Window is the least number of answers that one decision is based on.
+	// Window is the least number of answers that one decision is based on, twice
+	// as many while the upstream is cold.
 	Window int
 	// Step is what a window of normal answers adds to the limit.
 	Step float64
@@ -30,6 +31,8 @@
 	ReportFloor float64
 	// Normal is the normal latency of the service, zero if not known.
 	Normal time.Duration
+	// Start is the number of requests in flight at the beginning of a slow start.
+	Start int
 }
 
 // DefaultConfig returns the values of section 7.3 of the design page.
@@ -48,6 +51,7 @@
 		ReportTTL:    2 * time.Second,
 		// Reports may mislead, so one cannot take more than half of the limit.
 		ReportFloor: 0.5,
+		Start:       1,
 	}
 }
 
@@ -90,6 +94,7 @@
 	setDefault(&cfg.Learn, def.Learn)
 	setDefault(&cfg.ReportTTL, def.ReportTTL)
 	setDefault(&cfg.ReportFloor, def.ReportFloor)
+	setDefault(&cfg.Start, def.Start)
 	r := &Ramp{cfg: cfg, normal: cfg.Normal, limit: math.Inf(1)}
 	if cold {
 		r.Restart(0)
@@ -107,7 +112,7 @@
 // latency is kept: the service is the same.
 func (r *Ramp) Restart(time.Duration) {
 	r.cold = true
-	r.limit = 1
+	r.limit = float64(r.cfg.Start)
 	r.window = window{}
 	r.halvedAt = 0
 	r.reported = false
@@ -183,7 +188,13 @@
 // windowSize is the number of answers per decision: at least two for each
 // request that may be in flight, so that a window reflects the present limit.
 func (r *Ramp) windowSize() int {
-	return max(r.cfg.Window, 2*int(math.Min(r.limit, float64(max(r.full, 1)))))
+	size := r.cfg.Window
+	if r.cold {
+		// A step up on noise puts load on an upstream that cannot bear it; a
+		// late notice of a warm upstream that turns cold costs less.
+		size *= 2
+	}
+	return max(size, 2*int(math.Min(r.limit, float64(max(r.full, 1)))))
 }
 
 // decide ends a window.
--- a/server/metrics/metrics.go
+++ b/server/metrics/metrics.go
@@ -32,6 +32,7 @@
 	ShardsHeld       prometheus.Gauge
 	Stragglers       *prometheus.GaugeVec // service
 	Quarantined      *prometheus.GaugeVec // service, shard
+	ReserveUsed      *prometheus.GaugeVec // service, shard
 	HotKeys          *prometheus.GaugeVec // service, shard
 }
 
@@ -63,13 +64,15 @@
 		}),
 		Stragglers:  gauge("stragglers", "Upstreams that answer much more slowly than their peers.", "service"),
 		Quarantined: gauge("quarantined_fingerprints", "Request fingerprints refused because they crashed upstreams.", "service", "shard"),
-		HotKeys:     gauge("hot_keys", "Keys with a range of their own.", "service", "shard"),
+		ReserveUsed: gauge("domain_reserve_used",
+			"Demand over what is left, less the preset's reserve, if the largest failure domain is lost. Over 1 it does not fit.", "service", "shard"),
+		HotKeys: gauge("hot_keys", "Keys with a range of their own.", "service", "shard"),
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.Requests, m.Refusals, m.Retries, m.Latency, m.UpstreamLatency, m.InFlight, m.Queued, m.Hedges,
 		m.OwnershipChanges, m.LeaseRenewals, m.AuthorityChanges, m.StoreCalls, m.ConfigRevision, m.ShardsHeld,
-		m.Stragglers, m.Quarantined, m.HotKeys,
+		m.Stragglers, m.Quarantined, m.ReserveUsed, m.HotKeys,
 	)
 	return m
 }
