bench: let the balancer use a VM only when it is ready

The direct comparison states a deadline on the upstream's clock, and the measure of the last work of a domain fails if the domain had no work before.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -196,14 +196,14 @@
 }
 
 // WaitServing waits until every shard has a holder and every running VM is ready, by
-// asking each service through each VM.
+// asking each service through each VM, and until the balancer uses those VMs.
 func (c *Cluster) WaitServing(ctx context.Context) error {
 	for _, vm := range c.VMs {
 		if !vm.Running() {
 			continue
 		}
 		for _, s := range c.Document.Services {
-			for !vm.servesAll(ctx, s) {
+			for !vm.Serving() || !vm.servesAll(ctx, s) {
 				select {
 				case <-time.After(50 * time.Millisecond):
 				case <-ctx.Done():
--- a/bench/cluster/faults_test.go
+++ b/bench/cluster/faults_test.go
@@ -170,7 +170,15 @@
 	for _, vm := range f.VMs {
 		require.NoError(t, vm.Start())
 	}
+	entries := f.load.Entries
+	f.load.Entries = func() (all []string) { // no VM is ready, but callers may know the addresses
+		for _, vm := range f.VMs {
+			all = append(all, "http://"+vm.Settings.Listen.Callers)
+		}
+		return all
+	}
 	during := f.during(func() {})
+	f.load.Entries = entries
 	for _, r := range during.Results {
 		require.Equal(t, api.NotRun, r.Outcome, "%+v", r)
 		require.True(t, r.NotRun)
--- a/bench/cluster/vm.go
+++ b/bench/cluster/vm.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,7 +35,46 @@
 	process *exec.Cmd
 	logFile *os.File
 	exited  chan error
+	mu      sync.Mutex  // orders the changes of serving
 	serving atomic.Bool // the platform's balancer sends callers here
+	unwatch context.CancelFunc
+}
+
+// readyPoll is the interval at which the balancer asks a new VM whether it is ready.
+const readyPoll = 50 * time.Millisecond
+
+// watchReady lets the balancer send callers to the VM once it is ready.
+func (vm *VM) watchReady(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(readyPoll):
+		}
+		if vm.call(ctx, http.MethodGet, admin.PathReady, nil, nil) == nil {
+			vm.serveUnless(ctx)
+			return
+		}
+	}
+}
+
+// serveUnless lets the balancer use the VM, unless ctx has ended.
+func (vm *VM) serveUnless(ctx context.Context) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	if ctx.Err() == nil {
+		vm.serving.Store(true)
+	}
+}
+
+// unserve keeps the balancer from using the VM until the next Start.
+func (vm *VM) unserve() {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	if vm.unwatch != nil {
+		vm.unwatch()
+	}
+	vm.serving.Store(false)
 }
 
 // URL returns the address of a path of a service at this VM.
@@ -48,7 +88,9 @@
 	if err != nil {
 		return err
 	}
-	defer vm.serving.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.unwatch = cancel
+	go vm.watchReady(ctx)
 	if vm.cluster.options.Binary != "" {
 		return vm.startProcess()
 	}
@@ -95,7 +137,7 @@
 
 // Kill ends the VM at once, as a crash would.
 func (vm *VM) Kill() {
-	vm.serving.Store(false)
+	vm.unserve()
 	switch {
 	case vm.process != nil:
 		vm.process.Process.Kill()
@@ -140,8 +182,8 @@
 
 // Stop stops the VM gracefully and waits for it.
 func (vm *VM) Stop(ctx context.Context) error {
-	defer time.AfterFunc(balancerLag, func() { vm.serving.Store(false) }).Stop()
-	defer vm.serving.Store(false)
+	defer time.AfterFunc(balancerLag, vm.unserve).Stop()
+	defer vm.unserve()
 	if vm.daemon != nil {
 		err := vm.daemon.Stop(ctx)
 		vm.daemon = nil
@@ -220,6 +262,9 @@
 		}
 		return errors.Errorf("status %d: %.200s", resp.StatusCode, data)
 	}
+	if out == nil {
+		return nil
+	}
 	return errors.Wrap(json.Unmarshal(data, out), "decode answer")
 }
 
--- a/bench/cmd/measure/deployment.go
+++ b/bench/cmd/measure/deployment.go
@@ -135,7 +135,10 @@
 	if err := r.settled(ctx); err != nil {
 		return nil, err
 	}
-	last := r.lastWork(domain, accepted, returned)
+	last, earlier := r.lastWork(domain, accepted, returned)
+	if earlier == 0 {
+		return nil, errors.Errorf("failure domain %s had no work before it was taken out", domain)
+	}
 	goodput, second := worstSecond(report.Results)
 	return []metric.Metric{
 		e.bounded("domain_out_last_new_work", last.Seconds(), "s", 3, "after the change was written"),
@@ -145,21 +148,25 @@
 	}, nil
 }
 
-// lastWork returns when the last run started on an upstream of a domain that was out.
-func (r *running) lastWork(domain api.FailureDomain, out, back time.Time) time.Duration {
+// lastWork returns when the last run started on an upstream of a domain that was
+// out, and how many runs the domain had before.
+func (r *running) lastWork(domain api.FailureDomain, out, back time.Time) (last time.Duration, earlier int) {
 	inDomain := map[api.UpstreamID]bool{}
 	for _, s := range r.Document.Services {
 		for _, u := range s.Upstreams {
 			inDomain[u.ID] = u.FailureDomain == domain
 		}
 	}
-	last := time.Duration(0)
 	for _, run := range r.log.Runs() {
-		if inDomain[run.Upstream] && run.Start.After(out) && run.Start.Before(back) {
+		switch {
+		case !inDomain[run.Upstream]:
+		case run.Start.Before(out):
+			earlier++
+		case run.Start.Before(back):
 			last = max(last, run.Start.Sub(out))
 		}
 	}
-	return last
+	return last, earlier
 }
 
 // worstSecond returns the lowest share of the requests sent in one second that
--- a/bench/cmd/measure/direct.go
+++ b/bench/cmd/measure/direct.go
@@ -20,7 +20,9 @@
 const (
 	directWorkers = 4
 	directCalls   = 1500 // by each worker, of each kind
-	warmCalls     = 100  // not counted: connections are opened and upstreams warm up
+	// upstreamDeadline is on the clock of the upstream, in milliseconds.
+	upstreamDeadline = "3600000"
+	warmCalls        = 100 // not counted: connections are opened and upstreams warm up
 )
 
 // routerOverDirect compares calls through the router with calls of a like
@@ -88,6 +90,7 @@
 		return 0, errors.Wrap(err, "make request")
 	}
 	req.Header.Set(api.HeaderKey, key)
+	req.Header.Set(api.HeaderDeadline, upstreamDeadline) // the router replaces it
 	start := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
--- a/bench/cmd/measure/faults.go
+++ b/bench/cmd/measure/faults.go
@@ -156,12 +156,18 @@
 	}
 	cancel()
 	group.Wait()
-	cut := 0
+	cut, answered := 0, 0
 	for _, x := range report.Results {
-		if x.Outcome == api.Unknown {
+		switch x.Outcome {
+		case api.Unknown:
 			cut++
+		case api.Answered:
+			answered++
 		}
 	}
+	if 10*answered < 9*len(report.Results) {
+		return nil, errors.Errorf("only %d of %d requests were answered: the count of cut requests means nothing", answered, len(report.Results))
+	}
 	counts := ""
 	for _, c := range history.Refusals(report.Results) {
 		counts += fmt.Sprintf("; %s: %d", c.Label, c.N)
