Measure slopes and project them to the target scale

Cause: section 1.3 states a target of 13,000 nodes, and nothing said which mechanism carries each role there or where it stops.

Change: bench/capacity measures 40 slopes of the project's own code, fits them by weighted least squares and evaluates printed formulas for three sizes: today, 13,000 entry VMs, and 13,000 nodes divided as today. docs/CAPACITY.md holds the run.

Conclusion: authority, leases and placement do not depend on the size; heartbeats, connections, polls, the configuration row and the control loop have to change before the target.

--- /dev/null
+++ b/bench/capacity/bytes.go
@@ -0,0 +1,224 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/authority"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/platform"
+	"dandelionhill.dev/platform/tablehttp"
+	"dandelionhill.dev/platform/upstreamhttp"
+	"dandelionhill.dev/server/control"
+	"dandelionhill.dev/server/holder"
+
+	tablefake "dandelionhill.dev/fakes/table"
+)
+
+func wireMeasurements() []Measurement {
+	sum := func(one func(i int) []byte) func(int) (float64, error) {
+		return func(n int) (float64, error) {
+			total := 0
+			for i := range n {
+				total += len(one(i))
+			}
+			return float64(total), nil
+		}
+	}
+	spans := []int{1, 10, 100, 1000}
+	return []Measurement{
+		{"b_heartbeat_peer", "B per peer listed", "wire.Heartbeat, CBOR", largeSizes, func(n int) (float64, error) {
+			return float64(len(encode(wire.TypeHeartbeat, heartbeat(n, 1)))), nil
+		}},
+		{"b_heartbeat_held", "B per shard held", "wire.Heartbeat without peers, CBOR", []int{1, 10, 100, 1000}, func(n int) (float64, error) {
+			return float64(len(encode(wire.TypeHeartbeat, heartbeat(0, n)))), nil
+		}},
+		{"b_renew", "B per renewal", "authority renewal, CBOR", largeSizes, sum(func(i int) []byte { return encode(wire.TypeAuthority, renewal(i, authority.Renew)) })},
+		{"b_renew_ack", "B per answer", "answer to an authority renewal, CBOR", largeSizes, sum(func(i int) []byte { return encode(wire.TypeAuthority, renewal(i, authority.RenewAck)) })},
+		{"b_assign_range", "B per range", "wire.Assign, CBOR", largeSizes, func(n int) (float64, error) {
+			return float64(len(encode(wire.TypeAssign, assignment(n)))), nil
+		}},
+		{"b_assign_ack", "B per answer", "answer to an assignment, CBOR", largeSizes, sum(func(i int) []byte {
+			return encode(wire.TypeAssignAck, control.AssignAck{Shard: shardID(i), Fence: 5<<24 | 77, Seq: 100})
+		})},
+		{"b_grant_sent_span", "B per range span", "grant on the socket, HTTP and JSON, sent", spans, func(n int) (float64, error) {
+			sent, _, err := grantBytes(n)
+			return sent, err
+		}},
+		{"b_grant_received_span", "B per range span", "answer to a grant on the socket, HTTP and JSON", spans, func(n int) (float64, error) {
+			_, received, err := grantBytes(n)
+			return received, err
+		}},
+		{"b_change", "B per change", "typed change, JSON", largeSizes, sum(changeJSON)},
+		{"b_document_upstream", "B per upstream", "wire.Config with the whole document, CBOR", largeSizes, func(n int) (float64, error) {
+			data, err := config.Encode(document(n))
+			return float64(len(encode(wire.TypeConfig, wire.Config{Revision: 100_000, Document: data}))), err
+		}},
+		{"b_head_row", "B per row", "proposed head row, JSON: name and version of each row", largeSizes, func(n int) (float64, error) {
+			head := make(map[string]uint64, n)
+			for i := range n {
+				head[fmt.Sprintf("config/foglalas-%05d", i)] = uint64(90_000 + i)
+			}
+			data, err := json.Marshal(head)
+			return float64(len(data)), err
+		}},
+		{"b_poll_shard", "B per shard", "poll of the store on the socket: answer with n authority records, no configuration", []int{10, 100, 1000, 10_000}, func(n int) (float64, error) {
+			return pollBytes(n)
+		}},
+		{"b_status_range", "B per range", "holder.Status, CBOR", largeSizes, func(n int) (float64, error) {
+			return float64(len(encode(wire.TypeReply, status(n)))), nil
+		}},
+	}
+}
+
+func encode(kind wire.Type, payload any) []byte {
+	data, err := wire.Encode(kind, 0, payload)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// heartbeat returns a heartbeat that lists n peers and some held shards.
+func heartbeat(n, held int) wire.Heartbeat {
+	hb := wire.Heartbeat{Incarnation: "0000abcd", Hears: vmIDs(n), Revision: 100_000}
+	for i := range held {
+		hb.Held = append(hb.Held, wire.Held{Shard: shardID(4000 + i), Fence: 5<<24 | 77})
+	}
+	return hb
+}
+
+func renewal(i int, kind authority.MessageType) control.AuthorityMessage {
+	return control.AuthorityMessage{Shard: shardID(i), Message: authority.Message{
+		Type: kind, Ballot: 77, Seq: uint64(100_000 + i), OK: kind == authority.RenewAck, Incarnation: "0000abcd", Member: "0000abce",
+		Record: record(i),
+	}}
+}
+
+func record(i int) authority.Record {
+	return authority.Record{
+		Shard: shardID(i), Version: 5, Members: []api.VMID{vmID(i), vmID(i + 1), vmID(i + 2)}, WriteID: idAt(time.Unix(1_800_000_000, 0), i),
+	}
+}
+
+func status(n int) holder.Status {
+	a := assignment(n)
+	s := holder.Status{Shard: a.Shard, Fence: a.Fence, Assign: a}
+	for _, id := range a.Upstreams {
+		s.Upstreams = append(s.Upstreams, holder.UpstreamStatus{ID: id, State: "active", Incarnation: "0000abcd", InFlight: 1, Limit: 2, Ranges: 41})
+	}
+	return s
+}
+
+// counted is a listener that counts the bytes of its connections.
+type counted struct {
+	net.Listener
+	read, written atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	l *counted
+}
+
+func (l *counted) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, l}, nil
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.l.read.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.l.written.Add(int64(n))
+	return n, err
+}
+
+// serve starts a server on loopback whose bytes are counted.
+func serve(handler http.Handler) (*httptest.Server, *counted) {
+	server := httptest.NewUnstartedServer(handler)
+	l := &counted{Listener: server.Listener}
+	server.Listener = l
+	server.Start()
+	return server, l
+}
+
+// grantServer answers grants as an upstream does.
+func grantServer() http.Handler {
+	up := &ideal{time.Now()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+upstreamhttp.GrantPath, func(w http.ResponseWriter, r *http.Request) {
+		var grant platform.Grant
+		if err := json.NewDecoder(r.Body).Decode(&grant); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		result, _ := up.Grant(r.Context(), grant)
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(result)
+	})
+	return mux
+}
+
+func grantOf(spans int) platform.Grant {
+	g := platform.Grant{Service: "foglalas", Fence: 5<<24 | 77, UntilMs: 86_400_000}
+	for i := range spans {
+		g.Ranges = append(g.Ranges, platform.RangeSpan{First: 500_000 + 3*i, Last: 500_001 + 3*i})
+	}
+	return g
+}
+
+// socketCalls is the number of calls over which the bytes of one are averaged.
+const socketCalls = 20
+
+func grantBytes(spans int) (sent, received float64, err error) {
+	server, l := serve(grantServer())
+	defer server.Close()
+	client := upstreamhttp.New(server.Listener.Addr().String(), 1, 1<<20)
+	defer client.Close()
+	for range socketCalls {
+		if _, err := client.Grant(context.Background(), grantOf(spans)); err != nil {
+			return 0, 0, err
+		}
+	}
+	return float64(l.read.Load()) / socketCalls, float64(l.written.Load()) / socketCalls, nil
+}
+
+// pollBytes returns the bytes that one poll of the store brings for n records.
+func pollBytes(n int) (float64, error) {
+	store := tablefake.New()
+	server, l := serve(store.Handler())
+	defer server.Close()
+	txn := platform.Txn{}
+	ctx := context.Background()
+	for i := range n {
+		value, err := json.Marshal(record(i))
+		if err != nil {
+			return 0, err
+		}
+		key := "authority/" + shardID(i).String()
+		if _, err := store.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}}); err != nil {
+			return 0, err
+		}
+		txn.Reads = append(txn.Reads, key)
+	}
+	if _, err := tablehttp.New(server.URL).Commit(ctx, txn); err != nil {
+		return 0, err
+	}
+	return float64(l.read.Load() + l.written.Load()), nil
+}
--- /dev/null
+++ b/bench/capacity/connections.go
@@ -0,0 +1,137 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/platform/upstreamhttp"
+	"dandelionhill.dev/server/peer"
+)
+
+func connectionMeasurements() []Measurement {
+	return []Measurement{
+		{"mem_peer_connection", "B per peer", "peer.Hub: one dialled and one accepted connection, heap and stacks", smallSizes, peerConnections},
+		{"b_frame", "B per frame", "WebSocket framing of a heartbeat on the socket, over its encoding", []int{10, 100, 1000, 10_000}, frameOverhead},
+		{"ns_grant_call", "ns per call", "processor time of a grant over HTTP, both ends", []int{30, 100, 300, 1000, 3000}, grantCalls},
+	}
+}
+
+// silent is a peer.Handler that counts messages.
+type silent struct{ got chan struct{} }
+
+// Message implements peer.Handler.
+func (s silent) Message(api.VMID, wire.Frame) { s.got <- struct{}{} }
+
+// Call implements peer.Handler.
+func (s silent) Call(context.Context, api.VMID, wire.Frame) any { return wire.Reply{} }
+
+// connectTimeout bounds the wait for connections on loopback.
+const connectTimeout = 30 * time.Second
+
+// connect dials n peers, all at one address, and waits until all connections
+// carry frames. The caller must call the function returned.
+func connect(n int) (hub *peer.Hub, sent *counted, got chan struct{}, stop func(), err error) {
+	handler := silent{make(chan struct{}, 1<<12)}
+	other := peer.NewHub(peer.Config{Self: "other", Peers: []peer.Peer{{ID: "self"}}, Log: zerolog.Nop()}, handler)
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, other)
+	server, l := serve(mux)
+	peers := make([]peer.Peer, n)
+	for i := range peers {
+		peers[i] = peer.Peer{ID: vmID(i), Address: server.Listener.Addr().String()}
+	}
+	hub = peer.NewHub(peer.Config{Self: "self", Incarnation: "0000abcd", Peers: peers, Log: zerolog.Nop()}, handler)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { hub.Run(ctx); close(done) }()
+	stop = func() {
+		cancel()
+		<-done
+		server.CloseClientConnections()
+		server.Close()
+	}
+	deadline := time.Now().Add(connectTimeout)
+	for i := range peers {
+		for !hub.Send(vmID(i), wire.TypeHeartbeat, wire.Heartbeat{}) {
+			if time.Now().After(deadline) {
+				stop()
+				return nil, nil, nil, nil, fmt.Errorf("peer %d of %d is not connected", i, n)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for range peers {
+		<-handler.got
+	}
+	return hub, l, handler.got, stop, nil
+}
+
+func peerConnections(n int) (float64, error) {
+	return memoryOf(func() (any, func(), error) {
+		hub, _, _, stop, err := connect(n)
+		return hub, stop, err
+	})
+}
+
+// frameOverhead returns what n heartbeats need on the socket beyond their encoding.
+func frameOverhead(n int) (float64, error) {
+	hub, l, got, stop, err := connect(1)
+	if err != nil {
+		return 0, err
+	}
+	defer stop()
+	hb := heartbeat(100, 1)
+	size := len(encode(wire.TypeHeartbeat, hb))
+	before := l.read.Load()
+	for range n {
+		for !hub.Send(vmID(0), wire.TypeHeartbeat, hb) {
+			time.Sleep(time.Millisecond)
+		}
+		<-got
+	}
+	return float64(l.read.Load()-before) - float64(n*size), nil
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() (time.Duration, error) {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0, err
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
+}
+
+// grantWarmup is the number of grants before the measured ones.
+const grantWarmup = 100
+
+// grantCalls returns the processor time of n grants of 3 spans, in nanoseconds.
+func grantCalls(n int) (float64, error) {
+	server, _ := serve(grantServer())
+	defer server.Close()
+	client := upstreamhttp.New(server.Listener.Addr().String(), 1, 1<<20)
+	defer client.Close()
+	grant := grantOf(3)
+	for range grantWarmup {
+		if _, err := client.Grant(context.Background(), grant); err != nil {
+			return 0, err
+		}
+	}
+	before, err := processorTime()
+	if err != nil {
+		return 0, err
+	}
+	for range n {
+		if _, err := client.Grant(context.Background(), grant); err != nil {
+			return 0, err
+		}
+	}
+	after, err := processorTime()
+	return float64((after - before).Nanoseconds()), err
+}
--- /dev/null
+++ b/bench/capacity/findings.go
@@ -0,0 +1,201 @@
+package capacity
+
+// Finding says what does not fit today's mechanism, at which size it stops
+// fitting, and what is meant to carry it. Braces in the texts name quantities.
+type Finding struct {
+	Title string
+	// Today, Stops and Remedy are the sentences of the page.
+	Today, Stops, Remedy string
+	Quantities           []Quantity
+}
+
+var findings = []Finding{
+	{
+		"Full-mesh heartbeats",
+		"Every VM sends a heartbeat to every other VM each {heartbeat_s} s, and each lists all VMs heard, so bytes grow with the square of the number of VMs: {member_bytes} B/s.",
+		"It fits limit_bytes up to {heartbeat_fit_vms} VMs, and up to {heartbeat_plain_fit_vms} VMs if heartbeats did not list the peers heard.",
+		"Heartbeats only between members of the same shards: {peer_count} peers for the loaded VM and a list of those only, {peer_bytes} B/s. Holders of shards and the majority for section 8 then travel in the dissemination tree: after the loss of a domain {holder_changes} changes of holder pass each VM, {holder_changes_s} s at limit_bytes, which is more than limit_loss_s if it exceeds it; an entry can also ask one of the three members of a shard directly, which is the shorter way.",
+		[]Quantity{
+			{"heartbeat_fixed_bytes", "B", "b_frame+b_heartbeat_peer_0+b_heartbeat_held", ""},
+			{"heartbeat_fit_vms", "VMs", "1+(sqrt(heartbeat_fixed_bytes*heartbeat_fixed_bytes+2*b_heartbeat_peer*limit_bytes*heartbeat_s)-heartbeat_fixed_bytes)/(2*b_heartbeat_peer)", ""},
+			{"heartbeat_plain_fit_vms", "VMs", "1+limit_bytes*heartbeat_s/(2*heartbeat_fixed_bytes)", ""},
+			{"peer_count", "peers", "members*(members-1)", ""},
+			{"peer_bytes", "B/s", "2*peer_count/heartbeat_s*(heartbeat_fixed_bytes+b_heartbeat_peer*peer_count)", "limit_bytes"},
+			{"holder_changes", "changes", "shards/domains", ""},
+			{"holder_changes_s", "s at limit_bytes", "holder_changes*(1+fan_out)*(b_heartbeat_held+b_frame)/limit_bytes", "limit_loss_s"},
+		},
+	},
+	{
+		"Connections between VMs",
+		"Each VM keeps one connection to and one from every other VM: {entry_connections_memory} B.",
+		"It fits limit_memory up to {connections_fit_vms} VMs.",
+		"Connections opened on demand and closed when idle. An entry that talks to the holders of all shards still needs {forward_peers} of them; a forwarding layer of {relay_count} relays per VM (one for each of the square root of the VMs) needs {relay_memory} B and one more hop.",
+		[]Quantity{
+			{"connections_fit_vms", "VMs", "limit_memory/mem_peer_connection", ""},
+			{"forward_peers", "connections", "min(vms, shards)", ""},
+			{"relay_count", "connections", "2*ceil(sqrt(vms))", ""},
+			{"relay_memory", "B", "relay_count*mem_peer_connection", "limit_memory"},
+		},
+	},
+	{
+		"Polling the store",
+		"Every VM reads the store each {store_s} s: {table_reads} transactions/s and {table_rows} rows/s against limit_reads.",
+		"It fits up to {poll_fit_vms} VMs if a transaction counts as one read, and {poll_rows_fit_vms} VMs if each row counts.",
+		"A poll interval that grows with the number of VMs would be {poll_interval_s} s at half of limit_reads, longer than confirm_s ({confirm_s} s), so it needs the majority or the tree for confirmation. With {readers} reading VMs that pass on changes in the tree: {reader_reads} transactions/s whatever the number of VMs. Members read only the records of their own shards.",
+		[]Quantity{
+			{"poll_fit_vms", "VMs", "limit_reads*store_s", ""},
+			{"poll_rows_fit_vms", "VMs", "(sqrt(1+4*limit_reads*store_s*shards/vms)-1)/(2*shards/vms)", ""},
+			{"poll_interval_s", "s", "2*vms/limit_reads", "confirm_s"},
+			{"reader_reads", "transactions/s", "readers/store_s", "limit_reads"},
+		},
+	},
+	{
+		"The whole configuration in one row and one frame",
+		"The document has {document_bytes} B. Each change sends it whole to each VM ({config_bytes} B/s received, {config_writer_s} s for one writer at limit_bytes), and each poll carries it ({table_poll_bytes} B/s) and decodes it ({config_core} cores).",
+		"A frame holds {frame_fit_upstreams} upstreams ({frame_fit_vms} VMs at the present ratio). Sending whole documents for {changes} changes/s alone fits limit_bytes up to {changes_fit_upstreams} upstreams (0: not even an empty document). The document remembers {max_operations} operations, which is {operations_s} s of changes: an operator whose view is older is refused. A service has at most {max_ranges} ranges, {range_fit_upstreams} upstreams.",
+		"A row per service and a head row with their versions: {config_rows} rows, {config_row_bytes} B each, so a change writes one row and the head and spreads only the change ({delta_bytes} B). The head row names each row with its version ({head_bytes} B); readers fetch the rows that changed. Operations are remembered per service row, so {max_operations} last {row_operations_s} s.",
+		[]Quantity{
+			{"frame_fit_upstreams", "upstreams", "(max_frame-b_document_upstream_0)/b_document_upstream", ""},
+			{"frame_fit_vms", "VMs", "frame_fit_upstreams*vms/upstreams", ""},
+			{"changes_fit_upstreams", "upstreams", "max(0, (limit_bytes/changes-b_document_upstream_0)/b_document_upstream)", ""},
+			{"range_fit_upstreams", "upstreams", "max_ranges*keyed_upstreams/ranges", ""},
+			{"config_rows", "rows", "upstreams/upstreams_per_row", ""},
+			{"config_row_bytes", "B", "b_document_upstream_0+b_document_upstream*upstreams_per_row", "max_frame"},
+			{"head_bytes", "B", "b_head_row_0+b_head_row*config_rows", "max_frame"},
+			{"delta_bytes", "B", "b_change+b_frame", ""},
+			{"row_operations_s", "s", "operations_s*config_rows", ""},
+		},
+	},
+	{
+		"A change everywhere within 9 s",
+		"The writer sends the document to all VMs: {config_writer_s} s at limit_bytes against {limit_change_s} s.",
+		"It fits up to {change_fit_vms} VMs.",
+		"Sending only the change, the writer alone needs {delta_direct_s} s. A tree with {fan_out} children has {tree_depth} levels: {tree_s} s if every level first sends to all its children, and {tree_lost_s} s if on every level a lost VM must be noticed after suspect_s. The steady cost of {changes} changes/s is {tree_bytes} B/s for each inner VM. That every VM has a change is counted up the same tree.",
+		[]Quantity{
+			{"change_fit_vms", "VMs", "1+(sqrt(b_document_upstream_0*b_document_upstream_0+4*b_document_upstream*upstreams/vms*limit_change_s*limit_bytes)-b_document_upstream_0)/(2*b_document_upstream*upstreams/vms)", ""},
+			{"delta_direct_s", "s", "(vms-1)*delta_bytes/limit_bytes", "limit_change_s"},
+			{"tree_depth", "levels", "ceil(log(vms)/log(fan_out))", ""},
+			{"tree_s", "s", "tree_depth*(fan_out*delta_bytes/limit_bytes+delay_s+tick_s)", "limit_change_s"},
+			{"tree_lost_s", "s", "tree_s+tree_depth*suspect_s", "limit_change_s"},
+			{"tree_bytes", "B/s", "changes*(1+fan_out)*delta_bytes", "limit_bytes"},
+		},
+	},
+	{
+		"Writes of the table service",
+		"An ordinary day needs {table_writes} writes/s, which fits. Moving the ranges or leases of a lost domain writes nothing: assignments go to the witnesses and grants to the upstreams. The loss of a domain makes holders replace one member of a third of the shards with two writes each: {table_domain_writes} writes, all within about maintain_s.",
+		"The burst fits limit_writes up to {burst_fit_vms} VMs; the ordinary day fits at every size considered. One row for each moved range would need {table_row_per_range} writes/s.",
+		"Replacement spread at random over {spread_s} s uses write_share of limit_writes; two of three members keep each shard meanwhile. All configuration changes write one row today, so they are serialized: at {changes} changes/s each has {change_gap_s} s on average. Rows per service remove this.",
+		[]Quantity{
+			{"burst_fit_vms", "VMs", "vms*limit_writes/table_burst", ""},
+			{"spread_s", "s", "table_domain_writes/(limit_writes*write_share)", ""},
+			{"change_gap_s", "s", "1/changes", ""},
+		},
+	},
+	{
+		"The worst hour: a failure domain is lost",
+		"One ninth of the upstreams ({lost_upstreams}) and of the VMs is lost. Each holder regrants {lost_ranges} ranges; each surviving VM takes over {taken_shards} shards on average. A key has no owner for {loss_s} s (formula loss_s), which does not depend on the size, except that entries must learn the new holder.",
+		"Today entries learn it from the full-mesh heartbeat, which fits up to {heartbeat_fit_vms} VMs.",
+		"See heartbeats. The assignment of a shard costs {loss_assign_bytes} B to its witnesses, {loss_assign_s} s at limit_bytes.",
+		[]Quantity{
+			{"lost_upstreams", "upstreams", "upstreams/domains", ""},
+			{"lost_ranges", "ranges per shard", "shard_ranges/domains", ""},
+			{"taken_shards", "shards per VM", "shards/domains/(vms*(1-1/domains))", ""},
+			{"loss_assign_bytes", "B", "(members-1)*assign_bytes", ""},
+			{"loss_assign_s", "s", "loss_assign_bytes/limit_bytes", "limit_loss_s"},
+		},
+	},
+	{
+		"The map of ranges, and 11 billion keys",
+		"There are {ranges} ranges and {keys_per_range} keys in each. No VM keeps anything per key: one byte per key would be {key_bytes} B. A map of all ranges takes {map_bytes} B in the form of wire.Assign and {map_held_bytes} B in the form that a holder keeps.",
+		"The form that a holder keeps fits limit_memory up to {map_held_fit_vms} VMs, the form of wire.Assign up to {map_fit_vms} VMs. Entries need no map of ranges, only the spans of shards: {entry_memory} B with the hot keys.",
+		"None needed. The hottest keys cost {hot_memory} B; all {hot_keys} of them.",
+		[]Quantity{
+			{"key_bytes", "B", "keys", "limit_memory"},
+			{"map_bytes", "B", "mem_assign_range_0+mem_assign_range*ranges", "limit_memory"},
+			{"map_held_bytes", "B", "mem_held_range*ranges", "limit_memory"},
+			{"map_held_fit_vms", "VMs", "limit_memory/mem_held_range*vms/ranges", ""},
+			{"map_fit_vms", "VMs", "(limit_memory-mem_assign_range_0)/mem_assign_range*vms/ranges", ""},
+			{"hot_memory", "B", "mem_hot_key*hot_keys", "limit_memory"},
+		},
+	},
+	{
+		"Remembered request IDs",
+		"A shard gets {shard_requests} requests/s. A full memory of {id_capacity} IDs takes {holder_id_memory} B, and covers {id_rate} non-repeatable requests/s for id_retention_s.",
+		"limit_memory holds {id_fit} IDs: {id_fit_rate} non-repeatable requests/s of a shard. The users do not state the share of non-repeatable requests; above {id_share} of all requests the capacity is exceeded and new ones are refused (id_capacity).",
+		"Count this memory as a cost of requests, not of control; a shorter retention in proportion to the rate; more shards for each upstream. It needs a decision by the users.",
+		[]Quantity{
+			{"shard_requests", "requests/s", "requests_per_s/shards", ""},
+			{"id_rate", "requests/s", "id_capacity/id_retention_s", ""},
+			{"id_fit", "IDs", "limit_memory/mem_request_id", ""},
+			{"id_fit_rate", "requests/s", "id_fit/id_retention_s", ""},
+			{"id_share", "share", "id_rate/shard_requests", ""},
+		},
+	},
+	{
+		"Grants to upstreams",
+		"A grant lists the ranges of the upstream as spans. After moves the ranges of a shard interleave: up to {shard_ranges} spans in a shard, {holder_bytes} B/s for the loaded VM with answers and renewals.",
+		"It fits limit_bytes with up to {grant_fit_spans} spans per upstream, independent of the number of VMs: with {grant_spans} spans it does not fit even today.",
+		"Send the ranges only when they change and otherwise the number of the last accepted change: {holder_bytes_joined} B/s or less.",
+		[]Quantity{
+			{"grant_spans", "spans", "shard_ranges/shard_upstreams", ""},
+			{"grant_fit_spans", "spans", "((limit_bytes-(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame))*lease_renew_s/shard_upstreams-b_grant_sent_span_0-b_grant_received_span_0)/b_grant_sent_span", ""},
+		},
+	},
+	{
+		"The control loop",
+		"Each tick copies the holders of all shards into a new snapshot, and each poll decodes all records: {entry_core} cores at rest.",
+		"It fits limit_core up to {loop_fit_shards} shards ({loop_fit_vms} VMs).",
+		"Publish a snapshot only when something changed, keep holders in a persistent map, and read only the records of own shards. The part that remains is the holder's own work, {holder_core} cores.",
+		[]Quantity{
+			{"loop_fit_shards", "shards", "max(0, (limit_core*1e9-ns_loop_shard_0)/ns_loop_shard)", ""},
+			{"loop_fit_vms", "VMs", "loop_fit_shards*vms/shards", ""},
+		},
+	},
+	{
+		"Connections of one upstream",
+		"Only the holder connects to an upstream: at most its connection limit, and one control connection. If every entry VM connected it would be {every_entry} connections against {upstream_connections}.",
+		"Entry VMs with a connection of their own fit up to {upstream_connections} VMs. The holder's connections do not depend on the number of VMs, but an upstream gets {upstream_requests} requests/s: with {upstream_connections} connections a request may take {connection_s} s on average, and with {slots} slots it may run {slot_s} s, against answer_s ({answer_s} s).",
+		"If runs take longer than that, upstreams need more slots or there must be more upstreams than the present ratio gives. It needs a statement by the users: the target gives neither upstreams nor slots.",
+		[]Quantity{
+			{"every_entry", "connections", "vms", "upstream_connections"},
+			{"upstream_requests", "requests/s", "requests_per_s/upstreams", ""},
+			{"connection_s", "s", "upstream_connections/upstream_requests", ""},
+			{"slot_s", "s", "slots/upstream_requests", ""},
+		},
+	},
+	{
+		"A region cut off for an hour",
+		"In one deployment over {regions} regions a cut-off region is a minority. Without the store it takes no new work after confirm_s: {cut_requests} requests/s are refused, {cut_refused} in the hour. {missed_changes} changes pass in the hour against {max_operations} remembered operations; the VMs catch up by one document, operators by looking again.",
+		"It does not depend on the number of VMs; one deployment over more than one region is the cause.",
+		"One deployment, document and table service for each region, as today: a cut-off region changes its own configuration and nothing is refused. Changes for all regions are then sent to each region; {region_vms} VMs and {region_shards} shards per region divide every figure that grows with the number of VMs by {regions}, and the bytes of full-mesh heartbeats by the square.",
+		[]Quantity{
+			{"cut_requests", "requests/s", "requests_per_s/regions", ""},
+			{"cut_refused", "requests", "cut_requests*(cut_off_s-confirm_s)", ""},
+			{"missed_changes", "changes", "changes*cut_off_s", ""},
+			{"region_vms", "VMs", "vms/regions", ""},
+			{"region_shards", "shards", "shards/regions", ""},
+		},
+	},
+	{
+		"A rack's return with cold upstreams",
+		"The users do not state the size of a rack; a failure domain bounds it. {return_ranges} ranges per shard return, at {moves_per_s} moves/s after {rebalance_after_s} s of imbalance: {return_s} s. A cold upstream of {slots} slots needs {ramp_answers} answers at normal latency until it is warm: {ramp_s} s at answer_s each with one in flight.",
+		"The time does not depend on the number of VMs, because each shard plans for itself. The moves of all shards together are {return_moves} moves/s, with an assignment to two witnesses each.",
+		"None needed for capacity; the ramp and the budget of moves bound it.",
+		[]Quantity{
+			{"return_ranges", "ranges per shard", "shard_ranges/domains", ""},
+			{"return_s", "s", "rebalance_after_s+return_ranges/moves_per_s", ""},
+			{"ramp_s", "s", "ramp_answers*answer_s", ""},
+			{"return_moves", "moves/s", "keyed_shards*moves_per_s", ""},
+		},
+	},
+	{
+		"86 million requests a second",
+		"A request costs {ns_request} ns of processor time in the VMs together, {requests_per_core} requests/s per core, so the target needs {request_cores} cores, {request_cores_vm} for each VM.",
+		"One core for each VM carries {core_fit_requests} requests/s. Choosing the range and shard is {route_share} of the cost; the rest is HTTP, WebSocket and CBOR.",
+		"More cores for each VM, or a cheaper path: binary frames without a JSON or HTTP step between VMs exist already; batching of frames and reuse of buffers remain to be measured.",
+		[]Quantity{
+			{"core_fit_requests", "requests/s", "vms*1e9/ns_request", ""},
+			{"route_share", "share", "ns_route/ns_request", ""},
+		},
+	},
+}
--- /dev/null
+++ b/bench/capacity/fit.go
@@ -0,0 +1,78 @@
+// Package capacity works out what each role of an entry VM costs at the target
+// scale of section 1.3 of docs/design.md. It measures slopes of the project's
+// own code on one machine and projects them by formulas, which docs/CAPACITY.md
+// shows.
+package capacity
+
+import (
+	"math"
+	"strconv"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Slope is a cost per unit, fitted to measurements at several sizes.
+type Slope struct {
+	// Name identifies the slope in formulas and on the page.
+	Name string
+	// Unit is the unit of Value, such as "B per range".
+	Unit string
+	// Value is the slope, and Fixed the intercept: the cost at size 0.
+	Value, Fixed float64
+	// Error is the standard error of Value.
+	Error float64
+	// R2 is the coefficient of determination.
+	R2 float64
+	// Sizes are the sizes measured.
+	Sizes []int
+}
+
+// round4 keeps four significant digits, so that the page holds exactly the
+// numbers from which its tables are computed.
+func round4(v float64) float64 {
+	rounded, _ := strconv.ParseFloat(strconv.FormatFloat(v, 'g', 4, 64), 64)
+	return rounded
+}
+
+// fit returns the line through the measurements. Weights of 1/cost² make each
+// measurement count by its relative error: without them the largest size alone
+// would decide the line.
+func fit(name, unit string, sizes []int, costs []float64) Slope {
+	x, y, w := make([]float64, len(sizes)), make([]float64, len(sizes)), make([]float64, len(sizes))
+	for i, n := range sizes {
+		x[i], y[i], w[i] = float64(n), costs[i], 1/math.Max(1, costs[i]*costs[i])
+	}
+	fixed, slope := stat.LinearRegression(x, y, w, false)
+	return Slope{
+		Name: name, Unit: unit, Value: round4(slope), Fixed: round4(fixed),
+		Error: round4(standardError(x, y, w, fixed, slope)),
+		R2:    round4(stat.RSquared(x, y, w, fixed, slope)), Sizes: sizes,
+	}
+}
+
+// standardError returns the standard error of the slope of a weighted fit.
+func standardError(x, y, w []float64, fixed, slope float64) float64 {
+	if len(x) <= 2 {
+		return math.NaN()
+	}
+	mean := stat.Mean(x, w)
+	residual, spread := 0.0, 0.0
+	for i := range x {
+		r := y[i] - fixed - slope*x[i]
+		residual += w[i] * r * r
+		spread += w[i] * (x[i] - mean) * (x[i] - mean)
+	}
+	return math.Sqrt(residual / float64(len(x)-2) / spread)
+}
+
+// Slopes are the measured slopes by name.
+type Slopes map[string]Slope
+
+// must returns a slope that formulas need.
+func (s Slopes) must(name string) Slope {
+	slope, ok := s[name]
+	if !ok {
+		panic("capacity: slope " + name + " was not measured")
+	}
+	return slope
+}
--- /dev/null
+++ b/bench/capacity/quantities.go
@@ -0,0 +1,185 @@
+package capacity
+
+import "fmt"
+
+// Quantity is a figure that is computed for each target by a formula.
+type Quantity struct {
+	Name, Unit, Formula string
+	// Limit names the constant that bounds the quantity, or is empty.
+	Limit string
+}
+
+// Role is a role of section 2 of the design page with its figures for one VM.
+type Role struct {
+	Name, Mechanism, State string
+	// Cells names the quantities of the overview: messages sent and received a
+	// second, bytes a second, cores, and bytes of memory. A text that is no name
+	// of a quantity stands for itself.
+	Cells      [5]string
+	Quantities []Quantity
+}
+
+// shape gives the shares of one VM. The loaded VM holds one keyed shard and is
+// a witness of two.
+var shape = []Quantity{
+	{"keyed_shards", "", "vms/vms_today*keyed_shards_today", ""},
+	{"shard_upstreams", "", "keyed_upstreams/keyed_shards", ""},
+	{"shard_ranges", "", "ranges/keyed_shards", ""},
+	{"shards_held_mean", "per VM", "shards/vms", ""},
+	{"keys_per_range", "", "keys/ranges", ""},
+	{"changes", "/s", "changes_per_day/day_s", ""},
+	{"document_bytes", "B", "b_document_upstream_0+b_document_upstream*upstreams", "max_frame"},
+	{"heartbeat_bytes", "B", "b_frame+b_heartbeat_peer_0+b_heartbeat_held+b_heartbeat_peer*(vms-1)", ""},
+	{"assign_bytes", "B", "b_frame+b_assign_range_0+b_assign_range*shard_ranges", ""},
+	{"grant_bytes", "B sent", "b_grant_sent_span_0+b_grant_sent_span*shard_ranges/shard_upstreams", ""},
+	{"grant_bytes_joined", "B sent", "b_grant_sent_span_0+b_grant_sent_span", ""},
+}
+
+// roles lists the figures of each role at today's mechanisms, for one loaded VM.
+var roles = []Role{
+	{
+		"entry VM, forwarding", "wire.Forward over one connection per peer and direction; snapshot of holders",
+		"holder of each shard, spans of shards, two connections per peer; nothing per key or range but hot keys",
+		[5]string{"entry_requests", "entry_received", "requests only", "entry_core", "entry_all_memory"},
+		[]Quantity{
+			{"entry_requests", "forwards/s sent", "requests_per_s/vms", ""},
+			{"entry_received", "replies/s received", "requests_per_s/vms", ""},
+			{"entry_memory", "B", "mem_holder_shard*shards+mem_hot_key*hot_keys", "limit_memory"},
+			{"entry_all_memory", "B, with connections", "entry_memory+mem_peer_connection*(vms-1)", "limit_memory"},
+			{"entry_connections_memory", "B", "mem_peer_connection*(vms-1)", "limit_memory"},
+			{"entry_core", "cores, control loop", "(ns_loop_shard_0+ns_loop_shard*shards)/1e9", "limit_core"},
+			{"request_cores", "cores, all requests", "requests_per_s*ns_request/1e9", ""},
+			{"request_cores_vm", "cores per VM, requests", "request_cores/vms", ""},
+			{"requests_per_core", "requests/s per core", "1e9/ns_request", ""},
+		},
+	},
+	{
+		"holder, dispatching", "authority renewals to two witnesses; a grant per upstream (HTTP, JSON); Shard.Tick with placement.Plan",
+		"ranges and upstreams of its shard, request IDs",
+		[5]string{"holder_sent", "holder_received", "holder_bytes", "holder_core", "holder_all_memory"},
+		[]Quantity{
+			{"holder_sent", "messages/s sent", "shard_upstreams/lease_renew_s+(members-1)/authority_renew_s", ""},
+			{"holder_received", "messages/s received", "holder_sent", ""},
+			{"holder_bytes", "B/s, spans not joined", "shard_upstreams/lease_renew_s*(grant_bytes+b_grant_received_span_0)+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
+			{"holder_bytes_joined", "B/s, one span per upstream", "shard_upstreams/lease_renew_s*(grant_bytes_joined+b_grant_received_span_0)+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
+			{"holder_core", "cores", "(shard_upstreams/lease_renew_s*ns_grant_call+(ns_tick_range_0+ns_tick_range*shard_ranges)/tick_s+ns_authority_round/authority_renew_s)/1e9", "limit_core"},
+			{"holder_memory", "B without request IDs", "mem_held_range*shard_ranges+mem_held_upstream*shard_upstreams", "limit_memory"},
+			{"holder_all_memory", "B, with request IDs", "holder_memory+mem_request_id*id_capacity", "limit_memory"},
+			{"holder_id_memory", "B, request IDs at id_capacity", "mem_request_id*id_capacity", "limit_memory"},
+		},
+	},
+	{
+		"witness", "promise in memory per shard; wire.Assign on each change", "a promise and an assignment for each of two shards",
+		[5]string{"witness_sent", "witness_received", "witness_bytes", "witness_core", "witness_memory"},
+		[]Quantity{
+			{"witness_sent", "messages/s sent", "(members-1)/authority_renew_s", ""},
+			{"witness_received", "messages/s received", "witness_sent", ""},
+			{"witness_bytes", "B/s", "witness_sent*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
+			{"witness_core", "cores, upper bound", "witness_sent*ns_authority_round/1e9", "limit_core"},
+			{"witness_memory", "B", "(members-1)*(mem_assign_range_0+mem_assign_range*shard_ranges)", "limit_memory"},
+		},
+	},
+	{
+		"membership", "wire.Heartbeat from every VM to every VM, listing every VM heard", "state of every VM",
+		[5]string{"member_sent", "member_received", "member_bytes", "member_core", "member_memory"},
+		[]Quantity{
+			{"member_sent", "messages/s sent", "(vms-1)/heartbeat_s", ""},
+			{"member_received", "messages/s received", "member_sent", ""},
+			{"member_bytes", "B/s sent and received", "2*member_sent*heartbeat_bytes", "limit_bytes"},
+			{"member_core", "cores", "(member_sent*(ns_heartbeat_peer_0+ns_heartbeat_peer*(vms-1)+ns_heartbeat_encode_peer_0+ns_heartbeat_encode_peer*(vms-1))+(ns_members_tick_peer_0+ns_members_tick_peer*vms)/tick_s)/1e9", "limit_core"},
+			{"member_memory", "B", "mem_peer*(vms-1)", "limit_memory"},
+		},
+	},
+	{
+		"configuration spreading", "row config/head, polled and sent whole in wire.Config", "the decoded document",
+		[5]string{"config_sent_vm", "config_received", "config_bytes", "config_core", "config_memory"},
+		[]Quantity{
+			{"config_sent", "frames/s sent by all writers", "changes*(vms-1)", ""},
+			{"config_sent_vm", "frames/s sent, mean VM", "config_sent/vms", ""},
+			{"config_received", "frames/s received", "changes", ""},
+			{"config_bytes", "B/s received in frames", "changes*(document_bytes+b_frame)", "limit_bytes"},
+			{"config_writer_s", "s for a writer to send one change at limit_bytes", "(vms-1)*(document_bytes+b_frame)/limit_bytes", "limit_change_s"},
+			{"config_core", "cores, polls and frames", "(1/store_s+changes)*(ns_config_read_upstream_0+ns_config_read_upstream*upstreams)/1e9", "limit_core"},
+			{"config_memory", "B, decoded and encoded", "mem_document_upstream_0+mem_document_upstream*upstreams+document_bytes", "limit_memory"},
+			{"operations_s", "s until an operation is forgotten", "max_operations/changes", ""},
+			{"write_core", "cores of writers, all VMs together", "changes*ns_config_write_upstream*upstreams/1e9", ""},
+		},
+	},
+	{
+		"table service", "one transaction per VM every store_s reads the document and all records; writes by condition on a version",
+		"config/head and a record per shard",
+		[5]string{"table_sent", "table_sent", "table_poll_bytes", "in spreading and entry", "table_state"},
+		[]Quantity{
+			{"table_reads", "transactions/s", "vms/store_s", "limit_reads"},
+			{"table_sent", "calls/s of one VM, and answers", "1/store_s", ""},
+			{"table_state", "B of rows in the store's answers", "4/3*document_bytes+b_poll_shard*shards", ""},
+			{"table_rows", "rows/s read", "vms/store_s*(1+shards)", "limit_reads"},
+			{"table_poll_bytes", "B/s received per VM", "(4/3*document_bytes+b_poll_shard*shards)/store_s", "limit_bytes"},
+			{"table_writes", "writes/s, ordinary day", "changes+(replaced_per_day+failed_per_day)*members*shards/vms*2/day_s", "limit_writes"},
+			{"table_domain_writes", "writes, members replaced after a domain's loss", "shards*members/domains*2", ""},
+			{"table_burst", "writes/s if all holders write in one maintain_s", "table_domain_writes/maintain_s", "limit_writes"},
+			{"table_drain_s", "s at limit_writes", "table_domain_writes/limit_writes", ""},
+			{"table_move_writes", "writes/s for moved ranges and leases: the code has none", "0", "limit_writes"},
+			{"table_row_per_range", "writes/s if each moved range were a row", "ranges/domains/limit_loss_s", "limit_writes"},
+		},
+	},
+	{
+		"object store", "no code of the project calls it today", "none",
+		[5]string{"object_calls", "object_calls", "object_calls", "object_calls", "object_calls"},
+		[]Quantity{{"object_calls", "calls/s", "0", ""}},
+	},
+	{
+		"operators' tool", "one VM asks every other VM for its shards (wire.TypeStatus); changes over the admin interface",
+		"none; the reply of one status while it is shown",
+		[5]string{"status_sent", "status_sent", "status_bytes", "status_core_s", "status_bytes"},
+		[]Quantity{
+			{"status_sent", "calls for one status", "vms-1", ""},
+			{"status_bytes", "B received for one status", "shards*(b_status_range_0+b_status_range*shard_ranges+b_frame)", ""},
+			{"status_s", "s for one status at limit_bytes", "status_bytes/limit_bytes", "status_timeout_s"},
+			{"status_core_s", "core seconds to decode one status", "shards*(ns_status_range_0+ns_status_range*shard_ranges)/1e9", ""},
+			{"change_bytes", "B/s of changes, all VMs together", "changes*b_change", "limit_bytes"},
+		},
+	},
+}
+
+// sums add up the roles of one loaded VM.
+var sums = []Quantity{
+	{"all_bytes", "B/s", "holder_bytes+witness_bytes+member_bytes+config_bytes+table_poll_bytes", "limit_bytes"},
+	{"all_core", "cores", "entry_core+holder_core+witness_core+member_core+config_core", "limit_core"},
+	{"all_memory", "B", "entry_all_memory+holder_all_memory+witness_memory+member_memory+config_memory", "limit_memory"},
+	{"loss_s", "s without an owner: authority and an upstream lost together", "authority_s*(1+drift)+rank_delay_s+2*tick_s+reach_s+lease_renew_s+4*delay_s+ns_plan_lost_range*shard_ranges/1e9", "limit_loss_s"},
+}
+
+// column holds the values of all quantities for one target.
+type column map[string]float64
+
+// compute evaluates all quantities for a target.
+func compute(t Target, slopes Slopes) (column, error) {
+	env := environment(t, slopes)
+	for _, list := range allQuantities() {
+		for _, q := range list {
+			if _, twice := env[q.Name]; twice {
+				return nil, fmt.Errorf("quantity %s is defined twice", q.Name)
+			}
+			v, err := eval(q.Formula, env)
+			if err != nil {
+				return nil, err
+			}
+			env[q.Name] = v
+		}
+	}
+	return env, nil
+}
+
+// allQuantities lists the quantities in the order in which they depend on each other.
+func allQuantities() [][]Quantity {
+	lists := [][]Quantity{shape}
+	for _, r := range roles {
+		lists = append(lists, r.Quantities)
+	}
+	lists = append(lists, sums)
+	for _, f := range findings {
+		lists = append(lists, f.Quantities)
+	}
+	return lists
+}
--- /dev/null
+++ b/bench/capacity/report.go
@@ -0,0 +1,283 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Begin and End enclose the part of docs/CAPACITY.md that make capacity writes.
+const (
+	Begin = "<!-- make capacity: begin -->\n"
+	End   = "<!-- make capacity: end -->\n"
+)
+
+// Run is one run of all measurements.
+type Run struct {
+	// Header says when and where the measurements were made.
+	Header string
+	Slopes Slopes
+}
+
+// Report returns the measured slopes and the projected tables as Markdown.
+func (r Run) Report() (string, error) {
+	var columns []column
+	for _, t := range targets() {
+		c, err := compute(t, r.Slopes)
+		if err != nil {
+			return "", err
+		}
+		columns = append(columns, c)
+	}
+	w := &writer{columns: columns}
+	w.line("%s", r.Header)
+	w.overview()
+	w.slopes(r.Slopes)
+	w.constants()
+	w.shape()
+	w.roles()
+	w.findings()
+	return w.text.String(), w.err
+}
+
+type writer struct {
+	text    strings.Builder
+	columns []column
+	err     error
+}
+
+func (w *writer) line(format string, args ...any) { fmt.Fprintf(&w.text, format+"\n", args...) }
+
+func (w *writer) row(cells ...string) { w.line("| %s |", strings.Join(cells, " | ")) }
+
+func (w *writer) table(names ...string) {
+	w.line("")
+	w.row(names...)
+	w.line("|%s", strings.Repeat("---|", len(names)))
+}
+
+// number shows three significant digits.
+func number(v float64) string {
+	switch {
+	case v == 0:
+		return "0"
+	case math.Abs(v) >= 999.5:
+		digits := int(math.Floor(math.Log10(math.Abs(v)))) - 2
+		unit := math.Pow(10, float64(digits))
+		return thousands(strconv.FormatFloat(math.Round(v/unit)*unit, 'f', 0, 64))
+	default:
+		return strconv.FormatFloat(v, 'g', 3, 64)
+	}
+}
+
+func thousands(digits string) string {
+	sign := ""
+	if strings.HasPrefix(digits, "-") {
+		sign, digits = "-", digits[1:]
+	}
+	var groups []string
+	for len(digits) > 3 {
+		groups = append([]string{digits[len(digits)-3:]}, groups...)
+		digits = digits[:len(digits)-3]
+	}
+	return sign + strings.Join(append([]string{digits}, groups...), ",")
+}
+
+// values shows a quantity for all targets.
+func (w *writer) values(name string) []string {
+	out := make([]string, len(w.columns))
+	for i, c := range w.columns {
+		v, ok := c[name]
+		if !ok {
+			w.err = fmt.Errorf("%s has no value", name)
+		}
+		out[i] = number(v)
+	}
+	return out
+}
+
+// inline shows a quantity in a sentence: the readings A and B of the target.
+func (w *writer) inline(name string) string {
+	v := w.values(name)
+	a, b := v[1], v[2]
+	if a == b {
+		return a
+	}
+	return a + " (A), " + b + " (B)"
+}
+
+// fill replaces the names in braces.
+func (w *writer) fill(text string) string {
+	var out strings.Builder
+	for {
+		before, rest, found := strings.Cut(text, "{")
+		out.WriteString(before)
+		if !found {
+			return out.String()
+		}
+		name, after, _ := strings.Cut(rest, "}")
+		out.WriteString(w.inline(name))
+		text = after
+	}
+}
+
+// overview shows the five costs of each role and the sums beside the limits.
+func (w *writer) overview() {
+	w.line("\n### Overview at today's mechanisms")
+	w.line("\nOne VM that holds a keyed shard and is a witness of two. Each cell shows reading A; reading B. The operators' tool's cells are for one status, not for a second.")
+	w.table("role", "messages/s sent", "messages/s received", "B/s", "cores", "B of memory")
+	for _, r := range roles {
+		cells := []string{r.Name}
+		for _, name := range r.Cells {
+			if _, ok := w.columns[0][name]; !ok {
+				cells = append(cells, name)
+				continue
+			}
+			v := w.values(name)
+			cells = append(cells, v[1]+"; "+v[2])
+		}
+		w.row(cells...)
+	}
+	w.line("")
+	w.quantities(sums)
+}
+
+// quantities shows quantities with their formulas and the ratios to the limits.
+func (w *writer) quantities(list []Quantity) {
+	names := []string{"figure", "unit", "formula"}
+	for _, t := range targets() {
+		names = append(names, t.Name)
+	}
+	w.table(append(names, "limit", "ratio to the limit")...)
+	for _, q := range list {
+		cells := append([]string{q.Name, q.Unit, "`" + q.Formula + "`"}, w.values(q.Name)...)
+		limit, ratios := "", ""
+		if q.Limit != "" {
+			limit = q.Limit
+			var parts []string
+			for _, c := range w.columns {
+				parts = append(parts, number(c[q.Name]/c[q.Limit]))
+			}
+			ratios = strings.Join(parts, "; ")
+		}
+		w.row(append(cells, limit, ratios)...)
+	}
+}
+
+const slopeColumns = 8
+
+func (w *writer) slopes(slopes Slopes) {
+	w.line("\n### Measured slopes")
+	w.line("\nLine by weighted least squares: cost = fixed + slope × size. In formulas `name` is the slope and `name_0` the fixed part, or 0 if the fit gives less than 0. Each line is measured again by `make capacity`, or alone by `go run ./bench/cmd/capacity -only NAME`.")
+	w.table("name", "slope", "unit", "standard error", "fixed", "R²", "sizes", "measured")
+	for _, m := range Measurements() {
+		s := slopes.must(m.Name)
+		sizes := make([]string, len(s.Sizes))
+		for i, n := range s.Sizes {
+			sizes[i] = strconv.Itoa(n)
+		}
+		w.row(s.Name, plain(s.Value), s.Unit, plain(s.Error), plain(s.Fixed), plain(s.R2), strings.Join(sizes, " "), m.What)
+	}
+}
+
+// plain shows a number so that it can be read back without loss.
+func plain(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+
+func (w *writer) constants() {
+	for _, list := range []struct {
+		title     string
+		constants []Constant
+	}{{"Constants of the code", CodeConstants()}, {"Numbers stated by the users", UserConstants()}, {"Constants of proposed mechanisms", ProposedConstants()}} {
+		w.line("\n### %s", list.title)
+		w.table("name", "value", "source")
+		for _, c := range list.constants {
+			w.row(c.Name, plain(c.Value), c.Source)
+		}
+	}
+}
+
+func (w *writer) shape() {
+	w.line("\n### Shape of the target")
+	w.table("figure", "today", "A", "B")
+	for _, name := range []string{"vms", "upstreams", "keyed_upstreams", "ranges", "shards"} {
+		w.row(append([]string{name}, w.values(name)...)...)
+	}
+	w.quantities(shape)
+}
+
+func (w *writer) roles() {
+	w.line("\n### Roles")
+	for _, r := range roles {
+		w.line("\n#### %s", r.Name)
+		w.line("\nMechanism: %s. State: %s.", r.Mechanism, r.State)
+		w.quantities(r.Quantities)
+	}
+}
+
+func (w *writer) findings() {
+	w.line("\n### What does not fit today's mechanisms")
+	for _, f := range findings {
+		w.line("\n#### %s", f.Title)
+		w.line("\n- Today: %s", w.fill(f.Today))
+		w.line("- Size at which it stops fitting: %s", w.fill(f.Stops))
+		w.line("- Mechanism meant to carry it: %s", w.fill(f.Remedy))
+		w.quantities(f.Quantities)
+	}
+}
+
+// ParseReport reads the header and the slopes back from a report.
+func ParseReport(text string) (Run, error) {
+	header, _, _ := strings.Cut(text, "\n")
+	run := Run{Header: header, Slopes: Slopes{}}
+	_, rest, found := strings.Cut(text, "### Measured slopes\n")
+	if !found {
+		return run, fmt.Errorf("the report has no table of slopes")
+	}
+	rest, _, _ = strings.Cut(rest, "\n### ")
+	for line := range strings.Lines(rest) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), " | ")
+		if len(cells) != slopeColumns || strings.TrimSpace(cells[0]) == "name" {
+			continue
+		}
+		s, err := parseSlope(cells)
+		if err != nil {
+			return run, fmt.Errorf("line %q: %w", line, err)
+		}
+		run.Slopes[s.Name] = s
+	}
+	return run, nil
+}
+
+func parseSlope(cells []string) (Slope, error) {
+	s := Slope{Name: strings.TrimSpace(cells[0]), Unit: cells[2]}
+	for _, field := range []struct {
+		out  *float64
+		cell int
+	}{{&s.Value, 1}, {&s.Error, 3}, {&s.Fixed, 4}, {&s.R2, 5}} {
+		v, err := strconv.ParseFloat(cells[field.cell], 64)
+		if err != nil {
+			return s, err
+		}
+		*field.out = v
+	}
+	for _, size := range strings.Fields(cells[6]) {
+		n, err := strconv.Atoi(size)
+		if err != nil {
+			return s, err
+		}
+		s.Sizes = append(s.Sizes, n)
+	}
+	return s, nil
+}
+
+// Split returns the parts of a page: up to and with Begin, the report, and the
+// rest from End on.
+func Split(page string) (before, report, after string, err error) {
+	before, rest, found := strings.Cut(page, Begin)
+	report, after, ended := strings.Cut(rest, End)
+	if !found || !ended {
+		return "", "", "", fmt.Errorf("the page does not enclose the report in %q and %q", strings.TrimSpace(Begin), strings.TrimSpace(End))
+	}
+	return before + Begin, report, End + after, nil
+}
--- a/bench/cluster/vm.go
+++ b/bench/cluster/vm.go
@@ -109,6 +109,14 @@
 // Running reports whether the VM has been started and not killed or stopped.
 func (vm *VM) Running() bool { return vm.process != nil || vm.daemon != nil }
 
+// PID returns the number of the VM's process, or 0 if it has none of its own.
+func (vm *VM) PID() int {
+	if vm.process == nil {
+		return 0
+	}
+	return vm.process.Process.Pid
+}
+
 // Pause stops the VM's process until Resume. It has no effect on a VM in this process.
 func (vm *VM) Pause() { vm.signal(syscall.SIGSTOP) }
 
--- /dev/null
+++ b/core/config/capacity.go
@@ -0,0 +1,4 @@
+package config
+
+// MaxRanges is the greatest number of ranges of a service.
+const MaxRanges = maxRanges
--- /dev/null
+++ b/server/holder/capacity.go
@@ -0,0 +1,5 @@
+package holder
+
+// ReachTimeout is how long a new holder waits for the first answer of an
+// upstream before it moves the upstream's ranges.
+const ReachTimeout = reachTimeout
