List the sizes of fit first on the capacity page

Cause: the sizes at which mechanisms stop fitting were spread over the page, and the bytes of polls at today's size were only in a table.

Change: the overview lists every size of fit. The section on polls names the bytes at 12 VMs and what a row of its own for remembered operations would give.

Conclusion: polls are over the limit per node at today's size; moving the remembered operations out of the polled row is enough there.

--- a/bench/capacity/findings.go
+++ b/bench/capacity/findings.go
@@ -50,13 +50,14 @@
 	},
 	{
 		"Polling the store",
-		"Every VM reads the store each {store_s} s: {table_reads} transactions/s and {table_rows} rows/s against limit_reads.",
+		"Every VM reads the store each {store_s} s: {table_reads} transactions/s and {table_rows} rows/s against {limit_reads} reads/s. The bytes do not fit limit_bytes even today: {today:table_poll_bytes} B/s at 12 VMs, because the remembered operations make up nearly all of the fixed part ({b_document_upstream_0} B) of the document.",
 		"It fits up to {poll_fit_vms} VMs if a transaction counts as one read, and {poll_rows_fit_vms} VMs if each row counts.",
-		"A poll interval that grows with the number of VMs would be {poll_interval_s} s at half of limit_reads, longer than confirm_s ({confirm_s} s), so it needs the majority or the tree for confirmation. With {readers} reading VMs that pass on changes in the tree: {reader_reads} transactions/s whatever the number of VMs. Members read only the records of their own shards.",
+		"A poll interval that grows with the number of VMs would be {poll_interval_s} s at half of limit_reads, longer than confirm_s ({confirm_s} s), so it needs the majority or the tree for confirmation. With {readers} reading VMs that pass on changes in the tree: {reader_reads} transactions/s whatever the number of VMs. Members read only the records of their own shards. With the remembered operations in a row of their own, which nobody polls, a poll as of today takes {today:poll_without_operations} B/s at 12 VMs.",
 		[]Quantity{
 			{"poll_fit_vms", "VMs", "limit_reads*store_s", ""},
 			{"poll_rows_fit_vms", "VMs", "(sqrt(1+4*limit_reads*store_s*shards/vms)-1)/(2*shards/vms)", ""},
 			{"poll_interval_s", "s", "2*vms/limit_reads", "confirm_s"},
+			{"poll_without_operations", "B/s", "(4/3*b_document_upstream*upstreams+b_poll_shard*shards)/store_s", "limit_bytes"},
 			{"reader_reads", "transactions/s", "readers/store_s", "limit_reads"},
 		},
 	},
@@ -69,7 +70,7 @@
 			{"frame_fit_upstreams", "upstreams", "(max_frame-b_document_upstream_0)/b_document_upstream", ""},
 			{"frame_fit_vms", "VMs", "frame_fit_upstreams*vms/upstreams", ""},
 			{"changes_fit_upstreams", "upstreams", "max(0, (limit_bytes/changes-b_document_upstream_0)/b_document_upstream)", ""},
-			{"range_fit_upstreams", "upstreams", "max_ranges*keyed_upstreams/ranges", ""},
+			{"range_fit_upstreams", "upstreams of a service", "max_ranges*keyed_upstreams/ranges", ""},
 			{"config_rows", "rows", "upstreams/upstreams_per_row", ""},
 			{"config_row_bytes", "B", "b_document_upstream_0+b_document_upstream*upstreams_per_row", "max_frame"},
 			{"head_bytes", "B", "b_head_row_0+b_head_row*config_rows", "max_frame"},
@@ -138,7 +139,7 @@
 			{"shard_requests", "requests/s", "requests_per_s/shards", ""},
 			{"id_rate", "requests/s", "id_capacity/id_retention_s", ""},
 			{"id_fit", "IDs", "limit_memory/mem_request_id", ""},
-			{"id_fit_rate", "requests/s", "id_fit/id_retention_s", ""},
+			{"id_fit_rate", "non-repeatable requests/s of a shard", "id_fit/id_retention_s", ""},
 			{"id_share", "share", "id_rate/shard_requests", ""},
 		},
 	},
@@ -148,7 +149,7 @@
 		"It fits limit_bytes with up to {grant_fit_spans} spans per upstream, independent of the number of VMs, so it does not fit even today.",
 		"Send the ranges only when they change and otherwise the number of the last accepted change, or place runs of neighbouring ranges on one upstream, which would be one span: {holder_bytes_joined} B/s or less.",
 		[]Quantity{
-			{"grant_fit_spans", "spans", "((limit_bytes-(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame))*lease_renew_s/shard_upstreams-b_grant_sent_span_0-b_grant_received_span_0)/b_grant_sent_span", ""},
+			{"grant_fit_spans", "spans of an upstream", "((limit_bytes-(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame))*lease_renew_s/shard_upstreams-b_grant_sent_span_0-b_grant_received_span_0)/b_grant_sent_span", ""},
 		},
 	},
 	{
--- a/bench/capacity/report.go
+++ b/bench/capacity/report.go
@@ -146,8 +146,16 @@
 		}
 		w.row(cells...)
 	}
-	w.line("")
 	w.quantities(sums)
+	w.line("\nSizes up to which today's mechanisms fit, by section below; the target has %s VMs:", w.inline("vms"))
+	w.table("mechanism", "figure", "fits up to", "unit")
+	for _, f := range findings {
+		for _, q := range f.Quantities {
+			if strings.Contains(q.Name, "_fit_") {
+				w.row(f.Title, q.Name, w.inline(q.Name), q.Unit)
+			}
+		}
+	}
 }
 
 // cell shows a quantity of a role for both readings, with the ratios to its limit.
