Shorten the capacity page to fewer tables

Change: one table each for the constants, the roles and the sections on what does not fit. No figure or formula changes.

--- a/bench/capacity/report.go
+++ b/bench/capacity/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -172,13 +173,13 @@
 }
 
 // quantities shows quantities with their formulas and the ratios to the limits.
-func (w *writer) quantities(list []Quantity) {
+func (w *writer) quantities(lists ...[]Quantity) {
 	names := []string{"figure", "unit", "formula"}
 	for _, t := range targets() {
 		names = append(names, t.Name)
 	}
 	w.table(append(names, "limit", "ratio to the limit")...)
-	for _, q := range list {
+	for _, q := range slices.Concat(lists...) {
 		cells := append([]string{q.Name, q.Unit, "`" + q.Formula + "`"}, w.values(q.Name)...)
 		limit, ratios := "", ""
 		if q.Limit != "" {
@@ -227,15 +228,11 @@
 func plain(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
 
 func (w *writer) constants() {
-	for _, list := range []struct {
-		title     string
-		constants []Constant
-	}{{"Constants of the code", CodeConstants()}, {"Numbers stated by the users", UserConstants()}, {"Constants of proposed mechanisms", ProposedConstants()}} {
-		w.line("\n### %s", list.title)
-		w.table("name", "value", "source")
-		for _, c := range list.constants {
-			w.row(c.Name, plain(c.Value), c.Source)
-		}
+	w.line("\n### Constants")
+	w.line("\nConstants of the code by their names in Go, numbers stated by the users with the section of docs/design.md, and constants of proposed mechanisms.")
+	w.table("name", "value", "source")
+	for _, c := range slices.Concat(CodeConstants(), UserConstants(), ProposedConstants()) {
+		w.row(c.Name, plain(c.Value), c.Source)
 	}
 }
 
@@ -250,22 +247,27 @@
 
 func (w *writer) roles() {
 	w.line("\n### Roles")
+	w.line("")
+	var lists [][]Quantity
 	for _, r := range roles {
-		w.line("\n#### %s", r.Name)
-		w.line("\nMechanism: %s. State: %s.", r.Mechanism, r.State)
-		w.quantities(r.Quantities)
+		w.line("- **%s**. Mechanism: %s. State: %s.", r.Name, r.Mechanism, r.State)
+		lists = append(lists, r.Quantities)
 	}
+	w.quantities(lists...)
 }
 
 func (w *writer) findings() {
 	w.line("\n### What does not fit today's mechanisms")
+	var lists [][]Quantity
 	for _, f := range findings {
 		w.line("\n#### %s", f.Title)
-		w.line("\n- Today: %s", w.fill(f.Today))
+		w.line("- Today: %s", w.fill(f.Today))
 		w.line("- Size at which it stops fitting: %s", w.fill(f.Stops))
 		w.line("- Mechanism meant to carry it: %s", w.fill(f.Remedy))
-		w.quantities(f.Quantities)
+		lists = append(lists, f.Quantities)
 	}
+	w.line("\n#### Figures and formulas of the sections above")
+	w.quantities(lists...)
 }
 
 // ParseReport reads the header, the checks and the slopes back from a report.
