entry: take idempotent requests back from a holder that was superseded

Cause: a holder that is paused or cut off without a break of the connection keeps forwarded requests until their deadline, although another VM has taken the shard over.

Requests that may not be repeated still wait for their outcome.

--- a/server/entry/forward.go
+++ b/server/entry/forward.go
@@ -150,7 +150,7 @@
 		return attempt{reply: e.Local(ctx, f), target: target, sent: true}
 	}
 	reply := new(wire.Reply)
-	err := e.cfg.Forward.Call(ctx, target.VM, wire.TypeForward, f, reply)
+	err := e.call(ctx, target, f, reply)
 	switch {
 	case err == nil:
 		return attempt{reply: reply, target: target, sent: true}
@@ -163,6 +163,33 @@
 	}
 }
 
+// call forwards a request to a holder. An idempotent request is abandoned when
+// another VM has become holder: the former one may be paused or cut off without
+// a break of the connection, and would keep the request until its deadline.
+func (e *Entry) call(ctx context.Context, target control.Holder, f *wire.Forward, reply *wire.Reply) error {
+	if !f.Idempotent {
+		return e.cfg.Forward.Call(ctx, target.VM, wire.TypeForward, f, reply)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		ticker := time.NewTicker(sameHolderWait)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if now, known := e.cfg.Snapshot().Holders[f.Shard]; known && now != target {
+				cancel()
+				return
+			}
+		}
+	}()
+	return e.cfg.Forward.Call(ctx, target.VM, wire.TypeForward, f, reply)
+}
+
 // retryHolder is the delay that a refusal without a holder suggests: about the
 // time that a takeover takes.
 const retryHolder = time.Second
--- a/server/entry/forward_test.go
+++ b/server/entry/forward_test.go
@@ -73,6 +73,29 @@
 	}
 }
 
+// paused is a holder that reads requests and answers none.
+type paused struct{ stub }
+
+func (p *paused) Call(ctx context.Context, to api.VMID, kind wire.Type, payload, out any) error {
+	if to != "old" {
+		return p.stub.Call(ctx, to, kind, payload, out)
+	}
+	<-ctx.Done()
+	return errors.Wrap(peer.ErrLost, "old")
+}
+
+// Guards against an idempotent request that a paused holder keeps until its
+// deadline although another VM has taken over.
+func TestRequestLeavesAPausedHolder(t *testing.T) {
+	var current atomic.Pointer[control.Snapshot]
+	current.Store(holders("old", 1))
+	p := &paused{stub{answers: map[api.VMID]func(*wire.Reply) error{"new": answered}}}
+	e := newTestEntry(p, current.Load)
+	time.AfterFunc(50*time.Millisecond, func() { current.Store(holders("new", 2)) })
+	reply := e.run(t.Context(), "s", &wire.Forward{Shard: testShard, Idempotent: true, TimeoutMs: 30_000})
+	require.Nil(t, reply.Refusal)
+}
+
 // Guards against a second run: a request that may not be repeated is not sent
 // again after its connection broke.
 func TestLostUnrepeatableRequestIsUnknown(t *testing.T) {
