fakes/upstream: end a frozen run by its deadline

The stand-in completed the run although its deadline (at most the end of the lease, design section 5) had passed during the freeze.

Upstreams that check deadlines now abort such a run, and the history ends it at its deadline, after which it had no effect. Upstreams without checks are as before. The checkers of ownership are unchanged.

--- a/fakes/upstream/http.go
+++ b/fakes/upstream/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/lease"
 	"dandelionhill.dev/platform"
 	"dandelionhill.dev/platform/upstreamhttp"
 )
@@ -114,7 +115,7 @@
 	}
 	s.record(run, false)
 	run.Completed = s.execute(ctx, r.URL.Path)
-	run.End = time.Now()
+	run.End = s.end(ctx, run.Completed)
 	s.record(run, true)
 	s.answer(w, r, run, body)
 }
@@ -188,6 +189,9 @@
 		return false
 	}
 	s.wait()
+	if s.cfg.Checks != lease.ChecksNone && ctx.Err() != nil {
+		return false // it resumed after the deadline
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs++
@@ -195,6 +199,17 @@
 	return true
 }
 
+// end returns when a run ended. A server that checks deadlines ends a run by its
+// deadline (design, section 5): if it was frozen past that time, the run had no
+// effect after it.
+func (s *Server) end(ctx context.Context, completed bool) time.Time {
+	now := time.Now()
+	if deadline, ok := ctx.Deadline(); ok && !completed && s.cfg.Checks != lease.ChecksNone && now.After(deadline) {
+		return deadline
+	}
+	return now
+}
+
 // answer repeats the request so that callers can check that it is theirs.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, run *Run, body []byte) {
 	s.mu.Lock()
--- /dev/null
+++ b/fakes/upstream/upstream_test.go
@@ -0,0 +1,48 @@
+package upstream
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/lease"
+)
+
+// freezer freezes a server as soon as it starts a run.
+type freezer struct {
+	server *Server
+	ended  chan *Run
+}
+
+func (f *freezer) Started(*Run)   { f.server.SetFaults(Faults{Frozen: true}) }
+func (f *freezer) Ended(run *Run) { f.ended <- run }
+
+// Guards against a stand-in that completes a run after its deadline because it
+// was frozen meanwhile: it would show two owners where the contract allows one.
+func TestFrozenRunDoesNotCompleteAfterItsDeadline(t *testing.T) {
+	f := &freezer{ended: make(chan *Run, 1)}
+	f.server = New(Config{ID: "u", Slots: 1, ServiceTime: time.Millisecond, Queue: 1, Checks: lease.ChecksDeadline, Recorder: f})
+	if err := f.server.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer f.server.Stop()
+	started := time.Now()
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.server.Address()+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(api.HeaderDeadline, "1000")
+	time.AfterFunc(1500*time.Millisecond, func() { f.server.SetFaults(Faults{}) })
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+		t.Fatalf("got an answer with status %d", resp.StatusCode)
+	}
+	run := <-f.ended
+	if run.Completed {
+		t.Error("the run completed after its deadline")
+	}
+	if run.End.After(started.Add(time.Second + 100*time.Millisecond)) {
+		t.Errorf("the run ended %v after the start, want at its deadline of 1 s", run.End.Sub(started))
+	}
+}
