--- a/fakes/upstream/upstream.go
+++ b/fakes/upstream/upstream.go
@@ -138,6 +138,13 @@
 	return s.address
 }
 
+// Incarnation returns the present or last incarnation.
+func (s *Server) Incarnation() api.Incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation
+}
+
 // ID returns the server's name.
 func (s *Server) ID() api.UpstreamID { return s.cfg.ID }
 
--- a/fakes/upstream/upstream_test.go
+++ b/fakes/upstream/upstream_test.go
@@ -33,6 +33,7 @@
 		t.Fatal(err)
 	}
 	req.Header.Set(api.HeaderDeadline, "1000")
+	req.Header.Set(api.HeaderIncarnation, string(f.server.Incarnation()))
 	time.AfterFunc(1500*time.Millisecond, func() { f.server.SetFaults(Faults{}) })
 	if resp, err := http.DefaultClient.Do(req); err == nil {
 		resp.Body.Close()
