Keep each revision of the configuration in the object store

Cause: the object store had an interface, no client and no stand-in, and a document remembers 256 operations only. Change: HTTP client, stand-in, and an archive of written revisions on which nothing depends. Measured: the test that drives dandelionctl finds the revision it made.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -21,6 +21,7 @@
 	"dandelionhill.dev/core/config"
 	"dandelionhill.dev/core/config/strict"
 	"dandelionhill.dev/core/lease"
+	"dandelionhill.dev/fakes/objects"
 	"dandelionhill.dev/fakes/table"
 	"dandelionhill.dev/fakes/upstream"
 	"dandelionhill.dev/fakes/vmlist"
@@ -62,6 +63,7 @@
 	Document  *config.Document
 	Table     *table.Store
 	VMList    *vmlist.List
+	Objects   *objects.Store
 	Upstreams map[api.UpstreamID]*upstream.Server
 	VMs       []*VM
 
@@ -77,7 +79,7 @@
 		return nil, errors.Wrap(err, "make a directory for settings")
 	}
 	c := &Cluster{
-		Table: table.New(), VMList: vmlist.New(o.ListLag), Upstreams: map[api.UpstreamID]*upstream.Server{},
+		Table: table.New(), VMList: vmlist.New(o.ListLag), Objects: objects.New(), Upstreams: map[api.UpstreamID]*upstream.Server{},
 		options: o, dir: dir,
 	}
 	if err := c.startUpstreams(); err != nil {
@@ -86,8 +88,13 @@
 	}
 	tableServer := httptest.NewServer(c.Table.Handler())
 	listServer := httptest.NewServer(c.VMList.Handler())
-	c.platform = []*httptest.Server{tableServer, listServer}
-	if err := c.startVMs(tableServer.Listener.Addr().String(), listServer.Listener.Addr().String()); err != nil {
+	objectServer := httptest.NewServer(c.Objects.Handler())
+	c.platform = []*httptest.Server{tableServer, listServer, objectServer}
+	if err := c.startVMs(settings.Platform{
+		Table:   tableServer.Listener.Addr().String(),
+		Objects: objectServer.Listener.Addr().String(),
+		VMs:     listServer.Listener.Addr().String(),
+	}); err != nil {
 		c.Stop()
 		return nil, err
 	}
@@ -130,7 +137,7 @@
 	return nil
 }
 
-func (c *Cluster) startVMs(tableAddress, listAddress string) error {
+func (c *Cluster) startVMs(services settings.Platform) error {
 	domains := c.Document.FailureDomains
 	var peers []settings.Peer
 	var callers []string
@@ -152,7 +159,7 @@
 		s.VM, s.FailureDomain = p.ID, p.FailureDomain
 		s.Listen = settings.Listen{Callers: callers[i], Peers: p.Address, Admin: p.Admin}
 		s.Peers = peers
-		s.Platform = settings.Platform{Table: tableAddress, Objects: tableAddress, VMs: listAddress}
+		s.Platform = services
 		s.Operators = []settings.Operator{{Name: "operator", TokenSHA256: tokenSHA256}}
 		s.StopTimeout = strict.Duration(10 * time.Second)
 		vm := &VM{Settings: &s, cluster: c}
--- a/ctl/cmd/dandelionctl/system_test.go
+++ b/ctl/cmd/dandelionctl/system_test.go
@@ -12,6 +12,7 @@
 
 	"dandelionhill.dev/bench/cluster"
 	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/server/control"
 )
 
 // TestRunningSystem guards against a tool and a daemon that understand the
@@ -75,6 +76,14 @@
 	after := revision()
 	ok("domain", "out", "--operation-id", "op-1", "--wait", "howrah")
 	require.Equal(t, after, revision(), "a repeat has no second effect")
+	require.Eventually(t, func() bool {
+		data, err := c.Objects.Read(ctx, control.ArchiveName(after))
+		if err != nil {
+			return false
+		}
+		archived, err := config.Decode(data)
+		return err == nil && archived.Revision == after
+	}, time.Minute, 10*time.Millisecond, "each revision is archived")
 	code, out = tool(good, "domain", "in", "--base-revision", "1", "howrah")
 	require.Equal(t, 3, code, out)
 }
--- a/server/control/configuration.go
+++ b/server/control/configuration.go
@@ -159,6 +159,7 @@
 		})
 		c.cfg.Metrics.StoreCall("write", err)
 		if err == nil && result.Committed {
+			go c.archive(next)
 			return next, c.spread(ctx, next, version+1)
 		}
 		// Lost answer or another operator's write: read again.
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -53,6 +53,7 @@
 	VMs         []placement.VM // all entry VMs of the settings, this one included
 	Table       platform.Table
 	VMList      platform.VMList
+	Objects     platform.Objects // keeps old revisions; nil keeps none
 	Dial        func(address string, service config.Service) platform.Upstream
 	Clock       func() time.Duration
 	Metrics     *metrics.Metrics
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"dandelionhill.dev/core/config"
 	"dandelionhill.dev/core/placement"
 	"dandelionhill.dev/platform"
+	"dandelionhill.dev/platform/objecthttp"
 	"dandelionhill.dev/platform/tablehttp"
 	"dandelionhill.dev/platform/upstreamhttp"
 	"dandelionhill.dev/platform/vmhttp"
@@ -89,8 +90,9 @@
 	}
 	ctl := control.New(control.Config{
 		Self: self, Incarnation: incarnation, VMs: vms,
-		Table:  tablehttp.New("http://" + s.Platform.Table),
-		VMList: vmhttp.New("http://" + s.Platform.VMs),
+		Table:   tablehttp.New("http://" + s.Platform.Table),
+		VMList:  vmhttp.New("http://" + s.Platform.VMs),
+		Objects: objecthttp.New("http://" + s.Platform.Objects),
 		Dial: func(address string, service config.Service) platform.Upstream {
 			return upstreamhttp.New(address, service.Connections, service.MaxBody)
 		},
