--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -3,7 +3,11 @@
 // fingerprint that crashes again is quarantined.
 package crash
 
-import "time"
+import (
+	"time"
+
+	"dandelionhill.dev/core/defaults"
+)
 
 // Verdict says how a request with a given fingerprint may run.
 type Verdict int
@@ -83,21 +87,11 @@
 // New returns empty evidence.
 func New(cfg Config) *Evidence {
 	def := DefaultConfig()
-	if cfg.Quarantine <= 0 {
-		cfg.Quarantine = def.Quarantine
-	}
-	if cfg.SuspectTTL <= 0 {
-		cfg.SuspectTTL = def.SuspectTTL
-	}
-	if cfg.ProvenTTL <= 0 {
-		cfg.ProvenTTL = def.ProvenTTL
-	}
-	if cfg.Capacity <= 0 {
-		cfg.Capacity = def.Capacity
-	}
-	if cfg.Unproven <= 0 {
-		cfg.Unproven = def.Unproven
-	}
+	defaults.Positive(&cfg.Quarantine, def.Quarantine)
+	defaults.Positive(&cfg.SuspectTTL, def.SuspectTTL)
+	defaults.Positive(&cfg.ProvenTTL, def.ProvenTTL)
+	defaults.Positive(&cfg.Capacity, def.Capacity)
+	defaults.Positive(&cfg.Unproven, def.Unproven)
 	return &Evidence{cfg: cfg, records: map[uint64]*record{}}
 }
 
--- a/core/dedup/memory.go
+++ b/core/dedup/memory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/defaults"
 )
 
 // Config holds the limits of a Memory.
@@ -117,21 +118,11 @@
 // New returns an empty memory that knows nothing of the time before start.
 func New(cfg Config, start time.Time) *Memory {
 	def := DefaultConfig()
-	if cfg.ClockSkew <= 0 {
-		cfg.ClockSkew = def.ClockSkew
-	}
-	if cfg.Retention <= 0 {
-		cfg.Retention = def.Retention
-	}
-	if cfg.Capacity <= 0 {
-		cfg.Capacity = def.Capacity
-	}
-	if cfg.BodyLimit <= 0 {
-		cfg.BodyLimit = def.BodyLimit
-	}
-	if cfg.BodyBytes <= 0 {
-		cfg.BodyBytes = def.BodyBytes
-	}
+	defaults.Positive(&cfg.ClockSkew, def.ClockSkew)
+	defaults.Positive(&cfg.Retention, def.Retention)
+	defaults.Positive(&cfg.Capacity, def.Capacity)
+	defaults.Positive(&cfg.BodyLimit, def.BodyLimit)
+	defaults.Positive(&cfg.BodyBytes, def.BodyBytes)
 	return &Memory{
 		cfg: cfg, start: start.UnixNano(), latest: start.UnixNano(),
 		index: map[ID]int32{}, free: none, first: none, last: none,
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/defaults"
 )
 
 // Config holds the bounds of a Queue.
@@ -49,30 +50,20 @@
 
 func (c Config) withDefaults() Config {
 	def := DefaultConfig()
-	if c.QueueLength <= 0 {
-		c.QueueLength = def.QueueLength
-	}
+	defaults.Positive(&c.QueueLength, def.QueueLength)
 	if c.KeyShare <= 0 || c.KeyShare > 1 {
 		c.KeyShare = def.KeyShare
 	}
 	if c.CallerShare <= 0 || c.CallerShare > 1 {
 		c.CallerShare = def.CallerShare
 	}
-	if c.ServiceTime <= 0 {
-		c.ServiceTime = def.ServiceTime
-	}
+	defaults.Positive(&c.ServiceTime, def.ServiceTime)
 	if c.Smoothing <= 0 || c.Smoothing > 1 {
 		c.Smoothing = def.Smoothing
 	}
-	if c.AdmitMargin <= 0 {
-		c.AdmitMargin = def.AdmitMargin
-	}
-	if c.StartMargin <= 0 {
-		c.StartMargin = def.StartMargin
-	}
-	if c.MinRetryAfter <= 0 {
-		c.MinRetryAfter = def.MinRetryAfter
-	}
+	defaults.Positive(&c.AdmitMargin, def.AdmitMargin)
+	defaults.Positive(&c.StartMargin, def.StartMargin)
+	defaults.Positive(&c.MinRetryAfter, def.MinRetryAfter)
 	return c
 }
 
--- a/core/hedge/hedge.go
+++ b/core/hedge/hedge.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"dandelionhill.dev/core/defaults"
 )
 
 // Config configures a Controller.
@@ -47,12 +49,8 @@
 	if cfg.Burst < 1 {
 		cfg.Burst = def.Burst
 	}
-	if cfg.HalfLife <= 0 {
-		cfg.HalfLife = def.HalfLife
-	}
-	if cfg.MinSamples <= 0 {
-		cfg.MinSamples = def.MinSamples
-	}
+	defaults.Positive(&cfg.HalfLife, def.HalfLife)
+	defaults.Positive(&cfg.MinSamples, def.MinSamples)
 	return &Controller{cfg: cfg, latency: newHistogram(cfg.HalfLife)}
 }
 
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"dandelionhill.dev/core/defaults"
 )
 
 // Config holds the thresholds of a Ramp.
@@ -85,16 +87,16 @@
 // New returns a ramp that starts with one request if cold.
 func New(cfg Config, cold bool) *Ramp {
 	def := DefaultConfig()
-	setDefault(&cfg.Window, def.Window)
-	setDefault(&cfg.Step, def.Step)
-	setDefault(&cfg.NormalFactor, def.NormalFactor)
-	setDefault(&cfg.SlowFactor, def.SlowFactor)
-	setDefault(&cfg.ColdFactor, def.ColdFactor)
-	setDefault(&cfg.ShedShare, def.ShedShare)
-	setDefault(&cfg.Learn, def.Learn)
-	setDefault(&cfg.ReportTTL, def.ReportTTL)
-	setDefault(&cfg.ReportFloor, def.ReportFloor)
-	setDefault(&cfg.Start, def.Start)
+	defaults.Positive(&cfg.Window, def.Window)
+	defaults.Positive(&cfg.Step, def.Step)
+	defaults.Positive(&cfg.NormalFactor, def.NormalFactor)
+	defaults.Positive(&cfg.SlowFactor, def.SlowFactor)
+	defaults.Positive(&cfg.ColdFactor, def.ColdFactor)
+	defaults.Positive(&cfg.ShedShare, def.ShedShare)
+	defaults.Positive(&cfg.Learn, def.Learn)
+	defaults.Positive(&cfg.ReportTTL, def.ReportTTL)
+	defaults.Positive(&cfg.ReportFloor, def.ReportFloor)
+	defaults.Positive(&cfg.Start, def.Start)
 	r := &Ramp{cfg: cfg, normal: cfg.Normal, limit: math.Inf(1)}
 	if cold {
 		r.Restart(0)
@@ -102,12 +104,6 @@
 	return r
 }
 
-func setDefault[T int | float64 | time.Duration](value *T, def T) {
-	if *value <= 0 {
-		*value = def
-	}
-}
-
 // Restart begins a slow start, for example after a new incarnation. The normal
 // latency is kept: the service is the same.
 func (r *Ramp) Restart(time.Duration) {
