--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -175,21 +175,21 @@
 	if l.up == nil {
 		length *= max(1, len(q.upstreams))
 	}
-	full := func(of string, queued int) *api.Refusal {
+	full := func(kind api.Kind, of string, queued int) *api.Refusal {
 		delay := float64(queued) / 2 * l.service.or(q.cfg.ServiceTime).mean
 		if o.rate > 0 {
 			delay = float64(queued) / 2 / o.rate
 		}
-		return q.refuse(api.QueueFull, o, of, time.Duration(delay))
+		return q.refuse(kind, o, of, time.Duration(delay))
 	}
 	if l.queued >= length {
-		return full("queue is full", l.queued)
+		return full(api.QueueFull, "queue is full", l.queued)
 	}
 	if k := l.keys[keyID{r.Key, r.Range}]; k != nil && r.Key != "" && k.queued >= share(length, q.cfg.KeyShare) {
-		return full("key fills its share of the queue", k.queued)
+		return full(api.QueueFull, "key fills its share of the queue", k.queued)
 	}
 	if c := l.callers[r.Caller]; c != nil && c.queued >= share(length, q.cfg.CallerShare) {
-		return full("caller fills its share of the queue", c.queued)
+		return full(api.RateLimited, "caller fills its share of the queue", c.queued)
 	}
 	return nil
 }
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -35,7 +35,7 @@
 // must not keep a place in a queue.
 const maxTimeout = 60 * time.Second
 
-// Caller of other VMs.
+// Forwarder carries calls to other VMs.
 type Forwarder interface {
 	Call(ctx context.Context, to api.VMID, kind wire.Type, payload, out any) error
 }
