Say the same thing once in the holder, the entry and the control loop

Cause: a read of the whole change found the constructor of refused replies in two packages, a second form of retryOrEnd, and three places that pass the authority on to the held shard. Change: wire.Refused, one retryOrEnd, shardState.extend; two nested conditions in the crash evidence are one. Behaviour is the same: a request that is started has not finished, so the check that retryOrEnd adds cannot hold there.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -118,6 +118,11 @@
 	Repeated     bool         `cbor:"6,keyasint,omitempty"` // the recorded answer of an earlier run
 }
 
+// Refused returns the reply that carries a refusal.
+func Refused(r *api.Refusal) *Reply {
+	return &Reply{Refusal: r, RetryAfterMs: r.RetryAfter.Milliseconds()}
+}
+
 // Cancel withdraws the call with the frame's number.
 type Cancel struct{}
 
--- a/server/control/shards.go
+++ b/server/control/shards.go
@@ -90,14 +90,22 @@
 
 func (c *Control) tickShard(now time.Duration, s *shardState) {
 	c.perform(s, s.machine.Tick(now))
+	if s.held == nil {
+		return
+	}
+	s.extend(now)
+	s.held.SetWitnesses(c.others(s))
+	s.held.Tick()
+}
+
+// extend tells the held shard until when this VM has authority.
+func (s *shardState) extend(now time.Duration) {
 	if s.held == nil {
 		return
 	}
 	if _, until, ok := s.machine.Authority(now); ok {
 		s.held.SetAuthority(until)
 	}
-	s.held.SetWitnesses(c.others(s))
-	s.held.Tick()
 }
 
 // authorityMessage carries a message between the members of a shard.
@@ -117,11 +125,7 @@
 	}
 	now := c.cfg.Clock()
 	c.perform(s, s.machine.Receive(now, from, msg.Message))
-	if s.held != nil {
-		if _, until, ok := s.machine.Authority(now); ok {
-			s.held.SetAuthority(until)
-		}
-	}
+	s.extend(now)
 	return nil
 }
 
@@ -270,9 +274,7 @@
 		Assign: func(a wire.Assign) { c.post(func() { c.assigned(s, a) }) },
 		Mirror: func(to []api.VMID, seq uint64, ids []dedup.ID) { c.sendMirror(s.id, fence, to, seq, ids) },
 	}, c.doc, in, time.Now())
-	if _, until, ok := s.machine.Authority(c.cfg.Clock()); ok {
-		s.held.SetAuthority(until)
-	}
+	s.extend(c.cfg.Clock())
 	s.held.SetWitnesses(c.others(s))
 	if s.evidence != nil {
 		s.held.MergeEvidence(s.evidence.Snapshot(holder.EvidenceLimit))
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -100,9 +100,9 @@
 	service, known := snapshot.Services[name]
 	var reply *wire.Reply
 	if refused := e.admit(snapshot, known, name); refused != nil {
-		reply = refusal(refused)
+		reply = wire.Refused(refused)
 	} else if f, refused := e.parse(w, r, service); refused != nil {
-		reply = refusal(refused)
+		reply = wire.Refused(refused)
 	} else {
 		f.Revision = snapshot.Document.Revision
 		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(f.TimeoutMs)*time.Millisecond)
@@ -125,10 +125,6 @@
 	}
 }
 
-func refusal(r *api.Refusal) *wire.Reply {
-	return &wire.Reply{Refusal: r, RetryAfterMs: r.RetryAfter.Milliseconds()}
-}
-
 // admit refuses requests that this VM may not take.
 func (e *Entry) admit(s *control.Snapshot, known bool, name api.ServiceName) *api.Refusal {
 	switch {
@@ -286,11 +282,11 @@
 func (e *Entry) Local(ctx context.Context, f *wire.Forward) *wire.Reply {
 	s := e.cfg.Snapshot()
 	if s.Document == nil || e.cfg.Clock() >= s.FreshUntil {
-		return refusal(api.Refuse(api.StaleConfiguration, "the holder cannot confirm its configuration").After(time.Second))
+		return wire.Refused(api.Refuse(api.StaleConfiguration, "the holder cannot confirm its configuration").After(time.Second))
 	}
 	shard := s.Local[f.Shard]
 	if shard == nil {
-		return refusal(api.Refuse(api.NotHolder, "VM "+string(e.cfg.Self)+" does not hold shard "+f.Shard.String()))
+		return wire.Refused(api.Refuse(api.NotHolder, "VM "+string(e.cfg.Self)+" does not hold shard "+f.Shard.String()))
 	}
 	return shard.Serve(ctx, f)
 }
--- a/server/entry/forward.go
+++ b/server/entry/forward.go
@@ -134,7 +134,7 @@
 	s := e.cfg.Snapshot()
 	target, known := s.Holders[f.Shard]
 	if !known {
-		return attempt{reply: refusal(api.Refuse(api.NoHolder, "shard "+f.Shard.String()+" has no holder at the moment").After(retryHolder))}
+		return attempt{reply: wire.Refused(api.Refuse(api.NoHolder, "shard "+f.Shard.String()+" has no holder at the moment").After(retryHolder))}
 	}
 	if target.VM == e.cfg.Self {
 		return attempt{reply: e.Local(ctx, f), target: target, sent: true}
@@ -145,11 +145,11 @@
 	case err == nil:
 		return attempt{reply: reply, target: target, sent: true}
 	case errors.Is(err, peer.ErrNotSent):
-		return attempt{reply: refusal(api.Refuse(api.NotHolder, err.Error()).After(retryHolder)), target: target}
+		return attempt{reply: wire.Refused(api.Refuse(api.NotHolder, err.Error()).After(retryHolder)), target: target}
 	case ctx.Err() != nil:
-		return attempt{reply: refusal(api.Refuse(api.UpstreamTimeout, "the holder of the shard did not answer in time")), target: target, sent: true}
+		return attempt{reply: wire.Refused(api.Refuse(api.UpstreamTimeout, "the holder of the shard did not answer in time")), target: target, sent: true}
 	default:
-		return attempt{reply: refusal(api.Refuse(api.UpstreamFailed, err.Error())), target: target, sent: true, lost: true}
+		return attempt{reply: wire.Refused(api.Refuse(api.UpstreamFailed, err.Error())), target: target, sent: true, lost: true}
 	}
 }
 
--- a/server/holder/handover.go
+++ b/server/holder/handover.go
@@ -75,7 +75,7 @@
 	s.frozen = true
 	for _, r := range s.requests {
 		if len(r.runs) == 0 {
-			s.finish(r, refusal(api.Refuse(api.NotHolder, "shard "+s.cfg.ID.String()+" is being handed over")))
+			s.finish(r, wire.Refused(api.Refuse(api.NotHolder, "shard "+s.cfg.ID.String()+" is being handed over")))
 		}
 	}
 	s.mu.Unlock()
--- a/server/holder/mirror.go
+++ b/server/holder/mirror.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
 	"dandelionhill.dev/core/dedup"
 )
 
@@ -113,5 +114,5 @@
 func (s *Shard) refuseBegun(id string, refused *api.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conclude(id, refusal(refused))
+	s.conclude(id, wire.Refused(refused))
 }
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -26,7 +26,7 @@
 	rng, deadline, ok := s.runLimits(now, r, up)
 	if !ok || !s.maySend(now, up) {
 		s.queue.Done(now, start.ID, up.id, 0, false)
-		s.notStarted(r, api.Refuse(api.NoOwner, "the lease of the upstream ended before the request could start").After(retryHint))
+		s.retryOrEnd(r, api.Refuse(api.NoOwner, "the lease of the upstream ended before the request could start").After(retryHint))
 		return
 	}
 	if !s.allowed(now, r, start) {
@@ -80,23 +80,13 @@
 		return false
 	}
 	if verdict == crash.Quarantined {
-		s.finish(r, refusal(api.Refuse(api.Quarantined, "this request has crashed upstreams")))
+		s.finish(r, wire.Refused(api.Refuse(api.Quarantined, "this request has crashed upstreams")))
 		return false
 	}
 	s.later(r, waitUnproven, func(now time.Duration) { s.enqueue(now, r) })
 	return false
 }
 
-// notStarted handles a start that found its upstream unusable.
-func (s *Shard) notStarted(r *request, refused *api.Refusal) {
-	if len(r.runs) > 0 {
-		return
-	}
-	if !s.retryReply(r, refused) {
-		s.finish(r, refusal(refused))
-	}
-}
-
 // scheduleHedge starts a second copy of an idempotent request on another
 // upstream if the first takes longer than usual.
 func (s *Shard) scheduleHedge(r *request, first api.UpstreamID) {
@@ -200,7 +190,7 @@
 	r.attempts-- // nothing was sent, so the call is no retry
 	r.unreached++
 	if cancelled || s.closed || s.frozen || r.unreached >= maxUnreached {
-		s.finish(r, refusal(api.Refuse(api.NoOwner, "the upstream could not be reached").After(retryHint)))
+		s.finish(r, wire.Refused(api.Refuse(api.NoOwner, "the upstream could not be reached").After(retryHint)))
 		return
 	}
 	s.later(r, unreachedWait, func(now time.Duration) { s.enqueue(now, r) })
@@ -243,12 +233,10 @@
 		s.evidence.Ended(now, r.fingerprint)
 		return
 	}
-	if up.crashed == up.incarnation {
-		// The other connections of the same crash: this run was recorded with the first.
-		if up.recorded[r.id] {
-			delete(up.recorded, r.id)
-			return
-		}
+	if up.crashed == up.incarnation && up.recorded[r.id] {
+		// Another connection of the same crash: this run was recorded with the first.
+		delete(up.recorded, r.id)
+		return
 	}
 	up.crashed = up.incarnation
 	up.recorded = map[uint64]bool{}
@@ -269,6 +257,6 @@
 		return
 	}
 	if !s.retryReply(r, refused) {
-		s.finish(r, refusal(refused))
+		s.finish(r, wire.Refused(refused))
 	}
 }
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -37,10 +37,6 @@
 	cancel  context.CancelFunc
 }
 
-func refusal(r *api.Refusal) *wire.Reply {
-	return &wire.Reply{Refusal: r, RetryAfterMs: r.RetryAfter.Milliseconds()}
-}
-
 // retryHint is the delay that refusals during a takeover or a move suggest.
 const retryHint = 100 * time.Millisecond
 
@@ -59,7 +55,7 @@
 		if !s.mirrorID(ctx, f.RequestID) {
 			refused := s.notHolder()
 			s.refuseBegun(f.RequestID, refused)
-			return refusal(refused)
+			return wire.Refused(refused)
 		}
 		return s.await(ctx, s.admit(f, deadline))
 	case dedup.Wait:
@@ -67,18 +63,18 @@
 		case reply := <-repeat:
 			return reply
 		case <-ctx.Done():
-			return refusal(api.Refuse(api.DuplicateRunning, "an earlier request with this ID is still running"))
+			return wire.Refused(api.Refuse(api.DuplicateRunning, "an earlier request with this ID is still running"))
 		}
 	case dedup.Recorded:
 		return recorded(decision.Answer)
 	default:
-		return refusal(decision.Refusal)
+		return wire.Refused(decision.Refusal)
 	}
 }
 
 func recorded(a *dedup.Answer) *wire.Reply {
 	if a == nil {
-		return refusal(api.Refuse(api.UpstreamFailed, "an earlier request with this ID ended with unknown outcome"))
+		return wire.Refused(api.Refuse(api.UpstreamFailed, "an earlier request with this ID ended with unknown outcome"))
 	}
 	return &wire.Reply{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Repeated: true}
 }
@@ -117,7 +113,7 @@
 	}
 	s.requests[r.id] = r
 	if s.closed || s.frozen {
-		s.finish(r, refusal(s.notHolder()))
+		s.finish(r, wire.Refused(s.notHolder()))
 		return r
 	}
 	now := s.cfg.Clock()
@@ -143,7 +139,7 @@
 	if s.service.Keyed {
 		state := s.ranges.at(r.rng)
 		if state == nil {
-			s.finish(r, refusal(api.Refuse(api.NotHolder, "the range of the key is not in shard "+s.cfg.ID.String())))
+			s.finish(r, wire.Refused(api.Refuse(api.NotHolder, "the range of the key is not in shard "+s.cfg.ID.String())))
 			return
 		}
 		entry.Upstream = state.owner
@@ -151,14 +147,14 @@
 			entry.Upstream = state.to
 		}
 		if entry.Upstream == "" {
-			s.finish(r, refusal(api.Refuse(api.NoOwner, "the range of the key has no owner yet").After(retryHint)))
+			s.finish(r, wire.Refused(api.Refuse(api.NoOwner, "the range of the key has no owner yet").After(retryHint)))
 			return
 		}
 		state.work++
 	}
 	switch s.evidence.Admit(now, r.fingerprint) {
 	case crash.Quarantined:
-		s.finish(r, refusal(api.Refuse(api.Quarantined, "this request has crashed upstreams")))
+		s.finish(r, wire.Refused(api.Refuse(api.Quarantined, "this request has crashed upstreams")))
 		return
 	case crash.Solo:
 		entry.Solo = true
@@ -168,7 +164,7 @@
 	case crash.Normal:
 	}
 	if refused := s.queue.Admit(now, entry); refused != nil {
-		s.finish(r, refusal(refused))
+		s.finish(r, wire.Refused(refused))
 	}
 }
 
@@ -187,9 +183,9 @@
 		now := s.cfg.Clock()
 		switch {
 		case s.closed || s.frozen && len(r.runs) == 0:
-			s.finish(r, refusal(s.notHolder()))
+			s.finish(r, wire.Refused(s.notHolder()))
 		case now >= r.deadline:
-			s.finish(r, refusal(api.Refuse(api.DeadlineUnmeetable, "no upstream could start the request in time")))
+			s.finish(r, wire.Refused(api.Refuse(api.DeadlineUnmeetable, "no upstream could start the request in time")))
 		default:
 			f(now)
 			s.pump(now)
@@ -216,9 +212,9 @@
 // abandoned is the outcome of a request whose time is up or whose caller left.
 func (s *Shard) abandoned(r *request) *wire.Reply {
 	if len(r.runs) == 0 {
-		return refusal(api.Refuse(api.DeadlineUnmeetable, "no upstream could start the request in time"))
+		return wire.Refused(api.Refuse(api.DeadlineUnmeetable, "no upstream could start the request in time"))
 	}
-	return refusal(api.Refuse(api.UpstreamTimeout, "the upstream did not answer in time"))
+	return wire.Refused(api.Refuse(api.UpstreamTimeout, "the upstream did not answer in time"))
 }
 
 // pump starts what the queue lets start and refuses what expired in it.
@@ -227,7 +223,7 @@
 		starts, expired := s.queue.Next(now)
 		for _, id := range expired {
 			if r := s.requests[id]; r != nil && len(r.runs) == 0 {
-				s.finish(r, refusal(api.Refuse(api.DeadlineUnmeetable, "the request waited too long for its upstream").After(retryHint)))
+				s.finish(r, wire.Refused(api.Refuse(api.DeadlineUnmeetable, "the request waited too long for its upstream").After(retryHint)))
 			}
 		}
 		if len(starts) == 0 {
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -315,7 +315,7 @@
 	s.cfg.Metrics.HotKeys.DeleteLabelValues(string(s.cfg.ID.Service), s.cfg.ID.String())
 	for _, r := range s.requests {
 		if len(r.runs) == 0 {
-			s.finish(r, refusal(api.Refuse(api.NotHolder, "this VM no longer holds shard "+s.cfg.ID.String())))
+			s.finish(r, wire.Refused(api.Refuse(api.NotHolder, "this VM no longer holds shard "+s.cfg.ID.String())))
 		}
 	}
 }
