holder: hand over no ID of a request that has not started

Cause: a request that may not be repeated waits for a witness before it is queued. In that time its ID is in the memory as running, but the handover counted queued and running requests only. The successor got the ID as a run in progress and answered duplicate_running with an unknown outcome, although nothing had run.

Measured: TestHandoverOfUnstartedRequest holds the witness silent through a handover; before the change the successor answered unknown on every run, now it runs the request.

Conclusion: a planned stop no longer turns a request that was not started into an unknown outcome. After the loss of a holder that remains possible by design.

--- a/server/holder/handover.go
+++ b/server/holder/handover.go
@@ -73,6 +73,7 @@
 func (s *Shard) Freeze(ctx context.Context) Handover {
 	s.mu.Lock()
 	s.frozen = true
+	s.stopMirror()
 	for _, r := range s.requests {
 		if len(r.runs) == 0 {
 			s.finish(r, wire.Refused(api.Refuse(api.NotHolder, "shard "+s.cfg.ID.String()+" is being handed over")))
@@ -102,7 +103,9 @@
 func (s *Shard) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.requests) == 0 && !s.hotBusy(s.cfg.Clock())
+	// A request that waits for a witness is in the memory as running, which the
+	// successor would have to take for a run with an unknown outcome.
+	return len(s.requests) == 0 && s.mirror.begun == 0 && !s.hotBusy(s.cfg.Clock())
 }
 
 // restore takes over the memory of a former holder.
--- a/server/holder/handover_test.go
+++ b/server/holder/handover_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -51,3 +52,33 @@
 		require.Equal(t, dedup.Recorded, restored.Begin(wall, e.ID.String()).Action)
 	}
 }
+
+// TestHandoverOfUnstartedRequest guards against a request that waits for a
+// witness to keep its ID while the shard is handed over: the successor would
+// take it for a run with an unknown outcome.
+func TestHandoverOfUnstartedRequest(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.until("requests are answered", func() bool { return w.send(w.shard, "k") })
+		sent := make(chan uint64, 1)
+		w.shard.mu.Lock()
+		w.shard.cfg.Mirror = func(_ []api.VMID, seq uint64, _ []dedup.ID) { sent <- seq }
+		w.shard.mu.Unlock()
+		w.shard.SetWitnesses([]api.VMID{"witness"})
+		f := &wire.Forward{
+			Shard: w.shard.cfg.ID, Range: rangeOfKey("k"), Method: "POST", Path: "/", Key: "k",
+			RequestID: w.requestID(), TimeoutMs: 10_000, Caller: "c",
+		}
+		first := make(chan *wire.Reply, 1)
+		go func() { first <- w.shard.Serve(context.Background(), f) }()
+		<-sent // the witness is never heard
+		w.handover(everything)
+		require.Equal(t, api.NotHolder, (<-first).Refusal.Kind)
+		w.until("the successor runs the request", func() bool {
+			reply := w.shard.Serve(context.Background(), f)
+			if reply.Refusal != nil {
+				require.Equal(t, api.NotRun, reply.Refusal.Outcome, "%+v", reply.Refusal)
+			}
+			return reply.Refusal == nil
+		})
+	})
+}
--- a/server/holder/mirror.go
+++ b/server/holder/mirror.go
@@ -22,12 +22,14 @@
 	sentAt    time.Duration
 	inFlight  []mirrored
 	queued    []mirrored // for the next batch
+	begun     int        // requests that wait, whose IDs the memory has as running
 }
 
-// mirrored is an ID that waits for a witness.
+// mirrored is an ID that waits for a witness. Done gets false if the shard is
+// handed over before a witness has it.
 type mirrored struct {
 	id   dedup.ID
-	done chan struct{}
+	done chan bool
 }
 
 // SetWitnesses sets the VMs that are told of request IDs.
@@ -48,17 +50,21 @@
 		return false
 	}
 	s.mu.Lock()
+	if s.frozen {
+		s.mu.Unlock()
+		return false
+	}
 	if len(s.mirror.witnesses) == 0 || s.cfg.Mirror == nil {
 		s.mu.Unlock()
 		return true
 	}
-	m := mirrored{id, make(chan struct{})}
+	m := mirrored{id, make(chan bool, 1)}
 	s.mirror.queued = append(s.mirror.queued, m)
 	s.sendMirror(s.cfg.Clock())
 	s.mu.Unlock()
 	select {
-	case <-m.done:
-		return true
+	case ok := <-m.done:
+		return ok
 	case <-ctx.Done():
 		return false
 	case <-s.ctx.Done():
@@ -104,15 +110,24 @@
 		return
 	}
 	for _, m := range s.mirror.inFlight {
-		close(m.done)
+		m.done <- true
 	}
 	s.mirror.inFlight = nil
 	s.sendMirror(s.cfg.Clock())
 }
 
+// stopMirror ends the waits for a witness: the requests must not run here.
+func (s *Shard) stopMirror() {
+	for _, m := range append(s.mirror.inFlight, s.mirror.queued...) {
+		m.done <- false
+	}
+	s.mirror.inFlight, s.mirror.queued = nil, nil
+}
+
 // refuseBegun ends a request whose ID is in the memory but which did not start.
 func (s *Shard) refuseBegun(id string, refused *api.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.mirror.begun--
 	s.conclude(id, wire.Refused(refused))
 }
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -57,7 +57,7 @@
 			s.refuseBegun(f.RequestID, refused)
 			return wire.Refused(refused)
 		}
-		return s.await(ctx, s.admit(f, deadline))
+		return s.await(ctx, s.admitBegun(f, deadline))
 	case dedup.Wait:
 		select {
 		case reply := <-repeat:
@@ -87,6 +87,9 @@
 		return dedup.Decision{Action: dedup.Refuse, Refusal: s.notHolder()}, nil
 	}
 	decision := s.memory.Begin(time.Now(), f.RequestID)
+	if decision.Action == dedup.Run {
+		s.mirror.begun++
+	}
 	if decision.Action != dedup.Wait {
 		return decision, nil
 	}
@@ -104,6 +107,18 @@
 func (s *Shard) admit(f *wire.Forward, deadline time.Duration) *request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.accept(f, deadline)
+}
+
+// admitBegun admits a request whose ID the memory has as running.
+func (s *Shard) admitBegun(f *wire.Forward, deadline time.Duration) *request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mirror.begun--
+	return s.accept(f, deadline)
+}
+
+func (s *Shard) accept(f *wire.Forward, deadline time.Duration) *request {
 	s.nextID++
 	r := &request{
 		id: s.nextID, forward: f, deadline: deadline,
