entry: refuse requests without a service or with an unknown method by kind

Cause: the router library answered a path without a service (404) and an unknown HTTP method (405) by itself, without outcome, kind or remedy, and no counter saw them.

Change: both get typed refusals, unknown_service and bad_request, and are counted.

--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -31,6 +31,10 @@
 // reservedPrefix starts the paths that upstreams keep for control calls.
 const reservedPrefix = "/-/"
 
+// unknownService counts requests for services that do not exist. Their names
+// are the callers' and would fill the metrics.
+const unknownService = "unknown"
+
 // maxTimeout bounds the deadline that a caller may ask for. A forgotten caller
 // must not keep a place in a queue.
 const maxTimeout = 60 * time.Second
@@ -75,9 +79,19 @@
 	r := chi.NewRouter()
 	r.HandleFunc("/{service}", e.serve)
 	r.HandleFunc("/{service}/*", e.serve)
+	r.NotFound(e.refuse(api.Refuse(api.UnknownService, "the path names no service")))
+	r.MethodNotAllowed(e.refuse(api.Refuse(api.BadRequest, "the method is not one of the standard methods of HTTP")))
 	return r
 }
 
+// refuse returns a handler that refuses requests which name no service.
+func (e *Entry) refuse(refused *api.Refusal) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		respond(w, wire.Refused(refused))
+		e.cfg.Metrics.Response(unknownService, refused.Outcome, refused, 0)
+	}
+}
+
 // Stop refuses new requests and waits for those that run, or for ctx.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.stopping.Store(true)
@@ -110,7 +124,7 @@
 		cancel()
 	}
 	if !known {
-		name = "unknown"
+		name = unknownService
 	}
 	respond(w, reply)
 	outcome := api.Answered
