control: read the configuration only when its row has changed

Cause: every VM read the row config/head every 500 ms. With 256 remembered operations that is about 43 KB, base64 in JSON, so polls took 127 KB/s of the 29 KB/s that control may use.

Change: a poll reads the records on the condition that config/head has the version of the document in use, which confirms the document. Only if the condition fails does a second transaction read the row. Frames with the document carry the row's version, so that a change that came from a peer is not read again.

What is left is the records of all shards.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -70,6 +70,9 @@
 type Config struct {
 	Revision uint64 `cbor:"1,keyasint"`
 	Document []byte `cbor:"2,keyasint,omitempty"`
+	// Version is a version of the row config/head at which it held this document
+	// or an older one; 0 if unknown. It spares the receiver reading the row.
+	Version uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Assign tells a witness which upstream owns each range of a shard. Owners
--- a/bench/capacity/bytes.go
+++ b/bench/capacity/bytes.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
 	"dandelionhill.dev/core/authority"
@@ -72,7 +74,7 @@
 			data, err := json.Marshal(head)
 			return float64(len(data)), err
 		}},
-		{"b_poll_shard", "B per shard", "poll of the store on the socket: answer with n authority records, no configuration", []int{10, 100, 1000, 10_000}, func(n int) (float64, error) {
+		{"b_poll_shard", "B per shard", "poll of the store on the socket, both directions: condition on the configuration, n authority records", []int{10, 100, 1000, 10_000}, func(n int) (float64, error) {
 			return pollBytes(n)
 		}},
 		{"b_list_vm", "B per VM", "reading of the list of VMs on the socket", largeSizes, listBytes},
@@ -217,13 +219,17 @@
 	return float64(l.read.Load() + l.written.Load()), err
 }
 
-// pollBytes returns the bytes that one poll of the store brings for n records.
+// pollBytes returns the bytes of one poll of the store, sent and received, for
+// n records and a configuration that has not changed.
 func pollBytes(n int) (float64, error) {
 	store := tablefake.New()
 	server, l := serve(store.Handler())
 	defer server.Close()
-	txn := platform.Txn{}
+	txn := platform.Txn{Conditions: []platform.Condition{{Key: control.ConfigKey, Version: 1}}}
 	ctx := context.Background()
+	if _, err := store.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: control.ConfigKey}}}); err != nil {
+		return 0, err
+	}
 	for i := range n {
 		value, err := json.Marshal(record(i))
 		if err != nil {
@@ -235,8 +241,9 @@
 		}
 		txn.Reads = append(txn.Reads, key)
 	}
-	if _, err := tablehttp.New(server.URL).Commit(ctx, txn); err != nil {
-		return 0, err
+	result, err := tablehttp.New(server.URL).Commit(ctx, txn)
+	if err == nil && !result.Committed {
+		err = errors.New("the condition on the configuration did not hold")
 	}
-	return float64(l.read.Load() + l.written.Load()), nil
+	return float64(l.read.Load() + l.written.Load()), err
 }
--- a/bench/capacity/capacity_test.go
+++ b/bench/capacity/capacity_test.go
@@ -124,6 +124,7 @@
 		{"connections_fit_vms", "entry_connections_memory", "limit_memory"},
 		{"poll_fit_vms", "table_reads", "limit_reads"},
 		{"poll_rows_fit_vms", "table_rows", "limit_reads"},
+		{"poll_bytes_fit_vms", "table_poll_bytes", "limit_bytes"},
 		{"frame_fit_vms", "document_bytes", "max_frame"},
 		{"change_fit_vms", "config_writer_s", "limit_change_s"},
 		{"burst_fit_vms", "table_burst", "limit_writes"},
--- a/bench/capacity/findings.go
+++ b/bench/capacity/findings.go
@@ -50,20 +50,20 @@
 	},
 	{
 		"Polling the store",
-		"Every VM reads the store each {store_s} s: {table_reads} transactions/s and {table_rows} rows/s against {limit_reads} reads/s. The bytes do not fit limit_bytes even today: {today:table_poll_bytes} B/s at 12 VMs, because the remembered operations make up nearly all of the fixed part ({b_document_upstream_0} B) of the document.",
-		"It fits up to {poll_fit_vms} VMs if a transaction counts as one read, and {poll_rows_fit_vms} VMs if each row counts.",
-		"A poll interval that grows with the number of VMs would be {poll_interval_s} s at half of limit_reads, longer than confirm_s ({confirm_s} s), so it needs the majority or the tree for confirmation. With {readers} reading VMs that pass on changes in the tree: {reader_reads} transactions/s whatever the number of VMs. Members read only the records of their own shards. With the remembered operations in a row of their own, which nobody polls, a poll as of today takes {today:poll_without_operations} B/s at 12 VMs.",
+		"Every VM reads the store each {store_s} s: {table_reads} transactions/s and {table_rows} rows/s against {limit_reads} reads/s. The read is conditional on the version of the row config/head, so it transfers the document only after a change that no frame brought; {table_poll_bytes} B/s are left, {today:table_poll_bytes} B/s at 12 VMs, most of it records of shards, changed or not.",
+		"It fits up to {poll_fit_vms} VMs if a transaction counts as one read, and {poll_rows_fit_vms} VMs if each row counts. The bytes fit limit_bytes up to {poll_bytes_fit_vms} VMs.",
+		"A poll interval that grows with the number of VMs would be {poll_interval_s} s at half of limit_reads, longer than confirm_s ({confirm_s} s), so it needs the majority or the tree for confirmation. With {readers} reading VMs that pass on changes in the tree: {reader_reads} transactions/s whatever the number of VMs. Members read only the records of their own shards, on the condition that one of them has changed.",
 		[]Quantity{
 			{"poll_fit_vms", "VMs", "limit_reads*store_s", ""},
 			{"poll_rows_fit_vms", "VMs", "(sqrt(1+4*limit_reads*store_s*shards/vms)-1)/(2*shards/vms)", ""},
 			{"poll_interval_s", "s", "2*vms/limit_reads", "confirm_s"},
-			{"poll_without_operations", "B/s", "(4/3*b_document_upstream*upstreams+b_poll_shard*shards)/store_s", "limit_bytes"},
+			{"poll_bytes_fit_vms", "VMs", "(limit_bytes*store_s-b_poll_shard_0)/b_poll_shard*vms/shards", ""},
 			{"reader_reads", "transactions/s", "readers/store_s", "limit_reads"},
 		},
 	},
 	{
 		"The whole configuration in one row and one frame",
-		"The document has {document_bytes} B. Each change sends it whole to each VM ({config_bytes} B/s received, {config_writer_s} s for one writer at limit_bytes), and each poll carries it ({table_poll_bytes} B/s) and decodes it ({config_core} cores).",
+		"The document has {document_bytes} B. Each change sends it whole to each VM ({config_bytes} B/s received, {config_writer_s} s for one writer at limit_bytes), and each VM decodes it ({config_core} cores).",
 		"A frame holds {frame_fit_upstreams} upstreams ({frame_fit_vms} VMs at the present ratio). Sending whole documents for {changes} changes/s alone fits limit_bytes up to {changes_fit_upstreams} upstreams. The document remembers {max_operations} operations, which is {operations_s} s of changes: an operator whose view is older is refused. A service has at most {max_ranges} ranges, {range_fit_upstreams} upstreams.",
 		"A row per service and a head row with their versions: {config_rows} rows, {config_row_bytes} B each (most of it the remembered operations), so a change writes one row and the head and spreads only the change ({delta_bytes} B). The head row names each row with its version ({head_bytes} B); readers fetch the rows that changed. Operations are remembered per service row, so {max_operations} last {row_operations_s} s.",
 		[]Quantity{
--- a/bench/capacity/times.go
+++ b/bench/capacity/times.go
@@ -39,7 +39,7 @@
 		}},
 		{"ns_members_tick_peer", "ns per peer", "membership.Table: Tick, Majority and Hears, as in each tick of the control loop", largeSizes, membersTick},
 		{"ns_gone", "ns per lookup", "membership.Table.Gone, asked for each VM and shard at each reading of the list", largeSizes, goneLookups},
-		{"ns_config_read_upstream", "ns per upstream", "config.Decode: every received or polled document", largeSizes, configRead},
+		{"ns_config_read_upstream", "ns per upstream", "config.Decode: every document received or read", largeSizes, configRead},
 		{"ns_config_write_upstream", "ns per upstream", "config.Apply and config.Encode: one change", []int{100, 1000, 3162, 10_000}, configWrite},
 		{"ns_status_range", "ns per range", "holder.Status decoded by the operators' tool's VM", largeSizes, statusRead},
 		{"ns_dispatch", "ns per request", "dispatch.Queue with 7 upstreams: Admit, Next, Done; all requests of a shard pass it under one lock", largeSizes, dispatchRequests},
--- a/server/control/configuration.go
+++ b/server/control/configuration.go
@@ -25,7 +25,8 @@
 	return c.doc.Revision
 }
 
-// install adopts a document unless an equal or newer one is in use.
+// install adopts a document unless an equal or newer one is in use. version is
+// that of its row, or 0 if unknown.
 func (c *Control) install(doc *config.Document, version uint64) {
 	if doc == nil {
 		return
@@ -54,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	c.install(doc, 0)
+	c.install(doc, msg.Version)
 	return nil
 }
 
@@ -67,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	c.sender.Send(to, wire.TypeConfig, wire.Config{Revision: c.doc.Revision, Document: data})
+	c.sender.Send(to, wire.TypeConfig, wire.Config{Revision: c.doc.Revision, Document: data, Version: c.docVersion})
 	return nil
 }
 
@@ -93,23 +94,44 @@
 		return
 	}
 	c.reading = true
-	keys := []string{ConfigKey}
+	keys := make([]string, 0, len(c.shards))
 	for id := range c.shards {
 		keys = append(keys, recordKey(id))
 	}
-	sentAt := c.cfg.Clock()
+	version, sentAt := c.docVersion, c.cfg.Clock()
 	go func() {
-		result, err := c.cfg.Table.Commit(ctx, platform.Txn{Reads: keys})
-		c.cfg.Metrics.StoreCall("read", err)
+		rows, unchanged, err := c.poll(ctx, version, keys)
 		c.post(func() {
 			c.reading = false
-			if c.stored = err == nil; c.stored {
-				c.storeRead(ctx, sentAt, result.Rows)
+			if c.stored = err == nil; !c.stored {
+				return
+			}
+			if unchanged {
+				c.confirmed = max(c.confirmed, sentAt+confirmFor)
 			}
+			c.storeRead(ctx, sentAt, rows)
 		})
 	}()
 }
 
+// poll reads the rows of keys in one transaction, together with the
+// configuration unless its row still has a version that this VM knows.
+func (c *Control) poll(ctx context.Context, version uint64, keys []string) (rows []platform.Row, unchanged bool, err error) {
+	if version > 0 {
+		result, err := c.cfg.Table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: ConfigKey, Version: version}},
+			Reads:      keys,
+		})
+		c.cfg.Metrics.StoreCall("read", err)
+		if err != nil || result.Committed {
+			return result.Rows, err == nil, err
+		}
+	}
+	result, err := c.cfg.Table.Commit(ctx, platform.Txn{Reads: append([]string{ConfigKey}, keys...)})
+	c.cfg.Metrics.StoreCall("read", err)
+	return result.Rows, false, err
+}
+
 func (c *Control) storeRead(ctx context.Context, sentAt time.Duration, rows []platform.Row) {
 	for _, row := range rows {
 		if row.Key != ConfigKey {
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -69,7 +69,7 @@
 
 	// The fields below belong to the control goroutine.
 	doc        *config.Document
-	docVersion uint64 // version of the row that doc was read from or written to
+	docVersion uint64 // a version of the row whose document doc is, or is newer than; 0 if unknown
 	members    *membership.Table
 	peers      map[api.VMID]peerState
 	holders    *route.Holders
