lease: renew a grant without listing its ranges again

Cause: every renewal listed all ranges of the upstream, each 150 ms. The first placement gives an upstream 42.7 spans, 1.6 KB of JSON, so a holder of 6.25 upstreams spent 79.8 KB/s of the 29 KB/s that control may use.

Change: a renewal that changes no ranges names the grant that listed them by its until_ms, which is unique within a fence and an incarnation. The upstream accepts it only if its ranges come from that grant (Guard.Renew, whatever upstream_checks says), else it answers unknown_grant, keeps what it has, and gets the list at once. lease.Table remembers which list an incarnation has acknowledged. Upstreams say in every report that they take renewals; the others get lists as before, and an accepted renewal counts only if its answer says so too.

The fixed parts of b_grant_sent_span (261) and b_grant_received_span (237) grew because the measured grant now carries an incarnation, which it lacked, and the report says renewals.

Three tests of the holder in virtual time fail when the capability is not looked at, when a refused list is not forgotten, and when an older process's answer counts.

Conclusion: the holder's bytes fit the limit alone, not together with heartbeats. Most of what is left is HTTP headers.

--- a/bench/capacity/bytes.go
+++ b/bench/capacity/bytes.go
@@ -61,6 +61,7 @@
 			_, received, err := grantBytes(n)
 			return received, err
 		}},
+		{"b_grant_renewal", "B per renewal", "grant that names another one instead of listing ranges, and its answer, on the socket", smallSizes, renewalBytes},
 		{"b_change", "B per change", "typed change, JSON", largeSizes, sum(changeJSON)},
 		{"b_document_upstream", "B per upstream", "wire.Config with the whole document, CBOR", largeSizes, func(n int) (float64, error) {
 			data, err := config.Encode(document(n))
@@ -181,7 +182,7 @@
 }
 
 func grantOf(spans int) platform.Grant {
-	g := platform.Grant{Service: "foglalas", Fence: 5<<24 | 77, UntilMs: 86_400_000}
+	g := platform.Grant{Service: "foglalas", Fence: 5<<24 | 77, Incarnation: "0000abcd", UntilMs: 86_400_000}
 	for i := range spans {
 		g.Ranges = append(g.Ranges, platform.RangeSpan{First: 500_000 + 3*i, Last: 500_001 + 3*i})
 	}
@@ -204,6 +205,25 @@
 	return float64(l.read.Load()) / socketCalls, float64(l.written.Load()) / socketCalls, nil
 }
 
+// renewalGrant is a grant without a list.
+var renewalGrant = platform.Grant{
+	Service: "foglalas", Fence: 5<<24 | 77, Incarnation: "0000abcd", UntilMs: 86_400_000, RenewsMs: 86_000_000,
+}
+
+// renewalBytes returns the bytes of n renewals and their answers.
+func renewalBytes(n int) (float64, error) {
+	server, l := serve(grantServer())
+	defer server.Close()
+	client := upstreamhttp.New(server.Listener.Addr().String(), 1, 1<<20)
+	defer client.Close()
+	for range n {
+		if _, err := client.Grant(context.Background(), renewalGrant); err != nil {
+			return 0, err
+		}
+	}
+	return float64(l.read.Load() + l.written.Load()), nil
+}
+
 // listBytes returns the bytes that one reading of the list of n VMs needs.
 func listBytes(n int) (float64, error) {
 	list := vmlist.New(0)
--- a/bench/capacity/connections.go
+++ b/bench/capacity/connections.go
@@ -163,15 +163,14 @@
 	return float64((after - before).Nanoseconds()), err
 }
 
-// grantCalls returns the processor time of n grants of 3 spans.
+// grantCalls returns the processor time of n renewals of grants.
 func grantCalls(n int) (float64, error) {
 	server, _ := serve(grantServer())
 	defer server.Close()
 	client := upstreamhttp.New(server.Listener.Addr().String(), 1, 1<<20)
 	defer client.Close()
-	grant := grantOf(3)
 	return paced(n, func() error {
-		_, err := client.Grant(context.Background(), grant)
+		_, err := client.Grant(context.Background(), renewalGrant)
 		return err
 	})
 }
--- a/bench/capacity/findings.go
+++ b/bench/capacity/findings.go
@@ -145,10 +145,12 @@
 	},
 	{
 		"Grants to upstreams",
-		"A grant lists the ranges of the upstream as spans. The first placement already gives each upstream {grant_spans} spans, because neighbouring ranges of equal load go to different upstreams: {holder_bytes} B/s for the loaded VM with answers and renewals.",
-		"It fits limit_bytes with up to {grant_fit_spans} spans per upstream, independent of the number of VMs, so it does not fit even today.",
-		"Send the ranges only when they change and otherwise the number of the last accepted change, or place runs of neighbouring ranges on one upstream, which would be one span: {holder_bytes_joined} B/s or less.",
+		"A renewal names the grant that listed the ranges: {holder_bytes} B/s for the loaded VM with answers and renewals of its authority. Lists are sent on a change: {holder_moving_bytes} B/s while ranges move at {moves_per_s} moves/s. The first placement gives each upstream {grant_spans} spans, because neighbouring ranges of equal load go to different upstreams, so upstreams that take no renewals without a list cost {holder_list_bytes} B/s.",
+		"At rest it fits limit_bytes alone, independent of the number of VMs, but leaves little for the other roles; with lists it fits up to {grant_fit_spans} spans per upstream. One move a second adds {move_bytes} B/s, so it fits up to {move_fit} moves/s.",
+		"Nearly all of a renewal ({b_grant_renewal} B) is HTTP headers and names of JSON fields. Lists would be shorter if runs of neighbouring ranges were placed on one upstream, or if a grant named only the ranges that changed.",
 		[]Quantity{
+			{"move_bytes", "B per move", "2*(grant_bytes+b_grant_received_span_0-b_grant_renewal)", ""},
+			{"move_fit", "moves/s", "(limit_bytes-holder_bytes)/move_bytes", ""},
 			{"grant_fit_spans", "spans of an upstream", "((limit_bytes-(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame))*lease_renew_s/shard_upstreams-b_grant_sent_span_0-b_grant_received_span_0)/b_grant_sent_span", ""},
 		},
 	},
@@ -229,8 +231,8 @@
 		"It does not fit limit_bytes at any size with today's intervals and forms. In memory, the program ({check_memory} B), the connections to upstreams and a grid of connections between VMs need {proposed_memory} B against {limit_memory}, without request IDs.",
 		"Renewing upstream leases each {proposed_renew_s} s instead of {lease_renew_s} s (with a lease of {proposed_lease_s} s, cut to what is left of the authority, it bears one lost renewal, as {lease_s} s and {lease_renew_s} s do: a lease counts from the reading of the answer before; loss_s becomes {proposed_loss_s} s, not tested) and letting renewals stand for heartbeats between a holder and its witnesses leaves {proposed_bytes} B/s. For processor time the parts give {proposed_core} cores against {limit_core}, without what the check above finds missing. Memory needs a decision by the users: whether connections for requests count as control.",
 		[]Quantity{
-			{"proposed_bytes_first", "B/s", "holder_bytes_joined+witness_bytes+peer_bytes+tree_bytes", "limit_bytes"},
-			{"proposed_bytes", "B/s", "shard_upstreams/proposed_renew_s*(grant_bytes_joined+b_grant_received_span_0)+2*witness_bytes+peer_bytes/3+tree_bytes", "limit_bytes"},
+			{"proposed_bytes_first", "B/s", "holder_bytes+witness_bytes+peer_bytes+tree_bytes", "limit_bytes"},
+			{"proposed_bytes", "B/s", "shard_upstreams/proposed_renew_s*b_grant_renewal+2*witness_bytes+peer_bytes/3+tree_bytes", "limit_bytes"},
 			{"proposed_loss_s", "s", "max(loss_s+proposed_renew_s-lease_renew_s, proposed_lease_s*(1+drift)+proposed_renew_s+2*tick_s+4*delay_s)", "limit_loss_s"},
 			{"proposed_core", "cores", "(ns_loop_shard_0+shard_upstreams/proposed_renew_s*ns_grant_call+(ns_tick_range_0+ns_tick_range*shard_ranges)/tick_s+(ns_authority_round+(members-1)*2*ns_frame)/authority_renew_s+2/heartbeat_s*ns_frame+changes*(1+fan_out)*ns_frame)/1e9+witness_core", "limit_core"},
 			{"proposed_memory", "B", "check_memory+entry_memory+relay_memory+holder_memory+holder_connections_memory+witness_memory+member_memory", "limit_memory"},
--- a/bench/capacity/holding.go
+++ b/bench/capacity/holding.go
@@ -20,7 +20,7 @@
 type ideal struct{ started time.Time }
 
 func (u *ideal) report() platform.Health {
-	return platform.Health{Incarnation: "0000abcd", ClockMs: time.Since(u.started).Milliseconds(), Ready: true}
+	return platform.Health{Incarnation: "0000abcd", ClockMs: time.Since(u.started).Milliseconds(), Ready: true, Renewals: true}
 }
 
 // Health implements platform.Upstream.
--- a/bench/capacity/quantities.go
+++ b/bench/capacity/quantities.go
@@ -32,7 +32,6 @@
 	{"heartbeat_bytes", "B", "b_frame+b_heartbeat_peer_0+b_heartbeat_held+b_heartbeat_peer*(vms-1)", ""},
 	{"assign_bytes", "B", "b_frame+b_assign_range_0+b_assign_range*shard_ranges", ""},
 	{"grant_bytes", "B sent", "b_grant_sent_span_0+b_grant_sent_span*grant_spans", ""},
-	{"grant_bytes_joined", "B sent", "b_grant_sent_span_0+b_grant_sent_span", ""},
 }
 
 // roles lists the figures of each role at today's mechanisms, for one loaded VM.
@@ -54,14 +53,15 @@
 		},
 	},
 	{
-		"holder, dispatching", "authority renewals to two witnesses; a grant per upstream (HTTP, JSON); Shard.Tick with placement.Plan",
+		"holder, dispatching", "authority renewals to two witnesses; a grant per upstream (HTTP, JSON), without a list of ranges unless they changed; Shard.Tick with placement.Plan",
 		"ranges and upstreams of its shard, request IDs",
 		[5]string{"holder_sent", "holder_received", "holder_bytes", "holder_core", "holder_all_memory"},
 		[]Quantity{
 			{"holder_sent", "messages/s sent", "shard_upstreams/lease_renew_s+(members-1)/authority_renew_s", ""},
 			{"holder_received", "messages/s received", "holder_sent", ""},
-			{"holder_bytes", "B/s, spans not joined", "shard_upstreams/lease_renew_s*(grant_bytes+b_grant_received_span_0)+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
-			{"holder_bytes_joined", "B/s, one span per upstream", "shard_upstreams/lease_renew_s*(grant_bytes_joined+b_grant_received_span_0)+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
+			{"holder_bytes", "B/s at rest", "shard_upstreams/lease_renew_s*b_grant_renewal+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
+			{"holder_moving_bytes", "B/s while ranges move: each move lists the ranges of two upstreams", "holder_bytes+2*moves_per_s*(grant_bytes+b_grant_received_span_0-b_grant_renewal)", "limit_bytes"},
+			{"holder_list_bytes", "B/s, upstreams that take no renewals without a list", "shard_upstreams/lease_renew_s*(grant_bytes+b_grant_received_span_0)+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
 			{"holder_core", "cores", "(shard_upstreams/lease_renew_s*ns_grant_call+(ns_tick_range_0+ns_tick_range*shard_ranges)/tick_s+(ns_authority_round+(members-1)*2*ns_frame)/authority_renew_s)/1e9", "limit_core"},
 			{"holder_memory", "B without request IDs", "mem_held_range*shard_ranges+mem_held_upstream*shard_upstreams", "limit_memory"},
 			{"holder_all_memory", "B, with request IDs and connections", "holder_memory+mem_request_id*id_capacity+mem_http_connection*shard_upstreams*(1+upstream_connections)", "limit_memory"},
--- a/core/lease/guard.go
+++ b/core/lease/guard.go
@@ -25,6 +25,7 @@
 	ErrUngrantedFence = errors.New("no grant with this fence was accepted: send a grant first")
 	ErrLapsedGrant    = errors.New("the grant ends before now on this upstream's clock: take a new reading")
 	ErrOldGrant       = errors.New("a later grant with this fence was accepted: ignore the answer")
+	ErrUnknownGrant   = errors.New("the ranges are not those of the grant that this renewal names: send a grant that lists them")
 	ErrNotGranted     = errors.New("the range is not granted to this upstream: send the request to its owner")
 	ErrLapsed         = errors.New("the lease has lapsed: renew it")
 	ErrDeadline       = errors.New("the deadline has passed on this upstream's clock: the request was not run")
@@ -41,6 +42,7 @@
 	checks Checks
 	fence  api.Fence
 	until  time.Duration
+	listed time.Duration // the end, as sent, of the grant that listed the ranges
 	ranges map[int]bool
 }
 
@@ -70,19 +72,13 @@
 // of one fence are ordered by their end, so that a delayed or repeated grant
 // does not give a range back that a later grant took away.
 func (g *Guard) Grant(now time.Duration, fence api.Fence, until time.Duration, ranges []int) error {
-	if g.checks == ChecksFence {
-		switch {
-		case fence < g.fence:
-			return ErrLowerFence
-		case until <= now:
-			return ErrLapsedGrant
-		case fence == g.fence && until < g.until:
-			return ErrOldGrant
-		case fence == g.fence && until == g.until && !g.equalRanges(ranges):
-			return ErrOldGrant
-		}
+	if err := g.checkOrder(now, fence, until); err != nil {
+		return err
 	}
-	g.fence, g.until = fence, until
+	if g.checks == ChecksFence && fence == g.fence && until == g.until && !g.equalRanges(ranges) {
+		return ErrOldGrant
+	}
+	g.fence, g.until, g.listed = fence, until, until
 	g.ranges = make(map[int]bool, len(ranges))
 	for _, rng := range ranges {
 		g.ranges[rng] = true
@@ -90,6 +86,35 @@
 	return nil
 }
 
+// Renew takes a grant that lists no ranges, but names by its end the grant that
+// did. It extends the lease only if the ranges are still those of that grant,
+// whatever the checks: a holder cannot know which ranges another one listed.
+func (g *Guard) Renew(now time.Duration, fence api.Fence, until, listed time.Duration) error {
+	if err := g.checkOrder(now, fence, until); err != nil {
+		return err
+	}
+	if fence != g.fence || listed != g.listed {
+		return ErrUnknownGrant
+	}
+	g.until = until
+	return nil
+}
+
+// checkOrder refuses grants that others have replaced or that have lapsed.
+func (g *Guard) checkOrder(now time.Duration, fence api.Fence, until time.Duration) error {
+	switch {
+	case g.checks != ChecksFence:
+		return nil
+	case fence < g.fence:
+		return ErrLowerFence
+	case until <= now:
+		return ErrLapsedGrant
+	case fence == g.fence && until < g.until:
+		return ErrOldGrant
+	}
+	return nil
+}
+
 func (g *Guard) equalRanges(ranges []int) bool {
 	sorted := slices.Sorted(slices.Values(ranges))
 	return slices.Equal(slices.Compact(sorted), g.Ranges())
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -56,6 +56,8 @@
 	acked         offer
 	lapseAt       time.Duration // latest of all offers, and of inherited leases
 	inherited     time.Duration // until when leases of the former holder may last
+	listed        time.Duration // end of the accepted grant that listed ranges; 0 if none
+	ranges        []int
 }
 
 // Table is the holder's side of the leases of one shard. It is not safe for concurrent use.
@@ -154,6 +156,32 @@
 	}
 }
 
+// Listed notes that the grant acknowledged last, which ends at until, lists
+// these ranges, in order. It does nothing if another one was acknowledged last,
+// or if the upstream has restarted since.
+func (t *Table) Listed(up api.UpstreamID, until time.Duration, ranges []int) {
+	if u := t.get(up); u.acked.until == until {
+		u.listed, u.ranges = until, slices.Clone(ranges)
+	}
+}
+
+// Renews returns the end of the grant that listed these ranges, so that a
+// renewal can name it instead. It fails if this incarnation has not accepted
+// one, or has accepted another since.
+func (t *Table) Renews(up api.UpstreamID, ranges []int) (listed time.Duration, ok bool) {
+	u := t.ups[up]
+	if u == nil || u.listed == 0 || !slices.Equal(u.ranges, ranges) {
+		return 0, false
+	}
+	return u.listed, true
+}
+
+// Unlisted notes that the upstream refused a grant: the next one lists its ranges.
+func (t *Table) Unlisted(up api.UpstreamID) {
+	u := t.get(up)
+	u.listed, u.ranges = 0, nil
+}
+
 // MaySend reports whether the holder may send requests to the upstream. The
 // caller also checks its authority.
 func (t *Table) MaySend(now time.Duration, up api.UpstreamID) bool {
--- a/fakes/upstream/http.go
+++ b/fakes/upstream/http.go
@@ -63,12 +63,20 @@
 	defer s.mu.Unlock()
 	err := errOtherIncarnation
 	if grant.Incarnation == s.incarnation {
-		err = s.guard.Grant(s.clock(), grant.Fence, time.Duration(grant.UntilMs)*time.Millisecond, ranges)
+		until := time.Duration(grant.UntilMs) * time.Millisecond
+		if grant.RenewsMs != 0 && !s.cfg.ListsOnly {
+			err = s.guard.Renew(s.clock(), grant.Fence, until, time.Duration(grant.RenewsMs)*time.Millisecond)
+		} else {
+			err = s.guard.Grant(s.clock(), grant.Fence, until, ranges)
+		}
 	}
 	result := platform.GrantResult{Accepted: err == nil, Health: s.report()}
 	if err != nil {
 		result.Reason = err.Error()
 	}
+	if errors.Is(err, lease.ErrUnknownGrant) {
+		result.Refusal = platform.RefusalUnknownGrant
+	}
 	writeJSON(w, result)
 }
 
@@ -98,7 +106,7 @@
 	}
 	return platform.Health{
 		Incarnation: s.incarnation, ClockMs: s.clock().Milliseconds(), Fence: s.guard.Fence(),
-		Ready: true, Draining: s.draining, Load: load,
+		Ready: true, Draining: s.draining, Load: load, Renewals: !s.cfg.ListsOnly,
 	}
 }
 
--- a/fakes/upstream/upstream.go
+++ b/fakes/upstream/upstream.go
@@ -31,6 +31,9 @@
 	// ReportLag is the age of the load that the health report states.
 	ReportLag time.Duration
 	Seed      uint64
+	// ListsOnly makes a server of the protocol before renewals: it takes every
+	// grant for a whole list of ranges.
+	ListsOnly bool
 	// Recorder is told of every run; nil records nothing.
 	Recorder Recorder
 }
--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/lease"
 	"dandelionhill.dev/core/ramp"
@@ -32,6 +34,7 @@
 	answered    bool          // it has answered a control call
 	lastAnswer  time.Duration // when it last did
 	incarnation api.Incarnation
+	renewals    bool // it said in its last answer that it takes renewals without lists
 	state       upstreamState
 	running     map[uint64]*request
 
@@ -96,7 +99,7 @@
 	defer cancel()
 	s.mu.Lock()
 	now := s.cfg.Clock()
-	grant, version, ok := s.grant(now, up)
+	offer, ok := s.grant(now, up)
 	drain := s.drained(up)
 	s.mu.Unlock()
 	if drain != up.drainSet {
@@ -113,18 +116,37 @@
 		}
 		return
 	}
-	result, err := up.client.Grant(ctx, grant)
-	s.count(err == nil && result.Accepted, "grant")
+	result, err := up.client.Grant(ctx, offer.grant)
+	// An answer to a renewal that does not say that the upstream takes renewals
+	// comes from a process that took it for an empty list.
+	accepted := result.Accepted && (offer.grant.RenewsMs == 0 || result.Renewals)
+	s.count(err == nil && accepted, "grant")
 	if err != nil {
 		return
 	}
 	s.observe(up, result.Health, now)
-	if !result.Accepted {
-		s.cfg.Log.Warn().Str("event", "grant_refused").Str("upstream", string(up.id)).
-			Stringer("fence", grant.Fence).Str("reason", result.Reason).Msg("")
+	if !accepted {
+		s.refused(up, offer.grant, result)
 		return
 	}
-	s.accepted(up, grant, version)
+	s.accepted(up, offer)
+}
+
+// refused notes that an upstream has refused a grant: the next one lists the
+// ranges, and follows at once if this was a renewal.
+func (s *Shard) refused(up *upstream, grant platform.Grant, result platform.GrantResult) {
+	s.mu.Lock()
+	s.leases.Unlisted(up.id)
+	s.mu.Unlock()
+	if grant.RenewsMs != 0 {
+		time.AfterFunc(grantSpacing, up.poke)
+	}
+	level := zerolog.WarnLevel
+	if result.Refusal == platform.RefusalUnknownGrant {
+		level = zerolog.InfoLevel
+	}
+	s.cfg.Log.WithLevel(level).Str("event", "grant_refused").Str("upstream", string(up.id)).
+		Stringer("fence", grant.Fence).Bool("renewal", grant.RenewsMs != 0).Str("reason", result.Reason).Msg("")
 }
 
 // pending reports whether an upstream has yet to acknowledge a change of its ranges.
@@ -151,36 +173,49 @@
 	s.cfg.Metrics.LeaseRenewals.WithLabelValues(string(s.cfg.ID.Service), result).Inc()
 }
 
-// granted lists the ranges of the next grant of an upstream.
-func (s *Shard) granted(up *upstream) []platform.RangeSpan {
+// granted lists the ranges of the next grant of an upstream, in order.
+func (s *Shard) granted(up *upstream) []int {
 	if !s.service.Keyed {
-		return []platform.RangeSpan{}
+		return nil
 	}
-	return spans(s.ranges.grantable(up.id))
+	ranges := s.ranges.grantable(up.id)
+	slices.Sort(ranges)
+	return ranges
+}
+
+// offer is a grant on its way to an upstream.
+type offer struct {
+	grant  platform.Grant
+	ranges []int  // those that it lists, or keeps as a renewal
+	change uint64 // the newest change of ranges that it contains
 }
 
-// grant returns the next grant for an upstream and the number of the newest
-// change of ranges that it contains.
-func (s *Shard) grant(now time.Duration, up *upstream) (platform.Grant, uint64, bool) {
+// grant returns the next grant for an upstream: a renewal if the upstream has
+// accepted a list of the same ranges.
+func (s *Shard) grant(now time.Duration, up *upstream) (offer, bool) {
 	if s.closed || now >= s.authority {
-		return platform.Grant{}, 0, false
+		return offer{}, false
 	}
 	until, ok := s.leases.Offer(now, s.authority, up.id)
 	if !ok {
-		return platform.Grant{}, 0, false
+		return offer{}, false
 	}
-	return platform.Grant{
+	o := offer{ranges: s.granted(up), change: up.wanted, grant: platform.Grant{
 		Service:     s.cfg.ID.Service,
 		Fence:       s.cfg.Fence,
 		Incarnation: up.incarnation,
 		UntilMs:     until.Milliseconds(),
-		Ranges:      s.granted(up),
-	}, up.wanted, true
+	}}
+	if listed, ok := s.leases.Renews(up.id, o.ranges); ok && up.renewals {
+		o.grant.RenewsMs = listed.Milliseconds()
+	} else {
+		o.grant.Ranges = spans(o.ranges)
+	}
+	return o, true
 }
 
-// spans joins consecutive ranges.
+// spans joins consecutive ranges of a list in order.
 func spans(ranges []int) []platform.RangeSpan {
-	slices.Sort(ranges)
 	out := []platform.RangeSpan{}
 	for _, r := range ranges {
 		if n := len(out); n > 0 && out[n-1].Last == r-1 {
@@ -216,7 +251,7 @@
 		s.cfg.Log.Info().Str("event", "upstream_restarted").Str("upstream", string(up.id)).
 			Str("incarnation", string(health.Incarnation)).Msg("")
 	}
-	up.answered, up.lastAnswer, up.incarnation = true, now, health.Incarnation
+	up.answered, up.lastAnswer, up.incarnation, up.renewals = true, now, health.Incarnation, health.Renewals
 	if sentAt > up.refusesSince {
 		up.refuses = false
 	}
@@ -226,12 +261,16 @@
 }
 
 // accepted records that an upstream has acknowledged a grant.
-func (s *Shard) accepted(up *upstream, grant platform.Grant, version uint64) {
+func (s *Shard) accepted(up *upstream, o offer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Clock()
-	s.leases.Acknowledge(up.id, time.Duration(grant.UntilMs)*time.Millisecond)
-	up.granted = max(up.granted, version)
+	until := time.Duration(o.grant.UntilMs) * time.Millisecond
+	s.leases.Acknowledge(up.id, until)
+	if o.grant.RenewsMs == 0 {
+		s.leases.Listed(up.id, until, o.ranges)
+	}
+	up.granted = max(up.granted, o.change)
 	s.settle(now)
 	s.refresh(now)
 	s.pump(now)
--- a/server/holder/world_test.go
+++ b/server/holder/world_test.go
@@ -337,6 +337,9 @@
 	mu    sync.Mutex
 	guard *lease.Guard
 	thaw  chan struct{}
+	// listsOnly means that it knows no renewals: it takes every grant for a list.
+	listsOnly       bool
+	lists, renewals int // grants received of either form
 }
 
 var errGone = errors.New("no answer")
@@ -376,7 +379,9 @@
 }
 
 func (u *fakeUpstream) report() platform.Health {
-	return platform.Health{Incarnation: api.Incarnation(u.id), ClockMs: u.w.now().Milliseconds(), Ready: true}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return platform.Health{Incarnation: api.Incarnation(u.id), ClockMs: u.w.now().Milliseconds(), Ready: true, Renewals: !u.listsOnly}
 }
 
 // Health implements platform.Upstream.
@@ -403,11 +408,26 @@
 			ranges = append(ranges, r)
 		}
 	}
+	until := time.Duration(g.UntilMs) * time.Millisecond
 	u.mu.Lock()
-	err := u.guard.Grant(u.w.now(), g.Fence, time.Duration(g.UntilMs)*time.Millisecond, ranges)
+	var err error
+	if g.RenewsMs != 0 {
+		u.renewals++
+	} else {
+		u.lists++
+	}
+	if g.RenewsMs != 0 && !u.listsOnly {
+		err = u.guard.Renew(u.w.now(), g.Fence, until, time.Duration(g.RenewsMs)*time.Millisecond)
+	} else {
+		err = u.guard.Grant(u.w.now(), g.Fence, until, ranges)
+	}
 	u.mu.Unlock()
 	time.Sleep(time.Millisecond) // the answer is on its way
-	return platform.GrantResult{Accepted: err == nil, Health: u.report()}, nil
+	result := platform.GrantResult{Accepted: err == nil, Health: u.report()}
+	if errors.Is(err, lease.ErrUnknownGrant) {
+		result.Refusal = platform.RefusalUnknownGrant
+	}
+	return result, nil
 }
 
 // Send implements platform.Upstream. A request that was sent arrives, even if
