--- a/bench/capacity/bytes.go
+++ b/bench/capacity/bytes.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
 	"dandelionhill.dev/core/authority"
@@ -59,6 +61,7 @@
 			_, received, err := grantBytes(n)
 			return received, err
 		}},
+		{"b_grant_renewal", "B per renewal", "grant that names another one instead of listing ranges, and its answer, on the socket", smallSizes, renewalBytes},
 		{"b_change", "B per change", "typed change, JSON", largeSizes, sum(changeJSON)},
 		{"b_document_upstream", "B per upstream", "wire.Config with the whole document, CBOR", largeSizes, func(n int) (float64, error) {
 			data, err := config.Encode(document(n))
@@ -72,7 +75,7 @@
 			data, err := json.Marshal(head)
 			return float64(len(data)), err
 		}},
-		{"b_poll_shard", "B per shard", "poll of the store on the socket: answer with n authority records, no configuration", []int{10, 100, 1000, 10_000}, func(n int) (float64, error) {
+		{"b_poll_shard", "B per shard", "poll of the store on the socket, both directions: condition on the configuration, n authority records", []int{10, 100, 1000, 10_000}, func(n int) (float64, error) {
 			return pollBytes(n)
 		}},
 		{"b_list_vm", "B per VM", "reading of the list of VMs on the socket", largeSizes, listBytes},
@@ -179,7 +182,7 @@
 }
 
 func grantOf(spans int) platform.Grant {
-	g := platform.Grant{Service: "foglalas", Fence: 5<<24 | 77, UntilMs: 86_400_000}
+	g := platform.Grant{Service: "foglalas", Fence: 5<<24 | 77, Incarnation: "0000abcd", UntilMs: 86_400_000}
 	for i := range spans {
 		g.Ranges = append(g.Ranges, platform.RangeSpan{First: 500_000 + 3*i, Last: 500_001 + 3*i})
 	}
@@ -202,6 +205,25 @@
 	return float64(l.read.Load()) / socketCalls, float64(l.written.Load()) / socketCalls, nil
 }
 
+// renewalGrant is a grant without a list.
+var renewalGrant = platform.Grant{
+	Service: "foglalas", Fence: 5<<24 | 77, Incarnation: "0000abcd", UntilMs: 86_400_000, RenewsMs: 86_000_000,
+}
+
+// renewalBytes returns the bytes of n renewals and their answers.
+func renewalBytes(n int) (float64, error) {
+	server, l := serve(grantServer())
+	defer server.Close()
+	client := upstreamhttp.New(server.Listener.Addr().String(), 1, 1<<20)
+	defer client.Close()
+	for range n {
+		if _, err := client.Grant(context.Background(), renewalGrant); err != nil {
+			return 0, err
+		}
+	}
+	return float64(l.read.Load() + l.written.Load()), nil
+}
+
 // listBytes returns the bytes that one reading of the list of n VMs needs.
 func listBytes(n int) (float64, error) {
 	list := vmlist.New(0)
@@ -217,13 +239,17 @@
 	return float64(l.read.Load() + l.written.Load()), err
 }
 
-// pollBytes returns the bytes that one poll of the store brings for n records.
+// pollBytes returns the bytes of one poll of the store, sent and received, for
+// n records and a configuration that has not changed.
 func pollBytes(n int) (float64, error) {
 	store := tablefake.New()
 	server, l := serve(store.Handler())
 	defer server.Close()
-	txn := platform.Txn{}
+	txn := platform.Txn{Conditions: []platform.Condition{{Key: control.ConfigKey, Version: 1}}}
 	ctx := context.Background()
+	if _, err := store.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: control.ConfigKey}}}); err != nil {
+		return 0, err
+	}
 	for i := range n {
 		value, err := json.Marshal(record(i))
 		if err != nil {
@@ -235,8 +261,9 @@
 		}
 		txn.Reads = append(txn.Reads, key)
 	}
-	if _, err := tablehttp.New(server.URL).Commit(ctx, txn); err != nil {
-		return 0, err
+	result, err := tablehttp.New(server.URL).Commit(ctx, txn)
+	if err == nil && !result.Committed {
+		err = errors.New("the condition on the configuration did not hold")
 	}
-	return float64(l.read.Load() + l.written.Load()), nil
+	return float64(l.read.Load() + l.written.Load()), err
 }
--- a/bench/capacity/findings.go
+++ b/bench/capacity/findings.go
@@ -50,20 +50,20 @@
 	},
 	{
 		"Polling the store",
-		"Every VM reads the store each {store_s} s: {table_reads} transactions/s and {table_rows} rows/s against {limit_reads} reads/s. The bytes do not fit limit_bytes even today: {today:table_poll_bytes} B/s at 12 VMs, because the remembered operations make up nearly all of the fixed part ({b_document_upstream_0} B) of the document.",
-		"It fits up to {poll_fit_vms} VMs if a transaction counts as one read, and {poll_rows_fit_vms} VMs if each row counts.",
-		"A poll interval that grows with the number of VMs would be {poll_interval_s} s at half of limit_reads, longer than confirm_s ({confirm_s} s), so it needs the majority or the tree for confirmation. With {readers} reading VMs that pass on changes in the tree: {reader_reads} transactions/s whatever the number of VMs. Members read only the records of their own shards. With the remembered operations in a row of their own, which nobody polls, a poll as of today takes {today:poll_without_operations} B/s at 12 VMs.",
+		"Every VM reads the store each {store_s} s: {table_reads} transactions/s and {table_rows} rows/s against {limit_reads} reads/s. The read is conditional on the version of the row config/head, so it transfers the document only after a change that no frame brought; {table_poll_bytes} B/s are left, {today:table_poll_bytes} B/s at 12 VMs, most of it records of shards, changed or not.",
+		"It fits up to {poll_fit_vms} VMs if a transaction counts as one read, and {poll_rows_fit_vms} VMs if each row counts. The bytes fit limit_bytes up to {poll_bytes_fit_vms} VMs.",
+		"A poll interval that grows with the number of VMs would be {poll_interval_s} s at half of limit_reads, longer than confirm_s ({confirm_s} s), so it needs the majority or the tree for confirmation. With {readers} reading VMs that pass on changes in the tree: {reader_reads} transactions/s whatever the number of VMs. Members read only the records of their own shards, on the condition that one of them has changed.",
 		[]Quantity{
 			{"poll_fit_vms", "VMs", "limit_reads*store_s", ""},
 			{"poll_rows_fit_vms", "VMs", "(sqrt(1+4*limit_reads*store_s*shards/vms)-1)/(2*shards/vms)", ""},
 			{"poll_interval_s", "s", "2*vms/limit_reads", "confirm_s"},
-			{"poll_without_operations", "B/s", "(4/3*b_document_upstream*upstreams+b_poll_shard*shards)/store_s", "limit_bytes"},
+			{"poll_bytes_fit_vms", "VMs", "(limit_bytes*store_s-b_poll_shard_0)/b_poll_shard*vms/shards", ""},
 			{"reader_reads", "transactions/s", "readers/store_s", "limit_reads"},
 		},
 	},
 	{
 		"The whole configuration in one row and one frame",
-		"The document has {document_bytes} B. Each change sends it whole to each VM ({config_bytes} B/s received, {config_writer_s} s for one writer at limit_bytes), and each poll carries it ({table_poll_bytes} B/s) and decodes it ({config_core} cores).",
+		"The document has {document_bytes} B. Each change sends it whole to each VM ({config_bytes} B/s received, {config_writer_s} s for one writer at limit_bytes), and each VM decodes it ({config_core} cores).",
 		"A frame holds {frame_fit_upstreams} upstreams ({frame_fit_vms} VMs at the present ratio). Sending whole documents for {changes} changes/s alone fits limit_bytes up to {changes_fit_upstreams} upstreams. The document remembers {max_operations} operations, which is {operations_s} s of changes: an operator whose view is older is refused. A service has at most {max_ranges} ranges, {range_fit_upstreams} upstreams.",
 		"A row per service and a head row with their versions: {config_rows} rows, {config_row_bytes} B each (most of it the remembered operations), so a change writes one row and the head and spreads only the change ({delta_bytes} B). The head row names each row with its version ({head_bytes} B); readers fetch the rows that changed. Operations are remembered per service row, so {max_operations} last {row_operations_s} s.",
 		[]Quantity{
@@ -145,10 +145,12 @@
 	},
 	{
 		"Grants to upstreams",
-		"A grant lists the ranges of the upstream as spans. The first placement already gives each upstream {grant_spans} spans, because neighbouring ranges of equal load go to different upstreams: {holder_bytes} B/s for the loaded VM with answers and renewals.",
-		"It fits limit_bytes with up to {grant_fit_spans} spans per upstream, independent of the number of VMs, so it does not fit even today.",
-		"Send the ranges only when they change and otherwise the number of the last accepted change, or place runs of neighbouring ranges on one upstream, which would be one span: {holder_bytes_joined} B/s or less.",
+		"A renewal names the grant that listed the ranges: {holder_bytes} B/s for the loaded VM with answers and renewals of its authority. Lists are sent on a change: {holder_moving_bytes} B/s while ranges move at {moves_per_s} moves/s. The first placement gives each upstream {grant_spans} spans, because neighbouring ranges of equal load go to different upstreams, so upstreams that take no renewals without a list cost {holder_list_bytes} B/s.",
+		"At rest it fits limit_bytes alone, independent of the number of VMs, but leaves little for the other roles; with lists it fits up to {grant_fit_spans} spans per upstream. One move a second adds {move_bytes} B/s, so it fits up to {move_fit} moves/s.",
+		"Nearly all of a renewal ({b_grant_renewal} B) is HTTP headers and names of JSON fields. Lists would be shorter if runs of neighbouring ranges were placed on one upstream, or if a grant named only the ranges that changed.",
 		[]Quantity{
+			{"move_bytes", "B per move", "2*(grant_bytes+b_grant_received_span_0-b_grant_renewal)", ""},
+			{"move_fit", "moves/s", "(limit_bytes-holder_bytes)/move_bytes", ""},
 			{"grant_fit_spans", "spans of an upstream", "((limit_bytes-(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame))*lease_renew_s/shard_upstreams-b_grant_sent_span_0-b_grant_received_span_0)/b_grant_sent_span", ""},
 		},
 	},
@@ -229,8 +231,8 @@
 		"It does not fit limit_bytes at any size with today's intervals and forms. In memory, the program ({check_memory} B), the connections to upstreams and a grid of connections between VMs need {proposed_memory} B against {limit_memory}, without request IDs.",
 		"Renewing upstream leases each {proposed_renew_s} s instead of {lease_renew_s} s (with a lease of {proposed_lease_s} s, cut to what is left of the authority, it bears one lost renewal, as {lease_s} s and {lease_renew_s} s do: a lease counts from the reading of the answer before; loss_s becomes {proposed_loss_s} s, not tested) and letting renewals stand for heartbeats between a holder and its witnesses leaves {proposed_bytes} B/s. For processor time the parts give {proposed_core} cores against {limit_core}, without what the check above finds missing. Memory needs a decision by the users: whether connections for requests count as control.",
 		[]Quantity{
-			{"proposed_bytes_first", "B/s", "holder_bytes_joined+witness_bytes+peer_bytes+tree_bytes", "limit_bytes"},
-			{"proposed_bytes", "B/s", "shard_upstreams/proposed_renew_s*(grant_bytes_joined+b_grant_received_span_0)+2*witness_bytes+peer_bytes/3+tree_bytes", "limit_bytes"},
+			{"proposed_bytes_first", "B/s", "holder_bytes+witness_bytes+peer_bytes+tree_bytes", "limit_bytes"},
+			{"proposed_bytes", "B/s", "shard_upstreams/proposed_renew_s*b_grant_renewal+2*witness_bytes+peer_bytes/3+tree_bytes", "limit_bytes"},
 			{"proposed_loss_s", "s", "max(loss_s+proposed_renew_s-lease_renew_s, proposed_lease_s*(1+drift)+proposed_renew_s+2*tick_s+4*delay_s)", "limit_loss_s"},
 			{"proposed_core", "cores", "(ns_loop_shard_0+shard_upstreams/proposed_renew_s*ns_grant_call+(ns_tick_range_0+ns_tick_range*shard_ranges)/tick_s+(ns_authority_round+(members-1)*2*ns_frame)/authority_renew_s+2/heartbeat_s*ns_frame+changes*(1+fan_out)*ns_frame)/1e9+witness_core", "limit_core"},
 			{"proposed_memory", "B", "check_memory+entry_memory+relay_memory+holder_memory+holder_connections_memory+witness_memory+member_memory", "limit_memory"},
--- a/bench/capacity/quantities.go
+++ b/bench/capacity/quantities.go
@@ -32,7 +32,6 @@
 	{"heartbeat_bytes", "B", "b_frame+b_heartbeat_peer_0+b_heartbeat_held+b_heartbeat_peer*(vms-1)", ""},
 	{"assign_bytes", "B", "b_frame+b_assign_range_0+b_assign_range*shard_ranges", ""},
 	{"grant_bytes", "B sent", "b_grant_sent_span_0+b_grant_sent_span*grant_spans", ""},
-	{"grant_bytes_joined", "B sent", "b_grant_sent_span_0+b_grant_sent_span", ""},
 }
 
 // roles lists the figures of each role at today's mechanisms, for one loaded VM.
@@ -54,14 +53,15 @@
 		},
 	},
 	{
-		"holder, dispatching", "authority renewals to two witnesses; a grant per upstream (HTTP, JSON); Shard.Tick with placement.Plan",
+		"holder, dispatching", "authority renewals to two witnesses; a grant per upstream (HTTP, JSON), without a list of ranges unless they changed; Shard.Tick with placement.Plan",
 		"ranges and upstreams of its shard, request IDs",
 		[5]string{"holder_sent", "holder_received", "holder_bytes", "holder_core", "holder_all_memory"},
 		[]Quantity{
 			{"holder_sent", "messages/s sent", "shard_upstreams/lease_renew_s+(members-1)/authority_renew_s", ""},
 			{"holder_received", "messages/s received", "holder_sent", ""},
-			{"holder_bytes", "B/s, spans not joined", "shard_upstreams/lease_renew_s*(grant_bytes+b_grant_received_span_0)+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
-			{"holder_bytes_joined", "B/s, one span per upstream", "shard_upstreams/lease_renew_s*(grant_bytes_joined+b_grant_received_span_0)+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
+			{"holder_bytes", "B/s at rest", "shard_upstreams/lease_renew_s*b_grant_renewal+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
+			{"holder_moving_bytes", "B/s while ranges move: each move lists the ranges of two upstreams", "holder_bytes+2*moves_per_s*(grant_bytes+b_grant_received_span_0-b_grant_renewal)", "limit_bytes"},
+			{"holder_list_bytes", "B/s, upstreams that take no renewals without a list", "shard_upstreams/lease_renew_s*(grant_bytes+b_grant_received_span_0)+(members-1)/authority_renew_s*(b_renew+b_renew_ack+2*b_frame)", "limit_bytes"},
 			{"holder_core", "cores", "(shard_upstreams/lease_renew_s*ns_grant_call+(ns_tick_range_0+ns_tick_range*shard_ranges)/tick_s+(ns_authority_round+(members-1)*2*ns_frame)/authority_renew_s)/1e9", "limit_core"},
 			{"holder_memory", "B without request IDs", "mem_held_range*shard_ranges+mem_held_upstream*shard_upstreams", "limit_memory"},
 			{"holder_all_memory", "B, with request IDs and connections", "holder_memory+mem_request_id*id_capacity+mem_http_connection*shard_upstreams*(1+upstream_connections)", "limit_memory"},
@@ -95,7 +95,7 @@
 		},
 	},
 	{
-		"configuration spreading", "row config/head, polled and sent whole in wire.Config", "the decoded document",
+		"configuration spreading", "row config/head, sent whole in wire.Config, and read whole when a poll finds another version", "the decoded document",
 		[5]string{"config_sent_vm", "config_received", "config_bytes", "config_core", "config_memory"},
 		[]Quantity{
 			{"config_sent", "frames/s sent by all writers", "changes*(vms-1)", ""},
@@ -103,22 +103,23 @@
 			{"config_received", "frames/s received", "changes", ""},
 			{"config_bytes", "B/s received in frames", "changes*(document_bytes+b_frame)", "limit_bytes"},
 			{"config_writer_s", "s for a writer to send one change at limit_bytes", "(vms-1)*(document_bytes+b_frame)/limit_bytes", "limit_change_s"},
-			{"config_core", "cores, polls and frames", "(1/store_s+changes)*(ns_config_read_upstream_0+ns_config_read_upstream*upstreams)/1e9", "limit_core"},
+			{"config_core", "cores, frames", "changes*(ns_config_read_upstream_0+ns_config_read_upstream*upstreams)/1e9", "limit_core"},
 			{"config_memory", "B, decoded and encoded", "mem_document_upstream_0+mem_document_upstream*upstreams+document_bytes", "limit_memory"},
 			{"operations_s", "s until an operation is forgotten", "max_operations/changes", ""},
 			{"write_core", "cores of writers, all VMs together", "changes*ns_config_write_upstream*upstreams/1e9", ""},
 		},
 	},
 	{
-		"table service", "one transaction per VM every store_s reads the document and all records; writes by condition on a version",
+		"table service", "one transaction per VM every store_s reads all records on the condition that the document has not changed, and another the document if it has; writes by condition on a version",
 		"config/head and a record per shard",
 		[5]string{"table_sent", "table_sent", "table_poll_bytes", "in spreading and entry", "table_state"},
 		[]Quantity{
 			{"table_reads", "transactions/s", "vms/store_s", "limit_reads"},
 			{"table_sent", "calls/s of one VM, and answers", "1/store_s", ""},
-			{"table_state", "B of rows in the store's answers", "4/3*document_bytes+b_poll_shard*shards", ""},
-			{"table_rows", "rows/s read", "vms/store_s*(1+shards)", "limit_reads"},
-			{"table_poll_bytes", "B/s received per VM", "(4/3*document_bytes+b_poll_shard*shards)/store_s", "limit_bytes"},
+			{"table_state", "B of rows in the answer to a poll after a change", "4/3*document_bytes+b_poll_shard*shards", ""},
+			{"table_rows", "rows/s read or compared", "vms/store_s*(1+shards)", "limit_reads"},
+			{"table_poll_bytes", "B/s sent and received per VM, the document unchanged", "(b_poll_shard_0+b_poll_shard*shards)/store_s", "limit_bytes"},
+			{"table_lost_frames_bytes", "B/s received per VM if no frame arrives and each change is read from the row", "changes*4/3*document_bytes", "limit_bytes"},
 			{"table_writes", "writes/s, ordinary day", "changes+(replaced_per_day+failed_per_day)*members*shards/vms*2/day_s", "limit_writes"},
 			{"table_domain_writes", "writes, members replaced after a domain's loss", "shards*members/domains*2", ""},
 			{"table_burst", "writes/s if all holders write in one maintain_s", "table_domain_writes/maintain_s", "limit_writes"},
@@ -154,7 +155,7 @@
 	{"all_bytes", "B/s", "holder_bytes+witness_bytes+member_bytes+list_bytes+config_bytes+table_poll_bytes", "limit_bytes"},
 	{"all_core", "cores", "entry_core+holder_core+witness_core+member_core+list_core+config_core", "limit_core"},
 	{"all_memory", "B", "entry_all_memory+holder_all_memory+witness_memory+member_memory+config_memory", "limit_memory"},
-	{"check_core_formula", "cores, mean VM at rest", "entry_core+shards_held_mean*holder_core+shards_held_mean*witness_core+member_core+list_core+ns_config_read_upstream_0/store_s/1e9+ns_config_read_upstream*upstreams/store_s/1e9", "limit_core"},
+	{"check_core_formula", "cores, mean VM at rest", "entry_core+shards_held_mean*holder_core+shards_held_mean*witness_core+member_core+list_core", "limit_core"},
 	{"check_memory_formula", "B, mean VM at rest without request IDs and connections to upstreams", "entry_all_memory+shards_held_mean*(holder_memory+witness_memory)+member_memory+config_memory", "limit_memory"},
 	{"loss_s", "s without an owner when the authority and an upstream are lost together: sum of the waits", "authority_s*(1+drift)+rank_delay_s+2*tick_s+reach_s+lease_renew_s+4*delay_s+ns_plan_lost_range*shard_ranges/1e9", "limit_loss_s"},
 }
