history: check that a configuration never reverts and loses no accepted change

Change: bench/history takes the changes as their operators saw them and the documents that VMs and the row of the table service showed. Reverted lists older revisions after newer ones, Lost lists accepted changes that are missing or share their revision with something else. LinearizableConfiguration checks the same with porcupine, by independent code: one register for the row, which a change has reached once it is accepted, and one for each VM, which a change has reached once it is reported in force.

Measured: go test -race ./bench/history: a sound history passes all three, 15 broken ones are each caught by the checkers that the table in the test names.

--- /dev/null
+++ b/bench/history/configuration_test.go
@@ -0,0 +1,117 @@
+package history
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+)
+
+const preset = "active preset"
+
+// document returns what a VM shows of a revision.
+func document(vm string, at int, revision uint64, operation, value string) Observation {
+	return Observation{
+		VM: vm, Call: time.Duration(at), Return: time.Duration(at + 1), Working: true, Revision: revision,
+		Operation: operation, Digest: fmt.Sprint(operation, value), Values: map[string]string{preset: value},
+	}
+}
+
+// soundConfiguration has four revisions: the second is in force at 30, the third
+// is accepted at 50 but never in force everywhere, the fourth got no answer.
+func soundConfiguration() *Configuration {
+	h := &Configuration{
+		Changes: []Change{
+			{Operation: "init", Call: 1, Return: 2, Result: Accepted, Revision: 1, InForce: 3},
+			{Operation: "a", Entity: preset, Value: "peak", Base: 1, Call: 10, Return: 20, Result: Accepted, Revision: 2, InForce: 30},
+			{Operation: "late", Entity: preset, Value: "ordinary", Base: 1, Call: 12, Return: 22, Result: Conflict},
+			{Operation: "b", Entity: preset, Value: "ordinary", Base: 2, Call: 40, Return: 50, Result: Accepted, Revision: 3},
+			{Operation: "c", Entity: preset, Value: "maintenance", Base: 3, Call: 60, Return: 70, Result: NoAnswer},
+			{Operation: "never", Entity: preset, Value: "peak", Base: 3, Call: 61, Return: 71, Result: NoAnswer},
+			{Operation: "wrong", Entity: preset, Value: "none", Base: 3, Call: 62, Return: 72, Result: Refused},
+		},
+		Observations: []Observation{
+			document("vm-1", 5, 1, "init", "ordinary"),
+			document("vm-2", 25, 1, "init", "ordinary"), // accepted is not in force
+			document("vm-1", 26, 2, "a", "peak"),
+			document("vm-2", 31, 2, "a", "peak"),
+			document("", 52, 3, "b", "ordinary"),
+			document("vm-1", 53, 3, "b", "ordinary"),
+			document("vm-2", 55, 2, "a", "peak"),
+			document("vm-2", 80, 4, "c", "maintenance"),
+		},
+		Remembered: map[Remembered]bool{{1, "init"}: true, {2, "a"}: true, {3, "b"}: true, {4, "c"}: true},
+		Final:      document("", 100, 4, "c", "maintenance"),
+	}
+	// A restarted VM may know an older document as long as it takes no work.
+	restarted := document("vm-1", 90, 2, "a", "peak")
+	restarted.Working = false
+	h.Observations = append(h.Observations, restarted)
+	return h
+}
+
+// Guards against checkers that pass a configuration which went back or lost an
+// accepted change, and against false alarms on what section 8 permits.
+func TestConfigurationCheckersCatchBrokenHistories(t *testing.T) {
+	sound := soundConfiguration()
+	require.Empty(t, Reverted(sound))
+	require.Empty(t, Lost(sound))
+	require.Equal(t, porcupine.Ok, LinearizableConfiguration(sound))
+	show := func(o Observation) func(*Configuration) {
+		return func(h *Configuration) { h.Observations = append(h.Observations, o) }
+	}
+	for name, c := range map[string]struct {
+		alter                        func(*Configuration)
+		reverted, lost, linearizable bool
+	}{
+		"stale read after in force":  {alter: show(document("vm-3", 32, 1, "init", "ordinary")), reverted: true},
+		"VM goes back":               {alter: show(document("vm-1", 57, 2, "a", "peak")), reverted: true},
+		"restarted VM works on":      {alter: func(h *Configuration) { h.Observations[len(h.Observations)-1].Working = true }, reverted: true},
+		"row goes back":              {alter: show(document("", 56, 2, "a", "peak")), reverted: true},
+		"shown before it was called": {alter: show(document("vm-3", 7, 2, "a", "peak")), linearizable: false},
+		"last revision too low": {alter: func(h *Configuration) {
+			h.Final = document("", 100, 2, "a", "peak")
+		}, reverted: true},
+		"accepted change in no document": {alter: func(h *Configuration) {
+			h.Changes = append(h.Changes, Change{Operation: "d", Entity: preset, Value: "peak", Base: 4, Call: 81, Return: 85, Result: Accepted, Revision: 5})
+		}, reverted: true, lost: true},
+		"revision holds another operation": {alter: func(h *Configuration) {
+			delete(h.Remembered, Remembered{4, "c"})
+			h.Remembered[Remembered{4, "d"}] = true
+			h.Observations[7].Operation, h.Final.Operation = "d", "d"
+			h.Changes[4].Result, h.Changes[4].Revision = Accepted, 4
+		}, lost: true},
+		"two documents under one revision": {alter: show(document("vm-3", 54, 3, "x", "peak")), lost: true},
+		"two contents of one operation": {alter: func(h *Configuration) {
+			h.Observations = append(h.Observations, document("vm-3", 54, 3, "b", "maintenance"))
+		}, lost: true, linearizable: true},
+		"effect missing at the end": {alter: func(h *Configuration) {
+			h.Final.Values = map[string]string{preset: "ordinary"}
+		}, lost: true, linearizable: true},
+		"took effect twice": {alter: func(h *Configuration) {
+			h.Remembered[Remembered{5, "b"}] = true
+		}, lost: true, linearizable: true},
+		"took effect after a conflict": {alter: func(h *Configuration) {
+			h.Remembered[Remembered{5, "late"}] = true
+		}, lost: true, linearizable: true},
+		"overwrote a change that was not seen": {alter: func(h *Configuration) { h.Changes[3].Base = 1 }},
+		"conflict without another change":      {alter: func(h *Configuration) { h.Changes[2].Call, h.Changes[2].Return = 4, 5 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := soundConfiguration()
+			h.Remembered, h.Observations = maps.Clone(h.Remembered), slices.Clone(h.Observations)
+			c.alter(h)
+			require.Equal(t, c.reverted, len(Reverted(h)) > 0, "%v", Reverted(h))
+			require.Equal(t, c.lost, len(Lost(h)) > 0, "%v", Lost(h))
+			want := porcupine.Illegal
+			if c.linearizable {
+				want = porcupine.Ok
+			}
+			require.Equal(t, want, LinearizableConfiguration(h))
+		})
+	}
+}
--- a/bench/history/history.go
+++ b/bench/history/history.go
@@ -1,6 +1,7 @@
-// Package history records the runs of upstreams and checks them against what
-// must always hold: one owner of a key at a time, at most one run of a request
-// that may not be repeated, and true refusals.
+// Package history records the runs of upstreams and the changes of the
+// configuration, and checks them against what must always hold: one owner of a
+// key at a time, at most one run of a request that may not be repeated, true
+// refusals, and a configuration that neither reverts nor loses accepted changes.
 package history
 
 import (
