measure: processor time and allocations of a request in the router

Change: bench/forward sends requests through the entry's HTTP handler to a shard on the same VM, or behind a peer connection, with stand-ins of the upstreams in the same process. The benchmarks and bin/measure use the same code. The share of making a request and taking its answer is taken out.

--- a/bench/cmd/measure/main.go
+++ b/bench/cmd/measure/main.go
@@ -42,6 +42,7 @@
 	{"deployment", deployment},
 	{"faults", faults},
 	{"direct", routerOverDirect},
+	{"forwarding", forwarding},
 	{"policy", func(_ context.Context, e env) ([]metric.Metric, error) { return policy.All(e.seed), nil }},
 	{"tail", func(_ context.Context, e env) ([]metric.Metric, error) {
 		return tail.Metrics(tail.Compare(tail.DefaultOptions(e.seed)), e.seed), nil
