holder: refresh one upstream's limit at the end of a run

Cause: a tenth of the processor time of the path through one VM went into computing the limits of all upstreams of the shard after each run, although the end of a run changes only what its own upstream may be given. The cost grows with the number of upstreams.

Change: dispatch.Queue.SetLimit replaces one limit. The end of a run uses it, except while an unkeyed service has a straggler, whose limits depend on each other. What changes with time alone waits for the next tick (20 ms); a start checks the lease again in any case.

--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -95,6 +95,14 @@
 	q.upstreams = kept
 }
 
+// SetLimit replaces the limit of one upstream. It has no effect on an upstream
+// that the last SetLimits did not name.
+func (q *Queue) SetLimit(limit Limit) {
+	if u := q.byID[limit.Upstream]; u != nil && u.listed {
+		u.limit = limit
+	}
+}
+
 func (q *Queue) upstreamOf(id api.UpstreamID) *upstream {
 	u := q.byID[id]
 	if u == nil {
--- a/core/dispatch/queue_test.go
+++ b/core/dispatch/queue_test.go
@@ -274,3 +274,20 @@
 	require.Equal(t, 1, q.InFlight(up(1)))
 	require.Zero(t, q.Queued())
 }
+
+// TestSetLimit guards against a new limit of one upstream that closes another
+// one, or brings back one that was removed.
+func TestSetLimit(t *testing.T) {
+	q := newQueue(dispatch.Config{}, 2, 1)
+	q.SetLimit(dispatch.Limit{Upstream: up(0), InFlight: 3, Open: true})
+	q.SetLimit(dispatch.Limit{Upstream: up(2), InFlight: 9, Open: true})
+	for i := range uint64(10) {
+		admit(t, q, dispatch.Request{ID: i + 1, Caller: fmt.Sprint("c", i)})
+	}
+	started := map[api.UpstreamID]int{}
+	starts, _ := q.Next(0)
+	for _, s := range starts {
+		started[s.Upstream]++
+	}
+	require.Equal(t, map[api.UpstreamID]int{up(0): 3, up(1): 1}, started)
+}
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -142,7 +142,7 @@
 		s.retryOrEnd(r, s.failed(cancelled, err))
 	}
 	s.endedHot(now, r)
-	s.refresh(now)
+	s.refreshOne(now, up)
 	s.pump(now)
 }
 
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -250,17 +250,10 @@
 // refresh tells the queue what each upstream may be given now.
 func (s *Shard) refresh(now time.Duration) {
 	limits := make([]dispatch.Limit, 0, len(s.ups))
-	full := s.full()
 	s.penalized = false
 	healthy := 0
-	for id, up := range s.ups {
-		limit := dispatch.Limit{
-			Upstream: id,
-			InFlight: up.ramp.Limit(now, full),
-			Open:     s.maySend(now, up),
-			Penalty:  s.monitor.Penalty(id),
-			Cold:     up.ramp.Cold(),
-		}
+	for _, up := range s.ups {
+		limit := s.limit(now, up)
 		if limit.Open && limit.Penalty <= 1 {
 			healthy += limit.InFlight
 		}
@@ -272,6 +265,28 @@
 	s.queue.SetLimits(limits)
 }
 
+// refreshOne is refresh after the end of a run, which changes what its own
+// upstream may be given. What changes with time alone waits for the next Tick.
+// While an unkeyed service has a straggler, the limits depend on each other.
+func (s *Shard) refreshOne(now time.Duration, up *upstream) {
+	limit := s.limit(now, up)
+	if !s.service.Keyed && (s.penalized || limit.Penalty > 1) {
+		s.refresh(now)
+		return
+	}
+	s.queue.SetLimit(limit)
+}
+
+func (s *Shard) limit(now time.Duration, up *upstream) dispatch.Limit {
+	return dispatch.Limit{
+		Upstream: up.id,
+		InFlight: up.ramp.Limit(now, s.full()),
+		Open:     s.maySend(now, up),
+		Penalty:  s.monitor.Penalty(up.id),
+		Cold:     up.ramp.Cold(),
+	}
+}
+
 // spareStragglers closes the stragglers of an unkeyed service for which a
 // request would wait longer than for one of the others to become free. In the
 // model of bench/tail this lowers the ratio of p99 with and without a straggler
