peer: read and write without a context for each frame

Change: reads and writes have no context. The connection is closed when its context ends, and by one timer when a write takes longer than writeTimeout.

--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -199,8 +199,9 @@
 		defer cancel()
 		writeLoop(connCtx, conn, queue)
 	}()
+	defer closeWith(connCtx, conn)()
 	for {
-		_, data, err := conn.Read(connCtx)
+		_, data, err := conn.Read(context.Background())
 		if err != nil {
 			return errors.Wrap(err, "read")
 		}
@@ -212,16 +213,25 @@
 	}
 }
 
+// closeWith closes a connection when ctx ends, until the returned function is
+// called. Reads and writes then need no context: one with an end costs the
+// WebSocket library several allocations for each frame, a fifth of those of a
+// forwarded request.
+func closeWith(ctx context.Context, conn *websocket.Conn) func() bool {
+	return context.AfterFunc(ctx, func() { conn.CloseNow() })
+}
+
 func writeLoop(ctx context.Context, conn *websocket.Conn, queue <-chan []byte) {
+	late := time.AfterFunc(writeTimeout, func() { conn.CloseNow() })
+	defer late.Stop()
 	for {
+		late.Stop()
 		select {
 		case <-ctx.Done():
 			return
 		case data := <-queue:
-			writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-			err := conn.Write(writeCtx, websocket.MessageBinary, data)
-			cancel()
-			if err != nil {
+			late.Reset(writeTimeout)
+			if err := conn.Write(context.Background(), websocket.MessageBinary, data); err != nil {
 				return
 			}
 		}
@@ -288,8 +298,9 @@
 func (in *inbound) serve(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer closeWith(ctx, in.conn)()
 	for {
-		_, data, err := in.conn.Read(ctx)
+		_, data, err := in.conn.Read(context.Background())
 		if err != nil {
 			return
 		}
@@ -316,7 +327,7 @@
 	in.mu.Unlock()
 	go func() {
 		defer in.cancel(frame.Call)
-		in.reply(ctx, frame.Call, in.hub.handler.Call(callCtx, in.from, frame))
+		in.reply(frame.Call, in.hub.handler.Call(callCtx, in.from, frame))
 	}()
 }
 
@@ -329,14 +340,14 @@
 	}
 }
 
-func (in *inbound) reply(ctx context.Context, number uint64, payload any) {
+func (in *inbound) reply(number uint64, payload any) {
 	data, err := wire.Encode(wire.TypeReply, number, payload)
 	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := in.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+	late := time.AfterFunc(writeTimeout, func() { in.conn.CloseNow() })
+	defer late.Stop()
+	if err := in.conn.Write(context.Background(), websocket.MessageBinary, data); err != nil {
 		in.conn.CloseNow()
 	}
 }
