--- a/server/holder/handover_test.go
+++ b/server/holder/handover_test.go
@@ -64,10 +64,7 @@
 		w.shard.cfg.Mirror = func(_ []api.VMID, seq uint64, _ []dedup.ID) { sent <- seq }
 		w.shard.mu.Unlock()
 		w.shard.SetWitnesses([]api.VMID{"witness"})
-		f := &wire.Forward{
-			Shard: w.shard.cfg.ID, Range: rangeOfKey("k"), Method: "POST", Path: "/", Key: "k",
-			RequestID: w.requestID(), TimeoutMs: 10_000, Caller: "c",
-		}
+		f := w.forward("k", 10*time.Second)
 		first := make(chan *wire.Reply, 1)
 		go func() { first <- w.shard.Serve(context.Background(), f) }()
 		<-sent // the witness is never heard
--- a/server/holder/hot_runs_test.go
+++ b/server/holder/hot_runs_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
-	"dandelionhill.dev/api/wire"
 )
 
 // decideOnly leaves the hot keys to the test: exactly the named ones are wanted.
@@ -44,11 +43,7 @@
 	w.ups[up].serveIn(400 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 	defer cancel()
-	f := &wire.Forward{
-		Shard: w.shard.cfg.ID, Range: rangeOfKey(hotKey), Method: "POST", Path: "/unseen", Key: hotKey,
-		RequestID: w.requestID(), TimeoutMs: 500, Caller: "c",
-	}
-	require.NotNil(w.t, w.shard.Serve(ctx, f).Refusal)
+	require.NotNil(w.t, w.shard.Serve(ctx, w.forward(hotKey, 500*time.Millisecond)).Refusal)
 	time.Sleep(time.Millisecond)
 	require.Equal(w.t, before+1, w.runsOf(hotKey))
 	w.ups[up].serveIn(4 * time.Millisecond)
@@ -64,6 +59,17 @@
 	return n
 }
 
+// splitAndMove gives the hot key a range of its own and that to another upstream
+// than the one of its ordinary range.
+func (w *world) splitAndMove(home int) (to api.UpstreamID) {
+	w.t.Helper()
+	w.split()
+	to = w.another(home)
+	w.move(testRanges, to)
+	w.until("a move", func() bool { return w.owner(testRanges) == to && w.send(w.shard, hotKey) })
+	return to
+}
+
 // Guards against a split that forgets a run whose end was not seen: the new
 // range could go to another upstream while the run goes on.
 func TestSplitRemembersUnseenRuns(t *testing.T) {
@@ -139,10 +145,7 @@
 func TestHandoverWaitsForUnseenRuns(t *testing.T) {
 	inWorld(t, func(w *world) {
 		home, owner := w.settled()
-		w.split()
-		to := w.another(home)
-		w.move(testRanges, to)
-		w.until("a move", func() bool { return w.owner(testRanges) == to && w.send(w.shard, hotKey) })
+		to := w.splitAndMove(home)
 		time.Sleep(time.Second)
 		w.runUnseen(to)
 		w.handover(ordinaryOnly)
@@ -156,10 +159,7 @@
 func TestNumberIsNotReusedDuringMerge(t *testing.T) {
 	inWorld(t, func(w *world) {
 		home, owner := w.settled()
-		w.split()
-		to := w.another(home)
-		w.move(testRanges, to)
-		w.until("a move", func() bool { return w.owner(testRanges) == to && w.send(w.shard, hotKey) })
+		to := w.splitAndMove(home)
 		w.ups[to].serveIn(300 * time.Millisecond)
 		go w.send(w.shard, hotKey)
 		time.Sleep(10 * time.Millisecond)
@@ -178,10 +178,7 @@
 func TestMergeMovesBackFirst(t *testing.T) {
 	inWorld(t, func(w *world) {
 		home, owner := w.settled()
-		w.split()
-		to := w.another(home)
-		w.move(testRanges, to)
-		w.until("a move", func() bool { return w.owner(testRanges) == to && w.send(w.shard, hotKey) })
+		to := w.splitAndMove(home)
 		time.Sleep(time.Second)
 		w.runUnseen(to)
 		w.decideOnly(nil)
@@ -196,10 +193,7 @@
 func TestMergeWaitsForWitness(t *testing.T) {
 	inWorld(t, func(w *world) {
 		home, owner := w.settled()
-		w.split()
-		to := w.another(home)
-		w.move(testRanges, to)
-		w.until("a move", func() bool { return w.owner(testRanges) == to && w.send(w.shard, hotKey) })
+		w.splitAndMove(home)
 		w.mu.Lock()
 		w.mute = true
 		w.mu.Unlock()
--- a/server/holder/world_test.go
+++ b/server/holder/world_test.go
@@ -210,13 +210,17 @@
 	return id.String()
 }
 
+// forward returns a request that may not be repeated.
+func (w *world) forward(key string, timeout time.Duration) *wire.Forward {
+	return &wire.Forward{
+		Shard: api.ShardID{Service: w.doc.Services[0].Name}, Range: rangeOfKey(key), Method: "POST", Path: "/" + key, Key: key,
+		RequestID: w.requestID(), TimeoutMs: timeout.Milliseconds(), Caller: "c",
+	}
+}
+
 // send sends one request for a key and waits for its end.
 func (w *world) send(s *Shard, key string) bool {
-	f := &wire.Forward{
-		Shard: s.cfg.ID, Range: rangeOfKey(key), Method: "POST", Path: "/" + key, Key: key,
-		RequestID: w.requestID(), TimeoutMs: 400, Caller: "c",
-	}
-	reply := s.Serve(context.Background(), f)
+	reply := s.Serve(context.Background(), w.forward(key, 400*time.Millisecond))
 	if reply.Refusal != nil {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -333,6 +337,8 @@
 	w       *world
 	id      api.UpstreamID
 	service time.Duration
+	refuses bool // accepts no connection for requests
+	refused int  // requests that found none
 
 	mu    sync.Mutex
 	guard *lease.Guard
@@ -356,6 +362,25 @@
 	}
 }
 
+// refuse makes the upstream accept no connection for requests; control calls are
+// answered if answerControl is set.
+func (u *fakeUpstream) refuse(on, answerControl bool) {
+	u.mu.Lock()
+	u.refuses = on
+	u.mu.Unlock()
+	u.hang(on && !answerControl)
+}
+
+// refusing reports whether a request finds no connection, and counts it.
+func (u *fakeUpstream) refusing() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.refuses {
+		u.refused++
+	}
+	return u.refuses
+}
+
 // serveIn sets the service time of later runs.
 func (u *fakeUpstream) serveIn(service time.Duration) {
 	u.mu.Lock()
@@ -433,6 +458,9 @@
 // Send implements platform.Upstream. A request that was sent arrives, even if
 // the sender gave up meanwhile.
 func (u *fakeUpstream) Send(ctx context.Context, req platform.Request) (platform.Response, error) {
+	if u.refusing() {
+		return platform.Response{}, &platform.SendError{Outcome: api.NotRun, Err: errGone}
+	}
 	result := make(chan platform.Response, 1)
 	go func() {
 		if u.wait(context.Background()) != nil {
