control: return results of the control goroutine through a channel

Cause: a question to the control goroutine wrote its result into a variable of its asker.

Change: query returns the result through a channel; MirrorContent, Progress, Status, ReceiveHandover and HandOverAll use it. A comparison of VM IDs gives way to the library's.

Conclusion: no question shares memory with an asker that has left.

--- a/server/control/assign.go
+++ b/server/control/assign.go
@@ -134,17 +134,7 @@
 		c.cfg.Log.Warn().Err(err).Str("event", "handover_refused").Msg("")
 		return wire.Reply{Refusal: api.Refuse(api.BadRequest, err.Error())}
 	}
-	joined := false
-	err := c.do(ctx, func() {
-		s := c.shards[h.Shard]
-		switch {
-		case s == nil:
-		case h.Part == 0:
-			s.handover, joined = &h, true
-		case s.handover != nil:
-			joined = s.handover.Join(h)
-		}
-	})
+	joined, err := query(ctx, c, func() bool { return c.join(h) })
 	switch {
 	case err != nil:
 		return wire.Reply{Refusal: api.Refuse(api.Stopping, err.Error())}
@@ -155,6 +145,21 @@
 	}
 }
 
+// join keeps a part of a handover. It returns false if the part does not belong
+// to a handover that this VM knows.
+func (c *Control) join(h holder.Handover) bool {
+	s := c.shards[h.Shard]
+	switch {
+	case s == nil:
+		return false
+	case h.Part == 0:
+		s.handover = &h
+		return true
+	default:
+		return s.handover != nil && s.handover.Join(h)
+	}
+}
+
 // Leave tells callers' balancer and the other VMs that this VM is stopping.
 func (c *Control) Leave(ctx context.Context) error {
 	return c.do(ctx, func() {
@@ -164,20 +169,23 @@
 	})
 }
 
+// handOverHeld starts the handover of the held shards and returns their number.
+func (c *Control) handOverHeld() (held int) {
+	for _, s := range c.shards {
+		if s.held != nil {
+			held++
+			c.handOverToAny(s)
+		}
+	}
+	return held
+}
+
 // HandOverAll hands over all shards and waits until none is held or ctx ends.
 func (c *Control) HandOverAll(ctx context.Context) error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
-		held := 0
-		err := c.do(ctx, func() {
-			for _, s := range c.shards {
-				if s.held != nil {
-					held++
-					c.handOverToAny(s)
-				}
-			}
-		})
+		held, err := query(ctx, c, c.handOverHeld)
 		if err != nil || held == 0 {
 			return err
 		}
--- a/server/control/configuration.go
+++ b/server/control/configuration.go
@@ -225,8 +225,8 @@
 
 // Progress reports which VMs have a revision.
 func (c *Control) Progress(ctx context.Context, revision uint64) (Progress, error) {
-	var p Progress
-	err := c.do(ctx, func() {
+	return query(ctx, c, func() Progress {
+		var p Progress
 		for _, vm := range c.cfg.VMs {
 			switch {
 			case c.hasRevision(vm.ID, revision):
@@ -240,8 +240,8 @@
 		}
 		p.Accepted = 2*len(p.Have) > len(c.cfg.VMs)
 		p.InForce = p.Accepted && len(p.Missing) == 0
+		return p
 	})
-	return p, err
 }
 
 func (c *Control) hasRevision(vm api.VMID, revision uint64) bool {
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -143,17 +143,25 @@
 
 // do runs f on the control goroutine and waits for it, or for ctx.
 func (c *Control) do(ctx context.Context, f func()) error {
-	done := make(chan struct{})
+	_, err := query(ctx, c, func() struct{} { f(); return struct{}{} })
+	return err
+}
+
+// query returns the result of f, which runs on the control goroutine. If ctx ends
+// first, f may still run, so it must not write to variables of its caller.
+func query[T any](ctx context.Context, c *Control, f func() T) (T, error) {
+	var none T
+	result := make(chan T, 1)
 	select {
-	case c.events <- func() { f(); close(done) }:
+	case c.events <- func() { result <- f() }:
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	}
 	select {
-	case <-done:
-		return nil
+	case r := <-result:
+		return r, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	}
 }
 
--- a/server/control/mirror.go
+++ b/server/control/mirror.go
@@ -92,14 +92,14 @@
 // MirrorContent answers another member's question about a shard.
 func (c *Control) MirrorContent(ctx context.Context, frame wire.Frame) any {
 	var ask mirrorBatch
-	var content mirrorContent
 	if err := frame.Unpack(&ask); err != nil {
-		return content
+		return mirrorContent{}
 	}
-	_ = c.do(ctx, func() {
+	content, _ := query(ctx, c, func() mirrorContent {
 		if s := c.shards[ask.Shard]; s != nil {
-			content = c.content(s)
+			return c.content(s)
 		}
+		return mirrorContent{}
 	})
 	return content
 }
--- a/server/control/status.go
+++ b/server/control/status.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -30,8 +31,8 @@
 // Status describes the deployment as this VM sees it. The state of upstreams
 // comes from the VMs that hold their shards.
 func (c *Control) Status(ctx context.Context) (admin.Status, error) {
-	status := admin.Status{VM: c.cfg.Self.ID}
-	if err := c.do(ctx, func() { c.describe(&status) }); err != nil {
+	status, err := query(ctx, c, c.describe)
+	if err != nil {
 		return status, err
 	}
 	known := map[api.UpstreamID]holder.UpstreamStatus{}
@@ -58,7 +59,8 @@
 }
 
 // describe fills in what the control goroutine knows.
-func (c *Control) describe(status *admin.Status) {
+func (c *Control) describe() admin.Status {
+	status := admin.Status{VM: c.cfg.Self.ID}
 	now := c.cfg.Clock()
 	for _, vm := range c.cfg.VMs {
 		line := admin.VMStatus{ID: vm.ID, FailureDomain: vm.Domain, State: string(c.members.State(vm.ID)), Revision: c.peers[vm.ID].revision}
@@ -68,9 +70,9 @@
 		line.Out = c.doc != nil && c.doc.VMOut(vm.ID)
 		status.VMs = append(status.VMs, line)
 	}
-	slices.SortFunc(status.VMs, func(a, b admin.VMStatus) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(status.VMs, func(a, b admin.VMStatus) int { return cmp.Compare(a.ID, b.ID) })
 	if c.doc == nil {
-		return
+		return status
 	}
 	status.Region, status.Revision, status.ActivePreset = c.doc.Region, c.doc.Revision, c.doc.ActivePreset
 	for _, p := range c.doc.Presets {
@@ -85,17 +87,7 @@
 			status.Shards = append(status.Shards, c.describeShard(now, api.ShardID{Service: s.Name, Index: i}))
 		}
 	}
-}
-
-func compare(a, b api.VMID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
+	return status
 }
 
 func (c *Control) describeShard(now time.Duration, id api.ShardID) admin.ShardStatus {
