--- a/bench/cluster/faults_test.go
+++ b/bench/cluster/faults_test.go
@@ -192,6 +192,7 @@
 func TestPlannedStopCutsOffNoRequest(t *testing.T) {
 	f := startFaultRun(t, nil)
 	f.load.Resend = 0
+	f.load.Timeout = 20 * time.Second // only a request that is lost runs into it
 	victim := f.holderOf(api.ShardID{Service: f.Document.Services[0].Name})
 	report := f.during(func() { require.NoError(t, victim.Stop(f.ctx)) })
 	for _, r := range report.Results {
