--- a/bench/policy/duplicates.go
+++ b/bench/policy/duplicates.go
@@ -223,7 +223,7 @@
 // All measures everything in this package.
 func All(seed uint64) []metric.Metric {
 	var all []metric.Metric
-	for _, measure := range []func(uint64) []metric.Metric{Goodput, Fairness, Cold, Crash, Duplicates} {
+	for _, measure := range []func(uint64) []metric.Metric{Goodput, Fairness, Cold, KnownCold, Comeback, Crash, Duplicates} {
 		all = append(all, measure(seed)...)
 	}
 	return all
--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,6 +12,21 @@
 
 const seed = 1
 
+var (
+	measure     = flag.Bool("measure", false, "print all measures with their notes")
+	measureSeed = flag.Uint64("seed", 1, "seed of TestMeasure")
+)
+
+// TestMeasure prints the figures of docs/measurements.md.
+func TestMeasure(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	for _, m := range All(*measureSeed) {
+		t.Log(m, m.Note)
+	}
+}
+
 // checkBounds fails for each metric over its bound: most is the direction of the bound.
 func checkBounds(t *testing.T, most bool, all []metric.Metric) {
 	t.Helper()
@@ -37,14 +53,32 @@
 }
 
 // TestCold guards against load that a cold upstream cannot bear.
-func TestCold(t *testing.T) {
+func TestCold(t *testing.T) { checkCold(t, Cold) }
+
+// TestKnownCold guards against load that a cold upstream cannot bear although
+// the operators or an earlier start have shown how long it takes to warm up.
+func TestKnownCold(t *testing.T) { checkCold(t, KnownCold) }
+
+func checkCold(t *testing.T, all func(uint64) []metric.Metric) {
+	t.Helper()
 	for seed := uint64(1); seed <= 3; seed++ {
-		for _, m := range Cold(seed) {
+		for _, m := range all(seed) {
 			t.Run(m.Name+"/"+strings.TrimSpace(strings.Split(m.Note, ";")[1])+fmt.Sprintf("/seed=%d", seed), func(t *testing.T) { checkBounds(t, true, []metric.Metric{m}) })
 		}
 	}
 }
 
+// TestComeback guards against a slow start that costs callers more answers in
+// time than the loss of the domain did.
+func TestComeback(t *testing.T) {
+	for _, load := range comebackLoads {
+		r := comebackRun(seed, load, coldness{warmAfter: 200, slow: 1}, 200)
+		require.GreaterOrEqual(t, r.back, r.out)
+		require.NotZero(t, r.warm)
+		require.Zero(t, r.sheds)
+	}
+}
+
 // TestCrash guards against one request that crashes upstream after upstream.
 func TestCrash(t *testing.T) {
 	checkBounds(t, true, Crash(seed))
--- a/bench/policy/shard.go
+++ b/bench/policy/shard.go
@@ -16,6 +16,13 @@
 	mean             time.Duration
 	sigma            float64
 	keyed            bool
+	ramp             ramp.Config // Normal is set by rampConfig
+}
+
+// rampConfig returns the configuration of an upstream's ramp.
+func (s shape) rampConfig() ramp.Config {
+	s.ramp.Normal = s.mean + rtt
+	return s.ramp
 }
 
 // capacity returns the requests per second that all slots can run.
@@ -59,6 +66,8 @@
 	last  uint64
 	// flying lists the calls in flight per upstream, in the order of their starts.
 	flying map[api.UpstreamID][]uint64
+	// out holds the upstreams that get no new work.
+	out map[api.UpstreamID]bool
 	// dead is a holder that was lost: it does nothing more.
 	dead bool
 	// beforeSend may take a start back; see crash.go.
@@ -71,12 +80,13 @@
 	sh := &shard{
 		e: e, shape: s, queue: dispatch.New(cfg), ramps: map[api.UpstreamID]*ramp.Ramp{},
 		byID: map[api.UpstreamID]*upstream{}, calls: map[uint64]*call{}, flying: map[api.UpstreamID][]uint64{},
+		out: map[api.UpstreamID]bool{},
 	}
 	for i := range s.upstreams {
 		u := newUpstream(e, api.UpstreamID(fmt.Sprintf("up%02d", i)), s.slots)
 		sh.ups = append(sh.ups, u)
 		sh.byID[u.id] = u
-		sh.ramps[u.id] = ramp.New(ramp.Config{Normal: s.mean + rtt}, false)
+		sh.ramps[u.id] = ramp.New(s.rampConfig(), false)
 	}
 	sh.setLimits()
 	return sh
@@ -88,7 +98,7 @@
 	full := int(float64(sh.shape.slots) * sh.shape.slotFactor)
 	for _, u := range sh.ups {
 		r := sh.ramps[u.id]
-		limits = append(limits, dispatch.Limit{Upstream: u.id, InFlight: r.Limit(sh.e.now, full), Open: true, Cold: r.Cold()})
+		limits = append(limits, dispatch.Limit{Upstream: u.id, InFlight: r.Limit(sh.e.now, full), Open: !sh.out[u.id], Cold: r.Cold()})
 	}
 	sh.queue.SetLimits(limits)
 }
@@ -133,6 +143,7 @@
 	}
 	sentAt := sh.e.now
 	sh.flying[s.Upstream] = append(sh.flying[s.Upstream], s.ID)
+	sh.ramps[s.Upstream].Sent(len(sh.flying[s.Upstream]))
 	c.job = &job{
 		service: c.service, poison: c.poison, ran: c.ran,
 		reply: func(r reply) {
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -77,6 +77,9 @@
 	Connections int `json:"connections"`
 	// MaxBody is the largest body of a request or an answer, in bytes.
 	MaxBody int `json:"max_body"`
+	// WarmUpAnswers is the number of answers that an upstream gives after a cold
+	// start before it bears one more request in flight. 0 states nothing.
+	WarmUpAnswers int `json:"warm_up_answers,omitempty"`
 	// Upstreams lists the servers that run the requests.
 	Upstreams []Upstream `json:"upstreams"`
 	// Layout holds the ranges of each shard. It is derived when the service is
--- a/core/config/refusal_test.go
+++ b/core/config/refusal_test.go
@@ -40,6 +40,8 @@
 	{`"connections": 50`, `"connections": 2`, 8, "services[0].connections", "2 connections cannot use 3 slots"},
 	{`"max_body": 65536`, `"max_body": "64KiB"`, 8, "services[0].max_body", "not a whole number"},
 	{`"max_body": 65536`, `"max_body": 1048577`, 8, "services[0].max_body", "out of range"},
+	{`"max_body": 65536`, `"max_body": 65536, "warm_up_answers": -1`, 8, "services[0].warm_up_answers", "out of range"},
+	{`"max_body": 65536`, `"max_body": 65536, "warm_up_answers": 200`, 0, "", ""},
 	{`"tray-2"`, `"tray-1"`, 11, "services[0].upstreams[1].id", `upstream "tray-1" is used twice`},
 	{`127.0.0.1:9002`, `127.0.0.1:9001`, 11, "services[0].upstreams[1].address", "used twice"},
 	{`127.0.0.1:9002`, `tray.example:9002`, 11, "services[0].upstreams[1].address", "not an IP address with a port"},
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -178,6 +178,7 @@
 	v.between(dot(path, "slots"), s.Slots, 1, maxCount, "concurrent executions")
 	v.between(dot(path, "connections"), s.Connections, 1, maxCount, "connections")
 	v.between(dot(path, "max_body"), s.MaxBody, 1, MaxBodyLimit, "bytes")
+	v.between(dot(path, "warm_up_answers"), s.WarmUpAnswers, 0, maxCount, "answers")
 	switch s.UpstreamChecks {
 	case ChecksFence, ChecksDeadline, ChecksNone:
 	default:
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -35,6 +35,11 @@
 	Normal time.Duration
 	// Start is the number of requests in flight at the beginning of a slow start.
 	Start int
+	// StepAnswers is the stated number of answers that a cold upstream of the
+	// service gives before it bears one more request in flight, 0 if none is stated.
+	StepAnswers int
+	// Lessons are what earlier slow starts of the service have shown; nil learns nothing.
+	Lessons *Lessons
 }
 
 // DefaultConfig returns the values of section 7.3 of the design page.
@@ -82,6 +87,15 @@
 	load     float64
 	loadAt   time.Duration
 	reported bool
+
+	startedAt time.Duration // of the last restart
+	restarted bool
+
+	answers  int  // since the slow start was begun
+	silent   bool // the upstream may have been cold before that
+	unproven int  // the lowest limit that steps reached and that no window has proven, 0 if none
+	used     bool // as many requests as the present limit have been in flight
+	missed   bool // a step of this slow start met a shed
 }
 
 // New returns a ramp that starts with one request if cold.
@@ -99,21 +113,31 @@
 	defaults.Positive(&cfg.Start, def.Start)
 	r := &Ramp{cfg: cfg, normal: cfg.Normal, limit: math.Inf(1)}
 	if cold {
-		r.Restart(0)
+		r.restart()
 	}
 	return r
 }
 
 // Restart begins a slow start, for example after a new incarnation. The normal
 // latency is kept: the service is the same.
-func (r *Ramp) Restart(time.Duration) {
+func (r *Ramp) Restart(now time.Duration) {
+	r.startedAt, r.restarted = now, true
+	r.restart()
+}
+
+func (r *Ramp) restart() {
 	r.cold = true
 	r.limit = float64(r.cfg.Start)
 	r.window = window{}
 	r.halvedAt = 0
 	r.reported = false
+	r.answers, r.unproven, r.used, r.silent, r.missed = 0, 0, false, false, false
 }
 
+// SetStepAnswers replaces Config.StepAnswers, for example after the operators
+// have stated it.
+func (r *Ramp) SetStepAnswers(n int) { r.cfg.StepAnswers = n }
+
 // SetNormal sets the normal latency, for example to the median over the warm
 // upstreams of the service. Without it a cold upstream is compared with itself.
 func (r *Ramp) SetNormal(normal time.Duration) {
@@ -156,13 +180,26 @@
 	r.load, r.loadAt, r.reported = load, now, true
 }
 
+// Sent takes the number of requests in flight after a send: a limit that is not
+// used proves nothing.
+func (r *Ramp) Sent(inFlight int) {
+	if inFlight >= r.inForce() {
+		r.used = true
+	}
+}
+
 // Observe takes one answer: its latency, or that the upstream shed the request.
+// Answers to requests that were sent before a restart are not of this start.
 func (r *Ramp) Observe(now, took time.Duration, shed bool) {
+	if r.restarted && now-took < r.startedAt {
+		return
+	}
 	if shed {
 		r.window.sheds++
 	} else {
 		r.window.answers++
 		r.window.total += max(took, 0)
+		r.answers++
 	}
 	if r.halvedAt > 0 {
 		// The request may have been sent before the limit was halved.
@@ -172,7 +209,8 @@
 		}
 		return
 	}
-	if shed && r.cold {
+	if shed && (r.cold || r.unproven > 0) {
+		r.missed = r.missed || r.unproven > 0
 		r.halve()
 		return
 	}
@@ -188,7 +226,7 @@
 	if r.cold {
 		// A step up on noise puts load on an upstream that cannot bear it; a
 		// late notice of a warm upstream that turns cold costs less.
-		size *= 2
+		size = max(2*size, int(math.Ceil(float64(r.cfg.StepAnswers)*r.cfg.Step)))
 	}
 	return max(size, 2*int(math.Min(r.limit, float64(max(r.full, 1)))))
 }
@@ -206,10 +244,12 @@
 	switch {
 	case !r.cold && w.sheds > 0 && times >= r.cfg.ColdFactor:
 		r.Restart(now)
+		r.silent = true
 	case shedShare >= r.cfg.ShedShare, r.cold && times >= r.cfg.SlowFactor:
 		r.halve()
 	case times <= r.cfg.NormalFactor:
-		r.limit += r.cfg.Step
+		r.prove()
+		r.raise()
 		fallthrough
 	default:
 		// Answers next to sheds come from an upstream that is in trouble.
@@ -219,10 +259,52 @@
 	}
 }
 
+// raise adds a step to the limit, unless an earlier start of the service took
+// that step too soon.
+func (r *Ramp) raise() {
+	if !r.cold {
+		return
+	}
+	next := r.limit + r.cfg.Step
+	if int(next) > int(r.limit) {
+		if r.answers < r.cfg.Lessons.needed(int(next)) {
+			return
+		}
+		r.used = false
+		if r.unproven == 0 {
+			r.unproven = int(next)
+		}
+	}
+	r.limit = next
+}
+
+// prove notes that the present limit held for a window in which it was used.
+// After a shed it becomes a lesson: later starts take the steps up to this limit
+// not before the number of answers at the end of the window, because the
+// upstream may have come to bear the limit only within it. Nothing follows for
+// later starts if it is not known when this one was.
+func (r *Ramp) prove() {
+	if r.unproven == 0 || !r.used {
+		return
+	}
+	if r.missed && !r.silent {
+		for n := r.unproven; n <= r.inForce(); n++ {
+			r.cfg.Lessons.learn(n, min(r.answers, maxLesson*2*r.cfg.Window*n))
+		}
+	}
+	r.unproven = 0
+}
+
+// inForce returns the limit without load reports.
+func (r *Ramp) inForce() int { return int(math.Min(r.limit, float64(max(r.full, 1)))) }
+
 // halve lowers the limit and ignores the answers to what is already in flight.
 // Below its full limit an upstream is on the ramp, whatever brought it there.
 func (r *Ramp) halve() {
-	r.cold = true
+	if !r.cold && r.unproven == 0 {
+		r.answers, r.silent, r.missed = 0, true, false
+	}
+	r.cold, r.unproven = true, 0
 	before := math.Min(r.limit, float64(max(r.full, 1)))
 	r.limit = math.Max(1, math.Floor(before/2))
 	r.window = window{}
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -17,8 +17,8 @@
 // observe feeds n equal answers and returns the limit after each.
 func observe(r *ramp.Ramp, n int, took time.Duration, shed bool) int {
 	for range n {
-		r.Limit(0, full)
-		r.Observe(0, took, shed)
+		r.Sent(r.Limit(0, full))
+		r.Observe(took, took, shed)
 	}
 	return r.Limit(0, full)
 }
@@ -66,6 +66,59 @@
 	require.True(t, r.Cold())
 }
 
+// TestStatedAnswers guards against a step before the answers that the operators stated.
+func TestStatedAnswers(t *testing.T) {
+	r := ramp.New(ramp.Config{Window: 8, Normal: normal, StepAnswers: 100}, true)
+	require.Equal(t, 1, observe(r, 99, normal, false))
+	require.Equal(t, 2, observe(r, 1, normal, false))
+	r.SetStepAnswers(3)
+	require.Equal(t, 2, observe(r, 15, normal, false), "a low statement makes no window smaller")
+	require.Equal(t, 3, observe(r, 1, normal, false))
+	half := ramp.New(ramp.Config{Window: 8, Normal: normal, StepAnswers: 100, Step: 2}, true)
+	require.Equal(t, 1, observe(half, 199, normal, false), "a step of two needs the answers for two")
+	require.Equal(t, 3, observe(half, 1, normal, false))
+}
+
+// TestLessons guards against a second start that repeats the sheds of the first.
+func TestLessons(t *testing.T) {
+	cfg := ramp.Config{Window: 8, Normal: normal, Lessons: ramp.NewLessons()}
+	r := ramp.New(cfg, true)
+	require.Equal(t, 2, observe(r, 16, normal, false))
+	require.Equal(t, 1, observe(r, 1, 0, true), "the first start learns by a shed")
+	observe(r, 1, 0, true) // the other request in flight
+	require.Equal(t, 2, observe(r, 17, normal, false))
+	require.Equal(t, 3, observe(r, 16, normal, false), "the limit of 2 held up to the answer 48")
+	r.Restart(0)
+	require.Equal(t, 1, observe(r, 47, normal, false))
+	require.Equal(t, 2, observe(r, 1, normal, false))
+	other := ramp.New(cfg, true)
+	require.Equal(t, 1, observe(other, 47, normal, false), "other upstreams of the service too")
+}
+
+// TestShedAfterTheLastStep guards against full load that only the last step has
+// brought and the upstream does not bear.
+func TestShedAfterTheLastStep(t *testing.T) {
+	r := cold()
+	require.Equal(t, full, observe(r, 16*(full-1), normal, false))
+	require.Equal(t, full/2, observe(r, 1, 0, true))
+	require.True(t, r.Cold())
+	warm := ramp.New(ramp.Config{Window: 32, Normal: normal}, false)
+	observe(warm, 10, normal, false)
+	require.Equal(t, full, observe(warm, 1, 0, true), "one shed of a warm upstream is no overload")
+}
+
+// TestAnswersFromBeforeARestart guards against a step that answers of the former incarnation earn.
+func TestAnswersFromBeforeARestart(t *testing.T) {
+	r := cold()
+	r.Restart(time.Second)
+	require.Equal(t, 1, observe(r, 100, normal, false))
+	for n := range 16 {
+		require.Equal(t, 1, r.Limit(0, full), n)
+		r.Observe(time.Second+normal, normal, false)
+	}
+	require.Equal(t, 2, r.Limit(0, full))
+}
+
 // TestReportsOnlyLower guards against load reports that raise a limit or stop an upstream.
 func TestReportsOnlyLower(t *testing.T) {
 	r := cold()
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -38,6 +38,7 @@
 	r.runs[up.id] = current
 	r.attempts++
 	up.running[r.id] = r
+	up.ramp.Sent(len(up.running))
 	s.evidence.Started(now, r.fingerprint)
 	s.monitor.Sent(up.id)
 	if !start.Hedge {
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -72,6 +72,7 @@
 	memory   *dedup.Memory
 	evidence *crash.Evidence
 	monitor  *straggler.Monitor
+	lessons  *ramp.Lessons
 	hedges   *hedge.Controller
 	retries  *retry.Budget
 	rng      *rand.Rand
@@ -110,6 +111,7 @@
 		memory:   dedup.New(dedup.DefaultConfig(), wall),
 		evidence: crash.New(crash.DefaultConfig()),
 		monitor:  straggler.NewMonitor(straggler.DefaultConfig()),
+		lessons:  ramp.NewLessons(),
 		rng:      rand.New(rand.NewPCG(uint64(cfg.Fence), uint64(wall.UnixNano()))),
 		requests: map[uint64]*request{},
 		waiting:  map[string][]chan *wire.Reply{},
@@ -180,13 +182,14 @@
 		up = &upstream{
 			id: u.ID, domain: u.FailureDomain, since: now,
 			client:  s.cfg.Dial(u.Address, s.service),
-			ramp:    ramp.New(rampConfig(s.preset), true),
+			ramp:    ramp.New(s.rampConfig(), true),
 			running: map[uint64]*request{},
 			kick:    make(chan struct{}, 1),
 		}
 		s.ups[u.ID] = up
 		go s.session(up)
 	}
+	up.ramp.SetStepAnswers(s.service.WarmUpAnswers)
 	wasOut := up.state.unavailable()
 	up.state.drained, up.state.out, up.state.removed = u.Drained, domain.Out, false
 	up.state.confirmedLost = doc.Lost(u.ID)
@@ -195,10 +198,12 @@
 	}
 }
 
-func rampConfig(preset config.Preset) ramp.Config {
+func (s *Shard) rampConfig() ramp.Config {
 	cfg := ramp.DefaultConfig()
-	cfg.Step = preset.RampStep
-	cfg.Start = preset.ColdStart
+	cfg.Step = s.preset.RampStep
+	cfg.Start = s.preset.ColdStart
+	cfg.StepAnswers = s.service.WarmUpAnswers
+	cfg.Lessons = s.lessons
 	return cfg
 }
 
--- a/server/holder/upstream.go
+++ b/server/holder/upstream.go
@@ -206,7 +206,7 @@
 		ReceivedAt:  now,
 	})
 	if !up.answered && s.warm[up.id] == health.Incarnation && health.Incarnation != "" {
-		up.ramp = ramp.New(rampConfig(s.preset), false)
+		up.ramp = ramp.New(s.rampConfig(), false)
 	}
 	if restarted {
 		s.ranges.settled(up.id)
