bench/policy: say how the short requests next to a flood ended

Cause: the share in time alone does not show what to improve.

Change: the notes of short_in_time_next_to_* give the refusals by kind, the expired and the late ones, and the share of the slots' time of the flood. The values are the same.

--- a/bench/policy/fairness.go
+++ b/bench/policy/fairness.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"dandelionhill.dev/api"
 	"dandelionhill.dev/bench/metric"
 	"dandelionhill.dev/core/dispatch"
 )
@@ -16,10 +17,19 @@
 	single bool
 }
 
-// inTimeNextTo returns the share of short requests on the flooded upstream that
-// are answered in time. The short ones offer 30% of its capacity, the flood three
+// fairResult says how the short requests next to a flood ended.
+type fairResult struct {
+	total, inTime, late int
+	refused             map[api.Kind]int // on arrival, or shed
+	expired             int              // in the queue
+	floodTime           float64          // share of the slots' time that went to the flood
+}
+
+func (r fairResult) share() float64 { return float64(r.inTime) / float64(r.total) }
+
+// nextTo returns what becomes of the short requests on the flooded upstream. The short ones offer 30% of its capacity, the flood three
 // times its capacity with service times four times as long.
-func inTimeNextTo(seed uint64, f fairCase) float64 {
+func nextTo(seed uint64, f fairCase) fairResult {
 	s := ordinary(true)
 	s.upstreams = 1
 	e := newEngine(seed)
@@ -34,7 +44,8 @@
 		}
 		sh.arrive(c)
 	}
-	total, inTime, sent := 0, 0, 0
+	res := fairResult{refused: map[api.Kind]int{}}
+	sent := 0
 	end := warmUp + measureTime
 	e.every(0.3*s.capacity(), end, func() {
 		arrive(call{
@@ -44,9 +55,16 @@
 				if c.sentAt < warmUp {
 					return
 				}
-				total++
-				if r.inTime {
-					inTime++
+				res.total++
+				switch {
+				case r.inTime:
+					res.inTime++
+				case r.refusal != nil:
+					res.refused[r.refusal.Kind]++
+				case r.outcome == api.NotRun:
+					res.expired++
+				default:
+					res.late++
 				}
 			},
 		})
@@ -55,11 +73,15 @@
 		sent++
 		c := f.flood(e, sent)
 		c.timeout, c.service = 10*timeout, e.lognormal(4*s.mean, s.sigma)
-		c.end = func(call, result) {}
+		c.end = func(c call, r result) {
+			if r.outcome == api.Answered && e.now > warmUp && e.now <= end {
+				res.floodTime += c.service.Seconds() / float64(s.slots) / measureTime.Seconds()
+			}
+		}
 		arrive(c)
 	})
 	e.run(end + 10*timeout)
-	return float64(inTime) / float64(total)
+	return res
 }
 
 // Fairness measures what short requests get next to one hot key, and next to
@@ -74,9 +96,11 @@
 		{name: "short_in_time_next_to_flooding_caller", flood: flood},
 		{name: "short_in_time_next_to_flooding_caller_single_queue", flood: flood, single: true},
 	} {
+		r := nextTo(seed, f)
 		out = append(out, metric.Metric{
-			Name: f.name, Value: inTimeNextTo(seed, f), Unit: "share", Seed: seed,
-			Note: fmt.Sprintf("virtual time; short: 30%% of capacity, timeout %v; flood: 3 times capacity, service time %v", timeout, 4*10*time.Millisecond),
+			Name: f.name, Value: r.share(), Unit: "share", Seed: seed,
+			Note: fmt.Sprintf("virtual time; short: 30%% of capacity, timeout %v; flood: 3 times capacity, service time %v, gets %.2f of the slots' time; of %d short: refused %v, expired %d, late %d",
+				timeout, 4*10*time.Millisecond, r.floodTime, r.total, r.refused, r.expired, r.late),
 		})
 	}
 	return out
