control: count no VM as stopped because it says so

A VM whose confirmation had lapsed counted as stopped for 2 s after it said so. It may be confirmed again at any moment, by heartbeats that the others sent before they knew the revision and that waited in its connections.

Change: in force means that every VM has reported the revision or is listed as gone. The heartbeat no longer carries the field stale (number 6), which nothing else used.

Conclusion: a report of in force now waits for a VM that is cut off until it returns or the VM list reports it as gone. An exact rule for such a VM would need heartbeats that are answered and a confirmation that counts from their sending.

--- a/api/admin/admin.go
+++ b/api/admin/admin.go
@@ -112,7 +112,7 @@
 	StatePending OperationState = "pending"
 	// StateAccepted: known to more than half of the VMs; it never reverts.
 	StateAccepted OperationState = "accepted"
-	// StateInForce: every VM that may still send work has the revision.
+	// StateInForce: every VM has the revision or is listed as gone.
 	StateInForce OperationState = "in_force"
 )
 
--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -62,7 +62,6 @@
 	Hears       []api.VMID      `cbor:"3,keyasint,omitempty"`
 	Held        []Held          `cbor:"4,keyasint,omitempty"`
 	Revision    uint64          `cbor:"5,keyasint"`
-	Stale       bool            `cbor:"6,keyasint,omitempty"` // takes no new work: its configuration is unconfirmed
 }
 
 // Config carries a whole configuration in its stored form. An empty Document
--- a/server/control/configuration.go
+++ b/server/control/configuration.go
@@ -196,7 +196,7 @@
 // Progress says how far a revision has come.
 type Progress struct {
 	Accepted bool       // known to more than half of the VMs
-	InForce  bool       // every VM that may still send work has it
+	InForce  bool       // every VM that is not gone has it
 	Have     []api.VMID // the VMs that have it
 	Missing  []api.VMID // those that may still work without it
 }
@@ -205,12 +205,13 @@
 func (c *Control) Progress(ctx context.Context, revision uint64) (Progress, error) {
 	var p Progress
 	err := c.do(ctx, func() {
-		now := c.cfg.Clock()
 		for _, vm := range c.cfg.VMs {
 			switch {
 			case c.hasRevision(vm.ID, revision):
 				p.Have = append(p.Have, vm.ID)
-			case c.hasStopped(now, vm.ID):
+			case c.members.Gone(vm.ID):
+				// A VM that says that it takes no work does not count as stopped:
+				// heartbeats from before this revision may confirm it again.
 			default:
 				p.Missing = append(p.Missing, vm.ID)
 			}
@@ -227,19 +228,3 @@
 	}
 	return c.peers[vm].revision >= revision
 }
-
-// hasStopped reports whether a VM without the newest revision surely takes no
-// new work: it said so, it is gone, or it cannot have been confirmed since.
-func (c *Control) hasStopped(now time.Duration, vm api.VMID) bool {
-	peer, heard := c.peers[vm]
-	switch {
-	case vm == c.cfg.Self.ID:
-		return false
-	case c.members.Gone(vm):
-		return true
-	case heard && peer.stale && now-peer.heardAt < confirmFor:
-		return true
-	default:
-		return false
-	}
-}
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -87,8 +87,6 @@
 // peerState is what a VM last said in a heartbeat.
 type peerState struct {
 	revision uint64
-	stale    bool
-	heardAt  time.Duration
 }
 
 // New returns a control loop; Run runs it. SetSender must be called before Run.
--- a/server/control/members.go
+++ b/server/control/members.go
@@ -19,7 +19,6 @@
 		Leaving:     c.leaving,
 		Hears:       c.members.Hears(now),
 		Revision:    c.revision(),
-		Stale:       now >= c.confirmed,
 	}
 	for id, s := range c.shards {
 		if s.held != nil {
@@ -36,7 +35,7 @@
 	}
 	now := c.cfg.Clock()
 	c.members.Heard(now, membership.Heartbeat{From: from, Incarnation: hb.Incarnation, Leaving: hb.Leaving, Hears: hb.Hears})
-	c.peers[from] = peerState{revision: hb.Revision, stale: hb.Stale, heardAt: now}
+	c.peers[from] = peerState{revision: hb.Revision}
 	held := map[api.ShardID]api.Fence{}
 	for _, h := range hb.Held {
 		held[h.Shard] = h.Fence
