cluster: listen below the ports of outgoing connections

Cause: a run of bench/cluster beside other loads on the machine panicked. The fixture chose its ports among those that the system gives to outgoing connections (32768 to 60999), so one was taken before the VM listened on it; and Kill on a daemon that had not started dereferenced a nil cancel function.

Change: VMs listen on random ports from 10000 to 32000, found by listening on them. A VM has a daemon only once that has started.

Measured: TestStopAfterFailedStart covers the second fault. go test -race ./bench/cluster passes (load average 27). The first was seen once in about ten runs; no run since has met it, which proves little.

Conclusion: a taken port is now reported as an error and should be rare.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -172,18 +173,30 @@
 	return nil
 }
 
+// The VMs listen on ports below those that the system gives to outgoing
+// connections, which could take a port between its choice and its use, and while
+// a VM is restarted.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	// portAttempts bounds the search for free ports.
+	portAttempts = 1000
+)
+
 // freeAddresses returns loopback addresses on which nothing listens.
 func freeAddresses(n int) ([]string, error) {
 	addresses := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portAttempts {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			continue
 		}
 		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
+		if addresses = append(addresses, l.Addr().String()); len(addresses) == n {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, errors.Errorf("%d ports of %d to %d were tried and fewer than %d are free", portAttempts, firstPort, lastPort, n)
 }
 
 // initialize writes the first configuration through the first VM.
--- a/bench/cluster/cluster_test.go
+++ b/bench/cluster/cluster_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -16,6 +17,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/server/settings"
 )
 
 // patience bounds waits for states that must come; it is no measurement.
@@ -86,3 +88,20 @@
 	require.NoError(t, err)
 	return bytes.NewReader(data)
 }
+
+// Guards against a panic when a deployment is stopped after a VM could not start,
+// because its address was taken.
+func TestStopAfterFailedStart(t *testing.T) {
+	c := &Cluster{}
+	addresses, err := freeAddresses(3)
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", addresses[0])
+	require.NoError(t, err)
+	defer l.Close()
+	s := settings.Default()
+	s.Listen = settings.Listen{Callers: addresses[0], Peers: addresses[1], Admin: addresses[2]}
+	c.VMs = []*VM{{Settings: &s, cluster: c}}
+	require.Error(t, c.VMs[0].Start())
+	require.False(t, c.VMs[0].Running())
+	c.Stop()
+}
--- a/bench/cluster/vm.go
+++ b/bench/cluster/vm.go
@@ -51,7 +51,7 @@
 			return
 		case <-time.After(readyPoll):
 		}
-		if vm.call(ctx, http.MethodGet, admin.PathReady, nil, nil) == nil {
+		if vm.Ready(ctx) == nil {
 			vm.serveUnless(ctx)
 			return
 		}
@@ -94,10 +94,15 @@
 	if vm.cluster.options.Binary != "" {
 		return vm.startProcess()
 	}
-	if vm.daemon, err = daemon.New(vm.Settings, log); err != nil {
+	d, err := daemon.New(vm.Settings, log)
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
 		return err
 	}
-	return vm.daemon.Start()
+	vm.daemon = d
+	return nil
 }
 
 func (vm *VM) openLog() (zerolog.Logger, error) {
@@ -235,6 +240,11 @@
 	return status, err
 }
 
+// Ready asks whether the VM takes new work.
+func (vm *VM) Ready(ctx context.Context) error {
+	return vm.call(ctx, http.MethodGet, admin.PathReady, nil, nil)
+}
+
 // Config asks for the document in force.
 func (vm *VM) Config(ctx context.Context) (*config.Document, error) {
 	doc := new(config.Document)
