measure: count reverted configurations and lost accepted changes

Change: bench/operators runs operators that change the configuration at once through all VMs, and observers of each VM and of the row, and records both for the checkers of bench/history. The faults are lost answers, lagging and slow reads, outages of the store, VMs killed and restarted with and without the store, and in bin/measure a VM that is paused. Both names are invariants: a miss gives exit code 1. Fewer than 300 changes are an error.

--- /dev/null
+++ b/bench/cmd/measure/configuration.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/bench/history"
+	"dandelionhill.dev/bench/metric"
+	"dandelionhill.dev/bench/operators"
+	"dandelionhill.dev/fakes/table"
+)
+
+const (
+	configurationOperators = 6
+	// configurationChanges is the number of changes of each operator.
+	configurationChanges = 120
+	// enoughChanges is the number of changes below which the result says too little.
+	enoughChanges = 300
+	// configurationLimit bounds the experiment, changesLimit the changes in it.
+	configurationLimit = 30 * time.Second
+	changesLimit       = 16 * time.Second
+	// outage is longer than a VM works without a confirmation of its configuration.
+	outage = 2500 * time.Millisecond
+)
+
+// configuration lets operators make changes at once through all VMs while the
+// store and VMs fail, and checks that the configuration neither reverts nor
+// loses an accepted change.
+func configuration(ctx context.Context, e env) ([]metric.Metric, error) {
+	ctx, cancel := context.WithTimeout(ctx, configurationLimit)
+	defer cancel()
+	r, err := e.start(ctx, vmCount, serviceTime)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Stop()
+	o := operators.Options{
+		VMs: map[api.VMID]operators.VM{}, Table: r.Table, Operators: configurationOperators,
+		Changes: configurationChanges, Pause: 10 * time.Millisecond, RetryAfter: 100 * time.Millisecond,
+		Steps: r.configurationFaults(ctx), Limit: changesLimit, Seed: e.seed,
+	}
+	for _, vm := range r.VMs {
+		o.VMs[vm.Settings.VM] = vm
+		o.Order = append(o.Order, vm.Settings.VM)
+	}
+	h, err := operators.Run(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	results := map[history.Result]int{}
+	inForce := 0
+	for _, c := range h.Changes {
+		results[c.Result]++
+		if c.InForce > 0 {
+			inForce++
+		}
+	}
+	note := fmt.Sprintf("%d changes: %d accepted (%d reported in force), %d conflicts, %d refused, %d without answer; %d observations", len(h.Changes),
+		results[history.Accepted], inForce, results[history.Conflict], results[history.Refused], results[history.NoAnswer], len(h.Observations))
+	reverted, lost := history.Reverted(h), history.Lost(h)
+	if check := history.LinearizableConfiguration(h); check != porcupine.Ok && len(reverted)+len(lost) == 0 {
+		err = errors.Errorf("porcupine says %v of a configuration that neither reverted nor lost a change", check)
+	}
+	if len(h.Changes) < enoughChanges {
+		err = errors.Errorf("only %d changes were made, want %d", len(h.Changes), enoughChanges)
+	}
+	out := []metric.Metric{
+		e.measured("configuration_changes_with_faults", float64(len(h.Changes)), "count", note),
+		e.measured("configuration_changes_accepted_with_faults", float64(results[history.Accepted]), "count", note),
+	}
+	for _, c := range []struct {
+		name  string
+		cases []string
+	}{
+		{"reverted_configurations", reverted},
+		{"lost_accepted_changes", lost},
+	} {
+		first := ""
+		if len(c.cases) > 0 {
+			first = "; first case: " + c.cases[0]
+		}
+		out = append(out, e.bounded(c.name, float64(len(c.cases)), "count", 0, note+first))
+	}
+	return out, err
+}
+
+// configurationFaults returns the faults in their order. Each lasts until the
+// next one that concerns the same part.
+func (r *running) configurationFaults(ctx context.Context) []func() error {
+	store := func(f table.Faults) func() error {
+		return func() error { r.Table.SetFaults(f); return nil }
+	}
+	down := func(during func() error) func() error {
+		return func() error {
+			r.Table.SetFaults(table.Faults{Down: true})
+			pause(ctx, outage/2)
+			err := during()
+			pause(ctx, outage/2)
+			r.Table.SetFaults(table.Faults{LagReads: true})
+			return err
+		}
+	}
+	kill := func(i int) func() error {
+		return func() error { r.VMs[i].Kill(); return nil }
+	}
+	return []func() error{
+		store(table.Faults{LoseAnswers: 5}),
+		kill(0),
+		store(table.Faults{LagReads: true, LoseAnswers: 3}),
+		r.VMs[0].Start,
+		func() error { r.VMs[1].Pause(); pause(ctx, outage); r.VMs[1].Resume(); return nil },
+		kill(2),
+		down(r.VMs[2].Start),
+		store(table.Faults{Delay: 20 * time.Millisecond, LoseAnswers: 5}),
+		kill(3),
+		kill(0),
+		r.VMs[3].Start,
+		r.VMs[0].Start,
+		down(func() error { r.VMs[1].Kill(); return r.VMs[1].Start() }),
+		store(table.Faults{LoseAnswers: 5}),
+		store(table.Faults{}),
+	}
+}
--- a/bench/cmd/measure/main.go
+++ b/bench/cmd/measure/main.go
@@ -41,6 +41,7 @@
 	{"planned_stop", plannedStop},
 	{"deployment", deployment},
 	{"faults", faults},
+	{"configuration", configuration},
 	{"direct", routerOverDirect},
 	{"policy", func(_ context.Context, e env) ([]metric.Metric, error) { return policy.All(e.seed), nil }},
 	{"tail", func(_ context.Context, e env) ([]metric.Metric, error) {
@@ -58,6 +59,7 @@
 // invariants are the measures that must be zero whatever fails.
 var invariants = []string{
 	"ownership_overlaps", "duplicate_runs", "false_not_run", "crossed_or_truncated_answers", "cut_requests_on_planned_stop",
+	"reverted_configurations", "lost_accepted_changes",
 }
 
 // atLeast are the measures whose bound is a lower one.
