--- a/server/control/world_test.go
+++ b/server/control/world_test.go
@@ -33,7 +33,6 @@
 	vms   map[api.VMID]*Control
 	queue []message
 	store *table.Store
-	row   uint64 // version of the row
 }
 
 // outbox sends the messages of one VM.
