peer: let the other VMs get their replies before a planned stop ends

Cause: a stopping VM closed its peer connections at once after its handovers. A peer that had forwarded a request at the last moment, to be told not_holder, lost the connection instead and had to answer unknown for a request that may not be repeated.

Change: the last step of a planned stop asks the peers to send nothing more (frame go_away) and waits, for at most 1 s, until they have closed their connections, which they do after the last reply. VMs of an older version ignore the frame.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -28,6 +28,7 @@
 	TypeCancel    Type = "cancel"
 	TypeConfig    Type = "config"
 	TypeStatus    Type = "status"
+	TypeGoAway    Type = "go_away"
 	TypeEvidence  Type = "evidence"
 
 	TypeMirror        Type = "mirror"
@@ -128,6 +129,10 @@
 // Cancel withdraws the call with the frame's number.
 type Cancel struct{}
 
+// GoAway asks the VM that dialled a connection to send nothing more on it, and
+// to close it when all replies have arrived.
+type GoAway struct{}
+
 // ErrFrame means that a frame could not be decoded.
 var ErrFrame = errors.New("frame is not valid CBOR of this protocol: check that both VMs run compatible versions")
 
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -183,11 +183,26 @@
 	if err := d.entry.Stop(ctx); err != nil && stopErr == nil {
 		stopErr = err
 	}
+	d.drainPeers(ctx)
 	d.Kill()
 	d.log.Info().Str("event", "stopped").Err(stopErr).Msg("")
 	return stopErr
 }
 
+// drainTimeout bounds the wait for peers to close their connections. A peer that
+// is lost, or does not know the request, does not close its own.
+const drainTimeout = time.Second
+
+// drainPeers lets the other VMs get the replies to what they have sent here. A
+// request that waits for one would otherwise end with an unknown outcome.
+func (d *Daemon) drainPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	if err := d.hub.Drain(ctx); err != nil {
+		d.log.Info().Err(err).Str("event", "peers_not_drained").Msg("")
+	}
+}
+
 // Kill stops at once, as a crash would.
 func (d *Daemon) Kill() {
 	d.cancel()
--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -74,11 +74,16 @@
 	links   map[api.VMID]*link
 	ctx     context.Context // ends with Run; accepted connections end with it
 	stop    context.CancelFunc
+
+	mu       sync.Mutex
+	draining bool
+	accepted map[*inbound]struct{}
+	open     sync.WaitGroup // the accepted connections
 }
 
 // NewHub returns a hub; Run connects it.
 func NewHub(cfg Config, handler Handler) *Hub {
-	hub := &Hub{cfg: cfg, handler: handler, links: map[api.VMID]*link{}}
+	hub := &Hub{cfg: cfg, handler: handler, links: map[api.VMID]*link{}, accepted: map[*inbound]struct{}{}}
 	hub.ctx, hub.stop = context.WithCancel(context.Background())
 	for _, p := range cfg.Peers {
 		if p.ID != cfg.Self {
@@ -193,7 +198,7 @@
 	}
 	connCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	queue := l.connect()
+	queue := l.connect(cancel)
 	defer l.disconnect()
 	go func() {
 		defer cancel()
@@ -209,6 +214,10 @@
 		if err != nil {
 			return err
 		}
+		if frame.Type == wire.TypeGoAway {
+			l.retire()
+			continue
+		}
 		l.deliver(frame)
 	}
 }
@@ -254,9 +263,52 @@
 		return
 	}
 	in := &inbound{hub: h, from: hello.VM, conn: conn, running: map[uint64]context.CancelFunc{}}
+	if !h.accept(in) {
+		return
+	}
+	defer h.release(in)
 	in.serve(r.Context())
 }
 
+// accept counts a connection, unless the hub is draining.
+func (h *Hub) accept(in *inbound) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.draining {
+		return false
+	}
+	h.accepted[in] = struct{}{}
+	h.open.Add(1)
+	return true
+}
+
+func (h *Hub) release(in *inbound) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.accepted, in)
+	h.open.Done()
+}
+
+// Drain asks the peers to send nothing more, and waits until they have closed
+// their connections or ctx ends. A peer closes its connection when it has the
+// replies to what it sent before, so that no call is cut off.
+func (h *Hub) Drain(ctx context.Context) error {
+	h.mu.Lock()
+	h.draining = true
+	for in := range h.accepted {
+		go in.write(wire.TypeGoAway, 0, wire.GoAway{})
+	}
+	h.mu.Unlock()
+	closed := make(chan struct{})
+	go func() { h.open.Wait(); close(closed) }()
+	select {
+	case <-closed:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "peers kept their connections")
+	}
+}
+
 // greet reads and checks the first frame.
 func (h *Hub) greet(r *http.Request, conn *websocket.Conn) (wire.Hello, error) {
 	var hello wire.Hello
@@ -284,139 +336,3 @@
 	}
 	return hello, nil
 }
-
-// inbound is a connection that a peer dialled.
-type inbound struct {
-	hub  *Hub
-	from api.VMID
-	conn *websocket.Conn
-
-	mu      sync.Mutex
-	running map[uint64]context.CancelFunc
-}
-
-func (in *inbound) serve(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer closeWith(ctx, in.conn)()
-	for {
-		_, data, err := in.conn.Read(context.Background())
-		if err != nil {
-			return
-		}
-		frame, err := wire.Decode(data)
-		if err != nil {
-			in.hub.cfg.Log.Warn().Err(err).Str("event", "frame_refused").Str("peer", string(in.from)).Msg("")
-			return
-		}
-		switch {
-		case frame.Type == wire.TypeCancel:
-			in.cancel(frame.Call)
-		case frame.Call != 0:
-			in.start(ctx, frame)
-		default:
-			in.hub.handler.Message(in.from, frame)
-		}
-	}
-}
-
-func (in *inbound) start(ctx context.Context, frame wire.Frame) {
-	callCtx, cancel := context.WithCancel(ctx)
-	in.mu.Lock()
-	in.running[frame.Call] = cancel
-	in.mu.Unlock()
-	go func() {
-		defer in.cancel(frame.Call)
-		in.reply(frame.Call, in.hub.handler.Call(callCtx, in.from, frame))
-	}()
-}
-
-func (in *inbound) cancel(number uint64) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if cancel, ok := in.running[number]; ok {
-		cancel()
-		delete(in.running, number)
-	}
-}
-
-func (in *inbound) reply(number uint64, payload any) {
-	data, err := wire.Encode(wire.TypeReply, number, payload)
-	if err != nil {
-		return
-	}
-	late := time.AfterFunc(writeTimeout, func() { in.conn.CloseNow() })
-	defer late.Stop()
-	if err := in.conn.Write(context.Background(), websocket.MessageBinary, data); err != nil {
-		in.conn.CloseNow()
-	}
-}
-
-// link is the connection that this VM dials to one peer.
-type link struct {
-	peer Peer
-
-	mu    sync.Mutex
-	next  uint64
-	queue chan []byte // nil while not connected
-	calls map[uint64]chan wire.Frame
-}
-
-func newLink(p Peer) *link { return &link{peer: p, calls: map[uint64]chan wire.Frame{}} }
-
-func (l *link) connect() <-chan []byte {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.queue = make(chan []byte, queueFrames)
-	return l.queue
-}
-
-// disconnect ends all calls: their replies can no longer arrive.
-func (l *link) disconnect() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.queue = nil
-	for number, replies := range l.calls {
-		close(replies)
-		delete(l.calls, number)
-	}
-}
-
-func (l *link) enqueue(data []byte) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.queue == nil {
-		return false
-	}
-	select {
-	case l.queue <- data:
-		return true
-	default:
-		return false
-	}
-}
-
-func (l *link) open() (uint64, <-chan wire.Frame) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.next++
-	replies := make(chan wire.Frame, 1)
-	l.calls[l.next] = replies
-	return l.next, replies
-}
-
-func (l *link) close(number uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.calls, number)
-}
-
-// deliver gives a reply to its call. A reply whose call has ended is dropped.
-func (l *link) deliver(frame wire.Frame) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if replies, ok := l.calls[frame.Call]; ok && frame.Type == wire.TypeReply {
-		replies <- frame
-		delete(l.calls, frame.Call)
-	}
-}
--- a/server/peer/hub_test.go
+++ b/server/peer/hub_test.go
@@ -103,3 +103,54 @@
 	}
 	require.ErrorIs(t, call(t, hub, wire.TypeStatus, wire.Hello{}), ErrLost)
 }
+
+// Guards against a planned stop that breaks connections while replies are on
+// their way: the caller could not tell whether its request ran.
+func TestDrainLosesNoReply(t *testing.T) {
+	release := make(chan struct{})
+	far := NewHub(Config{Self: "far", Peers: []Peer{{ID: "near"}}, Log: zerolog.Nop()}, slow{echo{}, release})
+	hub, _ := start(t, far)
+	require.NoError(t, call(t, hub, wire.TypeStatus, wire.Hello{}))
+	const calls = 20
+	results := make(chan error, calls)
+	for range calls {
+		go func() { results <- hub.Call(t.Context(), "far", wire.TypeForward, wire.Hello{}, new(wire.Hello)) }()
+	}
+	for range calls {
+		release <- struct{}{} // each call runs
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- far.Drain(t.Context()) }()
+	for { // until the peer has been told
+		err := hub.Call(t.Context(), "far", wire.TypeStatus, wire.Hello{}, new(wire.Hello))
+		if err != nil {
+			require.ErrorIs(t, err, ErrNotSent)
+			break
+		}
+	}
+	select {
+	case err := <-drained:
+		require.Fail(t, "drained while calls run", "%v", err)
+	default:
+	}
+	close(release)
+	for range calls {
+		require.NoError(t, <-results)
+	}
+	require.NoError(t, <-drained)
+	require.ErrorIs(t, hub.Call(t.Context(), "far", wire.TypeStatus, wire.Hello{}, new(wire.Hello)), ErrNotSent)
+}
+
+// slow keeps a forward until release is closed.
+type slow struct {
+	echo
+	release chan struct{}
+}
+
+func (s slow) Call(ctx context.Context, from api.VMID, frame wire.Frame) any {
+	if frame.Type == wire.TypeForward {
+		<-s.release
+		<-s.release
+	}
+	return s.echo.Call(ctx, from, frame)
+}
