control: share nothing with a caller that has given up

Cause: TestConfigurationNeverReverts under the race detector failed in 2 of 8 runs (load average 28 to 55). When a call of the admin interface was cancelled while its question waited for the control goroutine, Progress returned its result while that goroutine wrote it. Status and the answer to mirror_content did the same; a torn answer to the latter could have claimed to know request IDs that it lacked.

Change: after an error of do, these return an empty result.

Conclusion: the control goroutine shares no variable with a caller that has returned. The detector does not find the fault on every run of the old code.

--- a/server/control/configuration.go
+++ b/server/control/configuration.go
@@ -219,7 +219,10 @@
 		p.Accepted = 2*len(p.Have) > len(c.cfg.VMs)
 		p.InForce = p.Accepted && len(p.Missing) == 0
 	})
-	return p, err
+	if err != nil {
+		return Progress{}, err
+	}
+	return p, nil
 }
 
 func (c *Control) hasRevision(vm api.VMID, revision uint64) bool {
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -141,7 +141,8 @@
 // post runs f on the control goroutine.
 func (c *Control) post(f func()) { c.events <- f }
 
-// do runs f on the control goroutine and waits for it, or for ctx.
+// do runs f on the control goroutine and waits for it, or for ctx. After an
+// error f may still run later: the caller must not use what f writes.
 func (c *Control) do(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	select {
--- a/server/control/mirror.go
+++ b/server/control/mirror.go
@@ -96,11 +96,14 @@
 	if err := frame.Unpack(&ask); err != nil {
 		return content
 	}
-	_ = c.do(ctx, func() {
+	err := c.do(ctx, func() {
 		if s := c.shards[ask.Shard]; s != nil {
 			content = c.content(s)
 		}
 	})
+	if err != nil {
+		return mirrorContent{}
+	}
 	return content
 }
 
--- a/server/control/status.go
+++ b/server/control/status.go
@@ -32,7 +32,7 @@
 func (c *Control) Status(ctx context.Context) (admin.Status, error) {
 	status := admin.Status{VM: c.cfg.Self.ID}
 	if err := c.do(ctx, func() { c.describe(&status) }); err != nil {
-		return status, err
+		return admin.Status{}, err
 	}
 	known := map[api.UpstreamID]holder.UpstreamStatus{}
 	for _, s := range c.heldEverywhere(ctx) {
