control: confirm a configuration only by VMs that have read the store

Cause: when the store does not answer, a VM confirms its configuration by contact with more than half of the known VMs, of which an accepted change is known to more than half. Two kinds of VM broke the intersection of these majorities: - a VM that has restarted during the outage and forgotten the change was counted, as was one that had taken an older configuration from a peer since; - VMs that are listed as gone were taken out of the number of VMs, while changes are accepted by more than half of all. An accepted change could revert until the store was back.

Change: heartbeats say whether the process has read the configuration from the store since its start (field 7). A configuration is confirmed by more than half of all VMs of the settings that have, itself included. A VM that knew an accepted revision has then either kept it or read it again after it was written. A heartbeat of a former process of a VM no longer replaces what the present one said. A restarted VM still works during the outage, confirmed by the others. membership.Majority is unchanged and no longer used for this.

The price is availability: once half of the VMs have restarted or are lost during one outage of the store, all take no new work until it answers.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -62,6 +62,9 @@
 	Hears       []api.VMID      `cbor:"3,keyasint,omitempty"`
 	Held        []Held          `cbor:"4,keyasint,omitempty"`
 	Revision    uint64          `cbor:"5,keyasint"`
+	// StoreRead means that the process has read the configuration from the store.
+	// Number 6 belonged to a field of an earlier version.
+	StoreRead bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Config carries a whole configuration in its stored form. An empty Document
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -200,6 +200,8 @@
 // Majority reports whether this VM hears more than half of the known VMs,
 // itself included. Dead VMs count as known unless they are gone: a minority
 // cut off from the others must not take itself for all that is left.
+// A configuration is not confirmed by this rule: gone VMs count there, and VMs
+// that have restarted without the store do not (section 8 of the design page).
 func (t *Table) Majority(now time.Duration) bool {
 	known, heard := 1, 1
 	for _, p := range t.order {
--- a/server/control/configuration.go
+++ b/server/control/configuration.go
@@ -72,18 +72,31 @@
 }
 
 // confirmByMajority confirms the configuration by contact with more than half
-// of the VMs, none of which has a newer one. Every accepted change is known to
-// more than half of them.
+// of the VMs of the settings, none of which has a newer one. Only those count
+// that have read the store since their start: a VM that knew an accepted
+// revision has either kept it or read it again after it was written. VMs that
+// are gone stay in the number of VMs, because changes were accepted by more than
+// half of all.
 func (c *Control) confirmByMajority(now time.Duration) {
-	if c.doc == nil || !c.members.Majority(now) {
+	if c.doc == nil {
 		return
 	}
+	remember := 0
+	if c.storeRead {
+		remember++
+	}
 	for _, vm := range c.members.Hears(now) {
-		if c.peers[vm].revision > c.doc.Revision {
+		peer := c.peers[vm]
+		if peer.revision > c.doc.Revision {
 			return
 		}
+		if peer.storeRead {
+			remember++
+		}
+	}
+	if 2*remember > len(c.cfg.VMs) {
+		c.confirmed = max(c.confirmed, now+confirmFor)
 	}
-	c.confirmed = max(c.confirmed, now+confirmFor)
 }
 
 // readStore reads the configuration and the records of shards in one
@@ -104,19 +117,20 @@
 		c.post(func() {
 			c.reading = false
 			if c.stored = err == nil; c.stored {
-				c.storeRead(ctx, sentAt, result.Rows)
+				c.receiveRows(ctx, sentAt, result.Rows)
 			}
 		})
 	}()
 }
 
-func (c *Control) storeRead(ctx context.Context, sentAt time.Duration, rows []platform.Row) {
+func (c *Control) receiveRows(ctx context.Context, sentAt time.Duration, rows []platform.Row) {
 	for _, row := range rows {
 		if row.Key != ConfigKey {
 			c.learnRecord(ctx, row)
 			continue
 		}
 		if row.Version == 0 {
+			c.storeRead = true // no change was accepted before
 			continue
 		}
 		doc, err := config.Decode(row.Value)
@@ -125,6 +139,7 @@
 			continue
 		}
 		c.install(doc, row.Version)
+		c.storeRead = true
 		c.confirmed = max(c.confirmed, sentAt+confirmFor)
 	}
 }
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -79,6 +79,9 @@
 	leaving    bool
 	machines   uint64 // authority machines made so far
 	stored     bool   // the last store call succeeded
+	// storeRead is true once this process has read the configuration from the
+	// store, and so knows every revision that was accepted before its start.
+	storeRead bool
 
 	nextHeartbeat, nextMaintain time.Duration
 	reading                     bool // a read of the store is in progress
@@ -86,7 +89,8 @@
 
 // peerState is what a VM last said in a heartbeat.
 type peerState struct {
-	revision uint64
+	revision  uint64
+	storeRead bool // as Control.storeRead
 }
 
 // New returns a control loop; Run runs it. SetSender must be called before Run.
--- a/server/control/members.go
+++ b/server/control/members.go
@@ -19,6 +19,7 @@
 		Leaving:     c.leaving,
 		Hears:       c.members.Hears(now),
 		Revision:    c.revision(),
+		StoreRead:   c.storeRead,
 	}
 	for id, s := range c.shards {
 		if s.held != nil {
@@ -35,7 +36,10 @@
 	}
 	now := c.cfg.Clock()
 	c.members.Heard(now, membership.Heartbeat{From: from, Incarnation: hb.Incarnation, Leaving: hb.Leaving, Hears: hb.Hears})
-	c.peers[from] = peerState{revision: hb.Revision}
+	if c.members.Incarnation(from) != hb.Incarnation {
+		return nil // delayed, from a former process of the VM
+	}
+	c.peers[from] = peerState{revision: hb.Revision, storeRead: hb.StoreRead}
 	held := map[api.ShardID]api.Fence{}
 	for _, h := range hb.Held {
 		held[h.Shard] = h.Fence
--- a/server/control/world_test.go
+++ b/server/control/world_test.go
@@ -77,8 +77,11 @@
 }
 
 // write makes a revision in the store.
-func (w *world) write(revision uint64) {
-	data, err := config.Encode(&config.Document{Revision: revision})
+func (w *world) write(revision uint64) { w.put(&config.Document{Revision: revision}) }
+
+// put writes a document to the store.
+func (w *world) put(doc *config.Document) {
+	data, err := config.Encode(doc)
 	require.NoError(w.t, err)
 	result, err := w.store.Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: ConfigKey, Value: data}}})
 	require.NoError(w.t, err)
@@ -90,7 +93,7 @@
 	result, err := w.store.Commit(context.Background(), platform.Txn{Reads: []string{ConfigKey}})
 	require.NoError(w.t, err)
 	for _, id := range ids {
-		w.vms[id].storeRead(context.Background(), w.now, result.Rows)
+		w.vms[id].receiveRows(context.Background(), w.now, result.Rows)
 	}
 }
 
@@ -120,22 +123,32 @@
 	w.queue = nil
 }
 
-func (w *world) progress(id api.VMID, revision uint64) Progress {
-	c := w.vms[id]
+// ask calls a method of a VM that waits for its control goroutine.
+func (w *world) ask(id api.VMID, call func(ctx context.Context, c *Control)) {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		for {
 			select {
-			case event := <-c.events:
+			case event := <-w.vms[id].events:
 				event()
 			case <-ctx.Done():
 				return
 			}
 		}
 	}()
-	p, err := c.Progress(ctx, revision)
-	require.NoError(w.t, err)
+	call(ctx, w.vms[id])
+	cancel()
+	<-ended
+}
+
+func (w *world) progress(id api.VMID, revision uint64) (p Progress) {
+	w.ask(id, func(ctx context.Context, c *Control) {
+		var err error
+		p, err = c.Progress(ctx, revision)
+		require.NoError(w.t, err)
+	})
 	return p
 }
 
