--- a/server/control/control.go
+++ b/server/control/control.go
@@ -79,6 +79,9 @@
 	leaving    bool
 	machines   uint64 // authority machines made so far
 	stored     bool   // the last store call succeeded
+	// storeRead is true once this process has read the configuration from the
+	// store, and so knows every revision that was accepted before its start.
+	storeRead bool
 
 	nextHeartbeat, nextMaintain time.Duration
 	reading                     bool // a read of the store is in progress
@@ -86,7 +89,8 @@
 
 // peerState is what a VM last said in a heartbeat.
 type peerState struct {
-	revision uint64
+	revision  uint64
+	storeRead bool // as Control.storeRead
 }
 
 // New returns a control loop; Run runs it. SetSender must be called before Run.
@@ -141,7 +145,8 @@
 // post runs f on the control goroutine.
 func (c *Control) post(f func()) { c.events <- f }
 
-// do runs f on the control goroutine and waits for it, or for ctx.
+// do runs f on the control goroutine and waits for it, or for ctx. After an
+// error f may still run later: the caller must not use what f writes.
 func (c *Control) do(ctx context.Context, f func()) error {
 	_, err := query(ctx, c, func() struct{} { f(); return struct{}{} })
 	return err
