dispatch: judge a caller by its waiting keys, not by its requests for a hot one

Cause: a request counts as sparse if its key wants nothing else and its caller has no more queued than others. Next to a hot key half of the callers have more than the average queued for that key, so their requests for other keys waited in the rings behind it or were refused.

Change: a caller is modest with at most one key more waiting than callers have on average. One that floods with many keys is not (TestTurns). TestCallerOfAHotKeyIsSparseElsewhere fails with the former rule.

--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -94,12 +94,15 @@
 	return c == nil || l.modest(c, r.Key, 0)
 }
 
-// modest reports whether a caller has no more queued, apart from a number of
-// requests, than callers have on average; without a key it may have nothing.
-// Callers of a hot key are modest, one that floods the lane is not.
+// modest reports whether a caller has at most one key more waiting than callers
+// have on average; without a key it may have nothing queued, apart from a number
+// of requests. Callers of a hot key are modest, however many requests they have
+// for it, and one that floods the lane with many keys is not.
 func (l *lane) modest(c *caller, key string, apart int) bool {
-	n := c.queued - apart
-	return n == 0 || key != "" && len(l.callers) > 1 && n*len(l.callers) <= l.queued
+	if key == "" {
+		return c.queued == apart
+	}
+	return c.ready.n == 0 || len(l.callers) > 1 && (c.ready.n-1)*len(l.callers) <= l.ready
 }
 
 // ahead estimates how many queued requests start before a new one. Its flow
--- a/core/dispatch/history_test.go
+++ b/core/dispatch/history_test.go
@@ -160,3 +160,23 @@
 	require.LessOrEqual(t, longs, shorts+160*ms, "half of the time; the shares may be one run apart at the beginning and the end")
 	require.GreaterOrEqual(t, longs, shorts-160*ms, "the long key has its half too")
 }
+
+// TestCallerOfAHotKeyIsSparseElsewhere guards against a short request that
+// waits behind a hot key because its caller also wants that key.
+func TestCallerOfAHotKeyIsSparseElsewhere(t *testing.T) {
+	q := newQueue(dispatch.Config{QueueLength: 1000}, 1, 1)
+	id := uint64(0)
+	for i := range 10 {
+		for range 5 + 5*i {
+			id++
+			admit(t, q, dispatch.Request{ID: id, Upstream: up(0), Key: "hot", Caller: fmt.Sprint("c", i)})
+		}
+	}
+	for range 20 {
+		next(q, 0, true)
+	}
+	id++
+	admit(t, q, dispatch.Request{ID: id, Upstream: up(0), Key: "light", Caller: "c9"})
+	started := append(next(q, 0, true), next(q, 0, true)...)
+	require.Contains(t, started, id)
+}
--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -88,6 +88,7 @@
 	// rings have been given; the one with less has the next turn.
 	sparseTime, ringTime float64
 	queued               int
+	ready                int // flows that are ready
 	tries                int // starts since the last try, up to maxTries
 	due                  deadlines
 	solo                 *item     // waits for soloUp to be empty
@@ -239,6 +240,7 @@
 		if f.wantsLittle() {
 			l.sparse.pushBack(&f.sparse)
 		}
+		l.ready++
 		f.key.ready.pushBack(&f.inKey)
 		f.caller.ready.pushBack(&f.inCaller)
 		if f.key.inLane.on == nil {
@@ -249,6 +251,7 @@
 		}
 		return
 	}
+	l.ready--
 	f.inKey.drop()
 	f.inCaller.drop()
 	f.sparse.drop()
