dispatch: expect short runs before a sparse request to be short

Cause: the wait of a sparse request counted two runs of mean length for each sparse request before it. Next to a flood the mean is that of the long runs, but the rings now get only as much time as the sparse requests do.

Change: each sparse request before it counts for twice the service time that is expected of the new one. TestShortRunsAheadWaitLess fails with the former estimate (312 ms expected, 180 ms needed).

--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -105,11 +105,13 @@
 	return c.ready.n == 0 || len(l.callers) > 1 && (c.ready.n-1)*len(l.callers) <= l.ready
 }
 
-// ahead estimates how many queued requests start before a new one. Its flow
+// ahead estimates how many queued requests start before a new one, in runs of
+// mean length. Its flow
 // gets every second turn from the keys' ring and every second from the callers'
 // ring, so a long queue of a hot key does not count in full. A request comes in
 // the middle of its flow's cycle on average.
-func (l *lane) ahead(r Request) float64 {
+func (l *lane) ahead(it *item, mean float64) float64 {
+	r := it.req
 	keys, callers := l.keyRing.n, l.callerRing.n
 	flowsOfKey, flowsOfCaller, own := 0, 0, 0
 	k := l.keys[keyID{r.Key, r.Range}]
@@ -136,18 +138,20 @@
 		flowsOfCaller++
 	}
 	if l.isSparse(r) {
-		return math.Min(float64(l.queued), float64(2*l.sparse.n)+0.5)
+		// The rings get as much time as the sparse requests before this one.
+		return math.Min(float64(l.queued), float64(2*l.sparse.n)*it.run.mean/mean+0.5)
 	}
 	share := 0.5/float64(keys*max(1, flowsOfKey)) + 0.5/float64(callers*max(1, flowsOfCaller))
 	return math.Min(float64(l.queued), (float64(own)+0.5)/share)
 }
 
 // wait estimates the time until a new request starts.
-func (q *Queue) wait(l *lane, r Request, o outlook) time.Duration {
+func (q *Queue) wait(l *lane, it *item, o outlook) time.Duration {
+	r := it.req
 	s := l.service.or(q.cfg.ServiceTime)
 	wait := 0.0
 	if !o.room {
-		wait = (l.ahead(r) + 1) / o.rate
+		wait = (l.ahead(it, s.mean) + 1) / o.rate
 	}
 	if r.Solo {
 		wait += s.mean
--- a/core/dispatch/history.go
+++ b/core/dispatch/history.go
@@ -89,7 +89,7 @@
 // one of its key and caller and can start before its deadline.
 func (q *Queue) mayTry(now time.Duration, l *lane, it *item, o outlook) bool {
 	r := it.req
-	if l.tries < triesPer || l.flows[flowID{keyID{r.Key, r.Range}, r.Caller}] != nil || r.Deadline < now+q.wait(l, r, o) {
+	if l.tries < triesPer || l.flows[flowID{keyID{r.Key, r.Range}, r.Caller}] != nil || r.Deadline < now+q.wait(l, it, o) {
 		return false
 	}
 	l.tries -= triesPer
--- a/core/dispatch/history_test.go
+++ b/core/dispatch/history_test.go
@@ -180,3 +180,24 @@
 	started := append(next(q, 0, true), next(q, 0, true)...)
 	require.Contains(t, started, id)
 }
+
+// TestShortRunsAheadWaitLess guards against the refusal of a short request
+// because the short ones before it are expected to take as long as a hot key's.
+func TestShortRunsAheadWaitLess(t *testing.T) {
+	q := newQueue(dispatch.Config{ServiceTime: 10 * ms, QueueLength: 1000}, 1, 1)
+	id := uint64(0)
+	for i := range 20 {
+		run(t, q, &id, 1, fmt.Sprint("old", i), fmt.Sprint("o", i), 10*ms)
+	}
+	run(t, q, &id, 100, "long", "flood", 80*ms)
+	busy(t, q, &id, 50, "long", "flood")
+	short := func(n int, deadline time.Duration) *api.Refusal {
+		id++
+		return q.Admit(0, dispatch.Request{ID: id, Upstream: up(0), Key: fmt.Sprint("k", n), Caller: fmt.Sprint("c", n), Deadline: deadline})
+	}
+	require.Nil(t, short(1, 0))
+	// Before its end come the run in flight, at most one long run of the rings,
+	// and two short runs: 180 ms.
+	require.Nil(t, short(2, 250*ms))
+	require.NotNil(t, short(3, 60*ms), "it cannot start before the long run ends")
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -215,7 +215,7 @@
 		if l.sparse.n < sparseTries && l.isSparse(r) {
 			margin, it.sparse = 0, true
 		}
-		need = q.wait(l, r, o) + it.run.likely(margin)
+		need = q.wait(l, it, o) + it.run.likely(margin)
 	}
 	if r.Deadline >= now+need || q.mayTry(now, l, it, o) {
 		return nil
