placement: follow an upstream's changed load within half a minute

Cause: with the steady average alone, a change of the load of all ranges of an upstream by 11%, from 1.115 to 1.20 of the mean, moved the first range only after 59 s (TestChangedUpstreamIsFollowed without this change). No change of a single range is large enough to be noticed there.

Change: if the recent averages of an upstream's ranges add up to a load more than 5% away from the steady one, all of them take the recent average. That is five times the noise of the recent average at 480 requests/s.

--- a/core/placement/averages.go
+++ b/core/placement/averages.go
@@ -19,6 +19,10 @@
 // multiple of the noise of the recent average of a range.
 const changedShare = 0.5
 
+// upstreamChangedShare is the same for the load of an upstream. Its ranges can
+// change together by less than what counts as a change of one range.
+const upstreamChangedShare = 0.05
+
 // averages has the average load of each range. A single measurement of a range
 // has a noise of several per cent, and ranges moved because of noise are churn.
 //
@@ -53,10 +57,15 @@
 	r.steady += weight * (measured - r.steady)
 	r.age = min(r.age+passed, steadySpans*span)
 	if math.Abs(r.recent-r.steady) > changedShare*r.steady {
-		r.steady, r.age = r.recent, min(r.age, span)
+		r.restart(span)
 	}
 }
 
+// restart takes the recent average as the steady one.
+func (r *rangeAverage) restart(span time.Duration) {
+	r.steady, r.age = r.recent, min(r.age, span)
+}
+
 // expWeight returns the weight of a new measurement in an exponential average.
 func expWeight(passed, span time.Duration) float64 {
 	if span <= 0 {
@@ -112,6 +121,7 @@
 	case known:
 		n.jumpEnded = true
 	}
+	recent := 0.0
 	n.load = 0
 	for i := range n.ranges {
 		r := &n.ranges[i]
@@ -124,6 +134,18 @@
 		a.loads[r.id] = average
 		r.load = average.steady
 		n.load += r.load
+		recent += average.recent
+	}
+	if math.Abs(recent-n.load) > upstreamChangedShare*n.load {
+		n.load = 0
+		for i := range n.ranges {
+			r := &n.ranges[i]
+			average := a.loads[r.id]
+			average.restart(a.after)
+			a.loads[r.id] = average
+			r.load = average.steady
+			n.load += r.load
+		}
 	}
 }
 
--- a/core/placement/averages_test.go
+++ b/core/placement/averages_test.go
@@ -103,3 +103,28 @@
 	require.GreaterOrEqual(t, first, (at+10)*time.Second)
 	require.LessOrEqual(t, first, (at+30)*time.Second)
 }
+
+// Guards against an overload that goes unnoticed for minutes because it is made
+// of changes that are small for each range and for the upstream.
+func TestChangedUpstreamIsFollowed(t *testing.T) {
+	in := testInput(160, fleet(4, 4))
+	var p Planner
+	apply(in, p.Plan(0, in, DefaultPolicy()))
+	owners := map[int]bool{}
+	for r, owner := range in.Owners {
+		owners[r] = owner == "u00"
+	}
+	const at = 300
+	first, _ := planSeconds(&p, in, 1, at+90, noisy(1, func(second, rng int) float64 {
+		switch {
+		case owners[rng] && second >= at:
+			return 1.29 // 1.20 of the mean, as the others have 1
+		case owners[rng]:
+			return 1.16 // 1.115 of the mean
+		default:
+			return 1
+		}
+	}))
+	require.GreaterOrEqual(t, first, (at+10)*time.Second)
+	require.LessOrEqual(t, first, (at+30)*time.Second)
+}
