measure: the 99th percentile with a straggler on the running system

Cause: p99_one_straggler_over_none came from virtual time only.

Change: bin/measure starts the example hooghly with 6 upstreams of each service, loads both at 50%, and slows one upstream of each tenfold in the second half. It waits until upstreams are warm and shards are with their preferred holders: a handover within a phase decided the figure. The keyed service is reported beside the keys of the other owners. Asked for by name it runs with a hedge budget of 0 as well; no setting switches the penalty off.

--- a/bench/cmd/measure/main.go
+++ b/bench/cmd/measure/main.go
@@ -43,6 +43,7 @@
 	{"faults", faults},
 	{"direct", routerOverDirect},
 	{"forwarding", forwarding},
+	{"straggler", straggler},
 	{"policy", func(_ context.Context, e env) ([]metric.Metric, error) { return policy.All(e.seed), nil }},
 	{"tail", func(_ context.Context, e env) ([]metric.Metric, error) {
 		return tail.Metrics(tail.Compare(tail.DefaultOptions(e.seed)), e.seed), nil
