measure: the presets of the examples in the situations they are meant for

Change: bench/policy runs the keyed service of each example under each preset in virtual time: the ordinary rate, a peak of twice that rate, and a failure domain out and back with cold upstreams; at mean service times of 10 and 100 ms. The model of the holder refreshes one limit at the end of a run, as the holder does, which makes these runs shorter.

--- a/bench/cmd/measure/main.go
+++ b/bench/cmd/measure/main.go
@@ -44,6 +44,7 @@
 	{"direct", routerOverDirect},
 	{"forwarding", forwarding},
 	{"straggler", straggler},
+	{"presets", presets},
 	{"policy", func(_ context.Context, e env) ([]metric.Metric, error) { return policy.All(e.seed), nil }},
 	{"tail", func(_ context.Context, e env) ([]metric.Metric, error) {
 		return tail.Metrics(tail.Compare(tail.DefaultOptions(e.seed)), e.seed), nil
--- /dev/null
+++ b/bench/cmd/measure/presets.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"context"
+
+	"dandelionhill.dev/bench/metric"
+	"dandelionhill.dev/bench/policy"
+)
+
+// presets compares the presets of both examples in the situations that they are meant for.
+func presets(_ context.Context, e env) ([]metric.Metric, error) {
+	var out []metric.Metric
+	for _, name := range []string{"elozokozosseg", "hooghly"} {
+		doc, err := document(e.sibling(name))
+		if err != nil {
+			return out, err
+		}
+		out = append(out, policy.Presets(name, doc, e.seed)...)
+	}
+	return out, nil
+}
--- a/bench/policy/shard.go
+++ b/bench/policy/shard.go
@@ -27,6 +27,7 @@
 type call struct {
 	key, caller string
 	owner       int // index of the upstream that owns the key
+	rng         int // range of the key
 	timeout     time.Duration
 	service     time.Duration
 	poison      bool
@@ -59,6 +60,8 @@
 	last  uint64
 	// flying lists the calls in flight per upstream, in the order of their starts.
 	flying map[api.UpstreamID][]uint64
+	// closed upstreams start nothing.
+	closed map[api.UpstreamID]bool
 	// dead is a holder that was lost: it does nothing more.
 	dead bool
 	// beforeSend may take a start back; see crash.go.
@@ -85,19 +88,22 @@
 // setLimits passes the limits of the ramps to the queue.
 func (sh *shard) setLimits() {
 	var limits []dispatch.Limit
-	full := int(float64(sh.shape.slots) * sh.shape.slotFactor)
 	for _, u := range sh.ups {
-		r := sh.ramps[u.id]
-		limits = append(limits, dispatch.Limit{Upstream: u.id, InFlight: r.Limit(sh.e.now, full), Open: true, Cold: r.Cold()})
+		limits = append(limits, sh.limit(u))
 	}
 	sh.queue.SetLimits(limits)
 }
 
+func (sh *shard) limit(u *upstream) dispatch.Limit {
+	r, full := sh.ramps[u.id], int(float64(sh.shape.slots)*sh.shape.slotFactor+0.5)
+	return dispatch.Limit{Upstream: u.id, InFlight: r.Limit(sh.e.now, full), Open: !sh.closed[u.id], Cold: r.Cold()}
+}
+
 // arrive takes a call of a caller.
 func (sh *shard) arrive(c call) {
 	sh.last++
 	c.id, c.sentAt = sh.last, sh.e.now
-	r := dispatch.Request{ID: c.id, Key: c.key, Caller: c.caller, Solo: c.solo}
+	r := dispatch.Request{ID: c.id, Key: c.key, Caller: c.caller, Range: c.rng, Solo: c.solo}
 	if c.timeout > 0 {
 		r.Deadline = sh.e.now + c.timeout
 	}
@@ -156,7 +162,7 @@
 	sh.queue.Done(sh.e.now, s.ID, s.Upstream, took, r == answered)
 	if r != broken {
 		sh.ramps[s.Upstream].Observe(sh.e.now, took, r == shed)
-		sh.setLimits()
+		sh.queue.SetLimit(sh.limit(sh.byID[s.Upstream]))
 	}
 	if sh.afterEnd != nil {
 		sh.afterEnd(c, s.Upstream, r)
