--- /dev/null
+++ b/bench/policy/presets_test.go
@@ -0,0 +1,53 @@
+package policy
+
+import (
+	"os"
+	"testing"
+
+	"dandelionhill.dev/core/config"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// presetTolerance is a share of requests below which two presets count as equal.
+const presetTolerance = 0.001
+
+func exampleDocument(t *testing.T, name string) *config.Document {
+	data, err := os.ReadFile("../../examples/" + name + "/configuration.json")
+	require.NoError(t, err)
+	doc, err := config.Parse(name, data)
+	require.NoError(t, err)
+	return doc
+}
+
+// TestPresets guards against example values under which operators are better
+// off with another preset than the one that is meant for a situation.
+func TestPresets(t *testing.T) {
+	for _, name := range []string{"elozokozosseg", "hooghly"} {
+		doc := exampleDocument(t, name)
+		for _, mean := range presetMeans {
+			for _, x := range situations {
+				meant, best := 0.0, 0.0
+				for i, run := range runPresets(seed, doc, mean, x) {
+					t.Log(name, mean, x.name, doc.Presets[i].Name, run.share(), run.refusals)
+					best = max(best, run.share())
+					if doc.Presets[i].Name == x.meant {
+						meant = run.share()
+					}
+				}
+				assert.GreaterOrEqual(t, meant, best-presetTolerance, "%s: %s at %v", name, x.name, mean)
+			}
+		}
+	}
+}
+
+// TestPresetsDiffer guards against a comparison that does not see a wrong
+// value, here a queue that is too short.
+func TestPresetsDiffer(t *testing.T) {
+	doc := exampleDocument(t, "hooghly")
+	outAndBack := situations[2]
+	run := func() float64 { return runPresets(seed, doc, presetMeans[0], outAndBack)[2].share() }
+	good := run()
+	doc.Presets[2].QueueLength = 1
+	require.Less(t, run(), good-10*presetTolerance)
+}
