--- a/bench/cmd/measure/main.go
+++ b/bench/cmd/measure/main.go
@@ -44,6 +44,8 @@
 	{"configuration", configuration},
 	{"direct", routerOverDirect},
 	{"forwarding", forwarding},
+	{"straggler", straggler},
+	{"presets", presets},
 	{"policy", func(_ context.Context, e env) ([]metric.Metric, error) { return policy.All(e.seed), nil }},
 	{"tail", func(_ context.Context, e env) ([]metric.Metric, error) {
 		return append(tail.Metrics(tail.Compare(tail.DefaultOptions(e.seed)), e.seed), tail.Lasting(e.seed)...), nil
--- a/bench/policy/comeback.go
+++ b/bench/policy/comeback.go
@@ -40,7 +40,7 @@
 	e.after(out, func() {
 		for _, u := range domain {
 			u.crash()
-			sh.out[u.id] = true
+			sh.closed[u.id] = true
 		}
 		sh.setLimits()
 	})
@@ -50,7 +50,7 @@
 			u.chill(c)
 			u.sheds = 0
 			sh.ramps[u.id].Restart(e.now)
-			delete(sh.out, u.id)
+			delete(sh.closed, u.id)
 		}
 		sh.setLimits()
 	})
