logs: print times with milliseconds

Cause: the comment promised milliseconds, but the library formats times to seconds unless its global setting says otherwise. Change: the package sets the format once. Measured: TestLine fails before (15:04:05Z) and passes after. Conclusion: events of a takeover can be ordered across VMs.

--- a/server/logs/logs.go
+++ b/server/logs/logs.go
@@ -3,7 +3,6 @@
 
 import (
 	"io"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -11,6 +10,13 @@
 	"dandelionhill.dev/api"
 )
 
+// timeFormat has milliseconds: a takeover takes about a second, a move a few
+// milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// The library has no setting of a logger for this.
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns a logger that writes lines such as
 // "time=2026-01-02T15:04:05.000Z level=info event=started vm=a1".
 func New(w io.Writer, level string, vm api.VMID) (zerolog.Logger, error) {
@@ -19,7 +25,7 @@
 		return zerolog.Nop(), errors.Errorf("log level %q is unknown: use debug, info, warn or error", level)
 	}
 	writer := zerolog.ConsoleWriter{
-		Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		Out: w, NoColor: true,
 		PartsOrder:  []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
 		FormatLevel: func(v any) string { return "level=" + text(v) },
 		FormatTimestamp: func(v any) string {
