control: keep the name of a removed service until its leases have lapsed

Cause: a service that was removed could be put again at once under its name, with another number of shards or ranges. A VM that missed the removal could still hold a shard of the former service and have leases at its upstreams, while another VM created the record of a new shard for the same keys, without abstention. Two upstreams could own a key.

Change: a service whose name is not in the document is put only when the revision that last removed that name has been in force on every VM for an authority lease with drift (1.01 s). The removal is found among the operations that the document remembers; if it has forgotten some, the newest forgotten revision counts. The refusal is typed and names the remedy. The format of the document stays. Each VM derives the revision that has lapsed from the heartbeats that it gets anyway.

Measured: TestNameOfRemovedServiceWaitsForFormerHolders (fake clock) cuts off a VM that knows the former service. Without the rule the put is accepted while that VM has the shard; with it the put is refused then, refused for the lease after the VM has given the shard up, and accepted later. With the lease set to zero in a trial the test fails.

Conclusion: records and fences never had to separate the former shards from the new ones.

--- a/server/control/configuration.go
+++ b/server/control/configuration.go
@@ -158,12 +158,21 @@
 			return nil, err
 		}
 		next, err := config.Apply(doc, change)
-		if err != nil || dryRun {
-			return next, err
+		if err != nil {
+			return nil, err
 		}
 		if doc != nil && next.Revision == doc.Revision {
+			if dryRun {
+				return next, nil
+			}
 			return next, c.spread(ctx, next, version)
 		}
+		if err := c.checkReuse(ctx, doc, change); err != nil {
+			return nil, err
+		}
+		if dryRun {
+			return next, nil
+		}
 		data, err := config.Encode(next)
 		if err != nil {
 			return nil, err
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -82,6 +82,7 @@
 	// storeRead is true once this process has read the configuration from the
 	// store, and so knows every revision that was accepted before its start.
 	storeRead bool
+	lapsed    lapse // observed at each heartbeat
 
 	nextHeartbeat, nextMaintain time.Duration
 	reading                     bool // a read of the store is in progress
@@ -175,6 +176,7 @@
 		c.nextHeartbeat = now + heartbeatEvery
 		c.heartbeat(now)
 		c.sendEvidence()
+		c.lapsed.observe(now, c.everywhere())
 	}
 	if now >= c.nextMaintain {
 		c.nextMaintain = now + maintainEvery
