dispatch: let the queue of a closed upstream use the places of all queues

Cause: after the loss of a holder the demo has requests refused as queue_full. In the preset peak an upstream may have 20 queued and a key 10, while the hottest key gets about 45 requests a second. In a third of the cases the upstream was closed: its lease had lapsed, or the successor had not been granted its use yet.

Change: while an upstream is closed, its queue and the shares of a key and a caller are bounded by the places of all queues of the shard together. The memory is bounded as before. TestQueueOfClosedUpstream fails with the former bound.

--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -172,11 +172,15 @@
 	return nil
 }
 
-// checkLength applies the bounds of the queue and of the shares of one key and one caller.
+// checkLength applies the bounds of the queue and of the shares of one key and
+// one caller. While an upstream is closed its queue may use the places of all
+// queues: it is closed for a lapsed lease, a move or a takeover, and the load of
+// that time exceeds a length that is chosen for an open one.
 func (q *Queue) checkLength(l *lane, r Request, o outlook) *api.Refusal {
-	length := q.cfg.QueueLength
-	if l.up == nil {
+	length, queued := q.cfg.QueueLength, l.queued
+	if l.up == nil || o.rate == 0 {
 		length *= max(1, len(q.upstreams))
+		queued = len(q.queued)
 	}
 	full := func(kind api.Kind, of string, queued int) *api.Refusal {
 		delay := float64(queued) / 2 * l.service.or(q.cfg.ServiceTime).mean
@@ -185,7 +189,7 @@
 		}
 		return q.refuse(kind, o, of, time.Duration(delay))
 	}
-	if l.queued >= length {
+	if queued >= length {
 		return full(api.QueueFull, "queue is full", l.queued)
 	}
 	if k := l.keys[keyID{r.Key, r.Range}]; k != nil && r.Key != "" && k.queued >= share(length, q.cfg.KeyShare) {
--- a/core/dispatch/queue_test.go
+++ b/core/dispatch/queue_test.go
@@ -274,3 +274,34 @@
 	require.Equal(t, 1, q.InFlight(up(1)))
 	require.Zero(t, q.Queued())
 }
+
+// TestQueueOfClosedUpstream guards against refusals while an upstream is closed
+// for a moment although the queues of the others are empty, and against a queue
+// without a bound.
+func TestQueueOfClosedUpstream(t *testing.T) {
+	q := newQueue(dispatch.Config{QueueLength: 10, KeyShare: 0.5}, 3, 1)
+	limits := func(open bool) {
+		q.SetLimits([]dispatch.Limit{{Upstream: up(0), InFlight: 1, Open: open}, {Upstream: up(1), InFlight: 1, Open: true}, {Upstream: up(2), InFlight: 1, Open: true}})
+	}
+	id := uint64(0)
+	admitted := func(upstream int, key string) int {
+		n := 0
+		for range 50 {
+			id++
+			if q.Admit(0, dispatch.Request{ID: id, Upstream: up(upstream), Key: key, Caller: fmt.Sprint(id)}) == nil {
+				n++
+			}
+		}
+		return n
+	}
+	limits(false)
+	require.Equal(t, 15, admitted(0, "hot"), "half of the places of three upstreams")
+	require.Equal(t, 15, admitted(0, ""), "the other half")
+	require.Equal(t, 5, admitted(1, "other"), "an open upstream keeps its own places")
+	limits(true)
+	require.Zero(t, admitted(0, ""), "its own length applies again")
+	for range 100 {
+		next(q, 0, true)
+	}
+	require.Zero(t, q.Queued(), "nothing that was accepted is lost")
+}
