entry, dispatch: bound requests that waited for a holder by all queues

Cause: the requests that wait at the entry VMs during a takeover reach the successor together, 280 refusals within 0.15 s in a traced run. A hot key may fill 10 places of its upstream in the preset peak, so most of its requests were refused as queue_full with more than 1 s left, where a run takes about 4 ms.

Change: the entry marks a request that it kept until the shard had a holder (wire.Forward.Waited). Such requests are bounded by the places of all queues of the shard together, like those for a closed upstream; the deadline is checked as before. TestQueueOfWaitedRequests and TestRequestWaitsForTheNewHolder guard it.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -106,6 +106,8 @@
 	TimeoutMs  int64       `cbor:"9,keyasint"`
 	Caller     string      `cbor:"10,keyasint,omitempty"`
 	Revision   uint64      `cbor:"11,keyasint"`
+	// Waited is true if the entry kept the request until the shard had a holder.
+	Waited bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Reply is the answer to a Forward: a refusal or a whole answer.
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -79,6 +79,8 @@
 	Range int
 	// Deadline is when the answer must be there; 0 is never.
 	Deadline time.Duration
+	// Waited marks a request that an entry kept until the shard had a holder.
+	Waited bool
 	// Solo asks for a run alone on its upstream.
 	Solo bool
 	// Hedge marks a second copy, which starts on another upstream than Avoid
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -175,10 +175,11 @@
 // checkLength applies the bounds of the queue and of the shares of one key and
 // one caller. While an upstream is closed its queue may use the places of all
 // queues: it is closed for a lapsed lease, a move or a takeover, and the load of
-// that time exceeds a length that is chosen for an open one.
+// that time exceeds a length that is chosen for an open one. The same holds for
+// requests that waited for a holder and arrive together.
 func (q *Queue) checkLength(l *lane, r Request, o outlook) *api.Refusal {
 	length, queued := q.cfg.QueueLength, l.queued
-	if l.up == nil || o.rate == 0 {
+	if l.up == nil || o.rate == 0 || r.Waited {
 		length *= max(1, len(q.upstreams))
 		queued = len(q.queued)
 	}
--- a/core/dispatch/queue_test.go
+++ b/core/dispatch/queue_test.go
@@ -305,3 +305,22 @@
 	}
 	require.Zero(t, q.Queued(), "nothing that was accepted is lost")
 }
+
+// TestQueueOfWaitedRequests guards against refusals of requests that waited for
+// a new holder because they reach it together, and against their number
+// growing without a bound.
+func TestQueueOfWaitedRequests(t *testing.T) {
+	q := newQueue(dispatch.Config{QueueLength: 10, KeyShare: 0.5}, 3, 1)
+	admitted := func(first uint64, waited bool) int {
+		n := 0
+		for id := first; id < first+50; id++ {
+			if q.Admit(0, dispatch.Request{ID: id, Upstream: up(0), Key: "hot", Caller: fmt.Sprint(id), Waited: waited}) == nil {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 5, admitted(0, false))
+	require.Equal(t, 10, admitted(100, true), "half of the places of three upstreams in all")
+	require.Zero(t, admitted(200, false))
+}
--- a/server/entry/forward.go
+++ b/server/entry/forward.go
@@ -59,6 +59,7 @@
 		if !e.awaitHolder(ctx, f.Shard, last, deadline) {
 			return last.reply
 		}
+		f.Waited = true
 	}
 }
 
--- a/server/entry/forward_test.go
+++ b/server/entry/forward_test.go
@@ -66,9 +66,14 @@
 				"new": answered,
 			}}
 			e := newTestEntry(s, current.Load)
-			reply := e.run(t.Context(), "s", &wire.Forward{Shard: testShard, Idempotent: true, TimeoutMs: 30_000})
+			f := &wire.Forward{Shard: testShard, Idempotent: true, TimeoutMs: 30_000}
+			reply := e.run(t.Context(), "s", f)
 			require.Nil(t, reply.Refusal)
 			require.Zero(t, e.waiting.Load())
+			require.True(t, f.Waited, "the holder must know that such requests arrive together")
+			f = &wire.Forward{Shard: testShard, Idempotent: true, TimeoutMs: 30_000}
+			require.Nil(t, e.run(t.Context(), "s", f).Refusal)
+			require.False(t, f.Waited)
 		})
 	}
 }
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -150,7 +150,7 @@
 // enqueue gives a request to the queue, or finishes it with a refusal.
 func (s *Shard) enqueue(now time.Duration, r *request) {
 	r.rng = s.rangeOf(r.forward)
-	entry := dispatch.Request{ID: r.id, Key: r.forward.Key, Caller: r.forward.Caller, Range: r.rng, Deadline: r.deadline}
+	entry := dispatch.Request{ID: r.id, Key: r.forward.Key, Caller: r.forward.Caller, Range: r.rng, Deadline: r.deadline, Waited: r.forward.Waited}
 	if s.service.Keyed {
 		state := s.ranges.at(r.rng)
 		if state == nil {
