--- a/bench/capacity/findings.go
+++ b/bench/capacity/findings.go
@@ -12,7 +12,7 @@
 var findings = []Finding{
 	{
 		"A VM at rest",
-		"Twelve processes of today's size use {check_core} cores each at rest against {limit_core} ({check_core_ratio} times the limit), and {check_memory} B against {limit_memory} B. The formulas for the parts add up to {today:check_core_formula} cores and {today:check_memory_formula} B. The difference is what the parts leave out; in memory it is the program and its runtime.",
+		"Twelve processes of today's size use {check_core} cores each at rest against {limit_core} ({check_core_ratio} times the limit), and {check_memory} B against {limit_memory} B. The formulas for the parts add up to {today:check_core_formula} cores and {today:check_memory_formula} B. In processor time the two agree within the spread of such measurements; in memory the difference is the program and its runtime.",
 		"Processor time at rest is {check_core_ratio} times the limit at 12 VMs, before any role grows; {memory_left} B of memory are left for state.",
 		"The most expensive VM is the holder of the keyed shard. Most of what is left is frames between VMs and calls to upstreams, each with several changes of goroutine: fewer frames (see heartbeats), one connection to several upstreams or a simpler client than net/http for renewals, a slower tick while nothing is due (deadlines decide, not tick_s). What each gives has not been measured.",
 		[]Quantity{
