capacity: say that the projection assumes four shards for each keyed service

Cause: the constant keyed_shards_today was 4 with the source "section 2, default", but the default and both examples have one shard since the division was measured.

Change: it is named keyed_shards_projected, with its reason and today's number.

--- a/bench/capacity/constants.go
+++ b/bench/capacity/constants.go
@@ -106,7 +106,7 @@
 		{"slots", slotsToday, today},
 		{"upstream_connections", upstreamConns, today + ", the lesser of two deployments"},
 		{"ranges_today", defaultRanges, "section 2, default per service"},
-		{"keyed_shards_today", keyedShardsToday, "section 2, default"},
+		{"keyed_shards_projected", keyedShardsProjected, "chosen for the projection, 1 today: section 2 divides services that one VM cannot carry"},
 		{"unkeyed_shards_today", unkeyedShardsToday, "section 2, default"},
 		{"delay_s", 0.001, "section 1.2, between failure domains"},
 		{"nodes", targetNodes, target},
--- a/bench/capacity/quantities.go
+++ b/bench/capacity/quantities.go
@@ -22,7 +22,7 @@
 // shape gives the shares of one VM. The loaded VM holds one keyed shard and is
 // a witness of two.
 var shape = []Quantity{
-	{"keyed_shards", "", "vms/vms_today*keyed_shards_today", ""},
+	{"keyed_shards", "", "vms/vms_today*keyed_shards_projected", ""},
 	{"shard_upstreams", "", "keyed_upstreams/keyed_shards", ""},
 	{"shard_ranges", "", "ranges/keyed_shards", ""},
 	{"shards_held_mean", "per VM", "shards/vms", ""},
--- a/bench/capacity/target.go
+++ b/bench/capacity/target.go
@@ -27,7 +27,7 @@
 	vmsToday              = 12
 	keyedUpstreamsToday   = 25
 	unkeyedUpstreamsToday = 8
-	keyedShardsToday      = 4
+	keyedShardsProjected  = 4
 	unkeyedShardsToday    = 1
 	slotsToday            = 2
 	defaultRanges         = 1024
@@ -46,7 +46,7 @@
 	scale := vms / vmsToday
 	return Target{
 		Name: name, VMs: vms, Upstreams: scale * upstreamsToday, Keyed: scale * keyedUpstreamsToday,
-		Ranges: scale * defaultRanges, Shards: scale * (keyedShardsToday + unkeyedShardsToday),
+		Ranges: scale * defaultRanges, Shards: scale * (keyedShardsProjected + unkeyedShardsToday),
 	}
 }
 
