placement: keep a straggler from holding back the moves of others

Cause: an upstream whose load is measured ten times too high raises the measured mean by a third, and no other upstream then counts as overloaded.

Change: while the load of an upstream is far above its average, the average stands for it in the measured mean.

--- a/core/placement/averages_test.go
+++ b/core/placement/averages_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
 )
 
 // planSeconds plans once a second over a span of time, with the loads
@@ -128,3 +130,27 @@
 	require.GreaterOrEqual(t, first, (at+10)*time.Second)
 	require.LessOrEqual(t, first, (at+30)*time.Second)
 }
+
+// Guards against a straggler that holds back the moves of another upstream, which
+// then come when its average load has changed.
+func TestStragglerHoldsBackNoOtherMoves(t *testing.T) {
+	in := testInput(160, fleet(4, 4))
+	var p Planner
+	apply(in, p.Plan(0, in, DefaultPolicy()))
+	owners := map[int]api.UpstreamID{}
+	for r, owner := range in.Owners {
+		owners[r] = owner
+	}
+	const slowFrom, slowUntil = 8, 16
+	first, _ := planSeconds(&p, in, 1, 30, func(second, rng int) float64 {
+		switch {
+		case owners[rng] == "u01" && second >= slowFrom && second < slowUntil:
+			return 10
+		case owners[rng] == "u00":
+			return 1.3
+		default:
+			return 1
+		}
+	})
+	require.Equal(t, 11*time.Second, first)
+}
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -9,13 +9,19 @@
 const minGainShare = 1.0 / 3
 
 // meanRatios returns the mean of the average and of the present loads, relative
-// to capacity, of the upstreams that take part in balance moves.
+// to capacity, of the upstreams that take part in balance moves. While the load of
+// an upstream is far above its average, the average stands for it: a straggler
+// measured ten times too high would hold back the moves of all others.
 func (a *assignment) meanRatios() (average, measured float64) {
 	capacity := 0.0
 	for _, n := range a.nodes {
 		if n.balanced() {
 			average += n.load
-			measured += n.measured
+			if n.jumping {
+				measured += n.load
+			} else {
+				measured += n.measured
+			}
 			capacity += n.up.Capacity
 		}
 	}
