placement: scale the change that counts with the noise of a range

Cause: a range took the recent average only when it was off by half. A hot range of 0.3 of an upstream kept an error of up to a tenth of the upstream's load that faded over a minute.

Change: the difference that counts is 5% of the upstream's load for the upstream and, as noise does, grows with the square root of the load for its ranges. It replaces two constants.

--- a/core/placement/averages.go
+++ b/core/placement/averages.go
@@ -14,14 +14,11 @@
 // lose ranges by noise.
 const steadySpans = 12
 
-// changedShare is the part by which the recent average of a range must differ
-// from the steady one for the load of the range to count as changed. It is a
-// multiple of the noise of the recent average of a range.
-const changedShare = 0.5
-
-// upstreamChangedShare is the same for the load of an upstream. Its ranges can
-// change together by less than what counts as a change of one range.
-const upstreamChangedShare = 0.05
+// changedShare is the part by which the recent average load of an upstream must
+// differ from the steady one to count as changed: five times the noise of the
+// recent average at 480 requests a second. The noise of a range grows with the
+// square root of its load, and so does the difference that counts.
+const changedShare = 0.05
 
 // averages has the average load of each range. A single measurement of a range
 // has a noise of several per cent, and ranges moved because of noise are churn.
@@ -47,8 +44,9 @@
 	age            time.Duration // time over which the steady average was taken
 }
 
-// add takes a measurement that stands for the given time.
-func (r *rangeAverage) add(measured float64, passed, span time.Duration) {
+// add takes a measurement that stands for the given time. The load is that of the
+// upstream.
+func (r *rangeAverage) add(measured, load float64, passed, span time.Duration) {
 	r.recent += expWeight(passed, span) * (measured - r.recent)
 	weight := 1.0
 	if r.age+passed > 0 {
@@ -56,7 +54,7 @@
 	}
 	r.steady += weight * (measured - r.steady)
 	r.age = min(r.age+passed, steadySpans*span)
-	if math.Abs(r.recent-r.steady) > changedShare*r.steady {
+	if math.Abs(r.recent-r.steady) > changedShare*math.Sqrt(r.steady*load) {
 		r.restart(span)
 	}
 }
@@ -121,7 +119,7 @@
 	case known:
 		n.jumpEnded = true
 	}
-	recent := 0.0
+	load, recent := n.load, 0.0
 	n.load = 0
 	for i := range n.ranges {
 		r := &n.ranges[i]
@@ -129,14 +127,14 @@
 		if restart {
 			average = rangeAverage{steady: share * r.measured, recent: share * r.measured, age: age}
 		} else {
-			average.add(r.measured, a.passed, a.after)
+			average.add(r.measured, load, a.passed, a.after)
 		}
 		a.loads[r.id] = average
 		r.load = average.steady
 		n.load += r.load
 		recent += average.recent
 	}
-	if math.Abs(recent-n.load) > upstreamChangedShare*n.load {
+	if math.Abs(recent-n.load) > changedShare*n.load {
 		n.load = 0
 		for i := range n.ranges {
 			r := &n.ranges[i]
