dispatch: let extra requests take no place from those that arrive next

Cause: after the queue of an upstream had filled beyond its length, while the upstream was closed or by requests that had waited for the holder, each request that arrived before it was short again was refused as queue_full.

Change: the length of a queue and the shares of a key and a caller count only the other requests. The extra ones stay bounded by the places of all queues, so at most twice as many requests as before can be queued in a shard.

--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -20,6 +20,7 @@
 	place               int
 	try                 bool          // admitted against its expected service time
 	sparse              bool          // admitted without a margin
+	extra               bool          // admitted with the places of all queues
 	run                 service       // expected service time
 	time                *float64      // of the lane, takes the service time
 	latest              time.Duration // latest start with which even a fast run meets the deadline
@@ -60,6 +61,7 @@
 	inLane  node[*key]
 	inRange node[*key]
 	queued  int
+	extra   int // of the queued ones
 	running int
 }
 
@@ -69,6 +71,7 @@
 	ready  ring[*flow]
 	inLane node[*caller]
 	queued int
+	extra  int // of the queued ones
 }
 
 // lane is the queue of one upstream, or the shared queue of an unkeyed service.
@@ -88,6 +91,7 @@
 	// rings have been given; the one with less has the next turn.
 	sparseTime, ringTime float64
 	queued               int
+	extra                int // of the queued ones
 	ready                int // flows that are ready
 	tries                int // starts since the last try, up to maxTries
 	due                  deadlines
@@ -127,6 +131,7 @@
 	f.key.queued++
 	f.caller.queued++
 	l.queued++
+	it.countExtra(1)
 	q.refresh(f)
 }
 
@@ -144,6 +149,7 @@
 	l.queued--
 	it.key.queued--
 	it.caller.queued--
+	it.countExtra(-1)
 	if l.solo == it {
 		q.endSolo(l)
 	}
@@ -151,6 +157,15 @@
 	q.tidy(l, it.flow)
 }
 
+// countExtra adds n to the counts of extra requests that it belongs to.
+func (it *item) countExtra(n int) {
+	if it.extra {
+		it.lane.extra += n
+		it.key.extra += n
+		it.caller.extra += n
+	}
+}
+
 // tidy forgets a flow, its key and its caller when nothing refers to them.
 func (q *Queue) tidy(l *lane, f *flow) {
 	if f.items.n == 0 && l.flows[f.id] == f && (l.solo == nil || l.solo.flow != f) {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -132,10 +132,10 @@
 	}
 	l := q.laneOf(r.Upstream)
 	o := q.outlook(l)
-	if refusal := q.checkLength(l, r, o); refusal != nil {
+	it := newItem(r)
+	if refusal := q.checkLength(l, it, o); refusal != nil {
 		return refusal
 	}
-	it := newItem(r)
 	it.run = q.expected(l, it)
 	if refusal := q.checkDeadline(now, l, it, o); refusal != nil {
 		return refusal
@@ -176,13 +176,10 @@
 // one caller. While an upstream is closed its queue may use the places of all
 // queues: it is closed for a lapsed lease, a move or a takeover, and the load of
 // that time exceeds a length that is chosen for an open one. The same holds for
-// requests that waited for a holder and arrive together.
-func (q *Queue) checkLength(l *lane, r Request, o outlook) *api.Refusal {
-	length, queued := q.cfg.QueueLength, l.queued
-	if l.up == nil || o.rate == 0 || r.Waited {
-		length *= max(1, len(q.upstreams))
-		queued = len(q.queued)
-	}
+// requests that waited for a holder and arrive together. These extra requests
+// take no place from the others.
+func (q *Queue) checkLength(l *lane, it *item, o outlook) *api.Refusal {
+	r := it.req
 	full := func(kind api.Kind, of string, queued int) *api.Refusal {
 		delay := float64(queued) / 2 * l.service.or(q.cfg.ServiceTime).mean
 		if o.rate > 0 {
@@ -190,13 +187,26 @@
 		}
 		return q.refuse(kind, o, of, time.Duration(delay))
 	}
-	if queued >= length {
+	it.extra = l.up != nil && (o.rate == 0 || r.Waited)
+	length, counted := q.cfg.QueueLength, l.queued-l.extra
+	if l.up == nil || it.extra {
+		length *= max(1, len(q.upstreams))
+		counted = len(q.queued)
+	}
+	if counted >= length {
 		return full(api.QueueFull, "queue is full", l.queued)
 	}
-	if k := l.keys[keyID{r.Key, r.Range}]; k != nil && r.Key != "" && k.queued >= share(length, q.cfg.KeyShare) {
+	// ordinary leaves out the extra requests, unless it is one.
+	ordinary := func(queued, extra int) int {
+		if it.extra {
+			return queued
+		}
+		return queued - extra
+	}
+	if k := l.keys[keyID{r.Key, r.Range}]; k != nil && r.Key != "" && ordinary(k.queued, k.extra) >= share(length, q.cfg.KeyShare) {
 		return full(api.QueueFull, "key fills its share of the queue", k.queued)
 	}
-	if c := l.callers[r.Caller]; c != nil && c.queued >= share(length, q.cfg.CallerShare) {
+	if c := l.callers[r.Caller]; c != nil && ordinary(c.queued, c.extra) >= share(length, q.cfg.CallerShare) {
 		return full(api.RateLimited, "caller fills its share of the queue", c.queued)
 	}
 	return nil
