placement: take a rise of most upstreams for a change of the service's load

Cause: while an upstream's load is far above its average, the average stands for it. When the load of the whole service rises, nearly all averages stand still at the old load, and an upstream whose load rose less looks overloaded.

Change: if more than half of the upstreams with load are far above average, their present loads are the new averages.

Conclusion: one straggler is still kept out of the mean; a rise of all is not.

--- a/core/placement/averages.go
+++ b/core/placement/averages.go
@@ -99,9 +99,10 @@
 	return average.steady
 }
 
-// update takes the measurements of the ranges that an upstream owns.
-func (a *averages) update(n *node, above float64, next map[api.UpstreamID]jump) {
-	restart, share, age := n.load == 0, 1.0, time.Duration(0)
+// update takes the measurements of the ranges that an upstream owns. If the load
+// of the service has risen, they are the new averages.
+func (a *averages) update(n *node, above float64, risen bool, next map[api.UpstreamID]jump) {
+	restart, share, age := n.load == 0 || risen, 1.0, time.Duration(0)
 	j, known := a.jumped[n.up.ID]
 	switch {
 	case restart:
@@ -147,12 +148,29 @@
 	}
 }
 
+// risen reports whether the load of most upstreams is far above average: the
+// load of the service has risen, and none of them is a straggler. With their
+// averages standing still, an upstream whose load rose less would look overloaded.
+func (s *assignment) risen(above float64) bool {
+	loaded, rose := 0, 0
+	for _, n := range s.nodes {
+		if n.load > 0 {
+			loaded++
+			if n.measured > above*n.load {
+				rose++
+			}
+		}
+	}
+	return 2*rose > loaded
+}
+
 // updateAll takes the measurements of all ranges with an owner and forgets
 // ranges that no longer exist.
 func (a *averages) updateAll(s *assignment, above float64, owners map[int]api.UpstreamID) {
 	next := map[api.UpstreamID]jump{}
+	risen := s.risen(above)
 	for _, n := range s.nodes {
-		a.update(n, above, next)
+		a.update(n, above, risen, next)
 	}
 	a.jumped = next
 	if len(a.loads) == len(owners) {
--- a/core/placement/averages_test.go
+++ b/core/placement/averages_test.go
@@ -154,3 +154,29 @@
 	})
 	require.Equal(t, 11*time.Second, first)
 }
+
+// Guards against moves from an upstream that only looks overloaded because the
+// load of the service has risen and the averages of the others stand still.
+func TestRiseOfAllMovesNothing(t *testing.T) {
+	in := testInput(160, fleet(4, 4))
+	var p Planner
+	apply(in, p.Plan(0, in, DefaultPolicy()))
+	owners := map[int]bool{}
+	for r, owner := range in.Owners {
+		owners[r] = owner == "u00"
+	}
+	const at = 300
+	_, moves := planSeconds(&p, in, 1, at+10, func(second, rng int) float64 {
+		switch {
+		case owners[rng] && second >= at:
+			return 1.3
+		case owners[rng] && second >= at-5:
+			return 1.2
+		case second >= at:
+			return 2
+		default:
+			return 1
+		}
+	})
+	require.Zero(t, moves)
+}
