placement: move a heavy range before light ones fill the receivers

Cause: since moves aim at half of the tolerated excess, a donor gave away the heaviest range that left the receiver below that aim.

Change: if no move leaves both sides below the aim, the heavier of the two candidates moves, the one for the aim or the one for the stop threshold.

--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -32,12 +32,17 @@
 }
 
 // relieve moves one range away from the donor, so that both sides are at or below
-// aim if possible, or else below the limit. If nothing fits, the move that lowers
-// the higher of the two loads most is taken.
+// aim if one move can do that. Otherwise it takes the heavier one of the ranges
+// that leave the receiver below aim and below the limit: a heavy range, for
+// example one with a hot key, fits nowhere once light ones have filled the
+// receivers. If nothing fits, the move that lowers the higher of the two loads
+// most is taken.
 func (a *assignment) relieve(donor *node, aim, limit, tolerated float64) (Move, bool) {
-	best, to := a.lightestEnough(donor, aim)
-	if best < 0 {
-		best, to = a.lightestEnough(donor, limit)
+	best, to, covers := a.lightestEnough(donor, aim)
+	if !covers {
+		if i, n, _ := a.lightestEnough(donor, limit); i >= 0 && (best < 0 || donor.ranges[i].load > donor.ranges[best].load) {
+			best, to = i, n
+		}
 	}
 	if best < 0 {
 		best, to = a.compromise(donor, minGainShare*tolerated)
@@ -49,11 +54,11 @@
 }
 
 // lightestEnough returns the range to move so that few have to, and its receiver.
-// It is the lightest range that brings the donor under the limit, or else the
-// heaviest one, as far as the receiver stays under the limit too.
-func (a *assignment) lightestEnough(donor *node, limit float64) (int, *node) {
+// It is the lightest range that brings the donor under the limit, or else (covers
+// is false) the heaviest one, as far as the receiver stays under the limit too.
+func (a *assignment) lightestEnough(donor *node, limit float64) (best int, to *node, covers bool) {
 	need := donor.load - limit*donor.up.Capacity
-	best, to, covers := -1, (*node)(nil), false
+	best = -1
 	for i, r := range donor.ranges {
 		if r.load <= 0 || r.placed {
 			continue
@@ -68,7 +73,7 @@
 			best, to, covers = i, n, r.load >= need
 		}
 	}
-	return best, to
+	return best, to, covers
 }
 
 // receiver returns the upstream with the lowest load relative to capacity that
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -123,6 +123,30 @@
 	require.Equal(t, []Move{{Range: 1, From: "u00", To: "u01"}}, moves, "the range of load 2 would leave 1.1")
 }
 
+// Guards against light ranges that fill the only upstream with room for a heavy
+// range, after which the donor can't be relieved.
+func TestHeavyRangeMovesFirst(t *testing.T) {
+	in := testInput(0, fleet(4, 4))
+	hold := func(up api.UpstreamID, loads ...float64) {
+		for _, load := range loads {
+			r := len(in.Owners)
+			in.Owners[r], in.Load[r] = up, load
+		}
+	}
+	hold("u00", 3, 3, 3, 3, 0.2, 0.2, 0.2) // 1.26 of the mean, 10
+	hold("u01", 8)
+	hold("u02", 9.7)
+	hold("u03", 9.7)
+	var p Planner
+	var moves []Move
+	for now := time.Duration(0); now <= time.Minute; now += time.Second {
+		got := p.Plan(now, in, DefaultPolicy())
+		moves = append(moves, got...)
+		apply(in, got)
+	}
+	require.Equal(t, []Move{{Range: 0, From: "u00", To: "u01"}}, moves, "to 11 of at most 11.35")
+}
+
 // Guards against churn by a short straggler, and checks hysteresis and budget
 // when an imbalance lasts.
 func TestBalanceMovesWaitAndKeepBudget(t *testing.T) {
