placement: share the steps that planner tests repeat

Cause: five tests placed the same ranges by hand, and two repeated a minute of planning. Change: placed and planHeld; the assertions are the same. reuse.go asks the control goroutine through query like the others. Measured: go test ./core/placement passes, and TestRiseOfAllMovesNothing still fails without the rule that it guards.

--- a/core/placement/averages_test.go
+++ b/core/placement/averages_test.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"math"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -12,6 +12,14 @@
 	"dandelionhill.dev/api"
 )
 
+// placed returns 160 ranges on four upstreams after the first plan, with the
+// owners that they have then.
+func placed() (Input, *Planner, map[int]api.UpstreamID) {
+	in, p := testInput(160, fleet(4, 4)), new(Planner)
+	apply(in, p.Plan(0, in, DefaultPolicy()))
+	return in, p, maps.Clone(in.Owners)
+}
+
 // planSeconds plans once a second over a span of time, with the loads
 // of each second, applies the moves, and returns the time of the first and their number.
 func planSeconds(p *Planner, in Input, from, to int, load func(second, rng int) float64) (first time.Duration, moves int) {
@@ -56,18 +64,12 @@
 // Such moves come at other times, and in other numbers, after a short straggler.
 func TestNoiseBelowThresholdMovesNothing(t *testing.T) {
 	for seed := uint64(1); seed <= 8; seed++ {
-		in := testInput(160, fleet(4, 4))
-		var p Planner
-		apply(in, p.Plan(0, in, DefaultPolicy()))
-		owners := map[int]bool{}
-		for r, owner := range in.Owners {
-			owners[r] = owner < "u02"
-		}
-		first, moves := planSeconds(&p, in, 1, 900, noisy(seed, func(second, rng int) float64 {
+		in, p, owners := placed()
+		first, moves := planSeconds(p, in, 1, 900, noisy(seed, func(second, rng int) float64 {
 			switch {
 			case second < 60: // while the averages are young, they are noisier
 				return 1
-			case owners[rng]:
+			case owners[rng] < "u02":
 				return 1.14
 			default:
 				return 0.86
@@ -80,23 +82,17 @@
 // Guards against averages that follow the changed load of a range, for example
 // one with a key that has become hot, only after minutes.
 func TestChangedRangeIsFollowed(t *testing.T) {
-	in := testInput(160, fleet(4, 4))
-	var p Planner
-	apply(in, p.Plan(0, in, DefaultPolicy()))
-	owners := map[int]bool{}
-	changed := math.MaxInt
-	for r, owner := range in.Owners {
-		owners[r] = owner == "u00"
-		if owners[r] {
-			changed = min(changed, r)
-		}
+	in, p, owners := placed()
+	changed := 0
+	for owners[changed] != "u00" {
+		changed++
 	}
 	const at = 300
-	first, _ := planSeconds(&p, in, 1, at+60, noisy(1, func(second, rng int) float64 {
+	first, _ := planSeconds(p, in, 1, at+60, noisy(1, func(second, rng int) float64 {
 		switch {
 		case rng == changed && second >= at:
 			return 9
-		case owners[rng]:
+		case owners[rng] == "u00":
 			return 1.1
 		default:
 			return 1
@@ -109,19 +105,13 @@
 // Guards against an overload that goes unnoticed for minutes because it is made
 // of changes that are small for each range and for the upstream.
 func TestChangedUpstreamIsFollowed(t *testing.T) {
-	in := testInput(160, fleet(4, 4))
-	var p Planner
-	apply(in, p.Plan(0, in, DefaultPolicy()))
-	owners := map[int]bool{}
-	for r, owner := range in.Owners {
-		owners[r] = owner == "u00"
-	}
+	in, p, owners := placed()
 	const at = 300
-	first, _ := planSeconds(&p, in, 1, at+90, noisy(1, func(second, rng int) float64 {
+	first, _ := planSeconds(p, in, 1, at+90, noisy(1, func(second, rng int) float64 {
 		switch {
-		case owners[rng] && second >= at:
+		case owners[rng] == "u00" && second >= at:
 			return 1.29 // 1.20 of the mean, as the others have 1
-		case owners[rng]:
+		case owners[rng] == "u00":
 			return 1.16 // 1.115 of the mean
 		default:
 			return 1
@@ -134,15 +124,9 @@
 // Guards against a straggler that holds back the moves of another upstream, which
 // then come when its average load has changed.
 func TestStragglerHoldsBackNoOtherMoves(t *testing.T) {
-	in := testInput(160, fleet(4, 4))
-	var p Planner
-	apply(in, p.Plan(0, in, DefaultPolicy()))
-	owners := map[int]api.UpstreamID{}
-	for r, owner := range in.Owners {
-		owners[r] = owner
-	}
+	in, p, owners := placed()
 	const slowFrom, slowUntil = 8, 16
-	first, _ := planSeconds(&p, in, 1, 30, func(second, rng int) float64 {
+	first, _ := planSeconds(p, in, 1, 30, func(second, rng int) float64 {
 		switch {
 		case owners[rng] == "u01" && second >= slowFrom && second < slowUntil:
 			return 10
@@ -158,19 +142,13 @@
 // Guards against moves from an upstream that only looks overloaded because the
 // load of the service has risen and the averages of the others stand still.
 func TestRiseOfAllMovesNothing(t *testing.T) {
-	in := testInput(160, fleet(4, 4))
-	var p Planner
-	apply(in, p.Plan(0, in, DefaultPolicy()))
-	owners := map[int]bool{}
-	for r, owner := range in.Owners {
-		owners[r] = owner == "u00"
-	}
+	in, p, owners := placed()
 	const at = 300
-	_, moves := planSeconds(&p, in, 1, at+10, func(second, rng int) float64 {
+	_, moves := planSeconds(p, in, 1, at+10, func(second, rng int) float64 {
 		switch {
-		case owners[rng] && second >= at:
+		case owners[rng] == "u00" && second >= at:
 			return 1.3
-		case owners[rng] && second >= at-5:
+		case owners[rng] == "u00" && second >= at-5:
 			return 1.2
 		case second >= at:
 			return 2
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -99,51 +99,36 @@
 	require.Len(t, moves, 9)
 }
 
-// Guards against a move that leaves its donor just below the threshold, where
-// noise moves a further range, although a heavier range fits elsewhere.
-func TestBalanceMoveLeavesMargin(t *testing.T) {
-	in := testInput(0, fleet(4, 4))
-	hold := func(up api.UpstreamID, loads ...float64) {
-		for _, load := range loads {
+// planHeld plans for a minute with upstreams that hold ranges of the given loads,
+// and returns the moves.
+func planHeld(loads ...[]float64) (moves []Move) {
+	in := testInput(0, fleet(len(loads), len(loads)))
+	for up := range loads {
+		for _, load := range loads[up] {
 			r := len(in.Owners)
-			in.Owners[r], in.Load[r] = up, load
+			in.Owners[r], in.Load[r] = in.Upstreams[up].ID, load
 		}
 	}
-	hold("u00", 2, 3, 8) // 1.3 of the mean, 10
-	hold("u01", 7)
-	hold("u02", 10)
-	hold("u03", 10)
 	var p Planner
-	var moves []Move
 	for now := time.Duration(0); now <= time.Minute; now += time.Second {
 		got := p.Plan(now, in, DefaultPolicy())
 		moves = append(moves, got...)
 		apply(in, got)
 	}
+	return moves
+}
+
+// Guards against a move that leaves its donor just below the threshold, where
+// noise moves a further range, although a heavier range fits elsewhere.
+func TestBalanceMoveLeavesMargin(t *testing.T) {
+	moves := planHeld([]float64{2, 3, 8}, []float64{7}, []float64{10}, []float64{10}) // u00 has 1.3 of the mean, 10
 	require.Equal(t, []Move{{Range: 1, From: "u00", To: "u01"}}, moves, "the range of load 2 would leave 1.1")
 }
 
 // Guards against light ranges that fill the only upstream with room for a heavy
 // range, after which the donor can't be relieved.
 func TestHeavyRangeMovesFirst(t *testing.T) {
-	in := testInput(0, fleet(4, 4))
-	hold := func(up api.UpstreamID, loads ...float64) {
-		for _, load := range loads {
-			r := len(in.Owners)
-			in.Owners[r], in.Load[r] = up, load
-		}
-	}
-	hold("u00", 3, 3, 3, 3, 0.2, 0.2, 0.2) // 1.26 of the mean, 10
-	hold("u01", 8)
-	hold("u02", 9.7)
-	hold("u03", 9.7)
-	var p Planner
-	var moves []Move
-	for now := time.Duration(0); now <= time.Minute; now += time.Second {
-		got := p.Plan(now, in, DefaultPolicy())
-		moves = append(moves, got...)
-		apply(in, got)
-	}
+	moves := planHeld([]float64{3, 3, 3, 3, 0.2, 0.2, 0.2}, []float64{8}, []float64{9.7}, []float64{9.7}) // u00 has 1.26 of the mean, 10
 	require.Equal(t, []Move{{Range: 0, From: "u00", To: "u01"}}, moves, "to 11 of at most 11.35")
 }
 
--- a/server/control/reuse.go
+++ b/server/control/reuse.go
@@ -57,8 +57,8 @@
 	if _, ok := doc.Service(ch.Service.Name); ok {
 		return nil
 	}
-	var lapsed uint64
-	if err := c.do(ctx, func() { lapsed = c.lapsed.revision }); err != nil {
+	lapsed, err := query(ctx, c, func() uint64 { return c.lapsed.revision })
+	if err != nil {
 		return err
 	}
 	removed := lastRemoval(doc, ch.Service.Name)
