--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -41,6 +41,7 @@
 
 // TestGoodput guards against overload that makes the service do useless work.
 func TestGoodput(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 3; seed++ {
 		checkBounds(t, false, Goodput(seed))
 	}
@@ -49,6 +50,7 @@
 // TestFairness guards against short requests that one hot key or one flooding
 // caller pushes out. The page states no bound; the single queue is the baseline.
 func TestFairness(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 8; seed++ {
 		all := Fairness(seed)
 		checkBounds(t, false, all)
@@ -67,6 +69,7 @@
 
 func checkCold(t *testing.T, all func(uint64) []metric.Metric) {
 	t.Helper()
+	t.Parallel()
 	for seed := uint64(1); seed <= 3; seed++ {
 		for _, m := range all(seed) {
 			t.Run(m.Name+"/"+strings.TrimSpace(strings.Split(m.Note, ";")[1])+fmt.Sprintf("/seed=%d", seed), func(t *testing.T) { checkBounds(t, true, []metric.Metric{m}) })
@@ -77,6 +80,7 @@
 // TestComeback guards against a slow start that costs callers more answers in
 // time than the loss of the domain did.
 func TestComeback(t *testing.T) {
+	t.Parallel()
 	for _, load := range comebackLoads {
 		r := comebackRun(seed, load, coldness{warmAfter: 200, slow: 1}, 200)
 		require.GreaterOrEqual(t, r.back, r.out)
@@ -87,6 +91,7 @@
 
 // TestCrash guards against one request that crashes upstream after upstream.
 func TestCrash(t *testing.T) {
+	t.Parallel()
 	checkBounds(t, true, Crash(seed))
 	crashes, _, _ := crashRun(seed, false)
 	require.Greater(t, crashes, 2, "the measurement must show the crashes that the evidence prevents")
@@ -94,6 +99,7 @@
 
 // TestDuplicates guards against second runs under resends and lost memories.
 func TestDuplicates(t *testing.T) {
+	t.Parallel()
 	checkBounds(t, true, Duplicates(seed))
 	duplicates, _, _, _ := runOrders(seed, true).count()
 	require.Positive(t, duplicates, "the count must show the runs of a blind repeat")
--- a/bench/policy/presets_test.go
+++ b/bench/policy/presets_test.go
@@ -23,6 +23,7 @@
 // TestPresets guards against example values under which operators are better
 // off with another preset than the one that is meant for a situation.
 func TestPresets(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"elozokozosseg", "hooghly"} {
 		doc := exampleDocument(t, name)
 		for _, mean := range presetMeans {
@@ -44,6 +45,7 @@
 // TestPresetsDiffer guards against a comparison that does not see a wrong
 // value, here a queue that is too short.
 func TestPresetsDiffer(t *testing.T) {
+	t.Parallel()
 	doc := exampleDocument(t, "hooghly")
 	outAndBack := situations[2]
 	run := func() float64 { return runPresets(seed, doc, presetMeans[0], outAndBack)[2].share() }
