peer: refuse new connections before the handshake while draining

Cause: a stopping VM that drains still completed the handshake with a peer that dialled again, and closed the connection afterwards. The peer could send a call in between and lost it, with an unknown outcome, which the drain is to prevent.

Change: the hub refuses such connections with 503 before the handshake, so that the peer's calls are not sent. One more place uses closeWith.

Measured: TestDrainLosesNoReply now calls on while the peer dials again; without the change it fails with ErrLost, with it 3 runs with the race detector pass.

A peer that passed the check just before the drain began is still closed after its greeting.

--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -249,12 +249,17 @@
 
 // ServeHTTP accepts a peer's connection and handles its frames.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.isDraining() {
+		// A connection that is closed after the handshake loses what its peer has sent.
+		http.Error(w, "this VM is stopping", http.StatusServiceUnavailable)
+		return
+	}
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
 	}
 	defer conn.CloseNow()
-	defer context.AfterFunc(h.ctx, func() { conn.CloseNow() })()
+	defer closeWith(h.ctx, conn)()
 	conn.SetReadLimit(wire.MaxFrame)
 	hello, err := h.greet(r, conn)
 	if err != nil {
@@ -270,6 +275,12 @@
 	in.serve(r.Context())
 }
 
+func (h *Hub) isDraining() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.draining
+}
+
 // accept counts a connection, unless the hub is draining.
 func (h *Hub) accept(in *inbound) bool {
 	h.mu.Lock()
--- a/server/peer/hub_test.go
+++ b/server/peer/hub_test.go
@@ -138,7 +138,10 @@
 		require.NoError(t, <-results)
 	}
 	require.NoError(t, <-drained)
-	require.ErrorIs(t, hub.Call(t.Context(), "far", wire.TypeStatus, wire.Hello{}, new(wire.Hello)), ErrNotSent)
+	for range 300 { // the peer dials again meanwhile
+		require.ErrorIs(t, hub.Call(t.Context(), "far", wire.TypeStatus, wire.Hello{}, new(wire.Hello)), ErrNotSent)
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // slow keeps a forward until release is closed.
