--- /dev/null
+++ b/core/ownership/ownership.go
@@ -0,0 +1,468 @@
+// Package ownership decides which upstream of a keyed service holds which keys,
+// for upstreams that check fences and hold keys for a limited time.
+//
+// One VM at a time, the granter, runs a Machine for each keyed service. An
+// assignment is written to the store before it is granted, so that a successor
+// knows every upstream that may hold a key. A key goes to another upstream only
+// after its owner has released it, or after the owner's lease has run out by the
+// granter's clock.
+package ownership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dandelionhill.dev/api"
+)
+
+// Span is a run of keys, both ends included.
+type Span struct {
+	First int `cbor:"1,keyasint"`
+	Last  int `cbor:"2,keyasint"`
+}
+
+// Len returns the number of keys.
+func (s Span) Len() int { return s.Last - s.First + 1 }
+
+// Owner is one life of an upstream.
+type Owner struct {
+	Upstream api.UpstreamID `cbor:"1,keyasint"`
+	Life     int64          `cbor:"2,keyasint"`
+}
+
+// Entry is a span with its owner, as the store keeps it.
+type Entry struct {
+	Span  Span  `cbor:"1,keyasint"`
+	Owner Owner `cbor:"2,keyasint"`
+	Fence int64 `cbor:"3,keyasint"`
+}
+
+// Upstream is a possible owner of keys.
+type Upstream struct {
+	Owner
+	// Capacity is the load that it bears, in the unit of Machine.Observe.
+	Capacity float64
+	// May says that it may keep the keys that it has.
+	May bool
+	// Takes says that it may get more keys.
+	Takes bool
+}
+
+// Config holds the times of a Machine.
+type Config struct {
+	// Keys is the number of keys of a service.
+	Keys int
+	// Hold is the lease of a grant, RenewEvery the time between renewals.
+	Hold, RenewEvery time.Duration
+	// Drift bounds how much slower the owner's clock may run.
+	Drift float64
+	// Travel is added to a lease for the way of the grant.
+	Travel time.Duration
+	// RetryEvery is the time between attempts of an order that failed.
+	RetryEvery time.Duration
+	// BalanceEvery is the time between moves that only restore balance.
+	BalanceEvery time.Duration
+	// BalanceAbove is the load over the mean from which keys are moved away.
+	BalanceAbove float64
+	// MovesAtOnce bounds the spans that move for balance at the same time.
+	MovesAtOnce int
+}
+
+// DefaultConfig returns the times for a number of keys. A lost owner's keys are
+// free one lease after its last renewal; three renewals fit into a lease.
+func DefaultConfig(keys int) Config {
+	return Config{
+		Keys: keys, Hold: 2500 * time.Millisecond, RenewEvery: 700 * time.Millisecond,
+		Drift: 0.02, Travel: 150 * time.Millisecond, RetryEvery: 250 * time.Millisecond,
+		BalanceEvery: time.Second, BalanceAbove: 1.3, MovesAtOnce: 8,
+	}
+}
+
+// entry is the state of one span.
+type entry struct {
+	Entry
+	// heldUntil is when the lease of the last grant has surely run out.
+	heldUntil time.Duration
+	// lateUntil is when the last grant without an answer has surely no effect.
+	lateUntil time.Duration
+	sentAt    time.Duration
+	sent      bool // a grant was sent in this term
+	granting  bool // a grant is under way
+	releasing bool // a release is under way
+	// releaseAt is when the next attempt to release is due.
+	releaseAt time.Duration
+	acked     bool
+	leaving   bool
+	released  bool
+	target    Owner // where a leaving span goes
+	handover  string
+	writing   bool // the new owner is in the write under way
+}
+
+// ActionKind says what an Action asks for.
+type ActionKind int
+
+// The kinds of Action.
+const (
+	// Grant asks to send a grant; report its end with Granted.
+	Grant ActionKind = iota + 1
+	// Release asks to take keys back; report its end with Released.
+	Release
+	// Write asks to store Entries; report its end with Written.
+	Write
+)
+
+// Action is something to do for the Machine.
+type Action struct {
+	Kind     ActionKind
+	Span     Span
+	Owner    Owner
+	Fence    int64
+	Hold     time.Duration
+	Handover string
+	Entries  []Entry
+}
+
+// Result is the end of a call to an upstream.
+type Result int
+
+// The results.
+const (
+	// Accepted means that the upstream has confirmed the order.
+	Accepted Result = iota + 1
+	// Outranked means that the upstream has seen a higher fence.
+	Outranked
+	// NotSent means that the order cannot have reached the upstream.
+	NotSent
+	// Unknown means that the order may be carried out, perhaps late.
+	Unknown
+)
+
+// Machine holds the ownership of one service during one term of a granter. It is
+// not safe for concurrent use.
+type Machine struct {
+	cfg       Config
+	fence     int64
+	entries   []*entry
+	upstreams map[api.UpstreamID]Upstream
+	loads     *loads
+	writing   bool
+	balanceAt time.Duration
+	changed   bool
+}
+
+// fencesPerTerm is the number of fences of one term of a granter.
+const fencesPerTerm = 1 << 20
+
+// New starts a term with the entries that the store holds. Terms must increase.
+// freeFrom is when the predecessor's authority has surely ended.
+func New(cfg Config, term int64, stored []Entry, freeFrom time.Duration) *Machine {
+	m := &Machine{
+		cfg: cfg, fence: term * fencesPerTerm, upstreams: make(map[api.UpstreamID]Upstream),
+		loads: newLoads(cfg.Keys), changed: true,
+	}
+	next := 0
+	for _, e := range stored {
+		if e.Span.First > next {
+			m.entries = append(m.entries, &entry{Entry: Entry{Span: Span{next, e.Span.First - 1}}, leaving: true})
+		}
+		m.entries = append(m.entries, &entry{Entry: e, heldUntil: freeFrom + m.lapse(cfg.Hold), acked: true})
+		next = e.Span.Last + 1
+	}
+	if next < cfg.Keys {
+		m.entries = append(m.entries, &entry{Entry: Entry{Span: Span{next, cfg.Keys - 1}}, leaving: true})
+	}
+	return m
+}
+
+func (m *Machine) lapse(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)*(1+m.cfg.Drift)) + m.cfg.Travel
+}
+
+// SetUpstreams tells which upstreams exist.
+func (m *Machine) SetUpstreams(upstreams []Upstream) {
+	clear(m.upstreams)
+	for _, u := range upstreams {
+		m.upstreams[u.Upstream] = u
+	}
+}
+
+// Observe adds load to the keys around key. The unit is that of Upstream.Capacity.
+func (m *Machine) Observe(bucket int, load float64) { m.loads.add(bucket, load) }
+
+// Decay ages the load; call it at regular intervals.
+func (m *Machine) Decay(factor float64) { m.loads.decay(factor) }
+
+// Holding is where requests for a span go. Owner is empty while the span has no
+// owner that is ready to run them.
+type Holding struct {
+	Span  Span           `cbor:"1,keyasint"`
+	Owner api.UpstreamID `cbor:"2,keyasint"`
+}
+
+// Holdings returns the present owners, and whether they have changed since the
+// last call.
+func (m *Machine) Holdings() (holdings []Holding, changed bool) {
+	changed, m.changed = m.changed, false
+	for _, e := range m.entries {
+		h := Holding{Span: e.Span}
+		if e.acked && !e.leaving && !e.writing {
+			h.Owner = e.Owner.Upstream
+		}
+		if n := len(holdings); n > 0 && holdings[n-1].Owner == h.Owner {
+			holdings[n-1].Span.Last = h.Span.Last
+			continue
+		}
+		holdings = append(holdings, h)
+	}
+	return holdings, changed
+}
+
+// HoldingsOf returns where requests go if all entries are in force.
+func HoldingsOf(entries []Entry) []Holding {
+	holdings := make([]Holding, len(entries))
+	for i, e := range entries {
+		holdings[i] = Holding{Span: e.Span, Owner: e.Owner.Upstream}
+	}
+	return holdings
+}
+
+// Mode says what the granter's authority allows.
+type Mode struct {
+	// Renew allows grants of what is stored.
+	Renew bool
+	// Move allows releases and writes.
+	Move bool
+	// Hold is the lease of grants, 0 for the usual one.
+	Hold time.Duration
+}
+
+// Tick returns what to do now.
+func (m *Machine) Tick(now time.Duration, mode Mode) []Action {
+	if !mode.Renew {
+		return nil
+	}
+	var actions []Action
+	if mode.Move {
+		m.leaveLost(now)
+		if now >= m.balanceAt {
+			m.balanceAt = now + m.cfg.BalanceEvery
+			m.balance()
+		}
+		actions = m.releases(now, actions)
+		if write, ok := m.assign(now); ok {
+			actions = append(actions, write)
+		}
+	}
+	return m.grants(now, mode, actions)
+}
+
+// leaveLost marks the spans whose owner may no longer keep them.
+func (m *Machine) leaveLost(now time.Duration) {
+	for _, e := range m.entries {
+		if e.leaving || e.writing {
+			continue
+		}
+		u, present := m.upstreams[e.Owner.Upstream]
+		if present && u.May && u.Life == e.Owner.Life {
+			continue
+		}
+		e.leaving, e.released, e.target = true, false, Owner{}
+		m.changed = true
+		if present && u.Life != e.Owner.Life {
+			// The life that held the keys has ended, and took them with it.
+			e.heldUntil, e.lateUntil, e.released = now, now, true
+			if u.May {
+				e.target = u.Owner
+			}
+		}
+	}
+}
+
+func (m *Machine) releases(now time.Duration, actions []Action) []Action {
+	for _, e := range m.entries {
+		if !e.leaving || e.released || e.inCall() || e.writing || e.Owner.Upstream == "" || now >= e.heldUntil || now < e.releaseAt {
+			continue
+		}
+		e.releasing = true
+		actions = append(actions, Action{Kind: Release, Span: e.Span, Owner: e.Owner, Fence: e.Fence})
+	}
+	return actions
+}
+
+func (e *entry) inCall() bool { return e.granting || e.releasing }
+
+func (e *entry) free(now time.Duration) bool {
+	if !e.leaving || e.writing || e.granting || e.releasing && now < e.heldUntil {
+		return false
+	}
+	return e.Owner.Upstream == "" || now >= e.heldUntil || e.released && now >= e.lateUntil
+}
+
+// assign gives free spans to upstreams and returns the write that records it.
+func (m *Machine) assign(now time.Duration) (Action, bool) {
+	if m.writing || !m.place(now) {
+		return Action{}, false
+	}
+	m.fence++
+	for _, e := range m.entries {
+		if e.writing {
+			e.Fence = m.fence
+		}
+	}
+	m.writing = true
+	return Action{Kind: Write, Entries: m.table()}, true
+}
+
+// table returns what the store is to hold: also spans that are leaving stay with
+// their owner until they have a new one.
+func (m *Machine) table() []Entry {
+	var table []Entry
+	for _, e := range m.entries {
+		if e.Owner.Upstream == "" {
+			continue
+		}
+		if n := len(table); n > 0 && table[n-1].Owner == e.Owner && table[n-1].Fence == e.Fence && table[n-1].Span.Last+1 == e.Span.First {
+			table[n-1].Span.Last = e.Span.Last
+			continue
+		}
+		table = append(table, e.Entry)
+	}
+	return table
+}
+
+// Written reports the end of a write: whether the store holds the entries. A
+// write whose effect is unknown must be repeated until it is known.
+func (m *Machine) Written() {
+	m.writing = false
+	for _, e := range m.entries {
+		if e.writing {
+			e.writing, e.leaving, e.released, e.acked = false, false, false, false
+			e.sent, e.releasing, e.heldUntil, e.lateUntil = false, false, 0, 0
+			m.changed = true
+		}
+	}
+	m.merge()
+}
+
+// merge joins neighbours that can be renewed with one call.
+func (m *Machine) merge() {
+	merged := m.entries[:0]
+	for _, e := range m.entries {
+		if n := len(merged); n > 0 && mergeable(merged[n-1], e) {
+			merged[n-1].Span.Last = e.Span.Last
+			merged[n-1].heldUntil = max(merged[n-1].heldUntil, e.heldUntil)
+			merged[n-1].lateUntil = max(merged[n-1].lateUntil, e.lateUntil)
+			continue
+		}
+		merged = append(merged, e)
+	}
+	clear(m.entries[len(merged):])
+	m.entries = merged
+}
+
+func mergeable(a, b *entry) bool {
+	return a.Owner == b.Owner && a.Fence == b.Fence && a.acked == b.acked &&
+		a.handover == "" && b.handover == "" && !a.leaving && !b.leaving &&
+		!a.inCall() && !b.inCall() && !a.writing && !b.writing && a.sent == b.sent
+}
+
+func (m *Machine) grants(now time.Duration, mode Mode, actions []Action) []Action {
+	hold := m.cfg.Hold
+	if mode.Hold > 0 {
+		hold = mode.Hold
+	}
+	for _, e := range m.entries {
+		if e.leaving || e.writing || e.inCall() || e.Owner.Upstream == "" {
+			continue
+		}
+		u, present := m.upstreams[e.Owner.Upstream]
+		if !present || u.Life != e.Owner.Life || !u.May {
+			continue
+		}
+		wait := m.cfg.RenewEvery
+		if !e.acked {
+			wait = m.cfg.RetryEvery
+		}
+		if e.sent && now-e.sentAt < wait && mode.Hold == 0 {
+			continue
+		}
+		if mode.Hold > 0 && e.sent && now-e.sentAt < wait && e.heldUntil-now > hold/2 {
+			continue
+		}
+		e.sent, e.granting, e.sentAt = true, true, now
+		actions = append(actions, Action{
+			Kind: Grant, Span: e.Span, Owner: e.Owner, Fence: e.Fence, Hold: hold, Handover: e.handover,
+		})
+	}
+	return actions
+}
+
+// Granted reports the end of a grant that was sent at sentAt.
+func (m *Machine) Granted(now, sentAt time.Duration, a Action, result Result) {
+	for _, e := range m.within(a) {
+		e.granting = false
+		until := sentAt + m.lapse(a.Hold)
+		switch result {
+		case Accepted:
+			e.heldUntil, e.handover = max(e.heldUntil, until), ""
+			if !e.acked {
+				e.acked, m.changed = true, true
+			}
+		case Unknown:
+			e.heldUntil = max(e.heldUntil, now+m.lapse(a.Hold))
+			e.lateUntil = e.heldUntil
+			// The next attempt follows after RetryEvery.
+			e.sentAt = min(e.sentAt, now-m.cfg.RenewEvery+m.cfg.RetryEvery)
+		case NotSent:
+			e.sentAt = min(e.sentAt, now-m.cfg.RenewEvery+m.cfg.RetryEvery)
+		case Outranked:
+			// Only a new fence makes the upstream accept again.
+			e.leaving, e.released, e.target, m.changed = true, true, e.Owner, true
+		}
+	}
+}
+
+// Released reports the end of a release.
+func (m *Machine) Released(now time.Duration, a Action, result Result, handover string) {
+	for _, e := range m.within(a) {
+		e.releasing = false
+		if result == Accepted {
+			e.released, e.handover = true, handover
+			continue
+		}
+		e.releaseAt = now + m.cfg.RetryEvery
+	}
+}
+
+// within returns the entries of an action: calls cover whole entries, which are
+// not divided meanwhile.
+func (m *Machine) within(a Action) []*entry {
+	i, found := slices.BinarySearchFunc(m.entries, a.Span.First, func(e *entry, first int) int {
+		return cmp.Compare(e.Span.First, first)
+	})
+	if !found || m.entries[i].Span != a.Span || m.entries[i].Owner != a.Owner || m.entries[i].Fence != a.Fence || !m.entries[i].inCall() {
+		return nil
+	}
+	return m.entries[i : i+1]
+}
+
+// Summary counts the spans of a Machine.
+type Summary struct {
+	Spans, Leaving, Unowned int
+}
+
+// Summary returns the counts for logs and metrics.
+func (m *Machine) Summary() (s Summary) {
+	for _, e := range m.entries {
+		s.Spans++
+		if e.leaving {
+			s.Leaving++
+		}
+		if e.Owner.Upstream == "" {
+			s.Unowned++
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/routing/routing.go
@@ -0,0 +1,132 @@
+// Package routing finds the service of a request in the configuration of the
+// entry VMs: by host and longest path prefix, and by weight where a route is
+// split between services.
+package routing
+
+import (
+	"strings"
+	"time"
+
+	"dandelionhill.dev/api"
+)
+
+// Configuration is one version of what operators have configured. It is
+// immutable once published.
+type Configuration struct {
+	// Number orders versions: a higher number is newer.
+	Number   int64
+	Routes   []*Route
+	Services map[api.ServiceName]*Service
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// Route sends the requests of a host and a path prefix to a service.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout is the longest time a request is kept waiting. 0 means no limit.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full value.
+	Target time.Duration
+	// MaxAttempts bounds the upstreams to which one request may be sent.
+	MaxAttempts int
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
+	// Parts has one entry for a route to one service.
+	Parts []Part
+}
+
+// Part is one of the services of a route, with its share of the requests.
+type Part struct {
+	Service api.ServiceName
+	Weight  int
+}
+
+// Service describes a group of upstreams.
+type Service struct {
+	Name       api.ServiceName
+	HealthPath string
+	// MaxConnections is what one upstream accepts from all callers together.
+	MaxConnections int
+	// ColdTime is how long an upstream is cold after a start.
+	ColdTime time.Duration
+	// ColdRate is the requests a second that a cold upstream bears.
+	ColdRate float64
+	// Keyed services are divided by key: an upstream runs a request only while
+	// it holds the request's key.
+	Keyed bool
+	// WarmupTime is how long keys are slow that arrive without a handover.
+	WarmupTime time.Duration
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Index prepares a configuration for Match. Call it once, before publishing.
+func (c *Configuration) Index() {
+	c.byHost = make(map[string][]*Route)
+	for _, r := range c.Routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+}
+
+// Match returns the route with the longest prefix that begins the path, or nil.
+func (c *Configuration) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	routes, ok := c.byHost[host]
+	if !ok {
+		if i := strings.LastIndexByte(host, ':'); i > 0 {
+			routes = c.byHost[host[:i]]
+		}
+	}
+	var best *Route
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Splitter divides the requests of split routes by weight. It spreads each
+// part evenly (smooth weighted round robin), so that the shares hold over short
+// times. It is not safe for concurrent use.
+type Splitter struct {
+	credit map[string][]int
+}
+
+// NewSplitter returns a Splitter that has seen no request.
+func NewSplitter() *Splitter { return &Splitter{credit: make(map[string][]int)} }
+
+// Next returns the service of the next request on a route.
+func (s *Splitter) Next(r *Route) api.ServiceName {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	credit := s.credit[r.Name]
+	if len(credit) != len(r.Parts) {
+		credit = make([]int, len(r.Parts))
+		s.credit[r.Name] = credit
+	}
+	total, best := 0, 0
+	for i, p := range r.Parts {
+		credit[i] += p.Weight
+		total += p.Weight
+		if credit[i] > credit[best] {
+			best = i
+		}
+	}
+	credit[best] -= total
+	return r.Parts[best].Service
+}
--- /dev/null
+++ b/server/cmd/dandelionhilld/gateway.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"dandelionhill.dev/server/gateway"
+	"dandelionhill.dev/server/logs"
+)
+
+// runGateway runs an entry VM on the platform's store. SIGHUP says that the
+// settings file has changed; SIGTERM stops.
+func runGateway(path string) error {
+	s, bounds, err := gateway.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	log, err := logs.New(os.Stdout, s.LogLevel, s.VM)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	g := gateway.New(s, bounds, log)
+	if err := g.Start(); err != nil {
+		return err
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		if _, _, err := gateway.LoadSettings(path); err != nil {
+			log.Error().Str("event", "settings_refused").Err(err).Msg("")
+			continue
+		}
+		// Addresses and names of a VM do not change while it runs.
+		log.Info().Str("event", "settings_read").Msg("")
+	}
+	g.Stop()
+	return nil
+}
--- a/server/cmd/dandelionhilld/main.go
+++ b/server/cmd/dandelionhilld/main.go
@@ -15,15 +15,22 @@
 )
 
 func main() {
-	path := flag.String("settings", "/etc/dandelionhill/settings.jsonc", "settings file of this VM")
-	flag.Parse()
+	run, args := runDaemon, os.Args[1:]
+	if len(args) > 0 && args[0] == "gateway" {
+		run, args = runGateway, args[1:]
+	}
+	flags := flag.NewFlagSet("dandelionhilld", flag.ExitOnError)
+	path := flags.String("settings", "/etc/dandelionhill/settings.jsonc", "settings file of this VM")
+	if err := flags.Parse(args); err != nil {
+		os.Exit(2)
+	}
 	if err := run(*path); err != nil {
 		fmt.Fprintln(os.Stderr, "dandelionhilld:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string) error {
+func runDaemon(path string) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
--- /dev/null
+++ b/server/gateway/gateway.go
@@ -0,0 +1,152 @@
+// Package gateway runs one entry VM of a deployment whose upstreams register in
+// the platform's store and hold keys by fenced grants. Every VM sends requests to
+// the upstreams itself; one of them, the granter, decides who holds which keys.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/platform/fleet"
+)
+
+const (
+	// headerTimeout bounds the time to read a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long an idle connection of a caller is kept. It is above
+	// what configurations state, so that no caller meets the end of a connection.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// leaveRotation is the time from the first refusal of the balancer's question
+	// until no new connection comes: two questions, a second apart.
+	leaveRotation = 2500 * time.Millisecond
+	// exitMargin is the part of the grace time that is left unused.
+	exitMargin = 400 * time.Millisecond
+)
+
+// Gateway is one entry VM.
+type Gateway struct {
+	settings *Settings
+	bounds   fleet.Bounds
+	log      zerolog.Logger
+	metrics  *metrics
+	control  *control
+	entry    *entry
+	election *election
+	links    *links
+	draining atomic.Bool
+	callers  *http.Server
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	ended    chan struct{} // closed when the election has ended
+}
+
+// New assembles an entry VM; Start starts it.
+func New(s *Settings, bounds fleet.Bounds, log zerolog.Logger) *Gateway {
+	m := newMetrics()
+	incarnation := api.Incarnation(uuid.NewString()[:8])
+	c := newControl(fleet.NewStore(s.Store, newStoreClient()), m, log)
+	st := newStats()
+	l := &links{self: s.VM, incarnation: incarnation, stats: st, log: log}
+	g := &Gateway{
+		settings: s, bounds: bounds, log: log, metrics: m, control: c, links: l, ended: make(chan struct{}),
+		entry: newEntry(s.VM, bounds, c.view, m, st, log),
+		election: &election{
+			self: s.VM, incarnation: incarnation, address: s.Listen.Peers, bounds: bounds,
+			control: c, stats: st, links: l, metrics: m, log: log,
+		},
+	}
+	peers := chi.NewRouter()
+	peers.Handle(linkPath, l)
+	health := chi.NewRouter()
+	health.Get(fleet.PathReady, g.ready)
+	metricsRouter := chi.NewRouter()
+	metricsRouter.Handle("/metrics", m.handler())
+	g.callers = &http.Server{Addr: s.Listen.Callers, Handler: g.entry, MaxHeaderBytes: maxHeaderBytes}
+	g.servers = []*http.Server{
+		{Addr: s.Listen.Peers, Handler: peers},
+		{Addr: s.Listen.Health, Handler: health},
+		{Addr: s.Listen.Metrics, Handler: metricsRouter},
+		g.callers,
+	}
+	for _, server := range g.servers {
+		server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+	}
+	return g
+}
+
+// ready answers the balancer: the VM takes requests once it knows a configuration.
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if g.draining.Load() || g.control.view().config == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Start listens on all addresses and follows the store.
+func (g *Gateway) Start() error {
+	listeners := make([]net.Listener, 0, len(g.servers))
+	for _, server := range g.servers {
+		listener, err := net.Listen("tcp", server.Addr)
+		if err != nil {
+			for _, l := range listeners {
+				l.Close()
+			}
+			return errors.Wrapf(err, "listen on %s: choose an address of this VM that no other program uses", server.Addr)
+		}
+		listeners = append(listeners, listener)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	go g.control.run(ctx)
+	go g.control.follow(ctx, fleet.TableOperator, g.control.operatorRows)
+	go g.control.follow(ctx, fleet.TableUpstreams, g.control.upstreamRows)
+	go func() {
+		defer close(g.ended)
+		g.election.run(ctx)
+	}()
+	for i, server := range g.servers {
+		go g.serve(server, listeners[i])
+	}
+	g.log.Info().Str("event", "started").Str("incarnation", string(g.links.incarnation)).
+		Str("domain", string(g.settings.FailureDomain)).Str("callers", g.settings.Listen.Callers).Msg("")
+	return nil
+}
+
+func (g *Gateway) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		g.log.Error().Str("event", "listener_failed").Str("address", server.Addr).Err(err).Msg("")
+	}
+}
+
+// Stop leaves the rotation, lets requests under way finish, and gives the lease
+// of a granter back.
+func (g *Gateway) Stop() {
+	deadline := time.Now().Add(g.bounds.Grace - exitMargin)
+	g.draining.Store(true)
+	g.callers.SetKeepAlivesEnabled(false)
+	g.log.Info().Str("event", "stopping").Msg("")
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	sleep(ctx, leaveRotation)
+	if err := g.callers.Shutdown(ctx); err != nil {
+		g.log.Warn().Str("event", "requests_cut").Err(err).Msg("")
+	}
+	g.cancel()
+	select {
+	case <-g.ended:
+	case <-ctx.Done():
+	}
+	g.log.Info().Str("event", "stopped").Msg("")
+}
--- /dev/null
+++ b/server/gateway/granter.go
@@ -0,0 +1,463 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/platform/fleet"
+)
+
+const (
+	// granterTick is the time between looks at what is due.
+	granterTick = 50 * time.Millisecond
+	// loadMemory is the time constant with which observed load is forgotten.
+	loadMemory = 6 * time.Second
+	// decayEvery is the time between steps of forgetting.
+	decayEvery = 500 * time.Millisecond
+	// almostWarm is the remaining cold time at which an upstream gets keys.
+	almostWarm = 500 * time.Millisecond
+	// extendAfter is the age of the last renewal from which the granter makes
+	// leases longer: the store does not answer, and no other VM can take over
+	// before the lease of this one is stale.
+	extendAfter = 1200 * time.Millisecond
+	// extendNotice is the time between telling the other VMs and the first longer
+	// lease.
+	extendNotice = 200 * time.Millisecond
+	// rankKept is how long a VM that is not connected keeps its rank.
+	rankKept = 5 * time.Second
+	// paceWeight is the weight of one report in the pace of an upstream.
+	paceWeight = 0.15
+	// minPace and maxPace bound how much slower or faster than its service an
+	// upstream counts.
+	minPace, maxPace = 0.15, 1.8
+)
+
+// member is a VM that is connected to the granter.
+type member struct {
+	vm      api.VMID
+	updates chan update
+	close   func()
+	sent    map[api.ServiceName]int64 // the turn of the holdings sent last
+}
+
+// rank is the place of a VM; gone is when it was last connected.
+type rank struct {
+	vm   api.VMID
+	gone time.Duration
+	here bool
+}
+
+// granter decides for one term which upstreams hold which keys.
+type granter struct {
+	*election
+	lease     lease
+	rowAt     int64 // version of the lease row
+	freeFrom  time.Duration
+	inherited time.Duration
+	stored    ownState
+
+	// authority is until when this VM may order, on bootTime.
+	authority atomic.Int64
+
+	events   chan func()
+	done     chan struct{}
+	machines map[api.ServiceName]*ownership.Machine
+	turns    map[api.ServiceName]holdings
+	writes   map[api.ServiceName][]ownership.Entry // to be written
+	members  map[*member]bool
+	ranks    []rank
+	paces    map[api.UpstreamID]float64
+	orders   *orders
+
+	writing   bool
+	renewedAt time.Duration // when the last successful renewal was sent
+	updatedAt time.Duration
+	decayedAt time.Duration
+	extended  time.Duration // when the other VMs were told of longer leases
+	deposed   bool
+}
+
+func newGranter(e *election, l lease, row int64, sent, freeFrom, inherited time.Duration, stored ownState) *granter {
+	g := &granter{
+		election: e, lease: l, rowAt: row, freeFrom: freeFrom, inherited: inherited, stored: stored,
+		events: make(chan func(), 256), done: make(chan struct{}),
+		machines: make(map[api.ServiceName]*ownership.Machine), turns: make(map[api.ServiceName]holdings),
+		writes: make(map[api.ServiceName][]ownership.Entry), members: make(map[*member]bool),
+		paces: make(map[api.UpstreamID]float64), renewedAt: sent,
+	}
+	g.authority.Store(int64(sent + leaseTime))
+	g.orders = newOrders(g)
+	// Places are kept for the VMs that were there, until they have connected.
+	g.ranks = make([]rank, max(l.VMs, 1))
+	for i := range g.ranks {
+		g.ranks[i].gone = sent
+	}
+	g.ranks[0] = rank{vm: e.self, here: true}
+	return g
+}
+
+func (g *granter) mayOrder() bool { return int64(bootTime()) < g.authority.Load() }
+
+// run grants until the term ends or ctx does; then it gives the lease back.
+func (g *granter) run(ctx context.Context) {
+	defer close(g.done)
+	ordersCtx, stopOrders := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopOrders()
+	g.orders.ctx = ordersCtx
+	g.links.serve(g)
+	defer g.links.serve(nil)
+	ticker := time.NewTicker(granterTick)
+	defer ticker.Stop()
+	for !g.deposed {
+		select {
+		case event := <-g.events:
+			event()
+		case <-ticker.C:
+			g.tick(ordersCtx)
+		case <-ctx.Done():
+			g.release(ordersCtx)
+			g.deposed = true
+		}
+	}
+	for m := range g.members {
+		m.close()
+	}
+}
+
+// do runs a change on the granter's goroutine. It reports false if the term is over.
+func (g *granter) do(change func()) bool {
+	select {
+	case g.events <- change:
+		return true
+	case <-g.done:
+		return false
+	}
+}
+
+func (g *granter) join(m *member) bool {
+	m.sent = make(map[api.ServiceName]int64)
+	return g.do(func() {
+		g.members[m] = true
+		g.place(m.vm)
+		g.log.Info().Str("event", "vm_joined").Str("peer", string(m.vm)).Int("vms", len(g.ranks)).Msg("")
+		g.update(bootTime())
+	})
+}
+
+// place gives a VM a rank: the one that it had, else a free one.
+func (g *granter) place(vm api.VMID) {
+	free := -1
+	for i := range g.ranks {
+		if g.ranks[i].vm == vm {
+			g.ranks[i].here = true
+			return
+		}
+		if free < 0 && !g.ranks[i].here && (g.ranks[i].vm == "" || bootTime()-g.ranks[i].gone > rankKept) {
+			free = i
+		}
+	}
+	if free < 0 {
+		free = len(g.ranks)
+		g.ranks = append(g.ranks, rank{})
+	}
+	g.ranks[free] = rank{vm: vm, here: true}
+}
+
+func (g *granter) left(m *member, err error) {
+	g.do(func() {
+		delete(g.members, m)
+		for i := range g.ranks {
+			if g.ranks[i].vm == m.vm {
+				g.ranks[i].here, g.ranks[i].gone = false, bootTime()
+			}
+		}
+		g.log.Info().Str("event", "vm_left").Str("peer", string(m.vm)).Err(err).Msg("")
+	})
+}
+
+func (g *granter) reported(r report) {
+	g.do(func() { g.observe(r) })
+}
+
+func (g *granter) observe(r report) {
+	for service, loads := range r.Loads {
+		if m := g.machines[service]; m != nil {
+			for bucket, load := range loads {
+				m.Observe(bucket, load)
+			}
+		}
+	}
+	for id, p := range r.Paces {
+		if p.Taken <= 0 || p.Usual <= 0 {
+			continue
+		}
+		pace := min(max(p.Usual/p.Taken, minPace), maxPace)
+		if old, ok := g.paces[id]; ok {
+			pace = old + paceWeight*(pace-old)
+		}
+		g.paces[id] = pace
+	}
+}
+
+func (g *granter) tick(ctx context.Context) {
+	now := bootTime()
+	v := g.control.view()
+	if v.config == nil {
+		g.renew(ctx, now)
+		return
+	}
+	g.observe(g.stats.take())
+	decay := now-g.decayedAt >= decayEvery
+	if decay {
+		g.decayedAt = now
+	}
+	mode := g.mode(now)
+	upstreams := g.upstreams(v, now)
+	for name, service := range v.config.Services {
+		if !service.Keyed {
+			continue
+		}
+		m := g.machines[name]
+		if m == nil {
+			cfg := ownership.DefaultConfig(fleet.Keys)
+			from := g.freeFrom
+			if g.inherited > cfg.Hold {
+				from += g.inherited - cfg.Hold
+			}
+			m = ownership.New(cfg, g.lease.Term, g.stored.holdings[name], from)
+			g.machines[name] = m
+		}
+		m.SetUpstreams(upstreams[name])
+		if decay {
+			m.Decay(1 - decayEvery.Seconds()/loadMemory.Seconds())
+		}
+		for _, action := range m.Tick(now, mode) {
+			if action.Kind == ownership.Write {
+				g.writes[name] = action.Entries
+				continue
+			}
+			g.orders.give(name, action, v.upstreams[action.Owner.Upstream], now)
+		}
+		g.publish(name, m)
+	}
+	g.renew(ctx, now)
+	if now-g.updatedAt >= updateEvery {
+		g.update(now)
+	}
+}
+
+// mode returns what this VM may do now.
+func (g *granter) mode(now time.Duration) ownership.Mode {
+	if !g.mayOrder() {
+		return ownership.Mode{}
+	}
+	mode := ownership.Mode{Renew: true, Move: now >= g.freeFrom}
+	if now-g.renewedAt <= extendAfter {
+		g.extended = 0
+		return mode
+	}
+	if g.extended == 0 {
+		g.extended = now
+		g.log.Warn().Str("event", "leases_extended").Int64("term", g.lease.Term).Dur("store_silent_ms", now-g.renewedAt).Msg("")
+		g.update(now)
+	}
+	if now-g.extended >= extendNotice {
+		mode.Hold = g.bounds.HoldMax
+	}
+	return mode
+}
+
+// upstreams returns the possible owners by service.
+func (g *granter) upstreams(v *view, now time.Duration) map[api.ServiceName][]ownership.Upstream {
+	out := make(map[api.ServiceName][]ownership.Upstream)
+	for id, u := range v.upstreams {
+		entry := u.entry.Load()
+		if entry.gone {
+			continue
+		}
+		pace, ok := g.paces[id]
+		if !ok {
+			pace = 1
+		}
+		may := v.usable(u) && !g.orders.suspect(id, now)
+		out[entry.Service] = append(out[entry.Service], ownership.Upstream{
+			Owner:    ownership.Owner{Upstream: id, Life: entry.Life},
+			Capacity: float64(entry.Slots) * pace,
+			May:      may, Takes: may && now > entry.coldUntil-almostWarm,
+		})
+	}
+	return out
+}
+
+// publish tells this VM and the others where keys are.
+func (g *granter) publish(name api.ServiceName, m *ownership.Machine) {
+	spans, changed := m.Holdings()
+	if !changed {
+		return
+	}
+	h := holdings{Term: g.lease.Term, Turn: g.turns[name].Turn + 1, Spans: spans}
+	g.turns[name] = h
+	s := m.Summary()
+	g.log.Info().Str("event", "owners_changed").Str("service", string(name)).Int64("term", h.Term).Int64("turn", h.Turn).
+		Int("spans", s.Spans).Int("leaving", s.Leaving).Int("unowned", s.Unowned).Msg("")
+	g.update(bootTime())
+}
+
+// update sends each VM what it does not know yet.
+func (g *granter) update(now time.Duration) {
+	g.updatedAt = now
+	var extendedMs int64
+	if g.extended > 0 {
+		extendedMs = (leaseTime + g.bounds.HoldMax).Milliseconds()
+	}
+	for m := range g.members {
+		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), ExtendedMs: extendedMs}
+		// An update that was not sent yet is replaced; what it held goes along.
+		select {
+		case old := <-m.updates:
+			u.Holdings = old.Holdings
+		default:
+		}
+		for name, h := range g.turns {
+			if m.sent[name] < h.Turn {
+				if u.Holdings == nil {
+					u.Holdings = make(map[api.ServiceName]holdings)
+				}
+				u.Holdings[name], m.sent[name] = h, h.Turn
+			}
+		}
+		m.updates <- u
+	}
+	own := make(map[api.ServiceName]holdings, len(g.turns))
+	for name, h := range g.turns {
+		own[name] = h
+	}
+	g.control.hold(own, 0, len(g.ranks))
+}
+
+func (g *granter) rankOf(vm api.VMID) int {
+	for i, r := range g.ranks {
+		if r.vm == vm {
+			return i
+		}
+	}
+	return -1
+}
+
+// renew writes what is due: the lease every leaseRenew, owners at once.
+func (g *granter) renew(ctx context.Context, now time.Duration) {
+	if g.writing || len(g.writes) == 0 && now-g.renewedAt < leaseRenew {
+		return
+	}
+	clock := g.control.view().clock
+	next := g.lease
+	next.Seq++
+	next.AtMs = clock.at(now).Milliseconds()
+	next.VMs = len(g.members) + 1
+	writes := g.writes
+	g.writes = make(map[api.ServiceName][]ownership.Entry)
+	g.writing = true
+	go g.write(ctx, next, writes)
+}
+
+// write repeats a transaction until its result is known.
+func (g *granter) write(ctx context.Context, next lease, writes map[api.ServiceName][]ownership.Entry) {
+	first := bootTime()
+	for {
+		sent := bootTime()
+		page, err := g.control.commit(ctx, g.rowAt, next, writes)
+		if errors.Is(err, fleet.ErrConflict) {
+			page, err = g.resolve(page, next)
+		}
+		if err == nil || errors.Is(err, fleet.ErrConflict) {
+			if err == nil && page.Version != 0 && sent != first {
+				// Which attempt took effect is not known: authority counts from the first.
+				sent = first
+			}
+			g.do(func() { g.written(next, page, sent, err) })
+			return
+		}
+		g.log.Warn().Str("event", "write_failed").Int64("term", next.Term).Int64("seq", next.Seq).Int("services", len(writes)).Err(err).Msg("")
+		if !sleep(ctx, storeRetry/2) {
+			return
+		}
+		select {
+		case <-g.done:
+			return
+		default:
+		}
+	}
+}
+
+// resolve finds out whether the conflict comes from an earlier attempt of the
+// same write.
+func (g *granter) resolve(page *fleet.Page, next lease) (*fleet.Page, error) {
+	for _, row := range page.Rows {
+		if row.Table != ownTable || row.Key != leaseKey {
+			continue
+		}
+		if l := decodeLease(row, 0); l.VM == next.VM && l.Incarnation == next.Incarnation && l.Term == next.Term && l.Seq == next.Seq {
+			return &fleet.Page{Version: row.Version}, nil
+		}
+	}
+	return nil, fleet.ErrConflict
+}
+
+func (g *granter) written(next lease, page *fleet.Page, sent time.Duration, err error) {
+	g.writing = false
+	if err != nil {
+		g.log.Warn().Str("event", "granter_replaced").Int64("term", g.lease.Term).Msg("")
+		g.authority.Store(0)
+		g.deposed = true
+		return
+	}
+	g.lease, g.rowAt, g.renewedAt = next, page.Version, sent
+	g.authority.Store(int64(sent + leaseTime))
+	if page.NowS > 0 {
+		g.control.readClock(sent, bootTime(), page)
+	}
+	for _, m := range g.machines {
+		m.Written()
+	}
+	for name, m := range g.machines {
+		g.publish(name, m)
+	}
+}
+
+// release gives the lease back, so that a successor need not wait.
+func (g *granter) release(ctx context.Context) {
+	g.authority.Store(0)
+	next := g.lease
+	next.Seq += 2
+	next.Released = true
+	if _, err := g.control.commit(ctx, g.rowAt, next, nil); err != nil {
+		g.log.Warn().Str("event", "lease_not_released").Int64("term", g.lease.Term).Err(err).Msg("")
+	}
+}
+
+// orders carries orders to upstreams: grants of one upstream one after the
+// other, so that they share a connection.
+type orders struct {
+	g   *granter
+	ctx context.Context
+	log zerolog.Logger
+
+	mu    sync.Mutex
+	lines map[api.UpstreamID]*line
+}
+
+// line is the orders to one upstream.
+type line struct {
+	queue   []func()
+	running int
+	// unsentSince is since when no order has reached the upstream.
+	unsentSince time.Duration
+	suspectTill time.Duration
+}
--- /dev/null
+++ b/server/gateway/lease.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/platform/fleet"
+)
+
+const (
+	// ownTable holds the rows of this system.
+	ownTable = "dandelionhill"
+	// leaseKey is the row of the granter's lease.
+	leaseKey = "granter"
+	// holdingPrefix begins the keys of the rows with the owners of a service's keys.
+	holdingPrefix = "holding/"
+
+	// leaseTime is how long a granter may act after it sent its last renewal.
+	leaseTime = 3 * time.Second
+	// leaseRenew is the time between renewals.
+	leaseRenew = time.Second
+	// leaseStale is the age of a lease from which another VM takes over.
+	leaseStale = 1700 * time.Millisecond
+)
+
+// lease names the VM that grants keys. All writes of a granter name the version
+// of this row, so that a granter that was replaced writes nothing more.
+type lease struct {
+	VM          api.VMID        `cbor:"1,keyasint"`
+	Incarnation api.Incarnation `cbor:"2,keyasint"`
+	// Address is where the other VMs reach the granter.
+	Address string `cbor:"3,keyasint"`
+	// Term increases with every takeover.
+	Term int64 `cbor:"4,keyasint"`
+	// Seq increases with every write of a term, to tell lost answers apart.
+	Seq int64 `cbor:"5,keyasint"`
+	// AtMs is the store's clock at the last renewal, in milliseconds.
+	AtMs int64 `cbor:"6,keyasint"`
+	// Released means that the granter has stopped by itself.
+	Released bool `cbor:"7,keyasint"`
+	// VMs is the number of VMs that the granter knew.
+	VMs int `cbor:"8,keyasint"`
+}
+
+// leaseRow is a lease as read from the store.
+type leaseRow struct {
+	lease
+	version int64 // 0 if there is no row
+	// age is the time since the last renewal, by the store's clock.
+	age time.Duration
+}
+
+func leaseName() fleet.Name { return fleet.Name{Table: ownTable, Key: leaseKey} }
+
+// ownState is what the store holds of this system.
+type ownState struct {
+	lease    leaseRow
+	holdings map[api.ServiceName][]ownership.Entry
+	versions map[api.ServiceName]int64
+}
+
+// readOwn reads the rows of this system. A row that cannot be read counts as
+// absent: its service is granted anew with higher fences.
+func (c *control) readOwn(ctx context.Context) (ownState, error) {
+	page, err := c.readAll(ctx, ownTable)
+	if err != nil {
+		return ownState{}, err
+	}
+	state := ownState{
+		holdings: make(map[api.ServiceName][]ownership.Entry), versions: make(map[api.ServiceName]int64),
+	}
+	for _, row := range page.Rows {
+		if row.Key == leaseKey {
+			state.lease = decodeLease(row, page.Clock())
+			if state.lease.lease == (lease{}) {
+				c.log.Error().Str("event", "lease_unreadable").Int64("row", row.Version).Msg("")
+			}
+			continue
+		}
+		service := api.ServiceName(row.Key[min(len(holdingPrefix), len(row.Key)):])
+		var entries []ownership.Entry
+		if err := cbor.Unmarshal(row.Value, &entries); err != nil {
+			return ownState{}, errors.Wrapf(err, "decode the row %q", row.Key)
+		}
+		state.holdings[service], state.versions[service] = entries, row.Version
+	}
+	return state, nil
+}
+
+func decodeLease(row fleet.Row, clock time.Duration) leaseRow {
+	r := leaseRow{version: row.Version}
+	if err := cbor.Unmarshal(row.Value, &r.lease); err != nil {
+		// An unreadable lease binds nobody; its version still orders the takeover.
+		r.lease = lease{}
+	}
+	r.age = clock - time.Duration(r.AtMs)*time.Millisecond
+	return r
+}
+
+// commit runs a transaction that writes the lease, and entries beside it.
+func (c *control) commit(ctx context.Context, expect int64, l lease, entries map[api.ServiceName][]ownership.Entry) (*fleet.Page, error) {
+	value, err := cbor.Marshal(l)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the lease")
+	}
+	tx := fleet.Tx{
+		Expect: []fleet.Expect{{Name: leaseName(), Version: expect}},
+		Put:    []fleet.Put{{Name: leaseName(), Value: value}},
+		Remove: []fleet.Name{},
+	}
+	for service, list := range entries {
+		value, err := cbor.Marshal(list)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode the owners of keys")
+		}
+		tx.Put = append(tx.Put, fleet.Put{Name: fleet.Name{Table: ownTable, Key: holdingPrefix + string(service)}, Value: value})
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := c.store.Commit(ctx, tx)
+	c.metrics.storeCall("commit", err)
+	return page, err
+}
--- /dev/null
+++ b/server/gateway/metrics.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// latencyBuckets spans 1 ms to 8 s: callers wait up to several seconds.
+var latencyBuckets = prometheus.ExponentialBuckets(0.001, 2, 14)
+
+type metrics struct {
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec   // service, outcome
+	refusals *prometheus.CounterVec   // service, reason
+	repeats  *prometheus.CounterVec   // service, reason
+	latency  *prometheus.HistogramVec // service
+	upstream *prometheus.HistogramVec // service
+	orders   *prometheus.CounterVec   // kind, result
+	store    *prometheus.CounterVec   // call, result
+	granter  prometheus.Gauge
+	config   prometheus.Gauge
+	dropped  prometheus.Counter
+}
+
+func newMetrics() *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "dandelionhill", Name: name, Help: help}, labels)
+	}
+	histogram := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "dandelionhill", Name: name, Help: help, Buckets: latencyBuckets,
+		}, []string{"service"})
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "dandelionhill", Name: name, Help: help})
+	}
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		answers:  counter("requests_total", "Requests of callers by outcome.", "service", "outcome"),
+		refusals: counter("refusals_total", "Requests refused or failed, by reason.", "service", "reason"),
+		repeats:  counter("repeats_total", "Requests sent again, or not, by reason.", "service", "reason"),
+		latency:  histogram("request_seconds", "Time from a caller's request to its answer."),
+		upstream: histogram("upstream_seconds", "Time from a send to an upstream to its answer."),
+		orders:   counter("orders_total", "Orders to upstreams about their keys, by result.", "kind", "result"),
+		store:    counter("store_calls_total", "Calls of the store by result.", "call", "result"),
+		granter:  gauge("granter", "1 while this VM grants keys."),
+		config:   gauge("configuration_version", "Version of the configuration in use."),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "dandelionhill", Name: "log_lines_dropped_total", Help: "Log lines dropped because the log was not read fast enough.",
+		}),
+	}
+	m.registry.MustRegister(m.answers, m.refusals, m.repeats, m.latency, m.upstream, m.orders, m.store, m.granter, m.config, m.dropped)
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *metrics) storeCall(call string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+	}
+	m.store.WithLabelValues(call, result).Inc()
+}
+
+func (m *metrics) answered(service, outcome string, took time.Duration) {
+	m.answers.WithLabelValues(service, outcome).Inc()
+	m.latency.WithLabelValues(service).Observe(took.Seconds())
+}
--- /dev/null
+++ b/server/gateway/view.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"sort"
+	"time"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/core/routing"
+)
+
+// view is what the VM believes at one moment. The control goroutine publishes a
+// new view for each change; traffic only reads it.
+type view struct {
+	config *routing.Configuration
+	// configRow is the store's version of the row that config came from.
+	configRow int64
+	upstreams map[api.UpstreamID]*upstream
+	services  map[api.ServiceName][]*upstream
+	// out holds the failure domains that operators have taken out.
+	out      map[api.FailureDomain]bool
+	holdings map[api.ServiceName]holdings
+	// rank is the place of this VM among of VMs, -1 while it has none.
+	rank, of int
+	// clock is the clock that all VMs share.
+	clock sharedClock
+	// superseded is closed when a newer view has been published.
+	superseded chan struct{}
+}
+
+// holdings says where requests for keys go, from one granter.
+type holdings struct {
+	Term  int64               `cbor:"1,keyasint"`
+	Turn  int64               `cbor:"2,keyasint"`
+	Spans []ownership.Holding `cbor:"3,keyasint"`
+}
+
+func (h holdings) newerThan(other holdings) bool {
+	return h.Term > other.Term || h.Term == other.Term && h.Turn > other.Turn
+}
+
+// owner returns the upstream that holds a key, empty if none does.
+func (h holdings) owner(key int) api.UpstreamID {
+	i := sort.Search(len(h.Spans), func(i int) bool { return h.Spans[i].Span.Last >= key })
+	if i == len(h.Spans) || h.Spans[i].Span.First > key {
+		return ""
+	}
+	return h.Spans[i].Owner
+}
+
+// usable reports whether an upstream may get requests.
+func (v *view) usable(u *upstream) bool {
+	e := u.entry.Load()
+	return !e.gone && !e.Draining && !v.out[e.Domain]
+}
+
+// registration is an upstream's entry, as last read.
+type registration struct {
+	routing.Upstream
+	// coldUntil is when it is no longer cold, on bootTime.
+	coldUntil time.Duration
+	// gone means that the entry was removed.
+	gone bool
+}
--- /dev/null
+++ b/server/upstreamconn/conn.go
@@ -0,0 +1,346 @@
+// Package upstreamconn exchanges requests and answers with one upstream over
+// kept HTTP/1.1 connections. It tells whether a request can have reached the
+// upstream, gives an answer only to its own request, and never uses a connection
+// again whose state is in doubt.
+package upstreamconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the time to open a connection: a round trip takes a few
+	// milliseconds, a lost packet is sent again after a second.
+	dialTimeout = 700 * time.Millisecond
+	// defaultIdle is how long a connection is kept of which the upstream does not
+	// say how long it keeps it.
+	defaultIdle = 2 * time.Second
+	// idleShare is the part of the upstream's idle time for which a connection is
+	// used: a request must not meet its end.
+	idleShare = 0.6
+	// maxForeign bounds the answers to other requests that are passed over.
+	maxForeign = 3
+	// inlineBody is the largest body, in bytes, that is written before the answer
+	// is read. Of longer ones the upstream may answer before it has read them.
+	inlineBody = 4 << 10
+	// userTimeout is how long sent bytes may stay unacknowledged.
+	userTimeout = 3 * time.Second
+)
+
+// Errors of an exchange.
+var (
+	// ErrForeign means that the connection gave answers to other requests only.
+	ErrForeign = errors.New("the upstream answered other requests on this connection: the outcome is unknown")
+	// ErrBroken means that what came is no whole answer.
+	ErrBroken = errors.New("the upstream's answer is broken: the outcome is unknown")
+)
+
+// Error is the failure of an exchange.
+type Error struct {
+	// Sent means that bytes of the request may have reached the upstream.
+	Sent bool
+	// Refused means that nothing listens at the address.
+	Refused bool
+	Err     error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Request is what is sent.
+type Request struct {
+	Method string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Own reports whether an answer belongs to this request; nil accepts all.
+	Own func(status int, header http.Header) bool
+}
+
+// Reply is a whole answer.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Opened means that a new connection was opened for the exchange.
+	Opened bool
+}
+
+// Pool keeps the connections to one address.
+type Pool struct {
+	address string
+	maxBody int64
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+// New returns a Pool without connections.
+func New(address string, maxBody int64) *Pool { return &Pool{address: address, maxBody: maxBody} }
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	until  time.Time // when it may no longer be used, while idle
+}
+
+// Close closes the idle connections; those in use close when they are done.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.idle = nil
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.After(c.until) {
+			c.Close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+func (p *Pool) take() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for n := len(p.idle); n > 0; n = len(p.idle) {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		if now.Before(c.until) && c.quiet() {
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
+func (p *Pool) give(c *conn, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.Close()
+		return
+	}
+	c.until = time.Now().Add(idle)
+	p.idle = append(p.idle, c)
+}
+
+// quiet reports whether the connection is open and holds no unread bytes. Bytes
+// before a request is sent belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return quiet && err == nil
+}
+
+// dialer opens connections that notice a silent peer.
+var dialer = net.Dialer{
+	Timeout:         dialTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+	Control: func(_, _ string, c syscall.RawConn) error {
+		var setErr error
+		if err := c.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		}); err != nil {
+			return err
+		}
+		return setErr
+	},
+}
+
+// Dial opens a connection that notices a silent peer.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, network, address)
+}
+
+func (p *Pool) open(ctx context.Context) (*conn, error) {
+	c, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, &Error{Err: errors.Wrap(err, "connect to the upstream"), Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, 4<<10)}, nil
+}
+
+// Do sends a request and returns the whole answer to it. The error is an *Error.
+// The connection is closed if ctx ends before the answer has come.
+func (p *Pool) Do(ctx context.Context, req *Request) (*Reply, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{Err: err}
+	}
+	c, opened := p.take(), false
+	if c == nil {
+		var err error
+		if c, err = p.open(ctx); err != nil {
+			return nil, err
+		}
+		opened = true
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	reply, idle, err := p.exchange(c, req)
+	if !stop() {
+		idle = 0
+	}
+	if err == nil && idle > 0 {
+		p.give(c, idle)
+	} else {
+		c.Close()
+	}
+	if err != nil {
+		if ctx.Err() != nil {
+			err = errors.Wrap(ctx.Err(), err.Error())
+		}
+		return nil, &Error{Sent: true, Err: err}
+	}
+	reply.Opened = opened
+	return reply, nil
+}
+
+// exchange returns the answer and for how long the connection may be kept, 0 if
+// it may not.
+func (p *Pool) exchange(c *conn, req *Request) (*Reply, time.Duration, error) {
+	written := make(chan error, 1)
+	head := p.head(req)
+	if len(req.Body) <= inlineBody {
+		head.Write(req.Body)
+		_, err := c.Write(head.Bytes())
+		written <- err
+	} else {
+		go func() {
+			buffers := net.Buffers{head.Bytes(), req.Body}
+			_, err := buffers.WriteTo(c.Conn)
+			written <- err
+		}()
+	}
+	for range maxForeign {
+		reply, idle, err := p.read(c, req.Method)
+		if err != nil {
+			return nil, 0, err
+		}
+		if req.Own != nil && !req.Own(reply.Status, reply.Header) {
+			continue
+		}
+		select {
+		case err := <-written:
+			if err != nil {
+				idle = 0
+			}
+		default:
+			// The rest of the body would reach the upstream as something else.
+			idle = 0
+		}
+		return reply, idle, nil
+	}
+	return nil, 0, ErrForeign
+}
+
+func (p *Pool) head(req *Request) *bytes.Buffer {
+	head := bytes.NewBuffer(make([]byte, 0, 512+len(req.Body)))
+	head.WriteString(req.Method)
+	head.WriteByte(' ')
+	head.WriteString(req.Target)
+	head.WriteString(" HTTP/1.1\r\nHost: ")
+	host := req.Host
+	if host == "" {
+		host = p.address
+	}
+	head.WriteString(host)
+	head.WriteString("\r\n")
+	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
+		head.WriteString("Content-Length: ")
+		head.WriteString(strconv.Itoa(len(req.Body)))
+		head.WriteString("\r\n")
+	}
+	// A write to a buffer does not fail.
+	_ = req.Header.Write(head)
+	head.WriteString("\r\n")
+	return head
+}
+
+func (p *Pool) read(c *conn, method string) (*Reply, time.Duration, error) {
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, 0, errors.Wrap(err, "read the upstream's answer")
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, p.maxBody+1))
+		resp.Body.Close()
+		if err != nil {
+			return nil, 0, errors.Wrap(err, "read the body of the upstream's answer")
+		}
+		if int64(len(body)) > p.maxBody {
+			return nil, 0, errors.Wrap(ErrBroken, "the body is larger than the limit")
+		}
+		idle := keepFor(resp)
+		if c.reader.Buffered() > 0 {
+			idle = 0
+		}
+		return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, idle, nil
+	}
+}
+
+// keepFor returns for how long a connection may be kept after an answer.
+func keepFor(resp *http.Response) time.Duration {
+	if resp.Close {
+		return 0
+	}
+	for _, field := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil {
+			return time.Duration(float64(s) * idleShare * float64(time.Second))
+		}
+	}
+	return defaultIdle
+}
