--- a/server/cmd/dandelionhilld/gateway.go
+++ b/server/cmd/dandelionhilld/gateway.go
@@ -12,7 +12,7 @@
 // runGateway runs an entry VM on the platform's store. SIGHUP says that the
 // settings file has changed; SIGTERM stops.
 func runGateway(path string) error {
-	s, bounds, err := gateway.LoadSettings(path)
+	s, err := gateway.LoadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -22,7 +22,7 @@
 	}
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	g := gateway.New(s, bounds, log)
+	g := gateway.New(s, log)
 	if err := g.Start(); err != nil {
 		return err
 	}
@@ -30,7 +30,7 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		if _, _, err := gateway.LoadSettings(path); err != nil {
+		if _, err := gateway.LoadSettings(path); err != nil {
 			log.Error().Str("event", "settings_refused").Err(err).Msg("")
 			continue
 		}
--- a/server/gateway/election.go
+++ b/server/gateway/election.go
@@ -11,7 +11,6 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/ownership"
-	"dandelionhill.dev/platform/fleet"
 )
 
 const (
@@ -26,7 +25,7 @@
 	self        api.VMID
 	incarnation api.Incarnation
 	address     string
-	bounds      fleet.Bounds
+	bounds      Bounds
 	control     *control
 	stats       *stats
 	links       *links
@@ -124,7 +123,7 @@
 	if !free {
 		freeFrom += max(leaseTime-former.age, 0) + bootTime() - sent
 	}
-	inherited := e.bounds.HoldMax
+	inherited := e.bounds.Hold.D()
 	if free || e.heardAny && sent-e.heard < leaseStale && sent > e.extended {
 		inherited = 0
 	}
--- a/server/gateway/entry.go
+++ b/server/gateway/entry.go
@@ -64,7 +64,7 @@
 type entry struct {
 	vm      api.VMID
 	view    func() *view
-	bounds  fleet.Bounds
+	bounds  Bounds
 	metrics *metrics
 	log     zerolog.Logger
 	stats   *stats
@@ -75,7 +75,7 @@
 	start    time.Time
 }
 
-func newEntry(vm api.VMID, bounds fleet.Bounds, viewOf func() *view, m *metrics, s *stats, log zerolog.Logger) *entry {
+func newEntry(vm api.VMID, bounds Bounds, viewOf func() *view, m *metrics, s *stats, log zerolog.Logger) *entry {
 	return &entry{
 		vm: vm, view: viewOf, bounds: bounds, metrics: m, log: log, stats: s, start: time.Now(),
 		splitter: routing.NewSplitter(), repeats: make(map[api.ServiceName]*turns.Repeats),
@@ -174,7 +174,7 @@
 func (e *entry) budget(service api.ServiceName) *turns.Repeats {
 	b, ok := e.repeats[service]
 	if !ok {
-		b = &turns.Repeats{Window: e.bounds.RepeatWindow, Ratio: e.bounds.RepeatRatio * repeatShare}
+		b = &turns.Repeats{Window: e.bounds.RepeatWindow.D(), Ratio: e.bounds.RepeatRatio * repeatShare}
 		e.repeats[service] = b
 	}
 	b.Slack = turns.Share(e.bounds.RepeatSlack*repeatShare, e.view().of)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -37,7 +37,7 @@
 // Gateway is one entry VM.
 type Gateway struct {
 	settings *Settings
-	bounds   fleet.Bounds
+	bounds   Bounds
 	log      zerolog.Logger
 	metrics  *metrics
 	control  *control
@@ -52,17 +52,17 @@
 }
 
 // New assembles an entry VM; Start starts it.
-func New(s *Settings, bounds fleet.Bounds, log zerolog.Logger) *Gateway {
+func New(s *Settings, log zerolog.Logger) *Gateway {
 	m := newMetrics()
 	incarnation := api.Incarnation(uuid.NewString()[:8])
 	c := newControl(fleet.NewStore(s.Store, newStoreClient()), m, log)
 	st := newStats()
 	l := &links{self: s.VM, incarnation: incarnation, stats: st, log: log}
 	g := &Gateway{
-		settings: s, bounds: bounds, log: log, metrics: m, control: c, links: l, ended: make(chan struct{}),
-		entry: newEntry(s.VM, bounds, c.view, m, st, log),
+		settings: s, bounds: s.Bounds, log: log, metrics: m, control: c, links: l, ended: make(chan struct{}),
+		entry: newEntry(s.VM, s.Bounds, c.view, m, st, log),
 		election: &election{
-			self: s.VM, incarnation: incarnation, address: s.Listen.Peers, bounds: bounds,
+			self: s.VM, incarnation: incarnation, address: s.Listen.Peers, bounds: s.Bounds,
 			control: c, stats: st, links: l, metrics: m, log: log,
 		},
 	}
@@ -133,7 +133,7 @@
 // Stop leaves the rotation, lets requests under way finish, and gives the lease
 // of a granter back.
 func (g *Gateway) Stop() {
-	deadline := time.Now().Add(g.bounds.Grace - exitMargin)
+	deadline := time.Now().Add(g.bounds.Grace.D() - exitMargin)
 	g.draining.Store(true)
 	g.callers.SetKeepAlivesEnabled(false)
 	g.log.Info().Str("event", "stopping").Msg("")
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -269,7 +269,7 @@
 		g.update(now)
 	}
 	if now-g.extended >= extendNotice {
-		mode.Hold = g.bounds.HoldMax
+		mode.Hold = g.bounds.Hold.D()
 	}
 	return mode
 }
@@ -315,7 +315,7 @@
 	g.updatedAt = now
 	var extendedMs int64
 	if g.extended > 0 {
-		extendedMs = (leaseTime + g.bounds.HoldMax).Milliseconds()
+		extendedMs = (leaseTime + g.bounds.Hold.D()).Milliseconds()
 	}
 	for m := range g.members {
 		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), ExtendedMs: extendedMs}
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -7,7 +7,6 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/config/strict"
-	"dandelionhill.dev/platform/fleet"
 )
 
 // Settings holds what one entry VM must know before it reads the store.
@@ -20,8 +19,8 @@
 	Listen Listen `json:"listen"`
 	// Store is the address of the platform's store, IP:port.
 	Store string `json:"store"`
-	// Bounds lists limits that hold for all VMs together, as NAME=VALUE.
-	Bounds []string `json:"bounds"`
+	// Bounds holds limits that all VMs keep together.
+	Bounds Bounds `json:"bounds"`
 	// MemoryMB is the memory of the VM in megabytes.
 	MemoryMB int `json:"memory_mb"`
 	// LogLevel is the least level that is logged: debug, info, warn or error.
@@ -40,18 +39,35 @@
 	Metrics string `json:"metrics"`
 }
 
+// Bounds are limits that the users of a deployment have agreed on.
+type Bounds struct {
+	// Drain is how long after its notice an upstream may still get requests.
+	Drain strict.Duration `json:"drain"`
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace strict.Duration `json:"grace"`
+	// Hold is the longest lease that upstreams accept.
+	Hold strict.Duration `json:"hold"`
+	// Evacuate is how long a failure domain may get requests after it was taken out.
+	Evacuate strict.Duration `json:"evacuate"`
+	// RepeatRatio and RepeatSlack bound how often requests are sent again within
+	// RepeatWindow: by a share of the requests, and a number.
+	RepeatWindow strict.Duration `json:"repeat_window"`
+	RepeatRatio  float64         `json:"repeat_ratio"`
+	RepeatSlack  float64         `json:"repeat_slack"`
+}
+
 // LoadSettings reads and checks a settings file: JSON with comments. The error
 // names each problem with its line.
-func LoadSettings(path string) (*Settings, fleet.Bounds, error) {
+func LoadSettings(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fleet.Bounds{}, errors.Wrap(err, "cannot read the settings file: name a readable file with -settings")
+		return nil, errors.Wrap(err, "cannot read the settings file: name a readable file with -settings")
 	}
 	return ParseSettings(path, data)
 }
 
 // ParseSettings checks the content of a settings file.
-func ParseSettings(name string, data []byte) (*Settings, fleet.Bounds, error) {
+func ParseSettings(name string, data []byte) (*Settings, error) {
 	s := Settings{LogLevel: "info"}
 	c := strict.Decode(name, data, &s)
 	for field, value := range map[string]string{
@@ -66,12 +82,16 @@
 	if s.MemoryMB <= 0 {
 		c.Add("memory_mb", "write the memory of the VM in megabytes", "%d is out of range", s.MemoryMB)
 	}
-	bounds, err := fleet.ParseBounds(s.Bounds)
-	if err != nil {
-		c.Add("bounds", "write NAME=NUMBER", "%s", err)
+	for field, value := range map[string]strict.Duration{
+		"bounds.drain": s.Bounds.Drain, "bounds.grace": s.Bounds.Grace, "bounds.hold": s.Bounds.Hold,
+		"bounds.evacuate": s.Bounds.Evacuate, "bounds.repeat_window": s.Bounds.RepeatWindow,
+	} {
+		if value <= 0 {
+			c.Add(field, "write a time above 0s", "%s is out of range", value)
+		}
 	}
 	if err := c.Err(); err != nil {
-		return nil, fleet.Bounds{}, err
+		return nil, err
 	}
-	return &s, bounds, nil
+	return &s, nil
 }
