gateway: end a request whose caller has left, and name the upstream in orders

The VM had no processor time left, and sends of others came late. Change: the loop ends with the context, and tries are bounded. Change: orders carry the ID of the upstream they are for; failed exchanges reset their connection.

--- a/server/gateway/entry.go
+++ b/server/gateway/entry.go
@@ -95,6 +95,8 @@
 	// sends counts the sends that can have reached an upstream, ran those after
 	// which the request may have run.
 	sends, ran int
+	// tries counts the upstreams that were chosen.
+	tries int
 	// last is the upstream of the last send.
 	last    api.UpstreamID
 	granter int64 // term of the holdings used last
@@ -185,7 +187,7 @@
 func (e *entry) mayRepeat(q *request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	ok := q.sends < maxSends && q.left() > 0 && e.budget(q.service.Name).Take(time.Since(e.start))
+	ok := q.tries < maxSends && q.left() > 0 && e.budget(q.service.Name).Take(time.Since(e.start))
 	why := "repeated"
 	if !ok {
 		why = "no_budget"
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -26,6 +26,10 @@
 func (e *entry) forward(ctx context.Context, q *request) (*upstreamconn.Reply, outcome) {
 	var avoid map[api.UpstreamID]bool
 	for {
+		if ctx.Err() != nil {
+			return nil, e.ended(ctx, q, outcome{reason: timeoutUnsent, status: http.StatusServiceUnavailable, err: ctx.Err()})
+		}
+		q.tries++
 		v := e.view()
 		u, end := e.choose(ctx, q, v, avoid)
 		if u == nil {
@@ -50,7 +54,7 @@
 				return nil, e.ended(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: retrySoon})
 			}
 		case isUnsent(err):
-			if q.service.Keyed && (q.left() < retrySoon || !e.awaitView(ctx, v, retrySoon)) || q.sends >= maxSends {
+			if q.service.Keyed && (q.left() < retrySoon || !e.awaitView(ctx, v, retrySoon)) || q.tries >= maxSends {
 				return nil, e.ended(ctx, q, outcome{reason: unreachable, status: http.StatusServiceUnavailable, retryAfter: retrySoon, err: err})
 			}
 		default:
--- a/server/gateway/orders.go
+++ b/server/gateway/orders.go
@@ -108,7 +108,9 @@
 	defer cancel()
 	reply, err := u.pool.Do(ctx, &upstreamconn.Request{
 		Method: call.Method, Target: call.Path, Body: call.Body,
-		Header: http.Header{"Content-Type": {"application/json"}},
+		// The address may belong to another upstream by now, which must not take the
+		// keys of the one that had it before.
+		Header: http.Header{"Content-Type": {"application/json"}, fleet.HeaderExpect: {string(u.id)}},
 		// An answer with a request ID belongs to a request.
 		Own: func(_ int, header http.Header) bool { return fleet.AnswerOf(0, header).RequestID == "" },
 	})
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -156,6 +156,16 @@
 	p.idle = append(p.idle, c)
 }
 
+// abort closes the connection. After a failure it resets it: the kernel would go
+// on delivering a request that nobody waits for.
+func (c *conn) abort(failure error) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && failure != nil {
+		// If it fails, the close below ends the connection all the same.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // quiet reports whether the connection is open and holds no unread bytes. Bytes
 // before a request is sent belong to no request.
 func (c *conn) quiet() bool {
@@ -230,7 +240,7 @@
 	if err == nil && idle > 0 {
 		p.give(c, idle)
 	} else {
-		c.Close()
+		c.abort(err)
 	}
 	if err != nil {
 		if ctx.Err() != nil {
