gateway, ownership: tests with stand-ins of the store and upstreams

A simulation of grants with lost and late orders, crashes, cuts and successive granters checks that no key has two owners and that fences rise.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -155,9 +155,19 @@
 // fencesPerTerm is the number of fences of one term of a granter.
 const fencesPerTerm = 1 << 20
 
+// Predecessor is what the granter of a new term knows of the one before.
+type Predecessor struct {
+	// Until is when its authority has surely ended.
+	Until time.Duration
+	// Hold is the longest lease that it granted.
+	Hold time.Duration
+	// LateUntil is when its grants without an answer have surely no effect. Until
+	// then a release does not make keys free: such a grant may follow it.
+	LateUntil time.Duration
+}
+
 // New starts a term with the entries that the store holds. Terms must increase.
-// freeFrom is when the predecessor's authority has surely ended.
-func New(cfg Config, term int64, stored []Entry, freeFrom time.Duration) *Machine {
+func New(cfg Config, term int64, stored []Entry, before Predecessor) *Machine {
 	m := &Machine{
 		cfg: cfg, fence: term * fencesPerTerm, upstreams: make(map[api.UpstreamID]Upstream),
 		loads: newLoads(cfg.Keys), changed: true,
@@ -167,7 +177,7 @@
 		if e.Span.First > next {
 			m.entries = append(m.entries, &entry{Entry: Entry{Span: Span{next, e.Span.First - 1}}, leaving: true})
 		}
-		m.entries = append(m.entries, &entry{Entry: e, heldUntil: freeFrom + m.lapse(cfg.Hold), acked: true})
+		m.entries = append(m.entries, &entry{Entry: e, heldUntil: before.Until + m.lapse(before.Hold), lateUntil: before.LateUntil, acked: true})
 		next = e.Span.Last + 1
 	}
 	if next < cfg.Keys {
@@ -448,6 +458,18 @@
 	return m.entries[i : i+1]
 }
 
+// LateUntil is when all grants without an answer have surely no effect, for the
+// successor of this granter.
+func (m *Machine) LateUntil(now time.Duration) (until time.Duration) {
+	for _, e := range m.entries {
+		until = max(until, e.lateUntil)
+		if e.granting {
+			until = max(until, now+m.lapse(m.cfg.Hold))
+		}
+	}
+	return until
+}
+
 // Summary counts the spans of a Machine.
 type Summary struct {
 	Spans, Leaving, Unowned int
--- /dev/null
+++ b/core/ownership/sim_test.go
@@ -0,0 +1,408 @@
+package ownership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+)
+
+const simKeys = 1024
+
+// simUpstream is an upstream that checks fences and holds keys for a time.
+type simUpstream struct {
+	owner    Owner
+	up       bool
+	draining bool
+	listed   bool
+	cut      bool // orders do not reach it
+	drift    float64
+	fence    [simKeys]int64
+	until    [simKeys]time.Duration
+}
+
+func (u *simUpstream) holds(key int, now time.Duration) bool { return u.up && u.until[key] > now }
+
+// simEvent is something that happens at a time.
+type simEvent struct {
+	at time.Duration
+	do func()
+}
+
+// sim runs the Machines of successive granters against upstreams, with lost,
+// late and unanswered orders.
+type sim struct {
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Duration
+	events    []simEvent
+	upstreams []*simUpstream
+	// highest is the highest fence with which an upstream had a key, and by whom.
+	highest [simKeys]int64
+	holder  [simKeys]Owner
+	machine *Machine
+	term    int64
+	stored  []Entry
+	// loseAnswers and delayOrders are the shares of orders that are not answered,
+	// and of these that are carried out late.
+	loseAnswers, late float64
+	storeDown         bool
+	renewedAt         time.Duration
+	moveFrom          time.Duration
+	seed              uint64
+}
+
+const simLease = 3 * time.Second
+
+func newSim(t *testing.T, seed uint64, upstreams int) *sim {
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), seed: seed}
+	for i := range upstreams {
+		s.upstreams = append(s.upstreams, &simUpstream{
+			owner: Owner{Upstream: api.UpstreamID(fmt.Sprintf("u%02d", i)), Life: 1},
+			up:    true, listed: true, drift: 0.02 * s.rng.Float64(),
+		})
+	}
+	s.takeOver(0)
+	return s
+}
+
+func (s *sim) at(d time.Duration, do func()) {
+	s.events = append(s.events, simEvent{s.now + d, do})
+}
+
+// takeOver starts the next granter. The one before stops at once or was lost; its
+// orders under way still arrive.
+func (s *sim) takeOver(freeIn time.Duration) {
+	s.term++
+	cfg := DefaultConfig(simKeys)
+	before := Predecessor{Until: s.now + freeIn, Hold: cfg.Hold}
+	before.LateUntil = before.Until + 3*time.Second
+	if freeIn == 0 && s.machine != nil {
+		before.LateUntil = s.machine.LateUntil(s.now)
+	}
+	s.machine = New(cfg, s.term, slices.Clone(s.stored), before)
+	s.renewedAt = s.now
+	s.moveFrom = s.now + freeIn
+}
+
+func (s *sim) find(o Owner) *simUpstream {
+	for _, u := range s.upstreams {
+		if u.owner == o {
+			return u
+		}
+	}
+	return nil
+}
+
+func (s *sim) step(d time.Duration) {
+	end := s.now + d
+	for {
+		next := -1
+		for i, e := range s.events {
+			if e.at <= end && (next < 0 || e.at < s.events[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		e := s.events[next]
+		s.events = slices.Delete(s.events, next, next+1)
+		s.now = max(s.now, e.at)
+		e.do()
+	}
+	s.now = end
+	s.tick()
+	s.check()
+}
+
+func (s *sim) tick() {
+	var list []Upstream
+	for _, u := range s.upstreams {
+		if u.listed {
+			list = append(list, Upstream{Owner: u.owner, Capacity: 1, May: !u.draining && !u.cut, Takes: !u.draining && !u.cut})
+		}
+	}
+	s.machine.SetUpstreams(list)
+	for range 4 {
+		s.machine.Observe(s.rng.IntN(simKeys/BucketKeys), s.rng.Float64())
+	}
+	s.machine.Decay(0.99)
+	if !s.storeDown {
+		s.renewedAt = s.now
+	}
+	mode := Mode{Renew: s.now-s.renewedAt < simLease, Move: s.now >= s.moveFrom}
+	machine := s.machine
+	for _, a := range machine.Tick(s.now, mode) {
+		if a.Kind == Write {
+			s.write(machine, a)
+			continue
+		}
+		s.order(machine, a)
+	}
+}
+
+func (s *sim) write(machine *Machine, a Action) {
+	var try func()
+	try = func() {
+		if machine != s.machine {
+			return
+		}
+		if s.storeDown {
+			s.at(100*time.Millisecond, try)
+			return
+		}
+		s.stored = a.Entries
+		machine.Written()
+	}
+	s.at(time.Duration(5+s.rng.IntN(20))*time.Millisecond, try)
+}
+
+func (s *sim) order(machine *Machine, a Action) {
+	sent := s.now
+	travel := time.Duration(1+s.rng.IntN(10)) * time.Millisecond
+	end := func(in time.Duration, result Result, handover string) {
+		s.at(in, func() {
+			if machine != s.machine {
+				return
+			}
+			if a.Kind == Release {
+				machine.Released(s.now, a, result, handover)
+			} else {
+				machine.Granted(s.now, sent, a, result)
+			}
+		})
+	}
+	u := s.find(a.Owner)
+	if u == nil || u.cut || !u.up {
+		end(300*time.Millisecond, NotSent, "")
+		return
+	}
+	lost := s.rng.Float64() < s.loseAnswers
+	if lost && s.rng.Float64() < s.late {
+		arrival := s.now + travel
+		s.at(2*time.Second+time.Duration(s.rng.Int64N(int64(10*time.Second))), func() {
+			if a.Kind == Grant {
+				u.grant(s, a, arrival)
+			} else {
+				u.release(s, a)
+			}
+		})
+		end(500*time.Millisecond, Unknown, "")
+		return
+	}
+	s.at(travel, func() {
+		if !u.up || u.owner != a.Owner {
+			end(travel, Unknown, "")
+			return
+		}
+		result, work := Accepted, time.Duration(0)
+		if a.Kind == Grant {
+			if !u.grant(s, a, s.now) {
+				result = Outranked
+			}
+		} else {
+			u.release(s, a)
+			work = time.Duration(s.rng.IntN(300)) * time.Millisecond
+		}
+		if lost {
+			result = Unknown
+			work = 500 * time.Millisecond
+		}
+		end(travel+work, result, "h")
+	})
+}
+
+// grant applies a grant that arrived at a time; it reports false if a higher
+// fence was seen.
+func (u *simUpstream) grant(s *sim, a Action, arrival time.Duration) bool {
+	if !u.up || u.owner != a.Owner {
+		return true
+	}
+	for key := a.Span.First; key <= a.Span.Last; key++ {
+		if u.fence[key] > a.Fence {
+			return false
+		}
+	}
+	until := arrival + time.Duration(float64(a.Hold)*(1+u.drift))
+	if until <= s.now {
+		return true
+	}
+	for key := a.Span.First; key <= a.Span.Last; key++ {
+		if s.holder[key] != u.owner {
+			require.Greater(s.t, a.Fence, s.highest[key], "seed %d: key %d went to %v with a fence that is not above all others, at %s", s.seed, key, u.owner, s.now)
+		}
+		s.holder[key], s.highest[key] = u.owner, max(s.highest[key], a.Fence)
+		u.fence[key], u.until[key] = a.Fence, max(u.until[key], until)
+	}
+	return true
+}
+
+// release ends a hold. The stand-in does not remember the fence of a release:
+// whether the platform's upstreams do is not stated.
+func (u *simUpstream) release(s *sim, a Action) {
+	for key := a.Span.First; key <= a.Span.Last; key++ {
+		if u.fence[key] <= a.Fence {
+			u.until[key] = min(u.until[key], s.now)
+		}
+	}
+}
+
+func (s *sim) check() {
+	for key := 0; key < simKeys; key += BucketKeys {
+		var by *simUpstream
+		for _, u := range s.upstreams {
+			if !u.holds(key, s.now) {
+				continue
+			}
+			if by != nil {
+				require.Failf(s.t, "two owners", "seed %d: %v and %v hold key %d at %s", s.seed, by.owner, u.owner, key, s.now)
+			}
+			by = u
+		}
+	}
+	s.checkEntries()
+}
+
+// checkEntries guards against keys that are lost or listed twice when spans are
+// cut and joined.
+func (s *sim) checkEntries() {
+	next := 0
+	for _, e := range s.machine.entries {
+		require.Equal(s.t, next, e.Span.First, "seed %d", s.seed)
+		next = e.Span.Last + 1
+	}
+	require.Equal(s.t, simKeys, next, "seed %d", s.seed)
+}
+
+func (s *sim) unheld() (n int) {
+	for key := range simKeys {
+		held := false
+		for _, u := range s.upstreams {
+			held = held || u.holds(key, s.now)
+		}
+		if !held {
+			n++
+		}
+	}
+	return n
+}
+
+// crash ends an upstream; it starts again under its ID after a time.
+func (s *sim) crash(u *simUpstream, back time.Duration) {
+	u.up = false
+	u.until = [simKeys]time.Duration{}
+	s.at(2600*time.Millisecond, func() { u.listed = u.up })
+	s.at(back, func() {
+		u.fence = [simKeys]int64{}
+		u.up, u.listed, u.cut, u.draining = true, true, false, false
+		u.owner.Life++
+	})
+}
+
+// TestOneOwner guards against two owners of a key, and against fences that do not
+// rise, while upstreams crash, leave, restart and are cut off, orders are lost or
+// carried out late, the store is away, and granters follow each other.
+func TestOneOwner(t *testing.T) {
+	seeds := uint64(60)
+	for seed := range seeds {
+		s := newSim(t, seed, 8)
+		for range 800 {
+			s.step(50 * time.Millisecond)
+			if s.rng.IntN(20) > 0 {
+				continue
+			}
+			u := s.upstreams[s.rng.IntN(len(s.upstreams))]
+			switch s.rng.IntN(9) {
+			case 0:
+				s.crash(u, time.Duration(1+s.rng.IntN(6))*time.Second)
+			case 1:
+				u.draining = true
+				s.at(3*time.Second, func() { u.draining = false })
+			case 2:
+				u.cut = true
+				s.at(4*time.Second, func() { u.cut = false })
+			case 3:
+				// The entry is removed while the process goes on.
+				u.listed = false
+				s.at(3*time.Second, func() { u.listed = u.up })
+			case 4:
+				s.loseAnswers, s.late = 0.4, 0.5
+				s.at(5*time.Second, func() { s.loseAnswers = 0 })
+			case 5:
+				s.storeDown = true
+				s.at(time.Duration(s.rng.IntN(5000))*time.Millisecond, func() { s.storeDown = false })
+			case 6:
+				if !s.storeDown {
+					s.takeOver(simLease)
+				}
+			case 7:
+				if !s.storeDown {
+					s.takeOver(0)
+				}
+			}
+		}
+	}
+}
+
+// TestEveryKeyServed guards against keys that stay without an owner after faults
+// have ended.
+func TestEveryKeyServed(t *testing.T) {
+	s := newSim(t, 7, 8)
+	for range 40 {
+		s.step(50 * time.Millisecond)
+	}
+	require.Zero(t, s.unheld())
+	lost := s.upstreams[3]
+	s.crash(lost, 20*time.Second)
+	for range 80 {
+		s.step(50 * time.Millisecond)
+	}
+	require.Zero(t, s.unheld(), "the keys of a lost upstream have an owner within 4 s")
+	s.upstreams[5].draining = true
+	for range 40 {
+		s.step(50 * time.Millisecond)
+	}
+	require.Zero(t, s.unheld())
+	for key := range simKeys {
+		require.False(t, s.upstreams[5].holds(key, s.now), "a leaving upstream has given its keys away within 2 s")
+	}
+}
+
+// TestBalance guards against an upstream that keeps more load than the others
+// can take, and against a new upstream that gets no keys.
+func TestBalance(t *testing.T) {
+	cfg := DefaultConfig(simKeys)
+	s := newSim(t, 3, 4)
+	s.upstreams = append(s.upstreams, &simUpstream{owner: Owner{Upstream: "new", Life: 1}, up: true})
+	for i := range 400 {
+		if i == 200 {
+			s.upstreams[4].listed = true
+		}
+		// The first eighth of the keys gets half of the load.
+		for range 10 {
+			bucket := s.rng.IntN(simKeys / BucketKeys)
+			if s.rng.IntN(2) == 0 {
+				bucket /= 8
+			}
+			s.machine.Observe(bucket, 1)
+		}
+		s.step(50 * time.Millisecond)
+	}
+	total, most, added := 0.0, 0.0, 0.0
+	for _, u := range s.machine.uses() {
+		total += u.load
+		most = max(most, u.load)
+		if u.Upstream.Upstream == "new" {
+			added = u.load
+		}
+	}
+	mean := total / 5
+	require.Less(t, most, mean*cfg.BalanceAbove*1.1)
+	require.Greater(t, added, mean/2)
+}
--- /dev/null
+++ b/fakes/fleet/store.go
@@ -0,0 +1,213 @@
+// Package fleet holds stand-ins for the platform's store and for upstreams that
+// register there. They speak the platform's wire format and can fail.
+package fleet
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"dandelionhill.dev/platform/fleet"
+)
+
+// Faults is what goes wrong with the store from now on.
+type Faults struct {
+	// Refuse answers calls with 503 without doing anything.
+	Refuse bool
+	// LoseAnswers is the number of transactions that take effect and are not answered.
+	LoseAnswers int
+}
+
+// Store is a stand-in for the platform's store.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[fleet.Name]fleet.Row
+	changes []fleet.Row
+	version int64
+	// oldest is the version from which changes are kept.
+	oldest  int64
+	start   time.Time
+	faults  Faults
+	changed chan struct{}
+	calls   int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{rows: make(map[fleet.Name]fleet.Row), start: time.Now(), changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes, s.oldest = nil, s.version+1
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Put sets a row, as operators and upstreams do.
+func (s *Store) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(fleet.Tx{Put: []fleet.Put{{Name: fleet.Name{Table: table, Key: key}, Value: value}}})
+}
+
+// Remove removes a row.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(fleet.Tx{Remove: []fleet.Name{{Table: table, Key: key}}})
+}
+
+// Row returns a row; its version is 0 if it does not exist.
+func (s *Store) Row(table, key string) fleet.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[fleet.Name{Table: table, Key: key}]
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) apply(tx fleet.Tx) {
+	s.version++
+	for _, p := range tx.Put {
+		row := fleet.Row{Table: p.Table, Part: p.Part, Key: p.Key, Value: p.Value, Version: s.version}
+		s.rows[p.Name] = row
+		s.changes = append(s.changes, row)
+	}
+	for _, name := range tx.Remove {
+		delete(s.rows, name)
+		s.changes = append(s.changes, fleet.Row{Table: name.Table, Part: name.Part, Key: name.Key, Version: s.version, Deleted: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	refuse := s.faults.Refuse
+	s.mu.Unlock()
+	if refuse {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case "/api/rows-tx":
+		s.transact(w, r)
+	case "/api/rows-get":
+		s.get(w, r)
+	case "/api/rows-feed":
+		s.feed(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var tx fleet.Tx
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range tx.Expect {
+		if s.rows[e.Name].Version == e.Version {
+			continue
+		}
+		var rows []fleet.Row
+		for _, e := range tx.Expect {
+			if row, ok := s.rows[e.Name]; ok {
+				rows = append(rows, row)
+			}
+		}
+		s.answer(w, http.StatusPreconditionFailed, rows)
+		return
+	}
+	s.apply(tx)
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w, http.StatusOK, nil)
+}
+
+func (s *Store) answer(w http.ResponseWriter, status int, rows []fleet.Row) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The connection may be gone; the caller then sees no answer.
+	_ = json.NewEncoder(w).Encode(fleet.Page{Rows: rows, Version: s.version, NowS: time.Since(s.start).Seconds()})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []fleet.Row
+	for name, row := range s.rows {
+		if name.Table == r.FormValue("Table") && name.Key >= r.FormValue("From") {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	s.answer(w, http.StatusOK, rows)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	after, errAfter := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	wait, errWait := strconv.Atoi(r.FormValue("WaitMs"))
+	if errAfter != nil || errWait != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		if after+1 < s.oldest {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		var rows []fleet.Row
+		for _, row := range s.changes {
+			if row.Table == r.FormValue("Table") && row.Version > after {
+				rows = append(rows, row)
+			}
+		}
+		changed := s.changed
+		if len(rows) > 0 {
+			s.answer(w, http.StatusOK, rows)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout.C:
+			s.mu.Lock()
+			s.answer(w, http.StatusOK, nil)
+			s.mu.Unlock()
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- a/server/gateway/election.go
+++ b/server/gateway/election.go
@@ -11,6 +11,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/platform/fleet"
 )
 
 const (
@@ -117,22 +118,33 @@
 		e.log.Info().Str("event", "takeover_failed").Int64("term", next.Term).Err(err).Msg("")
 		return false
 	}
-	// The predecessor may act until its lease has run out; a lease that this VM
-	// held before it restarted, or that was released, ended with its process.
-	freeFrom := sent
-	if !free {
-		freeFrom += max(leaseTime-former.age, 0) + bootTime() - sent
-	}
-	inherited := e.bounds.Hold.D()
-	if free || e.heardAny && sent-e.heard < leaseStale && sent > e.extended {
-		inherited = 0
-	}
+	before := e.predecessor(former, free, sent)
 	e.log.Info().Str("event", "granter_started").Int64("term", next.Term).Str("predecessor", string(former.VM)).
-		Dur("moves_in_ms", freeFrom-sent).Dur("predecessor_age_ms", former.age).Msg("")
-	g := newGranter(e, next, page.Version, sent, freeFrom, inherited, state)
+		Dur("moves_in_ms", before.Until-sent).Dur("predecessor_age_ms", former.age).Dur("predecessor_hold_ms", before.Hold).Msg("")
+	g := newGranter(e, next, page.Version, sent, before, state)
 	e.metrics.granter.Set(1)
 	g.run(ctx)
 	e.metrics.granter.Set(0)
 	e.log.Info().Str("event", "granter_stopped").Int64("term", next.Term).Msg("")
 	return true
 }
+
+// predecessor returns what the granter before may still do. It may act until its
+// lease has run out; a lease that was released, or that this VM held before it
+// restarted, ended with its process.
+func (e *election) predecessor(former leaseRow, free bool, sent time.Duration) ownership.Predecessor {
+	now := bootTime()
+	before := ownership.Predecessor{Until: sent, Hold: ownership.DefaultConfig(fleet.Keys).Hold}
+	if !free {
+		before.Until = now + max(leaseTime-former.age, 0)
+		// The leases may have been made longer if nobody has told this VM otherwise.
+		if known := e.heardAny && sent-e.heard < leaseStale; !known || sent < e.extended {
+			before.Hold = e.bounds.Hold.D()
+		}
+	}
+	before.LateUntil = before.Until + before.Hold
+	if former.Released {
+		before.LateUntil = now + time.Duration(former.LateMs)*time.Millisecond
+	}
+	return before
+}
--- /dev/null
+++ b/server/gateway/gateway_test.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	fakes "dandelionhill.dev/fakes/fleet"
+	"dandelionhill.dev/platform/fleet"
+)
+
+// TestServes guards the whole path: requests reach the owner of their key with
+// method, path and body unchanged, and the answer comes back with its seal.
+func TestServes(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"k1", "k2", "k3"} {
+		w.addUpstream(id, "keyed")
+	}
+	plain := w.addUpstream("p1", "plain")
+	a, b := w.startVM("vm-a"), w.startVM("vm-b")
+	for _, g := range []*Gateway{a, b} {
+		w.served(g, keyedPath+"x", 7)
+		w.served(g, plainPath+"x", -1)
+	}
+	resp, body := w.do(b, http.MethodPut, keyedPath+"a%2Fb/../c?q=1;2", 40000, 2*time.Second)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Contains(t, body, keyedPath+"a%2Fb/../c?q=1;2")
+	require.NotEmpty(t, resp.Header.Get(fleet.HeaderSeal))
+	owner := w.upstreams[strings.TrimPrefix(resp.Header.Get(fleet.HeaderSeal), "seal-of-")]
+	require.True(t, owner.Holds(40000))
+	runs := owner.Runs()
+	require.Equal(t, "body", runs[len(runs)-1].Body)
+	require.Equal(t, 40000, runs[len(runs)-1].Key)
+	require.NotEmpty(t, plain.Runs())
+}
+
+// TestNoRoute guards against a 404 from a VM that has no configuration yet, and
+// against another answer where a configuration has no route.
+func TestNoRoute(t *testing.T) {
+	w := newWorld(t)
+	w.store.SetFaults(fakes.Faults{Refuse: true})
+	g := w.startVM("vm-a")
+	resp, _ := w.do(g, http.MethodGet, "/other/", -1, time.Second)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	w.store.SetFaults(fakes.Faults{})
+	w.eventually(func() bool {
+		resp, _ := w.do(g, http.MethodGet, "/other/", -1, time.Second)
+		return resp.StatusCode == http.StatusNotFound
+	}, "the VM learns that there is no such route")
+}
+
+// TestCallerLeaves guards against a request that chooses upstreams without end
+// after its caller has left: it took all of the VM's processor time.
+func TestCallerLeaves(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("p1", "plain")
+	g := w.startVM("vm-a")
+	w.served(g, plainPath, -1)
+	route := g.control.view().config.Match(testHost, plainPath)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+testHost+plainPath, nil)
+	require.NoError(t, err)
+	q := &request{
+		http: r, route: route, service: g.control.view().config.Services["plain"],
+		arrived: time.Now(), deadline: time.Now().Add(time.Second), header: http.Header{},
+	}
+	done := make(chan outcome)
+	go func() {
+		_, end := g.entry.forward(ctx, q)
+		done <- end
+	}()
+	select {
+	case end := <-done:
+		require.Equal(t, callerLeft, end.reason)
+	case <-time.After(settleTime):
+		t.Fatal("the request did not end with its caller")
+	}
+}
+
+// TestAddressReused guards against grants that an upstream takes which were meant
+// for the one that had its address before.
+func TestAddressReused(t *testing.T) {
+	w := newWorld(t)
+	first := w.addUpstream("k1", "keyed")
+	g := w.startVM("vm-a")
+	w.served(g, keyedPath, 1)
+	first.Become("k2")
+	w.eventually(func() bool { return first.Ignored() > 0 }, "orders for the former upstream are refused")
+	require.False(t, first.Holds(1))
+}
+
+// TestLostAnswerOfWrite guards against a granter that takes its own write, whose
+// answer was lost, for that of another.
+func TestLostAnswerOfWrite(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("k1", "keyed")
+	g := w.startVM("vm-a")
+	w.served(g, keyedPath, 1)
+	term := g.control.view().holdings["keyed"].Term
+	w.store.SetFaults(fakes.Faults{LoseAnswers: 2})
+	before := w.store.Row("dandelionhill", "granter").Version
+	w.eventually(func() bool { return w.store.Row("dandelionhill", "granter").Version >= before+4 }, "the lease is renewed")
+	require.Equal(t, term, g.control.view().holdings["keyed"].Term)
+}
+
+// TestGranterLost guards against keys that stay without service when the VM that
+// grants them stops, and when it is lost.
+func TestGranterLost(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("k1", "keyed")
+	w.addUpstream("k2", "keyed")
+	a := w.startVM("vm-a")
+	w.served(a, keyedPath, 1)
+	b := w.startVM("vm-b")
+	w.served(b, keyedPath, 1)
+	a.cancel()
+	for _, s := range a.servers {
+		s.Close()
+	}
+	w.eventually(func() bool { return b.control.view().holdings["keyed"].Term > 1 && b.control.view().rank == 0 }, "the other VM grants")
+	w.served(b, keyedPath, 1)
+	w.store.Remove("servers", "k1")
+	w.eventually(func() bool {
+		return b.control.view().holdings["keyed"].owner(1) == "k2" && w.upstreams["k2"].Holds(1)
+	}, "the keys of a removed upstream move")
+}
+
+// TestConfigurationNeverReturns guards against an older configuration that comes
+// into force after a newer one, and against one that cannot be read.
+func TestConfigurationNeverReturns(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("k1", "keyed")
+	g := w.startVM("vm-a")
+	w.served(g, keyedPath, 1)
+	w.configure(9, "plain")
+	w.eventually(func() bool { return g.control.view().config.Number == 9 }, "the newer configuration is in force")
+	w.configure(4, "keyed")
+	w.store.Put("op", "config", []byte("no configuration"))
+	w.store.Put("op", "evacuate/zone-z", []byte("{}"))
+	w.eventually(func() bool { return g.control.view().out["zone-z"] }, "later rows are read")
+	require.Equal(t, int64(9), g.control.view().config.Number)
+}
+
+// TestHistoryGone guards against a VM that misses changes when the store has
+// forgotten its history.
+func TestHistoryGone(t *testing.T) {
+	w := newWorld(t)
+	g := w.startVM("vm-a")
+	w.eventually(func() bool { return g.control.view().config != nil }, "the configuration is read")
+	w.addUpstream("p1", "plain")
+	w.store.Compact()
+	w.configure(5, "plain")
+	w.store.Compact()
+	w.eventually(func() bool {
+		return g.control.view().config.Number == 5 && len(g.control.view().services["plain"]) == 1
+	}, "the VM reads all rows again")
+}
+
+// TestForeignEntries guards against an entry of another writer that takes an
+// upstream's place or stops the VM.
+func TestForeignEntries(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("p1", "plain")
+	for key, value := range map[string]string{
+		"bad-1": "\xff\xfe", "bad-2": `{"Address":7}`, "bad-3": `{"Address":"127.0.0.1:1","Info":{"Service":"plain","MaxConcurrency":2},"Status":{"State":"dancing"}}`,
+	} {
+		w.store.Put("servers", key, []byte(value))
+	}
+	g := w.startVM("vm-a")
+	w.served(g, plainPath, -1)
+	require.Len(t, g.control.view().services["plain"], 1)
+}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -57,11 +57,10 @@
 // granter decides for one term which upstreams hold which keys.
 type granter struct {
 	*election
-	lease     lease
-	rowAt     int64 // version of the lease row
-	freeFrom  time.Duration
-	inherited time.Duration
-	stored    ownState
+	lease  lease
+	rowAt  int64 // version of the lease row
+	before ownership.Predecessor
+	stored ownState
 
 	// authority is until when this VM may order, on bootTime.
 	authority atomic.Int64
@@ -84,9 +83,9 @@
 	deposed   bool
 }
 
-func newGranter(e *election, l lease, row int64, sent, freeFrom, inherited time.Duration, stored ownState) *granter {
+func newGranter(e *election, l lease, row int64, sent time.Duration, before ownership.Predecessor, stored ownState) *granter {
 	g := &granter{
-		election: e, lease: l, rowAt: row, freeFrom: freeFrom, inherited: inherited, stored: stored,
+		election: e, lease: l, rowAt: row, before: before, stored: stored,
 		events: make(chan func(), 256), done: make(chan struct{}),
 		machines: make(map[api.ServiceName]*ownership.Machine), turns: make(map[api.ServiceName]holdings),
 		writes: make(map[api.ServiceName][]ownership.Entry), members: make(map[*member]bool),
@@ -226,12 +225,7 @@
 		}
 		m := g.machines[name]
 		if m == nil {
-			cfg := ownership.DefaultConfig(fleet.Keys)
-			from := g.freeFrom
-			if g.inherited > cfg.Hold {
-				from += g.inherited - cfg.Hold
-			}
-			m = ownership.New(cfg, g.lease.Term, g.stored.holdings[name], from)
+			m = ownership.New(ownership.DefaultConfig(fleet.Keys), g.lease.Term, g.stored.holdings[name], g.before)
 			g.machines[name] = m
 		}
 		m.SetUpstreams(upstreams[name])
@@ -258,7 +252,7 @@
 	if !g.mayOrder() {
 		return ownership.Mode{}
 	}
-	mode := ownership.Mode{Renew: true, Move: now >= g.freeFrom}
+	mode := ownership.Mode{Renew: true, Move: now >= g.before.Until}
 	if now-g.renewedAt <= extendAfter {
 		g.extended = 0
 		return mode
@@ -437,6 +431,10 @@
 	next := g.lease
 	next.Seq += 2
 	next.Released = true
+	now := bootTime()
+	for _, m := range g.machines {
+		next.LateMs = max(next.LateMs, (m.LateUntil(now) - now).Milliseconds())
+	}
 	if _, err := g.control.commit(ctx, g.rowAt, next, nil); err != nil {
 		g.log.Warn().Str("event", "lease_not_released").Int64("term", g.lease.Term).Err(err).Msg("")
 	}
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -43,6 +43,9 @@
 	AtMs int64 `cbor:"6,keyasint"`
 	// Released means that the granter has stopped by itself.
 	Released bool `cbor:"7,keyasint"`
+	// LateMs is for how long grants without an answer may still take effect when
+	// the lease was released, in milliseconds.
+	LateMs int64 `cbor:"9,keyasint"`
 	// VMs is the number of VMs that the granter knew.
 	VMs int `cbor:"8,keyasint"`
 }
--- /dev/null
+++ b/server/gateway/world_test.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/config/strict"
+	fakes "dandelionhill.dev/fakes/fleet"
+	"dandelionhill.dev/platform/fleet"
+)
+
+const (
+	keyedPath = "/keyed/"
+	plainPath = "/plain/"
+	testHost  = "shop.example"
+	// settleTime bounds the wait for something that happens within a second or two.
+	settleTime = 10 * time.Second
+)
+
+// world is a deployment on loopback: a store, upstreams and entry VMs.
+type world struct {
+	t         *testing.T
+	store     *fakes.Store
+	storeAddr string
+	upstreams map[string]*fakes.Upstream
+	addresses map[string]string
+	vms       []*Gateway
+	requests  int
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: fakes.NewStore(), upstreams: make(map[string]*fakes.Upstream), addresses: make(map[string]string)}
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	w.storeAddr = server.Listener.Addr().String()
+	w.configure(1, "keyed")
+	return w
+}
+
+// configure writes a configuration in which the path keyedPath goes to a service.
+func (w *world) configure(version int, keyedTo string) {
+	w.store.Put("op", "config", fmt.Appendf(nil, `{"Version":"r%d","Routes":{
+		"k":{"Host":%q,"Prefix":%q,"RouteType":"non_idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":%q,"MaxAttempts":2},
+		"p":{"Host":%q,"Prefix":%q,"RouteType":"idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":"plain","MaxAttempts":2}},
+		"Services":{"keyed":{"HealthPath":"/health","MaxConns":50,"ColdStartS":3,"ColdPerS":5,"Sharded":true,"WarmupS":1},
+		"plain":{"HealthPath":"/health","MaxConns":50,"ColdStartS":3,"ColdPerS":5}},
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,"HeaderTimeoutS":3,"IdleTimeoutS":15}}`,
+		version, testHost, keyedPath, keyedTo, testHost, plainPath))
+}
+
+func (w *world) addUpstream(id, service string) *fakes.Upstream {
+	u := fakes.NewUpstream(id, service, "zone-a")
+	server := httptest.NewServer(u)
+	w.t.Cleanup(server.Close)
+	w.upstreams[id], w.addresses[id] = u, server.Listener.Addr().String()
+	w.store.Put("servers", id, u.Entry(w.addresses[id], "ready", 0))
+	return u
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (w *world) startVM(name string) *Gateway {
+	g := New(&Settings{
+		VM: api.VMID(name), FailureDomain: "zone-a", Store: w.storeAddr, MemoryMB: 100, LogLevel: "info",
+		Listen: Listen{
+			Callers: freeAddress(w.t), Health: freeAddress(w.t), Peers: freeAddress(w.t), Metrics: freeAddress(w.t),
+		},
+		Bounds: Bounds{
+			Drain: strict.Duration(2 * time.Second), Grace: strict.Duration(6 * time.Second), Hold: strict.Duration(10 * time.Second),
+			Evacuate: strict.Duration(5 * time.Second), RepeatWindow: strict.Duration(10 * time.Second), RepeatRatio: 0.2, RepeatSlack: 60,
+		},
+	}, zerolog.New(zerolog.NewTestWriter(w.t)))
+	require.NoError(w.t, g.Start())
+	w.t.Cleanup(func() {
+		g.cancel()
+		for _, s := range g.servers {
+			s.Close()
+		}
+		<-g.ended
+	})
+	w.vms = append(w.vms, g)
+	return g
+}
+
+// do sends a request through a VM; key -1 sends none.
+func (w *world) do(g *Gateway, method, path string, key int, deadline time.Duration) (*http.Response, string) {
+	w.requests++
+	req, err := http.NewRequest(method, "http://"+g.settings.Listen.Callers+path, strings.NewReader("body"))
+	require.NoError(w.t, err)
+	req.Host = testHost
+	req.Header.Set(fleet.HeaderRequestID, fmt.Sprintf("request-%d", w.requests))
+	req.Header.Set(fleet.HeaderDeadlineMs, fmt.Sprint(deadline.Milliseconds()))
+	if key >= 0 {
+		req.Header.Set(fleet.HeaderKey, fmt.Sprint(key))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(w.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(w.t, err)
+	return resp, string(body)
+}
+
+// eventually waits until a condition holds.
+func (w *world) eventually(condition func() bool, message string) {
+	w.t.Helper()
+	require.Eventually(w.t, condition, settleTime, 20*time.Millisecond, message)
+}
+
+// served waits until a request gets an answer of an upstream.
+func (w *world) served(g *Gateway, path string, key int) {
+	w.t.Helper()
+	w.eventually(func() bool {
+		resp, _ := w.do(g, http.MethodPost, path, key, 2*time.Second)
+		return resp.StatusCode == http.StatusOK
+	}, "a request to "+path+" is served")
+}
