--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,116 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const ms = time.Millisecond
+
+func request(priority int, arrived, target, deadline time.Duration) *Request {
+	return &Request{Priority: priority, Arrived: arrived, Target: arrived + target, Deadline: arrived + deadline, Work: 100 * ms}
+}
+
+// TestOrder guards against urgent requests that wait behind others, and against
+// requests that are late already and make others late too.
+func TestOrder(t *testing.T) {
+	q := New(1)
+	d, _ := q.Offer(0, request(2, 0, time.Second, 2*time.Second))
+	require.Equal(t, Start, d)
+	late := request(0, 0, 50*ms, 2*time.Second)
+	low := request(2, 0, time.Second, 2*time.Second)
+	high := request(0, 10*ms, time.Second, 2*time.Second)
+	for _, r := range []*Request{late, low, high} {
+		d, _ := q.Offer(10*ms, r)
+		require.Equal(t, Wait, d)
+	}
+	for _, want := range []*Request{high, low, late} {
+		q.Done(100 * ms)
+		start, refuse := q.Next(100 * ms)
+		require.Empty(t, refuse)
+		require.Equal(t, []*Request{want}, start)
+	}
+}
+
+// TestLowPriorityNotStarved guards against requests of low priority that never
+// get a place while urgent ones keep coming.
+func TestLowPriorityNotStarved(t *testing.T) {
+	q := New(1)
+	q.Offer(0, request(0, 0, time.Second, time.Minute))
+	low := request(2, 0, time.Minute, time.Minute)
+	q.Offer(0, low)
+	for i := 1; i < 20; i++ {
+		now := time.Duration(i) * 100 * ms
+		q.Offer(now, request(0, now, time.Minute, time.Minute))
+		q.Done(100 * ms)
+		if start, _ := q.Next(now); len(start) == 1 && start[0] == low {
+			return
+		}
+	}
+	t.Fatal("the request of low priority got no place")
+}
+
+// TestHopeless guards against requests that are held although they cannot be
+// served in time, and against those that wait until nobody wants the answer.
+func TestHopeless(t *testing.T) {
+	q := New(1)
+	q.Offer(0, request(0, 0, time.Second, time.Second))
+	q.Done(300 * ms)
+	q.Offer(0, request(0, 0, time.Second, time.Second))
+	d, _ := q.Offer(0, request(0, 0, 400*ms, 500*ms))
+	require.Equal(t, Wait, d)
+	d, wait := q.Offer(0, request(1, 0, 400*ms, 500*ms))
+	require.Equal(t, Refuse, d, "two turns of 300 ms and 100 ms of work do not fit into 500 ms")
+	require.Equal(t, 600*ms, wait)
+	start, refuse := q.Next(450 * ms)
+	require.Empty(t, start)
+	require.Len(t, refuse, 1)
+}
+
+// TestOverload plays an upstream that gets half more than it can run, and
+// compares what callers get with a queue in the order of arrival.
+func TestOverload(t *testing.T) {
+	ordered, inTime := overload(New(1), false), overload(New(1), true)
+	require.Greater(t, inTime, ordered*2)
+}
+
+// overload returns the number of requests answered within their target.
+func overload(q *Queue, decide bool) (inTime int) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	now, busyUntil := time.Duration(0), time.Duration(0)
+	var running *Request
+	var fifo []*Request
+	for range 3000 {
+		now += time.Duration(rng.ExpFloat64() * float64(67*ms))
+		r := request(rng.IntN(2), now, 300*ms, 2*time.Second)
+		for running != nil && busyUntil <= now {
+			if busyUntil <= running.Target {
+				inTime++
+			}
+			end := busyUntil
+			running = nil
+			if decide {
+				q.Done(100 * ms)
+				if start, _ := q.Next(end); len(start) > 0 {
+					running, busyUntil = start[0], end+100*ms
+				}
+			} else if len(fifo) > 0 {
+				running, busyUntil = fifo[0], end+100*ms
+				fifo = fifo[1:]
+			}
+		}
+		if decide {
+			if d, _ := q.Offer(now, r); d == Start {
+				running, busyUntil = r, now+100*ms
+			}
+		} else if running == nil {
+			running, busyUntil = r, now+100*ms
+		} else {
+			fifo = append(fifo, r)
+		}
+	}
+	return inTime
+}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -137,6 +137,8 @@
 	NotSent
 	// Unknown means that the order may be carried out, perhaps late.
 	Unknown
+	// Ended means that the owner's process has ended: another one has its address.
+	Ended
 )
 
 // Machine holds the ownership of one service during one term of a granter. It is
@@ -244,8 +246,6 @@
 	Renew bool
 	// Move allows releases and writes.
 	Move bool
-	// Hold is the lease of grants, 0 for the usual one.
-	Hold time.Duration
 }
 
 // Tick returns what to do now.
@@ -265,7 +265,7 @@
 			actions = append(actions, write)
 		}
 	}
-	return m.grants(now, mode, actions)
+	return m.grants(now, actions)
 }
 
 // leaveLost marks the spans whose owner may no longer keep them.
@@ -282,7 +282,7 @@
 		m.changed = true
 		if present && u.Life != e.Owner.Life {
 			// The life that held the keys has ended, and took them with it.
-			e.heldUntil, e.lateUntil, e.released = now, now, true
+			e.end(now)
 			if u.May {
 				e.target = u.Owner
 			}
@@ -290,6 +290,11 @@
 	}
 }
 
+// end records that the owner's process has ended, and its holds with it.
+func (e *entry) end(now time.Duration) {
+	e.leaving, e.released, e.heldUntil, e.lateUntil = true, true, now, now
+}
+
 func (m *Machine) releases(now time.Duration, actions []Action) []Action {
 	for _, e := range m.entries {
 		if !e.leaving || e.released || e.inCall() || e.writing || e.Owner.Upstream == "" || now >= e.heldUntil || now < e.releaseAt {
@@ -378,11 +383,7 @@
 		!a.inCall() && !b.inCall() && !a.writing && !b.writing && a.sent == b.sent
 }
 
-func (m *Machine) grants(now time.Duration, mode Mode, actions []Action) []Action {
-	hold := m.cfg.Hold
-	if mode.Hold > 0 {
-		hold = mode.Hold
-	}
+func (m *Machine) grants(now time.Duration, actions []Action) []Action {
 	for _, e := range m.entries {
 		if e.leaving || e.writing || e.inCall() || e.Owner.Upstream == "" {
 			continue
@@ -395,15 +396,12 @@
 		if !e.acked {
 			wait = m.cfg.RetryEvery
 		}
-		if e.sent && now-e.sentAt < wait && mode.Hold == 0 {
-			continue
-		}
-		if mode.Hold > 0 && e.sent && now-e.sentAt < wait && e.heldUntil-now > hold/2 {
+		if e.sent && now-e.sentAt < wait {
 			continue
 		}
 		e.sent, e.granting, e.sentAt = true, true, now
 		actions = append(actions, Action{
-			Kind: Grant, Span: e.Span, Owner: e.Owner, Fence: e.Fence, Hold: hold, Handover: e.handover,
+			Kind: Grant, Span: e.Span, Owner: e.Owner, Fence: e.Fence, Hold: m.cfg.Hold, Handover: e.handover,
 		})
 	}
 	return actions
@@ -427,6 +425,9 @@
 			e.sentAt = min(e.sentAt, now-m.cfg.RenewEvery+m.cfg.RetryEvery)
 		case NotSent:
 			e.sentAt = min(e.sentAt, now-m.cfg.RenewEvery+m.cfg.RetryEvery)
+		case Ended:
+			e.end(now)
+			m.changed = true
 		case Outranked:
 			// Only a new fence makes the upstream accept again.
 			e.leaving, e.released, e.target, m.changed = true, true, e.Owner, true
@@ -438,6 +439,10 @@
 func (m *Machine) Released(now time.Duration, a Action, result Result, handover string) {
 	for _, e := range m.within(a) {
 		e.releasing = false
+		if result == Ended {
+			e.end(now)
+			continue
+		}
 		if result == Accepted {
 			e.released, e.handover = true, handover
 			continue
--- a/core/ownership/sim_test.go
+++ b/core/ownership/sim_test.go
@@ -197,10 +197,14 @@
 		return
 	}
 	s.at(travel, func() {
-		if !u.up || u.owner != a.Owner {
+		if !u.up {
 			end(travel, Unknown, "")
 			return
 		}
+		if u.owner != a.Owner {
+			end(travel, Ended, "")
+			return
+		}
 		result, work := Accepted, time.Duration(0)
 		if a.Kind == Grant {
 			if !u.grant(s, a, s.now) {
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -19,11 +19,11 @@
 	returnGrace = 2200 * time.Millisecond
 	// keepGone is how long a removed upstream is kept for calls under way.
 	keepGone = 15 * time.Second
-	// connectionShare is the part of an upstream's connections that is used: the
-	// rest is for VMs that are not counted yet.
-	connectionShare = 0.8
-	// maxPlaces bounds the requests of one VM at one upstream.
-	maxPlaces = 8
+	// placesPerSlot is how many requests may be at an upstream for each slot, of all
+	// VMs together.
+	placesPerSlot = 3
+	// minPlaces lets a VM use a second slot of an upstream that is not congested.
+	minPlaces = 2
 	// assumedVMs is the number of VMs until a granter has told it.
 	assumedVMs = 16
 	// sweepEvery is the time between searches for idle connections to close.
@@ -130,7 +130,7 @@
 		if !entry.gone {
 			next.services[entry.Service] = append(next.services[entry.Service], u)
 		}
-		u.gate.setLimit(c.places(b, entry))
+		u.limit.Store(int32(c.places(b, entry)))
 	}
 	next.out = clone(b.out)
 	next.holdings = clone(b.holdings)
@@ -147,16 +147,10 @@
 	return out
 }
 
-// places returns how many requests of this VM may be at an upstream.
+// places returns how many requests of this VM may be at an upstream that is not
+// congested: its part of the slots and of the requests that may wait there.
 func (c *control) places(b *beliefs, entry *registration) int {
-	if b.config == nil {
-		return 1
-	}
-	service := b.config.Services[entry.Service]
-	if service == nil || service.MaxConnections <= 0 {
-		return maxPlaces
-	}
-	return min(turns.Share(float64(service.MaxConnections)*connectionShare, b.of), maxPlaces)
+	return max(minPlaces, turns.Share(float64(entry.Slots*placesPerSlot), b.of))
 }
 
 // storeAnswered notes the result of a call of the store.
@@ -257,7 +251,7 @@
 		if u != nil {
 			u.pool.Close()
 		}
-		b.upstreams[id] = newUpstream(reg, 1)
+		b.upstreams[id] = newUpstream(reg)
 	} else {
 		u.entry.Store(reg)
 	}
--- a/server/gateway/election.go
+++ b/server/gateway/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,14 @@
 	electionPause = 300 * time.Millisecond
 	// takeoverJitter keeps VMs from taking over at the same moment.
 	takeoverJitter = 150 * time.Millisecond
+	// checkEvery is the time between looks at the lease while the granter cannot
+	// renew it, checkTimeout bounds one.
+	checkEvery   = 350 * time.Millisecond
+	checkTimeout = 300 * time.Millisecond
+	// promiseTime is for how long a VM that does not reach the store leaves a
+	// granter alone; promiseTravel covers the way of the message.
+	promiseTime   = 1200 * time.Millisecond
+	promiseTravel = 200 * time.Millisecond
 )
 
 // election keeps one VM granting and the others connected to it.
@@ -33,10 +42,12 @@
 	metrics     *metrics
 	log         zerolog.Logger
 
-	// heard is when a granter last spoke to this VM, extended until when that
-	// granter may have granted longer leases, both on bootTime.
-	heard, extended time.Duration
-	heardAny        bool
+	// started is when this process began, promise until when it will not take
+	// over, both on bootTime. A process that starts again has forgotten its promise.
+	started time.Duration
+	promise atomic.Int64
+	// checked is when the lease was last read because the granter could not renew it.
+	checked time.Duration
 }
 
 // run takes part in the election until ctx ends.
@@ -62,13 +73,17 @@
 				}
 				state, l = again, again.lease
 			}
+			if wait := e.promisedFor(); wait > 0 && l.version != 0 {
+				sleep(ctx, wait)
+				continue
+			}
 			if e.takeOver(ctx, state, free) {
 				continue
 			}
 			sleep(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
 			continue
 		}
-		err = e.links.attend(ctx, l.Address, l.Term, e.hear)
+		err = e.links.attend(ctx, l.Address, l.Term, func(u update) error { return e.hear(ctx, u) }, e.promised)
 		refused = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 		e.log.Info().Str("event", "granter_lost").Str("granter", string(l.VM)).Int64("term", l.Term).Err(err).Msg("")
 		if !refused {
@@ -95,14 +110,40 @@
 	e.control.hold(updates, v.rank, of)
 }
 
-// hear notes what the granter says.
-func (e *election) hear(u update) {
+// errLeaseStale means that the granter cannot renew its lease while this VM
+// reaches the store.
+var errLeaseStale = errors.New("the granter has not renewed its lease and the store answers: take over")
+
+// hear notes what the granter says. A granter that cannot reach the store is
+// replaced by a VM that can; a VM that cannot either promises to leave it alone.
+func (e *election) hear(ctx context.Context, u update) error {
+	e.control.hold(u.Holdings, u.Rank, u.Of)
 	now := bootTime()
-	e.heard, e.heardAny = now, true
-	if u.ExtendedMs > 0 {
-		e.extended = now + time.Duration(u.ExtendedMs)*time.Millisecond
+	if !u.StoreSilent || now-e.checked < checkEvery {
+		return nil
 	}
-	e.control.hold(u.Holdings, u.Rank, u.Of)
+	e.checked = now
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	state, err := e.control.readOwn(ctx)
+	if err != nil {
+		e.promise.Store(int64(bootTime() + promiseTime))
+		return nil
+	}
+	if state.lease.age > leaseStale {
+		return errLeaseStale
+	}
+	return nil
+}
+
+// promised returns for how long this VM will not take over, in milliseconds.
+func (e *election) promised() int64 {
+	return max((time.Duration(e.promise.Load()) - bootTime()).Milliseconds(), 0)
+}
+
+// promisedFor returns for how long this VM must not take over.
+func (e *election) promisedFor() time.Duration {
+	return max(time.Duration(e.promise.Load()), e.started+promiseTime) - bootTime()
 }
 
 // takeOver tries to become the granter, and grants while it is.
@@ -134,13 +175,9 @@
 // restarted, ended with its process.
 func (e *election) predecessor(former leaseRow, free bool, sent time.Duration) ownership.Predecessor {
 	now := bootTime()
-	before := ownership.Predecessor{Until: sent, Hold: ownership.DefaultConfig(fleet.Keys).Hold}
+	before := ownership.Predecessor{Until: sent, Hold: min(ownership.DefaultConfig(fleet.Keys).Hold, e.bounds.Hold.D())}
 	if !free {
 		before.Until = now + max(leaseTime-former.age, 0)
-		// The leases may have been made longer if nobody has told this VM otherwise.
-		if known := e.heardAny && sent-e.heard < leaseStale; !known || sent < e.extended {
-			before.Hold = e.bounds.Hold.D()
-		}
 	}
 	before.LateUntil = before.Until + before.Hold
 	if former.Released {
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -103,12 +103,34 @@
 		}
 		return nil, outcome{reason: why, status: http.StatusServiceUnavailable, retryAfter: max(retryAfter, retrySoon)}
 	}
-	if err := u.gate.enter(ctx, q.route.Priority); err != nil {
-		return nil, outcome{reason: busy, status: http.StatusServiceUnavailable, err: err}
+	if err := e.enter(ctx, q, u); err != nil {
+		return nil, fullAt(err)
 	}
 	return u, outcome{}
 }
 
+// enter takes a place at the gate of an upstream.
+func (e *entry) enter(ctx context.Context, q *request, u *upstream) error {
+	target := q.deadline
+	if q.route.Target > 0 {
+		target = q.arrived.Add(q.route.Target)
+	}
+	usual := time.Duration(e.stats.usual(q.route.Name) * float64(time.Second))
+	return u.gate.enter(ctx, want{
+		priority: q.route.Priority, arrived: q.arrived, target: target, deadline: q.deadline, work: usual,
+	})
+}
+
+// fullAt returns the outcome where an upstream has no place.
+func fullAt(err error) outcome {
+	end := outcome{reason: busy, status: http.StatusServiceUnavailable, err: err, retryAfter: retrySoon}
+	var hopeless errHopeless
+	if errors.As(err, &hopeless) {
+		end.retryAfter = max(hopeless.wait, retrySoon)
+	}
+	return end
+}
+
 // cheapest returns the upstream that is expected to answer first.
 func (e *entry) cheapest(q *request, v *view, avoid map[api.UpstreamID]bool) (best *upstream, retryAfter time.Duration) {
 	now, boot := time.Now(), bootTime()
@@ -208,13 +230,13 @@
 		if u != nil && v.usable(u) {
 			wait := e.coldWait(q, v, u, bootTime())
 			if wait == 0 {
-				if err := u.gate.enter(ctx, q.route.Priority); err != nil {
-					return nil, outcome{reason: busy, status: http.StatusServiceUnavailable, err: err}
+				if err := e.enter(ctx, q, u); err != nil {
+					return nil, fullAt(err)
 				}
 				if e.takeColdTurn(q, v, u, bootTime()) {
 					return u, outcome{}
 				}
-				u.gate.leave()
+				u.gate.leave(0)
 				wait = time.Millisecond
 			}
 			if time.Now().Add(wait).After(waitUntil) {
@@ -264,7 +286,8 @@
 
 // send sends the request once. The place at the gate is given back.
 func (e *entry) send(ctx context.Context, q *request, u *upstream) (*upstreamconn.Reply, fleet.Answer, error) {
-	defer u.gate.leave()
+	entered := time.Now()
+	defer func() { u.gate.leave(time.Since(entered)) }()
 	header := q.header
 	fleet.Address(header, u.id, q.left())
 	q.last = u.id
@@ -315,4 +338,5 @@
 		u.load, u.loadAt = load, now
 	}
 	u.avoidUntil = now.Add(loadAge)
+	u.congestedUntil = now.Add(congestedFor)
 }
--- /dev/null
+++ b/server/gateway/gate.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/core/admission"
+)
+
+// errHopeless means that a request cannot be served in time at an upstream.
+type errHopeless struct {
+	// wait is when there may be room again.
+	wait time.Duration
+}
+
+// Error implements error.
+func (errHopeless) Error() string {
+	return "the upstream has no room before the deadline: come again after the stated time"
+}
+
+// gate lets requests of this VM to one upstream, in the order that package
+// admission decides.
+type gate struct {
+	places func(time.Time) int
+	start  time.Time
+
+	mu    sync.Mutex
+	queue *admission.Queue
+}
+
+func newGate(places func(time.Time) int) *gate {
+	return &gate{places: places, start: time.Now(), queue: admission.New(1)}
+}
+
+func (g *gate) load() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Load()
+}
+
+// want describes a request that wants a place.
+type want struct {
+	priority                  int
+	arrived, target, deadline time.Time
+	work                      time.Duration
+}
+
+// enter waits for a place. Every success is followed by leave. The error is
+// errHopeless, or that of ctx.
+func (g *gate) enter(ctx context.Context, w want) error {
+	now := time.Now()
+	admitted := make(chan bool, 1)
+	r := &admission.Request{
+		Priority: w.priority, Arrived: w.arrived.Sub(g.start), Target: w.target.Sub(g.start),
+		Deadline: w.deadline.Sub(g.start), Work: w.work, Token: admitted,
+	}
+	limit := g.places(now)
+	g.mu.Lock()
+	g.queue.SetLimit(limit)
+	g.next(now)
+	decision, wait := g.queue.Offer(now.Sub(g.start), r)
+	g.mu.Unlock()
+	switch decision {
+	case admission.Start:
+		return nil
+	case admission.Refuse:
+		return errHopeless{wait}
+	}
+	hopeless := time.NewTimer(time.Until(w.deadline.Add(-w.work)))
+	defer hopeless.Stop()
+	var err error = errHopeless{wait}
+	select {
+	case ok := <-admitted:
+		if !ok {
+			return err
+		}
+		return nil
+	case <-hopeless.C:
+	case <-ctx.Done():
+		err = errors.Wrap(ctx.Err(), "wait for a place at the upstream")
+	}
+	g.mu.Lock()
+	cancelled := g.queue.Cancel(r)
+	g.mu.Unlock()
+	if cancelled || !<-admitted {
+		return err
+	}
+	// The place was given at the same moment.
+	return nil
+}
+
+// leave gives a place back that was taken for a time.
+func (g *gate) leave(took time.Duration) {
+	now := time.Now()
+	limit := g.places(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Done(took)
+	g.queue.SetLimit(limit)
+	g.next(now)
+}
+
+// next tells requests that wait no more; g.mu is held.
+func (g *gate) next(now time.Time) {
+	start, refuse := g.queue.Next(now.Sub(g.start))
+	for _, r := range start {
+		r.Token.(chan bool) <- true
+	}
+	for _, r := range refuse {
+		r.Token.(chan bool) <- false
+	}
+}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -63,7 +63,7 @@
 		entry: newEntry(s.VM, s.Bounds, c.view, m, st, log),
 		election: &election{
 			self: s.VM, incarnation: incarnation, address: s.Listen.Peers, bounds: s.Bounds,
-			control: c, stats: st, links: l, metrics: m, log: log,
+			control: c, stats: st, links: l, metrics: m, log: log, started: bootTime(),
 		},
 	}
 	peers := chi.NewRouter()
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -175,3 +175,44 @@
 	w.served(g, plainPath, -1)
 	require.Len(t, g.control.view().services["plain"], 1)
 }
+
+// TestStoreRefusesGranter guards against a granter that keeps its place while
+// the store refuses it and serves another VM: no key could move.
+func TestStoreRefusesGranter(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("k1", "keyed")
+	storeA, refuseA := w.storeFor()
+	a := w.startVMAt("vm-a", storeA)
+	w.served(a, keyedPath, 1)
+	b := w.startVM("vm-b")
+	w.served(b, keyedPath, 1)
+	require.Zero(t, a.control.view().rank)
+	refuseA.Store(true)
+	w.eventually(func() bool { return b.control.view().rank == 0 && b.control.view().holdings["keyed"].Term == 2 }, "the other VM takes over")
+	w.served(b, keyedPath, 1)
+	refuseA.Store(false)
+	w.eventually(func() bool { return a.control.view().rank > 0 && a.control.view().holdings["keyed"].Term == 2 }, "the former granter follows")
+}
+
+// TestStoreDown guards against keys that lapse while the store is away for longer
+// than a granter's lease and the leases of keys together.
+func TestStoreDown(t *testing.T) {
+	w := newWorld(t)
+	k1 := w.addUpstream("k1", "keyed")
+	a, b := w.startVM("vm-a"), w.startVM("vm-b")
+	w.served(a, keyedPath, 1)
+	w.served(b, keyedPath, 1)
+	w.eventually(func() bool { return a.control.view().rank+b.control.view().rank == 1 }, "one VM follows the other")
+	term := a.control.view().holdings["keyed"].Term
+	w.store.SetFaults(fakes.Faults{Refuse: true})
+	down := time.Now()
+	for time.Since(down) < leaseTime+4*time.Second {
+		resp, body := w.do(b, http.MethodGet, keyedPath, 1, 2*time.Second)
+		require.Equal(t, http.StatusOK, resp.StatusCode, "%s after %s", body, time.Since(down))
+		require.True(t, k1.Holds(1))
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.store.SetFaults(fakes.Faults{})
+	w.served(b, keyedPath, 1)
+	require.Equal(t, term, b.control.view().holdings["keyed"].Term)
+}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -23,13 +23,11 @@
 	decayEvery = 500 * time.Millisecond
 	// almostWarm is the remaining cold time at which an upstream gets keys.
 	almostWarm = 500 * time.Millisecond
-	// extendAfter is the age of the last renewal from which the granter makes
-	// leases longer: the store does not answer, and no other VM can take over
-	// before the lease of this one is stale.
-	extendAfter = 1200 * time.Millisecond
-	// extendNotice is the time between telling the other VMs and the first longer
-	// lease.
-	extendNotice = 200 * time.Millisecond
+	// silentAfter is the age of the last renewal from which the granter says that
+	// the store is silent.
+	silentAfter = 1200 * time.Millisecond
+	// absenceCounts is how long a VM that has left could still take over unseen.
+	absenceCounts = 30 * time.Second
 	// rankKept is how long a VM that is not connected keeps its rank.
 	rankKept = 5 * time.Second
 	// paceWeight is the weight of one report in the pace of an upstream.
@@ -45,6 +43,8 @@
 	updates chan update
 	close   func()
 	sent    map[api.ServiceName]int64 // the turn of the holdings sent last
+	// promise is until when the VM will not take over, on bootTime.
+	promise time.Duration
 }
 
 // rank is the place of a VM; gone is when it was last connected.
@@ -57,6 +57,7 @@
 // granter decides for one term which upstreams hold which keys.
 type granter struct {
 	*election
+	term   int64
 	lease  lease
 	rowAt  int64 // version of the lease row
 	before ownership.Predecessor
@@ -79,13 +80,13 @@
 	renewedAt time.Duration // when the last successful renewal was sent
 	updatedAt time.Duration
 	decayedAt time.Duration
-	extended  time.Duration // when the other VMs were told of longer leases
+	silent    bool // the store does not answer renewals
 	deposed   bool
 }
 
 func newGranter(e *election, l lease, row int64, sent time.Duration, before ownership.Predecessor, stored ownState) *granter {
 	g := &granter{
-		election: e, lease: l, rowAt: row, before: before, stored: stored,
+		election: e, term: l.Term, lease: l, rowAt: row, before: before, stored: stored,
 		events: make(chan func(), 256), done: make(chan struct{}),
 		machines: make(map[api.ServiceName]*ownership.Machine), turns: make(map[api.ServiceName]holdings),
 		writes: make(map[api.ServiceName][]ownership.Entry), members: make(map[*member]bool),
@@ -181,8 +182,14 @@
 	})
 }
 
-func (g *granter) reported(r report) {
-	g.do(func() { g.observe(r) })
+func (g *granter) reported(m *member, r report) {
+	received := bootTime()
+	g.do(func() {
+		if r.PromiseMs > 0 {
+			m.promise = received + time.Duration(r.PromiseMs)*time.Millisecond - promiseTravel
+		}
+		g.observe(r)
+	})
 }
 
 func (g *granter) observe(r report) {
@@ -225,7 +232,7 @@
 		}
 		m := g.machines[name]
 		if m == nil {
-			m = ownership.New(ownership.DefaultConfig(fleet.Keys), g.lease.Term, g.stored.holdings[name], g.before)
+			m = ownership.New(ownership.DefaultConfig(fleet.Keys), g.term, g.stored.holdings[name], g.before)
 			g.machines[name] = m
 		}
 		m.SetUpstreams(upstreams[name])
@@ -249,23 +256,33 @@
 
 // mode returns what this VM may do now.
 func (g *granter) mode(now time.Duration) ownership.Mode {
-	if !g.mayOrder() {
-		return ownership.Mode{}
+	if silent := now-g.renewedAt > silentAfter; silent != g.silent {
+		g.silent = silent
+		g.log.Warn().Str("event", "store_silent").Bool("silent", silent).Int64("term", g.term).Dur("renewed_ms", now-g.renewedAt).Msg("")
+		g.update(now)
 	}
-	mode := ownership.Mode{Renew: true, Move: now >= g.before.Until}
-	if now-g.renewedAt <= extendAfter {
-		g.extended = 0
-		return mode
+	leased := now < g.renewedAt+leaseTime
+	if g.silent {
+		if until := g.promised(now); int64(until) > g.authority.Load() {
+			g.authority.Store(int64(until))
+		}
 	}
-	if g.extended == 0 {
-		g.extended = now
-		g.log.Warn().Str("event", "leases_extended").Int64("term", g.lease.Term).Dur("store_silent_ms", now-g.renewedAt).Msg("")
-		g.update(now)
+	return ownership.Mode{Renew: g.mayOrder(), Move: leased && now >= g.before.Until}
+}
+
+// promised returns until when no other VM will take over: the earliest of their
+// promises, 0 if one is missing.
+func (g *granter) promised(now time.Duration) time.Duration {
+	for _, r := range g.ranks {
+		if !r.here && now-r.gone < absenceCounts {
+			return 0
+		}
 	}
-	if now-g.extended >= extendNotice {
-		mode.Hold = g.bounds.Hold.D()
+	until := now + promiseTime
+	for m := range g.members {
+		until = min(until, m.promise)
 	}
-	return mode
+	return until
 }
 
 // upstreams returns the possible owners by service.
@@ -296,7 +313,7 @@
 	if !changed {
 		return
 	}
-	h := holdings{Term: g.lease.Term, Turn: g.turns[name].Turn + 1, Spans: spans}
+	h := holdings{Term: g.term, Turn: g.turns[name].Turn + 1, Spans: spans}
 	g.turns[name] = h
 	s := m.Summary()
 	g.log.Info().Str("event", "owners_changed").Str("service", string(name)).Int64("term", h.Term).Int64("turn", h.Turn).
@@ -307,12 +324,8 @@
 // update sends each VM what it does not know yet.
 func (g *granter) update(now time.Duration) {
 	g.updatedAt = now
-	var extendedMs int64
-	if g.extended > 0 {
-		extendedMs = (leaseTime + g.bounds.Hold.D()).Milliseconds()
-	}
 	for m := range g.members {
-		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), ExtendedMs: extendedMs}
+		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), StoreSilent: g.silent}
 		// An update that was not sent yet is replaced; what it held goes along.
 		select {
 		case old := <-m.updates:
@@ -407,7 +420,7 @@
 func (g *granter) written(next lease, page *fleet.Page, sent time.Duration, err error) {
 	g.writing = false
 	if err != nil {
-		g.log.Warn().Str("event", "granter_replaced").Int64("term", g.lease.Term).Msg("")
+		g.log.Warn().Str("event", "granter_replaced").Int64("term", g.term).Msg("")
 		g.authority.Store(0)
 		g.deposed = true
 		return
@@ -436,7 +449,7 @@
 		next.LateMs = max(next.LateMs, (m.LateUntil(now) - now).Milliseconds())
 	}
 	if _, err := g.control.commit(ctx, g.rowAt, next, nil); err != nil {
-		g.log.Warn().Str("event", "lease_not_released").Int64("term", g.lease.Term).Err(err).Msg("")
+		g.log.Warn().Str("event", "lease_not_released").Int64("term", g.term).Err(err).Msg("")
 	}
 }
 
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -44,9 +44,8 @@
 	// Rank is the place of the receiver among Of VMs.
 	Rank int `cbor:"2,keyasint"`
 	Of   int `cbor:"3,keyasint"`
-	// ExtendedMs is for how long leases may run that were extended while the store
-	// does not answer; 0 if they were not.
-	ExtendedMs int64 `cbor:"4,keyasint,omitempty"`
+	// StoreSilent means that the granter cannot renew its lease at present.
+	StoreSilent bool `cbor:"4,keyasint,omitempty"`
 }
 
 // links connects VMs with the granter.
@@ -85,7 +84,7 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	var h hello
-	if err := receive(ctx, conn, &h, linkOpen); err != nil || h.Term != g.lease.Term {
+	if err := receive(ctx, conn, &h, linkOpen); err != nil || h.Term != g.term {
 		l.log.Warn().Str("event", "link_refused").Str("peer", string(h.VM)).Int64("term", h.Term).Err(err).Msg("")
 		return
 	}
@@ -111,14 +110,15 @@
 		if err = receive(ctx, conn, &rep, 3*reportEvery+linkSilence); err != nil {
 			break
 		}
-		g.reported(rep)
+		g.reported(member, rep)
 	}
 	g.left(member, err)
 }
 
 // attend connects to the granter and gives its updates to hear, until the
-// connection is lost.
-func (l *links) attend(ctx context.Context, address string, term int64, hear func(update)) error {
+// connection is lost or hear fails. promise returns for how long this VM will not
+// take over, in milliseconds.
+func (l *links) attend(ctx context.Context, address string, term int64, hear func(update) error, promise func() int64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	open, cancelOpen := context.WithTimeout(ctx, linkOpen)
@@ -135,7 +135,9 @@
 	}
 	go func() {
 		for sleep(ctx, reportEvery) {
-			if err := send(ctx, conn, l.stats.take()); err != nil {
+			rep := l.stats.take()
+			rep.PromiseMs = promise()
+			if err := send(ctx, conn, rep); err != nil {
 				cancel()
 				return
 			}
@@ -146,7 +148,9 @@
 		if err := receive(ctx, conn, &u, linkSilence); err != nil {
 			return err
 		}
-		hear(u)
+		if err := hear(u); err != nil {
+			return err
+		}
 	}
 }
 
--- a/server/gateway/orders.go
+++ b/server/gateway/orders.go
@@ -123,6 +123,8 @@
 		result, handover, status = ownership.Accepted, reply.Header.Get(fleet.HeaderHandover), reply.Status
 	case reply.Status == http.StatusConflict:
 		result, status = ownership.Outranked, reply.Status
+	case reply.Status == http.StatusMisdirectedRequest:
+		result, status = ownership.Ended, reply.Status
 	default:
 		status = reply.Status
 	}
@@ -136,6 +138,7 @@
 
 var resultNames = map[ownership.Result]string{
 	ownership.Accepted: "accepted", ownership.Outranked: "outranked", ownership.NotSent: "not_sent", ownership.Unknown: "unknown",
+	ownership.Ended: "ended",
 }
 
 func (o *orders) report(service api.ServiceName, a ownership.Action, sent time.Duration, result ownership.Result, handover string) {
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -28,6 +28,9 @@
 	// Loads is the demand by service and bucket of keys, in seconds of work.
 	Loads map[api.ServiceName]map[int]float64 `cbor:"1,keyasint"`
 	Paces map[api.UpstreamID]pace             `cbor:"2,keyasint"`
+	// PromiseMs is for how long the VM will not take over from the granter, in
+	// milliseconds; 0 promises nothing.
+	PromiseMs int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // stats collects what the traffic of this VM shows.
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,8 @@
 	loadAge = 300 * time.Millisecond
 	// avoidAfterFailure is how long other upstreams are preferred after a failure.
 	avoidAfterFailure = time.Second
+	// congestedFor is how long an upstream counts as congested after it said so.
+	congestedFor = time.Second
 	// latencyWeight is the weight of one answer in the average latency.
 	latencyWeight = 0.1
 )
@@ -28,6 +29,8 @@
 	pool  *upstreamconn.Pool
 	entry atomic.Pointer[registration]
 	gate  *gate
+	// limit is the number of places while the upstream is not congested.
+	limit atomic.Int32
 
 	mu sync.Mutex
 	// latency is the average time of an answer in seconds, 0 if none came yet.
@@ -35,15 +38,17 @@
 	load       fleet.Load
 	loadAt     time.Time
 	avoidUntil time.Time
+	// congestedUntil is until when each VM sends the upstream one request at a time.
+	congestedUntil time.Time
 	// failures is the share of the last answers that were failures.
 	failures float64
 	coldSlot int64 // the last slot of the shared clock in which a request was sent
 }
 
-func newUpstream(entry *registration, connections int) *upstream {
-	u := &upstream{
-		id: entry.ID, pool: upstreamconn.New(entry.Address, maxAnswerBytes), gate: newGate(connections), coldSlot: -1,
-	}
+func newUpstream(entry *registration) *upstream {
+	u := &upstream{id: entry.ID, pool: upstreamconn.New(entry.Address, maxAnswerBytes), coldSlot: -1}
+	u.limit.Store(1)
+	u.gate = newGate(u.places)
 	u.entry.Store(entry)
 	return u
 }
@@ -58,6 +63,9 @@
 	u.latency += latencyWeight * (took.Seconds() - u.latency)
 	if load.Slots > 0 {
 		u.load, u.loadAt = load, now
+		if load.Waiting >= load.Slots {
+			u.congestedUntil = now.Add(congestedFor)
+		}
 	}
 	result := 0.0
 	if failed {
@@ -71,9 +79,20 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.avoidUntil = now.Add(avoidAfterFailure)
+	u.congestedUntil = now.Add(congestedFor)
 	u.failures += latencyWeight * (1 - u.failures)
 }
 
+// places returns how many requests of this VM may be at the upstream now.
+func (u *upstream) places(now time.Time) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now.Before(u.congestedUntil) {
+		return 1
+	}
+	return int(u.limit.Load())
+}
+
 // cost estimates how long a request would take here, relative to the upstreams
 // of the service: the work ahead of it, at the upstream's usual pace.
 func (u *upstream) cost(now time.Time, usual float64) float64 {
@@ -95,82 +114,3 @@
 	}
 	return cost
 }
-
-// gate bounds the requests of this VM at one upstream, and lets the most urgent
-// of those that wait go first.
-type gate struct {
-	mu      sync.Mutex
-	limit   int
-	running int
-	waiting []*waiter
-}
-
-type waiter struct {
-	priority int
-	ready    chan struct{}
-}
-
-func newGate(limit int) *gate { return &gate{limit: max(limit, 1)} }
-
-func (g *gate) load() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.running + len(g.waiting)
-}
-
-func (g *gate) setLimit(limit int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.limit = max(limit, 1)
-	g.admit()
-}
-
-// enter waits for a place. Every success is followed by leave.
-func (g *gate) enter(ctx context.Context, priority int) error {
-	g.mu.Lock()
-	if g.running < g.limit && len(g.waiting) == 0 {
-		g.running++
-		g.mu.Unlock()
-		return nil
-	}
-	w := &waiter{priority: priority, ready: make(chan struct{})}
-	i := len(g.waiting)
-	for i > 0 && g.waiting[i-1].priority > priority {
-		i--
-	}
-	g.waiting = append(g.waiting, nil)
-	copy(g.waiting[i+1:], g.waiting[i:])
-	g.waiting[i] = w
-	g.mu.Unlock()
-	select {
-	case <-w.ready:
-		return nil
-	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for i, other := range g.waiting {
-		if other == w {
-			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
-			return ctx.Err()
-		}
-	}
-	// The place was given at the same moment.
-	return nil
-}
-
-func (g *gate) leave() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.running--
-	g.admit()
-}
-
-func (g *gate) admit() {
-	for g.running < g.limit && len(g.waiting) > 0 {
-		w := g.waiting[0]
-		g.waiting = g.waiting[1:]
-		g.running++
-		close(w.ready)
-	}
-}
--- a/server/gateway/world_test.go
+++ b/server/gateway/world_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,9 +75,26 @@
 	return l.Addr().String()
 }
 
-func (w *world) startVM(name string) *Gateway {
+// storeFor returns the address of the store for one VM, and a switch that makes
+// the store refuse this VM.
+func (w *world) storeFor() (address string, refuse *atomic.Bool) {
+	refuse = new(atomic.Bool)
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if refuse.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.store.ServeHTTP(rw, r)
+	}))
+	w.t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), refuse
+}
+
+func (w *world) startVM(name string) *Gateway { return w.startVMAt(name, w.storeAddr) }
+
+func (w *world) startVMAt(name, store string) *Gateway {
 	g := New(&Settings{
-		VM: api.VMID(name), FailureDomain: "zone-a", Store: w.storeAddr, MemoryMB: 100, LogLevel: "info",
+		VM: api.VMID(name), FailureDomain: "zone-a", Store: store, MemoryMB: 100, LogLevel: "info",
 		Listen: Listen{
 			Callers: freeAddress(w.t), Health: freeAddress(w.t), Peers: freeAddress(w.t), Metrics: freeAddress(w.t),
 		},
