--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -87,7 +87,8 @@
 			ahead++
 		}
 	}
-	wait = q.turn * time.Duration(ahead+1) / time.Duration(q.limit)
+	// On average, half of the time of those that run has passed.
+	wait = (q.turn*time.Duration(ahead) + q.turn/2) / time.Duration(q.limit)
 	if r.Hopeless(now + wait) {
 		return Refuse, wait
 	}
