election: follow the granter without the store, and replace one whose process has ended

Cause: while the store was silent, two VMs lost their connection to the granter (their reports were not taken for 0.9 s) and could not return, because they read the lease first; without their promise the granter's authority ended. Ruled out: a granter that was refused by the store alone (store_silent at 19 s on it, and store_lost on others). Change: a VM whose read fails returns to the granter it knows; promises are kept by rank; a process that answers at the granter's address and is not the one of the lease counts as its end.

--- a/server/gateway/election.go
+++ b/server/gateway/election.go
@@ -18,6 +18,8 @@
 const (
 	// electionPause is the time between looks at the lease while there is no granter.
 	electionPause = 300 * time.Millisecond
+	// silencePause is the time between looks at the lease of a silent granter.
+	silencePause = 250 * time.Millisecond
 	// takeoverJitter keeps VMs from taking over at the same moment.
 	takeoverJitter = 150 * time.Millisecond
 	// checkEvery is the time between looks at the lease while the granter cannot
@@ -52,44 +54,72 @@
 
 // run takes part in the election until ctx ends.
 func (e *election) run(ctx context.Context) {
-	refused := false
+	var known leaseRow // the lease that was read last
+	var lost error     // why the connection to its granter ended
 	for ctx.Err() == nil {
 		state, err := e.control.readOwn(ctx)
 		if err != nil {
 			e.log.Warn().Str("event", "lease_not_read").Err(err).Msg("")
-			sleep(ctx, electionPause)
+			// The granter may still be there while the store is not.
+			if known.VM == "" || known.VM == e.self || e.follow(ctx, known) != nil {
+				sleep(ctx, electionPause)
+			}
 			continue
 		}
 		e.adopt(state)
-		l := state.lease
-		free := l.version == 0 || l.Released || l.VM == "" || l.VM == e.self
-		if free || refused || l.age > leaseStale {
-			refused = false
-			if !free {
-				sleep(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
-				again, err := e.control.readOwn(ctx)
-				if err != nil || again.lease.version != l.version {
-					continue
-				}
-				state, l = again, again.lease
-			}
-			if wait := e.promisedFor(); wait > 0 && l.version != 0 {
-				sleep(ctx, wait)
-				continue
-			}
-			if e.takeOver(ctx, state, free) {
-				continue
-			}
-			sleep(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
-			continue
+		former := known.version
+		known = state.lease
+		if known.version != former && !errors.Is(lost, errGranterEnded) {
+			lost = nil
 		}
-		err = e.links.attend(ctx, l.Address, l.Term, func(u update) error { return e.hear(ctx, u) }, e.promised)
-		refused = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-		e.log.Info().Str("event", "granter_lost").Str("granter", string(l.VM)).Int64("term", l.Term).Err(err).Msg("")
-		if !refused {
-			sleep(ctx, electionPause/3)
+		switch {
+		case known.vacant(e.self) || known.age > leaseStale || errors.Is(lost, errGranterEnded):
+			lost = nil
+			e.campaign(ctx, state)
+		case lost != nil:
+			// The granter was silent: its next renewal shows whether it still is there.
+			sleep(ctx, silencePause)
+		default:
+			lost = e.follow(ctx, known)
+		}
+	}
+}
+
+// vacant reports whether nobody can hold the lease: self has no lease in this
+// process yet, so one of its own is that of a process before.
+func (l leaseRow) vacant(self api.VMID) bool {
+	return l.version == 0 || l.Released || l.VM == "" || l.VM == self
+}
+
+// errGranterEnded means that the granter's process is not there any more.
+var errGranterEnded = errors.New("the granter's process has ended: take over")
+
+// follow stays connected to a granter. It returns why that ended.
+func (e *election) follow(ctx context.Context, l leaseRow) error {
+	err := e.links.attend(ctx, l.lease, func(u update) error { return e.hear(ctx, u) }, e.promised)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		err = errors.Wrap(errGranterEnded, err.Error())
+	}
+	e.log.Info().Str("event", "granter_lost").Str("granter", string(l.VM)).Int64("term", l.Term).Err(err).Msg("")
+	return err
+}
+
+// campaign takes over unless another VM is faster.
+func (e *election) campaign(ctx context.Context, state ownState) {
+	l := state.lease
+	if wait := e.promisedFor(); wait > 0 && l.version != 0 {
+		sleep(ctx, wait)
+		return
+	}
+	sleep(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
+	if !l.vacant(e.self) {
+		again, err := e.control.readOwn(ctx)
+		if err != nil || again.lease.version != l.version {
+			return
 		}
+		state = again
 	}
+	e.takeOver(ctx, state)
 }
 
 // adopt lets requests find the owners that the store names, while no granter
@@ -147,7 +177,7 @@
 }
 
 // takeOver tries to become the granter, and grants while it is.
-func (e *election) takeOver(ctx context.Context, state ownState, free bool) bool {
+func (e *election) takeOver(ctx context.Context, state ownState) {
 	former := state.lease
 	next := lease{
 		VM: e.self, Incarnation: e.incarnation, Address: e.address, Term: former.Term + 1, Seq: 1,
@@ -157,9 +187,9 @@
 	page, err := e.control.commit(ctx, former.version, next, nil)
 	if err != nil {
 		e.log.Info().Str("event", "takeover_failed").Int64("term", next.Term).Err(err).Msg("")
-		return false
+		return
 	}
-	before := e.predecessor(former, free, sent)
+	before := e.predecessor(former, sent)
 	e.log.Info().Str("event", "granter_started").Int64("term", next.Term).Str("predecessor", string(former.VM)).
 		Dur("moves_in_ms", before.Until-sent).Dur("predecessor_age_ms", former.age).Dur("predecessor_hold_ms", before.Hold).Msg("")
 	g := newGranter(e, next, page.Version, sent, before, state)
@@ -167,16 +197,15 @@
 	g.run(ctx)
 	e.metrics.granter.Set(0)
 	e.log.Info().Str("event", "granter_stopped").Int64("term", next.Term).Msg("")
-	return true
 }
 
 // predecessor returns what the granter before may still do. It may act until its
 // lease has run out; a lease that was released, or that this VM held before it
 // restarted, ended with its process.
-func (e *election) predecessor(former leaseRow, free bool, sent time.Duration) ownership.Predecessor {
+func (e *election) predecessor(former leaseRow, sent time.Duration) ownership.Predecessor {
 	now := bootTime()
 	before := ownership.Predecessor{Until: sent, Hold: min(ownership.DefaultConfig(fleet.Keys).Hold, e.bounds.Hold.D())}
-	if !free {
+	if !former.vacant(e.self) {
 		before.Until = now + max(leaseTime-former.age, 0)
 	}
 	before.LateUntil = before.Until + before.Hold
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -195,7 +195,8 @@
 }
 
 // TestStoreDown guards against keys that lapse while the store is away for longer
-// than a granter's lease and the leases of keys together.
+// than a granter's lease and the leases of keys together, also when a VM loses its
+// connection to the granter meanwhile.
 func TestStoreDown(t *testing.T) {
 	w := newWorld(t)
 	k1 := w.addUpstream("k1", "keyed")
@@ -206,10 +207,21 @@
 	term := a.control.view().holdings["keyed"].Term
 	w.store.SetFaults(fakes.Faults{Refuse: true})
 	down := time.Now()
+	granter, cut := a.links, false
+	if b.control.view().rank == 0 {
+		granter = b.links
+	}
 	for time.Since(down) < leaseTime+4*time.Second {
 		resp, body := w.do(b, http.MethodGet, keyedPath, 1, 2*time.Second)
 		require.Equal(t, http.StatusOK, resp.StatusCode, "%s after %s", body, time.Since(down))
 		require.True(t, k1.Holds(1))
+		if !cut && time.Since(down) > leaseTime {
+			cut = granter.current().do(func() {
+				for m := range granter.current().members {
+					m.close()
+				}
+			})
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	w.store.SetFaults(fakes.Faults{})
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -43,8 +43,6 @@
 	updates chan update
 	close   func()
 	sent    map[api.ServiceName]int64 // the turn of the holdings sent last
-	// promise is until when the VM will not take over, on bootTime.
-	promise time.Duration
 }
 
 // rank is the place of a VM; gone is when it was last connected.
@@ -52,6 +50,8 @@
 	vm   api.VMID
 	gone time.Duration
 	here bool
+	// promise is until when the VM will not take over, on bootTime.
+	promise time.Duration
 }
 
 // granter decides for one term which upstreams hold which keys.
@@ -186,7 +186,9 @@
 	received := bootTime()
 	g.do(func() {
 		if r.PromiseMs > 0 {
-			m.promise = received + time.Duration(r.PromiseMs)*time.Millisecond - promiseTravel
+			if i := g.rankOf(m.vm); i >= 0 {
+				g.ranks[i].promise = received + time.Duration(r.PromiseMs)*time.Millisecond - promiseTravel
+			}
 		}
 		g.observe(r)
 	})
@@ -273,14 +275,12 @@
 // promised returns until when no other VM will take over: the earliest of their
 // promises, 0 if one is missing.
 func (g *granter) promised(now time.Duration) time.Duration {
+	until := now + promiseTime
 	for _, r := range g.ranks {
-		if !r.here && now-r.gone < absenceCounts {
-			return 0
+		if r.vm == g.self || !r.here && now-r.gone > absenceCounts {
+			continue
 		}
-	}
-	until := now + promiseTime
-	for m := range g.members {
-		until = min(until, m.promise)
+		until = min(until, r.promise)
 	}
 	return until
 }
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -18,6 +18,8 @@
 const (
 	// linkPath is where a granter accepts the other VMs.
 	linkPath = "/granter/v1"
+	// incarnationHeader tells which process answers that it does not grant.
+	incarnationHeader = "Dandelionhill-Incarnation"
 	// reportEvery is the time between reports of a VM, updateEvery between updates
 	// of the granter that say only that it is there.
 	reportEvery = 400 * time.Millisecond
@@ -65,12 +67,18 @@
 	l.granter = g
 }
 
+// current returns the granter on this VM, nil if it does not grant.
+func (l *links) current() *granter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.granter
+}
+
 // ServeHTTP accepts the connection of a VM to the granter on this VM.
 func (l *links) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l.mu.Lock()
-	g := l.granter
-	l.mu.Unlock()
+	g := l.current()
 	if g == nil {
+		w.Header().Set(incarnationHeader, string(l.incarnation))
 		http.Error(w, "this VM does not grant keys: read the lease again", http.StatusMisdirectedRequest)
 		return
 	}
@@ -118,19 +126,22 @@
 // attend connects to the granter and gives its updates to hear, until the
 // connection is lost or hear fails. promise returns for how long this VM will not
 // take over, in milliseconds.
-func (l *links) attend(ctx context.Context, address string, term int64, hear func(update) error, promise func() int64) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+func (l *links) attend(ctx context.Context, to lease, hear func(update) error, promise func() int64) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	open, cancelOpen := context.WithTimeout(ctx, linkOpen)
 	defer cancelOpen()
 	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial}}
-	conn, _, err := websocket.Dial(open, "ws://"+address+linkPath, &websocket.DialOptions{HTTPClient: client})
+	conn, resp, err := websocket.Dial(open, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client})
 	if err != nil {
+		if resp != nil && resp.Header.Get(incarnationHeader) != "" && resp.Header.Get(incarnationHeader) != string(to.Incarnation) {
+			return errors.Wrap(errGranterEnded, err.Error())
+		}
 		return errors.Wrap(err, "connect to the granter")
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrame)
-	if err := send(ctx, conn, hello{VM: l.self, Incarnation: l.incarnation, Term: term}); err != nil {
+	if err := send(ctx, conn, hello{VM: l.self, Incarnation: l.incarnation, Term: to.Term}); err != nil {
 		return err
 	}
 	go func() {
@@ -138,7 +149,7 @@
 			rep := l.stats.take()
 			rep.PromiseMs = promise()
 			if err := send(ctx, conn, rep); err != nil {
-				cancel()
+				cancel(err)
 				return
 			}
 		}
@@ -146,6 +157,9 @@
 	for {
 		var u update
 		if err := receive(ctx, conn, &u, linkSilence); err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				err = cause
+			}
 			return err
 		}
 		if err := hear(u); err != nil {
