gateway: a stopping granter grants on while the store is silent

Cause: the granter was asked to stop while the store was silent, and no other VM can take over then.

--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -143,6 +143,12 @@
 	if err := g.callers.Shutdown(ctx); err != nil {
 		g.log.Warn().Str("event", "requests_cut").Err(err).Msg("")
 	}
+	// No other VM can take over while the store is silent.
+	for granter := g.links.current(); granter != nil && granter.silent.Load(); granter = g.links.current() {
+		if !sleep(ctx, granterTick) {
+			break
+		}
+	}
 	g.cancel()
 	select {
 	case <-g.ended:
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -80,7 +80,7 @@
 	renewedAt time.Duration // when the last successful renewal was sent
 	updatedAt time.Duration
 	decayedAt time.Duration
-	silent    bool // the store does not answer renewals
+	silent    atomic.Bool // the store does not answer renewals
 	deposed   bool
 }
 
@@ -258,13 +258,13 @@
 
 // mode returns what this VM may do now.
 func (g *granter) mode(now time.Duration) ownership.Mode {
-	if silent := now-g.renewedAt > silentAfter; silent != g.silent {
-		g.silent = silent
+	if silent := now-g.renewedAt > silentAfter; silent != g.silent.Load() {
+		g.silent.Store(silent)
 		g.log.Warn().Str("event", "store_silent").Bool("silent", silent).Int64("term", g.term).Dur("renewed_ms", now-g.renewedAt).Msg("")
 		g.update(now)
 	}
 	leased := now < g.renewedAt+leaseTime
-	if g.silent {
+	if g.silent.Load() {
 		if until := g.promised(now); int64(until) > g.authority.Load() {
 			g.authority.Store(int64(until))
 		}
@@ -325,7 +325,7 @@
 func (g *granter) update(now time.Duration) {
 	g.updatedAt = now
 	for m := range g.members {
-		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), StoreSilent: g.silent}
+		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), StoreSilent: g.silent.Load()}
 		// An update that was not sent yet is replaced; what it held goes along.
 		select {
 		case old := <-m.updates:
