gateway: quarantine requests that crash upstreams, across VMs; a log that never blocks

The evidence of package crash now runs in each entry VM; VMs share it over the connection to the granter. Test: a request that breaks its connection through one VM is refused by another after its second crash.

--- a/server/cmd/dandelionhilld/gateway.go
+++ b/server/cmd/dandelionhilld/gateway.go
@@ -16,13 +16,16 @@
 	if err != nil {
 		return err
 	}
-	log, err := logs.New(os.Stdout, s.LogLevel, s.VM)
+	metrics := gateway.NewMetrics()
+	out := logs.Async(os.Stdout, metrics.LinesDropped)
+	defer out.Close()
+	log, err := logs.New(out, s.LogLevel, s.VM)
 	if err != nil {
 		return err
 	}
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	g := gateway.New(s, log)
+	g := gateway.New(s, metrics, log)
 	if err := g.Start(); err != nil {
 		return err
 	}
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -33,7 +33,7 @@
 // control owns what the VM believes. All changes run on its goroutine.
 type control struct {
 	log     zerolog.Logger
-	metrics *metrics
+	metrics *Metrics
 	store   *fleet.Store
 	current atomic.Pointer[view]
 	changes chan func(*beliefs)
@@ -52,7 +52,7 @@
 	dirty       bool
 }
 
-func newControl(store *fleet.Store, m *metrics, log zerolog.Logger) *control {
+func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
 	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*beliefs), 256)}
 	c.current.Store(&view{rank: -1, of: assumedVMs, superseded: make(chan struct{})})
 	return c
--- a/server/gateway/election.go
+++ b/server/gateway/election.go
@@ -41,7 +41,7 @@
 	control     *control
 	stats       *stats
 	links       *links
-	metrics     *metrics
+	metrics     *Metrics
 	log         zerolog.Logger
 
 	// started is when this process began, promise until when it will not take
--- a/server/gateway/entry.go
+++ b/server/gateway/entry.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/route"
 	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/core/turns"
 	"dandelionhill.dev/platform/fleet"
@@ -38,6 +39,7 @@
 	timeoutSent     reason = "timeout_sent" // sent to an upstream, no answer in time
 	lost            reason = "answer_lost"  // sent to an upstream, the answer is lost
 	callerLeft      reason = "caller_left"
+	quarantined     reason = "quarantined" // the request has crashed upstreams
 )
 
 // outcome is the end of a request without an answer of an upstream.
@@ -65,9 +67,10 @@
 	vm      api.VMID
 	view    func() *view
 	bounds  Bounds
-	metrics *metrics
+	metrics *Metrics
 	log     zerolog.Logger
 	stats   *stats
+	crashes *crashes
 
 	mu       sync.Mutex
 	splitter *routing.Splitter
@@ -75,9 +78,9 @@
 	start    time.Time
 }
 
-func newEntry(vm api.VMID, bounds Bounds, viewOf func() *view, m *metrics, s *stats, log zerolog.Logger) *entry {
+func newEntry(vm api.VMID, bounds Bounds, viewOf func() *view, m *Metrics, s *stats, c *crashes, log zerolog.Logger) *entry {
 	return &entry{
-		vm: vm, view: viewOf, bounds: bounds, metrics: m, log: log, stats: s, start: time.Now(),
+		vm: vm, view: viewOf, bounds: bounds, metrics: m, log: log, stats: s, crashes: c, start: time.Now(),
 		splitter: routing.NewSplitter(), repeats: make(map[api.ServiceName]*turns.Repeats),
 	}
 }
@@ -100,6 +103,8 @@
 	// last is the upstream of the last send.
 	last    api.UpstreamID
 	granter int64 // term of the holdings used last
+	// fingerprint identifies what the request asks for.
+	fingerprint uint64
 }
 
 func (q *request) left() time.Duration { return time.Until(q.deadline) }
@@ -137,6 +142,11 @@
 	if q.service.Keyed && q.asked.Key >= 0 {
 		e.stats.demand(q)
 	}
+	q.fingerprint = route.Fingerprint(name, r.Method, r.RequestURI, q.body)
+	if e.crashes.quarantined(q.fingerprint) {
+		e.refuse(w, q, outcome{reason: quarantined, status: http.StatusServiceUnavailable, retryAfter: quarantineTime})
+		return
+	}
 	q.header = forwarded(r.Header)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -58,6 +58,9 @@
 				return nil, e.ended(ctx, q, outcome{reason: unreachable, status: http.StatusServiceUnavailable, retryAfter: retrySoon, err: err})
 			}
 		default:
+			if e.crashes.quarantined(q.fingerprint) {
+				return nil, e.ended(ctx, q, outcome{reason: quarantined, status: http.StatusBadGateway, err: err})
+			}
 			if ctx.Err() != nil || !q.route.Idempotent || q.ran >= q.route.MaxAttempts || !e.mayRepeat(q) {
 				return nil, e.ended(ctx, q, outcome{reason: lost, status: http.StatusBadGateway, err: err})
 			}
@@ -293,6 +296,7 @@
 	q.last = u.id
 	var answer fleet.Answer
 	began := time.Now()
+	e.crashes.started(q.fingerprint)
 	reply, err := u.pool.Do(ctx, &upstreamconn.Request{
 		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body,
 		Own: func(status int, header http.Header) bool {
@@ -302,6 +306,7 @@
 	})
 	now := time.Now()
 	took := now.Sub(began)
+	e.crashes.ended(q.fingerprint, err == nil && !answer.NotRun, err != nil && !isUnsent(err) && ctx.Err() == nil)
 	if err == nil && !answer.NotRun && (answer.Encoded || reply.Status < http.StatusMultipleChoices && !answer.Sealed) {
 		reply, err = nil, &upstreamconn.Error{Sent: true, Err: upstreamconn.ErrBroken}
 	}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -39,7 +39,7 @@
 	settings *Settings
 	bounds   Bounds
 	log      zerolog.Logger
-	metrics  *metrics
+	metrics  *Metrics
 	control  *control
 	entry    *entry
 	election *election
@@ -52,15 +52,15 @@
 }
 
 // New assembles an entry VM; Start starts it.
-func New(s *Settings, log zerolog.Logger) *Gateway {
-	m := newMetrics()
+func New(s *Settings, m *Metrics, log zerolog.Logger) *Gateway {
 	incarnation := api.Incarnation(uuid.NewString()[:8])
 	c := newControl(fleet.NewStore(s.Store, newStoreClient()), m, log)
 	st := newStats()
-	l := &links{self: s.VM, incarnation: incarnation, stats: st, log: log}
+	cr := newCrashes()
+	l := &links{self: s.VM, incarnation: incarnation, stats: st, crashes: cr, log: log}
 	g := &Gateway{
 		settings: s, bounds: s.Bounds, log: log, metrics: m, control: c, links: l, ended: make(chan struct{}),
-		entry: newEntry(s.VM, s.Bounds, c.view, m, st, log),
+		entry: newEntry(s.VM, s.Bounds, c.view, m, st, cr, log),
 		election: &election{
 			self: s.VM, incarnation: incarnation, address: s.Listen.Peers, bounds: s.Bounds,
 			control: c, stats: st, links: l, metrics: m, log: log, started: bootTime(),
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -228,3 +228,38 @@
 	w.served(b, keyedPath, 1)
 	require.Equal(t, term, b.control.view().holdings["keyed"].Term)
 }
+
+// TestCrashingRequest guards against a request that is sent on, by its caller
+// through any VM, to upstreams that it crashes.
+func TestCrashingRequest(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"p1", "p2", "p3"} {
+		u := w.addUpstream(id, "plain")
+		u.Handle(func(rw http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "poison") {
+				panic(http.ErrAbortHandler)
+			}
+			rw.Header().Set(fleet.HeaderSeal, "seal")
+		})
+	}
+	a, b := w.startVM("vm-a"), w.startVM("vm-b")
+	w.served(a, plainPath, -1)
+	w.served(b, plainPath, -1)
+	w.eventually(func() bool { return a.control.view().rank+b.control.view().rank == 1 }, "one VM follows the other")
+	resp, _ := w.do(a, http.MethodPost, plainPath+"poison", -1, 2*time.Second)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	w.eventually(func() bool {
+		resp, body := w.do(b, http.MethodPost, plainPath+"poison", -1, 2*time.Second)
+		return resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(body, "quarantined")
+	}, "the other VM refuses the request")
+	w.served(b, plainPath, -1)
+	runs := 0
+	for _, u := range w.upstreams {
+		for _, run := range u.Runs() {
+			if strings.HasSuffix(run.Path, "poison") {
+				runs++
+			}
+		}
+	}
+	require.LessOrEqual(t, runs, 4)
+}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -324,8 +324,9 @@
 // update sends each VM what it does not know yet.
 func (g *granter) update(now time.Duration) {
 	g.updatedAt = now
+	shared := g.links.crashes.snapshot()
 	for m := range g.members {
-		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), StoreSilent: g.silent.Load()}
+		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), StoreSilent: g.silent.Load(), Crashes: shared}
 		// An update that was not sent yet is replaced; what it held goes along.
 		select {
 		case old := <-m.updates:
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/server/upstreamconn"
 )
 
@@ -48,6 +49,8 @@
 	Of   int `cbor:"3,keyasint"`
 	// StoreSilent means that the granter cannot renew its lease at present.
 	StoreSilent bool `cbor:"4,keyasint,omitempty"`
+	// Crashes is what the VMs know of requests that crash upstreams.
+	Crashes []crash.Entry `cbor:"5,keyasint,omitempty"`
 }
 
 // links connects VMs with the granter.
@@ -55,6 +58,7 @@
 	self        api.VMID
 	incarnation api.Incarnation
 	stats       *stats
+	crashes     *crashes
 	log         zerolog.Logger
 
 	mu      sync.Mutex
@@ -118,6 +122,7 @@
 		if err = receive(ctx, conn, &rep, 3*reportEvery+linkSilence); err != nil {
 			break
 		}
+		l.crashes.merge(rep.Crashes)
 		g.reported(member, rep)
 	}
 	g.left(member, err)
@@ -147,7 +152,7 @@
 	go func() {
 		for sleep(ctx, reportEvery) {
 			rep := l.stats.take()
-			rep.PromiseMs = promise()
+			rep.PromiseMs, rep.Crashes = promise(), l.crashes.snapshot()
 			if err := send(ctx, conn, rep); err != nil {
 				cancel(err)
 				return
@@ -162,6 +167,7 @@
 			}
 			return err
 		}
+		l.crashes.merge(u.Crashes)
 		if err := hear(u); err != nil {
 			return err
 		}
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -11,7 +11,8 @@
 // latencyBuckets spans 1 ms to 8 s: callers wait up to several seconds.
 var latencyBuckets = prometheus.ExponentialBuckets(0.001, 2, 14)
 
-type metrics struct {
+// Metrics holds the metrics of one entry VM.
+type Metrics struct {
 	registry *prometheus.Registry
 	answers  *prometheus.CounterVec   // service, outcome
 	refusals *prometheus.CounterVec   // service, reason
@@ -25,7 +26,8 @@
 	dropped  prometheus.Counter
 }
 
-func newMetrics() *metrics {
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "dandelionhill", Name: name, Help: help}, labels)
 	}
@@ -37,7 +39,7 @@
 	gauge := func(name, help string) prometheus.Gauge {
 		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "dandelionhill", Name: name, Help: help})
 	}
-	m := &metrics{
+	m := &Metrics{
 		registry: prometheus.NewRegistry(),
 		answers:  counter("requests_total", "Requests of callers by outcome.", "service", "outcome"),
 		refusals: counter("refusals_total", "Requests refused or failed, by reason.", "service", "reason"),
@@ -56,11 +58,11 @@
 	return m
 }
 
-func (m *metrics) handler() http.Handler {
+func (m *Metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func (m *metrics) storeCall(call string, err error) {
+func (m *Metrics) storeCall(call string, err error) {
 	result := "ok"
 	if err != nil {
 		result = "error"
@@ -68,7 +70,10 @@
 	m.store.WithLabelValues(call, result).Inc()
 }
 
-func (m *metrics) answered(service, outcome string, took time.Duration) {
+func (m *Metrics) answered(service, outcome string, took time.Duration) {
 	m.answers.WithLabelValues(service, outcome).Inc()
 	m.latency.WithLabelValues(service).Observe(took.Seconds())
 }
+
+// LinesDropped counts log lines that were not written.
+func (m *Metrics) LinesDropped(lines int) { m.dropped.Add(float64(lines)) }
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
 )
@@ -31,6 +32,8 @@
 	// PromiseMs is for how long the VM will not take over from the granter, in
 	// milliseconds; 0 promises nothing.
 	PromiseMs int64 `cbor:"3,keyasint,omitempty"`
+	// Crashes is what the VM knows of requests that crash upstreams.
+	Crashes []crash.Entry `cbor:"4,keyasint,omitempty"`
 }
 
 // stats collects what the traffic of this VM shows.
--- a/server/gateway/world_test.go
+++ b/server/gateway/world_test.go
@@ -102,7 +102,7 @@
 			Drain: strict.Duration(2 * time.Second), Grace: strict.Duration(6 * time.Second), Hold: strict.Duration(10 * time.Second),
 			Evacuate: strict.Duration(5 * time.Second), RepeatWindow: strict.Duration(10 * time.Second), RepeatRatio: 0.2, RepeatSlack: 60,
 		},
-	}, zerolog.New(zerolog.NewTestWriter(w.t)))
+	}, NewMetrics(), zerolog.New(zerolog.NewTestWriter(w.t)))
 	require.NoError(w.t, g.Start())
 	w.t.Cleanup(func() {
 		g.cancel()
--- a/server/logs/logs.go
+++ b/server/logs/logs.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"dandelionhill.dev/api"
 )
@@ -35,6 +36,15 @@
 	return zerolog.New(writer).Level(parsed).With().Timestamp().Str("vm", string(vm)).Logger(), nil
 }
 
+// bufferLines is the number of lines that wait while the log is not read.
+const bufferLines = 4096
+
+// Async returns a writer that never blocks: lines beyond bufferLines that are not
+// read replace older ones. dropped is told how many.
+func Async(w io.Writer, dropped func(lines int)) io.WriteCloser {
+	return diode.NewWriter(w, bufferLines, 0, dropped)
+}
+
 func text(v any) string {
 	s, _ := v.(string)
 	return s
--- a/server/logs/logs_test.go
+++ b/server/logs/logs_test.go
@@ -18,3 +18,29 @@
 	_, err = New(&out, "loud", "a1")
 	require.Error(t, err)
 }
+
+// TestAsync guards against a log that blocks the program while nobody reads it.
+func TestAsync(t *testing.T) {
+	block := make(chan struct{})
+	dropped := make(chan int, 1)
+	w := Async(writerFunc(func(p []byte) (int, error) {
+		<-block
+		return len(p), nil
+	}), func(lines int) {
+		select {
+		case dropped <- lines:
+		default:
+		}
+	})
+	for range 3 * bufferLines {
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	close(block)
+	require.Positive(t, <-dropped)
+	require.NoError(t, w.Close())
+}
+
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
