--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -70,10 +70,10 @@
 }
 
 // DefaultConfig returns the times for a number of keys. A lost owner's keys are
-// free one lease after its last renewal; three renewals fit into a lease.
+// free one lease after its last renewal; users ask for service within 2 s of a loss.
 func DefaultConfig(keys int) Config {
 	return Config{
-		Keys: keys, Hold: 2500 * time.Millisecond, RenewEvery: 700 * time.Millisecond,
+		Keys: keys, Hold: 2 * time.Second, RenewEvery: 500 * time.Millisecond,
 		Drift: 0.02, Travel: 150 * time.Millisecond, RetryEvery: 250 * time.Millisecond,
 		BalanceEvery: time.Second, BalanceAbove: 1.3, MovesAtOnce: 8,
 	}
@@ -421,10 +421,9 @@
 		case Unknown:
 			e.heldUntil = max(e.heldUntil, now+m.lapse(a.Hold))
 			e.lateUntil = e.heldUntil
-			// The next attempt follows after RetryEvery.
-			e.sentAt = min(e.sentAt, now-m.cfg.RenewEvery+m.cfg.RetryEvery)
+			m.retrySoon(now, e)
 		case NotSent:
-			e.sentAt = min(e.sentAt, now-m.cfg.RenewEvery+m.cfg.RetryEvery)
+			m.retrySoon(now, e)
 		case Ended:
 			e.end(now)
 			m.changed = true
@@ -435,6 +434,14 @@
 	}
 }
 
+// retrySoon makes the next grant of an entry due after RetryEvery.
+func (m *Machine) retrySoon(now time.Duration, e *entry) {
+	e.sentAt = now
+	if e.acked {
+		e.sentAt = now - m.cfg.RenewEvery + m.cfg.RetryEvery
+	}
+}
+
 // Released reports the end of a release.
 func (m *Machine) Released(now time.Duration, a Action, result Result, handover string) {
 	for _, e := range m.within(a) {
--- a/core/ownership/sim_test.go
+++ b/core/ownership/sim_test.go
@@ -410,3 +410,22 @@
 	require.Less(t, most, mean*cfg.BalanceAbove*1.1)
 	require.Greater(t, added, mean/2)
 }
+
+// TestFailedGrantsArePaced guards against a grant that is sent again at once, over
+// and over, to an upstream that cannot be reached.
+func TestFailedGrantsArePaced(t *testing.T) {
+	m := New(DefaultConfig(simKeys), 1, nil, Predecessor{})
+	m.SetUpstreams([]Upstream{{Owner: Owner{Upstream: "u", Life: 1}, Capacity: 1, May: true, Takes: true}})
+	grants := 0
+	for now := time.Duration(0); now < time.Second; now += 50 * time.Millisecond {
+		for _, a := range m.Tick(now, Mode{Renew: true, Move: true}) {
+			if a.Kind == Write {
+				m.Written()
+				continue
+			}
+			grants++
+			m.Granted(now, now, a, NotSent)
+		}
+	}
+	require.LessOrEqual(t, grants, 4, "one grant every 250 ms")
+}
--- a/server/gateway/entry.go
+++ b/server/gateway/entry.go
@@ -101,8 +101,12 @@
 	// tries counts the upstreams that were chosen.
 	tries int
 	// last is the upstream of the last send.
-	last    api.UpstreamID
-	granter int64 // term of the holdings used last
+	last api.UpstreamID
+	// sentAfter is the time from the arrival to the last send, load what the
+	// upstream said with its last answer.
+	sentAfter time.Duration
+	load      fleet.Load
+	granter   int64 // term of the holdings used last
 	// fingerprint identifies what the request asks for.
 	fingerprint uint64
 }
@@ -291,7 +295,7 @@
 		event = event.Str("route", q.route.Name)
 	}
 	if q.last != "" {
-		event = event.Str("upstream", string(q.last))
+		event = event.Str("upstream", string(q.last)).Dur("sent_after_ms", q.sentAfter)
 	}
 	if q.asked.Key >= 0 {
 		event = event.Int("key", q.asked.Key).Int64("term", q.granter)
@@ -315,5 +319,7 @@
 	}
 	e.log.Info().Str("event", "request_answered").Str("request", q.asked.RequestID).Int("status", status).
 		Str("service", string(q.service.Name)).Str("route", q.route.Name).Str("upstream", string(q.last)).
-		Int("sends", q.sends).Bool("late", late).Dur("took_ms", took).Err(writeErr).Msg("")
+		Int("sends", q.sends).Bool("late", late).Dur("took_ms", took).Dur("sent_after_ms", q.sentAfter).
+		Int("running", q.load.Running).Int("waiting", q.load.Waiting).Float64("slowness", q.load.Slowness).
+		Int("key", q.asked.Key).Err(writeErr).Msg("")
 }
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -296,6 +296,7 @@
 	q.last = u.id
 	var answer fleet.Answer
 	began := time.Now()
+	q.sentAfter = began.Sub(q.arrived)
 	e.crashes.started(q.fingerprint)
 	reply, err := u.pool.Do(ctx, &upstreamconn.Request{
 		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body,
@@ -323,6 +324,7 @@
 		return nil, answer, err
 	}
 	q.sends++
+	q.load = answer.Load
 	if answer.NotRun {
 		u.shed(now, answer.Load)
 		e.log.Info().Str("event", "send_refused").Str("request", q.asked.RequestID).Str("upstream", string(u.id)).
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -25,7 +25,7 @@
 	// leaseRenew is the time between renewals.
 	leaseRenew = time.Second
 	// leaseStale is the age of a lease from which another VM takes over.
-	leaseStale = 1500 * time.Millisecond
+	leaseStale = 1300 * time.Millisecond
 )
 
 // lease names the VM that grants keys. All writes of a granter name the version
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -26,7 +26,7 @@
 	reportEvery = 400 * time.Millisecond
 	updateEvery = 250 * time.Millisecond
 	// linkSilence is how long a granter may say nothing.
-	linkSilence = 900 * time.Millisecond
+	linkSilence = 700 * time.Millisecond
 	// linkOpen bounds the time to connect to a granter.
 	linkOpen = time.Second
 	// maxFrame bounds a message between VMs, in bytes.
