election: find the granter through other VMs, and resign without store and promises

Change: the granter tells all addresses, a VM without the store asks others for the granter, and a granter whose authority has ended resigns. Restarted VMs no longer wait for promises to a granter whose process has ended. The test failed before.

--- a/server/gateway/election.go
+++ b/server/gateway/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,6 +19,8 @@
 const (
 	// electionPause is the time between looks at the lease while there is no granter.
 	electionPause = 300 * time.Millisecond
+	// peersAsked bounds the VMs that one without store asks for the granter.
+	peersAsked = 3
 	// silencePause is the time between looks at the lease of a silent granter.
 	silencePause = 250 * time.Millisecond
 	// takeoverJitter keeps VMs from taking over at the same moment.
@@ -60,8 +63,7 @@
 		state, err := e.control.readOwn(ctx)
 		if err != nil {
 			e.log.Warn().Str("event", "lease_not_read").Err(err).Msg("")
-			// The granter may still be there while the store is not.
-			if known.VM == "" || known.VM == e.self || e.follow(ctx, known) != nil {
+			if e.followUnread(ctx, known.lease) != nil {
 				sleep(ctx, electionPause)
 			}
 			continue
@@ -72,19 +74,59 @@
 		if known.version != former && !errors.Is(lost, errGranterEnded) {
 			lost = nil
 		}
+		ended := errors.Is(lost, errGranterEnded)
 		switch {
-		case known.vacant(e.self) || known.age > leaseStale || errors.Is(lost, errGranterEnded):
+		case ended || known.vacant(e.self):
 			lost = nil
 			e.campaign(ctx, state)
+		case known.age > leaseStale:
+			lost = nil
+			if wait := e.promisedFor(); wait <= 0 {
+				e.campaign(ctx, state)
+			} else if lost = e.follow(ctx, known.lease); !errors.Is(lost, errGranterEnded) {
+				sleep(ctx, min(wait, silencePause))
+			}
 		case lost != nil:
 			// The granter was silent: its next renewal shows whether it still is there.
 			sleep(ctx, silencePause)
 		default:
-			lost = e.follow(ctx, known)
+			lost = e.follow(ctx, known.lease)
 		}
 	}
 }
 
+// followUnread follows a granter while the store does not tell who it is: the one
+// that was known last, or the one that another VM knows.
+func (e *election) followUnread(ctx context.Context, last lease) error {
+	e.links.mu.Lock()
+	peers := slices.Clone(e.links.peers)
+	if heard := e.links.known; heard.Term > last.Term {
+		last = heard
+	}
+	e.links.mu.Unlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	err := errors.New("no other VM is known")
+	if last.VM != "" && last.VM != e.self {
+		if err = e.follow(ctx, last); err == nil {
+			return nil
+		}
+	}
+	var moved *errMoved
+	for _, address := range peers[:min(len(peers), peersAsked)] {
+		if errors.As(err, &moved) && moved.to.Term > last.Term {
+			last = moved.to
+			if err = e.follow(ctx, last); err == nil {
+				return nil
+			}
+			continue
+		}
+		if address != e.address {
+			err = e.follow(ctx, lease{VM: "unknown", Address: address})
+		}
+	}
+	return err
+}
+
 // vacant reports whether nobody can hold the lease: self has no lease in this
 // process yet, so one of its own is that of a process before.
 func (l leaseRow) vacant(self api.VMID) bool {
@@ -95,8 +137,8 @@
 var errGranterEnded = errors.New("the granter's process has ended: take over")
 
 // follow stays connected to a granter. It returns why that ended.
-func (e *election) follow(ctx context.Context, l leaseRow) error {
-	err := e.links.attend(ctx, l.lease, func(u update) error { return e.hear(ctx, u) }, e.promised)
+func (e *election) follow(ctx context.Context, l lease) error {
+	err := e.links.attend(ctx, l, func(u update) error { return e.hear(ctx, u) }, e.promised)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		err = errors.Wrap(errGranterEnded, err.Error())
 	}
@@ -107,10 +149,6 @@
 // campaign takes over unless another VM is faster.
 func (e *election) campaign(ctx context.Context, state ownState) {
 	l := state.lease
-	if wait := e.promisedFor(); wait > 0 && l.version != 0 {
-		sleep(ctx, wait)
-		return
-	}
 	sleep(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
 	if !l.vacant(e.self) {
 		again, err := e.control.readOwn(ctx)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -57,7 +57,7 @@
 	c := newControl(fleet.NewStore(s.Store, newStoreClient()), m, log)
 	st := newStats()
 	cr := newCrashes()
-	l := &links{self: s.VM, incarnation: incarnation, stats: st, crashes: cr, log: log}
+	l := &links{self: s.VM, incarnation: incarnation, address: s.Listen.Peers, stats: st, crashes: cr, log: log}
 	g := &Gateway{
 		settings: s, bounds: s.Bounds, log: log, metrics: m, control: c, links: l, ended: make(chan struct{}),
 		entry: newEntry(s.VM, s.Bounds, c.view, m, st, cr, log),
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -184,14 +184,16 @@
 	storeA, refuseA := w.storeFor()
 	a := w.startVMAt("vm-a", storeA)
 	w.served(a, keyedPath, 1)
-	b := w.startVM("vm-b")
+	b, c := w.startVM("vm-b"), w.startVM("vm-c")
 	w.served(b, keyedPath, 1)
+	w.served(c, keyedPath, 1)
 	require.Zero(t, a.control.view().rank)
 	refuseA.Store(true)
-	w.eventually(func() bool { return b.control.view().rank == 0 && b.control.view().holdings["keyed"].Term == 2 }, "the other VM takes over")
+	w.eventually(func() bool { return b.control.view().holdings["keyed"].Term == 2 }, "another VM takes over")
 	w.served(b, keyedPath, 1)
+	w.eventually(func() bool { return a.control.view().rank > 0 && a.control.view().holdings["keyed"].Term == 2 },
+		"the former granter, still without the store, finds the new one through another VM")
 	refuseA.Store(false)
-	w.eventually(func() bool { return a.control.view().rank > 0 && a.control.view().holdings["keyed"].Term == 2 }, "the former granter follows")
 }
 
 // TestStoreDown guards against keys that lapse while the store is away for longer
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -26,6 +26,8 @@
 	// silentAfter is the age of the last renewal from which the granter says that
 	// the store is silent.
 	silentAfter = 1200 * time.Millisecond
+	// resignAfter is how long a granter without authority waits for the store.
+	resignAfter = 300 * time.Millisecond
 	// absenceCounts is how long a VM that has left could still take over unseen.
 	absenceCounts = 30 * time.Second
 	// rankKept is how long a VM that is not connected keeps its rank.
@@ -40,16 +42,19 @@
 // member is a VM that is connected to the granter.
 type member struct {
 	vm      api.VMID
+	address string
 	updates chan update
 	close   func()
 	sent    map[api.ServiceName]int64 // the turn of the holdings sent last
+	peers   int                       // the number of changes of members told last
 }
 
 // rank is the place of a VM; gone is when it was last connected.
 type rank struct {
-	vm   api.VMID
-	gone time.Duration
-	here bool
+	vm      api.VMID
+	address string
+	gone    time.Duration
+	here    bool
 	// promise is until when the VM will not take over, on bootTime.
 	promise time.Duration
 }
@@ -80,6 +85,7 @@
 	renewedAt time.Duration // when the last successful renewal was sent
 	updatedAt time.Duration
 	decayedAt time.Duration
+	joins     int         // changes of members
 	silent    atomic.Bool // the store does not answer renewals
 	deposed   bool
 }
@@ -112,6 +118,7 @@
 	defer stopOrders()
 	g.orders.ctx = ordersCtx
 	g.links.serve(g)
+	g.links.follow(g.lease, nil, false)
 	defer g.links.serve(nil)
 	ticker := time.NewTicker(granterTick)
 	defer ticker.Stop()
@@ -145,18 +152,19 @@
 	m.sent = make(map[api.ServiceName]int64)
 	return g.do(func() {
 		g.members[m] = true
-		g.place(m.vm)
+		g.joins++
+		g.place(m)
 		g.log.Info().Str("event", "vm_joined").Str("peer", string(m.vm)).Int("vms", len(g.ranks)).Msg("")
 		g.update(bootTime())
 	})
 }
 
 // place gives a VM a rank: the one that it had, else a free one.
-func (g *granter) place(vm api.VMID) {
+func (g *granter) place(m *member) {
 	free := -1
 	for i := range g.ranks {
-		if g.ranks[i].vm == vm {
-			g.ranks[i].here = true
+		if g.ranks[i].vm == m.vm {
+			g.ranks[i].here, g.ranks[i].address = true, m.address
 			return
 		}
 		if free < 0 && !g.ranks[i].here && (g.ranks[i].vm == "" || bootTime()-g.ranks[i].gone > rankKept) {
@@ -167,7 +175,7 @@
 		free = len(g.ranks)
 		g.ranks = append(g.ranks, rank{})
 	}
-	g.ranks[free] = rank{vm: vm, here: true}
+	g.ranks[free] = rank{vm: m.vm, address: m.address, here: true}
 }
 
 func (g *granter) left(m *member, err error) {
@@ -269,6 +277,10 @@
 			g.authority.Store(int64(until))
 		}
 	}
+	if g.silent.Load() && int64(now) > g.authority.Load()+int64(resignAfter) {
+		g.log.Warn().Str("event", "granter_resigns").Int64("term", g.term).Msg("")
+		g.deposed = true
+	}
 	return ownership.Mode{Renew: g.mayOrder(), Move: leased && now >= g.before.Until}
 }
 
@@ -325,14 +337,24 @@
 func (g *granter) update(now time.Duration) {
 	g.updatedAt = now
 	shared := g.links.crashes.snapshot()
+	peers, own := []string{g.address}, g.lease
+	for _, r := range g.ranks {
+		if r.address != "" && (r.here || now-r.gone < absenceCounts) {
+			peers = append(peers, r.address)
+		}
+	}
+	g.links.follow(own, peers, false)
 	for m := range g.members {
 		u := update{Rank: g.rankOf(m.vm), Of: len(g.ranks), StoreSilent: g.silent.Load(), Crashes: shared}
 		// An update that was not sent yet is replaced; what it held goes along.
 		select {
 		case old := <-m.updates:
-			u.Holdings = old.Holdings
+			u.Holdings, u.Peers, u.Lease = old.Holdings, old.Peers, old.Lease
 		default:
 		}
+		if m.peers != g.joins {
+			m.peers, u.Peers, u.Lease = g.joins, peers, &own
+		}
 		for name, h := range g.turns {
 			if m.sent[name] < h.Turn {
 				if u.Holdings == nil {
@@ -343,11 +365,11 @@
 		}
 		m.updates <- u
 	}
-	own := make(map[api.ServiceName]holdings, len(g.turns))
+	holds := make(map[api.ServiceName]holdings, len(g.turns))
 	for name, h := range g.turns {
-		own[name] = h
+		holds[name] = h
 	}
-	g.control.hold(own, 0, len(g.ranks))
+	g.control.hold(holds, 0, len(g.ranks))
 }
 
 func (g *granter) rankOf(vm api.VMID) int {
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	linkPath = "/granter/v1"
 	// incarnationHeader tells which process answers that it does not grant.
 	incarnationHeader = "Dandelionhill-Incarnation"
+	// granterHeader tells which granter the answering VM follows, in JSON.
+	granterHeader = "Dandelionhill-Granter"
 	// reportEvery is the time between reports of a VM, updateEvery between updates
 	// of the granter that say only that it is there.
 	reportEvery = 400 * time.Millisecond
@@ -37,7 +40,10 @@
 type hello struct {
 	VM          api.VMID        `cbor:"1,keyasint"`
 	Incarnation api.Incarnation `cbor:"2,keyasint"`
-	Term        int64           `cbor:"3,keyasint"`
+	// Term is the granter's term, 0 if the VM does not know it.
+	Term int64 `cbor:"3,keyasint"`
+	// Address is where other VMs reach this one.
+	Address string `cbor:"4,keyasint"`
 }
 
 // update is a message of the granter.
@@ -51,18 +57,29 @@
 	StoreSilent bool `cbor:"4,keyasint,omitempty"`
 	// Crashes is what the VMs know of requests that crash upstreams.
 	Crashes []crash.Entry `cbor:"5,keyasint,omitempty"`
+	// Peers holds the addresses of the VMs, when they have changed.
+	Peers []string `cbor:"6,keyasint,omitempty"`
+	// Lease names the granter, in the first update.
+	Lease *lease `cbor:"7,keyasint,omitempty"`
 }
 
 // links connects VMs with the granter.
 type links struct {
 	self        api.VMID
 	incarnation api.Incarnation
+	address     string
 	stats       *stats
 	crashes     *crashes
 	log         zerolog.Logger
 
 	mu      sync.Mutex
 	granter *granter // nil while this VM does not grant
+	// known is the granter that this VM followed last, peers the addresses of the
+	// VMs: they lead to the granter while the store does not.
+	known lease
+	peers []string
+	// following tells that the connection to known is open.
+	following bool
 }
 
 func (l *links) serve(g *granter) {
@@ -71,6 +88,28 @@
 	l.granter = g
 }
 
+// redirect tells which process answers, and which granter it follows.
+func (l *links) redirect(w http.ResponseWriter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.Header().Set(incarnationHeader, string(l.incarnation))
+	if !l.following {
+		return
+	}
+	data, err := json.Marshal(l.known)
+	if err != nil {
+		l.log.Error().Str("event", "lease_not_encoded").Err(err).Msg("")
+		return
+	}
+	w.Header().Set(granterHeader, string(data))
+}
+
+// errMoved names the granter that another VM follows.
+type errMoved struct{ to lease }
+
+// Error implements error.
+func (e *errMoved) Error() string { return "another VM grants keys: connect to " + e.to.Address }
+
 // current returns the granter on this VM, nil if it does not grant.
 func (l *links) current() *granter {
 	l.mu.Lock()
@@ -82,7 +121,7 @@
 func (l *links) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g := l.current()
 	if g == nil {
-		w.Header().Set(incarnationHeader, string(l.incarnation))
+		l.redirect(w)
 		http.Error(w, "this VM does not grant keys: read the lease again", http.StatusMisdirectedRequest)
 		return
 	}
@@ -96,11 +135,11 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	var h hello
-	if err := receive(ctx, conn, &h, linkOpen); err != nil || h.Term != g.term {
+	if err := receive(ctx, conn, &h, linkOpen); err != nil || h.Term != g.term && h.Term != 0 {
 		l.log.Warn().Str("event", "link_refused").Str("peer", string(h.VM)).Int64("term", h.Term).Err(err).Msg("")
 		return
 	}
-	member := &member{vm: h.VM, updates: make(chan update, 1), close: cancel}
+	member := &member{vm: h.VM, address: h.Address, updates: make(chan update, 1), close: cancel}
 	if !g.join(member) {
 		return
 	}
@@ -139,14 +178,20 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial}}
 	conn, resp, err := websocket.Dial(open, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client})
 	if err != nil {
-		if resp != nil && resp.Header.Get(incarnationHeader) != "" && resp.Header.Get(incarnationHeader) != string(to.Incarnation) {
+		if resp != nil && resp.Header.Get(granterHeader) != "" {
+			var moved errMoved
+			if json.Unmarshal([]byte(resp.Header.Get(granterHeader)), &moved.to) == nil && moved.to.Term > to.Term {
+				return &moved
+			}
+		}
+		if resp != nil && to.Incarnation != "" && resp.Header.Get(incarnationHeader) != "" && resp.Header.Get(incarnationHeader) != string(to.Incarnation) {
 			return errors.Wrap(errGranterEnded, err.Error())
 		}
 		return errors.Wrap(err, "connect to the granter")
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrame)
-	if err := send(ctx, conn, hello{VM: l.self, Incarnation: l.incarnation, Term: to.Term}); err != nil {
+	if err := send(ctx, conn, hello{VM: l.self, Incarnation: l.incarnation, Term: to.Term, Address: l.address}); err != nil {
 		return err
 	}
 	go func() {
@@ -159,6 +204,7 @@
 			}
 		}
 	}()
+	defer l.follow(lease{}, nil, false)
 	for {
 		var u update
 		if err := receive(ctx, conn, &u, linkSilence); err != nil {
@@ -168,12 +214,29 @@
 			return err
 		}
 		l.crashes.merge(u.Crashes)
+		if u.Lease != nil {
+			to = *u.Lease
+		}
+		l.follow(to, u.Peers, true)
 		if err := hear(u); err != nil {
 			return err
 		}
 	}
 }
 
+// follow notes the granter that this VM follows, and the addresses of all VMs.
+func (l *links) follow(to lease, peers []string, following bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.following = following
+	if to.Term > l.known.Term {
+		l.known = to
+	}
+	if peers != nil {
+		l.peers = peers
+	}
+}
+
 func send(ctx context.Context, conn *websocket.Conn, message any) error {
 	data, err := cbor.Marshal(message)
 	if err != nil {
