--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -22,7 +22,7 @@
 	// placesPerSlot is how many requests may be at an upstream for each slot, of all
 	// VMs together.
 	placesPerSlot = 3
-	// minPlaces lets a VM use a second slot of an upstream that is not congested.
+	// minPlaces lets a VM use a second slot of an upstream.
 	minPlaces = 2
 	// assumedVMs is the number of VMs until a granter has told it.
 	assumedVMs = 16
@@ -147,8 +147,8 @@
 	return out
 }
 
-// places returns how many requests of this VM may be at an upstream that is not
-// congested: its part of the slots and of the requests that may wait there.
+// places returns how many requests of this VM may be at an upstream:
+// its part of the slots and of the requests that may wait there.
 func (c *control) places(b *beliefs, entry *registration) int {
 	return max(minPlaces, turns.Share(float64(entry.Slots*placesPerSlot), b.of))
 }
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -345,5 +345,4 @@
 		u.load, u.loadAt = load, now
 	}
 	u.avoidUntil = now.Add(loadAge)
-	u.congestedUntil = now.Add(congestedFor)
 }
--- a/server/gateway/gate.go
+++ b/server/gateway/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,14 +25,14 @@
 // gate lets requests of this VM to one upstream, in the order that package
 // admission decides.
 type gate struct {
-	places func(time.Time) int
+	places *atomic.Int32
 	start  time.Time
 
 	mu    sync.Mutex
 	queue *admission.Queue
 }
 
-func newGate(places func(time.Time) int) *gate {
+func newGate(places *atomic.Int32) *gate {
 	return &gate{places: places, start: time.Now(), queue: admission.New(1)}
 }
 
@@ -57,9 +58,8 @@
 		Priority: w.priority, Arrived: w.arrived.Sub(g.start), Target: w.target.Sub(g.start),
 		Deadline: w.deadline.Sub(g.start), Work: w.work, Token: admitted,
 	}
-	limit := g.places(now)
 	g.mu.Lock()
-	g.queue.SetLimit(limit)
+	g.queue.SetLimit(int(g.places.Load()))
 	g.next(now)
 	decision, wait := g.queue.Offer(now.Sub(g.start), r)
 	g.mu.Unlock()
@@ -95,11 +95,10 @@
 // leave gives a place back that was taken for a time.
 func (g *gate) leave(took time.Duration) {
 	now := time.Now()
-	limit := g.places(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.Done(took)
-	g.queue.SetLimit(limit)
+	g.queue.SetLimit(int(g.places.Load()))
 	g.next(now)
 }
 
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -17,8 +17,6 @@
 	loadAge = 300 * time.Millisecond
 	// avoidAfterFailure is how long other upstreams are preferred after a failure.
 	avoidAfterFailure = time.Second
-	// congestedFor is how long an upstream counts as congested after it said so.
-	congestedFor = time.Second
 	// latencyWeight is the weight of one answer in the average latency.
 	latencyWeight = 0.1
 )
@@ -29,7 +27,7 @@
 	pool  *upstreamconn.Pool
 	entry atomic.Pointer[registration]
 	gate  *gate
-	// limit is the number of places while the upstream is not congested.
+	// limit is the number of places of this VM.
 	limit atomic.Int32
 
 	mu sync.Mutex
@@ -38,8 +36,6 @@
 	load       fleet.Load
 	loadAt     time.Time
 	avoidUntil time.Time
-	// congestedUntil is until when each VM sends the upstream one request at a time.
-	congestedUntil time.Time
 	// failures is the share of the last answers that were failures.
 	failures float64
 	coldSlot int64 // the last slot of the shared clock in which a request was sent
@@ -48,7 +44,7 @@
 func newUpstream(entry *registration) *upstream {
 	u := &upstream{id: entry.ID, pool: upstreamconn.New(entry.Address, maxAnswerBytes), coldSlot: -1}
 	u.limit.Store(1)
-	u.gate = newGate(u.places)
+	u.gate = newGate(&u.limit)
 	u.entry.Store(entry)
 	return u
 }
@@ -63,9 +59,6 @@
 	u.latency += latencyWeight * (took.Seconds() - u.latency)
 	if load.Slots > 0 {
 		u.load, u.loadAt = load, now
-		if load.Waiting >= load.Slots {
-			u.congestedUntil = now.Add(congestedFor)
-		}
 	}
 	result := 0.0
 	if failed {
@@ -79,20 +72,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.avoidUntil = now.Add(avoidAfterFailure)
-	u.congestedUntil = now.Add(congestedFor)
 	u.failures += latencyWeight * (1 - u.failures)
 }
 
-// places returns how many requests of this VM may be at the upstream now.
-func (u *upstream) places(now time.Time) int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if now.Before(u.congestedUntil) {
-		return 1
-	}
-	return int(u.limit.Load())
-}
-
 // cost estimates how long a request would take here, relative to the upstreams
 // of the service: the work ahead of it, at the upstream's usual pace.
 func (u *upstream) cost(now time.Time, usual float64) float64 {
