--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -65,8 +65,12 @@
 	BalanceEvery time.Duration
 	// BalanceAbove is the load over the mean from which keys are moved away.
 	BalanceAbove float64
-	// MovesAtOnce bounds the spans that move for balance at the same time.
-	MovesAtOnce int
+	// MovesAtOnce bounds the spans that move for balance at the same time, for each
+	// upstream; at least minMoves may.
+	MovesAtOnce float64
+	// Gather is how long the upstreams of a service without owners must stay the
+	// same before its keys are first divided.
+	Gather time.Duration
 }
 
 // DefaultConfig returns the times for a number of keys. A lost owner's keys are
@@ -75,7 +79,7 @@
 	return Config{
 		Keys: keys, Hold: 2 * time.Second, RenewEvery: 500 * time.Millisecond,
 		Drift: 0.02, Travel: 150 * time.Millisecond, RetryEvery: 250 * time.Millisecond,
-		BalanceEvery: time.Second, BalanceAbove: 1.3, MovesAtOnce: 8,
+		BalanceEvery: 500 * time.Millisecond, BalanceAbove: 1.3, MovesAtOnce: 0.3, Gather: 400 * time.Millisecond,
 	}
 }
 
@@ -152,6 +156,9 @@
 	writing   bool
 	balanceAt time.Duration
 	changed   bool
+	// gathered is when the number of upstreams last changed.
+	gathered time.Duration
+	takers   int
 }
 
 // fencesPerTerm is the number of fences of one term of a granter.
@@ -206,13 +213,6 @@
 // Decay ages the load; call it at regular intervals.
 func (m *Machine) Decay(factor float64) { m.loads.decay(factor) }
 
-// Holding is where requests for a span go. Owner is empty while the span has no
-// owner that is ready to run them.
-type Holding struct {
-	Span  Span           `cbor:"1,keyasint"`
-	Owner api.UpstreamID `cbor:"2,keyasint"`
-}
-
 // Holdings returns the present owners, and whether they have changed since the
 // last call.
 func (m *Machine) Holdings() (holdings []Holding, changed bool) {
@@ -222,24 +222,11 @@
 		if e.acked && !e.leaving && !e.writing {
 			h.Owner = e.Owner.Upstream
 		}
-		if n := len(holdings); n > 0 && holdings[n-1].Owner == h.Owner {
-			holdings[n-1].Span.Last = h.Span.Last
-			continue
-		}
-		holdings = append(holdings, h)
+		holdings = appendHolding(holdings, h)
 	}
 	return holdings, changed
 }
 
-// HoldingsOf returns where requests go if all entries are in force.
-func HoldingsOf(entries []Entry) []Holding {
-	holdings := make([]Holding, len(entries))
-	for i, e := range entries {
-		holdings[i] = Holding{Span: e.Span, Owner: e.Owner.Upstream}
-	}
-	return holdings
-}
-
 // Mode says what the granter's authority allows.
 type Mode struct {
 	// Renew allows grants of what is stored.
@@ -317,7 +304,7 @@
 
 // assign gives free spans to upstreams and returns the write that records it.
 func (m *Machine) assign(now time.Duration) (Action, bool) {
-	if m.writing || !m.place(now) {
+	if m.writing || m.gathering(now) || !m.place(now) {
 		return Action{}, false
 	}
 	m.fence++
@@ -330,6 +317,21 @@
 	return Action{Kind: Write, Entries: m.table()}, true
 }
 
+// gathering reports whether a service without any owner should wait for more
+// upstreams: each that comes later would have to be given keys of others.
+func (m *Machine) gathering(now time.Duration) bool {
+	takers := 0
+	for _, u := range m.upstreams {
+		if u.Takes {
+			takers++
+		}
+	}
+	if takers != m.takers {
+		m.takers, m.gathered = takers, now
+	}
+	return len(m.entries) == 1 && m.entries[0].Owner.Upstream == "" && now-m.gathered < m.cfg.Gather
+}
+
 // table returns what the store is to hold: also spans that are leaving stay with
 // their owner until they have a new one.
 func (m *Machine) table() []Entry {
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -182,6 +182,9 @@
 	return &second
 }
 
+// minMoves is the number of spans that may always move at the same time.
+const minMoves = 8
+
 // balance moves keys from the most to the least loaded upstream.
 func (m *Machine) balance() {
 	moving := 0
@@ -201,8 +204,9 @@
 		capacity += u.Capacity
 	}
 	mean := total / capacity
+	atOnce := max(minMoves, int(m.cfg.MovesAtOnce*float64(len(uses))))
 	stuck := make(map[api.UpstreamID]bool)
-	for moving < m.cfg.MovesAtOnce {
+	for moving < atOnce {
 		var from *use
 		for _, u := range uses {
 			if !stuck[u.Upstream.Upstream] && (from == nil || u.relative() > from.relative() ||
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -22,6 +22,9 @@
 	// placesPerSlot is how many requests may be at an upstream for each slot, of all
 	// VMs together.
 	placesPerSlot = 3
+	// connectionShare is the part of an upstream's connections that is used: the
+	// rest is for orders and for VMs that are not counted yet.
+	connectionShare = 0.85
 	// minPlaces lets a VM use a second slot of an upstream.
 	minPlaces = 2
 	// assumedVMs is the number of VMs until a granter has told it.
@@ -150,7 +153,12 @@
 // places returns how many requests of this VM may be at an upstream:
 // its part of the slots and of the requests that may wait there.
 func (c *control) places(b *beliefs, entry *registration) int {
-	return max(minPlaces, turns.Share(float64(entry.Slots*placesPerSlot), b.of))
+	places := max(minPlaces, turns.Share(float64(entry.Slots*placesPerSlot), b.of))
+	if b.config == nil || b.config.Services[entry.Service] == nil {
+		return places
+	}
+	connections := b.config.Services[entry.Service].MaxConnections
+	return min(places, turns.Share(float64(connections)*connectionShare, b.of))
 }
 
 // storeAnswered notes the result of a call of the store.
@@ -298,8 +306,8 @@
 func (c *control) hold(updates map[api.ServiceName]holdings, rank, of int) {
 	c.do(func(b *beliefs) {
 		for service, h := range updates {
-			if h.newerThan(b.holdings[service]) {
-				b.holdings[service] = h
+			if next, ok := b.holdings[service].after(h); ok {
+				b.holdings[service] = next
 				b.dirty = true
 			}
 		}
--- a/server/gateway/crashes.go
+++ b/server/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -47,16 +48,30 @@
 	c.do(func(e *crash.Evidence, now time.Duration) { e.Started(now, fingerprint) })
 }
 
-// ended records how a run ended: with an answer, with a broken connection, or
-// otherwise.
-func (c *crashes) ended(fingerprint uint64, answered, broken bool) {
+// succeeded records that a run gave a whole answer.
+func (c *crashes) succeeded(fingerprint uint64) {
+	c.do(func(e *crash.Evidence, now time.Duration) { e.Succeeded(now, fingerprint) })
+}
+
+// ended records that a run gave no answer for a reason that is no crash.
+func (c *crashes) ended(fingerprint uint64) {
+	c.do(func(e *crash.Evidence, now time.Duration) { e.Ended(now, fingerprint) })
+}
+
+// verifyTimeout bounds the question whether an upstream is still there.
+const verifyTimeout = 300 * time.Millisecond
+
+// verify finds out whether the upstream at which a request was in flight has
+// crashed. A connection also breaks where an upstream is full or an answer is
+// lost; the process is then still there.
+func (c *crashes) verify(u *upstream, fingerprint uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
+	defer cancel()
+	crashed := !u.pool.Listens(ctx)
 	c.do(func(e *crash.Evidence, now time.Duration) {
-		switch {
-		case answered:
-			e.Succeeded(now, fingerprint)
-		case broken:
+		if crashed {
 			e.Crashed(now, []uint64{fingerprint})
-		default:
+		} else {
 			e.Ended(now, fingerprint)
 		}
 	})
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -18,6 +18,10 @@
 	feedWait = 20 * time.Second
 	// feedPause collects changes that come close together into one call.
 	feedPause = 80 * time.Millisecond
+	// entriesPause is feedPause for the entries of upstreams at VMs that do not
+	// grant: they learn new owners from the granter, and have 2 s to leave an
+	// upstream that leaves.
+	entriesPause = 600 * time.Millisecond
 	// storeRetry is the pause after a failed call of the store.
 	storeRetry = 400 * time.Millisecond
 	// storeIdle is how long a connection to the store is kept without a call.
@@ -33,8 +37,8 @@
 }
 
 // follow reads a table and then its changes until ctx ends. apply gets all rows
-// (full) or the changed ones.
-func (c *control) follow(ctx context.Context, table string, apply func(rows []fleet.Row, full bool)) {
+// (full) or the changed ones; pause is the time from one answer to the next call.
+func (c *control) follow(ctx context.Context, table string, pause func() time.Duration, apply func(rows []fleet.Row, full bool)) {
 	version, known := int64(0), false
 	for ctx.Err() == nil {
 		var page *fleet.Page
@@ -54,7 +58,7 @@
 				apply(page.Rows, !known)
 			}
 			version, known = max(version, page.Version), true
-			sleep(ctx, feedPause)
+			sleep(ctx, pause())
 		case errors.Is(err, fleet.ErrHistoryGone):
 			c.log.Info().Str("event", "feed_restarted").Str("table", table).Int64("after", version).Msg("")
 			known = false
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -300,6 +300,7 @@
 	e.crashes.started(q.fingerprint)
 	reply, err := u.pool.Do(ctx, &upstreamconn.Request{
 		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body,
+		Careful: !q.route.Idempotent,
 		Own: func(status int, header http.Header) bool {
 			answer = fleet.AnswerOf(status, header)
 			return answer.RequestID == q.asked.RequestID || answer.RequestID == "" && answer.NotRun
@@ -307,7 +308,17 @@
 	})
 	now := time.Now()
 	took := now.Sub(began)
-	e.crashes.ended(q.fingerprint, err == nil && !answer.NotRun, err != nil && !isUnsent(err) && ctx.Err() == nil)
+	switch {
+	case err == nil && !answer.NotRun:
+		e.crashes.succeeded(q.fingerprint)
+	case err != nil && !isUnsent(err) && ctx.Err() == nil && q.route.Idempotent:
+		// Before it is sent again.
+		e.crashes.verify(u, q.fingerprint)
+	case err != nil && !isUnsent(err) && ctx.Err() == nil:
+		go e.crashes.verify(u, q.fingerprint)
+	default:
+		e.crashes.ended(q.fingerprint)
+	}
 	if err == nil && !answer.NotRun && (answer.Encoded || reply.Status < http.StatusMultipleChoices && !answer.Sealed) {
 		reply, err = nil, &upstreamconn.Error{Sent: true, Err: upstreamconn.ErrBroken}
 	}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -110,8 +110,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	go g.control.run(ctx)
-	go g.control.follow(ctx, fleet.TableOperator, g.control.operatorRows)
-	go g.control.follow(ctx, fleet.TableUpstreams, g.control.upstreamRows)
+	go g.control.follow(ctx, fleet.TableOperator, func() time.Duration { return feedPause }, g.control.operatorRows)
+	go g.control.follow(ctx, fleet.TableUpstreams, g.entriesPause, g.control.upstreamRows)
 	go func() {
 		defer close(g.ended)
 		g.election.run(ctx)
@@ -124,6 +124,14 @@
 	return nil
 }
 
+// entriesPause returns the pause between calls for entries of upstreams.
+func (g *Gateway) entriesPause() time.Duration {
+	if g.links.current() != nil {
+		return feedPause
+	}
+	return entriesPause
+}
+
 func (g *Gateway) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		g.log.Error().Str("event", "listener_failed").Str("address", server.Addr).Err(err).Msg("")
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -130,6 +130,25 @@
 	}, "the keys of a removed upstream move")
 }
 
+// TestBrokenConnectionIsNoCrash guards against requests that are taken for ones
+// that crash upstreams because a full upstream breaks connections.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("p1", "plain").Handle(func(rw http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "reset") {
+			panic(http.ErrAbortHandler)
+		}
+		rw.Header().Set(fleet.HeaderSeal, "seal")
+	})
+	g := w.startVM("vm-a")
+	w.served(g, plainPath, -1)
+	for range 8 {
+		_, body := w.do(g, http.MethodPost, plainPath+"reset", -1, 2*time.Second)
+		require.Contains(t, body, "answer_lost")
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // TestConfigurationNeverReturns guards against an older configuration that comes
 // into force after a newer one, and against one that cannot be read.
 func TestConfigurationNeverReturns(t *testing.T) {
@@ -235,10 +254,11 @@
 // through any VM, to upstreams that it crashes.
 func TestCrashingRequest(t *testing.T) {
 	w := newWorld(t)
-	for _, id := range []string{"p1", "p2", "p3"} {
+	for _, id := range []string{"p1", "p2", "p3", "p4", "p5", "p6"} {
 		u := w.addUpstream(id, "plain")
 		u.Handle(func(rw http.ResponseWriter, r *http.Request) {
 			if strings.HasSuffix(r.URL.Path, "poison") {
+				w.stops[id]()
 				panic(http.ErrAbortHandler)
 			}
 			rw.Header().Set(fleet.HeaderSeal, "seal")
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -28,6 +28,11 @@
 	silentAfter = 1200 * time.Millisecond
 	// resignAfter is how long a granter without authority waits for the store.
 	resignAfter = 300 * time.Millisecond
+	// changesKept is how many changes of owners a VM may be behind before it gets
+	// all owners again.
+	changesKept = 64
+	// publishEvery is the shortest time between two changes of owners.
+	publishEvery = 20 * time.Millisecond
 	// absenceCounts is how long a VM that has left could still take over unseen.
 	absenceCounts = 30 * time.Second
 	// rankKept is how long a VM that is not connected keeps its rank.
@@ -75,26 +80,30 @@
 	done     chan struct{}
 	machines map[api.ServiceName]*ownership.Machine
 	turns    map[api.ServiceName]holdings
-	writes   map[api.ServiceName][]ownership.Entry // to be written
-	members  map[*member]bool
-	ranks    []rank
-	paces    map[api.UpstreamID]float64
-	orders   *orders
+	// changes holds the last changes of owners, with the turn before each.
+	changes map[api.ServiceName][]holdings
+	writes  map[api.ServiceName][]ownership.Entry // to be written
+	members map[*member]bool
+	ranks   []rank
+	paces   map[api.UpstreamID]float64
+	orders  *orders
 
 	writing   bool
 	renewedAt time.Duration // when the last successful renewal was sent
 	updatedAt time.Duration
 	decayedAt time.Duration
-	joins     int         // changes of members
-	silent    atomic.Bool // the store does not answer renewals
-	deposed   bool
+	// publishedAt is when owners were last published.
+	publishedAt map[api.ServiceName]time.Duration
+	joins       int         // changes of members
+	silent      atomic.Bool // the store does not answer renewals
+	deposed     bool
 }
 
 func newGranter(e *election, l lease, row int64, sent time.Duration, before ownership.Predecessor, stored ownState) *granter {
 	g := &granter{
 		election: e, term: l.Term, lease: l, rowAt: row, before: before, stored: stored,
 		events: make(chan func(), 256), done: make(chan struct{}),
-		machines: make(map[api.ServiceName]*ownership.Machine), turns: make(map[api.ServiceName]holdings),
+		machines: make(map[api.ServiceName]*ownership.Machine), turns: make(map[api.ServiceName]holdings), changes: make(map[api.ServiceName][]holdings), publishedAt: make(map[api.ServiceName]time.Duration),
 		writes: make(map[api.ServiceName][]ownership.Entry), members: make(map[*member]bool),
 		paces: make(map[api.UpstreamID]float64), renewedAt: sent,
 	}
@@ -321,16 +330,27 @@
 
 // publish tells this VM and the others where keys are.
 func (g *granter) publish(name api.ServiceName, m *ownership.Machine) {
+	now := bootTime()
+	if now-g.publishedAt[name] < publishEvery {
+		return
+	}
 	spans, changed := m.Holdings()
 	if !changed {
 		return
 	}
-	h := holdings{Term: g.term, Turn: g.turns[name].Turn + 1, Spans: spans}
+	g.publishedAt[name] = now
+	former := g.turns[name]
+	h := holdings{Term: g.term, Turn: former.Turn + 1, Spans: spans}
 	g.turns[name] = h
+	if former.Turn > 0 {
+		change := holdings{Term: g.term, Turn: h.Turn, Base: former.Turn, Spans: ownership.Diff(former.Spans, spans)}
+		kept := g.changes[name]
+		g.changes[name] = append(kept[max(0, len(kept)-changesKept+1):], change)
+	}
 	s := m.Summary()
 	g.log.Info().Str("event", "owners_changed").Str("service", string(name)).Int64("term", h.Term).Int64("turn", h.Turn).
 		Int("spans", s.Spans).Int("leaving", s.Leaving).Int("unowned", s.Unowned).Msg("")
-	g.update(bootTime())
+	g.update(now)
 }
 
 // update sends each VM what it does not know yet.
@@ -360,7 +380,7 @@
 				if u.Holdings == nil {
 					u.Holdings = make(map[api.ServiceName]holdings)
 				}
-				u.Holdings[name], m.sent[name] = h, h.Turn
+				u.Holdings[name], m.sent[name] = g.since(name, base(u.Holdings[name], m.sent[name])), h.Turn
 			}
 		}
 		m.updates <- u
@@ -372,6 +392,30 @@
 	g.control.hold(holds, 0, len(g.ranks))
 }
 
+// base returns the turn that a VM has before an update that holds h is sent to it.
+func base(h holdings, sent int64) int64 {
+	if h.Turn > 0 {
+		return h.Base
+	}
+	return sent
+}
+
+// since returns the changes of owners after a turn, or all owners.
+func (g *granter) since(name api.ServiceName, turn int64) holdings {
+	h := g.turns[name]
+	kept := g.changes[name]
+	if turn == 0 || len(kept) == 0 || kept[0].Base > turn {
+		return h
+	}
+	out := holdings{Term: h.Term, Turn: h.Turn, Base: turn}
+	for _, change := range kept {
+		if change.Base >= turn {
+			out.Spans = append(out.Spans, change.Spans...)
+		}
+	}
+	return out
+}
+
 func (g *granter) rankOf(vm api.VMID) int {
 	for i, r := range g.ranks {
 		if r.vm == vm {
--- a/server/gateway/view.go
+++ b/server/gateway/view.go
@@ -33,12 +33,27 @@
 	Term  int64               `cbor:"1,keyasint"`
 	Turn  int64               `cbor:"2,keyasint"`
 	Spans []ownership.Holding `cbor:"3,keyasint"`
+	// Base is the turn to which Spans are the changes; 0 if they are complete.
+	Base int64 `cbor:"4,keyasint,omitempty"`
 }
 
 func (h holdings) newerThan(other holdings) bool {
 	return h.Term > other.Term || h.Term == other.Term && h.Turn > other.Turn
 }
 
+// after returns the holdings once other has been applied, and whether it could be.
+func (h holdings) after(other holdings) (holdings, bool) {
+	switch {
+	case !other.newerThan(h):
+		return h, false
+	case other.Base == 0:
+		return other, true
+	case other.Term != h.Term || other.Base != h.Turn:
+		return h, false
+	}
+	return holdings{Term: other.Term, Turn: other.Turn, Spans: ownership.Overlay(h.Spans, other.Spans)}, true
+}
+
 // owner returns the upstream that holds a key, empty if none does.
 func (h holdings) owner(key int) api.UpstreamID {
 	i := sort.Search(len(h.Spans), func(i int) bool { return h.Spans[i].Span.Last >= key })
--- a/server/gateway/world_test.go
+++ b/server/gateway/world_test.go
@@ -35,12 +35,13 @@
 	storeAddr string
 	upstreams map[string]*fakes.Upstream
 	addresses map[string]string
+	stops     map[string]func() // end the listening of an upstream
 	vms       []*Gateway
 	requests  int
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, store: fakes.NewStore(), upstreams: make(map[string]*fakes.Upstream), addresses: make(map[string]string)}
+	w := &world{t: t, store: fakes.NewStore(), upstreams: make(map[string]*fakes.Upstream), addresses: make(map[string]string), stops: make(map[string]func())}
 	server := httptest.NewServer(w.store)
 	t.Cleanup(server.Close)
 	w.storeAddr = server.Listener.Addr().String()
@@ -64,6 +65,7 @@
 	server := httptest.NewServer(u)
 	w.t.Cleanup(server.Close)
 	w.upstreams[id], w.addresses[id] = u, server.Listener.Addr().String()
+	w.stops[id] = func() { server.Listener.Close() }
 	w.store.Put("servers", id, u.Entry(w.addresses[id], "ready", 0))
 	return u
 }
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -36,6 +36,8 @@
 	// inlineBody is the largest body, in bytes, that is written before the answer
 	// is read. Of longer ones the upstream may answer before it has read them.
 	inlineBody = 4 << 10
+	// carefulTime is the way to an upstream and back within a region.
+	carefulTime = 3 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged.
 	userTimeout = 3 * time.Second
 )
@@ -46,6 +48,8 @@
 	ErrForeign = errors.New("the upstream answered other requests on this connection: the outcome is unknown")
 	// ErrBroken means that what came is no whole answer.
 	ErrBroken = errors.New("the upstream's answer is broken: the outcome is unknown")
+	// ErrNotAccepted means that the upstream closed a new connection at once.
+	ErrNotAccepted = errors.New("the upstream accepts no more connections: use another one or come again")
 )
 
 // Error is the failure of an exchange.
@@ -71,6 +75,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Careful waits on a new connection before the request is sent: an upstream
+	// with too many connections resets it, and then the request was surely not run.
+	Careful bool
 	// Own reports whether an answer belongs to this request; nil accepts all.
 	Own func(status int, header http.Header) bool
 }
@@ -166,6 +173,18 @@
 	c.Close()
 }
 
+// Listens opens a connection and keeps it. It reports false if the address
+// refuses connections: no process is there.
+func (p *Pool) Listens(ctx context.Context) bool {
+	c, err := p.open(ctx)
+	if err != nil {
+		var failed *Error
+		return !errors.As(err, &failed) || !failed.Refused
+	}
+	p.give(c, defaultIdle)
+	return true
+}
+
 // quiet reports whether the connection is open and holds no unread bytes. Bytes
 // before a request is sent belong to no request.
 func (c *conn) quiet() bool {
@@ -232,6 +251,13 @@
 		}
 		opened = true
 	}
+	if opened && req.Careful {
+		time.Sleep(carefulTime)
+		if !c.quiet() {
+			c.Close()
+			return nil, &Error{Err: ErrNotAccepted}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	reply, idle, err := p.exchange(c, req)
 	if !stop() {
