admission: pauses at an upstream that is full, told from one that refuses for its own reasons

Change: after an upstream was full a VM doubles the pause between its requests to it, and shortens it with each answer. The load that upstreams report decides now; a refusal of one with room is repeated within the budget.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -19,6 +19,16 @@
 // turnWeight is the weight of one request in the average time at the upstream.
 const turnWeight = 0.1
 
+const (
+	// firstPause is the pause between requests after an upstream was full once;
+	// each further time doubles it, up to longestPause.
+	firstPause   = 25 * time.Millisecond
+	longestPause = 5 * time.Second
+	// pauseDecay shortens the pause with each answer, below shortestPause to none.
+	pauseDecay    = 0.7
+	shortestPause = 10 * time.Millisecond
+)
+
 // Request is a request that wants a place at an upstream.
 type Request struct {
 	// Priority ranks the request; 0 is the most urgent.
@@ -51,6 +61,9 @@
 	waiting []*Request
 	// turn is the average time for which a place is taken.
 	turn time.Duration
+	// pause is the time between requests while the upstream gets more than it
+	// takes, from all VMs together; nextAt is when the next one may go.
+	pause, nextAt time.Duration
 }
 
 // New returns a queue that lets limit requests be at the upstream at once.
@@ -77,8 +90,8 @@
 
 // Offer takes a request in. With Refuse, wait is when it may come again.
 func (q *Queue) Offer(now time.Duration, r *Request) (d Decision, wait time.Duration) {
-	if q.running < q.limit && len(q.waiting) == 0 {
-		q.running++
+	if len(q.waiting) == 0 && q.open(now) {
+		q.take(now)
 		return Start, 0
 	}
 	ahead := 0
@@ -89,6 +102,7 @@
 	}
 	// On average, half of the time of those that run has passed.
 	wait = (q.turn*time.Duration(ahead) + q.turn/2) / time.Duration(q.limit)
+	wait = max(wait, q.nextAt-now+q.pause*time.Duration(ahead))
 	if r.Hopeless(now + wait) {
 		return Refuse, wait
 	}
@@ -115,7 +129,7 @@
 		}
 		return false
 	})
-	for q.running < q.limit && len(q.waiting) > 0 {
+	for len(q.waiting) > 0 && q.open(now) {
 		best := 0
 		for i, r := range q.waiting {
 			if q.before(now, r, q.waiting[best]) {
@@ -124,11 +138,39 @@
 		}
 		start = append(start, q.waiting[best])
 		q.waiting = slices.Delete(q.waiting, best, best+1)
-		q.running++
+		q.take(now)
 	}
 	return start, refuse
 }
 
+func (q *Queue) open(now time.Duration) bool { return q.running < q.limit && now >= q.nextAt }
+
+func (q *Queue) take(now time.Duration) {
+	q.running++
+	q.nextAt = now + q.pause
+}
+
+// Wake returns when Next should be called although no place was given back, and
+// whether that is so.
+func (q *Queue) Wake() (at time.Duration, ok bool) {
+	return q.nextAt, len(q.waiting) > 0 && q.running < q.limit
+}
+
+// Full records that the upstream had no room. The VMs do not know of each other's
+// requests: each makes longer pauses until the upstream can take them.
+func (q *Queue) Full(now time.Duration) {
+	q.pause = min(max(2*q.pause, firstPause), longestPause)
+	q.nextAt = now + q.pause
+}
+
+// Answered records that the upstream had room.
+func (q *Queue) Answered() {
+	q.pause = time.Duration(pauseDecay * float64(q.pause))
+	if q.pause < shortestPause {
+		q.pause = 0
+	}
+}
+
 // Done gives a place back that was taken for a time, 0 if it was not used.
 func (q *Queue) Done(took time.Duration) {
 	q.running--
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -114,3 +114,58 @@
 	}
 	return inTime
 }
+
+// TestManyVMs guards against an upstream that breaks connections because many VMs
+// send to it at once, none of which can see the others' requests.
+func TestManyVMs(t *testing.T) {
+	const vms, places, run = 78, 15, 200 * ms
+	rng := rand.New(rand.NewPCG(3, 4))
+	queues := make([]*Queue, vms)
+	for i := range queues {
+		queues[i] = New(1)
+	}
+	type work struct {
+		vm  int
+		end time.Duration
+	}
+	var running []work
+	sent, refused := 0, 0
+	start := func(vm int, now time.Duration) {
+		sent++
+		if len(running) >= places {
+			refused++
+			queues[vm].Done(0)
+			queues[vm].Full(now)
+			return
+		}
+		running = append(running, work{vm, now + run*places/3})
+	}
+	for now := time.Duration(0); now < 20*time.Second; now += ms {
+		if now == 5*time.Second {
+			sent, refused = 0, 0
+		}
+		kept := running[:0]
+		for _, w := range running {
+			if w.end > now {
+				kept = append(kept, w)
+				continue
+			}
+			queues[w.vm].Done(run)
+			queues[w.vm].Answered()
+		}
+		running = kept
+		for vm := range queues {
+			if rng.Float64() < 0.005 {
+				if d, _ := queues[vm].Offer(now, request(0, now, 600*ms, 1500*ms)); d == Start {
+					start(vm, now)
+				}
+			}
+			waiting, _ := queues[vm].Next(now)
+			for range waiting {
+				start(vm, now)
+			}
+		}
+	}
+	require.Less(t, refused, sent*2/3, "390 requests a second at an upstream that runs 15")
+	require.Greater(t, sent-refused, 180, "the upstream is kept busy: it runs 225 in 15 s")
+}
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -18,6 +18,8 @@
 	// ownerWait bounds the wait for a new owner of a key: a lost owner's lease has
 	// run out by then.
 	ownerWait = 1500 * time.Millisecond
+	// crowdedAge is how long an upstream counts as crowded after it said so.
+	crowdedAge = 2 * time.Second
 	// coldUse is the part of the bound on a cold upstream that is used.
 	coldUse = 1.1
 )
@@ -50,7 +52,7 @@
 				}
 				continue
 			}
-			if q.service.Keyed || !e.mayRepeat(q) {
+			if q.service.Keyed && crowded(answer.Load) || !e.mayRepeat(q) {
 				return nil, e.ended(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: retrySoon})
 			}
 		case isUnsent(err):
@@ -239,7 +241,7 @@
 				if e.takeColdTurn(q, v, u, bootTime()) {
 					return u, outcome{}
 				}
-				u.gate.leave(0)
+				u.gate.leave(0, unclear)
 				wait = time.Millisecond
 			}
 			if time.Now().Add(wait).After(waitUntil) {
@@ -289,8 +291,8 @@
 
 // send sends the request once. The place at the gate is given back.
 func (e *entry) send(ctx context.Context, q *request, u *upstream) (*upstreamconn.Reply, fleet.Answer, error) {
-	entered := time.Now()
-	defer func() { u.gate.leave(time.Since(entered)) }()
+	entered, room := time.Now(), unclear
+	defer func() { u.gate.leave(time.Since(entered), room) }()
 	header := q.header
 	fleet.Address(header, u.id, q.left())
 	q.last = u.id
@@ -329,6 +331,9 @@
 		}
 		if ctx.Err() == nil {
 			u.failed(now)
+			if u.crowded(now) || errors.Is(err, upstreamconn.ErrNotAccepted) {
+				room = wasFull
+			}
 		}
 		e.log.Info().Str("event", "send_failed").Str("request", q.asked.RequestID).Str("upstream", string(u.id)).
 			Bool("sent", !isUnsent(err)).Dur("took_ms", took).Err(err).Msg("")
@@ -337,18 +342,33 @@
 	q.sends++
 	q.load = answer.Load
 	if answer.NotRun {
+		if !answer.Elsewhere && crowded(answer.Load) {
+			room = wasFull
+		}
 		u.shed(now, answer.Load)
 		e.log.Info().Str("event", "send_refused").Str("request", q.asked.RequestID).Str("upstream", string(u.id)).
 			Int("status", reply.Status).Int("key", q.asked.Key).Dur("took_ms", took).Msg("")
 		return reply, answer, nil
 	}
 	q.ran++
+	room = hadRoom
 	u.answered(now, took, answer.Load, reply.Status >= http.StatusInternalServerError)
 	e.stats.observe(q, u, took, answer.Load)
 	e.metrics.upstream.WithLabelValues(string(q.service.Name)).Observe(took.Seconds())
 	return reply, answer, nil
 }
 
+// crowded reports whether a load leaves no room for another request. An upstream
+// may also refuse requests for a reason of its own.
+func crowded(load fleet.Load) bool { return load.Slots == 0 || load.Waiting >= load.Slots }
+
+// crowded reports whether the upstream has lately said that it is.
+func (u *upstream) crowded(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.load.Slots > 0 && now.Sub(u.loadAt) < crowdedAge && crowded(u.load)
+}
+
 func (u *upstream) shed(now time.Time, load fleet.Load) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/server/gateway/gate.go
+++ b/server/gateway/gate.go
@@ -30,6 +30,8 @@
 
 	mu    sync.Mutex
 	queue *admission.Queue
+	// wakeAt is when a timer calls wake, on the clock of the queue; 0 if none does.
+	wakeAt time.Duration
 }
 
 func newGate(places *atomic.Int32) *gate {
@@ -60,8 +62,8 @@
 	}
 	g.mu.Lock()
 	g.queue.SetLimit(int(g.places.Load()))
-	g.next(now)
 	decision, wait := g.queue.Offer(now.Sub(g.start), r)
+	g.next(now)
 	g.mu.Unlock()
 	switch decision {
 	case admission.Start:
@@ -92,12 +94,27 @@
 	return nil
 }
 
-// leave gives a place back that was taken for a time.
-func (g *gate) leave(took time.Duration) {
+// result is what a send has shown of the room at the upstream.
+type result int
+
+const (
+	unclear result = iota
+	hadRoom
+	wasFull
+)
+
+// leave gives a place back that was taken for a time, 0 if it was not used.
+func (g *gate) leave(took time.Duration, r result) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.Done(took)
+	switch r {
+	case hadRoom:
+		g.queue.Answered()
+	case wasFull:
+		g.queue.Full(now.Sub(g.start))
+	}
 	g.queue.SetLimit(int(g.places.Load()))
 	g.next(now)
 }
@@ -111,4 +128,18 @@
 	for _, r := range refuse {
 		r.Token.(chan bool) <- false
 	}
+	at, ok := g.queue.Wake()
+	if !ok || g.wakeAt != 0 && g.wakeAt <= at {
+		return
+	}
+	g.wakeAt = at
+	time.AfterFunc(at-now.Sub(g.start), g.wake)
+}
+
+// wake lets requests go whose pause is over.
+func (g *gate) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wakeAt = 0
+	g.next(time.Now())
 }
