--- a/server/gateway/election.go
+++ b/server/gateway/election.go
@@ -186,6 +186,9 @@
 // replaced by a VM that can; a VM that cannot either promises to leave it alone.
 func (e *election) hear(ctx context.Context, u update) error {
 	e.control.hold(u.Holdings, u.Rank, u.Of)
+	if rows := e.links.relay.relayed(u); len(rows) > 0 {
+		e.control.upstreamRows(rows, false)
+	}
 	now := bootTime()
 	if !u.StoreSilent || now-e.checked < checkEvery {
 		return nil
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -19,8 +19,7 @@
 	// feedPause collects changes that come close together into one call.
 	feedPause = 80 * time.Millisecond
 	// entriesPause is feedPause for the entries of upstreams at VMs that do not
-	// grant: they learn new owners from the granter, and have 2 s to leave an
-	// upstream that leaves.
+	// grant: they have 2 s to leave an upstream that leaves.
 	entriesPause = 600 * time.Millisecond
 	// storeRetry is the pause after a failed call of the store.
 	storeRetry = 400 * time.Millisecond
@@ -36,42 +35,70 @@
 	}}
 }
 
-// follow reads a table and then its changes until ctx ends. apply gets all rows
-// (full) or the changed ones; pause is the time from one answer to the next call.
-func (c *control) follow(ctx context.Context, table string, pause func() time.Duration, apply func(rows []fleet.Row, full bool)) {
+// source follows one table.
+type source struct {
+	table string
+	// pause is the time from one answer to the next call.
+	pause func() time.Duration
+	// apply gets all rows (full) or the changed ones.
+	apply func(rows []fleet.Row, full bool)
+	// relay, unless it is nil, passes what is read on to other VMs, or brings what
+	// another VM has read.
+	relay *relay
+}
+
+// follow reads a table and then its changes until ctx ends.
+func (c *control) follow(ctx context.Context, s source) {
 	version, known := int64(0), false
 	for ctx.Err() == nil {
-		var page *fleet.Page
-		var err error
-		if !known {
-			page, err = c.readAll(ctx, table)
-		} else {
-			feedCtx, cancel := context.WithTimeout(ctx, feedWait+callTimeout)
-			page, err = c.store.Feed(feedCtx, table, version, feedWait)
-			cancel()
-			c.metrics.storeCall("feed", err)
+		if s.relay != nil && known {
+			if to, ok := s.relay.covered(); ok {
+				version = max(version, to)
+				sleep(ctx, relayCheck)
+				continue
+			}
 		}
+		page, err := c.next(ctx, s.table, version, known)
 		switch {
 		case err == nil:
 			c.storeAnswered(true)
 			if len(page.Rows) > 0 || !known {
-				apply(page.Rows, !known)
+				s.apply(page.Rows, !known)
 			}
-			version, known = max(version, page.Version), true
-			sleep(ctx, pause())
+			version = max(version, page.Version)
+			if s.relay != nil {
+				s.relay.read(page.Rows, version, !known)
+			}
+			known = true
+			sleep(ctx, s.pause())
 		case errors.Is(err, fleet.ErrHistoryGone):
-			c.log.Info().Str("event", "feed_restarted").Str("table", table).Int64("after", version).Msg("")
+			c.log.Info().Str("event", "feed_restarted").Str("table", s.table).Int64("after", version).Msg("")
 			known = false
 		case ctx.Err() != nil:
 			return
 		default:
 			c.storeAnswered(false)
-			c.log.Warn().Str("event", "store_call_failed").Str("table", table).Err(err).Msg("")
+			if s.relay != nil {
+				s.relay.lost()
+			}
+			c.log.Warn().Str("event", "store_call_failed").Str("table", s.table).Err(err).Msg("")
 			sleep(ctx, storeRetry)
 		}
 	}
 }
 
+// next reads all rows, or waits for those that have changed after a version.
+func (c *control) next(ctx context.Context, table string, version int64, known bool) (*fleet.Page, error) {
+	if !known {
+		return c.readAll(ctx, table)
+	}
+	ctx, cancel := context.WithTimeout(ctx, feedWait+callTimeout)
+	defer cancel()
+	page, err := c.store.Feed(ctx, table, version, feedWait)
+	c.metrics.storeCall("feed", err)
+	return page, err
+}
+
 func (c *control) readAll(ctx context.Context, table string) (*fleet.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -57,7 +57,7 @@
 	c := newControl(fleet.NewStore(s.Store, newStoreClient()), m, log)
 	st := newStats()
 	cr := newCrashes()
-	l := &links{self: s.VM, incarnation: incarnation, address: s.Listen.Peers, stats: st, crashes: cr, log: log}
+	l := &links{self: s.VM, incarnation: incarnation, address: s.Listen.Peers, stats: st, crashes: cr, relay: &relay{}, log: log}
 	g := &Gateway{
 		settings: s, bounds: s.Bounds, log: log, metrics: m, control: c, links: l, ended: make(chan struct{}),
 		entry: newEntry(s.VM, s.Bounds, c.view, m, st, cr, log),
@@ -110,8 +110,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	go g.control.run(ctx)
-	go g.control.follow(ctx, fleet.TableOperator, func() time.Duration { return feedPause }, g.control.operatorRows)
-	go g.control.follow(ctx, fleet.TableUpstreams, g.entriesPause, g.control.upstreamRows)
+	go g.control.follow(ctx, source{
+		table: fleet.TableOperator, pause: func() time.Duration { return feedPause }, apply: g.control.operatorRows,
+	})
+	go g.control.follow(ctx, source{
+		table: fleet.TableUpstreams, pause: g.entriesPause, apply: g.control.upstreamRows, relay: g.links.relay,
+	})
 	go func() {
 		defer close(g.ended)
 		g.election.run(ctx)
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -52,6 +52,7 @@
 	close   func()
 	sent    map[api.ServiceName]int64 // the turn of the holdings sent last
 	peers   int                       // the number of changes of members told last
+	rows    int64                     // the version up to which entries were passed on
 }
 
 // rank is the place of a VM; gone is when it was last connected.
@@ -207,6 +208,9 @@
 				g.ranks[i].promise = received + time.Duration(r.PromiseMs)*time.Millisecond - promiseTravel
 			}
 		}
+		if m.rows == 0 {
+			m.rows = r.RowsTo
+		}
 		g.observe(r)
 	})
 }
@@ -370,8 +374,16 @@
 		select {
 		case old := <-m.updates:
 			u.Holdings, u.Peers, u.Lease = old.Holdings, old.Peers, old.Lease
+			if old.RowsTo != 0 {
+				// The same rows are read again, with those that came since.
+				m.rows = old.RowsFrom
+			}
 		default:
 		}
+		if m.rows != 0 {
+			u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.rows)
+			m.rows = u.RowsTo
+		}
 		if m.peers != g.joins {
 			m.peers, u.Peers, u.Lease = g.joins, peers, &own
 		}
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -14,6 +14,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
 )
 
@@ -59,6 +60,11 @@
 	Crashes []crash.Entry `cbor:"5,keyasint,omitempty"`
 	// Peers holds the addresses of the VMs, when they have changed.
 	Peers []string `cbor:"6,keyasint,omitempty"`
+	// Rows are entries of upstreams that have changed after version RowsFrom of the
+	// store, up to RowsTo. RowsTo is 0 while the granter does not follow them.
+	Rows     []fleet.Row `cbor:"8,keyasint,omitempty"`
+	RowsFrom int64       `cbor:"9,keyasint,omitempty"`
+	RowsTo   int64       `cbor:"10,keyasint,omitempty"`
 	// Lease names the granter, in the first update.
 	Lease *lease `cbor:"7,keyasint,omitempty"`
 }
@@ -70,6 +76,7 @@
 	address     string
 	stats       *stats
 	crashes     *crashes
+	relay       *relay
 	log         zerolog.Logger
 
 	mu      sync.Mutex
@@ -197,7 +204,7 @@
 	go func() {
 		for sleep(ctx, reportEvery) {
 			rep := l.stats.take()
-			rep.PromiseMs, rep.Crashes = promise(), l.crashes.snapshot()
+			rep.PromiseMs, rep.Crashes, rep.RowsTo = promise(), l.crashes.snapshot(), l.relay.version()
 			if err := send(ctx, conn, rep); err != nil {
 				cancel(err)
 				return
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -38,6 +38,9 @@
 	inlineBody = 4 << 10
 	// carefulTime is the way to an upstream and back within a region.
 	carefulTime = 3 * time.Millisecond
+	// keepAlive is how long a connection may be silent before the peer is asked
+	// whether it is there; it is given up after another 1.5 of this.
+	keepAlive = time.Second
 	// userTimeout is how long sent bytes may stay unacknowledged.
 	userTimeout = 3 * time.Second
 )
@@ -212,7 +215,7 @@
 // dialer opens connections that notice a silent peer.
 var dialer = net.Dialer{
 	Timeout:         dialTimeout,
-	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive / 2, Count: 3},
 	Control: func(_, _ string, c syscall.RawConn) error {
 		var setErr error
 		if err := c.Control(func(fd uintptr) {
