--- a/server/cmd/dandelionhilld/main.go
+++ b/server/cmd/dandelionhilld/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"dandelionhill.dev/server/daemon"
+	"dandelionhill.dev/server/gateway"
 	"dandelionhill.dev/server/logs"
 	"dandelionhill.dev/server/settings"
 )
@@ -21,15 +22,31 @@
 	}
 	flags := flag.NewFlagSet("dandelionhilld", flag.ExitOnError)
 	path := flags.String("settings", "/etc/dandelionhill/settings.jsonc", "settings file of this VM")
+	check := flags.Bool("check", false, "check the settings file, print its problems with their lines, and exit")
 	if err := flags.Parse(args); err != nil {
 		os.Exit(2)
 	}
+	if *check {
+		run = checkOf(len(os.Args) > 1 && os.Args[1] == "gateway")
+	}
 	if err := run(*path); err != nil {
 		fmt.Fprintln(os.Stderr, "dandelionhilld:", err)
 		os.Exit(1)
 	}
 }
 
+// checkOf returns the check of the settings of a gateway, or of the daemon.
+func checkOf(isGateway bool) func(path string) error {
+	return func(path string) error {
+		if isGateway {
+			_, err := gateway.LoadSettings(path)
+			return err
+		}
+		_, err := settings.Load(path)
+		return err
+	}
+}
+
 func runDaemon(path string) error {
 	s, err := settings.Load(path)
 	if err != nil {
