--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -19,14 +19,12 @@
 	returnGrace = 2200 * time.Millisecond
 	// keepGone is how long a removed upstream is kept for calls under way.
 	keepGone = 15 * time.Second
-	// placesPerSlot is how many requests may be at an upstream for each slot, of all
-	// VMs together.
-	placesPerSlot = 3
+	// placesAtUpstream is how many requests of all VMs may be at an upstream: those
+	// that run, and some that wait there.
+	placesAtUpstream = 24
 	// connectionShare is the part of an upstream's connections that is used: the
 	// rest is for orders and for VMs that are not counted yet.
 	connectionShare = 0.85
-	// minPlaces lets a VM use a second slot of an upstream.
-	minPlaces = 2
 	// assumedVMs is the number of VMs until a granter has told it.
 	assumedVMs = 16
 	// sweepEvery is the time between searches for idle connections to close.
@@ -153,7 +151,7 @@
 // places returns how many requests of this VM may be at an upstream:
 // its part of the slots and of the requests that may wait there.
 func (c *control) places(b *beliefs, entry *registration) int {
-	places := max(minPlaces, turns.Share(float64(entry.Slots*placesPerSlot), b.of))
+	places := turns.Share(placesAtUpstream, b.of)
 	if b.config == nil || b.config.Services[entry.Service] == nil {
 		return places
 	}
