gateway: split the granter by job; tests of upstreamconn; settings without unused bounds

The granter's file held members, the renewal of the lease and orders too; each has a file now. The loop that opens listeners stood in both daemons; it is package listen.

--- a/server/cmd/dandelionhilld/gateway.go
+++ b/server/cmd/dandelionhilld/gateway.go
@@ -3,12 +3,17 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"dandelionhill.dev/server/gateway"
 	"dandelionhill.dev/server/logs"
 )
 
+// memoryShare is the part of the VM's memory, in percent, that the heap may reach
+// before the collector works harder.
+const memoryShare = 70
+
 // runGateway runs an entry VM on the platform's store. SIGHUP says that the
 // settings file has changed; SIGTERM stops.
 func runGateway(path string) error {
@@ -23,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(s.MemoryMB) * memoryShare / 100 << 20)
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	g := gateway.New(s, metrics, log)
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"dandelionhill.dev/server/admin"
 	"dandelionhill.dev/server/control"
 	"dandelionhill.dev/server/entry"
+	"dandelionhill.dev/server/listen"
 	"dandelionhill.dev/server/metrics"
 	"dandelionhill.dev/server/peer"
 	"dandelionhill.dev/server/settings"
@@ -124,16 +125,9 @@
 
 // Start listens on all addresses and runs the control loop.
 func (d *Daemon) Start() error {
-	listeners := make([]net.Listener, 0, len(d.servers))
-	for _, server := range d.servers {
-		listener, err := net.Listen("tcp", server.Addr)
-		if err != nil {
-			for _, l := range listeners {
-				l.Close()
-			}
-			return errors.Wrapf(err, "listen on %s: choose an address of this VM that no other program uses", server.Addr)
-		}
-		listeners = append(listeners, listener)
+	listeners, err := listen.All(d.servers)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/listen"
 )
 
 const (
@@ -96,16 +97,9 @@
 
 // Start listens on all addresses and follows the store.
 func (g *Gateway) Start() error {
-	listeners := make([]net.Listener, 0, len(g.servers))
-	for _, server := range g.servers {
-		listener, err := net.Listen("tcp", server.Addr)
-		if err != nil {
-			for _, l := range listeners {
-				l.Close()
-			}
-			return errors.Wrapf(err, "listen on %s: choose an address of this VM that no other program uses", server.Addr)
-		}
-		listeners = append(listeners, listener)
+	listeners, err := listen.All(g.servers)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
--- a/server/gateway/orders.go
+++ b/server/gateway/orders.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
@@ -24,6 +27,26 @@
 	suspectFor   = 3 * time.Second
 )
 
+// orders carries orders to upstreams: grants of one upstream one after the
+// other, so that they share a connection.
+type orders struct {
+	g   *granter
+	ctx context.Context
+	log zerolog.Logger
+
+	mu    sync.Mutex
+	lines map[api.UpstreamID]*line
+}
+
+// line is the orders to one upstream.
+type line struct {
+	queue   []func()
+	running int
+	// unsentSince is since when no order has reached the upstream.
+	unsentSince time.Duration
+	suspectTill time.Duration
+}
+
 func newOrders(g *granter) *orders {
 	return &orders{g: g, log: g.log, lines: make(map[api.UpstreamID]*line)}
 }
--- /dev/null
+++ b/server/gateway/renewal.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/platform/fleet"
+)
+
+// renew writes what is due: the lease every leaseRenew, owners at once.
+func (g *granter) renew(ctx context.Context, now time.Duration) {
+	if g.writing || len(g.writes) == 0 && now-g.renewedAt < leaseRenew {
+		return
+	}
+	clock := g.control.view().clock
+	next := g.lease
+	next.Seq++
+	next.AtMs = clock.at(now).Milliseconds()
+	next.VMs = len(g.members) + 1
+	writes := g.writes
+	g.writes = make(map[api.ServiceName][]ownership.Entry)
+	g.writing = true
+	go g.write(ctx, next, writes)
+}
+
+// write repeats a transaction until its result is known.
+func (g *granter) write(ctx context.Context, next lease, writes map[api.ServiceName][]ownership.Entry) {
+	first := bootTime()
+	for {
+		sent := bootTime()
+		page, err := g.control.commit(ctx, g.rowAt, next, writes)
+		if errors.Is(err, fleet.ErrConflict) {
+			page, err = g.resolve(page, next)
+		}
+		if err == nil || errors.Is(err, fleet.ErrConflict) {
+			if err == nil && page.Version != 0 && sent != first {
+				// Which attempt took effect is not known: authority counts from the first.
+				sent = first
+			}
+			g.do(func() { g.written(next, page, sent, err) })
+			return
+		}
+		g.log.Warn().Str("event", "write_failed").Int64("term", next.Term).Int64("seq", next.Seq).Int("services", len(writes)).Err(err).Msg("")
+		if !sleep(ctx, storeRetry/2) {
+			return
+		}
+		select {
+		case <-g.done:
+			return
+		default:
+		}
+	}
+}
+
+// resolve finds out whether the conflict comes from an earlier attempt of the
+// same write.
+func (g *granter) resolve(page *fleet.Page, next lease) (*fleet.Page, error) {
+	for _, row := range page.Rows {
+		if row.Table != ownTable || row.Key != leaseKey {
+			continue
+		}
+		if l := decodeLease(row, 0); l.VM == next.VM && l.Incarnation == next.Incarnation && l.Term == next.Term && l.Seq == next.Seq {
+			return &fleet.Page{Version: row.Version}, nil
+		}
+	}
+	return nil, fleet.ErrConflict
+}
+
+func (g *granter) written(next lease, page *fleet.Page, sent time.Duration, err error) {
+	g.writing = false
+	if err != nil {
+		g.log.Warn().Str("event", "granter_replaced").Int64("term", g.term).Msg("")
+		g.authority.Store(0)
+		g.deposed = true
+		return
+	}
+	g.lease, g.rowAt, g.renewedAt = next, page.Version, sent
+	g.authority.Store(int64(sent + leaseTime))
+	if page.NowS > 0 {
+		g.control.readClock(sent, bootTime(), page)
+	}
+	for _, m := range g.machines {
+		m.Written()
+	}
+	for name, m := range g.machines {
+		g.publish(name, m)
+	}
+}
+
+// release gives the lease back, so that a successor need not wait.
+func (g *granter) release(ctx context.Context) {
+	g.authority.Store(0)
+	next := g.lease
+	next.Seq += 2
+	next.Released = true
+	now := bootTime()
+	for _, m := range g.machines {
+		next.LateMs = max(next.LateMs, (m.LateUntil(now) - now).Milliseconds())
+	}
+	if _, err := g.control.commit(ctx, g.rowAt, next, nil); err != nil {
+		g.log.Warn().Str("event", "lease_not_released").Int64("term", g.term).Err(err).Msg("")
+	}
+}
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -41,14 +41,10 @@
 
 // Bounds are limits that the users of a deployment have agreed on.
 type Bounds struct {
-	// Drain is how long after its notice an upstream may still get requests.
-	Drain strict.Duration `json:"drain"`
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace strict.Duration `json:"grace"`
 	// Hold is the longest lease that upstreams accept.
 	Hold strict.Duration `json:"hold"`
-	// Evacuate is how long a failure domain may get requests after it was taken out.
-	Evacuate strict.Duration `json:"evacuate"`
 	// RepeatRatio and RepeatSlack bound how often requests are sent again within
 	// RepeatWindow: by a share of the requests, and a number.
 	RepeatWindow strict.Duration `json:"repeat_window"`
@@ -83,8 +79,7 @@
 		c.Add("memory_mb", "write the memory of the VM in megabytes", "%d is out of range", s.MemoryMB)
 	}
 	for field, value := range map[string]strict.Duration{
-		"bounds.drain": s.Bounds.Drain, "bounds.grace": s.Bounds.Grace, "bounds.hold": s.Bounds.Hold,
-		"bounds.evacuate": s.Bounds.Evacuate, "bounds.repeat_window": s.Bounds.RepeatWindow,
+		"bounds.grace": s.Bounds.Grace, "bounds.hold": s.Bounds.Hold, "bounds.repeat_window": s.Bounds.RepeatWindow,
 	} {
 		if value <= 0 {
 			c.Add(field, "write a time above 0s", "%s is out of range", value)
--- a/server/gateway/settings_test.go
+++ b/server/gateway/settings_test.go
@@ -11,7 +11,7 @@
 	"vm": "edge-1", "failure_domain": "a", "store": "10.0.0.1:1", "memory_mb": 284,
 	"listen": {"callers": "10.0.0.2:1", "health": "10.0.0.2:2", "peers": "10.0.0.2:3", "metrics": "10.0.0.2:4"},
 	// A comment, as the template has them.
-	"bounds": {"drain": "2s", "grace": "6s", "hold": "10s", "evacuate": "5s", "repeat_window": "10s", "repeat_ratio": 0.2, "repeat_slack": 62}
+	"bounds": {"grace": "6s", "hold": "10s", "repeat_window": "10s", "repeat_ratio": 0.2, "repeat_slack": 62}
 }`
 
 // TestSettings guards against settings that are read wrong, and against mistakes
--- a/server/gateway/world_test.go
+++ b/server/gateway/world_test.go
@@ -101,8 +101,8 @@
 			Callers: freeAddress(w.t), Health: freeAddress(w.t), Peers: freeAddress(w.t), Metrics: freeAddress(w.t),
 		},
 		Bounds: Bounds{
-			Drain: strict.Duration(2 * time.Second), Grace: strict.Duration(6 * time.Second), Hold: strict.Duration(10 * time.Second),
-			Evacuate: strict.Duration(5 * time.Second), RepeatWindow: strict.Duration(10 * time.Second), RepeatRatio: 0.2, RepeatSlack: 60,
+			Grace: strict.Duration(6 * time.Second), Hold: strict.Duration(10 * time.Second),
+			RepeatWindow: strict.Duration(10 * time.Second), RepeatRatio: 0.2, RepeatSlack: 60,
 		},
 	}, NewMetrics(), zerolog.New(zerolog.NewTestWriter(w.t)))
 	require.NoError(w.t, g.Start())
--- /dev/null
+++ b/server/upstreamconn/conn_test.go
@@ -0,0 +1,169 @@
+package upstreamconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// serve answers each connection with a function until the test ends. It returns a
+// pool for the address, and counts connections.
+func serve(t *testing.T, answer func(conn net.Conn, r *bufio.Reader)) (pool *Pool, accepted func() int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	conns := make(chan struct{}, 100)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- struct{}{}
+			go func() {
+				defer conn.Close()
+				answer(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return New(l.Addr().String(), 1<<20), func() int { return len(conns) }
+}
+
+func get(id string) *Request {
+	return &Request{
+		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
+		Own: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func reply(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nKeep-Alive: timeout=10\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+// TestForeignAnswer guards against an answer that reaches another request: late
+// answers are passed over, and bytes after an answer end its connection.
+func TestForeignAnswer(t *testing.T) {
+	pool, accepted := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get("Id")
+			out := reply("other", "no") + reply(id, "yes")
+			if id == "trailing" {
+				out = reply(id, "yes") + "extra"
+			}
+			if _, err := io.WriteString(conn, out); err != nil {
+				return
+			}
+		}
+	})
+	for _, id := range []string{"a", "b", "trailing", "c"} {
+		got, err := pool.Do(context.Background(), get(id))
+		require.NoError(t, err)
+		require.Equal(t, "yes", string(got.Body), id)
+	}
+	require.Equal(t, 2, accepted(), "the connection with bytes left over is not used again")
+}
+
+// TestSent guards against a request that may have run and is reported as not sent,
+// and the other way round.
+func TestSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.Close()
+	_, err = New(l.Addr().String(), 10).Do(context.Background(), get("a"))
+	var failed *Error
+	require.True(t, errors.As(err, &failed))
+	require.False(t, failed.Sent)
+	require.True(t, failed.Refused)
+
+	for name, out := range map[string]string{
+		"nothing": "", "half": "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nhal", "no answer": "hello\r\n\r\n",
+	} {
+		pool, _ := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(conn, out) // the test reads what arrives
+			}
+		})
+		_, err := pool.Do(context.Background(), get("a"))
+		require.True(t, errors.As(err, &failed), name)
+		require.True(t, failed.Sent, name)
+	}
+}
+
+// TestAnswerWithoutLength guards against an answer that ends with its connection
+// and is taken for whole although the connection was reset.
+func TestAnswerWithoutLength(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		pool, _ := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole"); err != nil || !reset {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+			if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+				t.Error(err)
+			}
+		})
+		got, err := pool.Do(context.Background(), get("a"))
+		if reset {
+			require.Error(t, err)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "whole", string(got.Body))
+	}
+}
+
+// TestEarlyAnswer guards against a connection that is used again although the rest
+// of a body is due on it.
+func TestEarlyAnswer(t *testing.T) {
+	pool, accepted := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := r.ReadString('\n'); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, reply("a", "no")); err != nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	})
+	for range 2 {
+		req := get("a")
+		req.Method, req.Body = http.MethodPost, []byte(strings.Repeat("x", 16<<20))
+		got, err := pool.Do(context.Background(), req)
+		require.NoError(t, err)
+		require.Equal(t, "no", string(got.Body))
+	}
+	require.Equal(t, 2, accepted())
+}
+
+// TestCancel guards against a request that the upstream goes on with after its
+// caller has left.
+func TestCancel(t *testing.T) {
+	closed := make(chan struct{})
+	pool, _ := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		if _, err := r.ReadByte(); err != nil {
+			close(closed)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := pool.Do(ctx, get("a"))
+	require.ErrorIs(t, err, context.Canceled)
+	<-closed
+}
