ramp: 256 answers before each step while nothing is known

Cause: an upstream that is cold but answers at normal speed shows it only by shedding.

Change: a step needs 256 answers unless a number is stated or learnt, or a window of this start was slow and latency tells when the upstream is warm.

--- a/bench/policy/comeback.go
+++ b/bench/policy/comeback.go
@@ -87,7 +87,7 @@
 	var all []metric.Metric
 	for _, load := range comebackLoads {
 		for _, warmAfter := range []int{16, 200} {
-			for _, step := range []int{64, 128, 200, 400} {
+			for _, step := range []int{64, 128, 200, 256, 400} {
 				r := comebackRun(seed, load, coldness{warmAfter: warmAfter, slow: 1}, step)
 				all = append(all, metric.Metric{
 					Name: "in_time_domain_back_cold", Value: r.back, Unit: "share", Seed: seed,
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -38,6 +38,10 @@
 	// StepAnswers is the stated number of answers that a cold upstream of the
 	// service gives before it bears one more request in flight, 0 if none is stated.
 	StepAnswers int
+	// UnknownStepAnswers takes its place in a slow start whose answers have not
+	// been slow, if nothing is stated or learnt: only sheds would show that such
+	// an upstream is still cold.
+	UnknownStepAnswers int
 	// Lessons are what earlier slow starts of the service have shown; nil learns nothing.
 	Lessons *Lessons
 }
@@ -59,6 +63,8 @@
 		// Reports may mislead, so one cannot take more than half of the limit.
 		ReportFloor: 0.5,
 		Start:       1,
+		// docs/measurements.md compares 64, 128, 200, 256 and 400.
+		UnknownStepAnswers: 256,
 	}
 }
 
@@ -91,11 +97,13 @@
 	startedAt time.Duration // of the last restart
 	restarted bool
 
-	answers  int  // since the slow start was begun
-	silent   bool // the upstream may have been cold before that
-	unproven int  // the lowest limit that steps reached and that no window has proven, 0 if none
-	used     bool // as many requests as the present limit have been in flight
-	missed   bool // a step of this slow start met a shed
+	answers   int  // since the slow start was begun
+	silent    bool // the upstream may have been cold before that
+	unproven  int  // the lowest limit that steps reached and that no window has proven, 0 if none
+	used      bool // as many requests as the present limit have been in flight
+	missed    bool // a step of this slow start met a shed
+	slow      bool // a window of this slow start was slow, so latency tells when the upstream is warm
+	steppedAt int  // answers at the last step of this slow start
 }
 
 // New returns a ramp that starts with one request if cold.
@@ -111,6 +119,7 @@
 	defaults.Positive(&cfg.ReportTTL, def.ReportTTL)
 	defaults.Positive(&cfg.ReportFloor, def.ReportFloor)
 	defaults.Positive(&cfg.Start, def.Start)
+	defaults.Positive(&cfg.UnknownStepAnswers, def.UnknownStepAnswers)
 	r := &Ramp{cfg: cfg, normal: cfg.Normal, limit: math.Inf(1)}
 	if cold {
 		r.restart()
@@ -132,6 +141,7 @@
 	r.halvedAt = 0
 	r.reported = false
 	r.answers, r.unproven, r.used, r.silent, r.missed = 0, 0, false, false, false
+	r.slow, r.steppedAt = false, 0
 }
 
 // SetStepAnswers replaces Config.StepAnswers, for example after the operators
@@ -241,6 +251,7 @@
 		times = float64(mean) / float64(r.normal)
 	}
 	shedShare := float64(w.sheds) / float64(w.answers+w.sheds)
+	r.slow = r.slow || r.cold && times > r.cfg.NormalFactor
 	switch {
 	case !r.cold && w.sheds > 0 && times >= r.cfg.ColdFactor:
 		r.Restart(now)
@@ -267,10 +278,11 @@
 	}
 	next := r.limit + r.cfg.Step
 	if int(next) > int(r.limit) {
-		if r.answers < r.cfg.Lessons.needed(int(next)) {
+		if !r.isStepDue(int(next)) {
 			return
 		}
 		r.used = false
+		r.steppedAt = r.answers
 		if r.unproven == 0 {
 			r.unproven = int(next)
 		}
@@ -278,6 +290,17 @@
 	r.limit = next
 }
 
+// isStepDue reports whether enough answers have come for a step to limit next.
+func (r *Ramp) isStepDue(next int) bool {
+	if needed := r.cfg.Lessons.needed(next); needed > 0 {
+		return r.answers >= needed
+	}
+	if r.slow || r.cfg.StepAnswers > 0 {
+		return true // the window has as many answers as are needed
+	}
+	return float64(r.answers-r.steppedAt) >= float64(r.cfg.UnknownStepAnswers)*r.cfg.Step
+}
+
 // prove notes that the present limit held for a window in which it was used.
 // After a shed it becomes a lesson: later starts take the steps up to this limit
 // not before the number of answers at the end of the window, because the
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -23,7 +23,10 @@
 	return r.Limit(0, full)
 }
 
-func cold() *ramp.Ramp { return ramp.New(ramp.Config{Window: 8, Normal: normal}, true) }
+// cold is on a slow start in which each window may be a step.
+func cold() *ramp.Ramp {
+	return ramp.New(ramp.Config{Window: 8, Normal: normal, UnknownStepAnswers: 1}, true)
+}
 
 // TestSlowStart guards against a cold upstream that gets full load at once.
 func TestSlowStart(t *testing.T) {
@@ -79,9 +82,28 @@
 	require.Equal(t, 3, observe(half, 1, normal, false))
 }
 
+// TestUnknownStepAnswers guards against a step on an upstream that answers at
+// normal speed while it is cold, before anything shows that it has warmed up.
+func TestUnknownStepAnswers(t *testing.T) {
+	cfg := ramp.Config{Window: 8, Normal: normal, UnknownStepAnswers: 64}
+	r := ramp.New(cfg, true)
+	require.Equal(t, 1, observe(r, 63, normal, false))
+	require.Equal(t, 2, observe(r, 1, normal, false))
+	require.Equal(t, 2, observe(r, 63, normal, false), "each step needs as many")
+	require.Equal(t, 3, observe(r, 1, normal, false))
+
+	slow := ramp.New(cfg, true)
+	require.Equal(t, 1, observe(slow, 16, 18*time.Millisecond, false))
+	require.Equal(t, 2, observe(slow, 16, normal, false), "its latency shows that it has warmed up")
+
+	cfg.StepAnswers = 16
+	stated := ramp.New(cfg, true)
+	require.Equal(t, 2, observe(stated, 16, normal, false), "a stated number holds")
+}
+
 // TestLessons guards against a second start that repeats the sheds of the first.
 func TestLessons(t *testing.T) {
-	cfg := ramp.Config{Window: 8, Normal: normal, Lessons: ramp.NewLessons()}
+	cfg := ramp.Config{Window: 8, Normal: normal, UnknownStepAnswers: 1, Lessons: ramp.NewLessons()}
 	r := ramp.New(cfg, true)
 	require.Equal(t, 2, observe(r, 16, normal, false))
 	require.Equal(t, 1, observe(r, 1, 0, true), "the first start learns by a shed")
