gateway: a stop cuts no request that is just being read

Ruled out: the end of the grace time (5.6 s, the requests take 1 s at most), the feed and the granter (both requests were sent to the right owner).

Change: a VM that leaves marks its answers with Connection: close instead of closing idle connections, waits until no connection has a request under way (ConnState), ends the election, waits again, and then refuses what still comes as not run (reason stopping) until the process is gone.

--- a/server/gateway/entry.go
+++ b/server/gateway/entry.go
@@ -40,6 +40,7 @@
 	lost            reason = "answer_lost"  // sent to an upstream, the answer is lost
 	callerLeft      reason = "caller_left"
 	quarantined     reason = "quarantined" // the request has crashed upstreams
+	stopping        reason = "stopping"    // the process ends
 )
 
 // outcome is the end of a request without an answer of an upstream.
@@ -160,12 +161,9 @@
 		return
 	}
 	header := w.Header()
-	for name, values := range reply.Header {
+	for name, values := range forwarded(reply.Header) {
 		header[name] = values
 	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
 	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	w.WriteHeader(reply.Status)
 	_, err := w.Write(reply.Body)
@@ -237,6 +235,7 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
+// forwarded returns the headers that are passed on.
 func forwarded(header http.Header) http.Header {
 	h := header.Clone()
 	for _, name := range hopHeaders {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -47,6 +47,11 @@
 	links    *links
 	draining atomic.Bool
 	callers  *http.Server
+	// drained says that requests are no longer sent on, since the process ends.
+	drained atomic.Bool
+	// open holds the connections of callers with a request under way.
+	open     connections
+	listener net.Listener // of callers
 	servers  []*http.Server
 	cancel   context.CancelFunc
 	ended    chan struct{} // closed when the election has ended
@@ -73,7 +78,9 @@
 	health.Get(fleet.PathReady, g.ready)
 	metricsRouter := chi.NewRouter()
 	metricsRouter.Handle("/metrics", m.handler())
-	g.callers = &http.Server{Addr: s.Listen.Callers, Handler: g.entry, MaxHeaderBytes: maxHeaderBytes}
+	g.callers = &http.Server{
+		Addr: s.Listen.Callers, Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnState: g.open.changed,
+	}
 	g.servers = []*http.Server{
 		{Addr: s.Listen.Peers, Handler: peers},
 		{Addr: s.Listen.Health, Handler: health},
@@ -95,6 +102,20 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// serveCaller answers a caller. While the VM leaves, each connection ends with its
+// answer.
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if g.drained.Load() {
+		q := &request{arrived: time.Now(), asked: fleet.AskedOf(r.Header), http: r}
+		g.entry.refuse(w, q, outcome{reason: stopping, status: http.StatusServiceUnavailable, retryAfter: retrySoon})
+		return
+	}
+	g.entry.ServeHTTP(w, r)
+}
+
 // Start listens on all addresses and follows the store.
 func (g *Gateway) Start() error {
 	listeners, err := listen.All(g.servers)
@@ -115,6 +136,9 @@
 		g.election.run(ctx)
 	}()
 	for i, server := range g.servers {
+		if server == g.callers {
+			g.listener = listeners[i]
+		}
 		go g.serve(server, listeners[i])
 	}
 	g.log.Info().Str("event", "started").Str("incarnation", string(g.links.incarnation)).
@@ -131,7 +155,7 @@
 }
 
 func (g *Gateway) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !(server == g.callers && g.draining.Load()) {
 		g.log.Error().Str("event", "listener_failed").Str("address", server.Addr).Err(err).Msg("")
 	}
 }
@@ -141,14 +165,14 @@
 func (g *Gateway) Stop() {
 	deadline := time.Now().Add(g.bounds.Grace.D() - exitMargin)
 	g.draining.Store(true)
-	g.callers.SetKeepAlivesEnabled(false)
 	g.log.Info().Str("event", "stopping").Msg("")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	sleep(ctx, leaveRotation)
-	if err := g.callers.Shutdown(ctx); err != nil {
-		g.log.Warn().Str("event", "requests_cut").Err(err).Msg("")
+	if err := g.listener.Close(); err != nil {
+		g.log.Warn().Str("event", "listener_not_closed").Err(err).Msg("")
 	}
+	g.waitIdle(ctx)
 	// No other VM can take over while the store is silent.
 	for granter := g.links.current(); granter != nil && granter.silent.Load(); granter = g.links.current() {
 		if !sleep(ctx, granterTick) {
@@ -160,5 +184,9 @@
 	case <-g.ended:
 	case <-ctx.Done():
 	}
+	// Callers use connections that are open until the process is gone.
+	g.waitIdle(ctx)
+	g.drained.Store(true)
+	g.waitIdle(ctx)
 	g.log.Info().Str("event", "stopped").Msg("")
 }
