gateway: a stop closes the idle connections of callers before the process ends

Ruled out: the wait for requests under way, which ended in time for all requests of the first 2.5 s.

Change: the connections of callers know whether a request has begun to come. Idle ones are closed, at SIGTERM and when no new ones come; what a caller sends at that moment is not read. With it: an order to an upstream whose address refuses the connection means that its process has ended, so its keys move at once instead of after the lease and half a second (TestEndedOwner); suspicion is kept for a process, not for an ID.

--- a/server/gateway/entry.go
+++ b/server/gateway/entry.go
@@ -40,7 +40,6 @@
 	lost            reason = "answer_lost"  // sent to an upstream, the answer is lost
 	callerLeft      reason = "caller_left"
 	quarantined     reason = "quarantined" // the request has crashed upstreams
-	stopping        reason = "stopping"    // the process ends
 )
 
 // outcome is the end of a request without an answer of an upstream.
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -48,10 +48,7 @@
 	links    *links
 	draining atomic.Bool
 	callers  *http.Server
-	// drained says that requests are no longer sent on, since the process ends.
-	drained atomic.Bool
-	// open holds the connections of callers with a request under way.
-	open     connections
+	conns    callerConns
 	listener net.Listener // of callers
 	servers  []*http.Server
 	cancel   context.CancelFunc
@@ -85,7 +82,7 @@
 	metricsRouter := chi.NewRouter()
 	metricsRouter.Handle("/metrics", m.handler())
 	g.callers = &http.Server{
-		Addr: s.Listen.Callers, Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnState: g.open.changed,
+		Addr: s.Listen.Callers, Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.changed,
 	}
 	g.servers = []*http.Server{
 		{Addr: s.Listen.Peers, Handler: peers},
@@ -114,11 +111,6 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if g.drained.Load() {
-		q := &request{arrived: time.Now(), asked: fleet.AskedOf(r.Header), http: r}
-		g.entry.refuse(w, q, outcome{reason: stopping, status: http.StatusServiceUnavailable, retryAfter: retrySoon})
-		return
-	}
 	g.entry.ServeHTTP(w, r)
 }
 
@@ -143,7 +135,8 @@
 	}()
 	for i, server := range g.servers {
 		if server == g.callers {
-			g.listener = listeners[i]
+			g.listener = callerListener{Listener: listeners[i], set: &g.conns}
+			listeners[i] = g.listener
 		}
 		go g.serve(server, listeners[i])
 	}
@@ -172,22 +165,18 @@
 	deadline := time.Now().Add(g.bounds.Grace.D() - exitMargin)
 	g.draining.Store(true)
 	g.elector.leave()
-	g.log.Info().Str("event", "stopping").Msg("")
+	g.log.Info().Str("event", "stopping").Int("connections", g.conns.closeIdle()).Msg("")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	sleep(ctx, leaveRotation)
 	if err := g.listener.Close(); err != nil {
 		g.log.Warn().Str("event", "listener_not_closed").Err(err).Msg("")
 	}
-	g.waitIdle(ctx)
+	g.drainCallers(ctx)
 	g.cancel()
 	select {
 	case <-g.ended:
 	case <-ctx.Done():
 	}
-	// Callers use connections that are open until the process is gone.
-	g.waitIdle(ctx)
-	g.drained.Store(true)
-	g.waitIdle(ctx)
 	g.log.Info().Str("event", "stopped").Msg("")
 }
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -251,6 +251,25 @@
 	require.Equal(t, term, b.control.view().holdings["keyed"].Term)
 }
 
+// TestEndedOwner guards against keys of a process that has ended which wait for its
+// lease although nothing listens at its address any more.
+func TestEndedOwner(t *testing.T) {
+	w := newWorld(t)
+	k1, k2 := w.addUpstream("k1", "keyed"), w.addUpstream("k2", "keyed")
+	g := w.startVM("vm-a")
+	w.served(g, keyedPath, 1)
+	w.eventually(func() bool { return len(g.control.view().holdings["keyed"].Spans) == 2 }, "both upstreams hold keys")
+	key := 1
+	if g.control.view().holdings["keyed"].owner(key) != "k1" {
+		key = fleet.Keys - 1
+	}
+	w.served(g, keyedPath, key)
+	require.True(t, k1.Holds(key))
+	w.crash("k1")
+	w.eventually(func() bool { return k2.Holds(key) && k1.Holds(key) }, "the keys move while the lease of the former owner runs")
+	w.served(g, keyedPath, key)
+}
+
 // TestCrashingRequest guards against a request that is sent on, by its caller
 // through any VM, to upstreams that it crashes.
 func TestCrashingRequest(t *testing.T) {
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -224,9 +224,10 @@
 		if !ok {
 			pace = 1
 		}
-		may := v.usable(u) && !g.orders.suspect(id, now)
+		owner := ownership.Owner{Upstream: id, Life: entry.Life}
+		may := v.usable(u) && !g.orders.suspect(owner, now)
 		out[entry.Service] = append(out[entry.Service], ownership.Upstream{
-			Owner:    ownership.Owner{Upstream: id, Life: entry.Life},
+			Owner:    owner,
 			Capacity: float64(entry.Slots) * pace,
 			May:      may, Takes: may && now > entry.coldUntil-almostWarm,
 		})
--- a/server/gateway/orders.go
+++ b/server/gateway/orders.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
@@ -22,7 +24,7 @@
 	// ordersAtOnce bounds the orders at one upstream at the same time.
 	ordersAtOnce = 2
 	// suspectAfter is how long no order may reach an upstream before its keys go
-	// elsewhere, suspectFor how long it then gets none.
+	// elsewhere, suspectFor how long it then gets none, as after the end of its process.
 	suspectAfter = 500 * time.Millisecond
 	suspectFor   = 3 * time.Second
 )
@@ -35,10 +37,10 @@
 	log zerolog.Logger
 
 	mu    sync.Mutex
-	lines map[api.UpstreamID]*line
+	lines map[ownership.Owner]*line
 }
 
-// line is the orders to one upstream.
+// line is the orders to one process of an upstream.
 type line struct {
 	queue   []func()
 	running int
@@ -48,14 +50,14 @@
 }
 
 func newOrders(g *granter) *orders {
-	return &orders{g: g, log: g.log, lines: make(map[api.UpstreamID]*line)}
+	return &orders{g: g, log: g.log, lines: make(map[ownership.Owner]*line)}
 }
 
-// suspect reports whether orders do not reach an upstream at present.
-func (o *orders) suspect(id api.UpstreamID, now time.Duration) bool {
+// suspect reports whether orders do not reach a process at present.
+func (o *orders) suspect(process ownership.Owner, now time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l := o.lines[id]
+	l := o.lines[process]
 	return l != nil && now < l.suspectTill
 }
 
@@ -68,10 +70,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l := o.lines[u.id]
+	l := o.lines[a.Owner]
 	if l == nil {
 		l = &line{}
-		o.lines[u.id] = l
+		o.lines[a.Owner] = l
 	}
 	l.queue = append(l.queue, func() { o.carry(service, a, u, l) })
 	o.next(l)
@@ -103,6 +105,8 @@
 	now := bootTime()
 	o.mu.Lock()
 	switch {
+	case result == ownership.Ended:
+		l.suspectTill, l.unsentSince = now+suspectFor, 0
 	case result != ownership.NotSent:
 		l.unsentSince = 0
 	case l.unsentSince == 0:
@@ -139,6 +143,9 @@
 	})
 	result, handover, status := ownership.Unknown, "", 0
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// No process listens at the address: the one that held the keys has ended.
+		result = ownership.Ended
 	case err != nil && isUnsent(err):
 		result = ownership.NotSent
 	case err != nil:
