election: a VM takes over at once when the granter's process has ended

Change: the step is to take over; a caretaker that may still live renews the same grants, and moves wait as before.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -104,15 +104,17 @@
 // lost since its last renewal.
 func (v *Voter) Next(now time.Duration, l Lease, silent bool) Step {
 	switch {
-	case l.Vacant, l.Ended && l.Age < v.cfg.Silent:
+	case l.Vacant:
+		return Campaign
+	case l.Ended && !v.leaving:
+		// A caretaker may still renew; a VM that takes over does the same until FormerUntil.
 		return Campaign
-	case l.Ended || l.Age > v.cfg.Stale:
+	case l.Ended:
+		return Wait
+	case l.Age > v.cfg.Stale:
 		if !v.leaving && now >= max(v.promise, v.started+v.cfg.Promise) {
 			return Campaign
 		}
-		if l.Ended {
-			return Wait
-		}
 		return Follow
 	case silent:
 		return Wait
