--- /dev/null
+++ b/bench/cmd/soak/main.go
@@ -0,0 +1,126 @@
+// Command soak plays seeds of the fault soak: the real programs as processes on this
+// machine, disturbed from outside.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/bench/soak"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&upstreamCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT)
+	defer stop()
+	os.Exit(int(subcommands.Execute(ctx)))
+}
+
+type runCommand struct {
+	from    uint64
+	seeds   int
+	gateway string
+	dir     string
+	options soak.Options
+}
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "play seeds" }
+func (*runCommand) Usage() string {
+	return "soak run -gateway target/dandelionhilld [-from 1] [-seeds 1] [-length 30s]\n"
+}
+
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.from, "from", 1, "first seed")
+	f.IntVar(&c.seeds, "seeds", 1, "number of seeds")
+	f.StringVar(&c.gateway, "gateway", "bin/dandelionhilld", "the daemon")
+	f.StringVar(&c.dir, "dir", "", "directory for settings and logs; a temporary one if empty")
+	f.IntVar(&c.options.VMs, "vms", 4, "VMs")
+	f.IntVar(&c.options.Keyed, "keyed", 6, "upstreams of the service with keys")
+	f.IntVar(&c.options.Plain, "plain", 2, "upstreams of each of the three services without keys")
+	f.IntVar(&c.options.CallersPerVM, "callers", 3, "callers of each VM")
+	f.DurationVar(&c.options.Pause, "pause", 40*time.Millisecond, "mean pause of a caller between requests")
+	f.DurationVar(&c.options.Length, "length", 30*time.Second, "how long the deployment is disturbed")
+}
+
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *runCommand) run(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "find this program")
+	}
+	c.options.Self, c.options.Gateway = self, c.gateway
+	if c.dir == "" {
+		if c.dir, err = os.MkdirTemp("", "soak-"); err != nil {
+			return errors.Wrap(err, "make a directory for logs")
+		}
+	}
+	broken := 0
+	for seed := c.from; seed < c.from+uint64(c.seeds) && ctx.Err() == nil; seed++ {
+		c.options.Seed = seed
+		c.options.Dir = filepath.Join(c.dir, fmt.Sprint(seed))
+		if err := os.MkdirAll(c.options.Dir, 0o700); err != nil {
+			return errors.Wrap(err, "make a directory for logs")
+		}
+		report, err := soak.Run(ctx, c.options)
+		if err != nil {
+			return err
+		}
+		if err := report.Print(os.Stdout, seed); err != nil {
+			return err
+		}
+		if len(report.Found) > 0 {
+			broken++
+			fmt.Println("logs:", c.options.Dir)
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d of %d seeds broke a promise", broken, c.seeds)
+	}
+	return nil
+}
+
+type upstreamCommand struct {
+	options soak.UpstreamOptions
+}
+
+func (*upstreamCommand) Name() string     { return "upstream" }
+func (*upstreamCommand) Synopsis() string { return "run one upstream (used by run)" }
+func (*upstreamCommand) Usage() string    { return "soak upstream -id ID ...\n" }
+
+func (c *upstreamCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.options.ID, "id", "", "ID of the upstream")
+	f.StringVar(&c.options.Service, "service", "", "its service")
+	f.StringVar(&c.options.Domain, "domain", "", "its failure domain")
+	f.StringVar(&c.options.Listen, "listen", "", "its address")
+	f.StringVar(&c.options.Register, "register", "", "the address that it registers")
+	f.StringVar(&c.options.Store, "store", "", "address of the store")
+	f.DurationVar(&c.options.Work, "work", 8*time.Millisecond, "how long a request runs")
+}
+
+func (c *upstreamCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := soak.RunUpstream(c.options, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/fakes/fleet/upstream.go
+++ b/fakes/fleet/upstream.go
@@ -20,6 +20,26 @@
 	Body      string
 }
 
+// Event is what an upstream does with an order or a request.
+type Event struct {
+	// Kind is EventHeld, EventReleased or EventRun.
+	Kind string `json:"kind"`
+	// First and Last are the keys of an order, both included.
+	First int `json:"first,omitempty"`
+	Last  int `json:"last,omitempty"`
+	// HoldS is for how long the keys are held, in seconds.
+	HoldS float64 `json:"hold_s,omitempty"`
+	// Run is the request of EventRun.
+	Run *Run `json:"run,omitempty"`
+}
+
+// The kinds of Event.
+const (
+	EventHeld     = "held"
+	EventReleased = "released"
+	EventRun      = "run"
+)
+
 // Upstream is a stand-in for a worker that checks fences, holds keys for a time
 // and runs requests.
 type Upstream struct {
@@ -33,6 +53,8 @@
 	runs   []Run
 	// handle runs a request in place of the usual answer, if it is set.
 	handle http.HandlerFunc
+	// watch is told each event, if it is set.
+	watch func(Event)
 	// ignored counts orders that were meant for another upstream.
 	ignored int
 }
@@ -58,6 +80,19 @@
 	u.handle = handle
 }
 
+// Watch tells each event to a function, which must return quickly.
+func (u *Upstream) Watch(watch func(Event)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.watch = watch
+}
+
+func (u *Upstream) tell(e Event) {
+	if u.watch != nil {
+		u.watch(e)
+	}
+}
+
 // Become makes another upstream answer at the address: one without keys, with
 // another ID.
 func (u *Upstream) Become(id string) {
@@ -129,6 +164,7 @@
 		for key := o.From; key <= o.Target; key++ {
 			u.until[key] = time.Time{}
 		}
+		u.tell(Event{Kind: EventReleased, First: o.From, Last: o.Target})
 		w.Header().Set(fleet.HeaderHandover, "token")
 		return
 	}
@@ -142,6 +178,7 @@
 	for key := o.From; key <= o.Target; key++ {
 		u.fences[key], u.until[key] = o.Fence, until
 	}
+	u.tell(Event{Kind: EventHeld, First: o.From, Last: o.Target, HoldS: o.HoldS})
 }
 
 func (u *Upstream) request(w http.ResponseWriter, r *http.Request) {
@@ -161,7 +198,9 @@
 	}
 	id := r.Header.Get(fleet.HeaderRequestID)
 	u.mu.Lock()
-	u.runs = append(u.runs, Run{RequestID: id, Key: key, Path: r.RequestURI, Body: string(body)})
+	run := Run{RequestID: id, Key: key, Path: r.RequestURI, Body: string(body)}
+	u.runs = append(u.runs, run)
+	u.tell(Event{Kind: EventRun, Run: &run})
 	handle := u.handle
 	u.mu.Unlock()
 	w.Header().Set(fleet.HeaderRequestID, id)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -62,14 +62,14 @@
 	st := newStats()
 	cr := newCrashes()
 	l := &links{
-		self: s.VM, incarnation: incarnation, address: s.Listen.Peers, stats: st, crashes: cr, relay: &relay{}, log: log,
+		self: s.VM, incarnation: incarnation, address: s.peersAddress(), stats: st, crashes: cr, relay: &relay{}, log: log,
 		peers: s.seeds(), report: make(chan struct{}, 1), informed: func() bool { return c.view().config != nil },
 	}
 	g := &Gateway{
 		settings: s, bounds: s.Bounds, log: log, metrics: m, control: c, links: l, ended: make(chan struct{}),
 		entry: newEntry(s.VM, s.Bounds, c.view, m, st, cr, log),
 		elector: &elector{
-			self: s.VM, incarnation: incarnation, address: s.Listen.Peers, bounds: s.Bounds,
+			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
 			control: c, stats: st, links: l, metrics: m, log: log,
 			voter: election.NewVoter(election.DefaultConfig(), bootTime()),
 		},
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -251,9 +251,9 @@
 	require.Equal(t, term, b.control.view().holdings["keyed"].Term)
 }
 
-// TestEndedOwner guards against keys of a process that has ended which wait for its
-// lease although nothing listens at its address any more.
-func TestEndedOwner(t *testing.T) {
+// TestRefusedOrderIsNoEnd guards against keys that move before the lease of an
+// upstream that refuses connections has run out: it may still be at work on them.
+func TestRefusedOrderIsNoEnd(t *testing.T) {
 	w := newWorld(t)
 	k1, k2 := w.addUpstream("k1", "keyed"), w.addUpstream("k2", "keyed")
 	g := w.startVM("vm-a")
@@ -266,7 +266,12 @@
 	w.served(g, keyedPath, key)
 	require.True(t, k1.Holds(key))
 	w.crash("k1")
-	w.eventually(func() bool { return k2.Holds(key) && k1.Holds(key) }, "the keys move while the lease of the former owner runs")
+	both := false
+	w.eventually(func() bool {
+		both = both || k1.Holds(key) && k2.Holds(key)
+		return k2.Holds(key)
+	}, "the keys move")
+	require.False(t, both, "two upstreams held the key")
 	w.served(g, keyedPath, key)
 }
 
--- a/server/gateway/orders.go
+++ b/server/gateway/orders.go
@@ -4,10 +4,8 @@
 	"context"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
@@ -143,10 +141,9 @@
 	})
 	result, handover, status := ownership.Unknown, "", 0
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		// No process listens at the address: the one that held the keys has ended.
-		result = ownership.Ended
 	case err != nil && isUnsent(err):
+		// A refused connection is no proof that the process has ended: one that leaves
+		// stops listening while it is still at work on its keys.
 		result = ownership.NotSent
 	case err != nil:
 	case reply.Status == http.StatusOK:
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -18,6 +18,9 @@
 	FailureDomain api.FailureDomain `json:"failure_domain"`
 	// Listen holds the addresses at which the VM accepts connections.
 	Listen Listen `json:"listen"`
+	// PeersAddress is where the other VMs reach this one, IP:port; Listen.Peers if it
+	// is empty.
+	PeersAddress string `json:"peers_address,omitempty"`
 	// Store is the address of the platform's store, IP:port.
 	Store string `json:"store"`
 	// Seeds names other VMs, IP:port or IP: a VM that starts while it does not reach
@@ -98,6 +101,14 @@
 	return &s, nil
 }
 
+// peersAddress returns where the other VMs reach this one.
+func (s *Settings) peersAddress() string {
+	if s.PeersAddress != "" {
+		return s.PeersAddress
+	}
+	return s.Listen.Peers
+}
+
 // seeds returns the addresses at which Seeds accept the other VMs.
 func (s *Settings) seeds() []string {
 	_, port, err := net.SplitHostPort(s.Listen.Peers)
