--- a/server/gateway/drain_test.go
+++ b/server/gateway/drain_test.go
@@ -37,6 +37,7 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 
 	ask(0, 10)
+	w.eventually(func() bool { return inUse(&g.conns) == 1 }, "the beginning of the request is read")
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -52,6 +53,20 @@
 	<-stopped
 }
 
+// inUse returns the number of connections from which a request has begun to come.
+func inUse(set *callerConns) (n int) {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	for c := range set.open {
+		c.mu.Lock()
+		if c.used {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
 // TestStopWithIdleCallers guards against a stop that leaves connections open on
 // which requests go on coming until the process ends and cuts them.
 func TestStopWithIdleCallers(t *testing.T) {
