gateway: limits of the configuration for callers' connections; one pause; unread fields removed

Change: the connections of callers know since when they are idle or in a header; every 500 ms those beyond the limits are closed, idle ones so that no request is cut. TestCallerLimits states the cases. server/wait holds the one pause that ends with a context (it stood in three packages). Fields that nothing reads are gone: HealthPath and WarmupTime of a service, Reply.Opened, entry.vm.

--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -23,6 +23,7 @@
 	"dandelionhill.dev/api"
 	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/wait"
 )
 
 // Options describes a run.
@@ -306,7 +307,7 @@
 // the store is away.
 func (d *deployment) lapseEntries(ctx context.Context) {
 	seen, at := make(map[string]int64), make(map[string]time.Time)
-	for pause(ctx, heartbeat/2) {
+	for wait.For(ctx, heartbeat/2) {
 		for _, u := range d.upstreams {
 			row := d.store.Row(fleet.TableUpstreams, u.name)
 			if row.Version != seen[u.name] {
@@ -319,7 +320,7 @@
 }
 
 func (d *deployment) watchStalls(ctx context.Context) {
-	for last := monotonic(); pause(ctx, stallTick); last = monotonic() {
+	for last := monotonic(); wait.For(ctx, stallTick); last = monotonic() {
 		if now := monotonic(); now-last > stall {
 			d.mu.Lock()
 			d.stalls = append(d.stalls, span{From: last, To: now})
@@ -328,15 +329,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // configure writes the next configuration: plainPath goes to the next service.
 func (d *deployment) configure() {
 	d.mu.Lock()
@@ -393,7 +385,7 @@
 	checked := make(chan struct{})
 	go func() {
 		defer close(checked)
-		for pause(load, checkEvery) && len(d.history.check(d.conditions())) == 0 {
+		for wait.For(load, checkEvery) && len(d.history.check(d.conditions())) == 0 {
 		}
 	}()
 	begun := time.Now()
@@ -403,17 +395,17 @@
 	var ends sync.WaitGroup
 	for _, each := range d.plan(newRand(d.Seed), d.Length) {
 		report.Plan = append(report.Plan, fmt.Sprintf("%6.2f s for %5.2f s: %s", each.At.Seconds(), each.For.Seconds(), each.Name))
-		if !pause(ctx, each.At-time.Since(begun)) {
+		if !wait.For(ctx, each.At-time.Since(begun)) {
 			break
 		}
 		each.begin()
 		ends.Go(func() {
-			pause(ctx, each.For)
+			wait.For(ctx, each.For)
 			each.end()
 		})
 	}
 	ends.Wait()
-	pause(ctx, calmEnd)
+	wait.For(ctx, calmEnd)
 	report.Found = append(report.Found, d.recovered()...)
 	stopLoad()
 	callers.Wait()
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -49,8 +49,7 @@
 
 // Service describes a group of upstreams.
 type Service struct {
-	Name       api.ServiceName
-	HealthPath string
+	Name api.ServiceName
 	// MaxConnections is what one upstream accepts from all callers together.
 	MaxConnections int
 	// ColdTime is how long an upstream is cold after a start.
@@ -60,8 +59,6 @@
 	// Keyed services are divided by key: an upstream runs a request only while
 	// it holds the request's key.
 	Keyed bool
-	// WarmupTime is how long keys are slow that arrive without a handover.
-	WarmupTime time.Duration
 }
 
 // Limits bound what a caller may send.
--- a/server/entry/forward.go
+++ b/server/entry/forward.go
@@ -11,6 +11,7 @@
 	"dandelionhill.dev/core/retry"
 	"dandelionhill.dev/server/control"
 	"dandelionhill.dev/server/peer"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
@@ -51,7 +52,7 @@
 		case last.reply.Refusal.Outcome == api.NotRun && isHolderKind(last.reply.Refusal.Kind):
 		default:
 			delay, again := e.again(name, f, last.reply, number, deadline)
-			if !again || !sleep(ctx, delay) {
+			if !again || !wait.For(ctx, delay) {
 				return last.reply
 			}
 			continue
@@ -81,7 +82,7 @@
 		askAgain += sameHolderWait
 	}
 	for {
-		if e.cfg.Clock()+holderWait >= until || !sleep(ctx, holderWait) {
+		if e.cfg.Clock()+holderWait >= until || !wait.For(ctx, holderWait) {
 			return false
 		}
 		target, known := e.cfg.Snapshot().Holders[shard]
@@ -91,17 +92,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // again decides whether the entry forwards a refused request once more.
 func (e *Entry) again(name api.ServiceName, f *wire.Forward, reply *wire.Reply, number int, deadline time.Duration) (time.Duration, bool) {
 	e.mu.Lock()
--- a/server/gateway/drain.go
+++ b/server/gateway/drain.go
@@ -2,17 +2,26 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"dandelionhill.dev/core/routing"
+	"dandelionhill.dev/server/wait"
 )
 
-// drainTick is the time between looks at the connections of callers while the VM
-// leaves.
-const drainTick = 20 * time.Millisecond
+const (
+	// drainTick is the time between looks at the connections of callers while the VM
+	// leaves.
+	drainTick = 20 * time.Millisecond
+	// limitEvery is the time between looks for connections that break a limit.
+	limitEvery = 500 * time.Millisecond
+)
 
 // callerConn is a connection of a caller that can be closed while it is idle.
 // http.Server closes connections that it takes for idle although it is just reading
@@ -23,7 +32,9 @@
 
 	mu     sync.Mutex
 	used   bool // bytes of a request have come that is not answered yet
+	active bool // its header has come
 	closed bool
+	since  time.Time // of the present state of used
 }
 
 // errIdleClosed means that the connection was closed between two requests.
@@ -37,7 +48,9 @@
 	if c.closed {
 		return 0, errIdleClosed
 	}
-	c.used = c.used || n > 0
+	if n > 0 && !c.used {
+		c.used, c.since = true, time.Now()
+	}
 	return n, err
 }
 
@@ -74,22 +87,21 @@
 
 // changed is the server's report of the state of a connection.
 func (s *callerConns) changed(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
-		c.mu.Lock()
-		c.used = false
-		c.mu.Unlock()
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active = state == http.StateActive
+	if state == http.StateIdle {
+		c.used, c.since = false, time.Now()
 	}
 }
 
 // closeIdle closes the connections without a request and returns how many are left.
 func (s *callerConns) closeIdle() int {
-	s.mu.Lock()
-	conns := make([]*callerConn, 0, len(s.open))
-	for c := range s.open {
-		conns = append(conns, c)
-	}
-	s.mu.Unlock()
-	for _, c := range conns {
+	for _, c := range s.all() {
 		c.closeIdle()
 	}
 	s.mu.Lock()
@@ -97,6 +109,41 @@
 	return len(s.open)
 }
 
+func (s *callerConns) all() []*callerConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.open))
+}
+
+// limit closes connections that break the limits of a configuration at a time:
+// those that are idle for too long, and those whose header takes too long.
+func (s *callerConns) limit(now time.Time, limits routing.Limits) {
+	for _, c := range s.all() {
+		c.mu.Lock()
+		idle := !c.used && limits.IdleTimeout > 0 && now.Sub(c.since) > limits.IdleTimeout
+		slow := c.used && !c.active && limits.HeaderTimeout > 0 && now.Sub(c.since) > limits.HeaderTimeout
+		c.closed = c.closed || slow
+		c.mu.Unlock()
+		if idle {
+			c.closeIdle()
+		}
+		if slow {
+			if err := c.Close(); err != nil {
+				continue // the caller has closed it
+			}
+		}
+	}
+}
+
+// limitCallers keeps the limits of the configuration in force until ctx ends.
+func (g *Gateway) limitCallers(ctx context.Context) {
+	for wait.For(ctx, limitEvery) {
+		if cfg := g.control.view().config; cfg != nil {
+			g.conns.limit(time.Now(), cfg.Limits)
+		}
+	}
+}
+
 // callerListener accepts connections of callers.
 type callerListener struct {
 	net.Listener
@@ -113,7 +160,7 @@
 	if !ok {
 		return conn, nil
 	}
-	c := &callerConn{TCPConn: tcp, set: l.set}
+	c := &callerConn{TCPConn: tcp, set: l.set, since: time.Now()}
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	if l.set.open == nil {
@@ -127,7 +174,7 @@
 // to the request under way, or at once if there is none.
 func (g *Gateway) drainCallers(ctx context.Context) {
 	for left := g.conns.closeIdle(); left > 0; left = g.conns.closeIdle() {
-		if !sleep(ctx, drainTick) {
+		if !wait.For(ctx, drainTick) {
 			g.log.Warn().Str("event", "requests_cut").Int("connections", left).Msg("")
 			return
 		}
--- a/server/gateway/drain_test.go
+++ b/server/gateway/drain_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/core/routing"
 )
 
 // TestStopWhileReading guards against a stop that cuts a connection from which a
@@ -109,3 +111,37 @@
 	_, err = conn.Read(buffer)
 	require.ErrorIs(t, err, errIdleClosed)
 }
+
+// TestCallerLimits guards against connections that stay open beyond the limits of
+// the configuration, and against the end of one that keeps them.
+func TestCallerLimits(t *testing.T) {
+	limits := routing.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	for name, c := range map[string]struct {
+		used, active bool
+		age          time.Duration
+		left         int
+	}{
+		"idle":                 {age: 15 * time.Second, left: 1},
+		"idle for too long":    {age: 16 * time.Second},
+		"a header that comes":  {used: true, age: 3 * time.Second, left: 1},
+		"a header that stalls": {used: true, age: 4 * time.Second},
+		"a request under way":  {used: true, active: true, age: time.Minute, left: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			set := &callerConns{}
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			defer caller.Close()
+			accepted, err := callerListener{Listener: listener, set: set}.Accept()
+			require.NoError(t, err)
+			defer accepted.Close()
+			conn := accepted.(*callerConn)
+			conn.used, conn.active = c.used, c.active
+			set.limit(conn.since.Add(c.age), limits)
+			require.Len(t, set.all(), c.left)
+		})
+	}
+}
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -15,6 +15,7 @@
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
@@ -96,7 +97,7 @@
 			e.log.Warn().Str("event", "lease_not_read").Err(err).Msg("")
 			if lost = e.followUnread(ctx, known.lease); !isSuccession(lost) {
 				lost = nil
-				sleep(ctx, electionPause)
+				wait.For(ctx, electionPause)
 			}
 			continue
 		}
@@ -114,7 +115,7 @@
 		case election.Follow:
 			lost = e.follow(ctx, known.lease)
 		case election.Wait:
-			sleep(ctx, silencePause)
+			wait.For(ctx, silencePause)
 		}
 	}
 }
@@ -145,7 +146,7 @@
 		if err = e.follow(ctx, moved.to); isSuccession(err) || bootTime()-began > linkSilence {
 			return err
 		}
-		sleep(ctx, movedPause)
+		wait.For(ctx, movedPause)
 	}
 	return nil
 }
@@ -208,7 +209,7 @@
 // campaign takes over unless another VM is faster.
 func (e *elector) campaign(ctx context.Context, state ownState, seen election.Lease) {
 	l := state.lease
-	sleep(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
+	wait.For(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
 	if l.VM != e.self && !seen.Vacant {
 		again, err := e.control.readOwn(ctx)
 		if err != nil || again.lease.version != l.version {
--- a/server/gateway/entry.go
+++ b/server/gateway/entry.go
@@ -64,7 +64,6 @@
 
 // entry answers the requests of callers.
 type entry struct {
-	vm      api.VMID
 	view    func() *view
 	bounds  Bounds
 	metrics *Metrics
@@ -78,9 +77,9 @@
 	start    time.Time
 }
 
-func newEntry(vm api.VMID, bounds Bounds, viewOf func() *view, m *Metrics, s *stats, c *crashes, log zerolog.Logger) *entry {
+func newEntry(bounds Bounds, viewOf func() *view, m *Metrics, s *stats, c *crashes, log zerolog.Logger) *entry {
 	return &entry{
-		vm: vm, view: viewOf, bounds: bounds, metrics: m, log: log, stats: s, crashes: c, start: time.Now(),
+		view: viewOf, bounds: bounds, metrics: m, log: log, stats: s, crashes: c, start: time.Now(),
 		splitter: routing.NewSplitter(), repeats: make(map[api.ServiceName]*turns.Repeats),
 	}
 }
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -9,6 +9,7 @@
 
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
@@ -54,7 +55,7 @@
 		if s.relay != nil && known {
 			if to, ok := s.relay.covered(); ok {
 				version = max(version, to)
-				sleep(ctx, relayCheck)
+				wait.For(ctx, relayCheck)
 				continue
 			}
 		}
@@ -70,7 +71,7 @@
 				s.relay.read(page.Rows, version, !known)
 			}
 			known = true
-			sleep(ctx, s.pause())
+			wait.For(ctx, s.pause())
 		case errors.Is(err, fleet.ErrHistoryGone):
 			c.log.Info().Str("event", "feed_restarted").Str("table", s.table).Int64("after", version).Msg("")
 			known = false
@@ -82,7 +83,7 @@
 				s.relay.lost()
 			}
 			c.log.Warn().Str("event", "store_call_failed").Str("table", s.table).Err(err).Msg("")
-			sleep(ctx, storeRetry)
+			wait.For(ctx, storeRetry)
 		}
 	}
 }
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -12,6 +12,7 @@
 	"dandelionhill.dev/core/turns"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
@@ -233,8 +234,8 @@
 		q.granter = h.Term
 		u := v.upstreams[h.owner(q.asked.Key)]
 		if u != nil && v.usable(u) {
-			wait := e.coldWait(q, v, u, bootTime())
-			if wait == 0 {
+			untilTurn := e.coldWait(q, v, u, bootTime())
+			if untilTurn == 0 {
 				if err := e.enter(ctx, q, u); err != nil {
 					return nil, fullAt(err)
 				}
@@ -242,12 +243,12 @@
 					return u, outcome{}
 				}
 				u.gate.leave(0, unclear)
-				wait = time.Millisecond
+				untilTurn = time.Millisecond
 			}
-			if time.Now().Add(wait).After(waitUntil) {
-				return nil, outcome{reason: cold, status: http.StatusServiceUnavailable, retryAfter: wait}
+			if time.Now().Add(untilTurn).After(waitUntil) {
+				return nil, outcome{reason: cold, status: http.StatusServiceUnavailable, retryAfter: untilTurn}
 			}
-			if !sleep(ctx, wait) {
+			if !wait.For(ctx, untilTurn) {
 				return nil, outcome{reason: cold, status: http.StatusServiceUnavailable}
 			}
 			v = e.view()
@@ -260,17 +261,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // awaitView waits until v is superseded. It reports false if that does not
 // happen within d or before ctx ends.
 func (e *entry) awaitView(ctx context.Context, v *view, d time.Duration) bool {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -19,14 +19,14 @@
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/listen"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
-	// headerTimeout bounds the time to read a request's header.
+	// headerTimeout and idleTimeout bound the time to read a request's header and for
+	// which an idle connection is kept, besides the limits of the configuration.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept. It is above
-	// what configurations state, so that no caller meets the end of a connection.
-	idleTimeout = 60 * time.Second
+	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// leaveRotation is the time from the first refusal of the balancer's question
@@ -67,7 +67,7 @@
 	}
 	g := &Gateway{
 		settings: s, bounds: s.Bounds, log: log, metrics: m, control: c, links: l, ended: make(chan struct{}),
-		entry: newEntry(s.VM, s.Bounds, c.view, m, st, cr, log),
+		entry: newEntry(s.Bounds, c.view, m, st, cr, log),
 		elector: &elector{
 			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
 			control: c, stats: st, links: l, metrics: m, log: log,
@@ -130,6 +130,7 @@
 	go g.control.follow(ctx, source{
 		table: fleet.TableUpstreams, pause: g.entriesPause, apply: g.control.upstreamRows, relay: g.links.relay,
 	})
+	go g.limitCallers(ctx)
 	go func() {
 		defer close(g.ended)
 		g.elector.run(ctx)
@@ -169,7 +170,7 @@
 	g.log.Info().Str("event", "stopping").Int("connections", g.conns.closeIdle()).Msg("")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	sleep(ctx, leaveRotation)
+	wait.For(ctx, leaveRotation)
 	if err := g.listener.Close(); err != nil {
 		g.log.Warn().Str("event", "listener_not_closed").Err(err).Msg("")
 	}
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -10,6 +10,7 @@
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/wait"
 )
 
 // handoverTime bounds the time in which a granter that stops hands over.
@@ -165,7 +166,7 @@
 	serving, stop := context.WithCancel(ctx)
 	defer stop()
 	go func() {
-		for sleep(serving, checkEvery) {
+		for wait.For(serving, checkEvery) {
 			if state, err := e.control.readOwn(serving); err == nil {
 				back <- state
 				g.do(func() { g.deposed = true })
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -9,6 +9,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/wait"
 )
 
 // renew writes what is due: the lease every leaseRenew, owners at once.
@@ -46,7 +47,7 @@
 			return
 		}
 		g.log.Warn().Str("event", "write_failed").Int64("term", next.Term).Int64("seq", next.Seq).Int("services", len(writes)).Err(err).Msg("")
-		if !sleep(ctx, storeRetry/2) {
+		if !wait.For(ctx, storeRetry/2) {
 			return
 		}
 		select {
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -90,8 +90,6 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Opened means that a new connection was opened for the exchange.
-	Opened bool
 }
 
 // Pool keeps the connections to one address.
@@ -277,7 +275,6 @@
 		}
 		return nil, &Error{Sent: true, Err: err}
 	}
-	reply.Opened = opened
 	return reply, nil
 }
 
