control: log the two errors that were dropped

A call for a mirror's content that fails, and a configuration that cannot be encoded for a VM, left no trace: the shard then starts with what the others hold, the VM gets the document with a later message. Both are logged with the peer now. Nothing else changes.

--- a/server/control/configuration.go
+++ b/server/control/configuration.go
@@ -220,7 +220,10 @@
 		c.install(doc, version)
 		for _, vm := range c.cfg.VMs {
 			if vm.ID != c.cfg.Self.ID {
-				_ = c.sendConfig(vm.ID, c.peers[vm.ID].revision)
+				if err := c.sendConfig(vm.ID, c.peers[vm.ID].revision); err != nil {
+					// The VM gets it with a later heartbeat.
+					c.cfg.Log.Error().Err(err).Str("event", "configuration_not_sent").Str("peer", string(vm.ID)).Msg("")
+				}
 			}
 		}
 	})
--- a/server/control/mirror.go
+++ b/server/control/mirror.go
@@ -124,7 +124,10 @@
 		var group sync.WaitGroup
 		for i, vm := range ask {
 			group.Go(func() {
-				_ = c.sender.Call(ctx, vm, wire.TypeMirrorContent, mirrorBatch{Shard: s.id}, &contents[i])
+				if err := c.sender.Call(ctx, vm, wire.TypeMirrorContent, mirrorBatch{Shard: s.id}, &contents[i]); err != nil {
+					// The other VMs may hold the same content.
+					c.cfg.Log.Warn().Err(err).Str("event", "mirror_not_read").Stringer("shard", s.id).Str("peer", string(vm)).Msg("")
+				}
 			})
 		}
 		group.Wait()
