--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/server/wait"
 )
 
 // Target is one service that gets load.
@@ -102,18 +103,11 @@
 }
 
 func sleepUntil(ctx context.Context, due time.Time) bool {
-	wait := time.Until(due)
-	if wait <= 0 {
+	left := time.Until(due)
+	if left <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, left)
 }
 
 func newClient(workers int) *http.Client {
--- a/bench/operators/operators.go
+++ b/bench/operators/operators.go
@@ -18,6 +18,7 @@
 	"dandelionhill.dev/bench/history"
 	"dandelionhill.dev/core/config"
 	"dandelionhill.dev/platform"
+	"dandelionhill.dev/server/wait"
 )
 
 // VM is the admin interface of an entry VM.
@@ -155,12 +156,7 @@
 		r.Limit > 0 && float64(r.now()) >= share*float64(r.Limit)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(max(d, time.Millisecond)):
-	case <-ctx.Done():
-	}
-}
+func sleep(ctx context.Context, d time.Duration) { wait.For(ctx, max(d, time.Millisecond)) }
 
 // operate makes the changes of one operator.
 func (r *run) operate(ctx context.Context, operator int) {
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
@@ -63,10 +64,7 @@
 			key = c.rng.IntN(fleet.Keys)
 		}
 		h.ended(c.send(key))
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
-		}
+		wait.For(ctx, pause/2+rand.N(pause))
 	}
 }
 
--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -60,6 +61,17 @@
 	h.log = append(h.log, e)
 }
 
+// events returns a reader of the lines of an upstream.
+func (h *history) events(upstream, domain string) func(int, []byte) {
+	return func(life int, line []byte) {
+		e := recorded{Upstream: upstream, Domain: domain, Life: life}
+		if err := json.Unmarshal(line, &e.upstreamEvent); err != nil {
+			return // the last line of a process that was killed
+		}
+		h.add(e)
+	}
+}
+
 func (h *history) ended(c call) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -100,8 +112,14 @@
 	events, calls, changes := h.snapshot()
 	var found []string
 	found = append(found, twoOwners(events, c)...)
-	found = append(found, runsOf(events, calls)...)
-	found = append(found, answers(events, calls, c)...)
+	runs := make(map[string]int) // by request ID
+	for _, e := range events {
+		if e.Kind == fakes.EventRun {
+			runs[e.Run.RequestID]++
+		}
+	}
+	found = append(found, untrueOutcomes(runs, calls)...)
+	found = append(found, answers(runs, calls, c)...)
 	found = append(found, configurations(calls, changes, c)...)
 	found = append(found, evacuations(events, calls, changes, c)...)
 	return found
@@ -178,15 +196,9 @@
 	return events
 }
 
-// runsOf finds second runs of requests that may run once, and runs of requests that
+// untrueOutcomes finds second runs of requests that may run once, and runs of requests that
 // were refused as not run.
-func runsOf(events []recorded, calls []call) (found []string) {
-	runs := make(map[string]int)
-	for _, e := range events {
-		if e.Kind == fakes.EventRun {
-			runs[e.Run.RequestID]++
-		}
-	}
+func untrueOutcomes(runs map[string]int, calls []call) (found []string) {
 	for i := range calls {
 		c := &calls[i]
 		if !c.repeatable() && runs[c.ID] > 1 {
@@ -201,13 +213,7 @@
 }
 
 // answers finds requests without an answer, with a late one or with another's.
-func answers(events []recorded, calls []call, c conditions) (found []string) {
-	ran := make(map[string]bool)
-	for _, e := range events {
-		if e.Kind == fakes.EventRun {
-			ran[e.Run.RequestID] = true
-		}
-	}
+func answers(runs map[string]int, calls []call, c conditions) (found []string) {
 	for _, each := range calls {
 		vm := each.VM
 		switch {
@@ -215,7 +221,7 @@
 			found = append(found, fmt.Sprintf("%s got the answer %q", each.ID, each.Body))
 		case overlaps(c.Down[vm], each.Sent, each.Ended+crossing), overlaps(c.Paused[vm], each.Sent-reaction, each.Ended), overlaps(c.Stalls, each.Sent, each.Ended):
 		case each.Err != nil && errors.Is(each.Err, syscall.ECONNREFUSED) && overlaps(c.Stopping[vm], each.Sent, each.Ended+crossing):
-		case each.Err != nil && !ran[each.ID] && each.Ended-each.Sent < crossing && overlaps(c.Stopping[vm], each.Sent, each.Ended+crossing):
+		case each.Err != nil && runs[each.ID] == 0 && each.Ended-each.Sent < crossing && overlaps(c.Stopping[vm], each.Sent, each.Ended+crossing):
 		case each.Err != nil:
 			found = append(found, fmt.Sprintf("%s to %s got no answer after %v: %v", each.ID, vm, each.Ended-each.Sent, each.Err))
 		case each.Ended-each.Sent > requestLimit+answerSlack:
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"io"
 	"os"
 	"os/exec"
@@ -137,18 +136,7 @@
 	}
 }
 
-// events returns a reader of the lines of an upstream.
-func (h *history) events(upstream, domain string) func(int, []byte) {
-	return func(life int, line []byte) {
-		e := recorded{Upstream: upstream, Domain: domain, Life: life}
-		if err := json.Unmarshal(line, &e.upstreamEvent); err != nil {
-			return // the last line of a process that was killed
-		}
-		h.add(e)
-	}
-}
-
-// killGroup ends what is left of the processes at the end of a run.
+// killAll ends what is left of the processes at the end of a run.
 func killAll(all []*process) {
 	for _, p := range all {
 		if p.runs() {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -289,12 +289,7 @@
 func (d *deployment) restart(ctx context.Context, p *process) {
 	for {
 		p.wait()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(restartAfter):
-		}
-		if ctx.Err() != nil {
+		if !wait.For(ctx, restartAfter) || ctx.Err() != nil {
 			return
 		}
 		if err := p.run(); err != nil {
@@ -454,9 +449,6 @@
 		Down: make(map[string][]span), Stopping: make(map[string][]span), Paused: make(map[string][]span),
 		Ended: make(map[string][]span), UpstreamPaused: make(map[string][]span), Away: make(map[string][]span),
 	}
-	d.mu.Lock()
-	c.Begun = d.begun
-	d.mu.Unlock()
 	copyOf := func(s []span) []span { return append([]span(nil), s...) }
 	for _, v := range d.vms {
 		v.mu.Lock()
@@ -473,7 +465,7 @@
 	for _, v := range d.vms {
 		c.Away[v.name] = append(copyOf(d.awayAt[""]), d.awayAt[v.name]...)
 	}
-	c.Stalls = copyOf(d.stalls)
+	c.Stalls, c.Begun = copyOf(d.stalls), d.begun
 	return c
 }
 
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -340,15 +340,21 @@
 		if e.Owner.Upstream == "" {
 			continue
 		}
-		if n := len(table); n > 0 && table[n-1].Owner == e.Owner && table[n-1].Fence == e.Fence && table[n-1].Span.Last+1 == e.Span.First {
-			table[n-1].Span.Last = e.Span.Last
-			continue
-		}
-		table = append(table, e.Entry)
+		table = AppendEntry(table, e.Entry)
 	}
 	return table
 }
 
+// AppendEntry adds an entry and joins it with the last one if they are neighbours
+// with the same owner and fence.
+func AppendEntry(list []Entry, e Entry) []Entry {
+	if n := len(list); n > 0 && list[n-1].Owner == e.Owner && list[n-1].Fence == e.Fence && list[n-1].Span.Last+1 == e.Span.First {
+		list[n-1].Span.Last = e.Span.Last
+		return list
+	}
+	return append(list, e)
+}
+
 // Held returns the spans that their owners are to keep, for another granter that
 // goes on renewing them.
 func (m *Machine) Held() []Entry {
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -23,6 +23,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/admin"
 	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/server/wait"
 )
 
 // ErrUnreachable means that no admin address gave an answer.
@@ -114,14 +115,10 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // Status returns the deployment as one VM sees it.
--- a/server/cmd/dandelionhilld/main.go
+++ b/server/cmd/dandelionhilld/main.go
@@ -16,18 +16,18 @@
 )
 
 func main() {
-	run, args := runDaemon, os.Args[1:]
+	run, check, args := runDaemon, checkDaemon, os.Args[1:]
 	if len(args) > 0 && args[0] == "gateway" {
-		run, args = runGateway, args[1:]
+		run, check, args = runGateway, checkGateway, args[1:]
 	}
 	flags := flag.NewFlagSet("dandelionhilld", flag.ExitOnError)
 	path := flags.String("settings", "/etc/dandelionhill/settings.jsonc", "settings file of this VM")
-	check := flags.Bool("check", false, "check the settings file, print its problems with their lines, and exit")
+	checkOnly := flags.Bool("check", false, "check the settings file, print its problems with their lines, and exit")
 	if err := flags.Parse(args); err != nil {
 		os.Exit(2)
 	}
-	if *check {
-		run = checkOf(len(os.Args) > 1 && os.Args[1] == "gateway")
+	if *checkOnly {
+		run = check
 	}
 	if err := run(*path); err != nil {
 		fmt.Fprintln(os.Stderr, "dandelionhilld:", err)
@@ -35,16 +35,14 @@
 	}
 }
 
-// checkOf returns the check of the settings of a gateway, or of the daemon.
-func checkOf(isGateway bool) func(path string) error {
-	return func(path string) error {
-		if isGateway {
-			_, err := gateway.LoadSettings(path)
-			return err
-		}
-		_, err := settings.Load(path)
-		return err
-	}
+func checkDaemon(path string) error {
+	_, err := settings.Load(path)
+	return err
+}
+
+func checkGateway(path string) error {
+	_, err := gateway.LoadSettings(path)
+	return err
 }
 
 func runDaemon(path string) error {
--- a/server/gateway/callers_test.go
+++ b/server/gateway/callers_test.go
@@ -87,19 +87,26 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
-// TestClosedConnectionReadsNothing guards against a request that is taken from a
-// connection which was closed as idle at the same moment.
-func TestClosedConnectionReadsNothing(t *testing.T) {
+// acceptCaller returns an accepted connection with its set, and the caller's end.
+func acceptCaller(t *testing.T) (*callerConns, *callerConn, net.Conn) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
 	set := &callerConns{}
 	caller, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
-	defer caller.Close()
-	conn, err := callerListener{Listener: listener, set: set}.Accept()
+	t.Cleanup(func() { caller.Close() })
+	accepted, err := callerListener{Listener: listener, set: set}.Accept()
 	require.NoError(t, err)
-	_, err = caller.Write([]byte("GET"))
+	t.Cleanup(func() { accepted.Close() })
+	return set, accepted.(*callerConn), caller
+}
+
+// TestClosedConnectionReadsNothing guards against a request that is taken from a
+// connection which was closed as idle at the same moment.
+func TestClosedConnectionReadsNothing(t *testing.T) {
+	set, conn, caller := acceptCaller(t)
+	_, err := caller.Write([]byte("GET"))
 	require.NoError(t, err)
 	buffer := make([]byte, 2)
 	n, err := conn.Read(buffer)
@@ -128,17 +135,7 @@
 		"a request under way":  {used: true, active: true, age: time.Minute, left: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			set := &callerConns{}
-			caller, err := net.Dial("tcp", listener.Addr().String())
-			require.NoError(t, err)
-			defer caller.Close()
-			accepted, err := callerListener{Listener: listener, set: set}.Accept()
-			require.NoError(t, err)
-			defer accepted.Close()
-			conn := accepted.(*callerConn)
+			set, conn, _ := acceptCaller(t)
 			conn.used, conn.active = c.used, c.active
 			set.limit(conn.since.Add(c.age), limits)
 			require.Len(t, set.all(), c.left)
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -212,6 +212,8 @@
 	open, cancelOpen := context.WithTimeout(ctx, linkOpen)
 	defer cancelOpen()
 	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial}}
+	// A VM that does not grant answers and keeps the connection open.
+	defer client.CloseIdleConnections()
 	conn, resp, err := websocket.Dial(open, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client})
 	if err != nil {
 		if resp != nil && resp.Header.Get(granterHeader) != "" {
--- a/server/gateway/rows.go
+++ b/server/gateway/rows.go
@@ -63,11 +63,7 @@
 func join(entries []ownership.Entry) (out []ownership.Entry) {
 	slices.SortFunc(entries, func(a, b ownership.Entry) int { return cmp.Compare(a.Span.First, b.Span.First) })
 	for _, e := range entries {
-		if n := len(out); n > 0 && out[n-1].Owner == e.Owner && out[n-1].Fence == e.Fence && out[n-1].Span.Last+1 == e.Span.First {
-			out[n-1].Span.Last = e.Span.Last
-			continue
-		}
-		out = append(out, e)
+		out = ownership.AppendEntry(out, e)
 	}
 	return out
 }
