server/peer: TestDrainLosesNoReply waits for each call to start

Cause: the test sent 20 values on release to see that 20 calls ran, but each call took two values from it. Calls that started early could take all of them, and calls not yet sent were refused after the drain. Ruled out: a fault of Drain; the failure was "no connection to the VM" for calls that the test had not seen start. Change: a channel of its own for the start of a call. The checks are the same.

--- a/server/peer/hub_test.go
+++ b/server/peer/hub_test.go
@@ -107,8 +107,8 @@
 // TestDrainLosesNoReply checks that a planned stop breaks no connection before the
 // replies have arrived: the caller could not tell whether its request ran.
 func TestDrainLosesNoReply(t *testing.T) {
-	release := make(chan struct{})
-	far := NewHub(Config{Self: "far", Peers: []Peer{{ID: "near"}}, Log: zerolog.Nop()}, slow{echo{}, release})
+	forwards := slow{started: make(chan struct{}), release: make(chan struct{})}
+	far := NewHub(Config{Self: "far", Peers: []Peer{{ID: "near"}}, Log: zerolog.Nop()}, forwards)
 	hub, _ := start(t, far)
 	require.NoError(t, call(t, hub, wire.TypeStatus, wire.Hello{}))
 	const calls = 20
@@ -117,7 +117,7 @@
 		go func() { results <- hub.Call(t.Context(), "far", wire.TypeForward, wire.Hello{}, new(wire.Hello)) }()
 	}
 	for range calls {
-		release <- struct{}{} // each call is running
+		<-forwards.started // each call is running
 	}
 	drained := make(chan error, 1)
 	go func() { drained <- far.Drain(t.Context()) }()
@@ -133,7 +133,7 @@
 		require.Fail(t, "drained while calls are running", "%v", err)
 	default:
 	}
-	close(release)
+	close(forwards.release)
 	for range calls {
 		require.NoError(t, <-results)
 	}
@@ -144,15 +144,15 @@
 	}
 }
 
-// slow delays the reply to a forward until release is closed.
+// slow reports the start of a forward and delays its reply until release is closed.
 type slow struct {
 	echo
-	release chan struct{}
+	started, release chan struct{}
 }
 
 func (s slow) HandleCall(ctx context.Context, from api.VMID, frame wire.Frame) any {
 	if frame.Type == wire.TypeForward {
-		<-s.release
+		s.started <- struct{}{}
 		<-s.release
 	}
 	return s.echo.HandleCall(ctx, from, frame)
