server/gateway: a pause between failed connections to the granter

Cause: while a VM has promised not to take over, a stale lease means Follow, and run followed again at once after a connection that failed with an error other than ECONNREFUSED. A proxy that accepts and closes connections made it read the store and connect as fast as it could. Ruled out: the other ends of a connection. A successor, an ended process and a stale lease that this VM can renew lead to another step, and keep doing so without a pause. Change: a connection that ended within linkTimeout is followed by granterRetry.

--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -23,7 +23,8 @@
 	electionRetry = 300 * time.Millisecond
 	// maxPeersAsked bounds the VMs that a VM without the store asks for the granter.
 	maxPeersAsked = 3
-	// granterRetry is the interval between reads of the lease while the granter is unreachable.
+	// granterRetry is the interval between reads of the lease, and between connections to
+	// the granter, while connections to it fail.
 	granterRetry = 250 * time.Millisecond
 	// takeoverJitter spreads the takeover attempts of the VMs.
 	takeoverJitter = 150 * time.Millisecond
@@ -115,7 +116,11 @@
 			lost = nil
 			e.campaign(ctx, state, lease)
 		case election.Follow:
+			began := bootTime()
 			lost = e.followGranter(ctx, known.lease)
+			if bootTime()-began < linkTimeout && !endsFollowing(lost) {
+				wait.For(ctx, granterRetry)
+			}
 		case election.Wait:
 			wait.For(ctx, granterRetry)
 		}
@@ -130,6 +135,13 @@
 	return errors.As(lost, &moved) || errors.As(lost, &handed)
 }
 
+// endsFollowing reports whether err says what to do instead of connecting to the same
+// granter again.
+func endsFollowing(err error) bool {
+	var ended *granterEndedError
+	return isSuccession(err) || errors.As(err, &ended) || errors.Is(err, errLeaseStale)
+}
+
 // followSuccessor connects to the granter that the previous one named, or becomes its
 // caretaker; it does not use the store. It returns why that ended, nil if no successor
 // was named or reached.
