server/gateway: a long poll that falls behind other VMs ends

Cause: the response to a long poll of the operators' table was lost. Ruled out: the decoding of the configuration (no configuration_refused), and a dead connection: keep-alive probes pass on one whose response is lost. Change: reports and updates between the VMs carry the version of the newest row of operators. A VM whose poll has not returned it 400 ms later ends the poll, closes idle connections to the store and reads the table. Before: TestLongPollWithoutResponse and TestSilentFeedOfOneVM fail. After: they pass; the latter sees the configuration within a second.

--- /dev/null
+++ b/server/gateway/catchup_test.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/platform/fleet"
+)
+
+// lostFeedStore answers reads of a table, and no long poll.
+type lostFeedStore struct {
+	reads   atomic.Int64
+	version atomic.Int64
+}
+
+func (s *lostFeedStore) RoundTrip(r *http.Request) (*http.Response, error) {
+	if strings.HasSuffix(r.URL.Path, "feed") {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	s.reads.Add(1)
+	version := s.version.Load()
+	body, err := json.Marshal(fleet.Page{Rows: []fleet.Row{{Key: "row", Version: version}}, Version: version})
+	if err != nil {
+		return nil, err
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}, nil
+}
+
+// TestLongPollWithoutResponse guards against a VM that keeps an older configuration because
+// the response to its long poll was lost: it reads the table again once another VM reports a
+// newer row, and only then.
+func TestLongPollWithoutResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lostFeedStore{}
+		store.version.Store(5)
+		c := newControl(fleet.NewStore("store", &http.Client{Transport: store}), NewMetrics(), zerolog.Nop())
+		go c.followTable(t.Context(), source{
+			table: fleet.TableOperator, interval: func() time.Duration { return feedInterval },
+			apply: func([]fleet.Row, bool) {}, monitor: &c.operatorFeed,
+		})
+		time.Sleep(time.Second)
+		require.EqualValues(t, 1, store.reads.Load())
+		c.operatorFeed.reported(5)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 1, store.reads.Load(), "no other VM knows more")
+		store.version.Store(9)
+		c.operatorFeed.reported(9)
+		time.Sleep(maxFeedLag + feedInterval)
+		require.EqualValues(t, 2, store.reads.Load())
+		require.Equal(t, int64(9), c.operatorFeed.newestChange())
+		time.Sleep(time.Second)
+		require.EqualValues(t, 2, store.reads.Load(), "the VM has caught up")
+	})
+}
+
+// TestSilentFeedOfOneVM guards against a configuration that is not in force on a VM to which
+// the store does not return changes, while other VMs have it.
+func TestSilentFeedOfOneVM(t *testing.T) {
+	d := newDeployment(t)
+	address, silence := d.silentFeedStore()
+	a := d.startVM("vm-a")
+	d.eventually(func() bool { return a.links.currentGranter() != nil }, "vm-a is the granter")
+	b := d.startVMAt("vm-b", address)
+	d.eventually(func() bool { return b.control.view().config != nil && b.control.view().rank == 1 }, "vm-b follows vm-a")
+	silence.Store(true)
+	// The poll in flight returns this change; the next one is silent.
+	d.configure(7, "keyed")
+	d.eventually(func() bool { return b.control.view().config.Version == 7 }, "the last change before the silence")
+	d.configure(8, "keyed")
+	d.eventually(func() bool { return b.control.view().config.Version == 8 }, "vm-b learns of the change from vm-a")
+}
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -40,6 +40,8 @@
 	store   *fleet.Store
 	current atomic.Pointer[view]
 	changes chan func(*state)
+	// operatorFeed monitors the feed of the operators' rows.
+	operatorFeed feedMonitor
 }
 
 // state is the state of the control goroutine, from which views are published.
--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -101,6 +101,21 @@
 	return server.Listener.Addr().String(), refuse
 }
 
+// silentFeedStore returns an address of the store for one VM, and a switch that makes the
+// store accept long polls without ever answering them.
+func (d *deployment) silentFeedStore() (address string, silence *atomic.Bool) {
+	silence = new(atomic.Bool)
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if silence.Load() && strings.HasSuffix(r.URL.Path, "feed") {
+			<-r.Context().Done()
+			return
+		}
+		d.store.ServeHTTP(rw, r)
+	}))
+	d.t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), silence
+}
+
 func (d *deployment) startVM(name string) *Gateway { return d.startVMAt(name, d.storeAddr) }
 
 // startVMAt starts a VM with an address of the store and the addresses of other VMs.
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -261,6 +261,7 @@
 // but this VM can, it returns an error so that the granter is replaced; if neither can,
 // this VM promises not to take over.
 func (e *elector) handleUpdate(ctx context.Context, u update) error {
+	e.control.operatorFeed.reported(u.OperatorChange)
 	e.control.submitOwners(u.Owners, u.Rank, u.VMs)
 	if u.Snapshot != nil {
 		e.control.applySnapshot(u.Snapshot)
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -43,6 +43,8 @@
 	interval func() time.Duration
 	// apply gets all rows of the table if full, else the changed ones.
 	apply func(rows []fleet.Row, full bool)
+	// monitor, unless it is nil, ends long polls that fall behind those of other VMs.
+	monitor *feedMonitor
 	// relay, unless it is nil, passes the rows read on to other VMs, or provides the rows
 	// that another VM has read.
 	relay *relay
@@ -59,7 +61,7 @@
 				continue
 			}
 		}
-		page, err := c.readChanges(ctx, s.table, version, known)
+		page, err := c.readChanges(ctx, s, version, known)
 		switch {
 		case err == nil:
 			c.setStoreAvailable(true)
@@ -67,6 +69,9 @@
 				s.apply(page.Rows, !known)
 			}
 			version = max(version, page.Version)
+			if s.monitor != nil {
+				s.monitor.read(page.Rows, page.Version)
+			}
 			if s.relay != nil {
 				s.relay.recordFeed(page.Rows, version, !known)
 			}
@@ -75,6 +80,11 @@
 		case errors.Is(err, fleet.ErrCompacted):
 			c.log.Info().Str("event", "feed_restarted").Str("table", s.table).Int64("after", version).Msg("")
 			known = false
+		case errors.Is(err, errFeedBehind):
+			c.log.Warn().Str("event", "feed_behind").Str("table", s.table).Int64("after", version).Int64("newest", s.monitor.newestChange()).Msg("")
+			// The connections may be as silent as the one of the poll.
+			c.store.CloseIdleConnections()
+			known = false
 		case ctx.Err() != nil:
 			return
 		default:
@@ -89,13 +99,21 @@
 }
 
 // readChanges reads all rows, or waits for those that changed after a version.
-func (c *control) readChanges(ctx context.Context, table string, version int64, known bool) (*fleet.Page, error) {
+func (c *control) readChanges(ctx context.Context, s source, version int64, known bool) (*fleet.Page, error) {
 	if !known {
-		return c.readAll(ctx, table)
+		return c.readAll(ctx, s.table)
 	}
 	ctx, cancel := context.WithTimeout(ctx, feedTimeout+callTimeout)
 	defer cancel()
-	page, err := c.store.WaitForChanges(ctx, table, version, feedTimeout)
+	if s.monitor != nil {
+		pollCtx, done := s.monitor.longPoll(ctx)
+		defer done()
+		ctx = pollCtx
+	}
+	page, err := c.store.WaitForChanges(ctx, s.table, version, feedTimeout)
+	if err != nil && errors.Is(context.Cause(ctx), errFeedBehind) {
+		err = errFeedBehind
+	}
 	c.metrics.recordStoreCall("feed", err)
 	return page, err
 }
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -127,6 +127,7 @@
 	go g.control.run(ctx)
 	go g.control.followTable(ctx, source{
 		table: fleet.TableOperator, interval: func() time.Duration { return feedInterval }, apply: g.control.submitOperatorRows,
+		monitor: &g.control.operatorFeed,
 	})
 	go g.control.followTable(ctx, source{
 		table: fleet.TableUpstreams, interval: g.upstreamFeedInterval, apply: g.control.submitUpstreamRows, relay: g.links.relay,
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -74,6 +74,8 @@
 	Lease *lease `cbor:"7,keyasint,omitempty"`
 	// Snapshot is for a VM without a configuration.
 	Snapshot *stateSnapshot `cbor:"11,keyasint,omitempty"`
+	// OperatorChange is the version of the newest row of operators that any VM has read.
+	OperatorChange int64 `cbor:"13,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
 	Handover *handover `cbor:"12,keyasint,omitempty"`
 
@@ -281,6 +283,7 @@
 		rep := l.stats.takeReport()
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
 		rep.Crashes, rep.RowsTo = l.crashes.snapshot(), l.relay.version()
+		rep.OperatorChange = l.elector.control.operatorFeed.newestChange()
 		if err := send(ctx, conn, rep); err != nil {
 			return err
 		}
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -81,6 +81,7 @@
 
 func (g *granter) handleReport(m *member, r report) {
 	received := bootTime()
+	g.control.operatorFeed.reported(r.OperatorChange)
 	g.do(func() {
 		m.leaving = r.Leaving
 		if r.PromiseMs > 0 {
@@ -97,6 +98,7 @@
 func (g *granter) sendUpdates(now time.Duration) {
 	g.updatesSentAt = now
 	crashes := g.links.crashes.snapshot()
+	change := g.control.operatorFeed.newestChange()
 	peers, lease := []string{g.address}, g.lease
 	for _, r := range g.ranks {
 		if r.address != "" && (r.connected || now-r.leftAt < peerRetention) {
@@ -105,7 +107,7 @@
 	}
 	g.links.setFollowed(lease, peers, false)
 	for m := range g.members {
-		u := update{Rank: g.rankOf(m.vm), VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), Crashes: crashes}
+		u := update{Rank: g.rankOf(m.vm), VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), Crashes: crashes, OperatorChange: change}
 		// A pending update is replaced; the new one includes its content.
 		select {
 		case old := <-m.updates:
