Bytes without end: a limit for every message from outside a VM

Cause: http.ReadResponse reads a head without a limit, and a body could be 64 MB. An upstream in trouble that never ends its head made the heap of a VM grow to 600 to 1,580 MB within two seconds; the smallest VMs have 184 MB. Callers' bodies were read whole without a common bound, and a body that never ended was not bounded in time. Ruled out: closing the body of a response, since Close reads the rest of it. Change: heads with all informational responses, bodies of responses and of requests have limits in the settings (limits.*, with units), and all messages in memory share a budget, an eighth of the VM's memory by default. The connection is closed at the limit, a request that was sent ends as unknown (502), failed_sends_total and send_failed name the reason. Bodies of callers must arrive before the deadline (408). Besides: log_level is checked when the settings are read.

--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -132,8 +132,10 @@
 	}
 	ctx, cancel := context.WithTimeout(q.ctx, timeout)
 	defer cancel()
+	reservation := q.granter.buffers.Reserve()
+	defer reservation.Release()
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
-		Method: call.Method, Target: call.Path, Body: call.Body,
+		Method: call.Method, Target: call.Path, Body: call.Body, Buffers: reservation,
 		// The address may belong to another upstream by now, which must not take these
 		// keys.
 		Header: http.Header{"Content-Type": {"application/json"}, fleet.HeaderExpectedUpstream: {string(u.id)}},
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -13,6 +13,7 @@
 	"dandelionhill.dev/core/ratelimit"
 	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/upstreamconn"
 )
 
 const (
@@ -40,6 +41,8 @@
 	store   *fleet.Store
 	current atomic.Pointer[view]
 	changes chan func(*state)
+	// responseLimits bounds the responses of upstreams.
+	responseLimits upstreamconn.Limits
 	// operatorFeed monitors the feed of the operators' rows.
 	operatorFeed feedMonitor
 }
@@ -268,7 +271,7 @@
 		if u != nil {
 			u.pool.Close()
 		}
-		s.upstreams[id] = newUpstream(reg)
+		s.upstreams[id] = newUpstream(reg, c.responseLimits)
 	} else {
 		u.registration.Store(reg)
 	}
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -15,6 +15,7 @@
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/wait"
 )
 
@@ -48,6 +49,7 @@
 	stats       *trafficStats
 	links       *links
 	metrics     *Metrics
+	buffers     *buffers.Budget
 	log         zerolog.Logger
 
 	mu    sync.Mutex
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -32,7 +32,7 @@
 func newStoreClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: upstreamconn.Dial, DisableCompression: true, IdleConnTimeout: storeIdleTimeout,
-		MaxIdleConnsPerHost: 4,
+		MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -11,6 +11,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/ratelimit"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/upstreamconn"
 	"dandelionhill.dev/server/wait"
 )
@@ -75,6 +76,30 @@
 	}
 }
 
+// sendFailureReason names the cause of a failed send, in the log and in counters.
+func sendFailureReason(ctx context.Context, err error) string {
+	switch {
+	case ctx.Err() != nil:
+		return "request_ended"
+	case errors.Is(err, upstreamconn.ErrConnectionRejected):
+		return "connection_rejected"
+	case notSent(err):
+		return "not_connected"
+	case errors.Is(err, upstreamconn.ErrHeadTooLarge):
+		return "head_too_large"
+	case errors.Is(err, upstreamconn.ErrBodyTooLarge):
+		return "body_too_large"
+	case errors.Is(err, buffers.ErrExhausted):
+		return "buffers_full"
+	case errors.Is(err, upstreamconn.ErrMismatchedResponse):
+		return "mismatched"
+	case errors.Is(err, upstreamconn.ErrInvalidResponse):
+		return "invalid"
+	default:
+		return "connection_broken"
+	}
+}
+
 func notSent(err error) bool {
 	var connErr *upstreamconn.Error
 	return errors.As(err, &connErr) && !connErr.Sent
@@ -294,7 +319,7 @@
 	q.sendDelay = began.Sub(q.arrived)
 	h.crashes.started(q.fingerprint)
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
-		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body,
+		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body, Buffers: q.buffers,
 		CheckNewConn: !q.route.Idempotent,
 		Matches: func(status int, header http.Header) bool {
 			headers = fleet.ParseResponseHeaders(status, header)
@@ -322,14 +347,16 @@
 			q.sends++
 			q.mayHaveRun++
 		}
-		if ctx.Err() == nil {
+		why := sendFailureReason(ctx, err)
+		h.metrics.failedSends.WithLabelValues(string(q.service.Name), why).Inc()
+		if ctx.Err() == nil && !errors.Is(err, buffers.ErrExhausted) {
 			u.recordFailure(now)
 			if u.overloaded(now) || errors.Is(err, upstreamconn.ErrConnectionRejected) {
 				capacity = capacityFull
 			}
 		}
 		h.log.Info().Str("event", "send_failed").Str("request", q.params.RequestID).Str("upstream", string(u.id)).
-			Bool("sent", !notSent(err)).Dur("took_ms", took).Err(err).Msg("")
+			Str("reason", why).Bool("sent", !notSent(err)).Dur("took_ms", took).Err(err).Msg("")
 		return nil, headers, err
 	}
 	q.sends++
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/listen"
 	"dandelionhill.dev/server/wait"
 )
@@ -27,7 +28,8 @@
 	// which an idle connection is kept; the configuration may set lower limits.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes bounds the header of a request.
+	// maxHeaderBytes bounds the header of a request or of a response between VMs or of the
+	// store.
 	maxHeaderBytes = 64 << 10
 	// deregistrationTime is the time from the first failed readiness check until the load
 	// balancer opens no new connections: two checks, a second apart.
@@ -58,7 +60,10 @@
 // New returns an entry VM that is not started.
 func New(s *Settings, m *Metrics, log zerolog.Logger) *Gateway {
 	incarnation := api.Incarnation(uuid.NewString()[:8])
+	limits := s.Limits.withDefaults(s.MemoryMB)
+	budget := buffers.NewBudget(int64(limits.BuffersMB) << 20)
 	c := newControl(fleet.NewStore(s.Store, newStoreClient()), m, log)
+	c.responseLimits = limits.response()
 	st := newTrafficStats()
 	cr := newCrashes()
 	l := &links{
@@ -67,10 +72,10 @@
 	}
 	g := &Gateway{
 		settings: s, bounds: s.Bounds, log: log, metrics: m, control: c, links: l, electionDone: make(chan struct{}),
-		handler: newRequestHandler(s.Bounds, c.view, m, st, cr, log),
+		handler: newRequestHandler(s.Bounds, int64(limits.RequestBodyKB)<<10, budget, c.view, m, st, cr, log),
 		elector: &elector{
 			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
-			control: c, stats: st, links: l, metrics: m, log: log,
+			control: c, stats: st, links: l, metrics: m, buffers: budget, log: log,
 			voter: election.NewVoter(election.DefaultConfig(), bootTime()),
 		},
 	}
@@ -83,7 +88,7 @@
 	metricsRouter := chi.NewRouter()
 	metricsRouter.Handle("/metrics", m.handler())
 	g.callers = &http.Server{
-		Addr: s.Listen.Callers, Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.connState,
+		Addr: s.Listen.Callers, Handler: http.HandlerFunc(g.serveCaller), ConnState: g.conns.connState,
 	}
 	g.servers = []*http.Server{
 		{Addr: s.Listen.Peers, Handler: peers},
@@ -92,7 +97,7 @@
 		g.callers,
 	}
 	for _, server := range g.servers {
-		server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
 	}
 	return g
 }
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -310,3 +312,61 @@
 	}
 	require.LessOrEqual(t, runs, 4)
 }
+
+// TestEndlessResponse guards against an upstream that sends bytes without end and thereby
+// ends the process of a VM or is reported to have refused the request.
+func TestEndlessResponse(t *testing.T) {
+	d := newDeployment(t)
+	endless := d.addUpstream("p1", "plain")
+	g := d.startVM("vm-a")
+	d.requireServed(g, plainPath, -1)
+	endless.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set(fleet.HeaderSignature, "seal")
+		for block := make([]byte, 64<<10); ; {
+			if _, err := rw.Write(block); err != nil {
+				return
+			}
+		}
+	})
+	resp, body := d.do(g, http.MethodPost, plainPath, -1, 2*time.Second)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.Contains(t, body, string(responseLost))
+	endless.SetHandler(nil)
+	d.requireServed(g, plainPath, -1)
+	d.eventually(func() bool { return g.handler.buffers.Left() == int64(100/buffersShare)<<20 }, "the buffers are free again")
+}
+
+// TestEndlessRequests guards against callers whose bodies, sent without end, use up the
+// memory of a VM or hold a request beyond its deadline.
+func TestEndlessRequests(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("p1", "plain")
+	g := d.startVM("vm-a")
+	d.requireServed(g, plainPath, -1)
+	post := func(id, deadlineMs string, body io.Reader) (*http.Response, error) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+g.settings.Listen.Callers+plainPath, body)
+		require.NoError(t, err)
+		req.Host = testHost
+		req.Header.Set(fleet.HeaderRequestID, id)
+		req.Header.Set(fleet.HeaderDeadlineMs, deadlineMs)
+		return http.DefaultTransport.RoundTrip(req)
+	}
+	// The caller may still be sending when the connection is closed.
+	if resp, err := post("endless", "2000", endlessBody{}); err == nil {
+		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+		resp.Body.Close()
+	}
+	silent, stop := io.Pipe()
+	defer stop.Close()
+	resp, err := post("silent", "100", silent)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	resp.Body.Close()
+	d.requireServed(g, plainPath, -1)
+	require.Empty(t, slices.DeleteFunc(d.upstreams["p1"].Runs(), func(r fakes.Run) bool { return r.Body == "body" }))
+}
+
+// endlessBody is a body without end.
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -18,6 +18,7 @@
 	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/core/shardmap"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/buffers"
 )
 
 // reason says why a request was refused or failed, in counters and in the log.
@@ -28,12 +29,14 @@
 	noRoute         reason = "no_route"
 	badRequest      reason = "bad_request"
 	tooLarge        reason = "body_too_large"
-	noOwner         reason = "no_owner"    // no upstream owns the key at present
-	noUpstream      reason = "no_upstream" // the service has no usable upstream
-	busy            reason = "busy"        // the limiter admits no request before the deadline
-	cold            reason = "cold"        // the rate limit of the cold upstream is reached
-	shed            reason = "shed"        // upstreams shed the request
-	unreachable     reason = "unreachable" // no connection to an upstream
+	bodyTimeout     reason = "body_timeout" // the body did not arrive before the deadline
+	noOwner         reason = "no_owner"     // no upstream owns the key at present
+	buffersFull     reason = "buffers_full" // the memory for bodies is used up
+	noUpstream      reason = "no_upstream"  // the service has no usable upstream
+	busy            reason = "busy"         // the limiter admits no request before the deadline
+	cold            reason = "cold"         // the rate limit of the cold upstream is reached
+	shed            reason = "shed"         // upstreams shed the request
+	unreachable     reason = "unreachable"  // no connection to an upstream
 	timeoutUnsent   reason = "timeout_unsent"
 	timeoutSent     reason = "timeout_sent" // sent to an upstream, no response in time
 	responseLost    reason = "answer_lost"  // sent to an upstream, the response was lost
@@ -63,12 +66,15 @@
 
 // requestHandler handles the requests of callers.
 type requestHandler struct {
-	view    func() *view
-	bounds  Bounds
-	metrics *Metrics
-	log     zerolog.Logger
-	stats   *trafficStats
-	crashes *crashes
+	view   func() *view
+	bounds Bounds
+	// maxBodyBytes bounds the body of a request.
+	maxBodyBytes int64
+	buffers      *buffers.Budget
+	metrics      *Metrics
+	log          zerolog.Logger
+	stats        *trafficStats
+	crashes      *crashes
 
 	mu           sync.Mutex
 	splitter     *routing.Splitter
@@ -76,9 +82,9 @@
 	start        time.Time
 }
 
-func newRequestHandler(bounds Bounds, viewOf func() *view, m *Metrics, s *trafficStats, c *crashes, log zerolog.Logger) *requestHandler {
+func newRequestHandler(bounds Bounds, maxBodyBytes int64, budget *buffers.Budget, viewOf func() *view, m *Metrics, s *trafficStats, c *crashes, log zerolog.Logger) *requestHandler {
 	return &requestHandler{
-		view: viewOf, bounds: bounds, metrics: m, log: log, stats: s, crashes: c, start: time.Now(),
+		view: viewOf, bounds: bounds, maxBodyBytes: maxBodyBytes, buffers: budget, metrics: m, log: log, stats: s, crashes: c, start: time.Now(),
 		splitter: routing.NewSplitter(), retryBudgets: make(map[api.ServiceName]*ratelimit.RetryBudget),
 	}
 }
@@ -93,6 +99,8 @@
 	http     *http.Request
 	header   http.Header
 	body     []byte
+	// buffers holds the memory of the body and of responses.
+	buffers *buffers.Reservation
 	// sends counts the sends that may have reached an upstream, mayHaveRun those after
 	// which the request may have run.
 	sends, mayHaveRun int
@@ -113,7 +121,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *requestHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{arrived: time.Now(), params: fleet.ParseRequestHeaders(r.Header), http: r}
+	q := &request{arrived: time.Now(), params: fleet.ParseRequestHeaders(r.Header), http: r, buffers: h.buffers.Reserve()}
+	defer q.buffers.Release()
 	v := h.view()
 	if v.config == nil {
 		h.refuse(w, q, outcome{reason: noConfiguration, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
@@ -123,10 +132,6 @@
 		h.refuse(w, q, outcome{reason: noRoute, status: http.StatusNotFound})
 		return
 	}
-	if failure := h.readBody(q, v.config.Limits, w); failure.status != 0 {
-		h.refuse(w, q, failure)
-		return
-	}
 	timeout := defaultTimeout
 	if q.params.Timeout > 0 {
 		timeout = q.params.Timeout
@@ -135,6 +140,10 @@
 		timeout = min(timeout, q.route.Timeout-responseMargin)
 	}
 	q.deadline = q.arrived.Add(timeout)
+	if failure := h.readBody(q, v.config.Limits, w); failure.status != 0 {
+		h.refuse(w, q, failure)
+		return
+	}
 	name := h.pickService(q.route)
 	q.service = v.config.Services[name]
 	if q.service == nil {
@@ -210,15 +219,30 @@
 	if q.http.ContentLength == 0 {
 		return outcome{}
 	}
-	reader := io.Reader(q.http.Body)
+	limit := h.maxBodyBytes
 	if limits.BodyBytes > 0 {
-		reader = http.MaxBytesReader(w, q.http.Body, limits.BodyBytes)
+		limit = min(limit, limits.BodyBytes)
+	}
+	stream := http.NewResponseController(w)
+	if err := stream.SetReadDeadline(q.deadline); err != nil {
+		h.log.Error().Str("event", "read_deadline_not_set").Err(err).Msg("")
+	}
+	// The server closes the connection of a body that MaxBytesReader has cut.
+	body, err := q.buffers.ReadAll(http.MaxBytesReader(w, q.http.Body, limit), limit)
+	if err == nil {
+		// A deadline in the past would end the request while it is forwarded.
+		err = stream.SetReadDeadline(time.Time{})
 	}
-	body, err := io.ReadAll(reader)
 	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return outcome{reason: bodyTimeout, status: http.StatusRequestTimeout, err: err}
+	case errors.As(err, &large), errors.Is(err, buffers.ErrTooLarge):
 		return outcome{reason: tooLarge, status: http.StatusRequestEntityTooLarge, err: err}
+	case errors.Is(err, buffers.ErrExhausted):
+		w.Header().Set("Connection", "close")
+		return outcome{reason: buffersFull, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter, err: err}
 	case err != nil:
 		return outcome{reason: callerLeft, status: http.StatusBadRequest, err: err}
 	}
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -216,7 +216,7 @@
 	defer cancel(nil)
 	dialCtx, cancelDial := context.WithTimeout(ctx, linkDialTimeout)
 	defer cancelDial()
-	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial}}
+	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}
 	// A VM that is not the granter responds and keeps the connection open.
 	defer client.CloseIdleConnections()
 	conn, resp, err := websocket.Dial(dialCtx, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client})
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"cmp"
 	"net"
 	"os"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/config/strict"
+	"dandelionhill.dev/server/upstreamconn"
 )
 
 // Settings holds the settings that an entry VM needs before it reads the store.
@@ -29,6 +32,8 @@
 	Bounds Bounds `json:"bounds"`
 	// MemoryMB is the memory of the VM in megabytes.
 	MemoryMB int `json:"memory_mb"`
+	// Limits bounds the messages that the VM holds in memory.
+	Limits Limits `json:"limits,omitempty"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -58,6 +63,44 @@
 	RetryAllowance float64         `json:"repeat_slack"`
 }
 
+// Limits bounds the messages that the VM holds in memory. A limit of 0 is the default.
+type Limits struct {
+	// ResponseHeadKB bounds the head of an upstream's response, with all informational
+	// responses before it, in units of 1,024 bytes; 64 by default.
+	ResponseHeadKB int `json:"response_head_kb,omitempty"`
+	// ResponseBodyKB bounds the body of an upstream's response, in units of 1,024 bytes;
+	// 8,192 by default.
+	ResponseBodyKB int `json:"response_body_kb,omitempty"`
+	// RequestBodyKB bounds the body of a caller's request, in units of 1,024 bytes; 8,192 by
+	// default. The configuration may set a lower limit.
+	RequestBodyKB int `json:"request_body_kb,omitempty"`
+	// BuffersMB bounds the memory of all messages together, in megabytes; an eighth of
+	// MemoryMB by default.
+	BuffersMB int `json:"buffers_mb,omitempty"`
+}
+
+// Defaults of Limits.
+const (
+	defaultResponseHeadKB = 64
+	defaultBodyKB         = 8 << 10
+	// buffersShare is the part of the VM's memory that buffers use by default, as 1/n.
+	buffersShare = 8
+)
+
+// withDefaults returns the limits of a VM with some memory.
+func (l Limits) withDefaults(memoryMB int) Limits {
+	l.ResponseHeadKB = cmp.Or(l.ResponseHeadKB, defaultResponseHeadKB)
+	l.ResponseBodyKB = cmp.Or(l.ResponseBodyKB, defaultBodyKB)
+	l.RequestBodyKB = cmp.Or(l.RequestBodyKB, defaultBodyKB)
+	l.BuffersMB = cmp.Or(l.BuffersMB, max(memoryMB/buffersShare, 1))
+	return l
+}
+
+// response returns the limits of an upstream's response.
+func (l Limits) response() upstreamconn.Limits {
+	return upstreamconn.Limits{Head: int64(l.ResponseHeadKB) << 10, Body: int64(l.ResponseBodyKB) << 10}
+}
+
 // LoadSettings reads and validates a settings file, JSON with comments. The error names
 // each problem with its line.
 func LoadSettings(path string) (*Settings, error) {
@@ -91,6 +134,20 @@
 			c.Add(field, "write a time above 0s", "%s is out of range", value)
 		}
 	}
+	for field, value := range map[string]int{
+		"limits.response_head_kb": s.Limits.ResponseHeadKB, "limits.response_body_kb": s.Limits.ResponseBodyKB,
+		"limits.request_body_kb": s.Limits.RequestBodyKB, "limits.buffers_mb": s.Limits.BuffersMB,
+	} {
+		if value < 0 {
+			c.Add(field, "write a limit above 0, or leave it out for the default", "%d is out of range", value)
+		}
+	}
+	if s.Limits.BuffersMB > s.MemoryMB {
+		c.Add("limits.buffers_mb", "write less than memory_mb", "%d MB exceeds the memory of the VM", s.Limits.BuffersMB)
+	}
+	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
+		c.Add("log_level", "write debug, info, warn or error", "%q is no log level", s.LogLevel)
+	}
 	if _, _, err := net.SplitHostPort(s.Listen.Peers); err != nil && s.Listen.Peers != "" {
 		c.Add("listen.peers", "write IP:port", "%q has no port", s.Listen.Peers)
 	}
--- a/server/gateway/status.go
+++ b/server/gateway/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -176,5 +177,5 @@
 		return nil, errors.Errorf("%s responded with %s: give the address for other VMs", address, resp.Status)
 	}
 	var s Status
-	return &s, errors.Wrap(json.NewDecoder(resp.Body).Decode(&s), "read the status of a VM")
+	return &s, errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxFrameBytes)).Decode(&s), "read the status of a VM")
 }
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// maxResponseBytes bounds a response that is held in memory.
-	maxResponseBytes = 64 << 20
 	// loadAge is how long a reported load is used.
 	loadAge = 300 * time.Millisecond
 	// avoidAfterFailure is how long other upstreams are preferred after a failure.
@@ -42,8 +40,8 @@
 	coldSlot    int64 // last time slot of the shared clock in which a request was sent
 }
 
-func newUpstream(reg *registration) *upstream {
-	u := &upstream{id: reg.ID, pool: upstreamconn.New(reg.Address, maxResponseBytes), coldSlot: -1}
+func newUpstream(reg *registration, limits upstreamconn.Limits) *upstream {
+	u := &upstream{id: reg.ID, pool: upstreamconn.New(reg.Address, limits), coldSlot: -1}
 	u.limit.Store(1)
 	u.limiter = newLimiter(&u.limit)
 	u.registration.Store(reg)
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -1,6 +1,7 @@
 // Package upstreamconn exchanges HTTP/1.1 requests and responses with one upstream over
 // pooled connections. It reports whether a request may have reached the upstream, matches
-// each response with its request, and closes connections whose state is uncertain.
+// each response with its request, and closes connections whose state is uncertain. The
+// bytes that it reads for a response are bounded.
 package upstreamconn
 
 import (
@@ -18,6 +19,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"dandelionhill.dev/server/buffers"
 )
 
 const (
@@ -51,6 +54,11 @@
 	ErrMismatchedResponse = errors.New("the upstream responded to other requests on this connection: the outcome is unknown")
 	// ErrInvalidResponse means that the response is incomplete, too large or not acceptable.
 	ErrInvalidResponse = errors.New("the upstream's response is invalid: the outcome is unknown")
+	// ErrHeadTooLarge means that the head of a response, with all informational responses
+	// before it, exceeds its limit.
+	ErrHeadTooLarge = errors.New("the head of the upstream's response exceeds its limit: the outcome is unknown")
+	// ErrBodyTooLarge means that the body of a response exceeds its limit.
+	ErrBodyTooLarge = errors.New("the body of the upstream's response exceeds its limit: the outcome is unknown")
 	// ErrConnectionRejected means that the upstream closed a new connection at once.
 	ErrConnectionRejected = errors.New("the upstream accepts no more connections: use another one or retry later")
 )
@@ -81,6 +89,8 @@
 	// CheckNewConn waits for newConnWait on a new connection before the request is sent:
 	// an upstream with too many connections resets it, and the request has not run.
 	CheckNewConn bool
+	// Buffers bounds the memory of the response together with other responses.
+	Buffers *buffers.Reservation
 	// Matches reports whether a response belongs to this request; nil accepts all.
 	Matches func(status int, header http.Header) bool
 }
@@ -92,10 +102,20 @@
 	Body   []byte
 }
 
+// Limits bounds a response, in bytes.
+type Limits struct {
+	// Head bounds the head with all informational responses before it, Body the body.
+	Head, Body int64
+}
+
+// bodyOverhead is the number of bytes on the wire for each byte of the largest body: a
+// chunked body has additional bytes for each chunk.
+const bodyOverhead = 2
+
 // Pool keeps connections to one address.
 type Pool struct {
 	address string
-	maxBody int64
+	limits  Limits
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -103,12 +123,38 @@
 }
 
 // New returns a Pool without connections.
-func New(address string, maxBody int64) *Pool { return &Pool{address: address, maxBody: maxBody} }
+func New(address string, limits Limits) *Pool { return &Pool{address: address, limits: limits} }
 
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
-	expires time.Time // while idle
+	bounded *boundedReader
+	reader  *bufio.Reader // of bounded
+	expires time.Time     // while idle
+}
+
+// boundedReader fails after a number of bytes.
+type boundedReader struct {
+	source io.Reader
+	left   int64
+	// err is the error after the last byte; exceeded means that it was returned.
+	err      error
+	exceeded bool
+}
+
+// allow permits a number of bytes from now on, and sets the error after them.
+func (r *boundedReader) allow(bytes int64, err error) {
+	r.left, r.err, r.exceeded = bytes, err, false
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		r.exceeded = true
+		return 0, r.err
+	}
+	n, err := r.source.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
 }
 
 // Close closes the idle connections; those in use are closed when their exchange ends.
@@ -235,7 +281,8 @@
 	if err != nil {
 		return nil, &Error{Err: errors.Wrap(err, "connect to the upstream"), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, 4<<10)}, nil
+	bounded := &boundedReader{source: c}
+	return &conn{Conn: c, bounded: bounded, reader: bufio.NewReaderSize(bounded, 4<<10)}, nil
 }
 
 // Do sends a request and returns the complete response. The error is an *Error. The
@@ -295,7 +342,7 @@
 		}()
 	}
 	for range maxMismatched {
-		resp, idle, err := p.readResponse(c, req.Method)
+		resp, idle, err := p.readResponse(c, req)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -339,23 +386,29 @@
 	return head
 }
 
-func (p *Pool) readResponse(c *conn, method string) (*Response, time.Duration, error) {
+func (p *Pool) readResponse(c *conn, req *Request) (*Response, time.Duration, error) {
+	c.bounded.allow(p.limits.Head, ErrHeadTooLarge)
 	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		if c.bounded.exceeded {
+			// The parser may have failed on the line that was cut.
+			err = ErrHeadTooLarge
+		}
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "read the upstream's response")
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, p.maxBody+1))
-		resp.Body.Close()
+		c.bounded.allow(bodyOverhead*p.limits.Body, ErrBodyTooLarge)
+		body, err := req.Buffers.ReadAll(resp.Body, p.limits.Body)
+		if errors.Is(err, buffers.ErrTooLarge) {
+			err = ErrBodyTooLarge
+		}
 		if err != nil {
+			// Closing the body would read the rest of it.
 			return nil, 0, errors.Wrap(err, "read the body of the upstream's response")
 		}
-		if int64(len(body)) > p.maxBody {
-			return nil, 0, errors.Wrap(ErrInvalidResponse, "the body is larger than the limit")
-		}
 		idle := idleTimeout(resp)
 		if c.reader.Buffered() > 0 {
 			idle = 0
