A late second copy of a response reaches no other request

Report of other operators: a server sent a second copy of an answer, late, on a connection in use again. It could happen here in three ways, by reading: - a refusal without an ID was taken for the response to any request; a copy of a 421 to a grant on the shared connection would report a request that runs as not run; - a request that was refused and sent again on the same connection matched a copy of its first refusal; - a copy of the response to a grant, which has no ID, was taken for the response to a release, whose work may still run. Ruled out: copies that arrive while a connection is idle, which close it. Change: responses to requests must carry their ID; a request is not sent twice on one connection; releases and first grants use connections of their own. Renewals share connections: a copy makes a lease count longer only.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -127,6 +127,8 @@
 	Owner    Owner
 	Fence    int64
 	LeaseTTL time.Duration
+	// Renewal means that the owner has confirmed a Grant of the same keys and fence.
+	Renewal  bool
 	Handover string
 	Entries  []Entry
 }
@@ -428,7 +430,7 @@
 		}
 		e.grantSent, e.granting, e.grantSentAt = true, true, now
 		actions = append(actions, Action{
-			Kind: Grant, Span: e.Span, Owner: e.Owner, Fence: e.Fence, LeaseTTL: m.cfg.LeaseTTL, Handover: e.handover,
+			Kind: Grant, Span: e.Span, Owner: e.Owner, Fence: e.Fence, LeaseTTL: m.cfg.LeaseTTL, Renewal: e.acked, Handover: e.handover,
 		})
 	}
 	return actions
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -139,6 +139,9 @@
 		// The address may belong to another upstream by now, which must not take these
 		// keys.
 		Header: http.Header{"Content-Type": {"application/json"}, fleet.HeaderExpectedUpstream: {string(u.id)}},
+		// Responses to calls carry no ID. A late copy of one does no harm to the renewal of a
+		// lease: it is taken to run longer than it does.
+		OwnConn: a.Kind == ownership.Release || !a.Renewal,
 		// Responses with a request ID belong to forwarded requests.
 		Matches: func(_ int, header http.Header) bool { return fleet.ParseResponseHeaders(0, header).RequestID == "" },
 	})
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -319,11 +319,11 @@
 	q.sendDelay = began.Sub(q.arrived)
 	h.crashes.started(q.fingerprint)
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
-		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body, Buffers: q.buffers,
+		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body, Buffers: q.buffers, Earlier: &q.connections,
 		CheckNewConn: !q.route.Idempotent,
 		Matches: func(status int, header http.Header) bool {
 			headers = fleet.ParseResponseHeaders(status, header)
-			return headers.RequestID == q.params.RequestID || headers.RequestID == "" && headers.NotRun
+			return headers.RequestID == q.params.RequestID
 		},
 	})
 	now := time.Now()
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -370,3 +370,19 @@
 type endlessBody struct{}
 
 func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestRefusalWithoutID guards against a refusal that belongs to another request or call and
+// is taken for the response to a request that runs.
+func TestRefusalWithoutID(t *testing.T) {
+	d := newDeployment(t)
+	k1 := d.addUpstream("k1", "keyed")
+	g := d.startVM("vm-a")
+	d.requireServed(g, keyedPath, 1)
+	k1.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Del(fleet.HeaderRequestID)
+		rw.Header().Set(fleet.HeaderNotRun, "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	})
+	resp, body := d.do(g, http.MethodPost, keyedPath, 1, 300*time.Millisecond)
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode, body)
+}
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -19,6 +19,7 @@
 	"dandelionhill.dev/core/shardmap"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/buffers"
+	"dandelionhill.dev/server/upstreamconn"
 )
 
 // reason says why a request was refused or failed, in counters and in the log.
@@ -99,6 +100,8 @@
 	http     *http.Request
 	header   http.Header
 	body     []byte
+	// connections are those on which the request was sent.
+	connections upstreamconn.Connections
 	// buffers holds the memory of the body and of responses.
 	buffers *buffers.Reservation
 	// sends counts the sends that may have reached an upstream, mayHaveRun those after
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -89,6 +90,12 @@
 	// CheckNewConn waits for newConnWait on a new connection before the request is sent:
 	// an upstream with too many connections resets it, and the request has not run.
 	CheckNewConn bool
+	// OwnConn sends the request on a new connection, which is closed afterwards. A response
+	// that cannot be matched with its request may be a late copy of an earlier one.
+	OwnConn bool
+	// Earlier holds the connections on which this request was sent before. They are not used
+	// again: a late copy of the earlier response would match. nil if it is sent once.
+	Earlier *Connections
 	// Buffers bounds the memory of the response together with other responses.
 	Buffers *buffers.Reservation
 	// Matches reports whether a response belongs to this request; nil accepts all.
@@ -102,6 +109,17 @@
 	Body   []byte
 }
 
+// Connections is the set of connections on which a request was sent.
+type Connections struct{ conns []*conn }
+
+func (s *Connections) add(c *conn) {
+	if s != nil {
+		s.conns = append(s.conns, c)
+	}
+}
+
+func (s *Connections) contains(c *conn) bool { return s != nil && slices.Contains(s.conns, c) }
+
 // Limits bounds a response, in bytes.
 type Limits struct {
 	// Head bounds the head with all informational responses before it, Body the body.
@@ -184,13 +202,17 @@
 	p.idle = kept
 }
 
-func (p *Pool) get() *conn {
+// get returns an idle connection that is not one of the given, nil if there is none.
+func (p *Pool) get(except *Connections) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for n := len(p.idle); n > 0; n = len(p.idle) {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		c := p.idle[n]
+		if except.contains(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, n, n+1)
 		if now.Before(c.expires) && c.usable() {
 			return c
 		}
@@ -291,7 +313,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: err}
 	}
-	c, opened := p.get(), false
+	var c *conn
+	opened := false
+	if !req.OwnConn {
+		c = p.get(req.Earlier)
+	}
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
@@ -306,12 +332,13 @@
 			return nil, &Error{Err: ErrConnectionRejected}
 		}
 	}
+	req.Earlier.add(c)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	resp, idle, err := p.exchange(c, req)
 	if !stop() {
 		idle = 0
 	}
-	if err == nil && idle > 0 {
+	if err == nil && idle > 0 && !req.OwnConn {
 		p.put(c, idle)
 	} else {
 		c.abort(err)
