--- a/server/gateway/callers.go
+++ b/server/gateway/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/server/wait"
@@ -21,6 +22,13 @@
 	drainCheckInterval = 20 * time.Millisecond
 	// limitCheckInterval is the interval between checks for connections that exceed a limit.
 	limitCheckInterval = 500 * time.Millisecond
+	// firstRequestWait is how long a new connection is kept for its first request while the
+	// VM drains.
+	firstRequestWait = time.Second
+	// acceptQuiet is the time without a new connection after which a draining VM stops
+	// listening, maxAcceptQuiet the longest wait for it.
+	acceptQuiet    = 100 * time.Millisecond
+	maxAcceptQuiet = 500 * time.Millisecond
 )
 
 // callerConn is a connection of a caller that can be closed while it is idle. http.Server
@@ -33,6 +41,7 @@
 	mu         sync.Mutex
 	inRequest  bool // bytes of a request have arrived that has no response yet
 	headerRead bool // the header of that request has arrived
+	used       bool // a request has arrived
 	closed     bool
 	since      time.Time // when inRequest last changed
 }
@@ -49,7 +58,7 @@
 		return 0, errIdleClosed
 	}
 	if n > 0 && !c.inRequest {
-		c.inRequest, c.since = true, time.Now()
+		c.inRequest, c.used, c.since = true, true, time.Now()
 	}
 	return n, err
 }
@@ -60,10 +69,12 @@
 	return errors.Wrap(c.TCPConn.Close(), "close the connection of a caller")
 }
 
-// closeIdle closes the connection unless a request has begun to arrive.
-func (c *callerConn) closeIdle() {
+// closeIdle closes the connection unless a request has begun to arrive. A new connection
+// stays open for firstWait, until its first request has arrived.
+func (c *callerConn) closeIdle(firstWait time.Duration) {
 	c.mu.Lock()
-	c.closed = !c.inRequest
+	awaitsFirst := !c.used && time.Since(c.since) < firstWait
+	c.closed = !c.inRequest && !awaitsFirst && !c.hasUnread()
 	closed := c.closed
 	c.mu.Unlock()
 	if closed {
@@ -73,10 +84,38 @@
 	}
 }
 
+// hasUnread reports whether bytes have arrived that were not read.
+func (c *callerConn) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false // the connection is closed
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // callerConns holds the open connections of callers.
 type callerConns struct {
 	mu   sync.Mutex
 	open map[*callerConn]bool
+	// acceptedAt is when a connection was last accepted.
+	acceptedAt time.Time
+}
+
+// awaitQuiet waits until no connection has been accepted for acceptQuiet.
+func (s *callerConns) awaitQuiet(ctx context.Context) {
+	for end := time.Now().Add(maxAcceptQuiet); time.Now().Before(end); {
+		s.mu.Lock()
+		quiet := time.Since(s.acceptedAt)
+		s.mu.Unlock()
+		if quiet >= acceptQuiet || !wait.For(ctx, acceptQuiet-quiet) {
+			return
+		}
+	}
 }
 
 func (s *callerConns) remove(c *callerConn) {
@@ -102,7 +141,7 @@
 // closeIdle closes the connections without a request and returns how many are left.
 func (s *callerConns) closeIdle() int {
 	for _, c := range s.all() {
-		c.closeIdle()
+		c.closeIdle(firstRequestWait)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,7 +164,7 @@
 		c.closed = c.closed || slow
 		c.mu.Unlock()
 		if idle {
-			c.closeIdle()
+			c.closeIdle(0)
 		}
 		if slow {
 			if err := c.Close(); err != nil {
@@ -167,6 +206,7 @@
 		l.conns.open = make(map[*callerConn]bool)
 	}
 	l.conns.open[c] = true
+	l.conns.acceptedAt = time.Now()
 	return c, nil
 }
 
--- a/server/gateway/callers_test.go
+++ b/server/gateway/callers_test.go
@@ -106,7 +106,7 @@
 // connection that is being closed as idle.
 func TestClosedConnectionReadsNothing(t *testing.T) {
 	conns, conn, caller := acceptCaller(t)
-	_, err := caller.Write([]byte("GET"))
+	_, err := caller.Write([]byte("GE"))
 	require.NoError(t, err)
 	buffer := make([]byte, 2)
 	n, err := conn.Read(buffer)
@@ -142,3 +142,55 @@
 		})
 	}
 }
+
+// TestStopAfterAccept guards against a stop that closes a connection that was just accepted,
+// or whose request has arrived but was not read: the caller gets no answer.
+func TestStopAfterAccept(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("p1", "plain")
+	g := d.startVM("vm-a")
+	d.requireServed(g, plainPath, -1)
+	dial := func() net.Conn {
+		before := len(g.conns.all())
+		conn, err := net.Dial("tcp", g.settings.Listen.Callers)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		require.NoError(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+		d.eventually(func() bool { return len(g.conns.all()) > before }, "the connection is accepted")
+		return conn
+	}
+	request := func(conn net.Conn) *http.Response {
+		_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", plainPath, testHost)
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err, "the request gets a response")
+		require.NoError(t, resp.Body.Close())
+		require.True(t, resp.Close, "the connection closes after the response")
+		return resp
+	}
+	accepted := dial()
+	g.draining.Store(true)
+	g.conns.closeIdle()
+	require.Equal(t, http.StatusOK, request(accepted).StatusCode)
+
+	late := dial()
+	g.handler.stopping.Store(true)
+	resp := request(late)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// TestUnreadRequestKeepsConnection guards against closing a connection as idle while the
+// bytes of a request wait to be read.
+func TestUnreadRequestKeepsConnection(t *testing.T) {
+	conns, conn, caller := acceptCaller(t)
+	conn.used = true
+	_, err := caller.Write([]byte("GET"))
+	require.NoError(t, err)
+	require.Eventually(t, conn.hasUnread, waitTimeout, time.Millisecond)
+	require.Equal(t, 1, conns.closeIdle())
+	_, err = conn.Read(make([]byte, 3))
+	require.NoError(t, err)
+	conns.connState(conn, http.StateIdle)
+	require.Zero(t, conns.closeIdle())
+}
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -85,7 +85,7 @@
 		queue.pending = queue.pending[1:]
 		queue.running++
 		go func() {
-			run()
+			guard{q.granter.metrics, q.log}.run("call", run)
 			q.mu.Lock()
 			defer q.mu.Unlock()
 			queue.running--
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -30,17 +30,21 @@
 	connectionShare = 0.85
 	// initialVMs is the number of VMs that is assumed until a granter reports it.
 	initialVMs = 16
+	// rankTTL is how long a rank is valid after an update from the granter. It ends before the
+	// granter, which may have sent the update earlier, gives the rank to another VM.
+	rankTTL = rankRetention - 2*linkTimeout
 	// idleCheckInterval is the interval between checks for expired idle connections.
 	idleCheckInterval = time.Second
 )
 
 // control owns the state of the VM. All changes run on its goroutine.
 type control struct {
-	log     zerolog.Logger
-	metrics *Metrics
-	store   *fleet.Store
-	current atomic.Pointer[view]
-	changes chan func(*state)
+	log       zerolog.Logger
+	metrics   *Metrics
+	store     *fleet.Store
+	current   atomic.Pointer[view]
+	changes   chan func(*state)
+	rankUntil atomic.Int64 // see view.rankUntil
 	// responseLimits bounds the responses of upstreams.
 	responseLimits upstreamconn.Limits
 	// operatorFeed monitors the feed of the operators' rows.
@@ -64,7 +68,7 @@
 
 func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
 	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256)}
-	c.current.Store(&view{rank: -1, vms: initialVMs, superseded: make(chan struct{})})
+	c.current.Store(&view{rank: -1, vms: initialVMs, rankUntil: &c.rankUntil, superseded: make(chan struct{})})
 	return c
 }
 
@@ -78,22 +82,24 @@
 	s := &state{
 		view: view{
 			upstreams: make(map[api.UpstreamID]*upstream), domainsOut: make(map[api.FailureDomain]bool),
-			owners: make(map[api.ServiceName]ownerTable), rank: -1, vms: initialVMs,
+			owners: make(map[api.ServiceName]ownerTable), rank: -1, vms: initialVMs, rankUntil: &c.rankUntil,
 		},
 		operatorRowByKey: make(map[string]fleet.Row),
 		rowVersions:      make(map[api.UpstreamID]int64), removedAt: make(map[api.UpstreamID]time.Time),
 		pendingRemovals: make(map[api.UpstreamID]time.Time),
 	}
+	guard := guard{c.metrics, c.log}
+	apply := func(change func(*state)) { guard.run("control", func() { change(s) }) }
 	sweep := time.NewTicker(idleCheckInterval)
 	defer sweep.Stop()
 	for {
 		select {
 		case change := <-c.changes:
-			change(s)
+			apply(change)
 			for drained := false; !drained; {
 				select {
 				case change := <-c.changes:
-					change(s)
+					apply(change)
 				default:
 					drained = true
 				}
@@ -177,10 +183,10 @@
 	})
 }
 
-// submitOperatorRows applies rows written by operators. full means that rows holds the
+// submitOperatorRows applies rows written by operators. full means that the page holds the
 // whole table.
-func (c *control) submitOperatorRows(rows []fleet.Row, full bool) {
-	c.do(func(s *state) { c.applyOperatorRows(s, rows, full) })
+func (c *control) submitOperatorRows(page *fleet.Page, full bool) {
+	c.do(func(s *state) { c.applyOperatorRows(s, page.Rows, full) })
 }
 
 func (c *control) applyOperatorRows(s *state, rows []fleet.Row, full bool) {
@@ -225,15 +231,15 @@
 		Int("routes", len(cfg.Routes)).Int("services", len(cfg.Services)).Msg("")
 }
 
-// submitUpstreamRows applies registrations of upstreams. full means that rows holds the
-// whole table.
-func (c *control) submitUpstreamRows(rows []fleet.Row, full bool) {
+// submitUpstreamRows applies registrations of upstreams. full means that the page holds
+// the whole table.
+func (c *control) submitUpstreamRows(page *fleet.Page, full bool) {
 	c.do(func(s *state) {
 		listed := make(map[api.UpstreamID]bool)
-		for _, row := range rows {
+		for _, row := range page.Rows {
 			id := api.UpstreamID(row.Key)
 			if row.Deleted {
-				c.handleMissing(s, id)
+				c.handleMissing(s, id, row.Version)
 				continue
 			}
 			listed[id] = true
@@ -242,7 +248,7 @@
 		if full {
 			for id := range s.upstreams {
 				if !listed[id] {
-					c.handleMissing(s, id)
+					c.handleMissing(s, id, page.Version)
 				}
 			}
 		}
@@ -253,15 +259,16 @@
 	decoded, err := fleet.DecodeUpstream(row)
 	if err != nil {
 		c.log.Warn().Str("event", "entry_refused").Str("upstream", row.Key).Int64("row", row.Version).Err(err).Msg("")
-		c.handleMissing(s, api.UpstreamID(row.Key))
+		c.handleMissing(s, api.UpstreamID(row.Key), row.Version)
 		return
 	}
 	id := decoded.ID
-	delete(s.pendingRemovals, id)
-	if s.rowVersions[id] >= row.Version && s.removedAt[id].IsZero() {
+	if s.rowVersions[id] >= row.Version {
+		// Another source has already provided this row, or a later change of it.
 		return
 	}
 	s.rowVersions[id] = row.Version
+	delete(s.pendingRemovals, id)
 	reg := &registration{Upstream: decoded, row: row, coldUntil: bootTime() + time.Duration(decoded.ColdRemainingMs)*time.Millisecond}
 	u := s.upstreams[id]
 	event := c.log.Info().Str("event", "upstream").Str("upstream", string(id)).Str("service", string(decoded.Service)).
@@ -284,9 +291,14 @@
 	return a.Address == b.Address && a.Incarnation == b.Incarnation && a.Service == b.Service
 }
 
-// handleMissing handles the removal of an upstream's registration. Soon after a store
-// outage the removal is delayed, since the upstream may register again.
-func (c *control) handleMissing(s *state, id api.UpstreamID) {
+// handleMissing handles the removal of an upstream's registration, seen at a version of the
+// store. Soon after a store outage the removal is delayed, since the upstream may register
+// again.
+func (c *control) handleMissing(s *state, id api.UpstreamID, version int64) {
+	if version < s.rowVersions[id] {
+		return // it has registered again since
+	}
+	s.rowVersions[id] = version
 	if s.upstreams[id] == nil || !s.removedAt[id].IsZero() {
 		return
 	}
@@ -314,6 +326,9 @@
 	c.log.Info().Str("event", "upstream_gone").Str("upstream", string(id)).Msg("")
 }
 
+// confirmRank records that the granter has confirmed the rank of this VM.
+func (c *control) confirmRank() { c.rankUntil.Store(int64(bootTime() + rankTTL)) }
+
 // submitOwners applies owner tables, the rank and the number of VMs.
 func (c *control) submitOwners(updates map[api.ServiceName]ownerTable, rank, vms int) {
 	c.do(func(s *state) {
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -90,6 +90,16 @@
 
 // run takes part in the election until ctx ends.
 func (e *elector) run(ctx context.Context) {
+	guard := guard{e.metrics, e.log}
+	for ctx.Err() == nil {
+		if !guard.run("election", func() { e.elect(ctx) }) {
+			wait.For(ctx, electionRetry)
+		}
+	}
+}
+
+// elect takes the steps of the election until ctx ends.
+func (e *elector) elect(ctx context.Context) {
 	var known leaseRow // the lease last read
 	var lost error     // why the connection to its granter ended
 	for ctx.Err() == nil {
@@ -264,13 +274,14 @@
 // this VM promises not to take over.
 func (e *elector) handleUpdate(ctx context.Context, u update) error {
 	e.control.operatorFeed.reported(u.OperatorChange)
+	e.control.confirmRank()
 	e.control.submitOwners(u.Owners, u.Rank, u.VMs)
 	if u.Snapshot != nil {
 		e.control.applySnapshot(u.Snapshot)
 		e.links.relay.start(u.Snapshot.UpstreamsTo)
 	}
 	if rows := e.links.relay.apply(u); len(rows) > 0 {
-		e.control.submitUpstreamRows(rows, false)
+		e.control.submitUpstreamRows(&fleet.Page{Rows: rows}, false)
 	}
 	if u.Handover != nil {
 		return &handedOverError{handover: *u.Handover, received: bootTime()}
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -41,8 +41,8 @@
 	table string
 	// interval returns the pause between a response and the next call.
 	interval func() time.Duration
-	// apply gets all rows of the table if full, else the changed ones.
-	apply func(rows []fleet.Row, full bool)
+	// apply gets a page with all rows of the table if full, else with the changed ones.
+	apply func(page *fleet.Page, full bool)
 	// monitor, unless it is nil, ends long polls that fall behind those of other VMs.
 	monitor *feedMonitor
 	// relay, unless it is nil, passes the rows read on to other VMs, or provides the rows
@@ -52,6 +52,15 @@
 
 // followTable reads a table and then its changes until ctx ends.
 func (c *control) followTable(ctx context.Context, s source) {
+	guard := guard{c.metrics, c.log}
+	for ctx.Err() == nil {
+		if !guard.run("feed", func() { c.readTable(ctx, s) }) {
+			wait.For(ctx, storeRetryDelay)
+		}
+	}
+}
+
+func (c *control) readTable(ctx context.Context, s source) {
 	version, known := int64(0), false
 	for ctx.Err() == nil {
 		if s.relay != nil && known {
@@ -66,7 +75,7 @@
 		case err == nil:
 			c.setStoreAvailable(true)
 			if len(page.Rows) > 0 || !known {
-				s.apply(page.Rows, !known)
+				s.apply(page, !known)
 			}
 			version = max(version, page.Version)
 			if s.monitor != nil {
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -210,7 +210,7 @@
 	if boot >= reg.coldUntil || q.service.ColdRate <= 0 {
 		return 0
 	}
-	if v.rank < 0 || !v.clock.known {
+	if !v.hasRank(boot) || !v.clock.known {
 		return reg.coldUntil - boot
 	}
 	schedule, shared := h.slotSchedule(q, v), v.clock.at(boot)
@@ -231,7 +231,7 @@
 		return true
 	}
 	slot, mine := h.slotSchedule(q, v).Slot(v.clock.at(boot), slotOffset(u.id))
-	return mine && u.takeColdSlot(slot)
+	return mine && v.hasRank(boot) && u.takeColdSlot(slot)
 }
 
 func (u *upstream) coldSlotFree(slot int64) bool {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -45,6 +45,7 @@
 	log          zerolog.Logger
 	metrics      *Metrics
 	control      *control
+	guard        guard
 	handler      *requestHandler
 	elector      *elector
 	links        *links
@@ -71,7 +72,7 @@
 		peers: s.seeds(), reportRequested: make(chan struct{}, 1), hasConfig: func() bool { return c.view().config != nil },
 	}
 	g := &Gateway{
-		settings: s, bounds: s.Bounds, log: log, metrics: m, control: c, links: l, electionDone: make(chan struct{}),
+		settings: s, bounds: s.Bounds, log: log, metrics: m, guard: guard{m, log}, control: c, links: l, electionDone: make(chan struct{}),
 		handler: newRequestHandler(s.Bounds, int64(limits.RequestBodyKB)<<10, budget, c.view, m, st, cr, log),
 		elector: &elector{
 			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
@@ -118,7 +119,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	g.handler.ServeHTTP(w, r)
+	g.guard.serve(w, r.Header.Get(fleet.HeaderRequestID), func(w http.ResponseWriter) { g.handler.ServeHTTP(w, r) })
 }
 
 // Start listens on all addresses, follows the store and takes part in the election.
@@ -178,6 +179,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	wait.For(ctx, deregistrationTime)
+	g.handler.stopping.Store(true)
+	// Closing the listener resets the connections that have not been accepted.
+	g.conns.awaitQuiet(ctx)
 	if err := g.listener.Close(); err != nil {
 		g.log.Warn().Str("event", "listener_not_closed").Err(err).Msg("")
 	}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -107,14 +108,15 @@
 	g.links.setGranter(g)
 	g.links.setFollowed(g.lease, nil, false)
 	defer g.links.setGranter(nil)
+	guard := guard{g.metrics, g.log}
 	ticker := time.NewTicker(granterTick)
 	defer ticker.Stop()
 	for !g.termOver {
 		select {
 		case task := <-g.tasks:
-			task()
+			guard.run("granter_task", task)
 		case <-ticker.C:
-			g.tick(callsCtx)
+			guard.run("granter_tick", func() { g.tick(callsCtx) })
 		case <-ctx.Done():
 			if !g.handOver() {
 				g.releaseLease(callsCtx)
@@ -141,12 +143,14 @@
 	for service, loads := range r.Loads {
 		if m := g.machines[service]; m != nil {
 			for bucket, load := range loads {
-				m.Observe(bucket, load)
+				if isPositive(load) {
+					m.Observe(bucket, load)
+				}
 			}
 		}
 	}
 	for id, sample := range r.Latencies {
-		if sample.Observed <= 0 || sample.Expected <= 0 {
+		if !isPositive(sample.Observed) || !isPositive(sample.Expected) {
 			continue
 		}
 		speed := min(max(sample.Expected/sample.Observed, minSpeed), maxSpeed)
@@ -157,6 +161,9 @@
 	}
 }
 
+// isPositive reports whether a value from another process is a finite number above 0.
+func isPositive(value float64) bool { return value > 0 && !math.IsInf(value, 1) }
+
 func (g *granter) tick(ctx context.Context) {
 	now := bootTime()
 	v := g.control.view()
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +33,7 @@
 	tooLarge        reason = "body_too_large"
 	bodyTimeout     reason = "body_timeout" // the body did not arrive before the deadline
 	noOwner         reason = "no_owner"     // no upstream owns the key at present
+	vmStopping      reason = "stopping"     // the VM is about to end; others serve the request
 	buffersFull     reason = "buffers_full" // the memory for bodies is used up
 	noUpstream      reason = "no_upstream"  // the service has no usable upstream
 	busy            reason = "busy"         // the limiter admits no request before the deadline
@@ -63,6 +65,8 @@
 	maxSends = 4
 	// shortRetryAfter is the advised delay where the cause passes within a renewal.
 	shortRetryAfter = 250 * time.Millisecond
+	// otherVMRetryAfter is the advised delay where another VM can serve the request.
+	otherVMRetryAfter = 10 * time.Millisecond
 )
 
 // requestHandler handles the requests of callers.
@@ -76,6 +80,8 @@
 	log          zerolog.Logger
 	stats        *trafficStats
 	crashes      *crashes
+	// stopping refuses new requests: they might not end before the process does.
+	stopping atomic.Bool
 
 	mu           sync.Mutex
 	splitter     *routing.Splitter
@@ -127,6 +133,10 @@
 	q := &request{arrived: time.Now(), params: fleet.ParseRequestHeaders(r.Header), http: r, buffers: h.buffers.Reserve()}
 	defer q.buffers.Release()
 	v := h.view()
+	if h.stopping.Load() {
+		h.refuse(w, q, outcome{reason: vmStopping, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter})
+		return
+	}
 	if v.config == nil {
 		h.refuse(w, q, outcome{reason: noConfiguration, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
 		return
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -86,6 +86,8 @@
 type systemState struct {
 	lease  leaseRow
 	owners map[api.ServiceName][]ownership.Entry
+	// unreadable holds an error for each row of owners that cannot be decoded.
+	unreadable []error
 }
 
 // readSystem reads the rows of this system. A lease that cannot be decoded is logged
@@ -95,15 +97,18 @@
 	if err != nil {
 		return systemState{}, err
 	}
-	state, err := decodeSystem(page)
+	state := decodeSystem(page)
+	for _, err := range state.unreadable {
+		c.log.Error().Str("event", "owners_unreadable").Err(err).Msg("")
+	}
 	if state.lease.version > 0 && state.lease.lease == (lease{}) {
 		c.log.Error().Str("event", "lease_unreadable").Int64("row", state.lease.version).Msg("")
 	}
-	return state, err
+	return state, nil
 }
 
 // decodeSystem decodes the rows of this system, read just now.
-func decodeSystem(page *fleet.Page) (systemState, error) {
+func decodeSystem(page *fleet.Page) systemState {
 	state := systemState{owners: make(map[api.ServiceName][]ownership.Entry)}
 	for _, row := range page.Rows {
 		if row.Key == leaseKey {
@@ -111,20 +116,20 @@
 			state.lease.readAt = bootTime()
 			continue
 		}
-		service, ok := serviceFromKey(row.Key)
+		service, part, ok := parseOwnerKey(row.Key)
 		if !ok {
 			continue
 		}
-		var entries []ownership.Entry
-		if err := cbor.Unmarshal(row.Value, &entries); err != nil {
-			return systemState{}, errors.Wrapf(err, "decode the row %q", row.Key)
+		entries, err := decodeOwners(row.Value, part)
+		if err != nil {
+			state.unreadable = append(state.unreadable, errors.Wrapf(err, "row %q, version %d", row.Key, row.Version))
 		}
 		state.owners[service] = append(state.owners[service], entries...)
 	}
 	for service, entries := range state.owners {
 		state.owners[service] = mergeEntries(entries)
 	}
-	return state, nil
+	return state
 }
 
 func decodeLease(row fleet.Row, clock time.Duration) leaseRow {
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -140,6 +140,7 @@
 		}
 		m.updates <- u
 	}
+	g.control.confirmRank()
 	g.control.submitOwners(maps.Clone(g.owners), 0, len(g.ranks))
 }
 
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -30,6 +30,7 @@
 	// failedSends counts the sends to upstreams without a complete response: service, reason.
 	failedSends *prometheus.CounterVec
 	store       *prometheus.CounterVec // call, result
+	panics      *prometheus.CounterVec // task
 	granter     prometheus.Gauge
 	config      prometheus.Gauge
 	dropped     prometheus.Counter
@@ -58,13 +59,14 @@
 		calls:       counter("orders_total", "Orders to upstreams about their keys, by result.", "kind", "result"),
 		failedSends: counter("failed_sends_total", "Sends to upstreams without a complete response, by reason.", "service", "reason"),
 		store:       counter("store_calls_total", "Calls of the store by result.", "call", "result"),
+		panics:      counter("panics_total", "Handlings of a message, change or request that ended by a panic.", "task"),
 		granter:     gauge("granter", "1 while this VM grants keys."),
 		config:      gauge("configuration_version", "Version of the configuration in use."),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines dropped because the log was not read fast enough.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.store, m.granter, m.config, m.dropped)
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.panics, m.store, m.granter, m.config, m.dropped)
 	return m
 }
 
--- a/server/gateway/rows.go
+++ b/server/gateway/rows.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,14 +30,38 @@
 	return fleet.RowID{Table: systemTable, Key: fmt.Sprintf("%s%02d/%s", ownerRowPrefix, part, service)}
 }
 
-// serviceFromKey returns the service of a row with owners.
-func serviceFromKey(key string) (api.ServiceName, bool) {
-	rest, ok := strings.CutPrefix(key, ownerRowPrefix)
-	if !ok {
-		return "", false
+// parseOwnerKey returns the service and the part of a row with owners.
+func parseOwnerKey(key string) (service api.ServiceName, part int, ok bool) {
+	rest, found := strings.CutPrefix(key, ownerRowPrefix)
+	if !found {
+		return "", 0, false
 	}
-	_, service, ok := strings.Cut(rest, "/")
-	return api.ServiceName(service), ok
+	number, name, found := strings.Cut(rest, "/")
+	part, err := strconv.Atoi(number)
+	return api.ServiceName(name), part, found && err == nil && part >= 0 && part < rowsPerService
+}
+
+// unknownOwner stands for the upstreams that may own the keys of an unreadable row. No
+// upstream has this ID, so the keys move when the leases of earlier granters have expired.
+const unknownOwner api.UpstreamID = "?"
+
+// decodeOwners decodes a row with owners. If that fails, all its keys have an unknown owner.
+func decodeOwners(value []byte, part int) ([]ownership.Entry, error) {
+	var entries []ownership.Entry
+	err := cbor.Unmarshal(value, &entries)
+	next, end := part*keysPerRow, (part+1)*keysPerRow
+	for _, e := range entries {
+		if err == nil && (e.Span.First < next || e.Span.Last < e.Span.First || e.Span.Last >= end || e.Fence < 0) {
+			err = errors.Errorf("keys %d to %d do not follow key %d within the row", e.Span.First, e.Span.Last, next-1)
+		}
+		next = e.Span.Last + 1
+	}
+	if err != nil {
+		return []ownership.Entry{{
+			Span: ownership.Span{First: part * keysPerRow, Last: end - 1}, Owner: ownership.Owner{UpstreamID: unknownOwner},
+		}}, errors.Wrap(err, "decode the owners of keys")
+	}
+	return entries, nil
 }
 
 // splitByRow splits the entries of a service by row. A span that crosses the end of a row
--- a/server/gateway/status.go
+++ b/server/gateway/status.go
@@ -134,6 +134,8 @@
 	Released bool `json:"released"`
 	// Owners holds the owners of keys by service.
 	Owners map[api.ServiceName][]ownership.Entry `json:"owners"`
+	// Unreadable describes the rows of owners that cannot be decoded.
+	Unreadable []string `json:"unreadable,omitempty"`
 }
 
 // Owner returns the entry that covers a key, and whether there is one.
@@ -152,12 +154,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the rows of the system")
 	}
-	state, err := decodeSystem(page)
-	if err != nil {
-		return nil, err
+	state := decodeSystem(page)
+	var unreadable []string
+	for _, err := range state.unreadable {
+		unreadable = append(unreadable, err.Error())
 	}
 	return &StoreState{
-		Granter: state.lease.VM, Address: state.lease.Address, Term: state.lease.Term,
+		Unreadable: unreadable,
+		Granter:    state.lease.VM, Address: state.lease.Address, Term: state.lease.Term,
 		AgeMs: state.lease.age.Milliseconds(), Released: state.lease.Released, Owners: state.owners,
 	}, nil
 }
--- a/server/gateway/view.go
+++ b/server/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"dandelionhill.dev/api"
@@ -27,12 +28,20 @@
 	owners     map[api.ServiceName]ownerTable
 	// rank is the rank of this VM among vms VMs, -1 while it has none.
 	rank, vms int
+	// rankUntil is until when the rank is valid, in nanoseconds of bootTime. The granter may
+	// give it to another VM later.
+	rankUntil *atomic.Int64
 	// clock estimates the clock shared by all VMs.
 	clock sharedClock
 	// superseded is closed when a newer view is published.
 	superseded chan struct{}
 }
 
+// hasRank reports whether the VM has a rank that no other VM has.
+func (v *view) hasRank(now time.Duration) bool {
+	return v.rank >= 0 && int64(now) < v.rankUntil.Load()
+}
+
 // ownerTable maps keys to the upstreams that serve them, as decided by a granter.
 type ownerTable struct {
 	Term    int64                 `cbor:"1,keyasint"`
