core/selection: upstreams of the VM's own failure domain first

Change: the choice is code of its own. An upstream of the own domain is chosen if the request is expected to end there at most 0.4 of the route's latency target later than elsewhere; failures, queues and refusals raise that time.

--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -10,6 +10,8 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/ratelimit"
+	"dandelionhill.dev/core/routing"
+	"dandelionhill.dev/core/selection"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/upstreamconn"
@@ -22,6 +24,11 @@
 	maxOwnerWait = 1500 * time.Millisecond
 	// overloadAge is how long an upstream counts as overloaded after it reported so.
 	overloadAge = 2 * time.Second
+	// localAllowanceShare is the share of a route's latency target by which a request may end
+	// later at an upstream of the VM's own failure domain than at another;
+	// defaultLocalAllowance is that time for a route without a target.
+	localAllowanceShare   = 0.4
+	defaultLocalAllowance = 50 * time.Millisecond
 	// coldRateFactor is the factor on the configured rate to a cold upstream.
 	coldRateFactor = 1.1
 )
@@ -162,12 +169,12 @@
 	return failure
 }
 
-// lowestCost returns the upstream with the lowest expected latency. It avoids the given
-// upstreams unless no other is usable.
+// lowestCost returns the upstream with the lowest expected latency, with a preference for
+// the VM's own failure domain. It avoids the given upstreams unless no other is usable.
 func (h *requestHandler) lowestCost(q *request, v *view, avoid map[api.UpstreamID]bool) (best *upstream, retryAfter time.Duration) {
 	now, boot := time.Now(), bootTime()
 	expected := h.stats.expectedLatency(q.route.Name)
-	bestCost := 0.0
+	var choice selection.Choice[*upstream]
 	for pass := range 2 {
 		for _, u := range v.services[q.service.Name] {
 			if !v.usable(u) || pass == 0 && avoid[u.id] {
@@ -179,11 +186,9 @@
 				}
 				continue
 			}
-			if cost := u.cost(now, expected); best == nil || cost < bestCost {
-				best, bestCost = u, cost
-			}
+			choice.Add(u, u.candidate(now, expected, h.domain))
 		}
-		if best != nil {
+		if best, _ = choice.Best(localAllowance(q.route)); best != nil {
 			break
 		}
 	}
@@ -193,6 +198,15 @@
 	return best, retryAfter
 }
 
+// localAllowance returns how much later than elsewhere a request may end at an upstream of
+// the VM's own failure domain.
+func localAllowance(route *routing.Route) time.Duration {
+	if route.TargetLatency <= 0 {
+		return defaultLocalAllowance
+	}
+	return time.Duration(localAllowanceShare * float64(route.TargetLatency))
+}
+
 func slotOffset(id api.UpstreamID) uint32 {
 	h := fnv.New32a()
 	h.Write([]byte(id))
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -71,7 +71,9 @@
 
 // requestHandler handles the requests of callers.
 type requestHandler struct {
-	view   func() *view
+	view func() *view
+	// domain is the failure domain of this VM.
+	domain api.FailureDomain
 	bounds Bounds
 	// maxBodyBytes bounds the body of a request.
 	maxBodyBytes int64
@@ -89,9 +91,9 @@
 	start        time.Time
 }
 
-func newRequestHandler(bounds Bounds, maxBodyBytes int64, budget *buffers.Budget, viewOf func() *view, m *Metrics, s *trafficStats, c *crashes, log zerolog.Logger) *requestHandler {
+func newRequestHandler(domain api.FailureDomain, bounds Bounds, maxBodyBytes int64, budget *buffers.Budget, viewOf func() *view, m *Metrics, s *trafficStats, c *crashes, log zerolog.Logger) *requestHandler {
 	return &requestHandler{
-		view: viewOf, bounds: bounds, maxBodyBytes: maxBodyBytes, buffers: budget, metrics: m, log: log, stats: s, crashes: c, start: time.Now(),
+		view: viewOf, domain: domain, bounds: bounds, maxBodyBytes: maxBodyBytes, buffers: budget, metrics: m, log: log, stats: s, crashes: c, start: time.Now(),
 		splitter: routing.NewSplitter(), retryBudgets: make(map[api.ServiceName]*ratelimit.RetryBudget),
 	}
 }
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/selection"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
 )
@@ -74,25 +75,22 @@
 	u.failureRate += latencyWeight * (1 - u.failureRate)
 }
 
-// cost estimates the latency of a request here, for comparison with the other upstreams of
-// the service: the average latency times the queue ahead, raised after failures and sheds.
-// expected stands for an average latency that is not known yet.
-func (u *upstream) cost(now time.Time, expected float64) float64 {
+// candidate describes the upstream for the choice among those of its service. expected
+// stands for an average latency that is not known yet.
+func (u *upstream) candidate(now time.Time, expected float64, domain api.FailureDomain) selection.Candidate {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	latency := u.latency
-	if latency == 0 {
-		latency = expected
+	reg := u.registration.Load()
+	c := selection.Candidate{
+		Latency: u.latency, Ahead: float64(u.limiter.load()), Slots: reg.Slots, FailureRate: u.failureRate,
+		Avoid: now.Before(u.avoidUntil), Local: reg.Domain == domain,
+	}
+	if c.Latency == 0 {
+		c.Latency = expected
 	}
-	slots := max(u.registration.Load().Slots, 1)
-	ahead := float64(u.limiter.load())
 	if age := now.Sub(u.loadAt); age < loadAge && u.load.Slots > 0 {
 		fresh := 1 - age.Seconds()/loadAge.Seconds()
-		ahead = max(ahead, fresh*float64(u.load.Running+u.load.Waiting))
-	}
-	cost := latency * (1 + ahead/float64(slots)) * (1 + 4*u.failureRate)
-	if now.Before(u.avoidUntil) {
-		cost *= 8
+		c.Ahead = max(c.Ahead, fresh*float64(u.load.Running+u.load.Waiting))
 	}
-	return cost
+	return c
 }
