core/ownership: a lease counts from the response to its grant

Cause: a lease was counted from the time of sending plus 150 ms, but it runs from the arrival of the call, and a call that waits for its connection can arrive up to 500 ms later. The keys could then be granted to another upstream while the former owner still held them. A grant that waited so could also arrive after the authority of its granter had ended.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -204,7 +204,7 @@
 
 // safeTTL returns the time after which a lease has expired on the owner's clock too.
 func (m *Machine) safeTTL(ttl time.Duration) time.Duration {
-	return time.Duration(float64(ttl)*(1+m.cfg.Drift)) + m.cfg.MaxMessageDelay
+	return time.Duration(float64(ttl)/(1-m.cfg.Drift)) + m.cfg.MaxMessageDelay
 }
 
 // SetUpstreams replaces the known upstreams.
@@ -436,14 +436,15 @@
 	return actions
 }
 
-// GrantDone reports the result of a grant that was sent at sentAt.
-func (m *Machine) GrantDone(now, sentAt time.Duration, a Action, result Result) {
+// GrantDone reports the result of a grant.
+func (m *Machine) GrantDone(now time.Duration, a Action, result Result) {
 	for _, e := range m.entriesOf(a) {
 		e.granting = false
-		until := sentAt + m.safeTTL(a.LeaseTTL)
 		switch result {
 		case Accepted:
-			e.leaseUntil, e.handover = max(e.leaseUntil, until), ""
+			// The lease runs from the arrival of the call, which may have waited for its
+			// connection.
+			e.leaseUntil, e.handover = max(e.leaseUntil, now+m.safeTTL(a.LeaseTTL)), ""
 			if !e.acked {
 				e.acked, m.changed = true, true
 			}
--- a/core/ownership/sim_test.go
+++ b/core/ownership/sim_test.go
@@ -51,10 +51,12 @@
 	// unansweredShare is the share of calls that get no response, lateShare the share
 	// of these that take effect late.
 	unansweredShare, lateShare float64
-	storeDown                  bool
-	renewedAt                  time.Duration
-	movesAt                    time.Duration
-	seed                       uint64
+	// slowShare is the share of calls that wait for their connection.
+	slowShare float64
+	storeDown bool
+	renewedAt time.Duration
+	movesAt   time.Duration
+	seed      uint64
 }
 
 const simLease = 3 * time.Second
@@ -164,8 +166,13 @@
 }
 
 func (s *sim) call(machine *Machine, a Action) {
-	sent := s.now
 	delay := time.Duration(1+s.rng.IntN(10)) * time.Millisecond
+	// A slow call waits for its connection; its response comes soon after its arrival. It
+	// ends with the authority of its granter.
+	connecting := s.slowShare > 0 && s.rng.Float64() < s.slowShare
+	if connecting {
+		delay = time.Duration(s.rng.IntN(450)) * time.Millisecond
+	}
 	report := func(in time.Duration, result Result, handover string) {
 		s.at(in, func() {
 			if machine != s.machine {
@@ -174,7 +181,7 @@
 			if a.Kind == Release {
 				machine.ReleaseDone(s.now, a, result, handover)
 			} else {
-				machine.GrantDone(s.now, sent, a, result)
+				machine.GrantDone(s.now, a, result)
 			}
 		})
 	}
@@ -197,6 +204,12 @@
 		return
 	}
 	s.at(delay, func() {
+		if connecting {
+			if machine != s.machine {
+				return
+			}
+			delay = time.Millisecond
+		}
 		if !u.up {
 			report(delay, Unknown, "")
 			return
@@ -311,11 +324,12 @@
 
 // TestOneOwner guards against two owners of a key, and against fences that do not
 // increase, while upstreams crash, drain, restart and are partitioned, calls are
-// lost or delayed, the store is unavailable, and granters change.
+// lost, delayed or wait for their connections, the store is unavailable, and granters change.
 func TestOneOwner(t *testing.T) {
 	seeds := uint64(60)
 	for seed := range seeds {
 		s := newSim(t, seed, 8)
+		s.slowShare = 0.05
 		for range 800 {
 			s.step(50 * time.Millisecond)
 			if s.rng.IntN(20) > 0 {
@@ -424,7 +438,7 @@
 				continue
 			}
 			grants++
-			m.GrantDone(now, now, a, NotSent)
+			m.GrantDone(now, a, NotSent)
 		}
 	}
 	require.LessOrEqual(t, grants, 4, "one grant every 250 ms")
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -64,7 +64,7 @@
 func (q *callQueues) enqueue(service api.ServiceName, a ownership.Action, u *upstream, now time.Duration) {
 	if u == nil || u.registration.Load().Incarnation != a.Owner.Incarnation {
 		// The incarnation is unknown or has ended.
-		go q.complete(service, a, now, ownership.NotSent, "")
+		go q.complete(service, a, ownership.NotSent, "")
 		return
 	}
 	q.mu.Lock()
@@ -96,10 +96,9 @@
 
 func (q *callQueues) run(service api.ServiceName, a ownership.Action, u *upstream, queue *callQueue) {
 	if !q.granter.mayRenew() {
-		q.complete(service, a, bootTime(), ownership.NotSent, "")
+		q.complete(service, a, ownership.NotSent, "")
 		return
 	}
-	sent := bootTime()
 	result, handover := q.call(a, u)
 	now := bootTime()
 	q.mu.Lock()
@@ -115,7 +114,7 @@
 		q.log.Warn().Str("event", "upstream_unreachable").Str("upstream", string(u.id)).Msg("")
 	}
 	q.mu.Unlock()
-	q.complete(service, a, sent, result, handover)
+	q.complete(service, a, result, handover)
 }
 
 func (q *callQueues) call(a ownership.Action, u *upstream) (ownership.Result, string) {
@@ -125,6 +124,10 @@
 	if a.Kind == ownership.Release {
 		call, err = fleet.ReleaseCall(span, a.Fence)
 		timeout, kind = releaseTimeout, "release"
+	} else {
+		// A grant that waits for its connection must not arrive after the authority to send it
+		// has ended.
+		timeout = min(timeout, time.Duration(q.granter.renewUntil.Load())-bootTime())
 	}
 	if err != nil {
 		q.log.Error().Str("event", "order_not_encoded").Err(err).Msg("")
@@ -174,14 +177,14 @@
 	ownership.OwnerEnded: "ended",
 }
 
-func (q *callQueues) complete(service api.ServiceName, a ownership.Action, sent time.Duration, result ownership.Result, handover string) {
+func (q *callQueues) complete(service api.ServiceName, a ownership.Action, result ownership.Result, handover string) {
 	q.granter.do(func() {
 		m := q.granter.machines[service]
 		now := bootTime()
 		if a.Kind == ownership.Release {
 			m.ReleaseDone(now, a, result, handover)
 		} else {
-			m.GrantDone(now, sent, a, result)
+			m.GrantDone(now, a, result)
 		}
 		q.granter.publish(service, m)
 	})
