server/upstreamconn: rejected connections are detected before any request

Cause: an upstream that accepts no more connections resets a new one within a round trip and a millisecond. Only requests that may not be repeated waited for that, and only 3 ms; between domains 1.4 ms apart it takes 4. Ruled out: other VMs' requests on the connection; the resets came from upstreams that were full.

--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -64,6 +64,8 @@
 			if q.service.Keyed && overloaded(headers.Load) || !h.takeRetry(q) {
 				return nil, h.finalOutcome(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
 			}
+		case errors.Is(err, upstreamconn.ErrConnectionRejected) && q.service.Keyed:
+			return nil, h.finalOutcome(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter, err: err})
 		case notSent(err):
 			if q.service.Keyed && (q.remaining() < shortRetryAfter || !h.awaitView(ctx, v, shortRetryAfter)) || q.attempts >= maxSends {
 				return nil, h.finalOutcome(ctx, q, outcome{reason: unreachable, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter, err: err})
@@ -334,7 +336,7 @@
 	h.crashes.started(q.fingerprint)
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
 		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body, Buffers: q.buffers, Earlier: &q.connections,
-		CheckNewConn: !q.route.Idempotent,
+		CheckNewConn: true,
 		Matches: func(status int, header http.Header) bool {
 			headers = fleet.ParseResponseHeaders(status, header)
 			return headers.RequestID == q.params.RequestID
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -39,9 +39,12 @@
 	// inlineBody is the largest body, in bytes, that is written before the response is read.
 	// The upstream may respond to a larger one before it has read it.
 	inlineBody = 4 << 10
-	// newConnWait is how long Request.CheckNewConn waits: a round trip to an upstream within
-	// a region.
-	newConnWait = 3 * time.Millisecond
+	// newConnWait is the time beyond a round trip that Request.CheckNewConn waits: an upstream
+	// takes about a millisecond to accept or reject a connection.
+	newConnWait = 2500 * time.Microsecond
+	// maxRoundTrip bounds the round trip that is assumed from the time to connect, which is
+	// longer if a packet was lost.
+	maxRoundTrip = 10 * time.Millisecond
 	// keepAlive is the idle time after which keep-alive probes start; the connection is
 	// dropped after another 1.5 times keepAlive without a reply.
 	keepAlive = time.Second
@@ -87,8 +90,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// CheckNewConn waits for newConnWait on a new connection before the request is sent:
-	// an upstream with too many connections resets it, and the request has not run.
+	// CheckNewConn waits for a round trip and newConnWait on a new connection before the
+	// request is sent: an upstream with too many connections resets it, and the request has
+	// not run.
 	CheckNewConn bool
 	// OwnConn sends the request on a new connection, which is closed afterwards. A response
 	// that cannot be matched with its request may be a late copy of an earlier one.
@@ -318,20 +322,26 @@
 	if !req.OwnConn {
 		c = p.get(req.Earlier)
 	}
+	var roundTrip time.Duration
 	if c == nil {
 		var err error
+		began := time.Now()
 		if c, err = p.dial(ctx); err != nil {
 			return nil, err
 		}
-		opened = true
+		opened, roundTrip = true, time.Since(began)
 	}
 	if opened && req.CheckNewConn {
-		time.Sleep(newConnWait)
+		time.Sleep(min(roundTrip, maxRoundTrip) + newConnWait)
 		if !c.usable() {
 			c.Close()
 			return nil, &Error{Err: ErrConnectionRejected}
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		c.Close()
+		return nil, &Error{Err: err}
+	}
 	req.Earlier.add(c)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	resp, idle, err := p.exchange(c, req)
