core/election: calls in an outage of the store do not grow with the VMs

Ruled out: fewer reads by all VMs, which delays the replacement of a granter that the store alone refuses. Change: 12 VMs at a time, drawn anew, check whether the store answers them; the others promise without a check, which binds only themselves. A VM that the store has answered goes on checking and does not promise. TestStoreChecks: 12 checks with 12 to 13,000 VMs.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -36,6 +36,9 @@
 	MaxMessageDelay time.Duration
 	// AbsentTimeout is how long a VM that left without a promise could still take over.
 	AbsentTimeout time.Duration
+	// StoreCheckers is the number of VMs that check at a time whether the store answers them
+	// while the granter cannot reach it. The others promise without a check.
+	StoreCheckers float64
 	// ResignAfter is how long a granter without authority waits for the store before
 	// it resigns.
 	ResignAfter time.Duration
@@ -46,7 +49,7 @@
 	return Config{
 		LeaseTTL: 3 * time.Second, StaleAfter: 1300 * time.Millisecond, StoreTimeout: 1200 * time.Millisecond,
 		PromiseTTL: 1200 * time.Millisecond, RestartPromiseTTL: 3 * time.Second, MaxMessageDelay: 200 * time.Millisecond,
-		AbsentTimeout: 30 * time.Second, ResignAfter: time.Second,
+		AbsentTimeout: 30 * time.Second, StoreCheckers: 12, ResignAfter: time.Second,
 	}
 }
 
@@ -81,14 +84,36 @@
 	cfg                      Config
 	startedAt, promisedUntil time.Duration
 	stopping                 bool
+	// storeAnswers means that the store answered this VM while the granter could not reach it.
+	storeAnswers bool
 }
 
 // NewVoter returns the Voter of a process that has just started.
 func NewVoter(cfg Config, now time.Duration) *Voter { return &Voter{cfg: cfg, startedAt: now} }
 
+// ChecksStore reports whether this VM, one of vms, should check if the store answers it,
+// while a granter asks for its promise. random is a random number in [0, 1). The calls to the
+// store in an outage thereby do not grow with the number of VMs.
+func (v *Voter) ChecksStore(random float64, vms int) bool {
+	return v.storeAnswers || random*float64(vms) < v.cfg.StoreCheckers
+}
+
+// StoreAnswered records that the store answers this VM while the granter cannot reach it.
+// This VM then promises nothing, so that it can take over.
+func (v *Voter) StoreAnswered() { v.storeAnswers = true }
+
+// GranterRenews records that the granter reaches the store.
+func (v *Voter) GranterRenews() { v.storeAnswers = false }
+
 // StoreUnreachable records that the store does not answer this VM while a granter
 // asks for its promise, and extends the promise.
 func (v *Voter) StoreUnreachable(now time.Duration) {
+	v.storeAnswers = false
+	v.Promise(now)
+}
+
+// Promise extends the promise of this VM, whether or not the store answers it.
+func (v *Voter) Promise(now time.Duration) {
 	v.promisedUntil = max(v.promisedUntil, now+v.cfg.PromiseTTL)
 }
 
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -61,3 +61,24 @@
 	v.StoreUnreachable(now)
 	require.Equal(t, now+cfg.PromiseTTL, v.PredecessorsUntil(now, election.Lease{Age: time.Minute}))
 }
+
+// TestStoreChecks guards against calls to the store that grow with the number of VMs in an
+// outage, against an outage that no VM checks, and against a VM that the store answers and
+// that promises instead of taking over.
+func TestStoreChecks(t *testing.T) {
+	cfg := election.DefaultConfig()
+	for _, vms := range []int{2, 12, 72, 195, 13000} {
+		checks := 0
+		for i := range vms {
+			v := election.NewVoter(cfg, 0)
+			if v.ChecksStore(float64(i)/float64(vms), vms) {
+				checks++
+			}
+			v.StoreAnswered()
+			require.True(t, v.ChecksStore(0.999, vms))
+			v.StoreUnreachable(time.Second)
+			require.Equal(t, vms <= int(cfg.StoreCheckers), v.ChecksStore(0.999, vms))
+		}
+		require.Equal(t, min(vms, int(cfg.StoreCheckers)), checks)
+	}
+}
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -199,18 +199,28 @@
 		p.disconnected = true
 		return
 	}
-	if !g.auth.StoreUnreachable(s.now) || s.now-p.checkedAt < checkInterval {
+	if !g.auth.StoreUnreachable(s.now) {
+		p.voter.GranterRenews()
+		return
+	}
+	if s.now-p.checkedAt < checkInterval {
 		return
 	}
 	p.checkedAt = s.now
-	if p.vm.storeReachable {
+	switch {
+	case !p.voter.ChecksStore(s.rng.Float64(), len(s.vms)):
+		s.counts["promised without a check"]++
+		p.voter.Promise(s.now)
+	case p.vm.storeReachable:
+		p.voter.StoreAnswered()
 		if s.now-s.row.renewedAt > s.cfg.StaleAfter {
 			s.disconnect(p)
 			p.disconnected = true
 		}
 		return
+	default:
+		p.voter.StoreUnreachable(s.now)
 	}
-	p.voter.StoreUnreachable(s.now)
 	promise := max(p.voter.PromiseRemaining(s.now), s.cfg.PromiseTTL)
 	s.send(false, func() {
 		if p.granter == g && g.auth != nil {
@@ -387,7 +397,9 @@
 func TestNoTwoGranters(t *testing.T) {
 	counts := make(map[string]int)
 	for seed := uint64(1); seed <= 1500; seed++ {
-		s := newSim(election.DefaultConfig(), seed, 2+int(seed%3))
+		cfg := election.DefaultConfig()
+		cfg.StoreCheckers = 1 + float64(seed%2) // fewer than there are VMs
+		s := newSim(cfg, seed, 2+int(seed%3))
 		violation := s.run(60 * time.Second)
 		require.Empty(t, violation, "seed %d\n%s", seed, lastLines(s.trace))
 		for event, n := range s.counts {
@@ -395,7 +407,7 @@
 		}
 	}
 	for _, event := range []string{
-		"takeovers", "released", "caretakers", "joined without the store", "ticks with moves",
+		"takeovers", "released", "caretakers", "joined without the store", "ticks with moves", "promised without a check",
 		"ticks renewed without the store", "ticks renewed by a caretaker",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -286,11 +286,25 @@
 	if u.Handover != nil {
 		return &handedOverError{handover: *u.Handover, received: bootTime()}
 	}
+	if !u.StoreUnreachable {
+		withVoter(e, func(v *election.Voter, _ time.Duration) struct{} { v.GranterRenews(); return struct{}{} })
+		return nil
+	}
 	now := bootTime()
-	if !u.StoreUnreachable || now-e.leaseCheckedAt < leaseCheckInterval {
+	if now-e.leaseCheckedAt < leaseCheckInterval {
 		return nil
 	}
 	e.leaseCheckedAt = now
+	if !withVoter(e, func(v *election.Voter, now time.Duration) bool {
+		checks := v.ChecksStore(rand.Float64(), u.VMs)
+		if !checks {
+			v.Promise(now)
+		}
+		return checks
+	}) {
+		e.links.reportNow()
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, leaseCheckTimeout)
 	defer cancel()
 	state, err := e.control.readSystem(ctx)
@@ -299,6 +313,7 @@
 		e.links.reportNow()
 		return nil
 	}
+	withVoter(e, func(v *election.Voter, _ time.Duration) struct{} { v.StoreAnswered(); return struct{}{} })
 	if state.lease.age > election.DefaultConfig().StaleAfter {
 		return errLeaseStale
 	}
