Faults read earlier: cold rate, SIGHUP, a setting that nobody reads

A cold upstream was paced to 110% of its configured rate; it gets that rate at most. The line settings_read says that nothing is applied. admin.Config.Self was never read.

--- a/server/admin/admin.go
+++ b/server/admin/admin.go
@@ -13,7 +13,6 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
 
-	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/admin"
 	"dandelionhill.dev/core/config"
 	"dandelionhill.dev/server/control"
@@ -32,7 +31,6 @@
 
 // Config holds the dependencies of the admin interface.
 type Config struct {
-	Self     api.VMID
 	Version  string
 	Control  *control.Control
 	Settings *settings.Settings
--- a/server/cmd/dandelionhilld/gateway.go
+++ b/server/cmd/dandelionhilld/gateway.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		// Nothing is applied: addresses and names of a VM do not change while it runs.
-		log.Info().Str("event", "settings_read").Msg("")
+		log.Info().Str("event", "settings_read").Bool("applied", false).Msg("")
 	}
 	g.Stop()
 	return nil
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -113,7 +113,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, d.hub)
 	adminHandler := admin.New(admin.Config{
-		Self: s.VM, Version: version(), Control: ctl, Settings: s, Clock: clock, Metrics: m, Log: log,
+		Version: version(), Control: ctl, Settings: s, Clock: clock, Metrics: m, Log: log,
 	}).Handler()
 	d.servers = []*http.Server{
 		{Addr: s.Listen.Callers, Handler: d.entry.Handler(), ReadHeaderTimeout: headerTimeout},
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -29,8 +29,6 @@
 	// defaultLocalAllowance is that time for a route without a target.
 	localAllowanceShare   = 0.4
 	defaultLocalAllowance = 50 * time.Millisecond
-	// coldRateFactor is the factor on the configured rate to a cold upstream.
-	coldRateFactor = 1.1
 )
 
 // forward sends a request until there is a response or a final failure.
@@ -216,7 +214,7 @@
 }
 
 func (h *requestHandler) slotSchedule(q *request, v *view) ratelimit.SlotSchedule {
-	return ratelimit.SlotSchedule{Rate: q.service.ColdRate * coldRateFactor, Rank: v.rank, VMs: v.vms}
+	return ratelimit.SlotSchedule{Rate: q.service.ColdRate, Rank: v.rank, VMs: v.vms}
 }
 
 // coldWait returns the time until this VM may send a request to a cold upstream, 0 if
