server/gateway: a rejected connection is tried again as before

An upstream rejects connections for moments only, and a wait for it ends sooner than the retry of the caller.

--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -62,8 +62,6 @@
 			if q.service.Keyed && overloaded(headers.Load) || !h.takeRetry(q) {
 				return nil, h.finalOutcome(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
 			}
-		case errors.Is(err, upstreamconn.ErrConnectionRejected) && q.service.Keyed:
-			return nil, h.finalOutcome(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter, err: err})
 		case notSent(err):
 			if q.service.Keyed && (q.remaining() < shortRetryAfter || !h.awaitView(ctx, v, shortRetryAfter)) || q.attempts >= maxSends {
 				return nil, h.finalOutcome(ctx, q, outcome{reason: unreachable, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter, err: err})
