core/absence: requests for a key without an owner wait only if it is expected in time

Cause: a request waited up to half of its time for an owner, whatever the key still needed: 0.4 s for a move, 2.6 s after a loss. Ruled out: a shorter wait for all, which refuses requests during moves. Change: the decision is code of its own.

--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/absence"
 	"dandelionhill.dev/core/ratelimit"
 	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/core/selection"
@@ -19,9 +20,11 @@
 )
 
 const (
-	// maxOwnerWait bounds the wait for a new owner of a key: the lease of a lost owner has
-	// expired by then.
+	// maxOwnerWait bounds the wait for a time slot of a cold owner.
 	maxOwnerWait = 1500 * time.Millisecond
+	// latencyReserve is the multiple of a route's expected latency that is left for a request
+	// that waits for an owner of its key.
+	latencyReserve = 1.5
 	// overloadAge is how long an upstream counts as overloaded after it reported so.
 	overloadAge = 2 * time.Second
 	// localAllowanceShare is the share of a route's latency target by which a request may end
@@ -31,6 +34,10 @@
 	defaultLocalAllowance = 50 * time.Millisecond
 )
 
+// ownerForecast is how long keys are without an owner: while the running requests of a moved
+// key end, or until the lease of a lost owner has expired and another one has confirmed.
+var ownerForecast = absence.Forecast{Move: 400 * time.Millisecond, Loss: 2600 * time.Millisecond, Retry: shortRetryAfter}
+
 // forward sends a request until there is a response or a final failure.
 func (h *requestHandler) forward(ctx context.Context, q *request) (*upstreamconn.Response, outcome) {
 	var avoid map[api.UpstreamID]bool
@@ -269,11 +276,13 @@
 		return nil, outcome{reason: badRequest, status: http.StatusBadRequest}
 	}
 	waitUntil := time.Now().Add(min(maxOwnerWait, q.remaining()/2))
+	expected := time.Duration(latencyReserve * h.stats.expectedLatency(q.route.Name) * float64(time.Second))
 	for {
 		table := v.owners[q.service.Name]
 		q.term = table.Term
 		u := v.upstreams[table.owner(q.params.Key)]
 		if u != nil && v.usable(u) {
+			h.absences.Present(q.service.Name, q.params.Key)
 			untilSlot := h.coldWait(q, v, u, bootTime())
 			if untilSlot == 0 {
 				if err := h.acquire(ctx, q, u); err != nil {
@@ -294,7 +303,12 @@
 			v = h.view()
 			continue
 		}
-		if !h.awaitView(ctx, v, time.Until(waitUntil)) {
+		age := h.absences.Missing(time.Since(h.start), q.service.Name, q.params.Key)
+		pause, retryAfter := ownerForecast.Decide(age, q.remaining()-expected)
+		if pause == 0 {
+			return nil, outcome{reason: noOwner, status: http.StatusServiceUnavailable, retryAfter: retryAfter}
+		}
+		if !h.awaitView(ctx, v, pause) && ctx.Err() != nil {
 			return nil, outcome{reason: noOwner, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter}
 		}
 		v = h.view()
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/absence"
 	"dandelionhill.dev/core/ratelimit"
 	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/core/shardmap"
@@ -82,6 +83,8 @@
 	log          zerolog.Logger
 	stats        *trafficStats
 	crashes      *crashes
+	// absences records since when keys have had no owner.
+	absences absence.Tracker
 	// stopping refuses new requests: they might not end before the process does.
 	stopping atomic.Bool
 
