server/gateway: messages between VMs carry news only

Change: a registration that only counts the cold time down is not passed on and changes nothing on a VM; a VM that joins gets an update, the others do not; lists hold 16 addresses, spread over all; unchanged evidence is sent every 5 s.

--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -35,3 +36,27 @@
 	r.Services = r.Services[:2]
 	require.NotPanics(t, func() { s.Next(r) })
 }
+
+// TestContinues guards against a registration that brings news and is taken for a repetition,
+// and against one message to each VM for each second that an upstream is cold.
+func TestContinues(t *testing.T) {
+	first := Upstream{ID: "u", Service: "s", Address: "10.0.0.1:1", Incarnation: 1, Slots: 2, ColdRemainingMs: 3000}
+	for remaining, elapsed := range map[int64]time.Duration{3000: 0, 2200: 800 * time.Millisecond, 1: 2900 * time.Millisecond, 0: 9 * time.Second} {
+		later := first
+		later.ColdRemainingMs = remaining
+		require.True(t, later.Continues(first, elapsed), "%d ms left after %s", remaining, elapsed)
+	}
+	for name, change := range map[string]func(u *Upstream){
+		"cold again":    func(u *Upstream) { u.ColdRemainingMs = 3000 },
+		"warm earlier":  func(u *Upstream) { u.ColdRemainingMs = 0 },
+		"draining":      func(u *Upstream) { u.Draining = true },
+		"restarted":     func(u *Upstream) { u.Incarnation = 2 },
+		"other address": func(u *Upstream) { u.Address = "10.0.0.2:1" },
+		"other service": func(u *Upstream) { u.Service = "t" },
+	} {
+		later := first
+		later.ColdRemainingMs = 2000
+		change(&later)
+		require.False(t, later.Continues(first, time.Second), name)
+	}
+}
--- a/core/routing/upstream.go
+++ b/core/routing/upstream.go
@@ -1,6 +1,10 @@
 package routing
 
-import "dandelionhill.dev/api"
+import (
+	"time"
+
+	"dandelionhill.dev/api"
+)
 
 // Upstream is a registered process of a service.
 type Upstream struct {
@@ -18,3 +22,16 @@
 	// ColdRemainingMs is how much longer it is cold, counted from its report.
 	ColdRemainingMs int64
 }
+
+// coldTolerance bounds the difference from the expected remaining cold time within which a
+// registration says nothing new.
+const coldTolerance = 250 * time.Millisecond
+
+// Continues reports whether a registration says no more than an earlier one does, some time
+// later: a cold upstream registers again and again with the time that is left.
+func (u Upstream) Continues(earlier Upstream, elapsed time.Duration) bool {
+	expected := max(time.Duration(earlier.ColdRemainingMs)*time.Millisecond-elapsed, 0)
+	difference := (time.Duration(u.ColdRemainingMs)*time.Millisecond - expected).Abs()
+	earlier.ColdRemainingMs = u.ColdRemainingMs
+	return u == earlier && difference <= coldTolerance
+}
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -269,8 +269,14 @@
 	}
 	s.rowVersions[id] = row.Version
 	delete(s.pendingRemovals, id)
-	reg := &registration{Upstream: decoded, row: row, coldUntil: bootTime() + time.Duration(decoded.ColdRemainingMs)*time.Millisecond}
+	reg := &registration{Upstream: decoded, row: row, readAt: bootTime(), coldUntil: bootTime() + time.Duration(decoded.ColdRemainingMs)*time.Millisecond}
 	u := s.upstreams[id]
+	if u != nil && s.removedAt[id].IsZero() {
+		last := u.registration.Load()
+		if decoded.Continues(last.Upstream, bootTime()-last.readAt) {
+			return
+		}
+	}
 	event := c.log.Info().Str("event", "upstream").Str("upstream", string(id)).Str("service", string(decoded.Service)).
 		Str("domain", string(decoded.Domain)).Bool("draining", decoded.Draining).Int64("cold_ms", decoded.ColdRemainingMs).
 		Int64("life", decoded.Incarnation).Int64("row", row.Version)
--- a/server/gateway/crashes.go
+++ b/server/gateway/crashes.go
@@ -77,6 +77,32 @@
 	})
 }
 
+// crashResendInterval is the interval at which unchanged evidence is sent again.
+const crashResendInterval = 5 * time.Second
+
+// crashSender remembers the evidence last sent to another VM.
+type crashSender struct {
+	sent   map[uint64]bool // by fingerprint: whether it is quarantined
+	sentAt time.Duration
+}
+
+// due reports whether evidence is to be sent: it has changed, or was sent a while ago.
+func (s *crashSender) due(entries []crash.Entry, now time.Duration) bool {
+	changed := len(entries) != len(s.sent)
+	for _, e := range entries {
+		was, known := s.sent[e.Fingerprint]
+		changed = changed || !known || was != e.Quarantined
+	}
+	if len(entries) == 0 || !changed && now-s.sentAt < crashResendInterval {
+		return false
+	}
+	s.sent, s.sentAt = make(map[uint64]bool, len(entries)), now
+	for _, e := range entries {
+		s.sent[e.Fingerprint] = e.Quarantined
+	}
+	return true
+}
+
 // snapshot returns the evidence to send to other VMs.
 func (c *crashes) snapshot() (entries []crash.Entry) {
 	c.withEvidence(func(e *crash.Evidence, _ time.Duration) { entries = e.Snapshot(maxSharedCrashes) })
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -273,6 +273,7 @@
 func (l *links) sendReports(ctx context.Context, conn *websocket.Conn) error {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	var evidence crashSender
 	for {
 		select {
 		case <-ticker.C:
@@ -282,7 +283,10 @@
 		}
 		rep := l.stats.takeReport()
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
-		rep.Crashes, rep.RowsTo = l.crashes.snapshot(), l.relay.version()
+		rep.RowsTo = l.relay.version()
+		if crashes := l.crashes.snapshot(); evidence.due(crashes, bootTime()) {
+			rep.Crashes = crashes
+		}
 		rep.OperatorChange = l.elector.control.operatorFeed.newestChange()
 		if err := send(ctx, conn, rep); err != nil {
 			return err
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -5,6 +5,14 @@
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/crash"
+)
+
+const (
+	// maxPeersSent bounds the addresses of other VMs that the granter sends a VM, peersInterval
+	// is the shortest time between two lists.
+	maxPeersSent  = 16
+	peersInterval = 2 * time.Second
 )
 
 // member is a VM connected to the granter.
@@ -19,8 +27,10 @@
 	leaving       bool
 	close         func()
 	sentVersions  map[api.ServiceName]int64 // the versions of the owner tables last sent
-	sentJoinCount int                       // joinCount when the peers were last sent
-	relayedTo     int64                     // the version up to which registrations were relayed
+	sentJoinCount int                       // joinCount when the peers were last sent, at peersSentAt
+	peersSentAt   time.Duration
+	crashes       crashSender
+	relayedTo     int64 // the version up to which registrations were relayed
 }
 
 // rank is the rank of a VM; leftAt is when it was last connected.
@@ -43,7 +53,8 @@
 		g.joinCount++
 		g.assignRank(m)
 		g.log.Info().Str("event", "vm_joined").Str("peer", string(m.vm)).Int("vms", len(g.ranks)).Msg("")
-		g.sendUpdates(bootTime())
+		now := bootTime()
+		g.sendUpdate(now, m, g.news(g.peers(now)))
 	})
 }
 
@@ -97,51 +108,95 @@
 // sendUpdates sends each VM what has changed since its last update.
 func (g *granter) sendUpdates(now time.Duration) {
 	g.updatesSentAt = now
-	crashes := g.links.crashes.snapshot()
-	change := g.control.operatorFeed.newestChange()
-	peers, lease := []string{g.address}, g.lease
+	peers := g.peers(now)
+	g.links.setFollowed(g.lease, peers, false)
+	news := g.news(peers)
+	for m := range g.members {
+		g.sendUpdate(now, m, news)
+	}
+	g.control.confirmRank()
+	g.control.submitOwners(maps.Clone(g.owners), 0, len(g.ranks))
+}
+
+// peers returns the addresses of the VMs, that of this one first.
+func (g *granter) peers(now time.Duration) []string {
+	peers := []string{g.address}
 	for _, r := range g.ranks {
 		if r.address != "" && (r.connected || now-r.leftAt < peerRetention) {
 			peers = append(peers, r.address)
 		}
 	}
-	g.links.setFollowed(lease, peers, false)
-	for m := range g.members {
-		u := update{Rank: g.rankOf(m.vm), VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), Crashes: crashes, OperatorChange: change}
-		// A pending update is replaced; the new one includes its content.
-		select {
-		case old := <-m.updates:
-			u.Owners, u.Peers, u.Lease = old.Owners, old.Peers, old.Lease
-			u.Snapshot = old.Snapshot
-			if old.RowsTo != 0 {
-				// Relay the same rows again, together with newer ones.
-				m.relayedTo = old.RowsFrom
-			}
-		default:
-		}
-		if m.relayedTo != 0 {
-			u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
-			m.relayedTo = u.RowsTo
-		}
-		if !m.hasConfig {
-			u.Snapshot = g.snapshot()
-			m.hasConfig = u.Snapshot != nil
+	return peers
+}
+
+// news is what the updates to all VMs at one time have in common.
+type news struct {
+	crashes        []crash.Entry
+	operatorChange int64
+	peers          []string
+}
+
+func (g *granter) news(peers []string) news {
+	return news{crashes: g.links.crashes.snapshot(), operatorChange: g.control.operatorFeed.newestChange(), peers: peers}
+}
+
+// samplePeers returns at most maxPeersSent addresses, spread over all; each rank gets others.
+// A VM asks a few of them for the granter while it cannot reach the store.
+func samplePeers(peers []string, rank int) []string {
+	if len(peers) <= maxPeersSent {
+		return peers
+	}
+	sample := make([]string, maxPeersSent)
+	for i := range sample {
+		sample[i] = peers[(rank+1+i*len(peers)/maxPeersSent)%len(peers)]
+	}
+	return sample
+}
+
+// sendUpdate sends a VM what has changed since its last update.
+func (g *granter) sendUpdate(now time.Duration, m *member, n news) {
+	lease := g.lease
+	rank := g.rankOf(m.vm)
+	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange}
+	if m.crashes.due(n.crashes, now) {
+		u.Crashes = n.crashes
+	}
+	// A pending update is replaced; the new one includes its content.
+	select {
+	case old := <-m.updates:
+		u.Owners, u.Peers, u.Lease = old.Owners, old.Peers, old.Lease
+		u.Snapshot = old.Snapshot
+		if u.Crashes == nil {
+			u.Crashes = old.Crashes
 		}
-		if m.sentJoinCount != g.joinCount {
-			m.sentJoinCount, u.Peers, u.Lease = g.joinCount, peers, &lease
+		if old.RowsTo != 0 {
+			// Relay the same rows again, together with newer ones.
+			m.relayedTo = old.RowsFrom
 		}
-		for name, table := range g.owners {
-			if m.sentVersions[name] < table.Version {
-				if u.Owners == nil {
-					u.Owners = make(map[api.ServiceName]ownerTable)
-				}
-				u.Owners[name], m.sentVersions[name] = g.ownersSince(name, baseVersion(u.Owners[name], m.sentVersions[name])), table.Version
+	default:
+	}
+	if m.relayedTo != 0 && !u.StoreUnreachable {
+		// Otherwise the VM reads registrations itself: the feed of this one may be silent.
+		u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
+		m.relayedTo = u.RowsTo
+	}
+	if !m.hasConfig {
+		u.Snapshot = g.snapshot()
+		m.hasConfig = u.Snapshot != nil
+	}
+	if m.sentJoinCount == 0 || m.sentJoinCount != g.joinCount && now-m.peersSentAt >= peersInterval {
+		m.sentJoinCount, m.peersSentAt = g.joinCount, now
+		u.Peers, u.Lease = samplePeers(n.peers, rank), &lease
+	}
+	for name, table := range g.owners {
+		if m.sentVersions[name] < table.Version {
+			if u.Owners == nil {
+				u.Owners = make(map[api.ServiceName]ownerTable)
 			}
+			u.Owners[name], m.sentVersions[name] = g.ownersSince(name, baseVersion(u.Owners[name], m.sentVersions[name])), table.Version
 		}
-		m.updates <- u
 	}
-	g.control.confirmRank()
-	g.control.submitOwners(maps.Clone(g.owners), 0, len(g.ranks))
+	m.updates <- u
 }
 
 // baseVersion returns the version that a VM has before an update with table is sent to it.
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/platform/fleet"
 )
 
@@ -18,6 +19,12 @@
 	relayCheckInterval = 100 * time.Millisecond
 )
 
+// relayedRegistration is a registration with the time of bootTime at which it was read.
+type relayedRegistration struct {
+	routing.Upstream
+	at time.Duration
+}
+
 // relay passes changed registrations from the granter's feed to the other VMs, so that
 // the calls to the store do not grow with the number of VMs.
 type relay struct {
@@ -27,6 +34,8 @@
 	// before the first response.
 	rows     []fleet.Row
 	from, to int64
+	// relayed holds the last registration of each upstream in rows, with the time of reading.
+	relayed map[string]relayedRegistration
 	// feedFailed means that the feed of this VM fails.
 	feedFailed bool
 	// lastRelayedAt is when the granter last reported the version up to which it has
@@ -40,9 +49,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if full {
-		r.rows, r.from = nil, to
+		r.rows, r.from, r.relayed = nil, to, nil
 	} else {
-		r.rows = append(r.rows, rows...)
+		r.rows = append(r.rows, r.news(rows, bootTime())...)
 		if over := len(r.rows) - maxRelayRows; over > 0 {
 			r.from = r.rows[over-1].Version
 			r.rows = append([]fleet.Row(nil), r.rows[over:]...)
@@ -51,6 +60,25 @@
 	r.to, r.feedFailed = to, false
 }
 
+// news returns the rows that say more than the last one of their upstream; r.mu is held.
+func (r *relay) news(rows []fleet.Row, now time.Duration) (out []fleet.Row) {
+	if r.relayed == nil {
+		r.relayed = make(map[string]relayedRegistration)
+	}
+	for _, row := range rows {
+		decoded, err := fleet.DecodeUpstream(row)
+		if last, known := r.relayed[row.Key]; known && !row.Deleted && err == nil && decoded.Continues(last.Upstream, now-last.at) {
+			continue
+		}
+		delete(r.relayed, row.Key)
+		if !row.Deleted && err == nil {
+			r.relayed[row.Key] = relayedRegistration{decoded, now}
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
 // start sets the version up to which a snapshot of another VM holds all registrations,
 // unless this VM has read them itself.
 func (r *relay) start(version int64) {
@@ -100,7 +128,7 @@
 		}
 	}
 	r.to, r.lastRelayedAt = max(r.to, u.RowsTo), time.Now()
-	r.rows, r.from = nil, r.to
+	r.rows, r.from, r.relayed = nil, r.to, nil
 	return rows
 }
 
--- a/server/gateway/relay_test.go
+++ b/server/gateway/relay_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/core/crash"
+	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
 )
 
@@ -44,3 +48,66 @@
 	require.True(t, ok)
 	require.Equal(t, int64(21), version)
 }
+
+// TestRelayLeavesOutRepetitions guards against messages to all VMs that grow with the seconds
+// for which upstreams are cold, and against a relay that leaves out news.
+func TestRelayLeavesOutRepetitions(t *testing.T) {
+	u := fakes.NewUpstream("u", "keyed", "zone-a")
+	row := func(version int64, state string, cold float64) fleet.Row {
+		return fleet.Row{Key: "u", Version: version, Value: u.Registration("10.0.0.1:1", state, cold)}
+	}
+	var r relay
+	r.recordFeed(nil, 1, true)
+	relayed := func(rows ...fleet.Row) int {
+		last := rows[len(rows)-1].Version
+		before, _, _ := r.since(1)
+		r.recordFeed(rows, last, false)
+		after, _, to := r.since(1)
+		require.Equal(t, last, to)
+		return len(after) - len(before)
+	}
+	require.Equal(t, 1, relayed(row(2, "ready", 3)))
+	require.Equal(t, 0, relayed(row(3, "ready", 2.95), row(4, "ready", 2.9)))
+	require.Equal(t, 1, relayed(row(5, "ready", 8)), "cold again")
+	require.Equal(t, 1, relayed(row(6, "draining", 8)))
+	require.Equal(t, 1, relayed(fleet.Row{Key: "u", Version: 7, Deleted: true}))
+	require.Equal(t, 1, relayed(row(8, "draining", 8)), "it has registered again")
+	require.Equal(t, 1, relayed(fleet.Row{Key: "u", Version: 9, Value: []byte("another writer")}))
+}
+
+// TestSamplePeers guards against lists of VMs in messages to all VMs, which together grow
+// with the cube of their number, and against VMs that nobody knows.
+func TestSamplePeers(t *testing.T) {
+	require.Equal(t, []string{"a", "b"}, samplePeers([]string{"a", "b"}, 1))
+	var peers []string
+	for i := range 200 {
+		peers = append(peers, fmt.Sprint(i))
+	}
+	known := make(map[string]bool)
+	for rank := -1; rank < 200; rank++ {
+		sample := samplePeers(peers, rank)
+		require.Len(t, sample, maxPeersSent)
+		distinct := make(map[string]bool)
+		for _, peer := range sample {
+			distinct[peer], known[peer] = true, true
+		}
+		require.Len(t, distinct, maxPeersSent)
+	}
+	require.Len(t, known, 200)
+}
+
+// TestCrashSender guards against evidence that is sent with every message although it has not
+// changed, and against changed evidence that waits.
+func TestCrashSender(t *testing.T) {
+	var s crashSender
+	require.False(t, s.due(nil, 0))
+	suspect := crash.Entry{Fingerprint: 1, Remaining: 9 * time.Second}
+	require.True(t, s.due([]crash.Entry{suspect}, 0))
+	suspect.Remaining = 8 * time.Second
+	require.False(t, s.due([]crash.Entry{suspect}, time.Second))
+	require.True(t, s.due([]crash.Entry{suspect, {Fingerprint: 2}}, time.Second))
+	suspect.Quarantined = true
+	require.True(t, s.due([]crash.Entry{suspect, {Fingerprint: 2}}, time.Second))
+	require.False(t, s.due([]crash.Entry{suspect, {Fingerprint: 2}}, 2*time.Second))
+	require.True(t, s.due([]crash.Entry{suspect, {Fingerprint: 2}}, time.Second+crashResendInterval))
+}
--- a/server/gateway/view.go
+++ b/server/gateway/view.go
@@ -86,7 +86,8 @@
 // registration is the registration of an upstream, as last read.
 type registration struct {
 	routing.Upstream
-	row fleet.Row
+	row    fleet.Row
+	readAt time.Duration // on bootTime
 	// coldUntil is when the upstream is warm, on bootTime.
 	coldUntil time.Duration
 	// removed means that the registration was removed.
