core/election: each VM checks the store once in an outage, feeds back off

Cause: let only 12 VMs at a time check the store while the granter could not reach it.

Ruled out: the registrations that are no longer passed on; a change to draining is always news. Change: each VM checks once, and those that the store answers go on checking, so that they leave a granter that it does not answer. Failing feeds pause 0.4 to 1.6 s, with jitter, in place of 0.4 s.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -84,31 +84,33 @@
 	cfg                      Config
 	startedAt, promisedUntil time.Duration
 	stopping                 bool
-	// storeAnswers means that the store answered this VM while the granter could not reach it.
-	storeAnswers bool
+	// checked means that this VM has checked the store since the granter last renewed its
+	// lease, storeAnswers that the store answered the last check.
+	checked, storeAnswers bool
 }
 
 // NewVoter returns the Voter of a process that has just started.
 func NewVoter(cfg Config, now time.Duration) *Voter { return &Voter{cfg: cfg, startedAt: now} }
 
 // ChecksStore reports whether this VM, one of vms, should check if the store answers it,
-// while a granter asks for its promise. random is a random number in [0, 1). The calls to the
-// store in an outage thereby do not grow with the number of VMs.
+// while a granter asks for its promise. random is a random number in [0, 1). Each VM checks
+// once, and those that the store answers go on, so that they leave a granter that it does not
+// answer. In an outage for all, few of the others check at a time.
 func (v *Voter) ChecksStore(random float64, vms int) bool {
-	return v.storeAnswers || random*float64(vms) < v.cfg.StoreCheckers
+	return !v.checked || v.storeAnswers || random*float64(vms) < v.cfg.StoreCheckers
 }
 
 // StoreAnswered records that the store answers this VM while the granter cannot reach it.
 // This VM then promises nothing, so that it can take over.
-func (v *Voter) StoreAnswered() { v.storeAnswers = true }
+func (v *Voter) StoreAnswered() { v.checked, v.storeAnswers = true, true }
 
 // GranterRenews records that the granter reaches the store.
-func (v *Voter) GranterRenews() { v.storeAnswers = false }
+func (v *Voter) GranterRenews() { v.checked, v.storeAnswers = false, false }
 
 // StoreUnreachable records that the store does not answer this VM while a granter
 // asks for its promise, and extends the promise.
 func (v *Voter) StoreUnreachable(now time.Duration) {
-	v.storeAnswers = false
+	v.checked, v.storeAnswers = true, false
 	v.Promise(now)
 }
 
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -63,21 +63,25 @@
 }
 
 // TestStoreChecks guards against calls to the store that grow with the number of VMs in an
-// outage, against an outage that no VM checks, and against a VM that the store answers and
-// that promises instead of taking over.
+// outage, against an outage that no VM checks, against a VM that the store answers and that
+// promises instead of taking over, and against one that stays with a granter whose calls alone
+// the store does not answer: it misses what the successor knows.
 func TestStoreChecks(t *testing.T) {
 	cfg := election.DefaultConfig()
 	for _, vms := range []int{2, 12, 72, 195, 13000} {
 		checks := 0
 		for i := range vms {
 			v := election.NewVoter(cfg, 0)
+			require.True(t, v.ChecksStore(0.999, vms), "the first check")
+			v.StoreUnreachable(time.Second)
 			if v.ChecksStore(float64(i)/float64(vms), vms) {
 				checks++
 			}
+			require.Equal(t, vms <= int(cfg.StoreCheckers), v.ChecksStore(0.999, vms))
 			v.StoreAnswered()
 			require.True(t, v.ChecksStore(0.999, vms))
-			v.StoreUnreachable(time.Second)
-			require.Equal(t, vms <= int(cfg.StoreCheckers), v.ChecksStore(0.999, vms))
+			v.GranterRenews()
+			require.True(t, v.ChecksStore(0.999, vms), "the first check of the next outage")
 		}
 		require.Equal(t, min(vms, int(cfg.StoreCheckers)), checks)
 	}
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -22,8 +23,10 @@
 	// upstreamFeedInterval is feedInterval for the registrations at VMs that do not grant:
 	// they have 2 s to stop using an upstream that shuts down.
 	upstreamFeedInterval = 600 * time.Millisecond
-	// storeRetryDelay is the pause after a failed call to the store.
-	storeRetryDelay = 400 * time.Millisecond
+	// storeRetryDelay is the pause after a failed call to the store; for feeds it doubles with
+	// each failure, up to maxStoreRetryDelay.
+	storeRetryDelay    = 400 * time.Millisecond
+	maxStoreRetryDelay = 1600 * time.Millisecond
 	// storeIdleTimeout is how long an idle connection to the store is kept.
 	storeIdleTimeout = 30 * time.Second
 )
@@ -62,6 +65,7 @@
 
 func (c *control) readTable(ctx context.Context, s source) {
 	version, known := int64(0), false
+	retryDelay := storeRetryDelay
 	for ctx.Err() == nil {
 		if s.relay != nil && known {
 			if to, ok := s.relay.active(); ok {
@@ -74,6 +78,7 @@
 		switch {
 		case err == nil:
 			c.setStoreAvailable(true)
+			retryDelay = storeRetryDelay
 			if len(page.Rows) > 0 || !known {
 				s.apply(page, !known)
 			}
@@ -102,7 +107,9 @@
 				s.relay.markFeedFailed()
 			}
 			c.log.Warn().Str("event", "store_call_failed").Str("table", s.table).Err(err).Msg("")
-			wait.For(ctx, storeRetryDelay)
+			// Jitter keeps the VMs from calling together when the store is back.
+			wait.For(ctx, time.Duration((0.75+0.5*rand.Float64())*float64(retryDelay)))
+			retryDelay = min(2*retryDelay, maxStoreRetryDelay)
 		}
 	}
 }
