--- a/core/absence/absence.go
+++ b/core/absence/absence.go
@@ -6,7 +6,6 @@
 package absence
 
 import (
-	"sync"
 	"time"
 
 	"dandelionhill.dev/api"
@@ -47,16 +46,14 @@
 // groupSize is the number of keys of a group.
 const groupSize = 16
 
-// Tracker records since when keys have been without an owner, as requests have seen it.
+// Tracker records since when keys have been without an owner, as requests have seen it. It is
+// not safe for concurrent use. The zero value is empty.
 type Tracker struct {
-	mu    sync.Mutex
 	since map[group]time.Duration
 }
 
 // Missing records that a key has no owner, and returns for how long it has had none.
 func (t *Tracker) Missing(now time.Duration, service api.ServiceName, key int) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.since == nil {
 		t.since = make(map[group]time.Duration)
 	}
@@ -69,7 +66,5 @@
 
 // Present records that a key has an owner.
 func (t *Tracker) Present(service api.ServiceName, key int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	delete(t.since, group{service, key / groupSize})
 }
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -282,7 +282,7 @@
 		q.term = table.Term
 		u := v.upstreams[table.owner(q.params.Key)]
 		if u != nil && v.usable(u) {
-			h.absences.Present(q.service.Name, q.params.Key)
+			h.recordOwner(q)
 			untilSlot := h.coldWait(q, v, u, bootTime())
 			if untilSlot == 0 {
 				if err := h.acquire(ctx, q, u); err != nil {
@@ -303,7 +303,7 @@
 			v = h.view()
 			continue
 		}
-		age := h.absences.Missing(time.Since(h.start), q.service.Name, q.params.Key)
+		age := h.recordAbsence(q)
 		pause, retryAfter := ownerForecast.Decide(age, q.remaining()-expected)
 		if pause == 0 {
 			return nil, outcome{reason: noOwner, status: http.StatusServiceUnavailable, retryAfter: retryAfter}
@@ -315,6 +315,20 @@
 	}
 }
 
+// recordOwner records that the key of a request has an owner.
+func (h *requestHandler) recordOwner(q *request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.absences.Present(q.service.Name, q.params.Key)
+}
+
+// recordAbsence records that the key of a request has no owner, and returns for how long.
+func (h *requestHandler) recordAbsence(q *request) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.absences.Missing(time.Since(h.start), q.service.Name, q.params.Key)
+}
+
 // awaitView waits until v is superseded. It reports false if that does not happen within
 // d or before ctx ends.
 func (h *requestHandler) awaitView(ctx context.Context, v *view, d time.Duration) bool {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -73,7 +73,10 @@
 	}
 	g := &Gateway{
 		settings: s, bounds: s.Bounds, log: log, metrics: m, guard: guard{m, log}, control: c, links: l, electionDone: make(chan struct{}),
-		handler: newRequestHandler(s.FailureDomain, s.Bounds, int64(limits.RequestBodyKB)<<10, budget, c.view, m, st, cr, log),
+		handler: newRequestHandler(handlerConfig{
+			view: c.view, domain: s.FailureDomain, bounds: s.Bounds, maxBodyBytes: int64(limits.RequestBodyKB) << 10,
+			buffers: budget, metrics: m, log: log, stats: st, crashes: cr,
+		}),
 		elector: &elector{
 			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
 			control: c, stats: st, links: l, metrics: m, buffers: budget, log: log,
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -70,8 +70,8 @@
 	otherVMRetryAfter = 10 * time.Millisecond
 )
 
-// requestHandler handles the requests of callers.
-type requestHandler struct {
+// handlerConfig holds what a requestHandler depends on.
+type handlerConfig struct {
 	view func() *view
 	// domain is the failure domain of this VM.
 	domain api.FailureDomain
@@ -83,20 +83,25 @@
 	log          zerolog.Logger
 	stats        *trafficStats
 	crashes      *crashes
-	// absences records since when keys have had no owner.
-	absences absence.Tracker
+}
+
+// requestHandler handles the requests of callers.
+type requestHandler struct {
+	handlerConfig
 	// stopping refuses new requests: they might not end before the process does.
 	stopping atomic.Bool
 
 	mu           sync.Mutex
 	splitter     *routing.Splitter
 	retryBudgets map[api.ServiceName]*ratelimit.RetryBudget
-	start        time.Time
+	// absences records since when keys have had no owner.
+	absences absence.Tracker
+	start    time.Time
 }
 
-func newRequestHandler(domain api.FailureDomain, bounds Bounds, maxBodyBytes int64, budget *buffers.Budget, viewOf func() *view, m *Metrics, s *trafficStats, c *crashes, log zerolog.Logger) *requestHandler {
+func newRequestHandler(cfg handlerConfig) *requestHandler {
 	return &requestHandler{
-		view: viewOf, domain: domain, bounds: bounds, maxBodyBytes: maxBodyBytes, buffers: budget, metrics: m, log: log, stats: s, crashes: c, start: time.Now(),
+		handlerConfig: cfg, start: time.Now(),
 		splitter: routing.NewSplitter(), retryBudgets: make(map[api.ServiceName]*ratelimit.RetryBudget),
 	}
 }
