server/gateway: keys are granted only after their own write

Cause: when a renewal of the lease that was under way ended, all machines took their last write for done, also one whose entries were assigned meanwhile and not sent yet. Keys were granted before the store held their owner. If the granter was replaced before the next write, its successor found the former owner, or none, and gave the keys to another upstream beside the first: two owners, in the term after. Change: a finished transaction counts for the services whose entries it had. Before: TestGrantWaitsForItsOwnWrite: the keys are granted while their write is held up before the store. After: it passes.

--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,13 +30,14 @@
 		g.log.Error().Str("event", "owners_not_encoded").Err(err).Msg("")
 		return
 	}
+	services := slices.Collect(maps.Keys(g.pendingWrites))
 	g.pendingWrites = make(map[api.ServiceName][]ownership.Entry)
 	g.writing = true
-	go g.write(ctx, next, puts)
+	go g.write(ctx, next, services, puts)
 }
 
-// write retries a transaction until its result is known.
-func (g *granter) write(ctx context.Context, next lease, owners []fleet.Put) {
+// write retries a transaction with the owners of the services until its result is known.
+func (g *granter) write(ctx context.Context, next lease, services []api.ServiceName, owners []fleet.Put) {
 	first := bootTime()
 	for {
 		sent := bootTime()
@@ -47,7 +50,7 @@
 				// Which attempt took effect is unknown: the lease counts from the first.
 				sent = first
 			}
-			g.do(func() { g.writeDone(next, owners, page, sent, err) })
+			g.do(func() { g.writeDone(next, services, owners, page, sent, err) })
 			return
 		}
 		g.log.Warn().Str("event", "write_failed").Int64("term", next.Term).Int64("seq", next.Seq).Int("rows", len(owners)).Err(err).Msg("")
@@ -76,7 +79,7 @@
 	return nil, fleet.ErrConflict
 }
 
-func (g *granter) writeDone(next lease, owners []fleet.Put, page *fleet.Page, sent time.Duration, err error) {
+func (g *granter) writeDone(next lease, services []api.ServiceName, owners []fleet.Put, page *fleet.Page, sent time.Duration, err error) {
 	g.writing = false
 	if err != nil {
 		g.log.Warn().Str("event", "granter_replaced").Int64("term", g.term).Msg("")
@@ -91,8 +94,9 @@
 	if page.ClockSeconds > 0 {
 		g.control.submitClock(sent, bootTime(), page)
 	}
-	for _, m := range g.machines {
-		m.WriteDone()
+	// Entries that were assigned while the transaction was under way are not in it.
+	for _, name := range services {
+		g.machines[name].WriteDone()
 	}
 	for name, m := range g.machines {
 		g.publish(name, m)
--- /dev/null
+++ b/server/gateway/renewal_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/platform/fleet"
+)
+
+// heldTx is a transaction that waits before it reaches the store.
+type heldTx struct {
+	owners  bool // it writes owners of keys
+	forward chan struct{}
+}
+
+// TestGrantWaitsForItsOwnWrite guards against keys that are granted before the store holds
+// their owner, because a renewal of the lease that was under way when they were assigned has
+// ended: a successor would give them to another upstream.
+func TestGrantWaitsForItsOwnWrite(t *testing.T) {
+	d := newDeployment(t)
+	held := make(chan heldTx, 100)
+	ended := make(chan struct{})
+	hold := make(chan bool, 1)
+	hold <- false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			body, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			var tx fleet.Tx
+			require.NoError(t, json.Unmarshal(body, &tx))
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			holding := <-hold
+			hold <- holding
+			if holding {
+				waiting := heldTx{owners: len(tx.Put) > 1, forward: make(chan struct{})}
+				held <- waiting
+				select {
+				case <-waiting.forward:
+				case <-ended:
+				}
+			}
+		}
+		d.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(ended) })
+	g := d.startVMAt("vm-a", server.Listener.Addr().String())
+	d.eventually(func() bool { return g.links.currentGranter() != nil && g.control.view().config != nil }, "the VM is the granter")
+
+	<-hold
+	hold <- true
+	renewal := <-held
+	require.False(t, renewal.owners)
+	k1 := d.addUpstream("k1", "keyed")
+	granter := g.links.currentGranter()
+	d.eventually(func() bool {
+		assigned := make(chan bool, 1)
+		return granter.do(func() { assigned <- len(granter.pendingWrites) > 0 }) && <-assigned
+	}, "the keys are assigned")
+	close(renewal.forward)
+	write := <-held
+	require.True(t, write.owners)
+	time.Sleep(6 * granterTick)
+	require.False(t, k1.Holds(1), "the keys are granted before their owner is written")
+	<-hold
+	hold <- false
+	close(write.forward)
+	d.eventually(func() bool { return k1.Holds(1) }, "the keys are granted")
+}
