--- a/server/gateway/callers.go
+++ b/server/gateway/callers.go
@@ -93,6 +93,7 @@
 	n := 0
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
+		// An error means that no bytes can be read.
 		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
 	return err == nil && n > 0
