server/gateway: TestRefusedGrantDoesNotEndLease takes any division of the keys

Cause: it waited for exactly two spans. Since requests for a key without an owner are refused at once, the test sends more of them before the keys are first divided; they count as demand for key 1, and the division can have three spans. Both upstreams held keys then. Change: it waits until both own keys and takes the first key of a span of k1. The checks of the lease are the same.

--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
 	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
@@ -260,11 +261,17 @@
 	k1, k2 := d.addUpstream("k1", "keyed"), d.addUpstream("k2", "keyed")
 	g := d.startVM("vm-a")
 	d.requireServed(g, keyedPath, 1)
-	d.eventually(func() bool { return len(g.control.view().owners["keyed"].Spans) == 2 }, "both upstreams hold keys")
-	key := 1
-	if g.control.view().owners["keyed"].owner(key) != "k1" {
-		key = fleet.KeyCount - 1
-	}
+	key := -1
+	d.eventually(func() bool {
+		owned := make(map[api.UpstreamID]int)
+		for _, o := range g.control.view().owners["keyed"].Spans {
+			owned[o.Owner] = o.Span.First
+		}
+		first, ownsK1 := owned["k1"]
+		_, ownsK2 := owned["k2"]
+		key = first
+		return ownsK1 && ownsK2 && k1.Holds(key)
+	}, "both upstreams hold keys")
 	d.requireServed(g, keyedPath, key)
 	require.True(t, k1.Holds(key))
 	d.crashUpstream("k1")
