server/gateway: TestStopAfterAccept looks for its own connection

Cause: it waited for the number of connections to grow, but the connection before could close at the same time, so that the number stayed the same. Change: it waits for the connection with its own address. The checks of the stop are the same.

--- a/server/gateway/callers_test.go
+++ b/server/gateway/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -151,12 +152,15 @@
 	g := d.startVM("vm-a")
 	d.requireServed(g, plainPath, -1)
 	dial := func() net.Conn {
-		before := len(g.conns.all())
 		conn, err := net.Dial("tcp", g.settings.Listen.Callers)
 		require.NoError(t, err)
 		t.Cleanup(func() { conn.Close() })
 		require.NoError(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
-		d.eventually(func() bool { return len(g.conns.all()) > before }, "the connection is accepted")
+		d.eventually(func() bool {
+			return slices.ContainsFunc(g.conns.all(), func(c *callerConn) bool {
+				return c.RemoteAddr().String() == conn.LocalAddr().String()
+			})
+		}, "the connection is accepted")
 		return conn
 	}
 	request := func(conn net.Conn) *http.Response {
