--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -53,7 +53,8 @@
 	relay *relay
 }
 
-// followTable reads a table and then its changes until ctx ends.
+// followTable reads a table and then its changes until ctx ends. After a panic it reads the
+// table again.
 func (c *control) followTable(ctx context.Context, s source) {
 	guard := guard{c.metrics, c.log}
 	for ctx.Err() == nil {
@@ -63,6 +64,7 @@
 	}
 }
 
+// readTable is followTable up to the first panic.
 func (c *control) readTable(ctx context.Context, s source) {
 	version, known := int64(0), false
 	retryDelay := storeRetryDelay
