server/gateway, platform/fleet: limits that upstreams state are logged and counted

Whether a VM had read the limit of an upstream, and how much it sent there, could not be told from logs or metrics. Responses are now parsed for the limit; upstream_limit is logged on each change, limited_sends_total counts the sends. A limit ends by a response whose request was sent after it was stated. Nothing acts on it yet.

--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -49,6 +49,7 @@
 	responseLimits upstreamconn.Limits
 	// operatorFeed monitors the feed of the operators' rows.
 	operatorFeed feedMonitor
+	limits       *statedLimits
 }
 
 // state is the state of the control goroutine, from which views are published.
@@ -67,7 +68,7 @@
 }
 
 func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
-	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256)}
+	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256), limits: newStatedLimits(log)}
 	c.current.Store(&view{rank: -1, vms: initialVMs, rankUntil: &c.rankUntil, superseded: make(chan struct{})})
 	return c
 }
@@ -129,6 +130,7 @@
 	for id, at := range s.removedAt {
 		if now.Sub(at) > removedRetention {
 			s.upstreams[id].pool.Close()
+			c.limits.forget(s.upstreams[id])
 			delete(s.upstreams, id)
 			delete(s.removedAt, id)
 			s.dirty = true
@@ -283,6 +285,7 @@
 	if u == nil || !sameProcess(u.registration.Load().Upstream, decoded) {
 		if u != nil {
 			u.pool.Close()
+			c.limits.forget(u)
 		}
 		s.upstreams[id] = newUpstream(reg, c.responseLimits)
 	} else {
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -355,8 +355,11 @@
 	fleet.SetUpstreamHeaders(header, u.id, q.remaining())
 	q.lastUpstream = u.id
 	var headers fleet.ResponseHeaders
-	began := time.Now()
+	began, sent := time.Now(), bootTime()
 	q.sendDelay = began.Sub(q.arrived)
+	if h.limits.rate(u) > 0 {
+		h.metrics.limitedSends.WithLabelValues(string(q.service.Name)).Inc()
+	}
 	h.crashes.started(q.fingerprint)
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
 		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body, Buffers: q.buffers, Earlier: &q.connections,
@@ -401,6 +404,9 @@
 	}
 	q.sends++
 	q.load = headers.Load
+	if headers.RateLimit > 0 || !headers.NotRun {
+		h.limits.observe(u, sent, bootTime(), headers.RateLimit)
+	}
 	if headers.NotRun {
 		if !headers.Misdirected && overloaded(headers.Load) {
 			capacity = capacityFull
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -83,6 +83,7 @@
 	log          zerolog.Logger
 	stats        *trafficStats
 	crashes      *crashes
+	limits       *statedLimits
 }
 
 // requestHandler handles the requests of callers.
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -29,11 +29,13 @@
 	calls    *prometheus.CounterVec   // kind, result
 	// failedSends counts the sends to upstreams without a complete response: service, reason.
 	failedSends *prometheus.CounterVec
-	store       *prometheus.CounterVec // call, result
-	panics      *prometheus.CounterVec // task
-	granter     prometheus.Gauge
-	config      prometheus.Gauge
-	dropped     prometheus.Counter
+	// limitedSends counts the sends to upstreams that state a limit: service.
+	limitedSends *prometheus.CounterVec
+	store        *prometheus.CounterVec // call, result
+	panics       *prometheus.CounterVec // task
+	granter      prometheus.Gauge
+	config       prometheus.Gauge
+	dropped      prometheus.Counter
 }
 
 // NewMetrics returns metrics in their own registry.
@@ -50,23 +52,24 @@
 		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 	}
 	m := &Metrics{
-		registry:    prometheus.NewRegistry(),
-		requests:    counter("requests_total", "Requests of callers by outcome.", "service", "outcome"),
-		refusals:    counter(refusals, "Requests refused or failed, by reason.", "service", "reason"),
-		retries:     counter("repeats_total", "Requests sent again, or not, by reason.", "service", "reason"),
-		latency:     histogram("request_seconds", "Time from a caller's request to its answer."),
-		upstream:    histogram("upstream_seconds", "Time from a send to an upstream to its answer."),
-		calls:       counter("orders_total", "Orders to upstreams about their keys, by result.", "kind", "result"),
-		failedSends: counter("failed_sends_total", "Sends to upstreams without a complete response, by reason.", "service", "reason"),
-		store:       counter("store_calls_total", "Calls of the store by result.", "call", "result"),
-		panics:      counter("panics_total", "Handlings of a message, change or request that ended by a panic.", "task"),
-		granter:     gauge("granter", "1 while this VM grants keys."),
-		config:      gauge("configuration_version", "Version of the configuration in use."),
+		registry:     prometheus.NewRegistry(),
+		requests:     counter("requests_total", "Requests of callers by outcome.", "service", "outcome"),
+		refusals:     counter(refusals, "Requests refused or failed, by reason.", "service", "reason"),
+		retries:      counter("repeats_total", "Requests sent again, or not, by reason.", "service", "reason"),
+		latency:      histogram("request_seconds", "Time from a caller's request to its answer."),
+		upstream:     histogram("upstream_seconds", "Time from a send to an upstream to its answer."),
+		calls:        counter("orders_total", "Orders to upstreams about their keys, by result.", "kind", "result"),
+		failedSends:  counter("failed_sends_total", "Sends to upstreams without a complete response, by reason.", "service", "reason"),
+		limitedSends: counter("limited_sends_total", "Sends to upstreams that state a limit of requests per second.", "service"),
+		store:        counter("store_calls_total", "Calls of the store by result.", "call", "result"),
+		panics:       counter("panics_total", "Handlings of a message, change or request that ended by a panic.", "task"),
+		granter:      gauge("granter", "1 while this VM grants keys."),
+		config:       gauge("configuration_version", "Version of the configuration in use."),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines dropped because the log was not read fast enough.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.panics, m.store, m.granter, m.config, m.dropped)
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.limitedSends, m.panics, m.store, m.granter, m.config, m.dropped)
 	return m
 }
 
