--- a/fakes/fleet/upstream.go
+++ b/fakes/fleet/upstream.go
@@ -18,6 +18,8 @@
 	Key       int
 	Path      string
 	Body      string
+	// At is when the run began.
+	At time.Time `json:"-"`
 }
 
 // Event is the effect of a grant or release call, or of a request, on an upstream.
@@ -51,6 +53,8 @@
 	fences    []int64
 	heldUntil []time.Time
 	runs      []Run
+	// rateLimit is the limit that responses state, in requests per second; 0 states none.
+	rateLimit float64
 	// handler, if set, handles requests in place of the default.
 	handler http.HandlerFunc
 	// observer, if set, is called with each event.
@@ -80,6 +84,13 @@
 	u.handler = handler
 }
 
+// SetRateLimit sets the limit that responses state, in requests per second; 0 states none.
+func (u *Upstream) SetRateLimit(perSecond float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rateLimit = perSecond
+}
+
 // SetObserver sets a function that is called with each event and must return quickly.
 func (u *Upstream) SetObserver(observer func(Event)) {
 	u.mu.Lock()
@@ -197,11 +208,14 @@
 	}
 	id := r.Header.Get(fleet.HeaderRequestID)
 	u.mu.Lock()
-	run := Run{RequestID: id, Key: key, Path: r.RequestURI, Body: string(body)}
+	run := Run{RequestID: id, Key: key, Path: r.RequestURI, Body: string(body), At: time.Now()}
 	u.runs = append(u.runs, run)
 	u.notify(Event{Kind: EventRun, Run: &run})
-	handler := u.handler
+	handler, rateLimit := u.handler, u.rateLimit
 	u.mu.Unlock()
+	if rateLimit > 0 {
+		w.Header().Set(fleet.HeaderRateLimit, strconv.FormatFloat(rateLimit, 'f', -1, 64))
+	}
 	w.Header().Set(fleet.HeaderRequestID, id)
 	if handler != nil {
 		handler(w, r)
