server/gateway: upstreams that state a limit get requests by permit only

Cause: no VM read the limit. Class: a bound for all VMs together that no part of the system enforces; nothing else states one (cold rate, retries, connections and concurrency have a division).

Change: a VM that reads a limit sends no more there without a permit and tells the granter, which tells the others. The granter issues permits at the stated rate to VMs with waiting requests, in turn; a permit is valid for 1 s. A new granter issues none while a former one may. Requests wait by the backlog that the granter reports, and are refused at once (reason limited) if no permit comes in time. An upstream with a limit counts as smaller when keys are placed. A limit ends by a response without it to a request that was sent after it was stated; a VM with a permit sends one at least once a second.

Ruled out: fixed shares and time slots per VM, as for cold upstreams. A limit of 1 a second at 11 VMs leaves each a slot every 11 s, at 300 VMs every 300 s; most slots would pass unused.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -63,6 +63,7 @@
 	// backoff is the time between requests while all VMs together send the upstream
 	// more than it accepts; nextAt is when the next one may be sent.
 	backoff, nextAt time.Duration
+	permits         permits
 }
 
 // New returns a queue that allows limit concurrent requests to the upstream.
@@ -93,15 +94,10 @@
 		q.start(now)
 		return Start, 0
 	}
-	ahead := 0
-	for _, w := range q.waiting {
-		if q.precedes(now, w, r) {
-			ahead++
-		}
-	}
+	ahead := q.ahead(now, r)
 	// On average, the running requests have used half of their time.
 	wait = (q.serviceTime*time.Duration(ahead) + q.serviceTime/2) / time.Duration(q.limit)
-	wait = max(wait, q.nextAt-now+q.backoff*time.Duration(ahead))
+	wait = max(wait, q.nextAt-now+q.backoff*time.Duration(ahead), q.permits.wait(now, ahead, len(q.waiting)+1))
 	if r.MissesDeadline(now + wait) {
 		return Refuse, wait
 	}
@@ -109,6 +105,16 @@
 	return Wait, wait
 }
 
+// ahead returns the number of waiting requests that go before r.
+func (q *Queue) ahead(now time.Duration, r *Request) (n int) {
+	for _, w := range q.waiting {
+		if w != r && q.precedes(now, w, r) {
+			n++
+		}
+	}
+	return n
+}
+
 // precedes reports whether a goes before b: requests that can be answered within
 // their target go before those that cannot.
 func (q *Queue) precedes(now time.Duration, a, b *Request) bool {
@@ -121,13 +127,14 @@
 // Next returns the requests that have a slot now, and those that can no longer meet
 // their deadline.
 func (q *Queue) Next(now time.Duration) (start, refuse []*Request) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(r *Request) bool {
-		if r.MissesDeadline(now) {
+	for _, r := range q.waiting {
+		if r.MissesDeadline(now + q.permitWait(now, r)) {
 			refuse = append(refuse, r)
-			return true
 		}
-		return false
-	})
+	}
+	if len(refuse) > 0 {
+		q.waiting = slices.DeleteFunc(q.waiting, func(r *Request) bool { return slices.Contains(refuse, r) })
+	}
 	for len(q.waiting) > 0 && q.canStart(now) {
 		best := 0
 		for i, r := range q.waiting {
@@ -142,9 +149,12 @@
 	return start, refuse
 }
 
-func (q *Queue) canStart(now time.Duration) bool { return q.running < q.limit && now >= q.nextAt }
+func (q *Queue) canStart(now time.Duration) bool {
+	return q.running < q.limit && now >= q.nextAt && q.permits.permit(now)
+}
 
 func (q *Queue) start(now time.Duration) {
+	q.permits.use()
 	q.running++
 	q.nextAt = now + q.backoff
 }
@@ -152,7 +162,7 @@
 // NextWake returns when Next should be called even if no slot is freed; ok is false
 // if it need not be.
 func (q *Queue) NextWake() (at time.Duration, ok bool) {
-	return q.nextAt, len(q.waiting) > 0 && q.running < q.limit
+	return q.nextAt, len(q.waiting) > 0 && q.running < q.limit && q.permits.permit(q.nextAt)
 }
 
 // UpstreamFull records that the upstream refused a request because it was full. The
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -287,7 +287,7 @@
 			u.pool.Close()
 			c.limits.forget(u)
 		}
-		s.upstreams[id] = newUpstream(reg, c.responseLimits)
+		s.upstreams[id] = newUpstream(reg, c.responseLimits, func() { c.limits.reportNow() })
 	} else {
 		u.registration.Store(reg)
 	}
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -275,6 +275,9 @@
 func (e *elector) handleUpdate(ctx context.Context, u update) error {
 	e.control.operatorFeed.reported(u.OperatorChange)
 	e.control.confirmRank()
+	e.control.limits.confirmIssuer()
+	e.control.limits.merge(e.control.view(), u.Limits, bootTime(), "granter")
+	e.control.limits.receive(e.control.view(), u.Permits)
 	e.control.submitOwners(u.Owners, u.Rank, u.VMs)
 	if u.Snapshot != nil {
 		e.control.applySnapshot(u.Snapshot)
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -147,13 +147,16 @@
 		return nil, outcome{reason: cause, status: http.StatusServiceUnavailable, retryAfter: max(retryAfter, shortRetryAfter)}
 	}
 	if err := h.acquire(ctx, q, u); err != nil {
-		return nil, busyOutcome(err)
+		return nil, busyOutcome(u, err)
 	}
 	return u, outcome{}
 }
 
 // acquire acquires a slot of the limiter of an upstream.
 func (h *requestHandler) acquire(ctx context.Context, q *request, u *upstream) error {
+	if u.limiter.permitWait() > 0 && !h.limits.hasIssuer() {
+		return noCapacityError{shortRetryAfter}
+	}
 	target := q.deadline
 	if q.route.TargetLatency > 0 {
 		target = q.arrived.Add(q.route.TargetLatency)
@@ -164,9 +167,13 @@
 	})
 }
 
-// busyOutcome returns the outcome of a failed acquire.
-func busyOutcome(err error) outcome {
-	failure := outcome{reason: busy, status: http.StatusServiceUnavailable, err: err, retryAfter: shortRetryAfter}
+// busyOutcome returns the outcome of a failed acquire for an upstream.
+func busyOutcome(u *upstream, err error) outcome {
+	cause := busy
+	if u.limiter.rate() > 0 {
+		cause = limited
+	}
+	failure := outcome{reason: cause, status: http.StatusServiceUnavailable, err: err, retryAfter: shortRetryAfter}
 	var noCapacity noCapacityError
 	if errors.As(err, &noCapacity) {
 		failure.retryAfter = max(noCapacity.retryAfter, shortRetryAfter)
@@ -179,7 +186,7 @@
 func (h *requestHandler) lowestCost(q *request, v *view, avoid map[api.UpstreamID]bool) (best *upstream, retryAfter time.Duration) {
 	now, boot := time.Now(), bootTime()
 	expected := h.stats.expectedLatency(q.route.Name)
-	var choice selection.Choice[*upstream]
+	var choice, limitedChoice selection.Choice[*upstream]
 	for pass := range 2 {
 		for _, u := range v.services[q.service.Name] {
 			if !v.usable(u) || pass == 0 && avoid[u.id] {
@@ -191,12 +198,29 @@
 				}
 				continue
 			}
-			choice.Add(u, u.candidate(now, expected, h.domain))
+			candidate := u.candidate(now, expected, h.domain)
+			if wait := u.limiter.permitWait(); wait > 0 {
+				u.limiter.requestSpare()
+				candidate.Latency += wait.Seconds()
+				limitedChoice.Add(u, candidate)
+				continue
+			}
+			if h.limits.isUnconfirmed(u, boot) {
+				best = u
+				break
+			}
+			choice.Add(u, candidate)
 		}
-		if best, _ = choice.Best(localAllowance(q.route)); best != nil {
+		if best == nil {
+			best, _ = choice.Best(localAllowance(q.route))
+		}
+		if best != nil {
 			break
 		}
 	}
+	if best == nil {
+		best, _ = limitedChoice.Best(localAllowance(q.route))
+	}
 	if best != nil && !h.takeColdSlot(q, v, best, boot) {
 		return nil, shortRetryAfter
 	}
@@ -286,7 +310,7 @@
 			untilSlot := h.coldWait(q, v, u, bootTime())
 			if untilSlot == 0 {
 				if err := h.acquire(ctx, q, u); err != nil {
-					return nil, busyOutcome(err)
+					return nil, busyOutcome(u, err)
 				}
 				if h.takeColdSlot(q, v, u, bootTime()) {
 					return u, outcome{}
@@ -357,7 +381,7 @@
 	var headers fleet.ResponseHeaders
 	began, sent := time.Now(), bootTime()
 	q.sendDelay = began.Sub(q.arrived)
-	if h.limits.rate(u) > 0 {
+	if u.limiter.rate() > 0 {
 		h.metrics.limitedSends.WithLabelValues(string(q.service.Name)).Inc()
 	}
 	h.crashes.started(q.fingerprint)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -68,7 +68,7 @@
 	st := newTrafficStats()
 	cr := newCrashes()
 	l := &links{
-		self: s.VM, incarnation: incarnation, address: s.peersAddress(), stats: st, crashes: cr, relay: &relay{}, log: log,
+		self: s.VM, incarnation: incarnation, address: s.peersAddress(), stats: st, crashes: cr, relay: &relay{}, limits: c.limits, log: log,
 		peers: s.seeds(), reportRequested: make(chan struct{}, 1), hasConfig: func() bool { return c.view().config != nil },
 	}
 	g := &Gateway{
@@ -84,6 +84,7 @@
 		},
 	}
 	l.elector = g.elector
+	c.limits.reportNow = l.reportNow
 	peers := chi.NewRouter()
 	peers.Handle(linkPath, l)
 	peers.Get(StatusPath, g.serveStatus)
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +67,8 @@
 	ranks         []rank
 	speeds        map[api.UpstreamID]float64
 	calls         *callQueues
+	office        *permitOffice
+	ownPermits    *permitClient // of this VM
 
 	writing       bool
 	renewedAt     time.Duration // when the last successful renewal was sent
@@ -84,6 +88,7 @@
 		machines: make(map[api.ServiceName]*ownership.Machine), owners: make(map[api.ServiceName]ownerTable), ownerChanges: make(map[api.ServiceName][]ownerTable), publishedAt: make(map[api.ServiceName]time.Duration),
 		pendingWrites: make(map[api.ServiceName][]ownership.Entry), storedRows: make(ownerRows), members: make(map[*member]bool),
 		speeds: make(map[api.UpstreamID]float64), renewedAt: sent,
+		office: newPermitOffice(e.control.limits), ownPermits: newPermitClient(),
 	}
 	g.renewUntil.Store(int64(authority.RenewUntil(sent)))
 	g.calls = newCallQueues(g)
@@ -107,6 +112,7 @@
 	g.calls.ctx = callsCtx
 	g.links.setGranter(g)
 	g.links.setFollowed(g.lease, nil, false)
+	g.control.limits.connected()
 	defer g.links.setGranter(nil)
 	guard := guard{g.metrics, g.log}
 	ticker := time.NewTicker(granterTick)
@@ -200,12 +206,38 @@
 		}
 		g.publish(name, m)
 	}
+	g.issuePermits(now, v)
 	g.renew(ctx, now)
 	if now-g.updatesSentAt >= updateInterval {
 		g.sendUpdates(now)
 	}
 }
 
+// issuePermits issues permits for requests to upstreams that state a limit, and sends them.
+func (g *granter) issuePermits(now time.Duration, v *view) {
+	var own report
+	own.Limits, own.Demands = g.control.limits.report()
+	g.office.handleReport(v, g.ownPermits, own, now)
+	clients, members := []*permitClient{g.ownPermits}, slices.Collect(maps.Keys(g.members))
+	for _, m := range members {
+		clients = append(clients, m.permits)
+	}
+	delay := max(g.predecessor.Until-now, 0)
+	if !g.mayRenew() {
+		delay = max(delay, linkTimeout)
+	}
+	g.office.issue(now, delay, clients)
+	g.control.limits.receive(v, g.ownPermits.takeGrants())
+	members = slices.DeleteFunc(members, func(m *member) bool { return !m.permits.hasPermits() })
+	if len(members) == 0 {
+		return
+	}
+	news := g.news(g.peers(now))
+	for _, m := range members {
+		g.sendUpdate(now, m, news)
+	}
+}
+
 // mode returns what the authority of this VM allows now.
 func (g *granter) mode(now time.Duration) ownership.Mode {
 	if unreachable := g.authority.StoreUnreachable(now); unreachable != g.storeUnreachable.Load() {
@@ -235,9 +267,13 @@
 		}
 		owner := ownership.Owner{UpstreamID: id, Incarnation: reg.Incarnation}
 		usable := v.usable(u) && !g.calls.suspect(owner, now)
+		capacity := float64(reg.Slots) * speed
+		if rate := u.limiter.rate(); rate > 0 {
+			capacity = min(capacity, rate*g.stats.averageLatency(reg.Service))
+		}
 		out[reg.Service] = append(out[reg.Service], ownership.Upstream{
 			Owner:       owner,
-			Capacity:    float64(reg.Slots) * speed,
+			Capacity:    capacity,
 			MayKeepKeys: usable, MayGainKeys: usable && now > reg.coldUntil-maxColdRemaining,
 		})
 	}
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -39,6 +39,7 @@
 	noUpstream      reason = "no_upstream"  // the service has no usable upstream
 	busy            reason = "busy"         // the limiter admits no request before the deadline
 	cold            reason = "cold"         // the rate limit of the cold upstream is reached
+	limited         reason = "limited"      // the limit that the upstream states is reached
 	shed            reason = "shed"         // upstreams shed the request
 	unreachable     reason = "unreachable"  // no connection to an upstream
 	timeoutUnsent   reason = "timeout_unsent"
--- a/server/gateway/limiter.go
+++ b/server/gateway/limiter.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"dandelionhill.dev/core/admission"
+	"dandelionhill.dev/core/ratelimit"
 )
 
 // noCapacityError means that an upstream cannot serve a request before its deadline.
@@ -27,6 +28,8 @@
 type limiter struct {
 	limit *atomic.Int32
 	start time.Time
+	// permitsWanted is called when a request begins to wait for a permit.
+	permitsWanted func()
 
 	mu    sync.Mutex
 	queue *admission.Queue
@@ -34,8 +37,54 @@
 	timerAt time.Duration
 }
 
-func newLimiter(limit *atomic.Int32) *limiter {
-	return &limiter{limit: limit, start: time.Now(), queue: admission.New(1)}
+func newLimiter(limit *atomic.Int32, permitsWanted func()) *limiter {
+	return &limiter{limit: limit, permitsWanted: permitsWanted, start: time.Now(), queue: admission.New(1)}
+}
+
+// setRate sets the limit that the upstream states, in requests per second; 0 ends it.
+func (l *limiter) setRate(rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.SetRate(rate)
+	l.dispatch(time.Now())
+}
+
+// rate returns the limit that the upstream states, 0 if there is none.
+func (l *limiter) rate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Rate()
+}
+
+// addPermits adds permits, and records the number that all VMs together wait for.
+func (l *limiter) addPermits(permits int, backlog float64) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.AddPermits(now.Sub(l.start), permits, ratelimit.PermitTTL, backlog)
+	l.dispatch(now)
+}
+
+// missingPermits returns the number of waiting requests without a permit, and whether the
+// next request needs one.
+func (l *limiter) missingPermits() (waiting int, spare bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.MissingPermits(time.Since(l.start))
+}
+
+// permitWait returns the time until a new request gets a permit, 0 if it needs none.
+func (l *limiter) permitWait() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.PermitWait(time.Since(l.start))
+}
+
+// requestSpare asks for a permit for the next request, after one that went elsewhere.
+func (l *limiter) requestSpare() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.RequestSpare(time.Since(l.start))
 }
 
 func (l *limiter) load() int {
@@ -64,7 +113,11 @@
 	l.queue.SetLimit(int(l.limit.Load()))
 	decision, retryAfter := l.queue.Offer(now.Sub(l.start), r)
 	l.dispatch(now)
+	missing, _ := l.queue.MissingPermits(now.Sub(l.start))
 	l.mu.Unlock()
+	if missing > 0 {
+		l.permitsWanted()
+	}
 	switch decision {
 	case admission.Start:
 		return nil
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -17,6 +17,7 @@
 	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
@@ -29,7 +30,9 @@
 	// reportInterval is the interval between reports of a VM, updateInterval the longest
 	// interval between updates from the granter.
 	reportInterval = 400 * time.Millisecond
-	updateInterval = 250 * time.Millisecond
+	// minReportInterval is the shortest interval between reports that a VM sends at once.
+	minReportInterval = 30 * time.Millisecond
+	updateInterval    = 250 * time.Millisecond
 	// linkTimeout is the longest time without a message from the granter.
 	linkTimeout = 700 * time.Millisecond
 	// linkDialTimeout bounds the time to connect to the granter.
@@ -74,6 +77,10 @@
 	Lease *lease `cbor:"7,keyasint,omitempty"`
 	// Snapshot is for a VM without a configuration.
 	Snapshot *stateSnapshot `cbor:"11,keyasint,omitempty"`
+	// Limits holds news of the limits that upstreams state, Permits the permits for requests to
+	// these upstreams.
+	Limits  []limitNews   `cbor:"14,keyasint,omitempty"`
+	Permits []permitGrant `cbor:"15,keyasint,omitempty"`
 	// OperatorChange is the version of the newest row of operators that any VM has read.
 	OperatorChange int64 `cbor:"13,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
@@ -91,6 +98,7 @@
 	stats       *trafficStats
 	crashes     *crashes
 	relay       *relay
+	limits      *statedLimits
 	log         zerolog.Logger
 	// elector provides this VM's promises, hasConfig reports whether this VM has a configuration.
 	elector   *elector
@@ -178,7 +186,7 @@
 		l.log.Warn().Str("event", "link_refused").Str("peer", string(h.VM)).Int64("term", h.Term).Err(err).Msg("")
 		return
 	}
-	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, updates: make(chan update, 1), close: cancel, ended: ctx.Done()}
+	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, permits: newPermitClient(), updates: make(chan update, 1), close: cancel, ended: ctx.Done()}
 	if !g.addMember(member, time.Duration(h.PromiseMs)*time.Millisecond) {
 		return
 	}
@@ -241,6 +249,7 @@
 	if err := send(ctx, conn, greeting); err != nil {
 		return err
 	}
+	l.limits.connected()
 	go func() {
 		if err := l.sendReports(ctx, conn); err != nil {
 			cancel(err)
@@ -284,6 +293,7 @@
 		rep := l.stats.takeReport()
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
 		rep.RowsTo = l.relay.version()
+		rep.Limits, rep.Demands = l.limits.report()
 		if crashes := l.crashes.snapshot(); evidence.due(crashes, bootTime()) {
 			rep.Crashes = crashes
 		}
@@ -291,6 +301,7 @@
 		if err := send(ctx, conn, rep); err != nil {
 			return err
 		}
+		wait.For(ctx, minReportInterval)
 	}
 }
 
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -6,6 +6,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/ratelimit"
 )
 
 const (
@@ -20,6 +21,7 @@
 	vm      api.VMID
 	address string
 	updates chan update
+	permits *permitClient
 	ended   <-chan struct{} // closed when the connection has ended
 	// hasConfig means that the VM has a configuration.
 	hasConfig bool
@@ -102,6 +104,9 @@
 			m.relayedTo = r.RowsTo
 		}
 		g.observe(r)
+		if g.office.handleReport(g.control.view(), m.permits, r, received) {
+			g.sendUpdates(received)
+		}
 	})
 }
 
@@ -115,6 +120,7 @@
 		g.sendUpdate(now, m, news)
 	}
 	g.control.confirmRank()
+	g.control.limits.confirmIssuer()
 	g.control.submitOwners(maps.Clone(g.owners), 0, len(g.ranks))
 }
 
@@ -134,10 +140,11 @@
 	crashes        []crash.Entry
 	operatorChange int64
 	peers          []string
+	limits         map[*upstream]ratelimit.StatedLimit
 }
 
 func (g *granter) news(peers []string) news {
-	return news{crashes: g.links.crashes.snapshot(), operatorChange: g.control.operatorFeed.newestChange(), peers: peers}
+	return news{crashes: g.links.crashes.snapshot(), operatorChange: g.control.operatorFeed.newestChange(), peers: peers, limits: g.control.limits.all()}
 }
 
 // samplePeers returns at most maxPeersSent addresses, spread over all; each rank gets others.
@@ -166,6 +173,7 @@
 	case old := <-m.updates:
 		u.Owners, u.Peers, u.Lease = old.Owners, old.Peers, old.Lease
 		u.Snapshot = old.Snapshot
+		u.Limits, u.Permits = old.Limits, old.Permits
 		if u.Crashes == nil {
 			u.Crashes = old.Crashes
 		}
@@ -180,6 +188,8 @@
 		u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
 		m.relayedTo = u.RowsTo
 	}
+	u.Limits = append(u.Limits, g.office.takeNews(m.permits, n.limits, now)...)
+	u.Permits = mergeGrants(u.Permits, m.permits.takeGrants())
 	if !m.hasConfig {
 		u.Snapshot = g.snapshot()
 		m.hasConfig = u.Snapshot != nil
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -40,17 +40,24 @@
 	OperatorChange int64 `cbor:"7,keyasint,omitempty"`
 	// Crashes is the VM's evidence on requests that crash upstreams.
 	Crashes []crash.Entry `cbor:"4,keyasint,omitempty"`
+	// Limits holds news of the limits that upstreams state, Demands the permits that the VM
+	// wants.
+	Limits  []limitNews    `cbor:"8,keyasint,omitempty"`
+	Demands []permitDemand `cbor:"9,keyasint,omitempty"`
 }
 
 // trafficStats collects statistics on the traffic of this VM.
 type trafficStats struct {
 	mu           sync.Mutex
 	routeLatency map[string]float64 // by route, seconds
-	pending      report
+	// serviceLatency is the average latency of a service at upstreams without a queue, in
+	// seconds.
+	serviceLatency map[api.ServiceName]float64
+	pending        report
 }
 
 func newTrafficStats() *trafficStats {
-	return &trafficStats{routeLatency: make(map[string]float64), pending: emptyReport()}
+	return &trafficStats{routeLatency: make(map[string]float64), serviceLatency: make(map[api.ServiceName]float64), pending: emptyReport()}
 }
 
 func emptyReport() report {
@@ -67,6 +74,16 @@
 	return initialLatency
 }
 
+// averageLatency returns the average latency of a service at upstreams without a queue.
+func (s *trafficStats) averageLatency(service api.ServiceName) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if average := s.serviceLatency[service]; average > 0 {
+		return average
+	}
+	return initialLatency
+}
+
 // recordDemand counts a request for a key, whether or not it can be served.
 func (s *trafficStats) recordDemand(q *request) {
 	expected := s.expectedLatency(q.route.Name)
@@ -95,6 +112,11 @@
 	sample := s.pending.Latencies[u.id]
 	s.pending.Latencies[u.id] = latencySample{sample.Expected + expected, sample.Observed + took.Seconds()}
 	s.routeLatency[q.route.Name] = expected + routeLatencyWeight*(took.Seconds()-expected)
+	average := s.serviceLatency[q.service.Name]
+	if average == 0 {
+		average = took.Seconds()
+	}
+	s.serviceLatency[q.service.Name] = average + routeLatencyWeight*(took.Seconds()-average)
 }
 
 // takeReport returns the observations since the last call.
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/selection"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
@@ -41,10 +42,17 @@
 	coldSlot    int64 // last time slot of the shared clock in which a request was sent
 }
 
-func newUpstream(reg *registration, limits upstreamconn.Limits) *upstream {
+// owner returns the identity of the incarnation.
+func (u *upstream) owner() ownership.Owner {
+	return ownership.Owner{UpstreamID: u.id, Incarnation: u.registration.Load().Incarnation}
+}
+
+// newUpstream returns the state of an upstream. permitsWanted is called when a request begins
+// to wait for a permit.
+func newUpstream(reg *registration, limits upstreamconn.Limits, permitsWanted func()) *upstream {
 	u := &upstream{id: reg.ID, pool: upstreamconn.New(reg.Address, limits), coldSlot: -1}
 	u.limit.Store(1)
-	u.limiter = newLimiter(&u.limit)
+	u.limiter = newLimiter(&u.limit, permitsWanted)
 	u.registration.Store(reg)
 	return u
 }
--- a/server/gateway/view.go
+++ b/server/gateway/view.go
@@ -77,6 +77,15 @@
 	return t.Spans[i].Owner
 }
 
+// incarnation returns an incarnation of an upstream, nil if it is not known.
+func (v *view) incarnation(of ownership.Owner) *upstream {
+	u := v.upstreams[of.UpstreamID]
+	if u == nil || u.owner() != of {
+		return nil
+	}
+	return u
+}
+
 // usable reports whether an upstream may get requests.
 func (v *view) usable(u *upstream) bool {
 	reg := u.registration.Load()
