server/gateway, platform/fleet: a store that was restored from a copy is logged

Neither the restore nor a registration that is ignored as older left a line. The era in the responses of the store is decoded; store_restored and entry_outdated are logged. The fake store can go back to a copy. Nothing acts on the era yet.

--- a/fakes/fleet/store.go
+++ b/fakes/fleet/store.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -33,11 +35,37 @@
 	faults  Faults
 	changed chan struct{}
 	calls   int
+	era     int64
+}
+
+// StoreCopy is a copy of a store's rows at one time.
+type StoreCopy struct {
+	rows    map[fleet.RowID]fleet.Row
+	changes []fleet.Row
+	version int64
+}
+
+// Copy returns a copy of all rows.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{rows: maps.Clone(s.rows), changes: slices.Clone(s.changes), version: s.version}
+}
+
+// Restore goes back to a copy: rows written since are lost, and their versions are given out
+// again.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.changes, s.version = maps.Clone(c.rows), slices.Clone(c.changes), c.version
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[fleet.RowID]fleet.Row), start: time.Now(), changed: make(chan struct{})}
+	return &Store{rows: make(map[fleet.RowID]fleet.Row), start: time.Now(), changed: make(chan struct{}), era: 1}
 }
 
 // SetFaults replaces the faults.
@@ -152,6 +180,7 @@
 
 func (s *Store) writePage(w http.ResponseWriter, status int, rows []fleet.Row) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	w.WriteHeader(status)
 	// The connection may be closed; the caller then gets no response.
 	_ = json.NewEncoder(w).Encode(fleet.Page{Rows: rows, Version: s.version, ClockSeconds: time.Since(s.start).Seconds()})
@@ -181,7 +210,7 @@
 	defer timeout.Stop()
 	for {
 		s.mu.Lock()
-		if after+1 < s.oldest {
+		if after+1 < s.oldest || after > s.version {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -62,6 +62,8 @@
 	// pendingRemovals holds removals that are not certain yet, with the time at which they
 	// take effect.
 	pendingRemovals map[api.UpstreamID]time.Time
+	// era is the newest era of the store that was seen, see fleet.Page.
+	era int64
 	// storeRecoveredAt is when the store last answered after a failure.
 	storeRecoveredAt time.Time
 	dirty            bool
@@ -185,10 +187,24 @@
 	})
 }
 
+// noteEra records the era of a response of the store.
+func (c *control) noteEra(s *state, page *fleet.Page) {
+	if page.Era <= s.era {
+		return
+	}
+	if s.era > 0 {
+		c.log.Warn().Str("event", "store_restored").Int64("era", page.Era).Int64("row", page.Version).Msg("")
+	}
+	s.era = page.Era
+}
+
 // submitOperatorRows applies rows written by operators. full means that the page holds the
 // whole table.
 func (c *control) submitOperatorRows(page *fleet.Page, full bool) {
-	c.do(func(s *state) { c.applyOperatorRows(s, page.Rows, full) })
+	c.do(func(s *state) {
+		c.noteEra(s, page)
+		c.applyOperatorRows(s, page.Rows, full)
+	})
 }
 
 func (c *control) applyOperatorRows(s *state, rows []fleet.Row, full bool) {
@@ -237,6 +253,7 @@
 // the whole table.
 func (c *control) submitUpstreamRows(page *fleet.Page, full bool) {
 	c.do(func(s *state) {
+		c.noteEra(s, page)
 		listed := make(map[api.UpstreamID]bool)
 		for _, row := range page.Rows {
 			id := api.UpstreamID(row.Key)
@@ -267,6 +284,10 @@
 	id := decoded.ID
 	if s.rowVersions[id] >= row.Version {
 		// Another source has already provided this row, or a later change of it.
+		if s.rowVersions[id] > row.Version {
+			c.log.Info().Str("event", "entry_outdated").Str("upstream", row.Key).Int64("row", row.Version).
+				Int64("known", s.rowVersions[id]).Msg("")
+		}
 		return
 	}
 	s.rowVersions[id] = row.Version
