--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -47,9 +47,12 @@
 	rankUntil atomic.Int64 // see view.rankUntil
 	// responseLimits bounds the responses of upstreams.
 	responseLimits upstreamconn.Limits
-	// operatorFeed monitors the feed of the operators' rows.
-	operatorFeed feedMonitor
-	limits       *statedLimits
+	// operatorFeed monitors the feed of the operators' rows, upstreamFeed that of the
+	// registrations.
+	operatorFeed, upstreamFeed feedMonitor
+	// era is the newest era of the store that was seen, see fleet.Page.
+	era    atomic.Int64
+	limits *statedLimits
 }
 
 // state is the state of the control goroutine, from which views are published.
@@ -62,8 +65,6 @@
 	// pendingRemovals holds removals that are not certain yet, with the time at which they
 	// take effect.
 	pendingRemovals map[api.UpstreamID]time.Time
-	// era is the newest era of the store that was seen, see fleet.Page.
-	era int64
 	// storeRecoveredAt is when the store last answered after a failure.
 	storeRecoveredAt time.Time
 	dirty            bool
@@ -187,24 +188,27 @@
 	})
 }
 
-// noteEra records the era of a response of the store.
-func (c *control) noteEra(s *state, page *fleet.Page) {
-	if page.Era <= s.era {
+// observeEra records the era of a response of the store; page is nil if there was none. In a
+// new era the feeds read their tables again.
+func (c *control) observeEra(page *fleet.Page) {
+	if page == nil {
+		return
+	}
+	previous := c.era.Load()
+	if page.Era <= previous || !c.era.CompareAndSwap(previous, page.Era) {
 		return
 	}
-	if s.era > 0 {
+	if previous > 0 {
 		c.log.Warn().Str("event", "store_restored").Int64("era", page.Era).Int64("row", page.Version).Msg("")
 	}
-	s.era = page.Era
+	c.operatorFeed.reported(page.EraStart())
+	c.upstreamFeed.reported(page.EraStart())
 }
 
 // submitOperatorRows applies rows written by operators. full means that the page holds the
 // whole table.
 func (c *control) submitOperatorRows(page *fleet.Page, full bool) {
-	c.do(func(s *state) {
-		c.noteEra(s, page)
-		c.applyOperatorRows(s, page.Rows, full)
-	})
+	c.do(func(s *state) { c.applyOperatorRows(s, page.Rows, full) })
 }
 
 func (c *control) applyOperatorRows(s *state, rows []fleet.Row, full bool) {
@@ -253,7 +257,6 @@
 // the whole table.
 func (c *control) submitUpstreamRows(page *fleet.Page, full bool) {
 	c.do(func(s *state) {
-		c.noteEra(s, page)
 		listed := make(map[api.UpstreamID]bool)
 		for _, row := range page.Rows {
 			id := api.UpstreamID(row.Key)
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -66,7 +66,7 @@
 
 // readTable is followTable up to the first panic.
 func (c *control) readTable(ctx context.Context, s source) {
-	version, known := int64(0), false
+	version, known, failed := int64(0), false, false
 	retryDelay := storeRetryDelay
 	for ctx.Err() == nil {
 		if s.relay != nil && known {
@@ -76,7 +76,13 @@
 				continue
 			}
 		}
-		page, err := c.readChanges(ctx, s, version, known)
+		timeout := feedTimeout
+		if failed {
+			// The store may have been restored, which its next response shows.
+			timeout = 0
+		}
+		page, err := c.readChanges(ctx, s, version, known, timeout)
+		failed = err != nil && !errors.Is(err, fleet.ErrCompacted)
 		switch {
 		case err == nil:
 			c.setStoreAvailable(true)
@@ -117,7 +123,7 @@
 }
 
 // readChanges reads all rows, or waits for those that changed after a version.
-func (c *control) readChanges(ctx context.Context, s source, version int64, known bool) (*fleet.Page, error) {
+func (c *control) readChanges(ctx context.Context, s source, version int64, known bool, timeout time.Duration) (*fleet.Page, error) {
 	if !known {
 		return c.readAll(ctx, s.table)
 	}
@@ -128,10 +134,11 @@
 		defer done()
 		ctx = pollCtx
 	}
-	page, err := c.store.WaitForChanges(ctx, s.table, version, feedTimeout)
+	page, err := c.store.WaitForChanges(ctx, s.table, version, timeout)
 	if err != nil && errors.Is(context.Cause(ctx), errFeedBehind) {
 		err = errFeedBehind
 	}
+	c.observeEra(page)
 	c.metrics.recordStoreCall("feed", err)
 	return page, err
 }
@@ -142,6 +149,7 @@
 	sent := bootTime()
 	page, err := c.store.ReadTable(ctx, table)
 	if err == nil {
+		c.observeEra(page)
 		c.submitClock(sent, bootTime(), page)
 	}
 	c.metrics.recordStoreCall("read", err)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -141,6 +141,7 @@
 	})
 	go g.control.followTable(ctx, source{
 		table: fleet.TableUpstreams, interval: g.upstreamFeedInterval, apply: g.control.submitUpstreamRows, relay: g.links.relay,
+		monitor: &g.control.upstreamFeed,
 	})
 	go g.enforceCallerLimits(ctx)
 	go func() {
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -156,6 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	page, err := c.store.Commit(ctx, tx)
+	c.observeEra(page)
 	c.metrics.recordStoreCall("commit", err)
 	return page, err
 }
--- a/server/gateway/restored_test.go
+++ b/server/gateway/restored_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/core/ownership"
@@ -58,3 +61,53 @@
 	require.Equal(t, term, b.control.view().owners["keyed"].Term, "the granter has gone on")
 	d.eventually(func() bool { return len(d.store.Row(systemTable, ownerRowID("keyed", 0).Key).Value) > 0 }, "the store has the owners again")
 }
+
+// TestChangesAfterRestore guards against changes that a VM misses or ignores because the store,
+// restored from an older copy, gives them versions that it gave out before.
+func TestChangesAfterRestore(t *testing.T) {
+	d := newDeployment(t)
+	address, refuse := d.storeFor()
+	g := d.startVMAt("vm-a", address)
+	older := d.store.Copy()
+	advance := func() {
+		for range 40 {
+			d.store.Put("other", "row", []byte("{}"))
+		}
+	}
+	advance()
+	p1 := d.addUpstream("p1", "plain")
+	d.configure(2, "keyed")
+	d.eventually(func() bool {
+		return len(g.control.view().services["plain"]) == 1 && g.control.view().config.Version == 2
+	}, "the VM knows the upstream and the configuration")
+	known := d.store.Row("op", "config").Version
+
+	refuse.Store(true)
+	d.eventually(func() bool { return g.control.view().storeUnavailable }, "the store is away")
+	d.store.Restore(older)
+	d.store.Put("servers", "p1", p1.Registration(d.addresses["p1"], "draining", 0))
+	d.configure(7, "plain")
+	require.Less(t, d.store.Row("op", "config").Version, known, "versions are given out again")
+	advance()
+	refuse.Store(false)
+	d.eventually(func() bool { return g.control.view().config.Version == 7 }, "the VM sees the configuration")
+	d.eventually(func() bool { v := g.control.view(); return !v.usable(v.upstreams["p1"]) }, "the VM sees that the upstream is draining")
+}
+
+// TestLongPollAcrossRestore guards against a long poll that was sent before the store was
+// restored and waits for a change, while another call has shown the restore.
+func TestLongPollAcrossRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lostFeedStore{}
+		store.version.Store(5)
+		c := newControl(fleet.NewStore("store", &http.Client{Transport: store}), NewMetrics(), zerolog.Nop())
+		go c.followTable(t.Context(), source{
+			table: fleet.TableUpstreams, interval: func() time.Duration { return feedInterval },
+			apply: func(*fleet.Page, bool) {}, monitor: &c.upstreamFeed,
+		})
+		time.Sleep(time.Second)
+		c.observeEra(&fleet.Page{Era: 1})
+		time.Sleep(maxFeedLag + feedInterval)
+		require.EqualValues(t, 2, store.reads.Load())
+	})
+}
