server/gateway: the granter goes on after the store went back to an older copy

Cause: the granter's renewal conflicted with the lease row of the copy, and it took this for a successor. The next granter, mostly the same VM, took the owners of the copy for the present ones and renewed them at once, with fences from before. Class: state in memory that is newer than the store is given up for the store's.

Change: a lease names the era in which it was written. On a conflict with a lease that is not newer, in a later era, a granter that may still act writes its lease and all owners again; no key moves for 3 s, as another granter whose lease was lost may act for that long. The other VMs treat a store without a lease of its era like one that does not answer, for 3 s: they promise, and follow the granter. If it is lost as well, a VM takes over with a term above all that can have been and without owners; keys are assigned when unknown granters and their leases have ended, about 5 s later. A caretaker goes on with the owners that it has.

Before: TestRestoredStoreKeepsOwners: key 32768 held by k1 and k2. After: it passes, as does TestRestoredStoreWithoutGranter, which failed in one trial of three because vm-b could be the granter in it (log: granter_lost granter=vm-b); vm-a starts first now.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -341,6 +341,13 @@
 	return len(m.entries) == 1 && m.entries[0].Owner.UpstreamID == "" && now-m.upstreamsChangedAt < m.cfg.InitialAssignmentDelay
 }
 
+// Rewrite returns the entries to store if the store has lost them. No key gets another owner
+// before WriteDone.
+func (m *Machine) Rewrite() []Entry {
+	m.writing = true
+	return m.table()
+}
+
 // table returns the entries to store. Moving spans stay with their owner until
 // they have a new one.
 func (m *Machine) table() []Entry {
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -37,6 +37,15 @@
 	// is the interval between them.
 	successorTries = 4
 	successorRetry = 80 * time.Millisecond
+	// restoredPatience is how long after a restore of the store from an older copy the others
+	// wait for the granter to write its rows again.
+	restoredPatience = 3 * time.Second
+	// maxLostTerms is above the number of terms that an older copy can lack: a term lasts a
+	// second at least, and a copy is minutes old at most.
+	maxLostTerms = 1000
+	// leaseMargin is added to leases of keys for clocks that differ and messages that take
+	// long.
+	leaseMargin = 0.1
 )
 
 // elector elects one VM as the granter and connects the others to it.
@@ -56,6 +65,9 @@
 	voter *election.Voter
 	// leaseCheckedAt is when the lease was last read because the granter could not renew it.
 	leaseCheckedAt time.Duration
+	// restoredEra is the last era in which the store was found restored, restoredAt when.
+	restoredEra int64
+	restoredAt  time.Duration
 }
 
 // withVoter calls the voter with the time of bootTime.
@@ -107,7 +119,7 @@
 			lost = next
 			continue
 		}
-		state, err := e.control.readSystem(ctx)
+		state, err := e.readState(ctx)
 		if err != nil {
 			e.log.Warn().Str("event", "lease_not_read").Err(err).Msg("")
 			if lost = e.followWithoutStore(ctx, known.lease); !isSuccession(lost) {
@@ -139,6 +151,23 @@
 	}
 }
 
+// readState reads the state of this system in the store. After the store was restored from
+// an older copy, it fails until the granter has written again, restoredPatience at most.
+func (e *elector) readState(ctx context.Context) (systemState, error) {
+	state, err := e.control.readSystem(ctx)
+	if err != nil || !state.restored() {
+		return state, err
+	}
+	now := bootTime()
+	if e.restoredEra != state.era {
+		e.restoredEra, e.restoredAt = state.era, now
+	}
+	if now-e.restoredAt < restoredPatience {
+		return systemState{}, errStoreRestored
+	}
+	return state, nil
+}
+
 // isSuccession reports whether a connection ended because the granter named a
 // successor.
 func isSuccession(lost error) bool {
@@ -238,7 +267,7 @@
 	l := state.lease
 	wait.For(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
 	if l.VM != e.self && !electionLease.Vacant {
-		current, err := e.control.readSystem(ctx)
+		current, err := e.readState(ctx)
 		if err != nil || current.lease.version != l.version {
 			return
 		}
@@ -250,7 +279,7 @@
 // adoptStoredOwners routes by the owners in the store until a granter sends the
 // current ones.
 func (e *elector) adoptStoredOwners(state systemState) {
-	if state.lease.version == 0 {
+	if state.lease.version == 0 || state.restored() {
 		return
 	}
 	updates := make(map[api.ServiceName]ownerTable)
@@ -310,7 +339,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseCheckTimeout)
 	defer cancel()
-	state, err := e.control.readSystem(ctx)
+	state, err := e.readState(ctx)
 	if err != nil {
 		e.promiseGranter()
 		e.links.reportNow()
@@ -331,7 +360,35 @@
 	until := withVoter(e, func(v *election.Voter, _ time.Duration) time.Duration {
 		return v.PredecessorsUntil(previous.readAt, electionLease)
 	})
-	e.startTerm(ctx, state, e.predecessor(previous, until))
+	predecessor := e.predecessor(previous, until)
+	if state.restored() {
+		state = e.withoutOwners(state, &predecessor)
+	}
+	e.startTerm(ctx, state, predecessor, nil)
+}
+
+// withoutOwners returns the state from which a VM takes over after the store was restored
+// from an older copy and its granter has not written again. Terms and owners may be lost: the
+// next term is above all that can have been, and keys have no owner. They are assigned when
+// the granters that are not known can no longer act and their leases have expired.
+func (e *elector) withoutOwners(state systemState, predecessor *ownership.Predecessor) systemState {
+	state.owners = nil
+	state.lease.Term = max(state.lease.Term, e.knownTerm()) + maxLostTerms
+	leases := time.Duration(float64(predecessor.MaxLeaseTTL) * (1 + leaseMargin))
+	predecessor.Until = max(predecessor.Until, bootTime()+election.DefaultConfig().LeaseTTL) + leases
+	predecessor.InDoubtUntil = predecessor.Until
+	return state
+}
+
+// knownTerm returns the highest term that this VM knows of.
+func (e *elector) knownTerm() int64 {
+	e.links.mu.Lock()
+	term := e.links.lastGranter.Term
+	e.links.mu.Unlock()
+	for _, table := range e.control.view().owners {
+		term = max(term, table.Term)
+	}
+	return term
 }
 
 // predecessor returns the bounds on earlier granters: until when they may act, and
@@ -345,19 +402,24 @@
 	return predecessor
 }
 
-// startTerm writes the lease of a new term, and runs the granter if that succeeds.
-func (e *elector) startTerm(ctx context.Context, state systemState, predecessor ownership.Predecessor) {
+// startTerm writes the lease of a new term with rows of owners, and runs the granter if that
+// succeeds. Rows of owners that are not in the state are removed.
+func (e *elector) startTerm(ctx context.Context, state systemState, predecessor ownership.Predecessor, owners []fleet.Put) {
 	previous := state.lease
 	next := lease{
 		VM: e.self, Incarnation: e.incarnation, Address: e.address, Term: previous.Term + 1, Seq: 1,
 		RenewedAtMs: (time.Duration(previous.RenewedAtMs)*time.Millisecond + previous.age).Milliseconds(), VMs: previous.VMs,
-		PredecessorsMs: max(predecessor.Until-previous.readAt+callTimeout, 0).Milliseconds(),
+		PredecessorsMs: max(predecessor.Until-previous.readAt+callTimeout, 0).Milliseconds(), Era: state.era,
 	}
 	sent := bootTime()
 	if predecessor.Until <= sent {
 		next.PredecessorsMs = 0
 	}
-	page, err := e.control.commit(ctx, previous.version, next, nil)
+	var remove []fleet.RowID
+	if state.owners == nil {
+		remove = state.ownerRows
+	}
+	page, err := e.control.commit(ctx, previous.version, next, owners, remove)
 	if err != nil {
 		e.log.Info().Str("event", "takeover_failed").Int64("term", next.Term).Err(err).Msg("")
 		return
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -44,8 +44,11 @@
 	term         int64
 	lease        lease
 	leaseVersion int64 // of the lease row
-	predecessor  ownership.Predecessor
-	initial      systemState
+	era          int64 // of the store, as last seen by this granter
+	// rewrite means that the lease is to be written at once.
+	rewrite     bool
+	predecessor ownership.Predecessor
+	initial     systemState
 
 	authority *election.Authority
 	// renewUntil is until when this VM may grant and renew, on bootTime, as last computed by
@@ -83,7 +86,7 @@
 
 func newGranter(e *elector, l lease, row int64, authority *election.Authority, sent time.Duration, predecessor ownership.Predecessor, stored systemState) *granter {
 	g := &granter{
-		elector: e, authority: authority, term: l.Term, lease: l, leaseVersion: row, predecessor: predecessor, initial: stored,
+		elector: e, authority: authority, term: l.Term, lease: l, leaseVersion: row, era: stored.era, predecessor: predecessor, initial: stored,
 		tasks: make(chan func(), 256), done: make(chan struct{}),
 		machines: make(map[api.ServiceName]*ownership.Machine), owners: make(map[api.ServiceName]ownerTable), ownerChanges: make(map[api.ServiceName][]ownerTable), publishedAt: make(map[api.ServiceName]time.Duration),
 		pendingWrites: make(map[api.ServiceName][]ownership.Entry), storedRows: make(ownerRows), members: make(map[*member]bool),
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -177,11 +177,38 @@
 	e.runGranter(ctx, g)
 	select {
 	case state := <-recovered:
+		if state.restored() {
+			e.continueTerm(ctx, g, state)
+			return
+		}
 		if state.lease.Term == handed.Lease.Term && !state.lease.Released && ctx.Err() == nil {
 			// Every VM that acted in this term has handed over to this one.
 			now := bootTime()
-			e.startTerm(ctx, state, ownership.Predecessor{Until: now, MaxLeaseTTL: predecessor.MaxLeaseTTL, InDoubtUntil: now + predecessor.MaxLeaseTTL})
+			e.startTerm(ctx, state, ownership.Predecessor{Until: now, MaxLeaseTTL: predecessor.MaxLeaseTTL, InDoubtUntil: now + predecessor.MaxLeaseTTL}, nil)
 		}
 	default:
 	}
 }
+
+// continueTerm takes over from a caretaker of this VM after the store was restored from an
+// older copy: the caretaker knows the owners, the copy may not.
+func (e *elector) continueTerm(ctx context.Context, caretaker *granter, state systemState) {
+	now := bootTime()
+	if ctx.Err() != nil || state.lease.newerThan(caretaker.lease) || now >= time.Duration(caretaker.renewUntil.Load()) {
+		return
+	}
+	state.lease.Term, state.lease.VMs = caretaker.term, caretaker.lease.VMs
+	state.owners = make(map[api.ServiceName][]ownership.Entry)
+	for name, m := range caretaker.machines {
+		state.owners[name] = m.OwnedEntries()
+	}
+	puts, err := make(ownerRows).changes(state.owners)
+	if err != nil {
+		e.log.Error().Str("event", "owners_not_encoded").Err(err).Msg("")
+		return
+	}
+	// A granter that took over and whose lease was lost with the rows may act until its lease
+	// expires.
+	until := now + election.DefaultConfig().LeaseTTL
+	e.startTerm(ctx, state, ownership.Predecessor{Until: until, MaxLeaseTTL: caretaker.predecessor.MaxLeaseTTL, InDoubtUntil: until + caretaker.predecessor.MaxLeaseTTL}, puts)
+}
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -47,6 +47,9 @@
 	// milliseconds.
 	PredecessorsMs int64 `cbor:"10,keyasint,omitempty" json:"BeforeMs"`
 
+	// Era is the era of the store in which the row was written, 0 if it is not known.
+	Era int64 `cbor:"11,keyasint,omitempty"`
+
 	// unconfirmed means that the lease was not read from the store.
 	unconfirmed bool
 }
@@ -86,10 +89,25 @@
 type systemState struct {
 	lease  leaseRow
 	owners map[api.ServiceName][]ownership.Entry
+	// era is the era of the store, ownerRows names the rows that hold the owners.
+	era       int64
+	ownerRows []fleet.RowID
 	// unreadable holds an error for each row of owners that cannot be decoded.
 	unreadable []error
 }
 
+// restored reports whether the rows are those of an older copy of the store: no granter has
+// written since. A lease without an era was written by an earlier version of this program.
+func (s systemState) restored() bool {
+	if s.lease.version == 0 {
+		return s.era > firstEra
+	}
+	return s.lease.Era != 0 && s.lease.Era != s.era
+}
+
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 // readSystem reads the rows of this system. A lease that cannot be decoded is logged
 // and counts as vacant.
 func (c *control) readSystem(ctx context.Context) (systemState, error) {
@@ -109,7 +127,7 @@
 
 // decodeSystem decodes the rows of this system, read just now.
 func decodeSystem(page *fleet.Page) systemState {
-	state := systemState{owners: make(map[api.ServiceName][]ownership.Entry)}
+	state := systemState{owners: make(map[api.ServiceName][]ownership.Entry), era: page.Era}
 	for _, row := range page.Rows {
 		if row.Key == leaseKey {
 			state.lease = decodeLease(row, page.Clock())
@@ -120,6 +138,7 @@
 		if !ok {
 			continue
 		}
+		state.ownerRows = append(state.ownerRows, ownerRowID(service, part))
 		entries, err := decodeOwners(row.Value, part)
 		if err != nil {
 			state.unreadable = append(state.unreadable, errors.Wrapf(err, "row %q, version %d", row.Key, row.Version))
@@ -142,8 +161,8 @@
 	return r
 }
 
-// commit writes the lease, and rows of owners in the same transaction.
-func (c *control) commit(ctx context.Context, expect int64, l lease, owners []fleet.Put) (*fleet.Page, error) {
+// commit writes the lease, and writes and removes rows of owners in the same transaction.
+func (c *control) commit(ctx context.Context, expect int64, l lease, owners []fleet.Put, remove []fleet.RowID) (*fleet.Page, error) {
 	value, err := cbor.Marshal(l)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the lease")
@@ -151,7 +170,7 @@
 	tx := fleet.Tx{
 		Preconditions: []fleet.Precondition{{RowID: leaseRowID(), Version: expect}},
 		Put:           append([]fleet.Put{{RowID: leaseRowID(), Value: value}}, owners...),
-		Remove:        []fleet.RowID{},
+		Remove:        append([]fleet.RowID{}, remove...),
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/wait"
@@ -16,12 +17,14 @@
 
 // renew writes the lease every renewInterval, and changed owners at once.
 func (g *granter) renew(ctx context.Context, now time.Duration) {
-	if g.caretaker || g.writing || len(g.pendingWrites) == 0 && now-g.renewedAt < renewInterval {
+	due := g.rewrite || len(g.pendingWrites) > 0 || now-g.renewedAt >= renewInterval
+	if g.caretaker || g.writing || !due {
 		return
 	}
 	clock := g.control.view().clock
 	next := g.lease
 	next.Seq++
+	next.Era = g.era
 	next.RenewedAtMs = clock.at(now).Milliseconds()
 	next.VMs = len(g.members) + 1
 	next.PredecessorsMs = max(g.predecessor.Until-now, 0).Milliseconds()
@@ -32,7 +35,7 @@
 	}
 	services := slices.Collect(maps.Keys(g.pendingWrites))
 	g.pendingWrites = make(map[api.ServiceName][]ownership.Entry)
-	g.writing = true
+	g.writing, g.rewrite = true, false
 	go g.write(ctx, next, services, puts)
 }
 
@@ -41,11 +44,11 @@
 	first := bootTime()
 	for {
 		sent := bootTime()
-		page, err := g.control.commit(ctx, g.leaseVersion, next, owners)
+		page, err := g.control.commit(ctx, g.leaseVersion, next, owners, nil)
 		if errors.Is(err, fleet.ErrConflict) {
 			page, err = g.resolveConflict(page, next)
 		}
-		if err == nil || errors.Is(err, fleet.ErrConflict) {
+		if err == nil || errors.Is(err, fleet.ErrConflict) || errors.Is(err, errStoreRestored) {
 			if err == nil && page.Version != 0 && sent != first {
 				// Which attempt took effect is unknown: the lease counts from the first.
 				sent = first
@@ -65,22 +68,48 @@
 	}
 }
 
+// errStoreRestored means that the store holds the rows of an older copy.
+var errStoreRestored = errors.New("the store was restored from an older copy: the granter writes its rows again")
+
 // resolveConflict finds out whether a conflict was caused by an earlier attempt of the same
-// write, whose response was lost.
+// write, whose response was lost, or by an older copy of the store. The page that it returns
+// has the version of the lease row, 0 if there is none.
 func (g *granter) resolveConflict(page *fleet.Page, next lease) (*fleet.Page, error) {
+	var current leaseRow
 	for _, row := range page.Rows {
-		if row.Table != systemTable || row.Key != leaseKey {
-			continue
-		}
-		if l := decodeLease(row, 0); l.VM == next.VM && l.Incarnation == next.Incarnation && l.Term == next.Term && l.Seq == next.Seq {
-			return &fleet.Page{Version: row.Version}, nil
+		if row.Table == systemTable && row.Key == leaseKey {
+			current = decodeLease(row, 0)
 		}
 	}
+	resolved := &fleet.Page{Version: current.version, Era: page.Era}
+	switch {
+	case current.VM == next.VM && current.Incarnation == next.Incarnation && current.Term == next.Term && current.Seq == next.Seq:
+		return resolved, nil
+	case page.Era > g.era && !current.newerThan(next):
+		return resolved, errStoreRestored
+	}
 	return nil, fleet.ErrConflict
 }
 
+// enterEra continues the term after the store was restored from an older copy: the state of
+// this granter is newer, and is written whole. A later granter whose lease was lost with the
+// rows may act until its lease expires; until then no keys move.
+func (g *granter) enterEra(now time.Duration, page *fleet.Page) {
+	g.log.Warn().Str("event", "granter_continues").Int64("term", g.term).Int64("era", page.Era).Int64("row", page.Version).Msg("")
+	g.era, g.leaseVersion, g.rewrite = page.Era, page.Version, true
+	g.predecessor.Until = max(g.predecessor.Until, now+election.DefaultConfig().LeaseTTL)
+	g.storedRows = make(ownerRows)
+	for name, m := range g.machines {
+		g.pendingWrites[name] = m.Rewrite()
+	}
+}
+
 func (g *granter) writeDone(next lease, services []api.ServiceName, owners []fleet.Put, page *fleet.Page, sent time.Duration, err error) {
 	g.writing = false
+	if now := bootTime(); errors.Is(err, errStoreRestored) && g.mayRenew() {
+		g.enterEra(now, page)
+		return
+	}
 	if err != nil {
 		g.log.Warn().Str("event", "granter_replaced").Int64("term", g.term).Msg("")
 		g.renewUntil.Store(0)
@@ -101,6 +130,10 @@
 	for name, m := range g.machines {
 		g.publish(name, m)
 	}
+	if page.Era > g.era {
+		// The copy has the last write of this granter, so the condition of this one held.
+		g.enterEra(bootTime(), page)
+	}
 }
 
 // releaseLease releases the lease, so that a successor need not wait for it to expire.
@@ -115,7 +148,7 @@
 	for _, m := range g.machines {
 		next.InDoubtMs = max(next.InDoubtMs, (m.InDoubtUntil(now) - now).Milliseconds())
 	}
-	if _, err := g.control.commit(ctx, g.leaseVersion, next, nil); err != nil {
+	if _, err := g.control.commit(ctx, g.leaseVersion, next, nil, nil); err != nil {
 		g.log.Warn().Str("event", "lease_not_released").Int64("term", g.term).Err(err).Msg("")
 	}
 }
--- a/server/gateway/restored_test.go
+++ b/server/gateway/restored_test.go
@@ -111,3 +111,32 @@
 		require.EqualValues(t, 2, store.reads.Load())
 	})
 }
+
+// TestRestoredStoreWithoutGranter guards against a VM that takes over after the store went back
+// to an older copy and grants keys by its rows, or with fences that were used before, because
+// the granter that knew better was lost with it.
+func TestRestoredStoreWithoutGranter(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("k1", "keyed")
+	address, refuse := d.storeFor()
+	a := d.startVMAt("vm-a", address)
+	d.requireServed(a, keyedPath, 1)
+	b := d.startVM("vm-b")
+	d.requireServed(b, keyedPath, 1)
+	older := d.store.Copy()
+	k2 := d.addUpstream("k2", "keyed")
+	d.eventually(func() bool { return ownedBuckets(b)["k2"] > 1000 }, "the second upstream owns keys")
+	term := b.control.view().owners["keyed"].Term
+
+	refuse.Store(true)
+	d.store.Restore(older)
+	a.cancel()
+	for _, s := range a.servers {
+		s.Close()
+	}
+	d.store.Put("servers", "k2", k2.Registration(d.addresses["k2"], "ready", 0))
+	d.requireOneHolder(9 * time.Second)
+	d.requireServed(b, keyedPath, 1)
+	d.eventually(func() bool { return ownedBuckets(b)[""] == 0 }, "all keys have an owner")
+	require.Greater(t, b.control.view().owners["keyed"].Term, term+maxLostTerms/2)
+}
