server/gateway: writes depend on the row of the store's era

A granter that is cut off while the store goes back to a copy, or a write of it that is under way, can overwrite the lease of its successor: the store compares versions only, and the successor's lease gets the version that the former one had.

Cause: a condition on a version that is given out again.

Change: each era has a row in the store, which the first write of the era creates; it removes those of earlier eras. Every write depends on it besides the lease.

Before (without the condition): TestWriteOfEarlierEra, the former granter's write takes effect. After: it passes.

--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -419,7 +419,7 @@
 	if state.owners == nil {
 		remove = state.ownerRows
 	}
-	page, err := e.control.commit(ctx, previous.version, next, owners, remove)
+	page, err := e.control.commit(ctx, state.condition(), next, owners, remove)
 	if err != nil {
 		e.log.Info().Str("event", "takeover_failed").Int64("term", next.Term).Err(err).Msg("")
 		return
@@ -427,7 +427,7 @@
 	e.log.Info().Str("event", "granter_started").Int64("term", next.Term).Str("predecessor", string(previous.VM)).
 		Dur("moves_in_ms", max(predecessor.Until-sent, 0)).Dur("predecessor_age_ms", previous.age).Dur("predecessor_hold_ms", predecessor.MaxLeaseTTL).Msg("")
 	authority := election.NewAuthority(election.DefaultConfig(), sent, previous.VMs)
-	e.runGranter(ctx, newGranter(e, next, page.Version, authority, sent, predecessor, state))
+	e.runGranter(ctx, newGranter(e, next, state.condition().after(page.Version), authority, sent, predecessor, state))
 }
 
 // runGranter runs a granter until its term ends.
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -41,10 +41,9 @@
 // granter assigns keys to upstreams for one term.
 type granter struct {
 	*elector
-	term         int64
-	lease        lease
-	leaseVersion int64 // of the lease row
-	era          int64 // of the store, as last seen by this granter
+	term      int64
+	lease     lease
+	condition writeCondition // of the next write
 	// rewrite means that the lease is to be written at once.
 	rewrite     bool
 	predecessor ownership.Predecessor
@@ -84,9 +83,9 @@
 	termOver         bool
 }
 
-func newGranter(e *elector, l lease, row int64, authority *election.Authority, sent time.Duration, predecessor ownership.Predecessor, stored systemState) *granter {
+func newGranter(e *elector, l lease, condition writeCondition, authority *election.Authority, sent time.Duration, predecessor ownership.Predecessor, stored systemState) *granter {
 	g := &granter{
-		elector: e, authority: authority, term: l.Term, lease: l, leaseVersion: row, era: stored.era, predecessor: predecessor, initial: stored,
+		elector: e, authority: authority, term: l.Term, lease: l, condition: condition, predecessor: predecessor, initial: stored,
 		tasks: make(chan func(), 256), done: make(chan struct{}),
 		machines: make(map[api.ServiceName]*ownership.Machine), owners: make(map[api.ServiceName]ownerTable), ownerChanges: make(map[api.ServiceName][]ownerTable), publishedAt: make(map[api.ServiceName]time.Duration),
 		pendingWrites: make(map[api.ServiceName][]ownership.Entry), storedRows: make(ownerRows), members: make(map[*member]bool),
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -102,7 +102,7 @@
 	g.log.Info().Str("event", "handed_over").Str("peer", string(successor.vm)).Int64("term", g.term).Msg("")
 	deadline := time.After(handoverTimeout)
 	g.sendLast(successor, update{Rank: g.rankOf(successor.vm), VMs: len(g.ranks), StoreUnreachable: true, Handover: &handover{
-		Lease: next, LeaseVersion: g.leaseVersion, Promises: promises, Entries: entries,
+		Lease: next, LeaseVersion: g.condition.lease, Promises: promises, Entries: entries,
 	}}, deadline)
 	for m := range g.members {
 		if m != successor {
@@ -153,7 +153,7 @@
 		Until: handed.received, MaxLeaseTTL: min(ownership.DefaultConfig(fleet.KeyCount).LeaseTTL, e.bounds.MaxLease.AsDuration()), InDoubtUntil: handed.received + cfg.LeaseTTL,
 	}
 	e.log.Info().Str("event", "caretaker_started").Int64("term", handed.Lease.Term).Int64("row", handed.LeaseVersion).Msg("")
-	g := newGranter(e, handed.Lease, handed.LeaseVersion, authority, handed.received, predecessor, systemState{owners: handed.Entries})
+	g := newGranter(e, handed.Lease, writeCondition{lease: handed.LeaseVersion}, authority, handed.received, predecessor, systemState{owners: handed.Entries})
 	g.caretaker = true
 	v := e.control.view()
 	for name, table := range v.owners {
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -89,9 +90,10 @@
 type systemState struct {
 	lease  leaseRow
 	owners map[api.ServiceName][]ownership.Entry
-	// era is the era of the store, ownerRows names the rows that hold the owners.
-	era       int64
-	ownerRows []fleet.RowID
+	// era is the era of the store, eraRow the version of its row, ownerRows names the rows that
+	// hold the owners.
+	era, eraRow int64
+	ownerRows   []fleet.RowID
 	// unreadable holds an error for each row of owners that cannot be decoded.
 	unreadable []error
 }
@@ -134,6 +136,9 @@
 			state.lease.readAt = bootTime()
 			continue
 		}
+		if row.Key == eraRowID(state.era).Key {
+			state.eraRow = row.Version
+		}
 		service, part, ok := parseOwnerKey(row.Key)
 		if !ok {
 			continue
@@ -161,17 +166,62 @@
 	return r
 }
 
+// eraRowID identifies the row of an era of the store. The first write of an era creates it and
+// removes those of earlier ones: a write that was meant for an earlier era then fails, although
+// the store gives out the version of its lease again.
+func eraRowID(era int64) fleet.RowID {
+	return fleet.RowID{Table: systemTable, Key: eraKeyPrefix + strconv.FormatInt(era, 10)}
+}
+
+const (
+	eraKeyPrefix = "era/"
+	// maxEarlierEras is the number of earlier eras whose rows are removed; an older copy has
+	// no others unless the store is restored several times within seconds.
+	maxEarlierEras = 4
+)
+
+// writeCondition is what the rows must be for a write of a granter.
+type writeCondition struct {
+	// lease is the version of the lease row, 0 if there is none.
+	lease int64
+	// era is the era of the store, 0 if it states none, eraRow the version of its row.
+	era, eraRow int64
+}
+
+// condition returns the condition under which the state does not change.
+func (s systemState) condition() writeCondition {
+	return writeCondition{lease: s.lease.version, era: s.era, eraRow: s.eraRow}
+}
+
+// after returns the condition after a write that took effect with a version.
+func (w writeCondition) after(version int64) writeCondition {
+	w.lease = version
+	if w.era > 0 && w.eraRow == 0 {
+		w.eraRow = version
+	}
+	return w
+}
+
 // commit writes the lease, and writes and removes rows of owners in the same transaction.
-func (c *control) commit(ctx context.Context, expect int64, l lease, owners []fleet.Put, remove []fleet.RowID) (*fleet.Page, error) {
+func (c *control) commit(ctx context.Context, expect writeCondition, l lease, owners []fleet.Put, remove []fleet.RowID) (*fleet.Page, error) {
 	value, err := cbor.Marshal(l)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the lease")
 	}
 	tx := fleet.Tx{
-		Preconditions: []fleet.Precondition{{RowID: leaseRowID(), Version: expect}},
+		Preconditions: []fleet.Precondition{{RowID: leaseRowID(), Version: expect.lease}},
 		Put:           append([]fleet.Put{{RowID: leaseRowID(), Value: value}}, owners...),
 		Remove:        append([]fleet.RowID{}, remove...),
 	}
+	if expect.era > 0 {
+		tx.Preconditions = append(tx.Preconditions, fleet.Precondition{RowID: eraRowID(expect.era), Version: expect.eraRow})
+	}
+	if expect.era > 0 && expect.eraRow == 0 {
+		tx.Put = append(tx.Put, fleet.Put{RowID: eraRowID(expect.era), Value: []byte("1")})
+		for era := max(expect.era-maxEarlierEras, 0); era < expect.era; era++ {
+			tx.Remove = append(tx.Remove, eraRowID(era))
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	page, err := c.store.Commit(ctx, tx)
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -24,7 +24,7 @@
 	clock := g.control.view().clock
 	next := g.lease
 	next.Seq++
-	next.Era = g.era
+	next.Era = g.condition.era
 	next.RenewedAtMs = clock.at(now).Milliseconds()
 	next.VMs = len(g.members) + 1
 	next.PredecessorsMs = max(g.predecessor.Until-now, 0).Milliseconds()
@@ -44,7 +44,7 @@
 	first := bootTime()
 	for {
 		sent := bootTime()
-		page, err := g.control.commit(ctx, g.leaseVersion, next, owners, nil)
+		page, err := g.control.commit(ctx, g.condition, next, owners, nil)
 		if errors.Is(err, fleet.ErrConflict) {
 			page, err = g.resolveConflict(page, next)
 		}
@@ -73,7 +73,8 @@
 
 // resolveConflict finds out whether a conflict was caused by an earlier attempt of the same
 // write, whose response was lost, or by an older copy of the store. The page that it returns
-// has the version of the lease row, 0 if there is none.
+// has the version of the lease row, 0 if there is none. Without another write in between, an
+// earlier attempt that created the row of the era did so with the same version.
 func (g *granter) resolveConflict(page *fleet.Page, next lease) (*fleet.Page, error) {
 	var current leaseRow
 	for _, row := range page.Rows {
@@ -85,7 +86,7 @@
 	switch {
 	case current.VM == next.VM && current.Incarnation == next.Incarnation && current.Term == next.Term && current.Seq == next.Seq:
 		return resolved, nil
-	case page.Era > g.era && !current.newerThan(next):
+	case page.Era > g.condition.era && !current.newerThan(next):
 		return resolved, errStoreRestored
 	}
 	return nil, fleet.ErrConflict
@@ -96,7 +97,7 @@
 // rows may act until its lease expires; until then no keys move.
 func (g *granter) enterEra(now time.Duration, page *fleet.Page) {
 	g.log.Warn().Str("event", "granter_continues").Int64("term", g.term).Int64("era", page.Era).Int64("row", page.Version).Msg("")
-	g.era, g.leaseVersion, g.rewrite = page.Era, page.Version, true
+	g.condition, g.rewrite = writeCondition{lease: page.Version, era: page.Era}, true
 	g.predecessor.Until = max(g.predecessor.Until, now+election.DefaultConfig().LeaseTTL)
 	g.storedRows = make(ownerRows)
 	for name, m := range g.machines {
@@ -117,7 +118,7 @@
 		return
 	}
 	g.storedRows.markStored(owners)
-	g.lease, g.leaseVersion, g.renewedAt = next, page.Version, sent
+	g.lease, g.condition, g.renewedAt = next, g.condition.after(page.Version), sent
 	g.authority.Renewed(sent)
 	g.renewUntil.Store(int64(g.authority.RenewUntil(bootTime())))
 	if page.ClockSeconds > 0 {
@@ -130,7 +131,7 @@
 	for name, m := range g.machines {
 		g.publish(name, m)
 	}
-	if page.Era > g.era {
+	if page.Era > g.condition.era {
 		// The copy has the last write of this granter, so the condition of this one held.
 		g.enterEra(bootTime(), page)
 	}
@@ -148,7 +149,7 @@
 	for _, m := range g.machines {
 		next.InDoubtMs = max(next.InDoubtMs, (m.InDoubtUntil(now) - now).Milliseconds())
 	}
-	if _, err := g.control.commit(ctx, g.leaseVersion, next, nil, nil); err != nil {
+	if _, err := g.control.commit(ctx, g.condition, next, nil, nil); err != nil {
 		g.log.Warn().Str("event", "lease_not_released").Int64("term", g.term).Err(err).Msg("")
 	}
 }
--- a/server/gateway/restored_test.go
+++ b/server/gateway/restored_test.go
@@ -140,3 +140,38 @@
 	d.eventually(func() bool { return ownedBuckets(b)[""] == 0 }, "all keys have an owner")
 	require.Greater(t, b.control.view().owners["keyed"].Term, term+maxLostTerms/2)
 }
+
+// TestWriteOfEarlierEra guards against a granter that overwrites the lease of another one, which
+// took over after the store was restored, because that lease has the version that its own had.
+func TestWriteOfEarlierEra(t *testing.T) {
+	d := newDeployment(t)
+	c := newControl(fleet.NewStore(d.storeAddr, newStoreClient()), NewMetrics(), zerolog.Nop())
+	read := func() systemState {
+		state, err := c.readSystem(t.Context())
+		require.NoError(t, err)
+		return state
+	}
+	write := func(condition writeCondition, l lease) writeCondition {
+		page, err := c.commit(t.Context(), condition, l, nil, nil)
+		require.NoError(t, err)
+		return condition.after(page.Version)
+	}
+	former := write(read().condition(), lease{VM: "former", Term: 1, Era: 1})
+	older := d.store.Copy()
+	for range 5 {
+		former = write(former, lease{VM: "former", Term: 1, Era: 1})
+	}
+	version := d.store.Row(systemTable, leaseKey).Version
+
+	d.store.Restore(older)
+	require.True(t, read().restored())
+	next := write(read().condition(), lease{VM: "next", Term: 2, Era: 2})
+	require.False(t, read().restored())
+	for d.store.Row(systemTable, leaseKey).Version < version {
+		next = write(next, lease{VM: "next", Term: 2, Era: 2})
+	}
+	require.Equal(t, version, d.store.Row(systemTable, leaseKey).Version, "the version is given out again")
+	_, err := c.commit(t.Context(), former, lease{VM: "former", Term: 1, Era: 1}, nil, nil)
+	require.ErrorIs(t, err, fleet.ErrConflict)
+	write(next, lease{VM: "next", Term: 2, Era: 2})
+}
