server/gateway: an older copy of the store brings nothing back

Upstreams that were draining or gone got requests again, and a failure domain that was out was used, if the copy was from before.

Cause: a whole read of a table replaces what the VM knows, whatever its age.

Change: at the first read in a new era, a registration of an upstream that was removed, or of a former incarnation, is held for 3.5 s and used if the store still has it; one that is known stays draining, and cold for its time; a failure domain that was out stays out for 3.5 s or until the store says more; missing registrations have the grace that they have after an outage.

Before: TestCopyBringsNothingBack: upstreams alive, draining and gone are usable, later is not. After: it passes; server/gateway passes.

--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -68,6 +68,7 @@
 	// storeRecoveredAt is when the store last answered after a failure.
 	storeRecoveredAt time.Time
 	dirty            bool
+	restore          restoreState
 }
 
 func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
@@ -90,7 +91,7 @@
 		},
 		operatorRowByKey: make(map[string]fleet.Row),
 		rowVersions:      make(map[api.UpstreamID]int64), removedAt: make(map[api.UpstreamID]time.Time),
-		pendingRemovals: make(map[api.UpstreamID]time.Time),
+		pendingRemovals: make(map[api.UpstreamID]time.Time), restore: newRestoreState(),
 	}
 	guard := guard{c.metrics, c.log}
 	apply := func(change func(*state)) { guard.run("control", func() { change(s) }) }
@@ -124,6 +125,7 @@
 
 func (c *control) expireRemovals(s *state) {
 	now := time.Now()
+	c.expireHeld(s, now)
 	for id, at := range s.pendingRemovals {
 		if now.After(at) {
 			delete(s.pendingRemovals, id)
@@ -208,7 +210,13 @@
 // submitOperatorRows applies rows written by operators. full means that the page holds the
 // whole table.
 func (c *control) submitOperatorRows(page *fleet.Page, full bool) {
-	c.do(func(s *state) { c.applyOperatorRows(s, page.Rows, full) })
+	c.do(func(s *state) {
+		outBefore := s.domainsOut
+		c.applyOperatorRows(s, page.Rows, full)
+		if full && s.restore.entersOperators(page.Era) {
+			c.holdDomains(s, outBefore)
+		}
+	})
 }
 
 func (c *control) applyOperatorRows(s *state, rows []fleet.Row, full bool) {
@@ -221,6 +229,7 @@
 	}
 	for _, row := range rows {
 		if domain, ok := fleet.EvacuatedDomain(row.Key); ok {
+			delete(s.restore.domains, domain)
 			if row.Deleted {
 				delete(s.domainsOut, domain)
 				delete(s.operatorRowByKey, row.Key)
@@ -257,6 +266,10 @@
 // the whole table.
 func (c *control) submitUpstreamRows(page *fleet.Page, full bool) {
 	c.do(func(s *state) {
+		restored := full && s.restore.entersUpstreams(page.Era)
+		if restored {
+			s.storeRecoveredAt = time.Now()
+		}
 		listed := make(map[api.UpstreamID]bool)
 		for _, row := range page.Rows {
 			id := api.UpstreamID(row.Key)
@@ -265,6 +278,9 @@
 				continue
 			}
 			listed[id] = true
+			if restored && c.holdRegistration(s, row) {
+				continue
+			}
 			c.applyRegistration(s, row)
 		}
 		if full {
@@ -295,8 +311,16 @@
 	}
 	s.rowVersions[id] = row.Version
 	delete(s.pendingRemovals, id)
+	delete(s.restore.rows, id)
 	reg := &registration{Upstream: decoded, row: row, readAt: bootTime(), coldUntil: bootTime() + time.Duration(decoded.ColdRemainingMs)*time.Millisecond}
 	u := s.upstreams[id]
+	if u != nil {
+		last := u.registration.Load()
+		if row.Version <= s.restore.copiedTo {
+			reg.keepRestrictions(last)
+			decoded = reg.Upstream
+		}
+	}
 	if u != nil && s.removedAt[id].IsZero() {
 		last := u.registration.Load()
 		if decoded.Continues(last.Upstream, bootTime()-last.readAt) {
@@ -332,6 +356,7 @@
 		return // it has registered again since
 	}
 	s.rowVersions[id] = version
+	delete(s.restore.rows, id)
 	if s.upstreams[id] == nil || !s.removedAt[id].IsZero() {
 		return
 	}
--- a/server/gateway/restored_test.go
+++ b/server/gateway/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/core/ownership"
+	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
 )
 
@@ -175,3 +177,70 @@
 	require.ErrorIs(t, err, fleet.ErrConflict)
 	write(next, lease{VM: "next", Term: 2, Era: 2})
 }
+
+// TestCopyBringsNothingBack guards against upstreams that are draining or gone, and failure
+// domains that are out, which are used again because the store was restored from a copy of
+// before, and against upstreams that are dropped because the copy lacks them.
+func TestCopyBringsNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newControl(fleet.NewStore("", newStoreClient()), NewMetrics(), zerolog.Nop())
+		go c.run(t.Context())
+		upstreams := make(map[string]*fakes.Upstream)
+		row := func(id, state string, version int64) fleet.Row {
+			if upstreams[id] == nil {
+				upstreams[id] = fakes.NewUpstream(id, "plain", "zone-a")
+			}
+			return fleet.Row{Key: id, Version: version, Value: upstreams[id].Registration("127.0.0.1:1", state, 0)}
+		}
+		usable := func() (ids []string) {
+			done := make(chan bool)
+			c.do(func(s *state) {
+				for id, u := range s.upstreams {
+					if s.usable(u) {
+						ids = append(ids, string(id))
+					}
+				}
+				close(done)
+			})
+			<-done
+			slices.Sort(ids)
+			return ids
+		}
+		out := func() bool {
+			done := make(chan bool)
+			c.do(func(s *state) { done <- s.domainsOut["zone-b"] })
+			return <-done
+		}
+		evacuation := fleet.Row{Key: fleet.EvacuationKey("zone-b"), Version: 14}
+		c.submitUpstreamRows(&fleet.Page{Era: 1, Version: 10, Rows: []fleet.Row{
+			row("draining", "ready", 1), row("gone", "ready", 2), row("alive", "ready", 3), row("later", "ready", 4),
+		}}, true)
+		c.submitOperatorRows(&fleet.Page{Era: 1, Version: 10}, true)
+		c.submitUpstreamRows(&fleet.Page{Era: 1, Version: 13, Rows: []fleet.Row{
+			row("draining", "draining", 11), {Key: "gone", Version: 12, Deleted: true}, {Key: "alive", Version: 13, Deleted: true},
+		}}, false)
+		c.submitOperatorRows(&fleet.Page{Era: 1, Version: 14, Rows: []fleet.Row{evacuation}}, false)
+		require.Equal(t, []string{"later"}, usable())
+
+		c.submitUpstreamRows(&fleet.Page{Era: 2, Version: 103, Rows: []fleet.Row{
+			row("draining", "ready", 101), row("gone", "ready", 102), row("alive", "ready", 103),
+		}}, true)
+		c.submitOperatorRows(&fleet.Page{Era: 2, Version: 103}, true)
+		require.Equal(t, []string{"later"}, usable())
+		require.True(t, out())
+		time.Sleep(time.Second)
+		c.submitUpstreamRows(&fleet.Page{Era: 2, Version: 104, Rows: []fleet.Row{row("later", "ready", 104)}}, false)
+		time.Sleep(time.Second)
+		c.submitUpstreamRows(&fleet.Page{Era: 2, Version: 105, Rows: []fleet.Row{{Key: "gone", Version: 105, Deleted: true}}}, false)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"later"}, usable())
+		require.True(t, out())
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"alive", "later"}, usable(), "its registration has not lapsed")
+		require.False(t, out(), "the operator has not written it again")
+		evacuation.Version = 106
+		c.submitOperatorRows(&fleet.Page{Era: 2, Version: 106, Rows: []fleet.Row{evacuation}}, false)
+		time.Sleep(5 * time.Second)
+		require.True(t, out())
+	})
+}
