bench/soak: restores of the store from older copies

soak run -restores adds outages of the store that end with a copy 0.5 to 10 s old; the operator writes again what it lacks up to a second later, upstreams with their next registration. The draws of the other actions stay as they were.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -54,6 +54,7 @@
 	f.IntVar(&c.options.UnkeyedUpstreams, "plain", 2, "upstreams of each of the three unkeyed services")
 	f.IntVar(&c.options.CallersPerVM, "callers", 3, "callers of each VM")
 	f.DurationVar(&c.options.Pause, "pause", 40*time.Millisecond, "mean pause of a caller between requests")
+	f.BoolVar(&c.options.Restores, "restores", false, "restore the store from older copies")
 	f.DurationVar(&c.options.Duration, "length", 20*time.Second, "how long faults are injected")
 }
 
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -84,6 +84,9 @@
 			}
 		}
 	}
+	if d.Restores {
+		actions = append(actions, d.planRestores(rand.New(rand.NewPCG(d.Seed, 1)), duration)...)
+	}
 	sort.SliceStable(actions, func(i, j int) bool { return actions[i].At < actions[j].At })
 	return actions
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -38,6 +38,8 @@
 	// caller between requests.
 	CallersPerVM int
 	Pause        time.Duration
+	// Restores adds restores of the store from older copies.
+	Restores bool
 	// GatewayBinary is the path of the daemon, SoakBinary that of the program that runs
 	// upstreams.
 	GatewayBinary, SoakBinary string
@@ -106,16 +108,21 @@
 	history   history
 	closers   []func()
 
+	// operator orders the writes of operators; it guards version and domainsOut.
+	operator   sync.Mutex
+	version    int
+	domainsOut map[string]bool
+
 	mu          sync.Mutex
-	version     int
 	storeFaults map[string][]span // by VM, "" for all VMs
+	copies      []fakes.StoreCopy // oldest first
 	loadStart   time.Duration
 	stalls      []span
 }
 
 // Run runs one seed.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	d := &deployment{Options: o, store: fakes.NewStore(), domains: []string{"a", "b", "c"}, storeFaults: make(map[string][]span)}
+	d := &deployment{Options: o, store: fakes.NewStore(), domains: []string{"a", "b", "c"}, storeFaults: make(map[string][]span), domainsOut: make(map[string]bool)}
 	defer d.close()
 	if err := d.build(); err != nil {
 		return nil, err
@@ -124,6 +131,9 @@
 	defer cancel()
 	go d.expireRegistrations(ctx)
 	go d.recordStalls(ctx)
+	if o.Restores {
+		go d.copyStore(ctx)
+	}
 	for _, p := range d.processes() {
 		if err := p.run(); err != nil {
 			return nil, err
@@ -329,10 +339,17 @@
 
 // configure writes the next configuration, which routes unkeyedPath to the next service.
 func (d *deployment) configure() {
-	d.mu.Lock()
+	d.operator.Lock()
+	defer d.operator.Unlock()
 	d.version++
-	version, service := d.version, unkeyedServices[d.version%len(unkeyedServices)]
-	d.mu.Unlock()
+	d.history.addChange(change{At: d.putConfiguration(), Service: d.unkeyedService()})
+}
+
+// unkeyedService returns the service of the present configuration; d.operator is held.
+func (d *deployment) unkeyedService() string { return unkeyedServices[d.version%len(unkeyedServices)] }
+
+// putConfiguration writes the present configuration and returns when; d.operator is held.
+func (d *deployment) putConfiguration() time.Duration {
 	services := ""
 	for _, name := range unkeyedServices {
 		services += fmt.Sprintf(`%q:{"HealthPath":"/health","MaxConns":60,"ColdStartS":0,"ColdPerS":50},`, name)
@@ -342,19 +359,27 @@
 		"p":{"Host":%[2]q,"Prefix":%[4]q,"RouteType":"idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":%[5]q,"MaxAttempts":2}},
 		"Services":{%[6]s"keyed":{"HealthPath":"/health","MaxConns":60,"ColdStartS":0,"ColdPerS":50,"Sharded":true,"WarmupS":1}},
 		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,"HeaderTimeoutS":3,"IdleTimeoutS":15}}`,
-		version, soakHost, keyedPath, unkeyedPath, service, services))
-	d.history.addChange(change{At: monotonic(), Service: service})
+		d.version, soakHost, keyedPath, unkeyedPath, d.unkeyedService(), services))
+	return monotonic()
 }
 
 // evacuate takes a failure domain out of service or back in.
 func (d *deployment) evacuate(domain string, out bool) {
+	d.operator.Lock()
+	defer d.operator.Unlock()
+	d.domainsOut[domain] = out
+	d.history.addChange(change{At: d.putEvacuation(domain, out), Domain: domain, Out: out})
+}
+
+// putEvacuation writes whether a failure domain is out and returns when; d.operator is held.
+func (d *deployment) putEvacuation(domain string, out bool) time.Duration {
 	key := fleet.EvacuationKey(api.FailureDomain(domain))
 	if out {
 		d.store.Put(fleet.TableOperator, key, []byte("{}"))
 	} else {
 		d.store.Remove(fleet.TableOperator, key)
 	}
-	d.history.addChange(change{At: monotonic(), Domain: domain, Out: out})
+	return monotonic()
 }
 
 // storeFaultBegins records the start of a store fault for a VM, or for all VMs if the
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -22,13 +22,17 @@
 	build := exec.Command("go", "build", "-o", bin+"/", "dandelionhill.dev/server/cmd/dandelionhilld", "dandelionhill.dev/bench/cmd/soak")
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
+	seeds := make([]Options, 0, len(shortSeeds)+1)
 	for _, seed := range shortSeeds {
+		seeds = append(seeds, Options{Seed: seed})
+	}
+	for _, o := range append(seeds, Options{Seed: 1, Restores: true}) {
 		report, err := Run(context.Background(), Options{
-			Seed: seed, VMs: 3, KeyedUpstreams: 4, UnkeyedUpstreams: 1, Duration: 8 * time.Second, CallersPerVM: 2, Pause: 40 * time.Millisecond,
+			Restores: o.Restores, Seed: o.Seed, VMs: 3, KeyedUpstreams: 4, UnkeyedUpstreams: 1, Duration: 8 * time.Second, CallersPerVM: 2, Pause: 40 * time.Millisecond,
 			GatewayBinary: filepath.Join(bin, "dandelionhilld"), SoakBinary: filepath.Join(bin, "soak"), Dir: t.TempDir(),
 		})
 		require.NoError(t, err)
-		require.NoError(t, report.Print(os.Stdout, seed))
+		require.NoError(t, report.Print(os.Stdout, o.Seed))
 		require.Empty(t, report.Violations)
 		require.Greater(t, report.Answered, report.Calls/2)
 	}
