core/ratelimit: limits that differ a little are the same, permits outlive a rise

Found by reading: an upstream whose limit follows its load states another one in each response. Every VM then logged and told each, and dropped its permits each time, so that requests waited for more permits than the upstream takes. Limits within a tenth count as the same; permits are dropped only when the limit falls. In any 4 s an upstream gets the permits of 5 s, as one is valid for a second, and those of 0.25 s at rest: 5.25 times the limit, 5.8 with the tenth, below 1.5 x 4. Tests: TestStatedLimit, TestPermits, extended first; TestLimitHoldsForAllVMs and TestStatedLimitHoldsForAllVMs pass.

--- a/core/admission/permits.go
+++ b/core/admission/permits.go
@@ -63,11 +63,16 @@
 }
 
 // SetRate sets the limit that the upstream states, in requests per second; 0 ends it.
-// Permits that were issued under another limit are dropped.
+// Permits that were issued under a higher limit are dropped.
 func (q *Queue) SetRate(rate float64) {
-	if rate != q.permits.rate {
+	if rate == 0 || q.permits.rate == 0 {
 		q.permits = permits{rate: rate}
+		return
+	}
+	if rate < q.permits.rate {
+		q.permits.expiries = nil
 	}
+	q.permits.rate = rate
 }
 
 // Rate returns the limit that the upstream states, 0 if there is none.
--- a/core/admission/permits_test.go
+++ b/core/admission/permits_test.go
@@ -47,6 +47,11 @@
 	require.Equal(t, Refuse, d)
 	require.Equal(t, 3*time.Second, wait)
 
+	q.AddPermits(2200*ms, 1, time.Second, 0)
+	q.SetRate(2.5)
+	require.True(t, q.permits.permit(2200*ms), "a limit that rises does not take the permit back")
+	q.SetRate(1.5)
+	require.False(t, q.permits.permit(2200*ms))
 	q.SetRate(0)
 	d, _ = q.Offer(2200*ms, request(0, 2200*ms, time.Second, 400*ms))
 	require.Equal(t, Start, d)
--- a/core/ratelimit/stated.go
+++ b/core/ratelimit/stated.go
@@ -1,6 +1,9 @@
 package ratelimit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // StatedLimit is the limit that an upstream states in its responses, as far as known. The
 // zero value is that of an upstream that has stated none. Times are on any one clock.
@@ -12,6 +15,13 @@
 	At time.Duration
 }
 
+// rateTolerance is the relative difference up to which two limits count as the same: a limit
+// that follows the load of the upstream differs a little in each response.
+const rateTolerance = 0.1
+
+// SameRate reports whether two limits need not be told apart.
+func SameRate(a, b float64) bool { return math.Abs(a-b) <= rateTolerance*min(a, b) }
+
 // Observe applies a response to a request. rate is 0 if the response states no limit. It
 // reports whether the limit has changed.
 func (l *StatedLimit) Observe(sent, received time.Duration, rate float64) bool {
@@ -31,7 +41,10 @@
 	if other.At < l.At {
 		return false
 	}
-	changed := other.Rate != l.Rate
-	*l = other
-	return changed
+	l.At = other.At
+	if SameRate(other.Rate, l.Rate) {
+		return false
+	}
+	l.Rate = other.Rate
+	return true
 }
--- a/core/ratelimit/stated_test.go
+++ b/core/ratelimit/stated_test.go
@@ -22,4 +22,8 @@
 	require.Equal(t, 0.0, l.Rate)
 	require.False(t, l.Merge(StatedLimit{Rate: 1.2, At: at(450)}), "older news of another VM")
 	require.True(t, l.Merge(StatedLimit{Rate: 3, At: at(600)}))
+	require.False(t, l.Merge(StatedLimit{Rate: 3.2, At: at(700)}))
+	require.False(t, l.Merge(StatedLimit{Rate: 2.9, At: at(800)}))
+	require.Equal(t, StatedLimit{Rate: 3, At: at(800)}, l, "about the same")
+	require.True(t, l.Merge(StatedLimit{Rate: 2.6, At: at(900)}))
 }
--- a/server/gateway/permits.go
+++ b/server/gateway/permits.go
@@ -81,7 +81,7 @@
 // takeNews returns the limits that the VM does not know yet.
 func (p *permitOffice) takeNews(c *permitClient, all map[*upstream]ratelimit.StatedLimit, now time.Duration) (news []limitNews) {
 	for u, limit := range all {
-		if c.rates[u] != limit.Rate {
+		if !ratelimit.SameRate(c.rates[u], limit.Rate) {
 			news = append(news, limitNews{Upstream: u.owner(), Rate: limit.Rate, AgeMs: (now - limit.At).Milliseconds()})
 			c.setRate(u, limit.Rate)
 		}
--- a/server/gateway/statedlimits.go
+++ b/server/gateway/statedlimits.go
@@ -155,7 +155,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for u, limit := range l.byUpstream {
-		if limit.Rate != limit.reported {
+		if !ratelimit.SameRate(limit.Rate, limit.reported) {
 			news = append(news, limitNews{Upstream: u.owner(), Rate: limit.Rate, AgeMs: (now - limit.At).Milliseconds()})
 			limit.reported = limit.Rate
 		}
