bench/soak: a run that cannot start reports why, and finds a port that no other run uses

Cause of the error, by reading: another run had the port of its VMs on 127.0.2.x, which was tried on 127.0.0.1 only. It is tried on 127.0.2.1 now, where each run listens.

--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -124,10 +124,13 @@
 	<-exited
 }
 
-// running reports whether the current process has not exited.
+// running reports whether a process was started and has not exited.
 func (p *process) running() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return false
+	}
 	select {
 	case <-p.exited:
 		return false
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -230,7 +230,8 @@
 // addVMs prepares the VMs. Their peer addresses differ in the IP address only, as
 // settings with seeds require.
 func (d *deployment) addVMs() error {
-	port, err := freePort("127.0.0.1")
+	// Another run uses its port on these addresses too.
+	port, err := freePort("127.0.2.1")
 	if err != nil {
 		return err
 	}
