--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -213,7 +213,7 @@
 	c.do(func(s *state) {
 		outBefore := s.domainsOut
 		c.applyOperatorRows(s, page.Rows, full)
-		if full && s.restore.entersOperators(page.Era) {
+		if full && s.restore.operatorsRead(page.Era) {
 			c.holdDomains(s, outBefore)
 		}
 	})
@@ -266,7 +266,7 @@
 // the whole table.
 func (c *control) submitUpstreamRows(page *fleet.Page, full bool) {
 	c.do(func(s *state) {
-		restored := full && s.restore.entersUpstreams(page.Era)
+		restored := full && s.restore.upstreamsRead(page.Era)
 		if restored {
 			s.storeRecoveredAt = time.Now()
 		}
@@ -320,10 +320,7 @@
 			reg.keepRestrictions(last)
 			decoded = reg.Upstream
 		}
-	}
-	if u != nil && s.removedAt[id].IsZero() {
-		last := u.registration.Load()
-		if decoded.Continues(last.Upstream, bootTime()-last.readAt) {
+		if s.removedAt[id].IsZero() && decoded.Continues(last.Upstream, bootTime()-last.readAt) {
 			return
 		}
 	}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -69,7 +69,7 @@
 	ranks         []rank
 	speeds        map[api.UpstreamID]float64
 	calls         *callQueues
-	office        *permitOffice
+	allocator     *permitAllocator
 	ownPermits    *permitClient // of this VM
 
 	writing       bool
@@ -90,7 +90,7 @@
 		machines: make(map[api.ServiceName]*ownership.Machine), owners: make(map[api.ServiceName]ownerTable), ownerChanges: make(map[api.ServiceName][]ownerTable), publishedAt: make(map[api.ServiceName]time.Duration),
 		pendingWrites: make(map[api.ServiceName][]ownership.Entry), storedRows: make(ownerRows), members: make(map[*member]bool),
 		speeds: make(map[api.UpstreamID]float64), renewedAt: sent,
-		office: newPermitOffice(e.control.limits), ownPermits: newPermitClient(),
+		allocator: newPermitAllocator(e.control.limits), ownPermits: newPermitClient(),
 	}
 	g.renewUntil.Store(int64(authority.RenewUntil(sent)))
 	g.calls = newCallQueues(g)
@@ -219,7 +219,7 @@
 func (g *granter) issuePermits(now time.Duration, v *view) {
 	var own report
 	own.Limits, own.Demands = g.control.limits.report()
-	g.office.handleReport(v, g.ownPermits, own, now)
+	g.allocator.handleReport(v, g.ownPermits, own, now)
 	clients, members := []*permitClient{g.ownPermits}, slices.Collect(maps.Keys(g.members))
 	for _, m := range members {
 		clients = append(clients, m.permits)
@@ -228,7 +228,7 @@
 	if !g.mayRenew() {
 		delay = max(delay, linkTimeout)
 	}
-	g.office.issue(now, delay, clients)
+	g.allocator.issue(now, delay, clients)
 	g.control.limits.receive(v, g.ownPermits.takeGrants())
 	members = slices.DeleteFunc(members, func(m *member) bool { return !m.permits.hasPermits() })
 	if len(members) == 0 {
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -104,7 +104,7 @@
 			m.relayedTo = r.RowsTo
 		}
 		g.observe(r)
-		if g.office.handleReport(g.control.view(), m.permits, r, received) {
+		if g.allocator.handleReport(g.control.view(), m.permits, r, received) {
 			g.sendUpdates(received)
 		}
 	})
@@ -188,7 +188,7 @@
 		u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
 		m.relayedTo = u.RowsTo
 	}
-	u.Limits = append(u.Limits, g.office.takeNews(m.permits, n.limits, now)...)
+	u.Limits = append(u.Limits, g.allocator.takeNews(m.permits, n.limits, now)...)
 	u.Permits = mergeGrants(u.Permits, m.permits.takeGrants())
 	if !m.hasConfig {
 		u.Snapshot = g.snapshot()
--- a/server/gateway/permits.go
+++ b/server/gateway/permits.go
@@ -8,17 +8,17 @@
 	"dandelionhill.dev/core/ratelimit"
 )
 
-// permitOffice issues the permits of all VMs for requests to upstreams that state a limit.
-type permitOffice struct {
+// permitAllocator issues the permits of all VMs for requests to upstreams that state a limit.
+type permitAllocator struct {
 	limits  *statedLimits
 	issuers map[*upstream]*ratelimit.PermitIssuer
 }
 
-func newPermitOffice(limits *statedLimits) *permitOffice {
-	return &permitOffice{limits: limits, issuers: make(map[*upstream]*ratelimit.PermitIssuer)}
+func newPermitAllocator(limits *statedLimits) *permitAllocator {
+	return &permitAllocator{limits: limits, issuers: make(map[*upstream]*ratelimit.PermitIssuer)}
 }
 
-// permitClient is a VM as seen by the permitOffice.
+// permitClient is a VM as seen by the permitAllocator.
 type permitClient struct {
 	// rates holds the limits that the VM knows.
 	rates   map[*upstream]float64
@@ -50,8 +50,8 @@
 
 // handleReport records the news and the demand of a VM. It reports whether a limit has
 // changed.
-func (p *permitOffice) handleReport(v *view, c *permitClient, r report, received time.Duration) (changed bool) {
-	changed = p.limits.merge(v, r.Limits, received, "vm")
+func (a *permitAllocator) handleReport(v *view, c *permitClient, r report, received time.Duration) (changed bool) {
+	changed = a.limits.merge(v, r.Limits, received, "vm")
 	for _, n := range r.Limits {
 		if u := v.incarnation(n.Upstream); u != nil {
 			c.setRate(u, n.Rate)
@@ -79,7 +79,7 @@
 }
 
 // takeNews returns the limits that the VM does not know yet.
-func (p *permitOffice) takeNews(c *permitClient, all map[*upstream]ratelimit.StatedLimit, now time.Duration) (news []limitNews) {
+func (a *permitAllocator) takeNews(c *permitClient, all map[*upstream]ratelimit.StatedLimit, now time.Duration) (news []limitNews) {
 	for u, limit := range all {
 		if !ratelimit.SameRate(c.rates[u], limit.Rate) {
 			news = append(news, limitNews{Upstream: u.owner(), Rate: limit.Rate, AgeMs: (now - limit.At).Milliseconds()})
@@ -98,27 +98,27 @@
 // issue issues permits to the VMs of clients, of which the first is the VM of this process.
 // delay is the time until permits may be issued: while a former granter may still issue
 // some, there are none.
-func (p *permitOffice) issue(now, delay time.Duration, clients []*permitClient) {
-	all := p.limits.all()
-	for u := range p.issuers {
+func (a *permitAllocator) issue(now, delay time.Duration, clients []*permitClient) {
+	all := a.limits.all()
+	for u := range a.issuers {
 		if all[u].Rate == 0 {
-			delete(p.issuers, u)
+			delete(a.issuers, u)
 		}
 	}
 	for u, limit := range all {
 		if limit.Rate == 0 {
 			continue
 		}
-		if p.issuers[u] == nil || delay > 0 {
-			p.issuers[u] = ratelimit.NewPermitIssuer(now)
+		if a.issuers[u] == nil || delay > 0 {
+			a.issuers[u] = ratelimit.NewPermitIssuer(now)
 		}
-		p.issueFor(u, limit.Rate, now, delay, clients)
+		a.issueFor(u, limit.Rate, now, delay, clients)
 	}
 }
 
 // issueFor issues permits for one upstream.
-func (p *permitOffice) issueFor(u *upstream, rate float64, now, delay time.Duration, clients []*permitClient) {
-	issuer := p.issuers[u]
+func (a *permitAllocator) issueFor(u *upstream, rate float64, now, delay time.Duration, clients []*permitClient) {
+	issuer := a.issuers[u]
 	waiting, spare := make([]int, len(clients)), make([]int, len(clients))
 	for i, c := range clients {
 		if d := c.demands[u]; d != nil {
--- a/server/gateway/restored.go
+++ b/server/gateway/restored.go
@@ -32,16 +32,16 @@
 	return restoreState{rows: make(map[api.UpstreamID]fleet.Row), domains: make(map[api.FailureDomain]time.Time)}
 }
 
-// entersOperators records the era of a whole read of the operators' rows, and reports whether
+// operatorsRead records the era of a whole read of the operators' rows, and reports whether
 // the store was restored since the last one.
-func (r *restoreState) entersOperators(era int64) bool {
+func (r *restoreState) operatorsRead(era int64) bool {
 	restored := r.operatorsEra > 0 && era > r.operatorsEra
 	r.operatorsEra = max(r.operatorsEra, era)
 	return restored
 }
 
-// entersUpstreams is entersOperators for the registrations.
-func (r *restoreState) entersUpstreams(era int64) bool {
+// upstreamsRead is operatorsRead for the registrations.
+func (r *restoreState) upstreamsRead(era int64) bool {
 	restored := r.upstreamsEra > 0 && era > r.upstreamsEra
 	r.upstreamsEra = max(r.upstreamsEra, era)
 	return restored
