--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -79,11 +80,27 @@
 // holds.
 func (d *deployment) crashUpstream(id string) { d.crashUpstreams[id]() }
 
+// The ports of the VMs are below those that the kernel gives to outgoing connections: one of
+// these could take a port before its VM listens.
+const (
+	firstTestPort = 30000
+	testPorts     = 2700
+)
+
+// nextTestPort counts the ports that were tried, from a random start.
+var nextTestPort = rand.IntN(testPorts)
+
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range testPorts {
+		nextTestPort++
+		address := fmt.Sprintf("127.0.0.1:%d", firstTestPort+nextTestPort%testPorts)
+		if l, err := net.Listen("tcp", address); err == nil {
+			require.NoError(t, l.Close())
+			return address
+		}
+	}
+	require.Fail(t, "no port is free")
+	return ""
 }
 
 // storeFor returns an address of the store for one VM, and a switch that makes the store
