server/gateway: a VM that reaches no upstream sends requests through another VM

Cause: a VM knew one way to an upstream, its own connection. It tried other upstreams, which it reached no better, and gave up.

Change: a VM whose connections fail tries a random sample of all upstreams. If none accepts a connection, it is isolated (core/reachability). It then passes requests to VMs that reach upstreams, which the granter names, over one connection for each; these send them as their own. A request that was passed on is never passed on again. An isolated VM that finds no such VM refuses at once. Retries are counted once, by the VM that sends; a request whose VM was lost after it had got it is reported as unknown; a stop waits for requests of others; a VM with an older configuration takes none. A refused connection counts as the crash of an upstream only if the VM is not isolated.

--- a/server/buffers/buffers.go
+++ b/server/buffers/buffers.go
@@ -43,7 +43,9 @@
 	taken  int64
 }
 
-func (r *Reservation) take(bytes int64) bool {
+// Take takes bytes of the budget for a message that was read elsewhere. It reports false if
+// the budget is used up.
+func (r *Reservation) Take(bytes int64) bool {
 	if r == nil {
 		return true
 	}
@@ -64,13 +66,13 @@
 // ReadAll reads a message until EOF. It fails with ErrTooLarge beyond limit bytes, and with
 // ErrExhausted if the budget is used up.
 func (r *Reservation) ReadAll(src io.Reader, limit int64) ([]byte, error) {
-	if !r.take(initialBytes) {
+	if !r.Take(initialBytes) {
 		return nil, ErrExhausted
 	}
 	data := make([]byte, 0, initialBytes)
 	for {
 		if len(data) == cap(data) {
-			if !r.take(int64(cap(data))) {
+			if !r.Take(int64(cap(data))) {
 				return nil, ErrExhausted
 			}
 			grown := make([]byte, len(data), 2*cap(data))
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,10 @@
 	// era is the newest era of the store that was seen, see fleet.Page.
 	era    atomic.Int64
 	limits *statedLimits
+	// reach watches the connections to upstreams; dialUpstream opens them, nil stands for
+	// upstreamconn.Dial.
+	reach        *reach
+	dialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // state is the state of the control goroutine, from which views are published.
@@ -73,6 +78,7 @@
 
 func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
 	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256), limits: newStatedLimits(log)}
+	c.reach = newReach(c.view, m, log)
 	c.current.Store(&view{rank: -1, vms: initialVMs, rankUntil: &c.rankUntil, superseded: make(chan struct{})})
 	return c
 }
@@ -332,7 +338,7 @@
 			u.pool.Close()
 			c.limits.forget(u)
 		}
-		s.upstreams[id] = newUpstream(reg, c.responseLimits, func() { c.limits.reportNow() })
+		s.upstreams[id] = newUpstream(reg, c.responseLimits, upstreamconn.Network{Dial: c.dialUpstream, Watcher: c.reach}, func() { c.limits.reportNow() })
 	} else {
 		u.registration.Store(reg)
 	}
--- a/server/gateway/crashes.go
+++ b/server/gateway/crashes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/server/upstreamconn"
 )
 
 const (
@@ -63,11 +64,11 @@
 
 // verifyCrash checks whether the upstream that ran a request has crashed. A connection
 // also breaks when an upstream is full or a response is lost; the process then still
-// listens.
-func (c *crashes) verifyCrash(u *upstream, fingerprint uint64) {
+// listens. A VM that is cut off from all upstreams learns nothing.
+func (c *crashes) verifyCrash(u *upstream, fingerprint uint64, reach *reach) {
 	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
 	defer cancel()
-	crashed := !u.pool.Probe(ctx)
+	crashed := upstreamconn.Refused(u.pool.Connect(ctx)) && !reach.check(ctx)
 	c.withEvidence(func(e *crash.Evidence, now time.Duration) {
 		if crashed {
 			e.Crashed(now, []uint64{fingerprint})
--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -137,6 +137,11 @@
 
 // startVMAt starts a VM with an address of the store and the addresses of other VMs.
 func (d *deployment) startVMAt(name, store string, peers ...string) *Gateway {
+	return d.startVMOn(name, store, nil, peers...)
+}
+
+// startVMOn starts a VM whose connections to upstreams pass a network, unless it is nil.
+func (d *deployment) startVMOn(name, store string, network *upstreamNetwork, peers ...string) *Gateway {
 	g := New(&Settings{
 		VM: api.VMID(name), FailureDomain: "zone-a", Store: store, MemoryMB: 100, LogLevel: "info",
 		Listen: Listen{
@@ -149,6 +154,9 @@
 	}, NewMetrics(), zerolog.New(zerolog.NewTestWriter(d.t)))
 	// The VMs of a test have different ports.
 	g.links.peers = peers
+	if network != nil {
+		g.control.dialUpstream = network.dial
+	}
 	require.NoError(d.t, g.Start())
 	d.t.Cleanup(func() {
 		g.cancel()
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -57,6 +57,7 @@
 	control     *control
 	stats       *trafficStats
 	links       *links
+	proxies     *proxies
 	metrics     *Metrics
 	buffers     *buffers.Budget
 	log         zerolog.Logger
@@ -307,6 +308,9 @@
 	e.control.limits.confirmIssuer()
 	e.control.limits.merge(e.control.view(), u.Limits, bootTime(), "granter")
 	e.control.limits.receive(e.control.view(), u.Permits)
+	if len(u.Reaching) > 0 {
+		e.proxies.setReaching(u.Reaching)
+	}
 	e.control.submitOwners(u.Owners, u.Rank, u.VMs)
 	if u.Snapshot != nil {
 		e.control.applySnapshot(u.Snapshot)
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -45,8 +45,11 @@
 		if ctx.Err() != nil {
 			return nil, h.finalOutcome(ctx, q, outcome{reason: timeoutUnsent, status: http.StatusServiceUnavailable, err: ctx.Err()})
 		}
-		q.attempts++
 		v := h.view()
+		if h.mustProxy(q) {
+			return h.proxies.forward(ctx, q, v.config.Version)
+		}
+		q.attempts++
 		u, failure := h.choose(ctx, q, v, avoid)
 		if u == nil {
 			return nil, h.finalOutcome(ctx, q, failure)
@@ -69,6 +72,8 @@
 			if q.service.Keyed && overloaded(headers.Load) || !h.takeRetry(q) {
 				return nil, h.finalOutcome(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
 			}
+		case notSent(err) && h.mustProxy(q):
+			continue
 		case notSent(err):
 			if q.service.Keyed && (q.remaining() < shortRetryAfter || !h.awaitView(ctx, v, shortRetryAfter)) || q.attempts >= maxSends {
 				return nil, h.finalOutcome(ctx, q, outcome{reason: unreachable, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter, err: err})
@@ -400,9 +405,9 @@
 		h.crashes.succeeded(q.fingerprint)
 	case err != nil && !notSent(err) && ctx.Err() == nil && q.route.Idempotent:
 		// The verification must end before the retry.
-		h.crashes.verifyCrash(u, q.fingerprint)
+		h.crashes.verifyCrash(u, q.fingerprint, h.reach)
 	case err != nil && !notSent(err) && ctx.Err() == nil:
-		go h.crashes.verifyCrash(u, q.fingerprint)
+		go h.crashes.verifyCrash(u, q.fingerprint, h.reach)
 	default:
 		h.crashes.ended(q.fingerprint)
 	}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -47,6 +47,7 @@
 	control      *control
 	guard        guard
 	handler      *requestHandler
+	proxies      *proxies
 	elector      *elector
 	links        *links
 	draining     atomic.Bool
@@ -75,7 +76,7 @@
 		settings: s, bounds: s.Bounds, log: log, metrics: m, guard: guard{m, log}, control: c, links: l, electionDone: make(chan struct{}),
 		handler: newRequestHandler(handlerConfig{
 			view: c.view, domain: s.FailureDomain, bounds: s.Bounds, maxBodyBytes: int64(limits.RequestBodyKB) << 10,
-			buffers: budget, metrics: m, log: log, stats: st, crashes: cr, limits: c.limits,
+			buffers: budget, metrics: m, log: log, stats: st, crashes: cr, limits: c.limits, reach: c.reach,
 		}),
 		elector: &elector{
 			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
@@ -84,9 +85,12 @@
 		},
 	}
 	l.elector = g.elector
-	c.limits.reportNow = l.reportNow
+	g.proxies = newProxies(s, limits, g.handler, &g.draining, l.knownPeers, m, log)
+	g.handler.proxies, g.elector.proxies = g.proxies, g.proxies
+	c.limits.reportNow, c.reach.changed = l.reportNow, l.reportNow
 	peers := chi.NewRouter()
 	peers.Handle(linkPath, l)
+	peers.Handle(proxyPath, g.proxies)
 	peers.Get(StatusPath, g.serveStatus)
 	health := chi.NewRouter()
 	health.Get(fleet.PathReady, g.ready)
@@ -135,6 +139,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	go g.control.run(ctx)
+	go g.control.reach.run(ctx)
 	go g.control.followTable(ctx, source{
 		table: fleet.TableOperator, interval: func() time.Duration { return feedInterval }, apply: g.control.submitOperatorRows,
 		monitor: &g.control.operatorFeed,
@@ -191,6 +196,7 @@
 		g.log.Warn().Str("event", "listener_not_closed").Err(err).Msg("")
 	}
 	g.drainCallers(ctx)
+	g.proxies.drain(ctx)
 	g.cancel()
 	select {
 	case <-g.electionDone:
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -47,6 +47,7 @@
 	responseLost    reason = "answer_lost"  // sent to an upstream, the response was lost
 	callerLeft      reason = "caller_left"
 	quarantined     reason = "quarantined" // the request has crashed upstreams
+	isolatedVM      reason = "isolated"    // neither upstreams nor a VM that reaches them can be reached
 )
 
 // outcome is the result of a request that got no response from an upstream.
@@ -85,11 +86,14 @@
 	stats        *trafficStats
 	crashes      *crashes
 	limits       *statedLimits
+	reach        *reach
 }
 
 // requestHandler handles the requests of callers.
 type requestHandler struct {
 	handlerConfig
+	// proxies passes requests to other VMs while this one is isolated.
+	proxies *proxies
 	// stopping refuses new requests: they might not end before the process does.
 	stopping atomic.Bool
 
@@ -136,6 +140,10 @@
 	term      int64 // of the owner table used last
 	// fingerprint identifies the content of the request.
 	fingerprint uint64
+	// proxied means that an isolated VM passed the request on, counted that it is counted there
+	// for the retry budget. proxy is the VM to which this one passed it last.
+	proxied, counted bool
+	proxy            string
 }
 
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
@@ -169,24 +177,10 @@
 		h.refuse(w, q, failure)
 		return
 	}
-	name := h.pickService(q.route)
-	q.service = v.config.Services[name]
-	if q.service == nil {
-		h.refuse(w, q, outcome{reason: noUpstream, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
-		return
-	}
-	if q.service.Keyed && q.params.Key >= 0 {
-		h.stats.recordDemand(q)
-	}
-	q.fingerprint = shardmap.Fingerprint(name, r.Method, r.RequestURI, q.body)
-	if h.crashes.quarantined(q.fingerprint) {
-		h.refuse(w, q, outcome{reason: quarantined, status: http.StatusServiceUnavailable, retryAfter: quarantineTime})
-		return
-	}
 	q.header = endToEndHeaders(r.Header)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	resp, failure := h.forward(ctx, q)
+	resp, failure := h.serve(ctx, q, v)
 	if resp == nil {
 		h.refuse(w, q, failure)
 		return
@@ -201,12 +195,45 @@
 	h.logResponse(q, resp.Status, err)
 }
 
+// serve sends a request to an upstream, or to another VM while this one is isolated. It returns
+// the response of an upstream or the outcome of the request.
+func (h *requestHandler) serve(ctx context.Context, q *request, v *view) (*upstreamconn.Response, outcome) {
+	if h.mustProxy(q) {
+		return h.proxies.forward(ctx, q, v.config.Version)
+	}
+	name := h.pickService(q)
+	q.service = v.config.Services[name]
+	if q.service == nil {
+		return nil, outcome{reason: noUpstream, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter}
+	}
+	if q.service.Keyed && q.params.Key >= 0 {
+		h.stats.recordDemand(q)
+	}
+	q.fingerprint = shardmap.Fingerprint(name, q.http.Method, q.http.RequestURI, q.body)
+	if h.crashes.quarantined(q.fingerprint) {
+		return nil, h.finalOutcome(ctx, q, outcome{reason: quarantined, status: http.StatusServiceUnavailable, retryAfter: quarantineTime})
+	}
+	return h.forward(ctx, q)
+}
+
+// mustProxy reports whether another VM must send a request. One that another VM has passed on
+// is never passed on again.
+func (h *requestHandler) mustProxy(q *request) bool {
+	if q.proxied {
+		return false
+	}
+	isolated, _ := h.reach.isolated()
+	return isolated
+}
+
 // pickService chooses the service of a new request and counts the request.
-func (h *requestHandler) pickService(route *routing.Route) api.ServiceName {
+func (h *requestHandler) pickService(q *request) api.ServiceName {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	name := h.splitter.Next(route)
-	h.retryBudget(name).Request(time.Since(h.start))
+	name := h.splitter.Next(q.route)
+	if budget := h.retryBudget(name); !q.counted {
+		budget.Request(time.Since(h.start))
+	}
 	return name
 }
 
@@ -339,6 +366,9 @@
 	if q.route != nil {
 		event = event.Str("route", q.route.Name)
 	}
+	if q.proxy != "" {
+		event = event.Str("proxy", q.proxy)
+	}
 	if q.lastUpstream != "" {
 		event = event.Str("upstream", string(q.lastUpstream)).Dur("sent_after_ms", q.sendDelay)
 	}
@@ -357,13 +387,17 @@
 // logResponse records a forwarded response, and logs it if it failed or was late.
 func (h *requestHandler) logResponse(q *request, status int, writeErr error) {
 	took := time.Since(q.arrived)
-	h.metrics.recordRequest(string(q.service.Name), "answered", took)
+	service := ""
+	if q.service != nil {
+		service = string(q.service.Name)
+	}
+	h.metrics.recordRequest(service, "answered", took)
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
 	if status < http.StatusBadRequest && !late && writeErr == nil {
 		return
 	}
 	h.log.Info().Str("event", "request_answered").Str("request", q.params.RequestID).Int("status", status).
-		Str("service", string(q.service.Name)).Str("route", q.route.Name).Str("upstream", string(q.lastUpstream)).
+		Str("service", service).Str("proxy", q.proxy).Str("route", q.route.Name).Str("upstream", string(q.lastUpstream)).
 		Int("sends", q.sends).Bool("late", late).Dur("took_ms", took).Dur("sent_after_ms", q.sendDelay).
 		Int("running", q.load.Running).Int("waiting", q.load.Waiting).Float64("slowness", q.load.Slowdown).
 		Int("key", q.params.Key).Err(writeErr).Msg("")
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -85,6 +85,8 @@
 	Permits []permitGrant `cbor:"15,keyasint,omitempty"`
 	// OperatorChange is the version of the newest row of operators that any VM has read.
 	OperatorChange int64 `cbor:"13,keyasint,omitempty"`
+	// Reaching holds the addresses of VMs that reach the upstreams, for an isolated VM.
+	Reaching []string `cbor:"16,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
 	Handover *handover `cbor:"12,keyasint,omitempty"`
 
@@ -159,6 +161,13 @@
 	return "another VM is the granter: connect to " + e.to.Address
 }
 
+// knownPeers returns the addresses of VMs that this one knows.
+func (l *links) knownPeers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peers
+}
+
 // currentGranter returns the granter on this VM, nil if this VM is not the granter.
 func (l *links) currentGranter() *granter {
 	l.mu.Lock()
@@ -295,6 +304,7 @@
 		rep := l.stats.takeReport()
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
 		rep.RowsTo = l.relay.version()
+		rep.Isolated, _ = l.elector.control.reach.isolated()
 		rep.Limits, rep.Demands = l.limits.report()
 		if crashes := l.crashes.snapshot(); evidence.due(crashes, bootTime()) {
 			rep.Crashes = crashes
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"dandelionhill.dev/api"
@@ -26,7 +27,9 @@
 	// hasConfig means that the VM has a configuration.
 	hasConfig bool
 	// leaving means that the VM is stopping.
-	leaving       bool
+	leaving bool
+	// isolated means that no upstream can be reached from the VM.
+	isolated      bool
 	close         func()
 	sentVersions  map[api.ServiceName]int64 // the versions of the owner tables last sent
 	sentJoinCount int                       // joinCount when the peers were last sent, at peersSentAt
@@ -96,7 +99,12 @@
 	received := bootTime()
 	g.control.operatorFeed.reported(r.OperatorChange)
 	g.do(func() {
-		m.leaving = r.Leaving
+		becameIsolated := r.Isolated && !m.isolated
+		m.leaving, m.isolated = r.Leaving, r.Isolated
+		if becameIsolated {
+			g.log.Info().Str("event", "vm_isolated").Str("peer", string(m.vm)).Msg("")
+			defer func() { g.sendUpdate(received, m, g.news(g.peers(received))) }()
+		}
 		if r.PromiseMs > 0 {
 			g.authority.Promised(m.vm, received, time.Duration(r.PromiseMs)*time.Millisecond)
 		}
@@ -119,6 +127,7 @@
 	for m := range g.members {
 		g.sendUpdate(now, m, news)
 	}
+	g.proxies.setReaching(g.reaching(0))
 	g.control.confirmRank()
 	g.control.limits.confirmIssuer()
 	g.control.submitOwners(maps.Clone(g.owners), 0, len(g.ranks))
@@ -149,13 +158,16 @@
 
 // samplePeers returns at most maxPeersSent addresses, spread over all; each rank gets others.
 // A VM asks a few of them for the granter while it cannot reach the store.
-func samplePeers(peers []string, rank int) []string {
-	if len(peers) <= maxPeersSent {
-		return peers
+func samplePeers(peers []string, rank int) []string { return sample(peers, rank, maxPeersSent) }
+
+// sample returns at most size addresses, spread over all.
+func sample(addresses []string, rank, size int) []string {
+	if len(addresses) <= size {
+		return addresses
 	}
-	sample := make([]string, maxPeersSent)
+	sample := make([]string, size)
 	for i := range sample {
-		sample[i] = peers[(rank+1+i*len(peers)/maxPeersSent)%len(peers)]
+		sample[i] = addresses[(rank+1+i*len(addresses)/size)%len(addresses)]
 	}
 	return sample
 }
@@ -188,6 +200,9 @@
 		u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
 		m.relayedTo = u.RowsTo
 	}
+	if m.isolated {
+		u.Reaching = g.reaching(rank)
+	}
 	u.Limits = append(u.Limits, g.allocator.takeNews(m.permits, n.limits, now)...)
 	u.Permits = mergeGrants(u.Permits, m.permits.takeGrants())
 	if !m.hasConfig {
@@ -209,6 +224,23 @@
 	m.updates <- u
 }
 
+// reaching returns the addresses of VMs that reach the upstreams, at most maxProxiesSent; each
+// rank gets others. This VM has the work of the granter, and is among them only if there are
+// few.
+func (g *granter) reaching(rank int) []string {
+	var all []string
+	for m := range g.members {
+		if !m.isolated && !m.leaving && m.address != "" {
+			all = append(all, m.address)
+		}
+	}
+	slices.Sort(all)
+	if isolated, _ := g.control.reach.isolated(); !isolated && len(all) < minProxies {
+		all = append(all, g.address)
+	}
+	return sample(all, rank, maxProxiesSent)
+}
+
 // baseVersion returns the version that a VM has before an update with table is sent to it.
 func baseVersion(table ownerTable, sent int64) int64 {
 	if table.Version > 0 {
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -36,6 +36,13 @@
 	granter      prometheus.Gauge
 	config       prometheus.Gauge
 	dropped      prometheus.Counter
+	// isolated is 1 while no upstream can be reached from this VM, reachRounds counts the
+	// checks.
+	isolated    prometheus.Gauge
+	reachRounds prometheus.Counter
+	// proxied counts the requests that this VM passed to another one while it was isolated,
+	// by result, proxyServed those of isolated VMs that it sent, by outcome.
+	proxied, proxyServed *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics in their own registry.
@@ -65,11 +72,17 @@
 		panics:       counter("panics_total", "Handlings of a message, change or request that ended by a panic.", "task"),
 		granter:      gauge("granter", "1 while this VM grants keys."),
 		config:       gauge("configuration_version", "Version of the configuration in use."),
+		proxied:      counter("proxied_requests_total", "Requests passed to another VM because no upstream can be reached from this one, by result.", "result"),
+		proxyServed:  counter("proxy_served_requests_total", "Requests sent to upstreams for VMs that reach none, by outcome.", "outcome"),
+		isolated:     gauge("isolated", "1 while no upstream can be reached from this VM."),
+		reachRounds: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "reach_checks_total", Help: "Checks whether upstreams can be reached, after connections failed.",
+		}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines dropped because the log was not read fast enough.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.limitedSends, m.panics, m.store, m.granter, m.config, m.dropped)
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.limitedSends, m.panics, m.store, m.granter, m.config, m.dropped, m.isolated, m.reachRounds, m.proxied, m.proxyServed)
 	return m
 }
 
--- a/server/gateway/permits_test.go
+++ b/server/gateway/permits_test.go
@@ -17,7 +17,7 @@
 // under way, while a former granter may still issue some, and after the limit has ended.
 func TestPermitAllocator(t *testing.T) {
 	owner := ownership.Owner{UpstreamID: "u1", Incarnation: 7}
-	u := newUpstream(&registration{Upstream: routing.Upstream{ID: "u1", Incarnation: 7}}, upstreamconn.Limits{}, func() {})
+	u := newUpstream(&registration{Upstream: routing.Upstream{ID: "u1", Incarnation: 7}}, upstreamconn.Limits{}, upstreamconn.Network{}, func() {})
 	v := &view{upstreams: map[api.UpstreamID]*upstream{"u1": u}}
 	allocator := newPermitAllocator(newStatedLimits(zerolog.Nop()))
 	a, b := newPermitClient(), newPermitClient()
--- /dev/null
+++ b/server/gateway/proxy.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/reachability"
+	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/buffers"
+	"dandelionhill.dev/server/upstreamconn"
+	"dandelionhill.dev/server/wait"
+)
+
+const (
+	// maxProxies bounds the VMs to which an isolated VM passes one request.
+	maxProxies = 3
+	// maxProxiesSent bounds the addresses that the granter sends an isolated VM.
+	maxProxiesSent = 8
+	// minProxies is the number of VMs that reach the upstreams below which the granter sends
+	// requests of isolated VMs too.
+	minProxies = 4
+	// proxiesTTL is how long after the granter's last message its addresses are used.
+	proxiesTTL = 2 * time.Second
+	// proxyMargin is taken off the time for a request, so that its outcome is back before the
+	// deadline.
+	proxyMargin = 5 * time.Millisecond
+)
+
+// proxies passes the requests of this VM to VMs that reach the upstreams, while this VM is
+// isolated, and serves the requests of isolated VMs.
+type proxies struct {
+	self            api.VMID
+	address         string
+	maxMessageBytes int64
+	// knownPeers returns the addresses of VMs, of which some may be isolated too.
+	knownPeers func() []string
+	handler    *requestHandler
+	metrics    *Metrics
+	log        zerolog.Logger
+	stopping   *atomic.Bool
+	// serving is the number of requests of isolated VMs.
+	serving atomic.Int64
+
+	mu    sync.Mutex
+	peers *reachability.Peers
+	conns map[string]*proxyConn
+	// reaching holds the VMs that reach the upstreams, as the granter said at reachingAt.
+	reaching   []string
+	reachingAt time.Duration
+}
+
+func newProxies(s *Settings, limits Limits, handler *requestHandler, stopping *atomic.Bool, knownPeers func() []string, m *Metrics, log zerolog.Logger) *proxies {
+	return &proxies{
+		self: s.VM, address: s.peersAddress(), handler: handler, stopping: stopping, knownPeers: knownPeers, metrics: m, log: log,
+		maxMessageBytes: int64(max(limits.ResponseBodyKB, limits.RequestBodyKB)+limits.ResponseHeadKB)<<10 + 2*maxHeaderBytes,
+		peers:           reachability.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), conns: make(map[string]*proxyConn),
+	}
+}
+
+// setReaching records the VMs that reach the upstreams, as the granter says.
+func (p *proxies) setReaching(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reaching, p.reachingAt = addresses, bootTime()
+}
+
+// choose returns the VM for a request.
+func (p *proxies) choose(tried []string) (peer string, ok bool) {
+	known := p.knownPeers()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := bootTime()
+	candidates := known
+	if len(p.reaching) > 0 && now-p.reachingAt < proxiesTTL {
+		candidates = p.reaching
+	}
+	return p.peers.Choose(now, slices.DeleteFunc(slices.Clone(candidates), func(a string) bool { return a == p.address }), tried)
+}
+
+func (p *proxies) done(peer string, failed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers.Done(bootTime(), peer, failed)
+}
+
+// conn returns an open connection to a VM.
+func (p *proxies) conn(ctx context.Context, address string) (*proxyConn, error) {
+	p.mu.Lock()
+	c := p.conns[address]
+	p.mu.Unlock()
+	if c != nil && c.open() {
+		return c, nil
+	}
+	c, err := dialProxy(ctx, address, p.maxMessageBytes)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.conns[address]; other != nil && other.open() {
+		c.end(errProxyIdle)
+		return other, nil
+	}
+	for a, other := range p.conns {
+		if !other.open() {
+			delete(p.conns, a)
+		}
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+// errIsolated means that this VM reaches no upstream, and no VM that does.
+var errIsolated = errors.New("this VM reaches neither the upstreams nor another VM that does: retry at another VM")
+
+// forward passes a request to VMs that reach the upstreams, one after the other, until one of
+// them has sent it. The request goes no further than one VM.
+func (p *proxies) forward(ctx context.Context, q *request, configuration int64) (*upstreamconn.Response, outcome) {
+	failure := outcome{reason: isolatedVM, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter, err: errIsolated}
+	var tried []string
+	for len(tried) < maxProxies && ctx.Err() == nil {
+		peer, ok := p.choose(tried)
+		if !ok {
+			break
+		}
+		tried = append(tried, peer)
+		resp, sent, err := p.call(ctx, q, peer, configuration)
+		q.proxy = peer
+		notTaken := err != nil && !sent || err == nil && resp.notTaken()
+		p.done(peer, notTaken || err != nil && ctx.Err() == nil)
+		if notTaken {
+			p.metrics.proxied.WithLabelValues("not_taken").Inc()
+			continue
+		}
+		if err != nil {
+			p.metrics.proxied.WithLabelValues("lost").Inc()
+			p.log.Info().Str("event", "proxy_failed").Str("request", q.params.RequestID).Str("peer", peer).Err(err).Msg("")
+			q.sends++
+			q.mayHaveRun++
+			failure = outcome{reason: responseLost, status: http.StatusBadGateway, err: err}
+			if ctx.Err() != nil || !q.route.Idempotent || q.mayHaveRun >= q.route.MaxAttempts {
+				break
+			}
+			continue
+		}
+		q.sends += resp.Sends
+		q.mayHaveRun, q.lastUpstream = max(q.mayHaveRun, resp.MayHaveRun), resp.Upstream
+		if resp.Status != 0 {
+			p.metrics.proxied.WithLabelValues("answered").Inc()
+			return &upstreamconn.Response{Status: resp.Status, Header: resp.Header, Body: resp.Body}, outcome{}
+		}
+		p.metrics.proxied.WithLabelValues("refused").Inc()
+		failure = outcome{reason: resp.Reason, status: resp.FailureStatus, retryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond}
+		if resp.Error != "" {
+			failure.err = errors.New(resp.Error)
+		}
+		break
+	}
+	return nil, p.handler.finalOutcome(ctx, q, failure)
+}
+
+// call passes a request to one VM. sent means that the VM may have got it.
+func (p *proxies) call(ctx context.Context, q *request, peer string, configuration int64) (resp *proxyResponse, sent bool, err error) {
+	c, err := p.conn(ctx, peer)
+	if err != nil {
+		return nil, false, err
+	}
+	resp, sent, err = c.call(ctx, &proxyRequest{
+		From: p.self, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: q.header, Body: q.body,
+		TimeoutMs: (q.remaining() - proxyMargin).Milliseconds(), Configuration: configuration,
+		Counted: q.service != nil, MayHaveRun: q.mayHaveRun,
+	})
+	if err == nil && !q.buffers.Take(int64(len(resp.Body))) {
+		return nil, true, buffers.ErrExhausted
+	}
+	return resp, sent, err
+}
+
+// ServeHTTP accepts the connection of an isolated VM.
+func (p *proxies) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		p.log.Warn().Str("event", "proxy_refused").Err(err).Msg("")
+		return
+	}
+	defer ws.CloseNow()
+	ws.SetReadLimit(p.maxMessageBytes)
+	if err := serveProxyConn(r.Context(), ws, guard{p.metrics, p.log}, p.serve); err != nil {
+		p.log.Debug().Str("event", "proxy_connection_ended").Err(err).Msg("")
+	}
+}
+
+// serve sends a request of an isolated VM to an upstream.
+func (p *proxies) serve(ctx context.Context, req *proxyRequest) *proxyResponse {
+	p.serving.Add(1)
+	defer p.serving.Add(-1)
+	q, resp, failure := p.handler.serveProxied(ctx, req, p.stopping.Load())
+	out := &proxyResponse{Upstream: q.lastUpstream, Sends: q.sends, MayHaveRun: q.mayHaveRun}
+	if resp != nil {
+		p.metrics.proxyServed.WithLabelValues("answered").Inc()
+		out.Status, out.Header, out.Body = resp.Status, resp.Header, resp.Body
+		return out
+	}
+	p.metrics.proxyServed.WithLabelValues(string(failure.reason)).Inc()
+	p.log.Info().Str("event", "proxied_request_not_answered").Str("request", q.params.RequestID).Str("peer", string(req.From)).
+		Str("reason", string(failure.reason)).Int("status", failure.status).Int("sends", q.sends).Int("may_have_run", q.mayHaveRun).
+		Str("upstream", string(q.lastUpstream)).Dur("took_ms", time.Since(q.arrived)).Err(failure.err).Msg("")
+	out.Reason, out.FailureStatus, out.RetryAfterMs = failure.reason, failure.status, failure.retryAfter.Milliseconds()
+	if failure.err != nil {
+		out.Error = failure.err.Error()
+	}
+	return out
+}
+
+// drain waits until the requests of isolated VMs have ended.
+func (p *proxies) drain(ctx context.Context) {
+	for p.serving.Load() > 0 {
+		if !wait.For(ctx, drainCheckInterval) {
+			p.log.Warn().Str("event", "proxied_requests_cut").Int64("requests", p.serving.Load()).Msg("")
+			return
+		}
+	}
+}
+
+// serveProxied sends a request of an isolated VM to an upstream.
+func (h *requestHandler) serveProxied(ctx context.Context, req *proxyRequest, stopping bool) (*request, *upstreamconn.Response, outcome) {
+	q := &request{
+		arrived: time.Now(), buffers: h.buffers.Reserve(), body: req.Body, proxied: true, counted: req.Counted, mayHaveRun: req.MayHaveRun,
+	}
+	defer q.buffers.Release()
+	q.deadline = q.arrived.Add(time.Duration(req.TimeoutMs) * time.Millisecond)
+	refused := func(why reason, status int, err error) (*request, *upstreamconn.Response, outcome) {
+		return q, nil, h.finalOutcome(ctx, q, outcome{reason: why, status: status, retryAfter: otherVMRetryAfter, err: err})
+	}
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	target, err := url.ParseRequestURI(req.Target)
+	q.http = (&http.Request{Method: req.Method, URL: target, RequestURI: req.Target, Host: req.Host, Header: req.Header}).WithContext(ctx)
+	q.params = fleet.ParseRequestHeaders(req.Header)
+	v := h.view()
+	isolated, _ := h.reach.isolated()
+	switch {
+	case err != nil:
+		return refused(badRequest, http.StatusBadRequest, err)
+	case stopping:
+		return refused(vmStopping, http.StatusServiceUnavailable, nil)
+	case isolated:
+		return refused(isolatedVM, http.StatusServiceUnavailable, errIsolated)
+	case v.config == nil || v.config.Version < req.Configuration:
+		return refused(noConfiguration, http.StatusServiceUnavailable, nil)
+	case !q.buffers.Take(int64(len(req.Body))):
+		return refused(buffersFull, http.StatusServiceUnavailable, buffers.ErrExhausted)
+	}
+	if q.route = v.config.Match(req.Host, target.EscapedPath()); q.route == nil {
+		return refused(noRoute, http.StatusServiceUnavailable, nil)
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
+	q.header = endToEndHeaders(req.Header)
+	resp, failure := h.serve(ctx, q, v)
+	return q, resp, failure
+}
--- /dev/null
+++ b/server/gateway/proxyconn.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/server/upstreamconn"
+)
+
+const (
+	// proxyPath is the path at which a VM accepts requests of isolated VMs.
+	proxyPath = "/proxy/v1"
+	// proxyDialTimeout bounds the time to connect to a VM: a round trip takes a few
+	// milliseconds.
+	proxyDialTimeout = 300 * time.Millisecond
+	// proxyPingInterval is the interval of pings while requests wait for a response. The
+	// connection ends if a pong takes longer than linkTimeout.
+	proxyPingInterval = 400 * time.Millisecond
+	// proxyIdleTimeout is how long a connection without requests is kept.
+	proxyIdleTimeout = 5 * time.Second
+)
+
+// proxyFrame is a message between an isolated VM and one that sends its requests. ID numbers
+// the requests of a connection.
+type proxyFrame struct {
+	ID       uint64         `cbor:"1,keyasint"`
+	Request  *proxyRequest  `cbor:"2,keyasint,omitempty"`
+	Response *proxyResponse `cbor:"3,keyasint,omitempty"`
+	// Cancel means that the caller has left.
+	Cancel bool `cbor:"4,keyasint,omitempty"`
+}
+
+// proxyRequest is a request of a caller of an isolated VM.
+type proxyRequest struct {
+	From   api.VMID    `cbor:"1,keyasint"`
+	Method string      `cbor:"2,keyasint"`
+	Target string      `cbor:"3,keyasint"`
+	Host   string      `cbor:"4,keyasint"`
+	Header http.Header `cbor:"5,keyasint"`
+	Body   []byte      `cbor:"6,keyasint"`
+	// TimeoutMs is how much longer the caller waits, in milliseconds.
+	TimeoutMs int64 `cbor:"7,keyasint"`
+	// Configuration is the version with which the isolated VM chose the route.
+	Configuration int64 `cbor:"8,keyasint"`
+	// Counted means that the isolated VM has counted the request for its retry budget;
+	// MayHaveRun is the number of upstreams that may have run it.
+	Counted    bool `cbor:"9,keyasint,omitempty"`
+	MayHaveRun int  `cbor:"10,keyasint,omitempty"`
+}
+
+// proxyResponse is the response of an upstream, or the outcome of a request without one.
+type proxyResponse struct {
+	// Status is the status of the upstream's response, 0 if there is none.
+	Status int         `cbor:"1,keyasint,omitempty"`
+	Header http.Header `cbor:"2,keyasint,omitempty"`
+	Body   []byte      `cbor:"3,keyasint,omitempty"`
+	// Reason, FailureStatus, RetryAfterMs and Error are the outcome.
+	Reason        reason `cbor:"4,keyasint,omitempty"`
+	FailureStatus int    `cbor:"5,keyasint,omitempty"`
+	RetryAfterMs  int64  `cbor:"6,keyasint,omitempty"`
+	Error         string `cbor:"7,keyasint,omitempty"`
+	// Upstream is the upstream of the last send.
+	Upstream   api.UpstreamID `cbor:"8,keyasint,omitempty"`
+	Sends      int            `cbor:"9,keyasint,omitempty"`
+	MayHaveRun int            `cbor:"10,keyasint,omitempty"`
+}
+
+// notTaken reports whether the VM could not send the request to any upstream, so that another
+// VM may.
+func (r *proxyResponse) notTaken() bool {
+	switch r.Reason {
+	case isolatedVM, vmStopping, noConfiguration, noRoute:
+		return r.Sends == 0
+	}
+	return false
+}
+
+// proxyConn is a connection of an isolated VM to one that sends its requests.
+type proxyConn struct {
+	ws *websocket.Conn
+
+	mu      sync.Mutex
+	lastID  uint64
+	waiting map[uint64]chan *proxyResponse
+	usedAt  time.Time
+	// err is why the connection has ended; ended is closed then.
+	err   error
+	ended chan struct{}
+}
+
+// dialProxy connects to a VM.
+func dialProxy(ctx context.Context, address string, maxMessageBytes int64) (*proxyConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, proxyDialTimeout)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}
+	defer client.CloseIdleConnections()
+	ws, _, err := websocket.Dial(ctx, "ws://"+address+proxyPath, &websocket.DialOptions{HTTPClient: client})
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to a VM that reaches the upstreams")
+	}
+	ws.SetReadLimit(maxMessageBytes)
+	c := &proxyConn{ws: ws, waiting: make(map[uint64]chan *proxyResponse), usedAt: time.Now(), ended: make(chan struct{})}
+	go c.read()
+	go c.keepAlive()
+	return c, nil
+}
+
+// read passes responses to the requests that wait for them, until the connection ends.
+func (c *proxyConn) read() {
+	for {
+		_, data, err := c.ws.Read(context.Background())
+		var frame proxyFrame
+		if err == nil {
+			err = cbor.Unmarshal(data, &frame)
+		}
+		if err != nil {
+			c.end(errors.Wrap(err, "read from a VM that sends requests"))
+			return
+		}
+		c.mu.Lock()
+		waiting := c.waiting[frame.ID]
+		delete(c.waiting, frame.ID)
+		c.mu.Unlock()
+		if waiting != nil && frame.Response != nil {
+			waiting <- frame.Response
+		}
+	}
+}
+
+// errProxyIdle means that a connection to another VM was not used for a while.
+var errProxyIdle = errors.New("the connection to the VM was not used")
+
+// keepAlive ends the connection if the other VM is silent while requests wait, and if there
+// are no requests for proxyIdleTimeout.
+func (c *proxyConn) keepAlive() {
+	ticker := time.NewTicker(proxyPingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ended:
+			return
+		case <-ticker.C:
+		}
+		c.mu.Lock()
+		idle := len(c.waiting) == 0
+		expired := idle && time.Since(c.usedAt) > proxyIdleTimeout
+		c.mu.Unlock()
+		switch {
+		case expired:
+			c.end(errProxyIdle)
+			return
+		case idle:
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), linkTimeout)
+		err := c.ws.Ping(ctx)
+		cancel()
+		if err != nil {
+			c.end(errors.Wrap(err, "the VM that sends requests is silent"))
+			return
+		}
+	}
+}
+
+// end closes the connection; requests that wait get no response.
+func (c *proxyConn) end(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return
+	}
+	c.err = err
+	close(c.ended)
+	go c.ws.CloseNow()
+}
+
+func (c *proxyConn) open() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err == nil
+}
+
+// call sends a request and waits for its response. sent means that the request may have
+// reached the other VM. If ctx ends, the request is cancelled there.
+func (c *proxyConn) call(ctx context.Context, req *proxyRequest) (resp *proxyResponse, sent bool, err error) {
+	response := make(chan *proxyResponse, 1)
+	c.mu.Lock()
+	if c.err != nil {
+		c.mu.Unlock()
+		return nil, false, c.err
+	}
+	c.lastID++
+	id := c.lastID
+	c.waiting[id], c.usedAt = response, time.Now()
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.waiting, id)
+		c.usedAt = time.Now()
+	}()
+	// A write that is cancelled ends the connection for all requests, so it has a time limit of
+	// its own.
+	if err := send(context.Background(), c.ws, proxyFrame{ID: id, Request: req}); err != nil {
+		c.end(err)
+		return nil, true, err
+	}
+	select {
+	case resp := <-response:
+		return resp, true, nil
+	case <-c.ended:
+		return nil, true, c.err
+	case <-ctx.Done():
+		if err := send(context.Background(), c.ws, proxyFrame{ID: id, Cancel: true}); err != nil {
+			c.end(err)
+		}
+		return nil, true, errors.Wrap(ctx.Err(), "wait for the VM that sends the request")
+	}
+}
+
+// serveProxyConn passes the requests on a connection to serve and sends the responses, until
+// the connection ends.
+func serveProxyConn(ctx context.Context, ws *websocket.Conn, guard guard, serve func(context.Context, *proxyRequest) *proxyResponse) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var mu sync.Mutex
+	cancels := make(map[uint64]context.CancelFunc)
+	for {
+		_, data, err := ws.Read(ctx)
+		if err != nil {
+			return errors.Wrap(err, "read from an isolated VM")
+		}
+		var frame proxyFrame
+		if err := cbor.Unmarshal(data, &frame); err != nil {
+			return errors.Wrap(err, "decode a message of an isolated VM")
+		}
+		mu.Lock()
+		if stop := cancels[frame.ID]; frame.Cancel && stop != nil {
+			stop()
+		}
+		mu.Unlock()
+		if frame.Request == nil {
+			continue
+		}
+		requestCtx, stop := context.WithCancel(ctx)
+		mu.Lock()
+		cancels[frame.ID] = stop
+		mu.Unlock()
+		go func() {
+			defer stop()
+			resp := &proxyResponse{Reason: responseLost, FailureStatus: http.StatusBadGateway, MayHaveRun: 1}
+			guard.run("proxied_request", func() { resp = serve(requestCtx, frame.Request) })
+			mu.Lock()
+			delete(cancels, frame.ID)
+			mu.Unlock()
+			if requestCtx.Err() != nil {
+				return // the caller has left
+			}
+			if err := send(ctx, ws, proxyFrame{ID: frame.ID, Response: resp}); err != nil {
+				cancel()
+			}
+		}()
+	}
+}
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -44,6 +44,8 @@
 	// wants.
 	Limits  []limitNews    `cbor:"8,keyasint,omitempty"`
 	Demands []permitDemand `cbor:"9,keyasint,omitempty"`
+	// Isolated means that no upstream can be reached from the VM.
+	Isolated bool `cbor:"10,keyasint,omitempty"`
 }
 
 // trafficStats collects statistics on the traffic of this VM.
--- a/server/gateway/status.go
+++ b/server/gateway/status.go
@@ -32,6 +32,8 @@
 	ConfigurationSince   time.Time `json:"since"`
 	// StoreUnavailable means that the store does not answer this VM.
 	StoreUnavailable bool `json:"store_lost"`
+	// Isolated means that no upstream can be reached from this VM.
+	Isolated bool `json:"isolated"`
 	// Granter is the VM that this one follows, or itself; it is empty if it follows none.
 	Granter api.VMID `json:"granter"`
 	Term    int64    `json:"term"`
@@ -65,6 +67,7 @@
 		DomainsOut: []api.FailureDomain{}, Upstreams: make(map[api.ServiceName]UpstreamCounts), Peers: []string{},
 	}
 	s.Ready = v.config != nil && !s.Stopping
+	s.Isolated, _ = g.control.reach.isolated()
 	if v.config != nil {
 		s.ConfigurationVersion = v.config.Version
 	}
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -49,8 +49,8 @@
 
 // newUpstream returns the state of an upstream. permitsWanted is called when a request begins
 // to wait for a permit.
-func newUpstream(reg *registration, limits upstreamconn.Limits, permitsWanted func()) *upstream {
-	u := &upstream{id: reg.ID, pool: upstreamconn.New(reg.Address, limits), coldSlot: -1}
+func newUpstream(reg *registration, limits upstreamconn.Limits, network upstreamconn.Network, permitsWanted func()) *upstream {
+	u := &upstream{id: reg.ID, pool: upstreamconn.New(reg.Address, limits, network), coldSlot: -1}
 	u.limit.Store(1)
 	u.limiter = newLimiter(&u.limit, permitsWanted)
 	u.registration.Store(reg)
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -28,6 +28,9 @@
 	// dialTimeout bounds the time to open a connection: a round trip takes a few
 	// milliseconds, a lost packet is retransmitted after a second.
 	dialTimeout = 700 * time.Millisecond
+	// slowDial is the time from which an attempt to connect counts as failing; connections
+	// take milliseconds.
+	slowDial = 200 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream states no
 	// idle timeout.
 	defaultIdleTimeout = 2 * time.Second
@@ -63,6 +66,8 @@
 	ErrHeadTooLarge = errors.New("the head of the upstream's response exceeds its limit: the outcome is unknown")
 	// ErrBodyTooLarge means that the body of a response exceeds its limit.
 	ErrBodyTooLarge = errors.New("the body of the upstream's response exceeds its limit: the outcome is unknown")
+	// ErrDialCancelled means that Pool.CancelDials ended an attempt to connect.
+	ErrDialCancelled = errors.New("the upstreams cannot be reached from here: the attempt to connect was given up")
 	// ErrConnectionRejected means that the upstream closed a new connection at once.
 	ErrConnectionRejected = errors.New("the upstream accepts no more connections: use another one or retry later")
 )
@@ -134,18 +139,42 @@
 // chunked body has additional bytes for each chunk.
 const bodyOverhead = 2
 
+// Watcher learns how attempts to connect go. Its methods must return quickly.
+type Watcher interface {
+	// Connected is called when a connection was opened.
+	Connected()
+	// Unreachable is called when an attempt fails, and when it takes longer than slowDial.
+	Unreachable()
+}
+
+// Network is how a Pool connects. The zero value uses Dial and has no watcher.
+type Network struct {
+	// Dial opens a connection; nil stands for the function Dial.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Watcher, unless it is nil, learns how attempts to connect go.
+	Watcher Watcher
+}
+
 // Pool keeps connections to one address.
 type Pool struct {
 	address string
 	limits  Limits
+	network Network
 
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
+	// dials holds the attempts to connect that are under way.
+	dials map[*context.CancelCauseFunc]bool
 }
 
 // New returns a Pool without connections.
-func New(address string, limits Limits) *Pool { return &Pool{address: address, limits: limits} }
+func New(address string, limits Limits, network Network) *Pool {
+	if network.Dial == nil {
+		network.Dial = Dial
+	}
+	return &Pool{address: address, limits: limits, network: network, dials: make(map[*context.CancelCauseFunc]bool)}
+}
 
 type conn struct {
 	net.Conn
@@ -246,16 +275,29 @@
 	c.Close()
 }
 
-// Probe opens a connection and adds it to the pool. It reports false if the address
-// refuses connections: no process listens there.
-func (p *Pool) Probe(ctx context.Context) bool {
+// Connect opens a connection and adds it to the pool. The error is an *Error.
+func (p *Pool) Connect(ctx context.Context) error {
 	c, err := p.dial(ctx)
 	if err != nil {
-		var failed *Error
-		return !errors.As(err, &failed) || !failed.Refused
+		return err
 	}
 	p.put(c, defaultIdleTimeout)
-	return true
+	return nil
+}
+
+// Refused reports whether err means that an address refuses connections.
+func Refused(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && failed.Refused
+}
+
+// CancelDials ends the attempts to connect that are under way.
+func (p *Pool) CancelDials() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for cancel := range p.dials {
+		(*cancel)(ErrDialCancelled)
+	}
 }
 
 // usable reports whether the connection is open without unread bytes. Bytes that arrive
@@ -303,8 +345,32 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	c, err := dialer.DialContext(ctx, "tcp", p.address)
+	dialCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	p.mu.Lock()
+	p.dials[&cancel] = true
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.dials, &cancel)
+	}()
+	watcher := p.network.Watcher
+	if watcher != nil {
+		slow := time.AfterFunc(slowDial, watcher.Unreachable)
+		defer slow.Stop()
+	}
+	c, err := p.network.Dial(dialCtx, "tcp", p.address)
+	if watcher != nil && err == nil {
+		watcher.Connected()
+	}
+	if watcher != nil && err != nil && dialCtx.Err() == nil {
+		watcher.Unreachable()
+	}
 	if err != nil {
+		if errors.Is(context.Cause(dialCtx), ErrDialCancelled) {
+			err = ErrDialCancelled
+		}
 		return nil, &Error{Err: errors.Wrap(err, "connect to the upstream"), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	bounded := &boundedReader{source: c}
--- a/server/upstreamconn/conn_test.go
+++ b/server/upstreamconn/conn_test.go
@@ -34,7 +34,7 @@
 			}()
 		}
 	}()
-	return New(l.Addr().String(), testLimits), func() int { return len(conns) }
+	return New(l.Addr().String(), testLimits, Network{}), func() int { return len(conns) }
 }
 
 func get(id string) *Request {
@@ -81,7 +81,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	l.Close()
-	_, err = New(l.Addr().String(), testLimits).Do(context.Background(), get("a"))
+	_, err = New(l.Addr().String(), testLimits, Network{}).Do(context.Background(), get("a"))
 	var failed *Error
 	require.True(t, errors.As(err, &failed))
 	require.False(t, failed.Sent)
