server/gateway: a granter that reaches no upstream resigns to a VM that does

While the granter was cut off from the upstreams, callers of all VMs were refused with no_owner, those of VMs that reached the upstreams too (RECOVER).

Cause: calls that fail for 0.5 s make an upstream suspect, which takes its keys away. A granter that was cut off itself took all upstreams for lost, kept the lease and tried again every 3 s.

Change: an isolated granter moves no keys and asks the other VMs whether they reach upstreams. If one has opened a connection since, the upstreams are well: the granter releases its lease and names that VM, which takes over at once and renews. If none has within a second, the upstreams are lost and the granter stays. While the store is silent it hands over to that VM as a caretaker, as a granter that stops does. Isolated VMs leave a lease to the others for 4 s.

TestNoTwoGranters plays resignations with and without the store; a broken variant that forgets the handover is found. TestCutGranterResigns fails without resignIfIsolated ("a VM that reaches the upstreams grants": never satisfied). The fake upstream echoes the request ID with a 421 too, as upstreams do: without it a request to a moved key waited for its deadline.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -42,6 +42,12 @@
 	// ResignAfter is how long a granter without authority waits for the store before
 	// it resigns.
 	ResignAfter time.Duration
+	// SuccessorPatience is the age of a lease up to which it is left to the successor that its
+	// granter has named.
+	SuccessorPatience time.Duration
+	// IsolatedPatience is the age of a lease up to which a VM that reaches no upstream leaves
+	// it to the others.
+	IsolatedPatience time.Duration
 }
 
 // DefaultConfig returns the times of section 9.2 of the design page.
@@ -50,6 +56,7 @@
 		LeaseTTL: 3 * time.Second, StaleAfter: 1300 * time.Millisecond, StoreTimeout: 1200 * time.Millisecond,
 		PromiseTTL: 1200 * time.Millisecond, RestartPromiseTTL: 3 * time.Second, MaxMessageDelay: 200 * time.Millisecond,
 		AbsentTimeout: 30 * time.Second, StoreCheckers: 12, ResignAfter: time.Second,
+		SuccessorPatience: 500 * time.Millisecond, IsolatedPatience: 4 * time.Second,
 	}
 }
 
@@ -57,6 +64,8 @@
 type Lease struct {
 	// Vacant means that there is no lease, or that its granter has released it.
 	Vacant bool
+	// Reserved means that the granter has named another VM as its successor.
+	Reserved bool
 	// GranterEnded means that the granter's process is known to have ended.
 	GranterEnded bool
 	// Age is the time since the last renewal.
@@ -87,6 +96,8 @@
 	// checked means that this VM has checked the store since the granter last renewed its
 	// lease, storeAnswers that the store answered the last check.
 	checked, storeAnswers bool
+	// isolated means that this VM reaches no upstream.
+	isolated bool
 }
 
 // NewVoter returns the Voter of a process that has just started.
@@ -119,6 +130,16 @@
 	v.promisedUntil = max(v.promisedUntil, now+v.cfg.PromiseTTL)
 }
 
+// SetIsolated records whether this VM reaches no upstream. It then leaves a lease to the
+// others, since it could neither renew nor grant.
+func (v *Voter) SetIsolated(isolated bool) { v.isolated = isolated }
+
+// HandedOver records that the granter of this process has handed over without stopping: the
+// process does not take over while it could disturb the caretaker.
+func (v *Voter) HandedOver(now time.Duration) {
+	v.promisedUntil = max(v.promisedUntil, now+v.cfg.RestartPromiseTTL)
+}
+
 // Leave records that this process is about to stop.
 func (v *Voter) Leave() { v.stopping = true }
 
@@ -135,8 +156,12 @@
 // was lost since its last renewal.
 func (v *Voter) Next(now time.Duration, l Lease, disconnected bool) Step {
 	switch {
+	case l.Vacant && (l.Reserved && l.Age < v.cfg.SuccessorPatience || v.isolated && l.Age < v.cfg.IsolatedPatience):
+		return Wait
 	case l.Vacant:
 		return Campaign
+	case l.GranterEnded && v.isolated && l.Age < v.cfg.IsolatedPatience:
+		return Wait
 	case l.GranterEnded && !v.stopping:
 		// A caretaker may still renew grants, which does not conflict: the new granter
 		// moves no keys before PredecessorsUntil.
@@ -144,6 +169,9 @@
 	case l.GranterEnded:
 		return Wait
 	case l.Age > v.cfg.StaleAfter:
+		if v.isolated && l.Age < v.cfg.IsolatedPatience {
+			return Follow
+		}
 		if !v.stopping && now >= max(v.promisedUntil, v.startedAt+v.cfg.PromiseTTL) {
 			return Campaign
 		}
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -21,6 +21,7 @@
 		disconnected bool
 		promise      bool
 		stopping     bool
+		isolated     bool
 		want         election.Step
 	}{
 		"no granter":                              {now: started, lease: election.Lease{Vacant: true}, want: election.Campaign},
@@ -31,6 +32,13 @@
 		"stale lease in a new process":            {now: started, lease: election.Lease{Age: stale}, want: election.Follow},
 		"all VMs have restarted":                  {now: started, lease: election.Lease{Age: stale, GranterEnded: true}, want: election.Campaign},
 		"a granter has ended":                     {now: late, lease: election.Lease{Age: fresh, GranterEnded: true}, want: election.Campaign},
+		"a successor is named":                    {now: late, lease: election.Lease{Vacant: true, Reserved: true, Age: time.Millisecond}, want: election.Wait},
+		"the named successor does not take over":  {now: late, lease: election.Lease{Vacant: true, Reserved: true, Age: cfg.SuccessorPatience}, want: election.Campaign},
+		"no granter, isolated":                    {now: late, lease: election.Lease{Vacant: true, Age: fresh}, isolated: true, want: election.Wait},
+		"a granter has ended, isolated":           {now: late, lease: election.Lease{Age: fresh, GranterEnded: true}, isolated: true, want: election.Wait},
+		"stale lease, isolated":                   {now: late, lease: election.Lease{Age: stale}, isolated: true, want: election.Follow},
+		"no granter for long, isolated":           {now: late, lease: election.Lease{Vacant: true, Age: cfg.IsolatedPatience}, isolated: true, want: election.Campaign},
+		"lease stale for long, isolated":          {now: late, lease: election.Lease{Age: cfg.IsolatedPatience}, isolated: true, want: election.Campaign},
 		"a granter has ended, this process stops": {now: late, lease: election.Lease{Age: fresh, GranterEnded: true}, stopping: true, want: election.Wait},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -38,6 +46,7 @@
 			if c.promise {
 				v.StoreUnreachable(c.now)
 			}
+			v.SetIsolated(c.isolated)
 			if c.stopping {
 				v.Leave()
 			}
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -52,6 +52,7 @@
 	proc           *process
 	storeReachable bool
 	frozenUntil    time.Duration
+	isolatedUntil  time.Duration // it reaches no upstream until then
 	startAt        time.Duration // of the next process
 	stopAt         time.Duration // when a stopping process ends, 0 if it does not stop
 }
@@ -65,6 +66,7 @@
 	cfg                election.Config
 	voterCfg           election.Config // of the VMs; differs from cfg in broken variants
 	forgetPredecessors bool            // the lease does not name the granters before the last
+	forgetHandover     bool            // a granter that has handed over does not keep from taking over
 	rng                *rand.Rand
 	now                time.Duration
 	vms                []*vm
@@ -169,6 +171,7 @@
 		p.disconnected, p.seenVersion = false, s.row.version
 	}
 	l := s.lease(p)
+	p.voter.SetIsolated(p.vm.isolatedUntil > s.now)
 	switch p.voter.Next(s.now, l, p.disconnected) {
 	case election.Campaign:
 		s.takeOver(p, p.voter.PredecessorsUntil(s.now, l))
@@ -266,30 +269,60 @@
 			}
 		})
 	}
-	if p.auth != nil && !p.auth.StoreUnreachable(s.now) && v.storeReachable && s.row.granter == p {
+	if p.auth != nil {
+		s.giveUp(p)
+	}
+	s.endProcess(v)
+}
+
+// giveUp ends the authority of a granter: it releases its lease or hands over. It reports
+// false if it can do neither.
+func (s *sim) giveUp(p *process) bool {
+	if !p.auth.StoreUnreachable(s.now) && p.vm.storeReachable && s.row.granter == p {
 		s.row.released, s.row.version = true, s.row.version+1
 		s.counts["released"]++
-	} else if p.auth != nil {
-		for m := range p.members {
-			promises, ok := p.auth.HandOver(s.now, v.name, m.vm.name)
-			if !ok {
-				break
-			}
-			term := p.term
-			s.send(false, func() {
-				if m.ended || m.auth != nil || m.vm.frozenUntil > s.now {
-					return
-				}
-				s.disconnect(m)
-				m.auth, m.term, m.caretaker = election.NewCaretaker(s.cfg, s.now, promises), term, true
-				m.members = make(map[*process]bool)
-				s.counts["caretakers"]++
-				s.tracef("%s is caretaker", m.vm.name)
-			})
-			break
+		return true
+	}
+	for m := range p.members {
+		promises, ok := p.auth.HandOver(s.now, p.vm.name, m.vm.name)
+		if !ok {
+			return false
 		}
+		term := p.term
+		s.send(false, func() {
+			if m.ended || m.auth != nil || m.vm.frozenUntil > s.now {
+				return
+			}
+			s.disconnect(m)
+			m.auth, m.term, m.caretaker = election.NewCaretaker(s.cfg, s.now, promises), term, true
+			m.members = make(map[*process]bool)
+			s.counts["caretakers"]++
+			s.tracef("%s is caretaker", m.vm.name)
+		})
+		return true
 	}
-	s.endProcess(v)
+	return false
+}
+
+// isolate cuts a VM off from the upstreams for a while. If it is the granter, it resigns as
+// long as the process goes on.
+func (s *sim) isolate(v *vm) {
+	v.isolatedUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
+	s.tracef("%s is isolated until %.2fs", v.name, (v.isolatedUntil - time.Minute).Seconds())
+	p := v.proc
+	if p.auth == nil || p.caretaker || p.ended {
+		return
+	}
+	without := p.auth.StoreUnreachable(s.now)
+	if !s.giveUp(p) {
+		return
+	}
+	s.counts["resigned"]++
+	if without && !s.forgetHandover {
+		p.voter.HandedOver(s.now)
+		s.counts["handed over without a stop"]++
+	}
+	s.stopGranting(p)
 }
 
 func (s *sim) injectFaults() {
@@ -313,6 +346,8 @@
 	case n < 22:
 		v.frozenUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
 		s.tracef("%s freezes until %.2fs", v.name, (v.frozenUntil - time.Minute).Seconds())
+	case n < 34 && v.isolatedUntil <= s.now:
+		s.isolate(v)
 	}
 }
 
@@ -407,7 +442,7 @@
 		}
 	}
 	for _, event := range []string{
-		"takeovers", "released", "caretakers", "joined without the store", "ticks with moves", "promised without a check",
+		"takeovers", "released", "caretakers", "resigned", "handed over without a stop", "joined without the store", "ticks with moves", "promised without a check",
 		"ticks renewed without the store", "ticks renewed by a caretaker",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
@@ -430,6 +465,7 @@
 		"promises of the last process are forgotten": func(s *sim) { s.voterCfg.RestartPromiseTTL = 0 },
 		"promises are broken":                        func(s *sim) { s.voterCfg.PromiseTTL = 0 },
 		"a successor does not wait":                  func(s *sim) { s.voterCfg.LeaseTTL, s.voterCfg.RestartPromiseTTL = 0, 0 },
+		"a handover without a stop is forgotten":     func(s *sim) { s.forgetHandover = true },
 		"earlier granters are forgotten":             func(s *sim) { s.forgetPredecessors = true },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/reachability/reachability.go
+++ b/core/reachability/reachability.go
@@ -43,6 +43,12 @@
 // Isolated reports whether no upstream can be reached, and since when.
 func (d *Detector) Isolated() (isolated bool, since time.Duration) { return d.isolated, d.since }
 
+// ContactAge returns the time since a connection to any upstream was opened; ok is false if
+// none was.
+func (d *Detector) ContactAge(now time.Duration) (age time.Duration, ok bool) {
+	return now - d.contactAt, d.contacted
+}
+
 // Connected records that a connection to an upstream was opened. It reports whether that ends
 // the isolation.
 func (d *Detector) Connected(now time.Duration) (changed bool) {
--- a/fakes/fleet/upstream.go
+++ b/fakes/fleet/upstream.go
@@ -146,6 +146,9 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(fleet.HeaderRequestID); id != "" {
+		w.Header().Set(fleet.HeaderRequestID, id)
+	}
 	if expected := r.Header.Get(fleet.HeaderExpectedUpstream); expected != "" && expected != u.id() {
 		u.mu.Lock()
 		u.misdirected++
@@ -216,7 +219,6 @@
 	if rateLimit > 0 {
 		w.Header().Set(fleet.HeaderRateLimit, strconv.FormatFloat(rateLimit, 'f', -1, 64))
 	}
-	w.Header().Set(fleet.HeaderRequestID, id)
 	if handler != nil {
 		handler(w, r)
 		return
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -136,7 +136,11 @@
 		}
 		known = state.lease
 		lease := known.electionLease(e.self, ended)
-		switch withVoter(e, func(v *election.Voter, now time.Duration) election.Step { return v.Next(now, lease, lost != nil) }) {
+		isolated, _ := e.control.reach.isolated()
+		switch withVoter(e, func(v *election.Voter, now time.Duration) election.Step {
+			v.SetIsolated(isolated)
+			return v.Next(now, lease, lost != nil)
+		}) {
 		case election.Campaign:
 			lost = nil
 			e.campaign(ctx, state, lease)
@@ -266,7 +270,9 @@
 // campaign takes over unless another VM has done so after a random delay.
 func (e *elector) campaign(ctx context.Context, state systemState, electionLease election.Lease) {
 	l := state.lease
-	wait.For(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
+	if l.Successor != e.self {
+		wait.For(ctx, time.Duration(rand.Int64N(int64(takeoverJitter))))
+	}
 	if l.VM != e.self && !electionLease.Vacant {
 		current, err := e.readState(ctx)
 		if err != nil || current.lease.version != l.version {
@@ -308,6 +314,9 @@
 	e.control.limits.confirmIssuer()
 	e.control.limits.merge(e.control.view(), u.Limits, bootTime(), "granter")
 	e.control.limits.receive(e.control.view(), u.Permits)
+	if u.Isolated {
+		go e.control.reach.answerGranter(ctx)
+	}
 	if len(u.Reaching) > 0 {
 		e.proxies.setReaching(u.Reaching)
 	}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -78,6 +78,7 @@
 	decayedAt     time.Duration
 	// publishedAt is when each owner table was last published.
 	publishedAt      map[api.ServiceName]time.Duration
+	isolation        isolation
 	joinCount        int         // connections of VMs in this term
 	storeUnreachable atomic.Bool // no renewal was confirmed in time
 	termOver         bool
@@ -126,8 +127,8 @@
 		case <-ticker.C:
 			guard.run("granter_tick", func() { g.tick(callsCtx) })
 		case <-ctx.Done():
-			if !g.handOver() {
-				g.releaseLease(callsCtx)
+			if !g.handOver(g.successor()) {
+				g.releaseLease(callsCtx, "")
 			}
 			g.termOver = true
 		}
@@ -184,6 +185,9 @@
 	if decay {
 		g.decayedAt = now
 	}
+	if g.resignIfIsolated(ctx, now) {
+		return
+	}
 	mode := g.mode(now)
 	upstreams := g.upstreams(v, now)
 	for name, service := range v.config.Services {
@@ -252,7 +256,7 @@
 		g.log.Warn().Str("event", "granter_resigns").Int64("term", g.term).Msg("")
 		g.termOver = true
 	}
-	return ownership.Mode{Renew: g.mayRenew(), Move: g.authority.HoldsLease(now) && now >= g.predecessor.Until}
+	return ownership.Mode{Renew: g.mayRenew(), Move: g.authority.HoldsLease(now) && now >= g.predecessor.Until && !g.isolation.undecided(now)}
 }
 
 // upstreams returns the upstreams that may own keys, by service.
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -79,10 +79,9 @@
 	})
 }
 
-// handOver makes another VM the caretaker. It reports false if the store answers or no
-// other VM can be the caretaker.
-func (g *granter) handOver() bool {
-	successor := g.successor()
+// handOver makes another VM the caretaker. It reports false if the store answers or the VM is
+// nil.
+func (g *granter) handOver(successor *member) bool {
 	if successor == nil {
 		return false
 	}
@@ -119,13 +118,27 @@
 // above those of writes whose results are unknown.
 const handoverSeqGap = 1000
 
-// successor returns the VM to hand over to: the one of lowest rank that is not leaving.
+// successor returns the VM to hand over to: one that is not leaving, nil if there is none.
 func (g *granter) successor() *member {
-	staying := slices.DeleteFunc(slices.Collect(maps.Keys(g.members)), func(m *member) bool { return m.leaving || m.address == "" })
-	if len(staying) == 0 {
+	return g.lowestRank(func(m *member) bool { return !m.leaving })
+}
+
+// lowestRank returns the VM of lowest rank among those that match, nil if there is none. VMs
+// that reach upstreams go first.
+func (g *granter) lowestRank(match func(m *member) bool) *member {
+	matching := slices.DeleteFunc(slices.Collect(maps.Keys(g.members)), func(m *member) bool { return m.address == "" || !match(m) })
+	if len(matching) == 0 {
 		return nil
 	}
-	return slices.MinFunc(staying, func(a, b *member) int { return g.rankOf(a.vm) - g.rankOf(b.vm) })
+	return slices.MinFunc(matching, func(a, b *member) int {
+		if a.isolated != b.isolated {
+			if b.isolated {
+				return -1
+			}
+			return 1
+		}
+		return g.rankOf(a.vm) - g.rankOf(b.vm)
+	})
 }
 
 // sendLast sends a member its last update and waits until it is sent.
--- a/server/gateway/isolation_test.go
+++ b/server/gateway/isolation_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
 )
@@ -210,9 +211,11 @@
 }
 
 // TestNoVMReachesUpstreams guards against requests that go round between VMs, or wait for
-// their deadline, while no VM reaches any upstream.
+// their deadline, while no VM reaches any upstream, and against a granter that resigns then.
 func TestNoVMReachesUpstreams(t *testing.T) {
 	d := newCutDeployment(t, 3)
+	granter := d.granter()
+	term := d.vms[0].control.view().owners["keyed"].Term
 	for _, n := range d.networks {
 		n.set(hangCut)
 	}
@@ -232,6 +235,7 @@
 			require.Less(t, time.Since(began), time.Second, "it is known that the request cannot be served")
 		}
 	}
+	require.Equal(t, granter, d.granter())
 	for _, n := range d.networks {
 		n.set(noCut)
 	}
@@ -239,5 +243,72 @@
 		d.requireServed(g, keyedPath, 7)
 		d.requireServed(g, plainPath, -1)
 	}
+	require.Equal(t, term, d.vms[0].control.view().owners["keyed"].Term)
+	d.requireRunOnce()
+}
+
+// TestCutGranterResigns guards against a granter that takes all upstreams for lost because it
+// is cut off from them, and takes their keys away (RECOVER).
+func TestCutGranterResigns(t *testing.T) {
+	for name, kind := range map[string]cut{"connections hang": hangCut, "connections are reset": resetCut, "connections are refused": refuseCut} {
+		t.Run(name, func(t *testing.T) {
+			d := newCutDeployment(t, 3)
+			old := d.granter()
+			term := d.vms[old].control.view().owners["keyed"].Term
+			d.networks[old].set(kind)
+			d.eventually(func() bool {
+				d.do(d.vms[old], http.MethodGet, plainPath, -1, 300*time.Millisecond)
+				return d.granter() >= 0 && d.granter() != old
+			}, "a VM that reaches the upstreams grants")
+			for range 3 {
+				for _, g := range d.vms {
+					d.requireAllServed(g)
+				}
+				time.Sleep(time.Second)
+			}
+			v := d.vms[old].control.view()
+			require.Equal(t, term+1, v.owners["keyed"].Term, "it stays the granter")
+			d.networks[old].set(noCut)
+			d.eventually(func() bool { return !isIsolated(d.vms[old]) }, "the VM finds out that the cut has ended")
+			d.requireAllServed(d.vms[old])
+			require.NotEqual(t, old, d.granter())
+			d.requireRunOnce()
+		})
+	}
+}
+
+// TestCutGranterHandsOverWithoutTheStore guards against keys that lose their owners because the
+// granter is cut off from the upstreams while the store does not answer.
+func TestCutGranterHandsOverWithoutTheStore(t *testing.T) {
+	d := newCutDeployment(t, 3)
+	old := d.granter()
+	// Keys that are moving when the outage begins have no owner until it ends.
+	for settled := false; !settled; settled = allOwned(d.vms[old]) {
+		d.store.SetFaults(fakes.Faults{})
+		d.eventually(func() bool { return allOwned(d.vms[old]) }, "all keys have owners")
+		d.store.SetFaults(fakes.Faults{Refuse: true})
+		d.eventually(func() bool {
+			g := d.vms[old].links.currentGranter()
+			return g != nil && g.storeUnreachable.Load()
+		}, "the granter notices")
+	}
+	time.Sleep(2 * time.Second) // The granter relies on promises.
+	d.networks[old].set(hangCut)
+	d.eventually(func() bool {
+		d.do(d.vms[old], http.MethodGet, plainPath, -1, 300*time.Millisecond)
+		return d.granter() >= 0 && d.granter() != old
+	}, "a VM that reaches the upstreams renews")
+	for range 4 {
+		for _, g := range d.vms {
+			d.requireAllServed(g)
+		}
+		time.Sleep(time.Second)
+	}
+	d.store.SetFaults(fakes.Faults{})
+	time.Sleep(3 * time.Second)
+	require.NotEqual(t, old, d.granter())
+	for _, g := range d.vms {
+		d.requireAllServed(g)
+	}
 	d.requireRunOnce()
 }
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -51,6 +51,10 @@
 	// Era is the era of the store in which the row was written, 0 if it is not known.
 	Era int64 `cbor:"11,keyasint,omitempty"`
 
+	// Successor is the VM that a granter which has released the lease has named, empty if any
+	// may take over.
+	Successor api.VMID `cbor:"12,keyasint,omitempty" json:",omitempty"`
+
 	// unconfirmed means that the lease was not read from the store.
 	unconfirmed bool
 }
@@ -63,6 +67,9 @@
 	return l.Term > other.Term || l.Term == other.Term && l.Seq > other.Seq
 }
 
+// noLeaseAge stands for the age of a lease that was never written.
+const noLeaseAge = 24 * time.Hour
+
 // leaseRow is a lease as read from the store.
 type leaseRow struct {
 	lease
@@ -76,10 +83,15 @@
 // granter's process is known to have ended; a lease of this VM belongs to an earlier
 // process of it.
 func (l leaseRow) electionLease(self api.VMID, ended bool) election.Lease {
+	age := l.age
+	if l.version == 0 {
+		age = noLeaseAge
+	}
 	return election.Lease{
 		Vacant:                l.version == 0 || l.Released || l.VM == "",
+		Reserved:              l.Released && l.Successor != "" && l.Successor != self,
 		GranterEnded:          ended || l.VM == self,
-		Age:                   l.age,
+		Age:                   age,
 		PredecessorsRemaining: max(time.Duration(l.PredecessorsMs)*time.Millisecond-l.age, 0),
 	}
 }
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -87,6 +87,9 @@
 	OperatorChange int64 `cbor:"13,keyasint,omitempty"`
 	// Reaching holds the addresses of VMs that reach the upstreams, for an isolated VM.
 	Reaching []string `cbor:"16,keyasint,omitempty"`
+	// Isolated means that no upstream can be reached from the granter: it asks whether the
+	// receiver reaches any.
+	Isolated bool `cbor:"17,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
 	Handover *handover `cbor:"12,keyasint,omitempty"`
 
@@ -304,7 +307,7 @@
 		rep := l.stats.takeReport()
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
 		rep.RowsTo = l.relay.version()
-		rep.Isolated, _ = l.elector.control.reach.isolated()
+		l.elector.control.reach.addTo(&rep)
 		rep.Limits, rep.Demands = l.limits.report()
 		if crashes := l.crashes.snapshot(); evidence.due(crashes, bootTime()) {
 			rep.Crashes = crashes
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -29,7 +29,10 @@
 	// leaving means that the VM is stopping.
 	leaving bool
 	// isolated means that no upstream can be reached from the VM.
-	isolated      bool
+	isolated bool
+	// contactAt is when the VM last opened a connection to an upstream, as far as known; 0 if
+	// it has not.
+	contactAt     time.Duration
 	close         func()
 	sentVersions  map[api.ServiceName]int64 // the versions of the owner tables last sent
 	sentJoinCount int                       // joinCount when the peers were last sent, at peersSentAt
@@ -101,6 +104,9 @@
 	g.do(func() {
 		becameIsolated := r.Isolated && !m.isolated
 		m.leaving, m.isolated = r.Leaving, r.Isolated
+		if r.ContactMs > 0 {
+			m.contactAt = received - time.Duration(r.ContactMs)*time.Millisecond
+		}
 		if becameIsolated {
 			g.log.Info().Str("event", "vm_isolated").Str("peer", string(m.vm)).Msg("")
 			defer func() { g.sendUpdate(received, m, g.news(g.peers(received))) }()
@@ -200,6 +206,7 @@
 		u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
 		m.relayedTo = u.RowsTo
 	}
+	u.Isolated = g.isolation.asking
 	if m.isolated {
 		u.Reaching = g.reaching(rank)
 	}
--- a/server/gateway/reach.go
+++ b/server/gateway/reach.go
@@ -62,6 +62,31 @@
 	return r.detector.Isolated()
 }
 
+// contactAge returns the time since this VM last opened a connection to an upstream; ok is
+// false if it has opened none.
+func (r *reach) contactAge() (age time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.detector.ContactAge(bootTime())
+}
+
+// addTo adds what this VM knows to a report.
+func (r *reach) addTo(rep *report) {
+	rep.Isolated, _ = r.isolated()
+	if age, ok := r.contactAge(); ok {
+		rep.ContactMs = max(age.Milliseconds(), 1)
+	}
+}
+
+// answerGranter finds out whether this VM reaches upstreams, for a granter that reaches none,
+// and tells it. One that has opened a connection since the last report need not try.
+func (r *reach) answerGranter(ctx context.Context) {
+	if age, ok := r.contactAge(); !ok || age > reportInterval {
+		r.check(ctx)
+	}
+	r.changed()
+}
+
 // run checks the upstreams while connections to them fail, until ctx ends.
 func (r *reach) run(ctx context.Context) {
 	guard := guard{r.metrics, r.log}
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -137,12 +137,13 @@
 	}
 }
 
-// releaseLease releases the lease, so that a successor need not wait for it to expire.
-func (g *granter) releaseLease(ctx context.Context) {
+// releaseLease releases the lease, so that a successor need not wait for it to expire. An empty
+// successor leaves the lease to any VM.
+func (g *granter) releaseLease(ctx context.Context, successor api.VMID) {
 	g.renewUntil.Store(0)
 	next := g.lease
 	next.Seq += 2
-	next.Released = true
+	next.Released, next.Successor = true, successor
 	now := bootTime()
 	next.RenewedAtMs = g.control.view().clock.at(now).Milliseconds()
 	next.PredecessorsMs = max(g.predecessor.Until-now, 0).Milliseconds()
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -46,6 +46,9 @@
 	Demands []permitDemand `cbor:"9,keyasint,omitempty"`
 	// Isolated means that no upstream can be reached from the VM.
 	Isolated bool `cbor:"10,keyasint,omitempty"`
+	// ContactMs is the time since the VM last opened a connection to an upstream, in
+	// milliseconds and at least 1; 0 if it has opened none.
+	ContactMs int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // trafficStats collects statistics on the traffic of this VM.
