server/gateway: no keys are released while the store does not answer

Callers were refused with no_owner for keys of an upstream that left during an outage of the store, although it still served.

Change: keys move only while the store answers renewals.

TestNoKeysReleasedWithoutTheStore fails without the change (the owner does not hold the key any more).

--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -256,7 +256,9 @@
 		g.log.Warn().Str("event", "granter_resigns").Int64("term", g.term).Msg("")
 		g.termOver = true
 	}
-	return ownership.Mode{Renew: g.mayRenew(), Move: g.authority.HoldsLease(now) && now >= g.predecessor.Until && !g.isolation.undecided(now)}
+	// A key that is released can have another owner only once the store answers.
+	silent := g.storeUnreachable.Load()
+	return ownership.Mode{Renew: g.mayRenew(), Move: g.authority.HoldsLease(now) && !silent && now >= g.predecessor.Until && !g.isolation.undecided(now)}
 }
 
 // upstreams returns the upstreams that may own keys, by service.
--- a/server/gateway/renewal_test.go
+++ b/server/gateway/renewal_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/api"
+	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
 )
 
@@ -74,3 +76,29 @@
 	close(write.forward)
 	d.eventually(func() bool { return k1.Holds(1) }, "the keys are granted")
 }
+
+// TestNoKeysReleasedWithoutTheStore guards against keys that have no owner because the granter
+// has released them, although the store that must hold their next owner does not answer.
+func TestNoKeysReleasedWithoutTheStore(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("k1", "keyed")
+	d.addUpstream("k2", "keyed")
+	g := d.startVM("vm-a")
+	d.eventually(func() bool { return allOwned(g) }, "all keys have owners")
+	d.store.SetFaults(fakes.Faults{Refuse: true})
+	granter := g.links.currentGranter()
+	d.eventually(granter.storeUnreachable.Load, "the granter knows that the store does not answer")
+	owner := d.upstreams[string(g.control.view().owners["keyed"].owner(1))]
+	// The registration says that the upstream leaves; its lease has not run out.
+	g.control.do(func(s *state) {
+		reg := *s.upstreams[api.UpstreamID(owner.ID)].registration.Load()
+		reg.Draining = true
+		s.upstreams[reg.ID].registration.Store(&reg)
+	})
+	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(10 * time.Millisecond) {
+		require.True(t, owner.Holds(1))
+	}
+	d.store.SetFaults(fakes.Faults{})
+	d.eventually(func() bool { return !owner.Holds(1) }, "the keys move once the store answers")
+	d.requireServed(g, keyedPath, 1)
+}
