server/gateway: upstreams that say in a response that they leave get no new requests

Requests reached upstreams more than 2 s after a VM had passed on a response that said that they leave (DRAIN).

Cause: a VM learned that an upstream leaves from its registration alone. While the store was silent, that did not reach the VMs; the header of the responses was not read.

Change: a VM that reads it in any response, also to a grant, chooses other upstreams at once, tells the granter, and the granter the other VMs. The keys of the upstream move; until they have, it gets requests for at most the time for which it serves (setting bounds.drain, 2 s by default). After that a request is refused at once if the store is silent, as its key cannot move. What a process has said is kept while the VM runs, since its registration may be removed and appear again.

--- a/fakes/fleet/upstream.go
+++ b/fakes/fleet/upstream.go
@@ -55,6 +55,8 @@
 	runs      []Run
 	// rateLimit is the limit that responses state, in requests per second; 0 states none.
 	rateLimit float64
+	// leaving means that responses say that the upstream is about to leave.
+	leaving bool
 	// handler, if set, handles requests in place of the default.
 	handler http.HandlerFunc
 	// observer, if set, is called with each event.
@@ -91,6 +93,13 @@
 	u.rateLimit = perSecond
 }
 
+// SetLeaving sets whether responses say that the upstream is about to leave.
+func (u *Upstream) SetLeaving(leaving bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = leaving
+}
+
 // SetObserver sets a function that is called with each event and must return quickly.
 func (u *Upstream) SetObserver(observer func(Event)) {
 	u.mu.Lock()
@@ -149,6 +158,11 @@
 	if id := r.Header.Get(fleet.HeaderRequestID); id != "" {
 		w.Header().Set(fleet.HeaderRequestID, id)
 	}
+	u.mu.Lock()
+	if u.leaving {
+		w.Header().Set(fleet.HeaderLeaving, "1")
+	}
+	u.mu.Unlock()
 	if expected := r.Header.Get(fleet.HeaderExpectedUpstream); expected != "" && expected != u.id() {
 		u.mu.Lock()
 		u.misdirected++
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -148,6 +148,9 @@
 		// Responses with a request ID belong to forwarded requests.
 		Matches: func(_ int, header http.Header) bool { return fleet.ParseResponseHeaders(0, header).RequestID == "" },
 	})
+	if err == nil && fleet.ParseLeaving(resp.Header) {
+		q.granter.control.leaving.observe(u, "call")
+	}
 	result, handover, status := ownership.Unknown, "", 0
 	switch {
 	case err != nil && notSent(err):
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -52,8 +52,11 @@
 	// registrations.
 	operatorFeed, upstreamFeed feedMonitor
 	// era is the newest era of the store that was seen, see fleet.Page.
-	era    atomic.Int64
-	limits *statedLimits
+	era     atomic.Int64
+	limits  *statedLimits
+	leaving *leavingUpstreams
+	// movesPaused means that keys cannot move at present: the granter does not reach the store.
+	movesPaused atomic.Bool
 	// reach watches the connections to upstreams; dialUpstream opens them, nil stands for
 	// upstreamconn.Dial.
 	reach        *reach
@@ -77,7 +80,7 @@
 }
 
 func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
-	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256), limits: newStatedLimits(log)}
+	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256), limits: newStatedLimits(log), leaving: newLeavingUpstreams(m, log)}
 	c.reach = newReach(c.view, m, log)
 	c.current.Store(&view{rank: -1, vms: initialVMs, rankUntil: &c.rankUntil, superseded: make(chan struct{})})
 	return c
@@ -339,6 +342,7 @@
 			c.limits.forget(u)
 		}
 		s.upstreams[id] = newUpstream(reg, c.responseLimits, upstreamconn.Network{Dial: c.dialUpstream, Watcher: c.reach}, func() { c.limits.reportNow() })
+		s.upstreams[id].leavingSince.Store(int64(c.leaving.since(s.upstreams[id].owner())))
 	} else {
 		u.registration.Store(reg)
 	}
--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -148,7 +148,7 @@
 			Callers: freeAddress(d.t), Health: freeAddress(d.t), Peers: freeAddress(d.t), Metrics: freeAddress(d.t),
 		},
 		Bounds: Bounds{
-			TerminationGrace: strict.Duration(6 * time.Second), MaxLease: strict.Duration(10 * time.Second),
+			TerminationGrace: strict.Duration(6 * time.Second), Drain: strict.Duration(defaultDrain), MaxLease: strict.Duration(10 * time.Second),
 			RetryWindow: strict.Duration(10 * time.Second), RetryRatio: 0.2, RetryAllowance: 60,
 		},
 	}, NewMetrics(), zerolog.New(zerolog.NewTestWriter(d.t)))
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -194,7 +194,7 @@
 	var choice, limitedChoice selection.Choice[*upstream]
 	for pass := range 2 {
 		for _, u := range v.services[q.service.Name] {
-			if !v.usable(u) || pass == 0 && avoid[u.id] {
+			if !v.usable(u) || pass == 0 && (avoid[u.id] || u.isLeaving()) || h.drained(q, u) {
 				continue
 			}
 			if wait := h.coldWait(q, v, u, boot); wait > 0 {
@@ -310,7 +310,8 @@
 		table := v.owners[q.service.Name]
 		q.term = table.Term
 		u := v.upstreams[table.owner(q.params.Key)]
-		if u != nil && v.usable(u) {
+		drained := u != nil && h.drained(q, u)
+		if u != nil && v.usable(u) && !drained {
 			h.recordOwner(q)
 			untilSlot := h.coldWait(q, v, u, bootTime())
 			if untilSlot == 0 {
@@ -332,6 +333,9 @@
 			v = h.view()
 			continue
 		}
+		if drained && h.movesPaused.Load() {
+			return nil, outcome{reason: ownerLeaving, status: http.StatusServiceUnavailable, retryAfter: ownerForecast.Loss}
+		}
 		age := h.recordAbsence(q)
 		pause, retryAfter := ownerForecast.Decide(age, q.remaining()-expected)
 		if pause == 0 {
@@ -432,6 +436,9 @@
 		return nil, headers, err
 	}
 	q.sends++
+	if headers.Leaving {
+		h.leaving.observe(u, "response")
+	}
 	q.load = headers.Load
 	if headers.RateLimit > 0 || !headers.NotRun {
 		h.limits.observe(u, sent, bootTime(), headers.RateLimit)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -77,6 +77,7 @@
 		handler: newRequestHandler(handlerConfig{
 			view: c.view, domain: s.FailureDomain, bounds: s.Bounds, maxBodyBytes: int64(limits.RequestBodyKB) << 10,
 			buffers: budget, metrics: m, log: log, stats: st, crashes: cr, limits: c.limits, reach: c.reach,
+			leaving: c.leaving, movesPaused: &c.movesPaused,
 		}),
 		elector: &elector{
 			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
@@ -87,7 +88,7 @@
 	l.elector = g.elector
 	g.proxies = newProxies(s, limits, g.handler, &g.draining, l.knownPeers, m, log)
 	g.handler.proxies, g.elector.proxies = g.proxies, g.proxies
-	c.limits.reportNow, c.reach.changed = l.reportNow, l.reportNow
+	c.limits.reportNow, c.reach.changed, c.leaving.changed = l.reportNow, l.reportNow, l.reportNow
 	peers := chi.NewRouter()
 	peers.Handle(linkPath, l)
 	peers.Handle(proxyPath, g.proxies)
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -258,6 +258,7 @@
 	}
 	// A key that is released can have another owner only once the store answers.
 	silent := g.storeUnreachable.Load()
+	g.control.movesPaused.Store(silent)
 	return ownership.Mode{Renew: g.mayRenew(), Move: g.authority.HoldsLease(now) && !silent && now >= g.predecessor.Until && !g.isolation.undecided(now)}
 }
 
@@ -274,7 +275,7 @@
 			speed = 1
 		}
 		owner := ownership.Owner{UpstreamID: id, Incarnation: reg.Incarnation}
-		usable := v.usable(u) && !g.calls.suspect(owner, now)
+		usable := v.usable(u) && !u.isLeaving() && !g.calls.suspect(owner, now)
 		capacity := float64(reg.Slots) * speed
 		if rate := u.limiter.rate(); rate > 0 {
 			capacity = min(capacity, rate*g.stats.averageLatency(reg.Service))
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -47,6 +47,7 @@
 	responseLost    reason = "answer_lost"  // sent to an upstream, the response was lost
 	callerLeft      reason = "caller_left"
 	quarantined     reason = "quarantined" // the request has crashed upstreams
+	ownerLeaving    reason = "leaving"     // the owner of the key leaves, and no key can move at present
 	isolatedVM      reason = "isolated"    // neither upstreams nor a VM that reaches them can be reached
 )
 
@@ -87,6 +88,9 @@
 	crashes      *crashes
 	limits       *statedLimits
 	reach        *reach
+	leaving      *leavingUpstreams
+	// movesPaused means that keys cannot move at present.
+	movesPaused *atomic.Bool
 }
 
 // requestHandler handles the requests of callers.
--- /dev/null
+++ b/server/gateway/leaving.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/core/ownership"
+)
+
+// maxLeaving bounds the upstreams that a VM remembers as leaving.
+const maxLeaving = 10000
+
+// leavingUpstreams holds the processes of upstreams that have said in a response that they are
+// about to leave. A process that leaves does not come back, so none is forgotten while the VM
+// runs: its registration may be removed and appear again.
+type leavingUpstreams struct {
+	metrics *Metrics
+	log     zerolog.Logger
+	// changed is called when an upstream was added.
+	changed func()
+
+	mu     sync.Mutex
+	byID   map[ownership.Owner]time.Duration // since when, on bootTime
+	inTurn []ownership.Owner
+}
+
+func newLeavingUpstreams(m *Metrics, log zerolog.Logger) *leavingUpstreams {
+	return &leavingUpstreams{metrics: m, log: log, changed: func() {}, byID: make(map[ownership.Owner]time.Duration)}
+}
+
+// observe records that an upstream is about to leave. source names the message that said so.
+func (l *leavingUpstreams) observe(u *upstream, source string) {
+	if u.isLeaving() {
+		return
+	}
+	if l.add(u.owner(), source) {
+		l.changed()
+	}
+	u.leavingSince.Store(int64(l.since(u.owner())))
+}
+
+// add records the process of an upstream. It reports false if it is known already.
+func (l *leavingUpstreams) add(owner ownership.Owner, source string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.byID[owner]; known || len(l.inTurn) >= maxLeaving {
+		return false
+	}
+	l.byID[owner] = bootTime()
+	l.inTurn = append(l.inTurn, owner)
+	l.metrics.leaving.WithLabelValues(source).Inc()
+	l.log.Info().Str("event", "upstream_leaving").Str("upstream", string(owner.UpstreamID)).Int64("life", owner.Incarnation).Str("source", source).Msg("")
+	return true
+}
+
+// merge records what another VM knows.
+func (l *leavingUpstreams) merge(v *view, owners []ownership.Owner, source string) {
+	for _, owner := range owners {
+		l.add(owner, source)
+		if u := v.incarnation(owner); u != nil {
+			u.leavingSince.CompareAndSwap(0, int64(l.since(owner)))
+		}
+	}
+}
+
+// since returns since when the process of an upstream is known to leave, 0 if it is not.
+func (l *leavingUpstreams) since(owner ownership.Owner) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byID[owner]
+}
+
+// news returns the processes that were added after the first known ones, and how many there
+// are.
+func (l *leavingUpstreams) news(known int) (owners []ownership.Owner, all int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append(owners, l.inTurn[known:]...), len(l.inTurn)
+}
+
+// isLeaving reports whether the upstream has said that it is about to leave.
+func (u *upstream) isLeaving() bool { return u.leavingSince.Load() != 0 }
+
+// drained reports whether a request must not go to an upstream that leaves: it arrived later
+// than Bounds.Drain after this VM learned so. Until then the upstream serves its keys, while
+// they move to others.
+func (h *requestHandler) drained(q *request, u *upstream) bool {
+	since := time.Duration(u.leavingSince.Load())
+	return since != 0 && bootTime()-time.Since(q.arrived) >= since+h.bounds.Drain.AsDuration()
+}
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -15,6 +15,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
 	"dandelionhill.dev/server/wait"
@@ -90,6 +91,8 @@
 	// Isolated means that no upstream can be reached from the granter: it asks whether the
 	// receiver reaches any.
 	Isolated bool `cbor:"17,keyasint,omitempty"`
+	// LeavingUpstreams are upstreams that are about to leave, as any VM has read in responses.
+	LeavingUpstreams []ownership.Owner `cbor:"18,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
 	Handover *handover `cbor:"12,keyasint,omitempty"`
 
@@ -297,6 +300,7 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	var evidence crashSender
+	leavingSent := 0
 	for {
 		select {
 		case <-ticker.C:
@@ -308,6 +312,7 @@
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
 		rep.RowsTo = l.relay.version()
 		l.elector.control.reach.addTo(&rep)
+		rep.LeavingUpstreams, leavingSent = l.elector.control.leaving.news(leavingSent)
 		rep.Limits, rep.Demands = l.limits.report()
 		if crashes := l.crashes.snapshot(); evidence.due(crashes, bootTime()) {
 			rep.Crashes = crashes
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -37,6 +37,7 @@
 	sentVersions  map[api.ServiceName]int64 // the versions of the owner tables last sent
 	sentJoinCount int                       // joinCount when the peers were last sent, at peersSentAt
 	peersSentAt   time.Duration
+	leavingSent   int // see leavingUpstreams.news
 	crashes       crashSender
 	relayedTo     int64 // the version up to which registrations were relayed
 }
@@ -118,6 +119,7 @@
 			m.relayedTo = r.RowsTo
 		}
 		g.observe(r)
+		g.control.leaving.merge(g.control.view(), r.LeavingUpstreams, "vm")
 		if g.allocator.handleReport(g.control.view(), m.permits, r, received) {
 			g.sendUpdates(received)
 		}
@@ -192,6 +194,7 @@
 		u.Owners, u.Peers, u.Lease = old.Owners, old.Peers, old.Lease
 		u.Snapshot = old.Snapshot
 		u.Limits, u.Permits = old.Limits, old.Permits
+		u.LeavingUpstreams = old.LeavingUpstreams
 		if u.Crashes == nil {
 			u.Crashes = old.Crashes
 		}
@@ -207,6 +210,8 @@
 		m.relayedTo = u.RowsTo
 	}
 	u.Isolated = g.isolation.asking
+	leaving, sent := g.control.leaving.news(m.leavingSent)
+	u.LeavingUpstreams, m.leavingSent = append(u.LeavingUpstreams, leaving...), sent
 	if m.isolated {
 		u.Reaching = g.reaching(rank)
 	}
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -54,6 +55,9 @@
 type Bounds struct {
 	// TerminationGrace is the time between SIGTERM and SIGKILL.
 	TerminationGrace strict.Duration `json:"grace"`
+	// Drain is how long requests may still go to an upstream that says that it leaves;
+	// defaultDrain by default.
+	Drain strict.Duration `json:"drain,omitempty"`
 	// MaxLease is the longest lease that upstreams accept.
 	MaxLease strict.Duration `json:"hold"`
 	// RetryRatio and RetryAllowance bound the retries within RetryWindow: a share of the
@@ -63,6 +67,9 @@
 	RetryAllowance float64         `json:"repeat_slack"`
 }
 
+// defaultDrain is the time for which upstreams that leave go on serving at least.
+const defaultDrain = 2 * time.Second
+
 // Limits bounds the messages that the VM holds in memory. A limit of 0 is the default.
 type Limits struct {
 	// ResponseHeadKB bounds the head of an upstream's response, with all informational
@@ -113,7 +120,7 @@
 
 // ParseSettings parses and validates the content of a settings file.
 func ParseSettings(name string, data []byte) (*Settings, error) {
-	s := Settings{LogLevel: "info"}
+	s := Settings{LogLevel: "info", Bounds: Bounds{Drain: strict.Duration(defaultDrain)}}
 	c := strict.Decode(name, data, &s)
 	for field, value := range map[string]string{
 		"vm": string(s.VM), "failure_domain": string(s.FailureDomain), "store": s.Store,
@@ -128,7 +135,7 @@
 		c.Add("memory_mb", "write the memory of the VM in megabytes", "%d is out of range", s.MemoryMB)
 	}
 	for field, value := range map[string]strict.Duration{
-		"bounds.grace": s.Bounds.TerminationGrace, "bounds.hold": s.Bounds.MaxLease, "bounds.repeat_window": s.Bounds.RetryWindow,
+		"bounds.grace": s.Bounds.TerminationGrace, "bounds.drain": s.Bounds.Drain, "bounds.hold": s.Bounds.MaxLease, "bounds.repeat_window": s.Bounds.RetryWindow,
 	} {
 		if value <= 0 {
 			c.Add(field, "write a time above 0s", "%s is out of range", value)
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -49,6 +49,8 @@
 	// ContactMs is the time since the VM last opened a connection to an upstream, in
 	// milliseconds and at least 1; 0 if it has opened none.
 	ContactMs int64 `cbor:"11,keyasint,omitempty"`
+	// LeavingUpstreams are upstreams that are about to leave, as the VM has read in responses.
+	LeavingUpstreams []ownership.Owner `cbor:"12,keyasint,omitempty"`
 }
 
 // trafficStats collects statistics on the traffic of this VM.
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -27,6 +27,9 @@
 	pool         *upstreamconn.Pool
 	registration atomic.Pointer[registration]
 	limiter      *limiter
+	// leavingSince is when this VM learned that the upstream is about to leave, in nanoseconds of
+	// bootTime; 0 if it has not.
+	leavingSince atomic.Int64
 	// limit is the number of concurrent requests that this VM may send.
 	limit atomic.Int32
 
