server/gateway: upstreams that ask for rest get no requests from that VM

Cause: the Retry-After of an upstream's 503 was not read. A VM sent a request with a key up to four times within milliseconds to an owner that turned it away, and the next requests as well.

Other upstreams are chosen; a request whose key it owns waits if it can still be served then, otherwise it is refused at once (resting) with the rest of the time as Retry-After. Requests that wait for a slot are checked again before they are sent.

--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -172,10 +172,20 @@
 // do sends a request through a VM; key -1 sends no key.
 func (d *deployment) do(g *Gateway, method, path string, key int, deadline time.Duration) (*http.Response, string) {
 	d.requests++
+	return d.request(g, method, fmt.Sprintf("request-%d", d.requests), path, key, deadline)
+}
+
+// send sends a request with an ID through a VM, concurrently with others.
+func (d *deployment) send(g *Gateway, id, path string, key int, deadline time.Duration) *http.Response {
+	resp, _ := d.request(g, http.MethodPost, id, path, key, deadline)
+	return resp
+}
+
+func (d *deployment) request(g *Gateway, method, id, path string, key int, deadline time.Duration) (*http.Response, string) {
 	req, err := http.NewRequest(method, "http://"+g.settings.Listen.Callers+path, strings.NewReader("body"))
 	require.NoError(d.t, err)
 	req.Host = testHost
-	req.Header.Set(fleet.HeaderRequestID, fmt.Sprintf("request-%d", d.requests))
+	req.Header.Set(fleet.HeaderRequestID, id)
 	req.Header.Set(fleet.HeaderDeadlineMs, fmt.Sprint(deadline.Milliseconds()))
 	if key >= 0 {
 		req.Header.Set(fleet.HeaderKey, fmt.Sprint(key))
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -69,7 +69,11 @@
 				}
 				continue
 			}
-			if q.service.Keyed && overloaded(headers.Load) || !h.takeRetry(q) {
+			rest := u.restRemaining()
+			if q.service.Keyed && rest > h.spareTime(q) {
+				return nil, h.finalOutcome(ctx, q, outcome{reason: resting, status: http.StatusServiceUnavailable, retryAfter: rest})
+			}
+			if q.service.Keyed && rest == 0 && overloaded(headers.Load) || !h.takeRetry(q) {
 				return nil, h.finalOutcome(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
 			}
 		case notSent(err) && h.mustProxy(q):
@@ -143,18 +147,20 @@
 	if q.service.Keyed {
 		return h.awaitOwner(ctx, q, v)
 	}
-	u, retryAfter := h.lowestCost(q, v, avoid)
-	if u == nil {
-		cause := noUpstream
-		if retryAfter > 0 {
-			cause = cold
+	for {
+		u, retryAfter, cause := h.lowestCost(q, v, avoid)
+		if u == nil {
+			return nil, outcome{reason: cause, status: http.StatusServiceUnavailable, retryAfter: max(retryAfter, shortRetryAfter)}
 		}
-		return nil, outcome{reason: cause, status: http.StatusServiceUnavailable, retryAfter: max(retryAfter, shortRetryAfter)}
-	}
-	if err := h.acquire(ctx, q, u); err != nil {
-		return nil, busyOutcome(u, err)
+		if err := h.acquire(ctx, q, u); err != nil {
+			return nil, busyOutcome(u, err)
+		}
+		if u.restRemaining() == 0 {
+			return u, outcome{}
+		}
+		// It has asked for rest while the request was waiting.
+		u.limiter.release(0, capacityUnknown)
 	}
-	return u, outcome{}
 }
 
 // acquire acquires a slot of the limiter of an upstream.
@@ -188,7 +194,9 @@
 
 // lowestCost returns the upstream with the lowest expected latency, with a preference for
 // the VM's own failure domain. It avoids the given upstreams unless no other is usable.
-func (h *requestHandler) lowestCost(q *request, v *view, avoid map[api.UpstreamID]bool) (best *upstream, retryAfter time.Duration) {
+// If there is none, it returns after which time there may be, and the cause.
+func (h *requestHandler) lowestCost(q *request, v *view, avoid map[api.UpstreamID]bool) (best *upstream, retryAfter time.Duration, cause reason) {
+	cause = noUpstream
 	now, boot := time.Now(), bootTime()
 	expected := h.stats.expectedLatency(q.route.Name)
 	var choice, limitedChoice selection.Choice[*upstream]
@@ -197,9 +205,9 @@
 			if !v.usable(u) || pass == 0 && (avoid[u.id] || u.isLeaving()) || h.drained(q, u) {
 				continue
 			}
-			if wait := h.coldWait(q, v, u, boot); wait > 0 {
+			if wait := max(h.coldWait(q, v, u, boot), u.restRemaining()); wait > 0 {
 				if retryAfter == 0 || wait < retryAfter {
-					retryAfter = wait
+					retryAfter, cause = wait, h.waitCause(u)
 				}
 				continue
 			}
@@ -227,9 +235,17 @@
 		best, _ = limitedChoice.Best(localAllowance(q.route))
 	}
 	if best != nil && !h.takeColdSlot(q, v, best, boot) {
-		return nil, shortRetryAfter
+		return nil, shortRetryAfter, cold
+	}
+	return best, retryAfter, cause
+}
+
+// waitCause returns why an upstream gets no request at present.
+func (h *requestHandler) waitCause(u *upstream) reason {
+	if u.restRemaining() > 0 {
+		return resting
 	}
-	return best, retryAfter
+	return cold
 }
 
 // localAllowance returns how much later than elsewhere a request may end at an upstream of
@@ -305,7 +321,6 @@
 		return nil, outcome{reason: badRequest, status: http.StatusBadRequest}
 	}
 	waitUntil := time.Now().Add(min(maxOwnerWait, q.remaining()/2))
-	expected := time.Duration(latencyReserve * h.stats.expectedLatency(q.route.Name) * float64(time.Second))
 	for {
 		table := v.owners[q.service.Name]
 		q.term = table.Term
@@ -313,12 +328,23 @@
 		drained := u != nil && h.drained(q, u)
 		if u != nil && v.usable(u) && !drained {
 			h.recordOwner(q)
+			if rest := u.restRemaining(); rest > 0 {
+				if rest > h.spareTime(q) {
+					return nil, outcome{reason: resting, status: http.StatusServiceUnavailable, retryAfter: rest}
+				}
+				// The key may get another owner meanwhile.
+				if !h.awaitView(ctx, v, rest) && ctx.Err() != nil {
+					return nil, outcome{reason: resting, status: http.StatusServiceUnavailable}
+				}
+				v = h.view()
+				continue
+			}
 			untilSlot := h.coldWait(q, v, u, bootTime())
 			if untilSlot == 0 {
 				if err := h.acquire(ctx, q, u); err != nil {
 					return nil, busyOutcome(u, err)
 				}
-				if h.takeColdSlot(q, v, u, bootTime()) {
+				if u.restRemaining() == 0 && h.takeColdSlot(q, v, u, bootTime()) {
 					return u, outcome{}
 				}
 				u.limiter.release(0, capacityUnknown)
@@ -337,7 +363,7 @@
 			return nil, outcome{reason: ownerLeaving, status: http.StatusServiceUnavailable, retryAfter: ownerForecast.Loss}
 		}
 		age := h.recordAbsence(q)
-		pause, retryAfter := ownerForecast.Decide(age, q.remaining()-expected)
+		pause, retryAfter := ownerForecast.Decide(age, h.spareTime(q))
 		if pause == 0 {
 			return nil, outcome{reason: noOwner, status: http.StatusServiceUnavailable, retryAfter: retryAfter}
 		}
@@ -348,6 +374,11 @@
 	}
 }
 
+// spareTime returns for how long a request can wait and still be served.
+func (h *requestHandler) spareTime(q *request) time.Duration {
+	return q.remaining() - time.Duration(latencyReserve*h.stats.expectedLatency(q.route.Name)*float64(time.Second))
+}
+
 // recordOwner records that the key of a request has an owner.
 func (h *requestHandler) recordOwner(q *request) {
 	h.mu.Lock()
@@ -444,6 +475,11 @@
 		h.limits.observe(u, sent, bootTime(), headers.RateLimit)
 	}
 	if headers.NotRun {
+		if headers.Rest > 0 {
+			u.rest(headers.Rest)
+			h.metrics.rests.WithLabelValues(string(q.service.Name)).Inc()
+			h.log.Info().Str("event", "upstream_resting").Str("upstream", string(u.id)).Dur("rest_ms", headers.Rest).Str("request", q.params.RequestID).Msg("")
+		}
 		if !headers.Misdirected && overloaded(headers.Load) {
 			capacity = capacityFull
 		}
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -48,6 +48,7 @@
 	callerLeft      reason = "caller_left"
 	quarantined     reason = "quarantined" // the request has crashed upstreams
 	ownerLeaving    reason = "leaving"     // the owner of the key leaves, and no key can move at present
+	resting         reason = "resting"     // upstreams want no requests from this VM for a time
 	isolatedVM      reason = "isolated"    // neither upstreams nor a VM that reaches them can be reached
 )
 
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -45,6 +45,8 @@
 	proxied, proxyServed *prometheus.CounterVec
 	// leaving counts the upstreams that said that they leave, by the source of the news.
 	leaving *prometheus.CounterVec
+	// rests counts the responses that ask this VM to send no requests for a time: service.
+	rests *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics in their own registry.
@@ -77,6 +79,7 @@
 		proxied:      counter("proxied_requests_total", "Requests passed to another VM because no upstream can be reached from this one, by result.", "result"),
 		proxyServed:  counter("proxy_served_requests_total", "Requests sent to upstreams for VMs that reach none, by outcome.", "outcome"),
 		leaving:      counter("upstreams_leaving_total", "Upstreams that have said in a response that they are about to leave, by source.", "source"),
+		rests:        counter("upstream_rests_total", "Responses of upstreams that want no requests from this VM for a time.", "service"),
 		isolated:     gauge("isolated", "1 while no upstream can be reached from this VM."),
 		reachRounds: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "reach_checks_total", Help: "Checks whether upstreams can be reached, after connections failed.",
@@ -85,7 +88,7 @@
 			Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines dropped because the log was not read fast enough.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.limitedSends, m.panics, m.store, m.granter, m.config, m.dropped, m.isolated, m.reachRounds, m.proxied, m.proxyServed, m.leaving)
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.limitedSends, m.panics, m.store, m.granter, m.config, m.dropped, m.isolated, m.reachRounds, m.proxied, m.proxyServed, m.leaving, m.rests)
 	return m
 }
 
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -30,6 +30,9 @@
 	// leavingSince is when this VM learned that the upstream is about to leave, in nanoseconds of
 	// bootTime; 0 if it has not.
 	leavingSince atomic.Int64
+	// restUntil is until when the upstream wants no requests from this VM, in nanoseconds of
+	// bootTime.
+	restUntil atomic.Int64
 	// limit is the number of concurrent requests that this VM may send.
 	limit atomic.Int32
 
