server/gateway: keys move away from upstreams that ask for rest

Callers were refused for as long as the owner of their keys asked for rest, although other upstreams had room.

Cause: the granter learned of overload only by answers that were slow. An upstream that turns requests away at once looked as fast as ever.

Change: VMs report which upstreams want no requests from them; the granter places keys there for a tenth of the capacity until the rest is over, so that the balance moves the load away.

--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -68,9 +68,11 @@
 	members       map[*member]bool
 	ranks         []rank
 	speeds        map[api.UpstreamID]float64
-	calls         *callQueues
-	allocator     *permitAllocator
-	ownPermits    *permitClient // of this VM
+	// restUntil is until when an upstream wants no requests from some VM.
+	restUntil  map[ownership.Owner]time.Duration
+	calls      *callQueues
+	allocator  *permitAllocator
+	ownPermits *permitClient // of this VM
 
 	writing       bool
 	renewedAt     time.Duration // when the last successful renewal was sent
@@ -90,7 +92,7 @@
 		tasks: make(chan func(), 256), done: make(chan struct{}),
 		machines: make(map[api.ServiceName]*ownership.Machine), owners: make(map[api.ServiceName]ownerTable), ownerChanges: make(map[api.ServiceName][]ownerTable), publishedAt: make(map[api.ServiceName]time.Duration),
 		pendingWrites: make(map[api.ServiceName][]ownership.Entry), storedRows: make(ownerRows), members: make(map[*member]bool),
-		speeds: make(map[api.UpstreamID]float64), renewedAt: sent,
+		speeds: make(map[api.UpstreamID]float64), restUntil: make(map[ownership.Owner]time.Duration), renewedAt: sent,
 		allocator: newPermitAllocator(e.control.limits), ownPermits: newPermitClient(),
 	}
 	g.renewUntil.Store(int64(authority.RenewUntil(sent)))
@@ -148,6 +150,15 @@
 	}
 }
 
+// observeRests records the upstreams that a VM reports as wanting no requests.
+func (g *granter) observeRests(rests []upstreamRest, received time.Duration) {
+	for _, rest := range rests {
+		until := received + min(time.Duration(rest.RemainingMs)*time.Millisecond, maxRest)
+		g.restUntil[rest.Upstream] = max(g.restUntil[rest.Upstream], until)
+	}
+	maps.DeleteFunc(g.restUntil, func(_ ownership.Owner, until time.Duration) bool { return until <= received })
+}
+
 func (g *granter) observe(r report) {
 	for service, loads := range r.Loads {
 		if m := g.machines[service]; m != nil {
@@ -181,6 +192,7 @@
 		return
 	}
 	g.observe(g.stats.takeReport())
+	g.observeRests(v.rests(), now)
 	decay := now-g.decayedAt >= decayInterval
 	if decay {
 		g.decayedAt = now
@@ -280,6 +292,9 @@
 		if rate := u.limiter.rate(); rate > 0 {
 			capacity = min(capacity, rate*g.stats.averageLatency(reg.Service))
 		}
+		if now < g.restUntil[owner] {
+			capacity *= restingCapacity
+		}
 		out[reg.Service] = append(out[reg.Service], ownership.Upstream{
 			Owner:       owner,
 			Capacity:    capacity,
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -312,6 +312,7 @@
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
 		rep.RowsTo = l.relay.version()
 		l.elector.control.reach.addTo(&rep)
+		rep.Rests = l.elector.control.view().rests()
 		rep.LeavingUpstreams, leavingSent = l.elector.control.leaving.news(leavingSent)
 		rep.Limits, rep.Demands = l.limits.report()
 		if crashes := l.crashes.snapshot(); evidence.due(crashes, bootTime()) {
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -119,6 +119,7 @@
 			m.relayedTo = r.RowsTo
 		}
 		g.observe(r)
+		g.observeRests(r.Rests, received)
 		g.control.leaving.merge(g.control.view(), r.LeavingUpstreams, "vm")
 		if g.allocator.handleReport(g.control.view(), m.permits, r, received) {
 			g.sendUpdates(received)
--- a/server/gateway/rest.go
+++ b/server/gateway/rest.go
@@ -9,6 +9,11 @@
 	maxRest = 5 * time.Minute
 	// restMargin is added to that time, for clocks that differ.
 	restMargin = 20 * time.Millisecond
+	// maxRestsSent bounds the upstreams in a report.
+	maxRestsSent = 64
+	// restingCapacity is the share of its capacity for which an upstream that asks for rest
+	// gets keys.
+	restingCapacity = 0.1
 )
 
 // rest records that the upstream wants no requests from this VM for a time.
@@ -18,6 +23,16 @@
 	}
 }
 
+// rests returns the upstreams that own keys and want no requests from this VM.
+func (v *view) rests() (rests []upstreamRest) {
+	for _, u := range v.upstreams {
+		if remaining := u.restRemaining(); remaining > 0 && len(rests) < maxRestsSent {
+			rests = append(rests, upstreamRest{u.owner(), remaining.Milliseconds()})
+		}
+	}
+	return rests
+}
+
 // restRemaining returns for how much longer the upstream wants no requests from this VM.
 func (u *upstream) restRemaining() time.Duration {
 	return max(time.Duration(u.restUntil.Load())-bootTime(), 0)
--- a/server/gateway/rest_test.go
+++ b/server/gateway/rest_test.go
@@ -107,3 +107,22 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.Len(t, a.all(), 1)
 }
+
+// TestKeysOfRestingUpstreamMove guards against callers who are refused for as long as the owner of
+// their keys asks for rest, although another upstream has room.
+func TestKeysOfRestingUpstreamMove(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("k1", "keyed")
+	d.addUpstream("k2", "keyed")
+	a, b := d.startVM("vm-a"), d.startVM("vm-b")
+	d.requireServed(a, keyedPath, 1)
+	d.requireServed(b, keyedPath, 1)
+	d.eventually(func() bool { return allOwned(a) && allOwned(b) }, "all keys have owners")
+	owner := string(a.control.view().owners["keyed"].owner(1))
+	turnAway(d.upstreams[owner], "20")
+	began := time.Now()
+	d.requireServed(a, keyedPath, 1)
+	d.requireServed(b, keyedPath, 1)
+	require.Less(t, time.Since(began), 5*time.Second)
+	require.False(t, d.upstreams[owner].Holds(1))
+}
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -51,6 +51,14 @@
 	ContactMs int64 `cbor:"11,keyasint,omitempty"`
 	// LeavingUpstreams are upstreams that are about to leave, as the VM has read in responses.
 	LeavingUpstreams []ownership.Owner `cbor:"12,keyasint,omitempty"`
+	// Rests holds the upstreams that want no requests from the VM.
+	Rests []upstreamRest `cbor:"13,keyasint,omitempty"`
+}
+
+// upstreamRest says for how much longer an upstream wants no requests from a VM.
+type upstreamRest struct {
+	Upstream    ownership.Owner `cbor:"1,keyasint"`
+	RemainingMs int64           `cbor:"2,keyasint"`
 }
 
 // trafficStats collects statistics on the traffic of this VM.
