server/gateway: a stopping VM refuses requests that cannot end before it does

A planned stop cut requests that were still waiting for an upstream at the end of the grace, without an answer, and could pass requests on that had no time left (LOST).

Cause: waits knew the deadline of the caller, not that of the process.

Change: while the VM stops, a request is sent only if it is expected to end before the process does. Those that wait are refused at that time: they have not run, and another VM can serve them.

TestStopRefusesWaitingRequests fails without the announcement of the stop ("requests that wait are cut").

--- a/server/gateway/callers_test.go
+++ b/server/gateway/callers_test.go
@@ -7,12 +7,15 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/core/routing"
+	"dandelionhill.dev/platform/fleet"
 )
 
 // TestStopWhileReading guards against a stop that closes a connection from which a
@@ -198,3 +201,55 @@
 	conns.connState(conn, http.StateIdle)
 	require.Zero(t, conns.closeIdle())
 }
+
+// TestStopRefusesWaitingRequests guards against a planned stop that passes requests on when they
+// cannot end any more, and cuts them, or that cuts requests that still wait (LOST).
+func TestStopRefusesWaitingRequests(t *testing.T) {
+	d := newDeployment(t)
+	d.timeoutS = 20
+	d.configure(2, "keyed")
+	fake := d.addUpstream("k1", "keyed")
+	g := d.startVM("vm-a")
+	d.requireServed(g, keyedPath, 1)
+	d.eventually(func() bool { return g.control.view().config.Version == 2 }, "the configuration is known")
+	u := g.control.view().upstreams["k1"]
+	held, released := make(chan struct{}, 100), make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
+	fake.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+		held <- struct{}{}
+		<-released
+		w.Header().Set(fleet.HeaderSignature, "seal")
+	})
+	statuses := make(chan int, 100)
+	const requests = 60
+	for n := range requests {
+		go func() {
+			statuses <- d.send(g, strconv.Itoa(n), keyedPath, 1, 15*time.Second).StatusCode
+		}()
+	}
+	limit := int(u.limit.Load())
+	for range limit {
+		receiveWithin(t, held, "requests fill the upstream")
+	}
+	d.eventually(func() bool { return u.limiter.load() == requests }, "the others wait")
+	stopped := make(chan struct{})
+	go func() {
+		g.Stop()
+		close(stopped)
+	}()
+	for range requests - limit {
+		select {
+		case status := <-statuses:
+			require.Equal(t, http.StatusServiceUnavailable, status)
+		case <-stopped:
+			require.Fail(t, "requests that wait are cut")
+		}
+	}
+	require.Empty(t, held, "no request is sent when it cannot end any more")
+	release()
+	for range limit {
+		require.Equal(t, http.StatusOK, <-statuses, "a request that is at the upstream ends")
+	}
+	receiveWithin(t, stopped, "the VM stops")
+}
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -23,7 +23,7 @@
 	// maxOwnerWait bounds the wait for a time slot of a cold owner.
 	maxOwnerWait = 1500 * time.Millisecond
 	// latencyReserve is the multiple of a route's expected latency that is left for a request
-	// that waits for an owner of its key.
+	// that waits.
 	latencyReserve = 1.5
 	// overloadAge is how long an upstream counts as overloaded after it reported so.
 	overloadAge = 2 * time.Second
@@ -142,8 +142,31 @@
 	return failure
 }
 
-// choose returns the upstream for the next attempt, with a slot of its limiter acquired.
+// choose returns the upstream for the next attempt, with a slot of its limiter acquired. While
+// the VM stops, a request that could not end before the process does is refused: it has not run.
 func (h *requestHandler) choose(ctx context.Context, q *request, v *view, avoid map[api.UpstreamID]bool) (*upstream, outcome) {
+	stopping := outcome{reason: vmStopping, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter}
+	if h.stop.Err() != nil && h.timeToSend(q) <= 0 {
+		return nil, stopping
+	}
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(h.stop, func() { time.AfterFunc(h.timeToSend(q), cancel) })
+	defer stop()
+	u, failure := h.await(waitCtx, q, v, avoid)
+	if u == nil && waitCtx.Err() != nil && ctx.Err() == nil {
+		return nil, stopping
+	}
+	return u, failure
+}
+
+// timeToSend returns for how much longer a request may be sent while the VM stops.
+func (h *requestHandler) timeToSend(q *request) time.Duration {
+	return time.Until(time.Unix(0, h.stopAt.Load())) - h.expectedTime(q)
+}
+
+// await waits for the upstream of the next attempt, with a slot of its limiter acquired.
+func (h *requestHandler) await(ctx context.Context, q *request, v *view, avoid map[api.UpstreamID]bool) (*upstream, outcome) {
 	if q.service.Keyed {
 		return h.awaitOwner(ctx, q, v)
 	}
@@ -376,7 +399,12 @@
 
 // spareTime returns for how long a request can wait and still be served.
 func (h *requestHandler) spareTime(q *request) time.Duration {
-	return q.remaining() - time.Duration(latencyReserve*h.stats.expectedLatency(q.route.Name)*float64(time.Second))
+	return q.remaining() - h.expectedTime(q)
+}
+
+// expectedTime returns the time that is left for a request at an upstream.
+func (h *requestHandler) expectedTime(q *request) time.Duration {
+	return time.Duration(latencyReserve * h.stats.expectedLatency(q.route.Name) * float64(time.Second))
 }
 
 // recordOwner records that the key of a request has an owner.
@@ -426,7 +454,7 @@
 	}
 	h.crashes.started(q.fingerprint)
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
-		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body, Buffers: q.buffers, Earlier: &q.connections,
+		Method:  q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body, Buffers: q.buffers, Earlier: &q.connections,
 		CheckNewConn: true,
 		Matches: func(status int, header http.Header) bool {
 			headers = fleet.ParseResponseHeaders(status, header)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -185,6 +185,7 @@
 func (g *Gateway) Stop() {
 	deadline := time.Now().Add(g.bounds.TerminationGrace.AsDuration() - stopMargin)
 	g.draining.Store(true)
+	g.handler.stopBy(deadline)
 	g.elector.leave()
 	g.log.Info().Str("event", "stopping").Int("connections", g.conns.closeIdle()).Msg("")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -101,6 +101,11 @@
 	proxies *proxies
 	// stopping refuses new requests: they might not end before the process does.
 	stopping atomic.Bool
+	// stop ends when the VM begins to stop; requests must end before stopAt, in nanoseconds of
+	// Unix time.
+	stop      context.Context
+	beginStop context.CancelFunc
+	stopAt    atomic.Int64
 
 	mu           sync.Mutex
 	splitter     *routing.Splitter
@@ -111,10 +116,18 @@
 }
 
 func newRequestHandler(cfg handlerConfig) *requestHandler {
-	return &requestHandler{
+	h := &requestHandler{
 		handlerConfig: cfg, start: time.Now(),
 		splitter: routing.NewSplitter(), retryBudgets: make(map[api.ServiceName]*ratelimit.RetryBudget),
 	}
+	h.stop, h.beginStop = context.WithCancel(context.Background())
+	return h
+}
+
+// stopBy announces that the process ends at a time.
+func (h *requestHandler) stopBy(at time.Time) {
+	h.stopAt.Store(at.UnixNano())
+	h.beginStop()
 }
 
 // request is the state of one request of a caller.
