--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -341,7 +341,7 @@
 			u.pool.Close()
 			c.limits.forget(u)
 		}
-		s.upstreams[id] = newUpstream(reg, c.responseLimits, upstreamconn.Network{Dial: c.dialUpstream, Watcher: c.reach}, func() { c.limits.reportNow() })
+		s.upstreams[id] = newUpstream(reg, c.responseLimits, c.network(), func() { c.limits.reportNow() })
 		s.upstreams[id].leavingSince.Store(int64(c.leaving.since(s.upstreams[id].owner())))
 	} else {
 		u.registration.Store(reg)
@@ -351,6 +351,11 @@
 	event.Msg("")
 }
 
+// network returns how this VM connects to upstreams.
+func (c *control) network() upstreamconn.Network {
+	return upstreamconn.Network{Dial: c.dialUpstream, Watcher: c.reach}
+}
+
 func sameProcess(a, b routing.Upstream) bool {
 	return a.Address == b.Address && a.Incarnation == b.Incarnation && a.Service == b.Service
 }
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -454,6 +454,8 @@
 	}
 	h.crashes.started(q.fingerprint)
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
+		// Without an ID, a late copy of an earlier response cannot be told from the response.
+		OwnConn: q.params.RequestID == "",
 		Method:  q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: header, Body: q.body, Buffers: q.buffers, Earlier: &q.connections,
 		CheckNewConn: true,
 		Matches: func(status int, header http.Header) bool {
