--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -48,10 +48,10 @@
 	// maxRoundTrip bounds the round trip that is assumed from the time to connect, which is
 	// longer if a packet was lost.
 	maxRoundTrip = 10 * time.Millisecond
-	// keepAlive is the idle time after which keep-alive probes start; the connection is
-	// dropped after another 1.5 times keepAlive without a reply.
+	// keepAlive is the idle time after which keep-alive probes start.
 	keepAlive = time.Second
-	// userTimeout is how long sent bytes may stay unacknowledged.
+	// userTimeout is how long sent bytes may stay unacknowledged. It also decides when
+	// keep-alive probes without a reply end the connection, whatever their number.
 	userTimeout = 3 * time.Second
 )
 
