server/gateway: the time limit of a poll follows the wait that it asks for

After an outage in which the store was silent, a change of the configuration was in force on no VM for up to 13 s (CONFIG, DENIED).

Cause: a poll that follows a failed one asks for no wait, but had the time limit of a long poll, 21.5 s. Sent into the silence, it was given up that late, although the store had answered other calls for long.

Change: the limit is the wait plus the limit of a call.

--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -51,6 +51,8 @@
 	// operatorFeed monitors the feed of the operators' rows, upstreamFeed that of the
 	// registrations.
 	operatorFeed, upstreamFeed feedMonitor
+	// feedTimeout is how long the store holds a long poll without changes.
+	feedTimeout time.Duration
 	// era is the newest era of the store that was seen, see fleet.Page.
 	era     atomic.Int64
 	limits  *statedLimits
@@ -80,7 +82,7 @@
 }
 
 func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
-	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256), limits: newStatedLimits(log), leaving: newLeavingUpstreams(m, log)}
+	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256), feedTimeout: feedTimeout, limits: newStatedLimits(log), leaving: newLeavingUpstreams(m, log)}
 	c.reach = newReach(c.view, m, log)
 	c.current.Store(&view{rank: -1, vms: initialVMs, rankUntil: &c.rankUntil, superseded: make(chan struct{})})
 	return c
--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -138,11 +138,21 @@
 
 // startVMAt starts a VM with an address of the store and the addresses of other VMs.
 func (d *deployment) startVMAt(name, store string, peers ...string) *Gateway {
-	return d.startVMOn(name, store, nil, peers...)
+	return d.startVMWith(name, store, func(*Gateway) {}, peers...)
 }
 
-// startVMOn starts a VM whose connections to upstreams pass a network, unless it is nil.
-func (d *deployment) startVMOn(name, store string, network *upstreamNetwork, peers ...string) *Gateway {
+// startVMPolling starts a VM whose long polls last for a time.
+func (d *deployment) startVMPolling(name, store string, poll time.Duration) *Gateway {
+	return d.startVMWith(name, store, func(g *Gateway) { g.control.feedTimeout = poll })
+}
+
+// startVMOn starts a VM whose connections to upstreams pass a network.
+func (d *deployment) startVMOn(name, store string, network *upstreamNetwork) *Gateway {
+	return d.startVMWith(name, store, func(g *Gateway) { g.control.dialUpstream = network.dial })
+}
+
+// startVMWith starts a VM after prepare has changed it.
+func (d *deployment) startVMWith(name, store string, prepare func(*Gateway), peers ...string) *Gateway {
 	g := New(&Settings{
 		VM: api.VMID(name), FailureDomain: "zone-a", Store: store, MemoryMB: 100, LogLevel: "info",
 		Listen: Listen{
@@ -155,9 +165,7 @@
 	}, NewMetrics(), zerolog.New(zerolog.NewTestWriter(d.t)))
 	// The VMs of a test have different ports.
 	g.links.peers = peers
-	if network != nil {
-		g.control.dialUpstream = network.dial
-	}
+	prepare(g)
 	require.NoError(d.t, g.Start())
 	d.t.Cleanup(func() {
 		g.cancel()
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -76,7 +76,7 @@
 				continue
 			}
 		}
-		timeout := feedTimeout
+		timeout := c.feedTimeout
 		if failed {
 			// The store may have been restored, which its next response shows.
 			timeout = 0
@@ -127,7 +127,7 @@
 	if !known {
 		return c.readAll(ctx, s.table)
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedTimeout+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout+callTimeout)
 	defer cancel()
 	if s.monitor != nil {
 		pollCtx, done := s.monitor.longPoll(ctx)
