--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -230,7 +230,7 @@
 			}
 			if wait := max(h.coldWait(q, v, u, boot), u.restRemaining()); wait > 0 {
 				if retryAfter == 0 || wait < retryAfter {
-					retryAfter, cause = wait, h.waitCause(u)
+					retryAfter, cause = wait, u.waitCause()
 				}
 				continue
 			}
@@ -264,7 +264,7 @@
 }
 
 // waitCause returns why an upstream gets no request at present.
-func (h *requestHandler) waitCause(u *upstream) reason {
+func (u *upstream) waitCause() reason {
 	if u.restRemaining() > 0 {
 		return resting
 	}
--- a/server/gateway/isolation.go
+++ b/server/gateway/isolation.go
@@ -13,14 +13,14 @@
 
 // isolation is what a granter does about not reaching any upstream.
 type isolation struct {
-	// asking means that the granter reaches no upstream, since a time on bootTime.
-	asking bool
+	// active means that the granter reaches no upstream, since a time on bootTime.
+	active bool
 	since  time.Duration
 }
 
 // undecided reports whether the upstreams may be well although the granter reaches none.
 func (i isolation) undecided(now time.Duration) bool {
-	return i.asking && now-i.since < isolationDecision
+	return i.active && now-i.since < isolationDecision
 }
 
 // resignIfIsolated ends the term if no upstream can be reached from this VM while another VM
@@ -28,8 +28,8 @@
 // VM reaches any, the upstreams are lost and the granter stays.
 func (g *granter) resignIfIsolated(ctx context.Context, now time.Duration) bool {
 	isolated, since := g.control.reach.isolated()
-	if isolated != g.isolation.asking {
-		g.isolation = isolation{asking: isolated, since: since}
+	if isolated != g.isolation.active {
+		g.isolation = isolation{active: isolated, since: since}
 		g.sendUpdates(now)
 	}
 	silent := g.authority.StoreUnreachable(now)
@@ -42,12 +42,13 @@
 	}
 	g.log.Warn().Str("event", "granter_isolated").Int64("term", g.term).Str("successor", string(successor.vm)).
 		Dur("isolated_ms", now-since).Dur("contact_ms", now-successor.contactAt).Msg("another VM reaches upstreams: it takes over")
-	if !silent {
+	switch {
+	case !silent:
 		g.releaseLease(ctx, successor.vm)
-	} else if !g.handOver(successor) {
-		return false
-	} else {
+	case g.handOver(successor):
 		withVoter(g.elector, func(v *election.Voter, now time.Duration) struct{} { v.HandedOver(now); return struct{}{} })
+	default:
+		return false
 	}
 	g.termOver = true
 	return true
--- a/server/gateway/leaving.go
+++ b/server/gateway/leaving.go
@@ -21,13 +21,13 @@
 	// changed is called when an upstream was added.
 	changed func()
 
-	mu     sync.Mutex
-	byID   map[ownership.Owner]time.Duration // since when, on bootTime
-	inTurn []ownership.Owner
+	mu           sync.Mutex
+	sinceByOwner map[ownership.Owner]time.Duration // on bootTime
+	ordered      []ownership.Owner                 // in the order in which they became known
 }
 
 func newLeavingUpstreams(m *Metrics, log zerolog.Logger) *leavingUpstreams {
-	return &leavingUpstreams{metrics: m, log: log, changed: func() {}, byID: make(map[ownership.Owner]time.Duration)}
+	return &leavingUpstreams{metrics: m, log: log, changed: func() {}, sinceByOwner: make(map[ownership.Owner]time.Duration)}
 }
 
 // observe records that an upstream is about to leave. source names the message that said so.
@@ -45,11 +45,11 @@
 func (l *leavingUpstreams) add(owner ownership.Owner, source string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.byID[owner]; known || len(l.inTurn) >= maxLeaving {
+	if _, known := l.sinceByOwner[owner]; known || len(l.ordered) >= maxLeaving {
 		return false
 	}
-	l.byID[owner] = bootTime()
-	l.inTurn = append(l.inTurn, owner)
+	l.sinceByOwner[owner] = bootTime()
+	l.ordered = append(l.ordered, owner)
 	l.metrics.leaving.WithLabelValues(source).Inc()
 	l.log.Info().Str("event", "upstream_leaving").Str("upstream", string(owner.UpstreamID)).Int64("life", owner.Incarnation).Str("source", source).Msg("")
 	return true
@@ -69,7 +69,7 @@
 func (l *leavingUpstreams) since(owner ownership.Owner) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.byID[owner]
+	return l.sinceByOwner[owner]
 }
 
 // news returns the processes that were added after the first known ones, and how many there
@@ -77,7 +77,7 @@
 func (l *leavingUpstreams) news(known int) (owners []ownership.Owner, all int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append(owners, l.inTurn[known:]...), len(l.inTurn)
+	return append(owners, l.ordered[known:]...), len(l.ordered)
 }
 
 // isLeaving reports whether the upstream has said that it is about to leave.
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -210,7 +210,7 @@
 		u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
 		m.relayedTo = u.RowsTo
 	}
-	u.Isolated = g.isolation.asking
+	u.Isolated = g.isolation.active
 	leaving, sent := g.control.leaving.news(m.leavingSent)
 	u.LeavingUpstreams, m.leavingSent = append(u.LeavingUpstreams, leaving...), sent
 	if m.isolated {
--- a/server/gateway/reach.go
+++ b/server/gateway/reach.go
@@ -43,7 +43,7 @@
 	changed := r.detector.Connected(bootTime())
 	r.mu.Unlock()
 	if changed {
-		r.report()
+		r.announce()
 	}
 }
 
@@ -134,7 +134,15 @@
 	return isolated
 }
 
+// runRound tries a sample of the upstreams; one connection that opens decides.
 func (r *reach) runRound(ctx context.Context, round *reachRound) {
+	defer func() {
+		// After a panic too: others wait for the round.
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.round = nil
+		close(round.done)
+	}()
 	cfg := reachability.DefaultConfig()
 	sample := r.sample(cfg.SampleSize)
 	began := bootTime()
@@ -146,7 +154,6 @@
 			results <- u.pool.Connect(dialCtx) == nil
 		}()
 	}
-	// One connection decides; the others may hang.
 	connected := 0
 	for range sample {
 		if <-results {
@@ -155,14 +162,12 @@
 		}
 	}
 	r.mu.Lock()
-	r.round = nil
 	changed := ctx.Err() == nil && r.detector.RoundEnded(began, bootTime(), len(sample), connected)
 	r.mu.Unlock()
-	close(round.done)
 	r.metrics.reachRounds.Inc()
 	if changed {
 		r.log.Info().Str("event", "upstreams_tried").Int("tried", len(sample)).Int("connected", connected).Msg("")
-		r.report()
+		r.announce()
 	}
 }
 
@@ -176,8 +181,9 @@
 	return all[:min(size, len(all))]
 }
 
-// report logs whether this VM is isolated and tells the granter.
-func (r *reach) report() {
+// announce logs whether this VM is isolated and tells the granter. Attempts to connect that are
+// under way end when it is, so that their requests are passed on.
+func (r *reach) announce() {
 	isolated, since := r.isolated()
 	value := 0.0
 	if isolated {
