server/gateway: keys without an owner are assigned while the store is silent

Cause of the first: since keys move only while the store answers, a granter whose renewal takes over 1.2 s assigned nothing. Only a release does harm then; an assignment is part of the write that waits for the store anyway. Mode.Keep now holds back releases alone.

Cause of the second: waiting requests were refused as late as the process could end, so that a busy VM had no time to write the responses; 0.3 s are left for them. TestRestingUpstreamGetsNothing sent its requests without a key with one.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -242,6 +242,8 @@
 	Renew bool
 	// Move permits releases and writes.
 	Move bool
+	// Keep means that owners keep their keys: only keys without an owner are assigned.
+	Keep bool
 }
 
 // Tick returns the actions that are due.
@@ -250,13 +252,15 @@
 		return nil
 	}
 	var actions []Action
-	if mode.Move {
+	if mode.Move && !mode.Keep {
 		m.markLost(now)
 		if now >= m.balanceAt {
 			m.balanceAt = now + m.cfg.BalanceEvery
 			m.balance()
 		}
 		actions = m.releases(now, actions)
+	}
+	if mode.Move {
 		if write, ok := m.assign(now); ok {
 			actions = append(actions, write)
 		}
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -25,6 +25,8 @@
 	// latencyReserve is the multiple of a route's expected latency that is left for a request
 	// that waits.
 	latencyReserve = 1.5
+	// stopResponseTime is left for the responses to callers before the process ends.
+	stopResponseTime = 300 * time.Millisecond
 	// overloadAge is how long an upstream counts as overloaded after it reported so.
 	overloadAge = 2 * time.Second
 	// localAllowanceShare is the share of a route's latency target by which a request may end
@@ -162,7 +164,7 @@
 
 // timeToSend returns for how much longer a request may be sent while the VM stops.
 func (h *requestHandler) timeToSend(q *request) time.Duration {
-	return time.Until(time.Unix(0, h.stopAt.Load())) - h.expectedTime(q)
+	return time.Until(time.Unix(0, h.stopAt.Load())) - stopResponseTime - h.expectedTime(q)
 }
 
 // await waits for the upstream of the next attempt, with a slot of its limiter acquired.
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -271,7 +271,7 @@
 	// A key that is released can have another owner only once the store answers.
 	silent := g.storeUnreachable.Load()
 	g.control.movesPaused.Store(silent)
-	return ownership.Mode{Renew: g.mayRenew(), Move: g.authority.HoldsLease(now) && !silent && now >= g.predecessor.Until && !g.isolation.undecided(now)}
+	return ownership.Mode{Renew: g.mayRenew(), Move: g.authority.HoldsLease(now) && now >= g.predecessor.Until, Keep: silent || g.isolation.undecided(now)}
 }
 
 // upstreams returns the upstreams that may own keys, by service.
--- a/server/gateway/rest_test.go
+++ b/server/gateway/rest_test.go
@@ -51,16 +51,17 @@
 	g := d.startVM("vm-a")
 	d.requireServed(g, keyedPath, 1)
 	d.requireServed(g, plainPath, -1)
-	for path, u := range map[string]*fakes.Upstream{keyedPath: d.upstreams["k1"], plainPath: d.upstreams["p1"]} {
-		turnedAway := turnAway(u, "120")
-		resp := d.send(g, "first"+path, path, 1, time.Second)
+	for path, key := range map[string]int{keyedPath: 1, plainPath: -1} {
+		id := map[string]string{keyedPath: "k1", plainPath: "p1"}[path]
+		turnedAway := turnAway(d.upstreams[id], "120")
+		resp := d.send(g, "first"+path, path, key, time.Second)
 		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 		var wg sync.WaitGroup
 		for n := range 30 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				resp, body := d.request(g, http.MethodPost, strconv.Itoa(n)+path, path, 1, time.Second)
+				resp, body := d.request(g, http.MethodPost, strconv.Itoa(n)+path, path, key, time.Second)
 				assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 				assert.Contains(t, body, string(resting))
 				after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
