server/gateway: tests of leaving upstreams choose the upstream that leaves

All of 500 requests had gone to the other, faster upstream, so that no response said that the first one leaves. It is now the only one, or the faster one.

--- a/server/gateway/leaving_test.go
+++ b/server/gateway/leaving_test.go
@@ -31,6 +31,11 @@
 	for _, id := range []string{"k1", "p1"} {
 		d.upstreams[id].SetLeaving(true)
 	}
+	// The other upstream is slow, so that the VMs choose the one that leaves until they know.
+	d.upstreams["p2"].SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		w.Header().Set(fleet.HeaderSignature, "seal")
+	})
 	// Each VM learns of it by its own requests or from the other one.
 	d.eventually(func() bool {
 		for _, g := range []*Gateway{a, b} {
@@ -40,6 +45,7 @@
 		return isLeaving(a, "k1") && isLeaving(b, "k1") && isLeaving(a, "p1") && isLeaving(b, "p1")
 	}, "both VMs know")
 	known := time.Now()
+	d.upstreams["p2"].SetHandler(nil)
 	var late []string // the requests that are sent when the time to drain is over
 	for range 20 {
 		time.Sleep(max(time.Until(known.Add(defaultDrain)), 0))
@@ -92,7 +98,6 @@
 func TestLeavingIsRemembered(t *testing.T) {
 	d := newDeployment(t)
 	first := d.addUpstream("p1", "plain")
-	d.addUpstream("p2", "plain")
 	g := d.startVM("vm-a")
 	d.requireServed(g, plainPath, -1)
 	first.SetLeaving(true)
