core/election: a VM that takes over a released lease keeps its promise to a caretaker

Cause: a caretaker can outlive the term after its own: the granter of term 5 released its lease, lost the store and promised the caretaker again. A VM that took over the released lease waited for the granters that the lease names, but not for its own promise, nor for that of its previous process. Released leases could meet this before; granters that resign make them more frequent.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -189,6 +189,9 @@
 func (v *Voter) PredecessorsUntil(now time.Duration, l Lease) time.Duration {
 	until := now + l.PredecessorsRemaining
 	switch {
+	case l.Vacant && l.Age < v.cfg.AbsentTimeout:
+		// A caretaker of an earlier term may rely on promises of this VM.
+		return max(until, v.promisedUntil, v.startedAt+v.cfg.RestartPromiseTTL)
 	case l.Vacant, l.GranterEnded && l.Age < v.cfg.StoreTimeout:
 		return until
 	case l.Age < v.cfg.StoreTimeout:
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -62,6 +62,12 @@
 	v := election.NewVoter(cfg, started)
 	require.Equal(t, now, v.PredecessorsUntil(now, election.Lease{Vacant: true}))
 	require.Equal(t, now, v.PredecessorsUntil(now, election.Lease{GranterEnded: true, Age: cfg.StoreTimeout / 2}))
+	require.Equal(t, started+cfg.RestartPromiseTTL, v.PredecessorsUntil(started, election.Lease{Vacant: true, Age: time.Second}),
+		"the previous process of this VM may have promised a caretaker of an earlier term")
+	require.Equal(t, started, v.PredecessorsUntil(started, election.Lease{Vacant: true, Age: time.Hour}), "there was no granter for long")
+	promised := election.NewVoter(cfg, started)
+	promised.StoreUnreachable(now)
+	require.Equal(t, now+cfg.PromiseTTL, promised.PredecessorsUntil(now, election.Lease{Vacant: true, Age: time.Second}), "this VM has promised a caretaker")
 	require.Equal(t, now+time.Second, v.PredecessorsUntil(now, election.Lease{GranterEnded: true, Age: cfg.StoreTimeout / 2, PredecessorsRemaining: time.Second}))
 	require.Equal(t, now+cfg.LeaseTTL-2*time.Second, v.PredecessorsUntil(now, election.Lease{Age: 2 * time.Second}))
 	require.Equal(t, now, v.PredecessorsUntil(now, election.Lease{Age: time.Minute}))
