--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -283,7 +283,11 @@
 		s.counts["released"]++
 		return true
 	}
-	for m := range p.members {
+	for _, v := range s.vms { // in a fixed order, so that a seed gives the same run
+		m := v.proc
+		if !p.members[m] {
+			continue
+		}
 		promises, ok := p.auth.HandOver(s.now, p.vm.name, m.vm.name)
 		if !ok {
 			return false
