server/gateway: a VM that finds out that it is cut off returns proxied requests

Callers of a cut VM waited for their deadline (timeout_unsent) when the VM that took their request was cut off too and did not know it yet.

Cause: a proxied request is never passed on, and isolation was checked only when it arrived. A VM that found out afterwards went on connecting until the deadline.

Change: such a request is refused as isolated, not run, as soon as the VM knows, and the first VM tries another one. One check in serve and forward replaces that on arrival.

TestProxyThatIsCutOffReturnsRequests failed before with timeout_unsent after 10 s.

--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -48,8 +48,8 @@
 			return nil, h.finalOutcome(ctx, q, outcome{reason: timeoutUnsent, status: http.StatusServiceUnavailable, err: ctx.Err()})
 		}
 		v := h.view()
-		if h.mustProxy(q) {
-			return h.proxies.forward(ctx, q, v.config.Version)
+		if h.isIsolated() {
+			return h.serveElsewhere(ctx, q, v)
 		}
 		q.attempts++
 		u, failure := h.choose(ctx, q, v, avoid)
@@ -78,7 +78,7 @@
 			if q.service.Keyed && rest == 0 && overloaded(headers.Load) || !h.takeRetry(q) {
 				return nil, h.finalOutcome(ctx, q, outcome{reason: shed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
 			}
-		case notSent(err) && h.mustProxy(q):
+		case notSent(err) && h.isIsolated():
 			continue
 		case notSent(err):
 			if q.service.Keyed && (q.remaining() < shortRetryAfter || !h.awaitView(ctx, v, shortRetryAfter)) || q.attempts >= maxSends {
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -216,8 +216,8 @@
 // serve sends a request to an upstream, or to another VM while this one is isolated. It returns
 // the response of an upstream or the outcome of the request.
 func (h *requestHandler) serve(ctx context.Context, q *request, v *view) (*upstreamconn.Response, outcome) {
-	if h.mustProxy(q) {
-		return h.proxies.forward(ctx, q, v.config.Version)
+	if h.isIsolated() {
+		return h.serveElsewhere(ctx, q, v)
 	}
 	name := h.pickService(q)
 	q.service = v.config.Services[name]
@@ -234,16 +234,20 @@
 	return h.forward(ctx, q)
 }
 
-// mustProxy reports whether another VM must send a request. One that another VM has passed on
-// is never passed on again.
-func (h *requestHandler) mustProxy(q *request) bool {
-	if q.proxied {
-		return false
-	}
+func (h *requestHandler) isIsolated() bool {
 	isolated, _ := h.reach.isolated()
 	return isolated
 }
 
+// serveElsewhere passes a request of an isolated VM to another one. A request that another VM has
+// passed on goes no further: that VM may try a third one.
+func (h *requestHandler) serveElsewhere(ctx context.Context, q *request, v *view) (*upstreamconn.Response, outcome) {
+	if q.proxied {
+		return nil, h.finalOutcome(ctx, q, outcome{reason: isolatedVM, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter, err: errIsolated})
+	}
+	return h.proxies.forward(ctx, q, v.config.Version)
+}
+
 // pickService chooses the service of a new request and counts the request.
 func (h *requestHandler) pickService(q *request) api.ServiceName {
 	h.mu.Lock()
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -250,14 +250,11 @@
 	q.http = (&http.Request{Method: req.Method, URL: target, RequestURI: req.Target, Host: req.Host, Header: req.Header}).WithContext(ctx)
 	q.params = fleet.ParseRequestHeaders(req.Header)
 	v := h.view()
-	isolated, _ := h.reach.isolated()
 	switch {
 	case err != nil:
 		return refused(badRequest, http.StatusBadRequest, err)
 	case stopping:
 		return refused(vmStopping, http.StatusServiceUnavailable, nil)
-	case isolated:
-		return refused(isolatedVM, http.StatusServiceUnavailable, errIsolated)
 	case v.config == nil || v.config.Version < req.Configuration:
 		return refused(noConfiguration, http.StatusServiceUnavailable, nil)
 	case !q.buffers.Take(int64(len(req.Body))):
--- a/server/gateway/proxy_test.go
+++ b/server/gateway/proxy_test.go
@@ -133,6 +133,22 @@
 	receiveWithin(t, drained, "the VM stops when the request has ended")
 }
 
+// TestProxyThatIsCutOffReturnsRequests guards against a request of an isolated VM that waits for its
+// deadline at a VM which finds out meanwhile that it reaches no upstream either.
+func TestProxyThatIsCutOffReturnsRequests(t *testing.T) {
+	d := newCutDeployment(t, 1)
+	d.networks[0].set(hangCut)
+	g := d.vms[0]
+	for _, u := range g.control.view().upstreams {
+		u.pool.CloseExpired(time.Now().Add(time.Hour))
+	}
+	require.False(t, isIsolated(g), "it does not know yet")
+	request := proxyRequest{Method: http.MethodGet, Target: plainPath, Host: testHost, TimeoutMs: 10000, Configuration: 2}
+	resp := g.proxies.serve(context.Background(), &request)
+	require.Equal(t, isolatedVM, resp.Reason)
+	require.True(t, resp.notTaken(), "another VM may send it")
+}
+
 // TestProxyWithOlderConfiguration guards against a request that is handled as an older
 // configuration allows, because the VM that sends it lags (CONFIG).
 func TestProxyWithOlderConfiguration(t *testing.T) {
