--- a/server/gateway/callers_test.go
+++ b/server/gateway/callers_test.go
@@ -206,8 +206,7 @@
 // cannot end any more, and cuts them, or that cuts requests that still wait (LOST).
 func TestStopRefusesWaitingRequests(t *testing.T) {
 	d := newDeployment(t)
-	d.timeoutS = 20
-	d.configure(2, "keyed")
+	d.allowSlowRequests()
 	fake := d.addUpstream("k1", "keyed")
 	g := d.startVM("vm-a")
 	d.requireServed(g, keyedPath, 1)
--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -63,6 +63,13 @@
 		version, testHost, keyedPath, d.timeoutS, keyedTo, testHost, plainPath, d.timeoutS))
 }
 
+// allowSlowRequests lets requests last for up to 20 s: on a busy machine, or while a key moves,
+// they are served late.
+func (d *deployment) allowSlowRequests() {
+	d.timeoutS = 20
+	d.configure(2, "keyed")
+}
+
 func (d *deployment) addUpstream(id, service string) *fakes.Upstream {
 	u := fakes.NewUpstream(id, service, "zone-a")
 	server := httptest.NewServer(u)
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -79,8 +79,8 @@
 	})
 }
 
-// handOver makes another VM the caretaker. It reports false if the store answers or the VM is
-// nil.
+// handOver makes another VM the caretaker. It reports false if the store answers or there is no
+// other VM, successor being nil.
 func (g *granter) handOver(successor *member) bool {
 	if successor == nil {
 		return false
--- a/server/gateway/isolation_test.go
+++ b/server/gateway/isolation_test.go
@@ -105,9 +105,7 @@
 
 func newCutDeployment(t *testing.T, vms int) *cutDeployment {
 	d := &cutDeployment{deployment: newDeployment(t)}
-	// A request is served late on a busy machine, or while its key moves.
-	d.timeoutS = 20
-	d.configure(2, "keyed")
+	d.allowSlowRequests()
 	for i := range 4 {
 		d.addUpstream(fmt.Sprint("k", i), "keyed")
 		d.addUpstream(fmt.Sprint("p", i), "plain")
@@ -248,6 +246,16 @@
 	d.requireRunOnce()
 }
 
+// cutGranter cuts the granter off from the upstreams and waits until another VM grants.
+func (d *cutDeployment) cutGranter(granter int, kind cut) {
+	d.t.Helper()
+	d.networks[granter].set(kind)
+	d.eventually(func() bool {
+		d.do(d.vms[granter], http.MethodGet, plainPath, -1, 300*time.Millisecond)
+		return d.granter() >= 0 && d.granter() != granter
+	}, "a VM that reaches the upstreams grants")
+}
+
 // TestCutGranterResigns guards against a granter that takes all upstreams for lost because it
 // is cut off from them, and takes their keys away (RECOVER).
 func TestCutGranterResigns(t *testing.T) {
@@ -256,11 +264,7 @@
 			d := newCutDeployment(t, 3)
 			old := d.granter()
 			term := d.vms[old].control.view().owners["keyed"].Term
-			d.networks[old].set(kind)
-			d.eventually(func() bool {
-				d.do(d.vms[old], http.MethodGet, plainPath, -1, 300*time.Millisecond)
-				return d.granter() >= 0 && d.granter() != old
-			}, "a VM that reaches the upstreams grants")
+			d.cutGranter(old, kind)
 			for range 3 {
 				for _, g := range d.vms {
 					d.requireAllServed(g)
@@ -294,11 +298,7 @@
 		}, "the granter notices")
 	}
 	time.Sleep(2 * time.Second) // The granter relies on promises.
-	d.networks[old].set(hangCut)
-	d.eventually(func() bool {
-		d.do(d.vms[old], http.MethodGet, plainPath, -1, 300*time.Millisecond)
-		return d.granter() >= 0 && d.granter() != old
-	}, "a VM that reaches the upstreams renews")
+	d.cutGranter(old, hangCut)
 	for range 4 {
 		for _, g := range d.vms {
 			d.requireAllServed(g)
--- a/server/gateway/leaving_test.go
+++ b/server/gateway/leaving_test.go
@@ -76,8 +76,7 @@
 // leaves, but whose registration does not, and against callers who notice the move.
 func TestKeysOfLeavingUpstreamMove(t *testing.T) {
 	d := newDeployment(t)
-	d.timeoutS = 20
-	d.configure(2, "keyed")
+	d.allowSlowRequests()
 	d.addUpstream("k1", "keyed")
 	a, b := d.startVM("vm-a"), d.startVM("vm-b")
 	d.requireServed(a, keyedPath, 1)
--- a/server/gateway/reach.go
+++ b/server/gateway/reach.go
@@ -70,7 +70,7 @@
 	return r.detector.ContactAge(bootTime())
 }
 
-// addTo adds what this VM knows to a report.
+// addTo adds to a report whether this VM reaches upstreams.
 func (r *reach) addTo(rep *report) {
 	rep.Isolated, _ = r.isolated()
 	if age, ok := r.contactAge(); ok {
--- a/server/gateway/rest.go
+++ b/server/gateway/rest.go
@@ -1,8 +1,6 @@
 package gateway
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// maxRest bounds the time for which an upstream gets no requests because it asks for it.
@@ -23,7 +21,7 @@
 	}
 }
 
-// rests returns the upstreams that own keys and want no requests from this VM.
+// rests returns upstreams that want no requests from this VM, at most maxRestsSent.
 func (v *view) rests() (rests []upstreamRest) {
 	for _, u := range v.upstreams {
 		if remaining := u.restRemaining(); remaining > 0 && len(rests) < maxRestsSent {
--- a/server/gateway/rest_test.go
+++ b/server/gateway/rest_test.go
@@ -15,30 +15,20 @@
 	"dandelionhill.dev/platform/fleet"
 )
 
-// arrivals records when requests arrive at an upstream that turns them away.
-type arrivals struct {
-	mu sync.Mutex
-	at []time.Time
-}
-
-// turnAway makes an upstream turn requests away and ask for rest.
-func turnAway(u *fakes.Upstream, rest string) *arrivals {
-	a := &arrivals{}
+// turnAway makes an upstream turn requests away and ask for rest, and returns how many arrive.
+func turnAway(u *fakes.Upstream, rest string) (arrived *atomic.Int32) {
+	arrived = new(atomic.Int32)
 	u.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
-		a.mu.Lock()
-		a.at = append(a.at, time.Now())
-		a.mu.Unlock()
-		w.Header().Set(fleet.HeaderNotRun, "1")
-		w.Header().Set("Retry-After", rest)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		arrived.Add(1)
+		refuseAndRest(w, rest)
 	})
-	return a
+	return arrived
 }
 
-func (a *arrivals) all() []time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return append([]time.Time(nil), a.at...)
+func refuseAndRest(w http.ResponseWriter, rest string) {
+	w.Header().Set(fleet.HeaderNotRun, "1")
+	w.Header().Set("Retry-After", rest)
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // TestRestingUpstreamGetsNothing guards against requests to an upstream that has turned one away
@@ -70,7 +60,7 @@
 			}()
 		}
 		wg.Wait()
-		require.Len(t, turnedAway.all(), 1, path)
+		require.Equal(t, int32(1), turnedAway.Load(), path)
 	}
 	// Another upstream serves at once.
 	d.addUpstream("p2", "plain")
@@ -81,8 +71,7 @@
 // takes requests again.
 func TestShortRestIsAwaited(t *testing.T) {
 	d := newDeployment(t)
-	d.timeoutS = 20
-	d.configure(2, "keyed")
+	d.allowSlowRequests()
 	fake := d.addUpstream("k1", "keyed")
 	g := d.startVM("vm-a")
 	d.requireServed(g, keyedPath, 1)
@@ -92,9 +81,7 @@
 			w.Header().Set(fleet.HeaderSignature, "seal")
 			return
 		}
-		w.Header().Set(fleet.HeaderNotRun, "1")
-		w.Header().Set("Retry-After", "0.3")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuseAndRest(w, "0.3")
 	})
 	resp := d.send(g, "waits", keyedPath, 1, 15*time.Second)
 	require.Equal(t, http.StatusOK, resp.StatusCode)
