--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -127,7 +127,7 @@
 	if !known {
 		return c.readAll(ctx, s.table)
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedTimeout+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout+callTimeout)
 	defer cancel()
 	if s.monitor != nil {
 		pollCtx, done := s.monitor.longPoll(ctx)
