server/gateway, core/freshness: polls of the store rely on the granter's word

Cause: the store never answers a poll that it got in a silence, also later. A VM that had just learned of a change sent its next poll into the silence and gave it up at the limit of a long poll, 21.5 s. All VMs did so at the same moment, so the comparison between them showed nothing. Class: a wait whose end depends on one message from a peer, with nothing that says in the meantime whether the peer is still going to send it. Ruled out: hypothesis that the change reaches the VMs and is not applied (no VM logs `configuration` before 27.9 s); that VMs take the store for lost (`store_lost` only at 27.6 s, after the limit).

Change: the granter's polls are short, and it tells the other VMs the age of what it knows. A long poll of another VM goes on only while that age is below 1.6 s and no newer change is known; otherwise the VM polls in short intervals. The age is 0 in messages of earlier versions: VMs then poll in short intervals, and a granter of this version reports changes to VMs of earlier ones as before. After a call without a response no idle connection to the store is used again: each of them could be silent too. While the granter does not reach the store either, pauses between failed calls grow with the number of VMs.

--- /dev/null
+++ b/core/freshness/freshness.go
@@ -0,0 +1,183 @@
+// Package freshness decides how a VM follows a table of the store: for how long one call
+// waits for changes, when a call without a response is given up, and how old the VM's
+// knowledge of the table is.
+//
+// The store may never answer a call, although it answers later ones. One VM, the watcher,
+// therefore waits only shortly in each call, and tells the others when the store last answered
+// it and the version of the newest change. The others make long calls while the watcher's word
+// is fresh, and end them when it is not, or when they lack a change that it names. So the calls
+// to the store at rest hardly grow with the number of VMs, and each VM learns of a change soon
+// after any VM does.
+package freshness
+
+import "time"
+
+// Config holds the times of following a table.
+type Config struct {
+	// WatchWait is the wait of a call of the watcher, and the shortest of a VM without one.
+	WatchWait time.Duration
+	// WaitPerVM is the wait that each VM adds to the calls of VMs without a watcher. It bounds
+	// the rate of the calls of all VMs.
+	WaitPerVM time.Duration
+	// LongWait is the wait of a call while there is a watcher.
+	LongWait time.Duration
+	// ResponseTime is how long after its wait a short call is given up. The call after it does
+	// not wait, and is given up after CallTimeout, so that a slow store is not taken for lost.
+	ResponseTime, CallTimeout time.Duration
+	// MaxLag is how long after another VM this one may learn of a change by its own call. It
+	// covers the pause between two calls and a slow response.
+	MaxLag time.Duration
+	// MaxAge is the age of the store's last answer to the watcher up to which VMs rely on the
+	// watcher. It covers a call of the watcher that is lost, the call after it and the interval
+	// between the watcher's messages.
+	MaxAge time.Duration
+}
+
+// DefaultConfig returns the times in use.
+func DefaultConfig() Config {
+	return Config{
+		WatchWait: 700 * time.Millisecond, WaitPerVM: 10 * time.Millisecond, LongWait: 25 * time.Second,
+		ResponseTime: 400 * time.Millisecond, CallTimeout: 1500 * time.Millisecond,
+		MaxLag: 400 * time.Millisecond, MaxAge: 1600 * time.Millisecond,
+	}
+}
+
+// Call is a call that waits for changes.
+type Call struct {
+	// Wait is how long the store holds the call without changes, Timeout when it is given up.
+	Wait, Timeout time.Duration
+}
+
+// Verdict is what becomes of a call in flight.
+type Verdict int
+
+// The verdicts.
+const (
+	// Continue means that the call may go on.
+	Continue Verdict = iota
+	// Behind means that another VM knows a change that the call should have returned.
+	Behind
+	// Unwatched means that no watcher vouches for the table any more.
+	Unwatched
+)
+
+// Table is what one VM knows of a table. It is not safe for concurrent use.
+type Table struct {
+	cfg Config
+	// known is the version up to which this VM has all changes, newest that of the newest
+	// change that any VM has reported. behindSince is when newest went beyond known.
+	known, newest int64
+	behindSince   time.Duration
+	// confirmedAt is a time before which the VM lacks no change, once confirmed is set.
+	confirmedAt time.Duration
+	confirmed   bool
+	// watchedUntil is until when the watcher's word counts.
+	watchedUntil time.Duration
+	// begunAt is when the call in flight began, long means that it relies on the watcher.
+	begunAt time.Duration
+	long    bool
+	// lost means that the last call got no response.
+	lost bool
+}
+
+// NewTable returns a table of which nothing is known.
+func NewTable(cfg Config) Table { return Table{cfg: cfg} }
+
+// Begin returns the next call. watching means that this VM is the watcher; vms is the number
+// of VMs.
+func (t *Table) Begin(now time.Duration, watching bool, vms int) Call {
+	t.begunAt, t.long = now, false
+	switch {
+	case t.lost:
+		return Call{Timeout: t.cfg.CallTimeout}
+	case watching:
+		return Call{Wait: t.cfg.WatchWait, Timeout: t.cfg.WatchWait + t.cfg.ResponseTime}
+	case now < t.watchedUntil:
+		t.long = true
+		return Call{Wait: t.cfg.LongWait, Timeout: t.cfg.LongWait + t.cfg.CallTimeout}
+	default:
+		wait := min(max(t.cfg.WatchWait, time.Duration(vms)*t.cfg.WaitPerVM), t.cfg.LongWait)
+		return Call{Wait: wait, Timeout: wait + t.cfg.ResponseTime}
+	}
+}
+
+// Answered records a response of the store: all changes up to version known, the newest of
+// which has version newest.
+func (t *Table) Answered(now time.Duration, known, newest int64) {
+	t.lost = false
+	t.known = max(t.known, known)
+	t.confirm(now)
+	t.Reported(now, min(newest, known))
+}
+
+// Lost records that a call got no response or a failure.
+func (t *Table) Lost() { t.lost = true }
+
+// Reported records that another VM knows of a change.
+func (t *Table) Reported(now time.Duration, newest int64) {
+	if t.newest <= t.known {
+		t.behindSince = now
+	}
+	t.newest = max(t.newest, newest)
+}
+
+// Vouched records the word of the watcher: it knows all changes that the store had accepted
+// before a time age ago, of which the newest that any VM has reported is newest.
+func (t *Table) Vouched(now, age time.Duration, newest int64) {
+	t.Reported(now, newest)
+	t.watchedUntil = max(t.watchedUntil, now-age+t.cfg.MaxAge)
+	if t.known >= t.newest {
+		t.confirm(now - age)
+	}
+}
+
+// Relayed records rows that the watcher has passed on: with them this VM has all changes up to
+// version known, which are all that the store had accepted before a time age ago.
+func (t *Table) Relayed(now, age time.Duration, known int64) {
+	t.known = max(t.known, known)
+	t.Vouched(now, age, t.newest)
+}
+
+// Unwatch ends the reliance on the watcher.
+func (t *Table) Unwatch() { t.watchedUntil = 0 }
+
+func (t *Table) confirm(at time.Duration) {
+	if !t.confirmed || at > t.confirmedAt {
+		t.confirmed, t.confirmedAt = true, at
+	}
+}
+
+// Check returns what becomes of the call in flight, and when to check again, 0 if there is no
+// need before the next event.
+func (t *Table) Check(now time.Duration) (verdict Verdict, next time.Duration) {
+	if t.known < t.newest {
+		due := t.behindSince + t.cfg.MaxLag
+		if !t.lost {
+			// A call that has just begun returns the change.
+			due = max(due, t.begunAt+t.cfg.MaxLag)
+		}
+		if now < due {
+			next = due
+		} else {
+			return Behind, 0
+		}
+	}
+	if t.long {
+		if now >= t.watchedUntil {
+			return Unwatched, 0
+		}
+		if next == 0 || t.watchedUntil < next {
+			next = t.watchedUntil
+		}
+	}
+	return Continue, next
+}
+
+// Newest returns the version of the newest change that any VM has reported.
+func (t *Table) Newest() int64 { return t.newest }
+
+// Age returns the age of the VM's knowledge: it lacks no change that the store had accepted
+// before that. ok is false before the first response.
+func (t *Table) Age(now time.Duration) (age time.Duration, ok bool) {
+	return max(now-t.confirmedAt, 0), t.confirmed
+}
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -50,9 +50,9 @@
 	responseLimits upstreamconn.Limits
 	// operatorFeed monitors the feed of the operators' rows, upstreamFeed that of the
 	// registrations.
-	operatorFeed, upstreamFeed feedMonitor
-	// feedTimeout is how long the store holds a long poll without changes.
-	feedTimeout time.Duration
+	operatorFeed, upstreamFeed *feedMonitor
+	// watching means that this VM is the granter, on whose word the other VMs rely.
+	watching atomic.Bool
 	// era is the newest era of the store that was seen, see fleet.Page.
 	era     atomic.Int64
 	limits  *statedLimits
@@ -82,7 +82,10 @@
 }
 
 func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
-	c := &control{log: log, metrics: m, store: store, changes: make(chan func(*state), 256), feedTimeout: feedTimeout, limits: newStatedLimits(log), leaving: newLeavingUpstreams(m, log)}
+	c := &control{
+		log: log, metrics: m, store: store, changes: make(chan func(*state), 256), limits: newStatedLimits(log), leaving: newLeavingUpstreams(m, log),
+		operatorFeed: newFeedMonitor(), upstreamFeed: newFeedMonitor(),
+	}
 	c.reach = newReach(c.view, m, log)
 	c.current.Store(&view{rank: -1, vms: initialVMs, rankUntil: &c.rankUntil, superseded: make(chan struct{})})
 	return c
@@ -201,6 +204,13 @@
 	})
 }
 
+// setWatching records whether this VM is the granter, on whose word the other VMs rely.
+func (c *control) setWatching(watching bool) {
+	c.watching.Store(watching)
+	c.operatorFeed.unwatch()
+	c.upstreamFeed.unwatch()
+}
+
 // observeEra records the era of a response of the store; page is nil if there was none. In a
 // new era the feeds read their tables again.
 func (c *control) observeEra(page *fleet.Page) {
--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -17,6 +17,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/config/strict"
+	"dandelionhill.dev/core/freshness"
 	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
 )
@@ -150,7 +151,11 @@
 
 // startVMPolling starts a VM whose long polls last for a time.
 func (d *deployment) startVMPolling(name, store string, poll time.Duration) *Gateway {
-	return d.startVMWith(name, store, func(g *Gateway) { g.control.feedTimeout = poll })
+	cfg := freshness.DefaultConfig()
+	cfg.LongWait = poll
+	return d.startVMWith(name, store, func(g *Gateway) {
+		g.control.operatorFeed.table, g.control.upstreamFeed.table = freshness.NewTable(cfg), freshness.NewTable(cfg)
+	})
 }
 
 // startVMOn starts a VM whose connections to upstreams pass a network.
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -309,7 +309,7 @@
 // but this VM can, it returns an error so that the granter is replaced; if neither can,
 // this VM promises not to take over.
 func (e *elector) handleUpdate(ctx context.Context, u update) error {
-	e.control.operatorFeed.reported(u.OperatorChange)
+	e.control.operatorFeed.vouched(u.OperatorAgeMs, u.OperatorChange)
 	e.control.confirmRank()
 	e.control.limits.confirmIssuer()
 	e.control.limits.merge(e.control.view(), u.Limits, bootTime(), "granter")
@@ -327,9 +327,13 @@
 		e.control.applySnapshot(u.Snapshot)
 		e.links.relay.start(u.Snapshot.UpstreamsTo)
 	}
-	if rows := e.links.relay.apply(u); len(rows) > 0 {
+	rows, complete := e.links.relay.apply(u)
+	if len(rows) > 0 {
 		e.control.submitUpstreamRows(&fleet.Page{Rows: rows}, false)
 	}
+	if complete && u.RowsAgeMs > 0 {
+		e.control.upstreamFeed.relayed(u.RowsAgeMs, u.RowsTo)
+	}
 	if u.Handover != nil {
 		return &handedOverError{handover: *u.Handover, received: bootTime()}
 	}
--- /dev/null
+++ b/server/gateway/feedmonitor.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/core/freshness"
+	"dandelionhill.dev/platform/fleet"
+)
+
+// Reasons for which a long poll ends before its time.
+var (
+	// errFeedBehind means that another VM knows of a change that a long poll has not returned.
+	errFeedBehind = errors.New("another VM knows newer rows than the feed has returned: read the table again")
+	// errFeedUnwatched means that the granter no longer says that it follows the table.
+	errFeedUnwatched = errors.New("the granter does not follow the table at present: poll in short intervals")
+)
+
+// feedMonitor ends long polls that may wait in vain, see package freshness.
+type feedMonitor struct {
+	// clock is bootTime: what the granter says counts for less after a suspension.
+	clock func() time.Duration
+
+	mu    sync.Mutex
+	table freshness.Table
+	// interrupt ends the poll in flight, nil if there is none.
+	interrupt context.CancelCauseFunc
+	checkAt   time.Duration // of the next check, 0 if none is scheduled
+}
+
+func newFeedMonitor() *feedMonitor {
+	return &feedMonitor{clock: bootTime, table: freshness.NewTable(freshness.DefaultConfig())}
+}
+
+// poll starts a poll: it returns how long the store holds it without changes, and a context
+// that ends when it is given up. done must be called after the poll.
+func (m *feedMonitor) poll(ctx context.Context, watching bool, vms int) (pollCtx context.Context, wait time.Duration, done func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	call := m.table.Begin(m.clock(), watching, vms)
+	pollCtx, cancel := context.WithCancelCause(ctx)
+	pollCtx, stop := context.WithTimeout(pollCtx, call.Timeout)
+	m.interrupt = cancel
+	m.scheduleCheck()
+	return pollCtx, call.Wait, func() {
+		m.mu.Lock()
+		m.interrupt = nil
+		m.mu.Unlock()
+		stop()
+		cancel(nil)
+	}
+}
+
+// read records rows that this VM has read, and the version up to which they are complete.
+func (m *feedMonitor) read(rows []fleet.Row, known int64) {
+	newest := int64(0)
+	for _, row := range rows {
+		newest = max(newest, row.Version)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Answered(m.clock(), known, newest)
+}
+
+// lost records that the store has not answered a call.
+func (m *feedMonitor) lost() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Lost()
+}
+
+// newestChange returns the version of the newest change that any VM has reported.
+func (m *feedMonitor) newestChange() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Newest()
+}
+
+// reported records the version of the newest change that another VM knows.
+func (m *feedMonitor) reported(version int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Reported(m.clock(), version)
+	m.scheduleCheck()
+}
+
+// vouched records what the granter says of the table, see update.
+func (m *feedMonitor) vouched(ageMs, newest int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ageMs > 0 {
+		m.table.Vouched(m.clock(), time.Duration(ageMs)*time.Millisecond, newest)
+	} else {
+		m.table.Reported(m.clock(), newest)
+	}
+	m.scheduleCheck()
+}
+
+// relayed records registrations that the granter has passed on, see freshness.Table.
+func (m *feedMonitor) relayed(ageMs, known int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Relayed(m.clock(), time.Duration(ageMs)*time.Millisecond, known)
+}
+
+// unwatch ends the reliance on the granter, which this VM is from now on.
+func (m *feedMonitor) unwatch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Unwatch()
+	m.scheduleCheck()
+}
+
+// age returns the age of what this VM knows of the table, see freshness.Table.
+func (m *feedMonitor) age() (age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Age(m.clock())
+}
+
+// ageMs returns the age for a message to another VM, at least 1, or 0 if it is not known.
+func (m *feedMonitor) ageMs() int64 {
+	age, ok := m.age()
+	if !ok {
+		return 0
+	}
+	return age.Milliseconds() + 1
+}
+
+// scheduleCheck ends the poll in flight, or schedules the next check of it; m.mu is held.
+func (m *feedMonitor) scheduleCheck() {
+	if m.interrupt == nil {
+		return
+	}
+	now := m.clock()
+	switch verdict, next := m.table.Check(now); verdict {
+	case freshness.Behind:
+		m.interrupt(errFeedBehind)
+	case freshness.Unwatched:
+		m.interrupt(errFeedUnwatched)
+	case freshness.Continue:
+		if next != 0 && (m.checkAt == 0 || next < m.checkAt) {
+			m.checkAt = next
+			time.AfterFunc(next-now, func() { m.check(next) })
+		}
+	}
+}
+
+// check is the check scheduled for a time.
+func (m *feedMonitor) check(at time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.checkAt == at {
+		m.checkAt = 0
+	}
+	m.scheduleCheck()
+}
--- a/server/gateway/catchup_test.go
+++ b/server/gateway/feedmonitor_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/core/freshness"
 	"dandelionhill.dev/platform/fleet"
 )
 
@@ -37,6 +38,12 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}, nil
 }
 
+// bubbleClock returns a clock that follows the time of a synctest bubble.
+func bubbleClock() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
 // TestLongPollWithoutResponse guards against a VM that keeps an older configuration because
 // the response to its long poll was lost: it reads the table again once another VM reports a
 // newer row, and only then.
@@ -45,9 +52,10 @@
 		store := &lostFeedStore{}
 		store.version.Store(5)
 		c := newControl(fleet.NewStore("store", &http.Client{Transport: store}), NewMetrics(), zerolog.Nop())
+		c.operatorFeed.clock = bubbleClock()
 		go c.followTable(t.Context(), source{
 			table: fleet.TableOperator, interval: func() time.Duration { return feedInterval },
-			apply: func(*fleet.Page, bool) {}, monitor: &c.operatorFeed,
+			apply: func(*fleet.Page, bool) {}, monitor: c.operatorFeed,
 		})
 		time.Sleep(time.Second)
 		require.EqualValues(t, 1, store.reads.Load())
@@ -56,7 +64,7 @@
 		require.EqualValues(t, 1, store.reads.Load(), "no other VM knows more")
 		store.version.Store(9)
 		c.operatorFeed.reported(9)
-		time.Sleep(maxFeedLag + feedInterval)
+		time.Sleep(freshness.DefaultConfig().MaxLag + feedInterval)
 		require.EqualValues(t, 2, store.reads.Load())
 		require.Equal(t, int64(9), c.operatorFeed.newestChange())
 		time.Sleep(time.Second)
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// callTimeout bounds a call to the store, not counting the wait of a long poll.
+	// callTimeout bounds a call to the store that asks for no wait.
 	callTimeout = 1500 * time.Millisecond
-	// feedTimeout is how long the store holds a long poll without changes.
-	feedTimeout = 20 * time.Second
 	// feedInterval is the pause between polls; it batches changes that come close together.
 	feedInterval = 80 * time.Millisecond
 	// upstreamFeedInterval is feedInterval for the registrations at VMs that do not grant:
@@ -27,6 +25,15 @@
 	// each failure, up to maxStoreRetryDelay.
 	storeRetryDelay    = 400 * time.Millisecond
 	maxStoreRetryDelay = 1600 * time.Millisecond
+	// outageDelayPerVM is the part of each VM in the pause after a failed call while the granter
+	// does not reach the store either, up to maxOutageDelay. The pause ends soon after the
+	// granter has reached the store.
+	outageDelayPerVM    = 50 * time.Millisecond
+	maxOutageDelay      = 5 * time.Second
+	outageCheckInterval = 50 * time.Millisecond
+	// returnJitterPerVM is the part of each VM in the time over which the VMs call a store that
+	// is back.
+	returnJitterPerVM = time.Millisecond
 	// storeIdleTimeout is how long an idle connection to the store is kept.
 	storeIdleTimeout = 30 * time.Second
 )
@@ -46,7 +53,7 @@
 	interval func() time.Duration
 	// apply gets a page with all rows of the table if full, else with the changed ones.
 	apply func(page *fleet.Page, full bool)
-	// monitor, unless it is nil, ends long polls that fall behind those of other VMs.
+	// monitor says how long a poll waits, and ends one that waits in vain.
 	monitor *feedMonitor
 	// relay, unless it is nil, passes the rows read on to other VMs, or provides the rows
 	// that another VM has read.
@@ -66,23 +73,17 @@
 
 // readTable is followTable up to the first panic.
 func (c *control) readTable(ctx context.Context, s source) {
-	version, known, failed := int64(0), false, false
+	version, known := int64(0), false
 	retryDelay := storeRetryDelay
 	for ctx.Err() == nil {
-		if s.relay != nil && known {
+		if s.relay != nil && known && !c.watching.Load() {
 			if to, ok := s.relay.active(); ok {
 				version = max(version, to)
 				wait.For(ctx, relayCheckInterval)
 				continue
 			}
 		}
-		timeout := c.feedTimeout
-		if failed {
-			// The store may have been restored, which its next response shows.
-			timeout = 0
-		}
-		page, err := c.readChanges(ctx, s, version, known, timeout)
-		failed = err != nil && !errors.Is(err, fleet.ErrCompacted)
+		page, err := c.readChanges(ctx, s, version, known)
 		switch {
 		case err == nil:
 			c.setStoreAvailable(true)
@@ -91,9 +92,7 @@
 				s.apply(page, !known)
 			}
 			version = max(version, page.Version)
-			if s.monitor != nil {
-				s.monitor.read(page.Rows, page.Version)
-			}
+			s.monitor.read(page.Rows, page.Version)
 			if s.relay != nil {
 				s.relay.recordFeed(page.Rows, version, !known)
 			}
@@ -104,9 +103,11 @@
 			known = false
 		case errors.Is(err, errFeedBehind):
 			c.log.Warn().Str("event", "feed_behind").Str("table", s.table).Int64("after", version).Int64("newest", s.monitor.newestChange()).Msg("")
-			// The connections may be as silent as the one of the poll.
-			c.store.CloseIdleConnections()
 			known = false
+		case errors.Is(err, errFeedUnwatched):
+			c.log.Info().Str("event", "feed_unwatched").Str("table", s.table).Int64("after", version).Msg("")
+		case errors.Is(err, errPollLost):
+			c.log.Warn().Str("event", "feed_lost").Str("table", s.table).Int64("after", version).Msg("")
 		case ctx.Err() != nil:
 			return
 		default:
@@ -115,32 +116,61 @@
 				s.relay.markFeedFailed()
 			}
 			c.log.Warn().Str("event", "store_call_failed").Str("table", s.table).Err(err).Msg("")
-			// Jitter keeps the VMs from calling together when the store is back.
-			wait.For(ctx, time.Duration((0.75+0.5*rand.Float64())*float64(retryDelay)))
+			c.awaitRetry(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxStoreRetryDelay)
 		}
 	}
 }
 
+// awaitRetry waits after a failed call of the store, longer while the granter does not reach the
+// store either. Jitter keeps the VMs from calling together when the store is back.
+func (c *control) awaitRetry(ctx context.Context, delay time.Duration) {
+	vms := time.Duration(c.view().vms)
+	shortest := time.Duration((0.75 + 0.5*rand.Float64()) * float64(delay))
+	longest := min(vms*outageDelayPerVM, maxOutageDelay)
+	if !wait.For(ctx, shortest) || !c.movesPaused.Load() {
+		return
+	}
+	for waited := shortest; waited < longest && c.movesPaused.Load(); waited += outageCheckInterval {
+		wait.For(ctx, outageCheckInterval)
+	}
+	wait.For(ctx, time.Duration(rand.Int64N(int64(vms*returnJitterPerVM)+1)))
+}
+
+// errPollLost means that a poll got no response after its wait. The call after it shows whether
+// the store answers.
+var errPollLost = errors.New("the store has not answered a poll after its wait: call it again")
+
 // readChanges reads all rows, or waits for those that changed after a version.
-func (c *control) readChanges(ctx context.Context, s source, version int64, known bool, timeout time.Duration) (*fleet.Page, error) {
+func (c *control) readChanges(ctx context.Context, s source, version int64, known bool) (*fleet.Page, error) {
 	if !known {
-		return c.readAll(ctx, s.table)
+		page, err := c.readAll(ctx, s.table)
+		if err != nil {
+			s.monitor.lost()
+		}
+		return page, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+callTimeout)
-	defer cancel()
-	if s.monitor != nil {
-		pollCtx, done := s.monitor.longPoll(ctx)
-		defer done()
-		ctx = pollCtx
+	pollCtx, waits, done := s.monitor.poll(ctx, c.watching.Load(), c.view().vms)
+	defer done()
+	page, err := c.store.WaitForChanges(pollCtx, s.table, version, waits)
+	c.observeEra(page)
+	c.storeCallEnded("feed", err)
+	if err == nil || errors.Is(err, fleet.ErrCompacted) {
+		return page, err
 	}
-	page, err := c.store.WaitForChanges(ctx, s.table, version, timeout)
-	if err != nil && errors.Is(context.Cause(ctx), errFeedBehind) {
-		err = errFeedBehind
+	cause := context.Cause(pollCtx)
+	switch {
+	case errors.Is(cause, errFeedUnwatched):
+		return nil, cause
+	case errors.Is(cause, errFeedBehind):
+		// The connections may be as silent as the one of the poll.
+		c.store.CloseIdleConnections()
+		return nil, cause
+	case errors.Is(cause, context.DeadlineExceeded) && waits > 0:
+		err = errPollLost
 	}
-	c.observeEra(page)
-	c.metrics.recordStoreCall("feed", err)
-	return page, err
+	s.monitor.lost()
+	return nil, err
 }
 
 func (c *control) readAll(ctx context.Context, table string) (*fleet.Page, error) {
@@ -152,6 +182,15 @@
 		c.observeEra(page)
 		c.submitClock(sent, bootTime(), page)
 	}
-	c.metrics.recordStoreCall("read", err)
+	c.storeCallEnded("read", err)
 	return page, err
 }
+
+// storeCallEnded counts a call of the store. After one without a response the next call gets a
+// new connection: the idle ones may be silent too.
+func (c *control) storeCallEnded(call string, err error) {
+	c.metrics.recordStoreCall(call, err)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.store.CloseIdleConnections()
+	}
+}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -143,11 +143,11 @@
 	go g.control.reach.run(ctx)
 	go g.control.followTable(ctx, source{
 		table: fleet.TableOperator, interval: func() time.Duration { return feedInterval }, apply: g.control.submitOperatorRows,
-		monitor: &g.control.operatorFeed,
+		monitor: g.control.operatorFeed,
 	})
 	go g.control.followTable(ctx, source{
 		table: fleet.TableUpstreams, interval: g.upstreamFeedInterval, apply: g.control.submitUpstreamRows, relay: g.links.relay,
-		monitor: &g.control.upstreamFeed,
+		monitor: g.control.upstreamFeed,
 	})
 	go g.enforceCallerLimits(ctx)
 	go func() {
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -238,6 +238,6 @@
 	defer cancel()
 	page, err := c.store.Commit(ctx, tx)
 	c.observeEra(page)
-	c.metrics.recordStoreCall("commit", err)
+	c.storeCallEnded("commit", err)
 	return page, err
 }
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -88,6 +88,11 @@
 	OperatorChange int64 `cbor:"13,keyasint,omitempty"`
 	// Reaching holds the addresses of VMs that reach the upstreams, for an isolated VM.
 	Reaching []string `cbor:"16,keyasint,omitempty"`
+	// OperatorAgeMs and RowsAgeMs say how old the granter's knowledge of the operators' rows and
+	// of the registrations is, in milliseconds and at least 1: it has all changes that the store
+	// had accepted before that. 0 if it does not know, as with granters of earlier versions.
+	OperatorAgeMs int64 `cbor:"19,keyasint,omitempty"`
+	RowsAgeMs     int64 `cbor:"20,keyasint,omitempty"`
 	// Isolated means that no upstream can be reached from the granter: it asks whether the
 	// receiver reaches any.
 	Isolated bool `cbor:"17,keyasint,omitempty"`
@@ -140,6 +145,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.granter = g
+	l.elector.control.setWatching(g != nil)
 }
 
 // redirect sets the headers that tell a VM which process responds, and which granter that
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -186,6 +186,7 @@
 	lease := g.lease
 	rank := g.rankOf(m.vm)
 	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange}
+	u.OperatorAgeMs, u.RowsAgeMs = g.control.operatorFeed.ageMs(), g.control.upstreamFeed.ageMs()
 	if m.crashes.due(n.crashes, now) {
 		u.Crashes = n.crashes
 	}
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"dandelionhill.dev/core/freshness"
 	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/platform/fleet"
 )
@@ -12,13 +13,15 @@
 	// maxRelayRows bounds the rows that a granter keeps for the other VMs.
 	maxRelayRows = 1000
 	// relayTimeout is how long after its last message a VM relies on the granter for
-	// registrations.
+	// registrations, and maxRelayAge how long after the store has last answered the granter.
 	relayTimeout = linkTimeout
 	// relayCheckInterval is the interval between checks whether the granter still relays
 	// registrations.
 	relayCheckInterval = 100 * time.Millisecond
 )
 
+var maxRelayAge = freshness.DefaultConfig().MaxAge
+
 // relayedRegistration is a registration with the time of bootTime at which it was read.
 type relayedRegistration struct {
 	routing.Upstream
@@ -38,9 +41,8 @@
 	relayed map[string]relayedRegistration
 	// feedFailed means that the feed of this VM fails.
 	feedFailed bool
-	// lastRelayedAt is when the granter last reported the version up to which it has
-	// relayed.
-	lastRelayedAt time.Time
+	// activeUntil is until when this VM relies on the granter for registrations, on bootTime.
+	activeUntil time.Duration
 }
 
 // recordFeed records a response of this VM's own feed: all rows up to a version if full,
@@ -113,23 +115,26 @@
 	return rows, version, r.to
 }
 
-// apply applies what the granter relays. It returns the rows that are new to this VM.
-func (r *relay) apply(u update) []fleet.Row {
+// apply applies what the granter relays. It returns the rows that are new to this VM, and
+// whether this VM has all registrations up to u.RowsTo now.
+func (r *relay) apply(u update) (rows []fleet.Row, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if u.RowsTo == 0 || r.to == 0 || u.RowsFrom > r.to {
 		// Changes in between may be missing: this VM continues its own feed.
-		return nil
+		return nil, false
 	}
-	var rows []fleet.Row
 	for _, row := range u.Rows {
 		if row.Version > r.to {
 			rows = append(rows, row)
 		}
 	}
-	r.to, r.lastRelayedAt = max(r.to, u.RowsTo), time.Now()
+	r.to = max(r.to, u.RowsTo)
 	r.rows, r.from, r.relayed = nil, r.to, nil
-	return rows
+	if u.RowsAgeMs > 0 {
+		r.activeUntil = bootTime() + min(relayTimeout, maxRelayAge-time.Duration(u.RowsAgeMs)*time.Millisecond)
+	}
+	return rows, true
 }
 
 // version returns the version up to which this VM has all registrations, 0 if it has
@@ -145,5 +150,5 @@
 func (r *relay) active() (version int64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.to, r.to != 0 && time.Since(r.lastRelayedAt) < relayTimeout
+	return r.to, r.to != 0 && bootTime() < r.activeUntil
 }
--- a/server/gateway/restored_test.go
+++ b/server/gateway/restored_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/core/freshness"
 	"dandelionhill.dev/core/ownership"
 	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
@@ -103,13 +104,14 @@
 		store := &lostFeedStore{}
 		store.version.Store(5)
 		c := newControl(fleet.NewStore("store", &http.Client{Transport: store}), NewMetrics(), zerolog.Nop())
+		c.upstreamFeed.clock = bubbleClock()
 		go c.followTable(t.Context(), source{
 			table: fleet.TableUpstreams, interval: func() time.Duration { return feedInterval },
-			apply: func(*fleet.Page, bool) {}, monitor: &c.upstreamFeed,
+			apply: func(*fleet.Page, bool) {}, monitor: c.upstreamFeed,
 		})
 		time.Sleep(time.Second)
 		c.observeEra(&fleet.Page{Era: 1})
-		time.Sleep(maxFeedLag + feedInterval)
+		time.Sleep(freshness.DefaultConfig().MaxLag + feedInterval)
 		require.EqualValues(t, 2, store.reads.Load())
 	})
 }
