server/gateway: the age of what a VM knows of a table, in log, metrics and status

In the incident no VM's log, metrics or status showed for 21 s that it lacked a change: `store_lost` came at the limit of the lost poll, and a VM whose polls are lost looks like one in which nothing changes.

--- a/ctl/cmd/dandelionctl/gateway.go
+++ b/ctl/cmd/dandelionctl/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -124,10 +125,10 @@
 		t.printf("%s: %s, fencing token %d, keys %d to %d\n", owner, r.Owner.Owner.UpstreamID, r.Owner.Fence, r.Owner.Span.First, r.Owner.Span.Last)
 	}
 	w := tabwriter.NewWriter(t.out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "VM\tDOMAIN\tSTATE\tCONFIG\tSINCE\tGRANTER\tTERM\tSTORE\tUPSTREAMS\tOUT\tREFUSED")
+	fmt.Fprintln(w, "VM\tDOMAIN\tSTATE\tCONFIG\tSINCE\tGRANTER\tTERM\tSTORE\tAGE\tUPSTREAMS\tOUT\tREFUSED")
 	for _, v := range r.VMs {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n", v.VM, v.FailureDomain, stateOf(v), v.ConfigurationVersion,
-			v.ConfigurationSince.UTC().Format(time.RFC3339), orNone(v.Granter), v.Term, storeOf(v), upstreamsOf(v), join(v.DomainsOut), refusedOf(v))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", v.VM, v.FailureDomain, stateOf(v), v.ConfigurationVersion,
+			v.ConfigurationSince.UTC().Format(time.RFC3339), orNone(v.Granter), v.Term, storeOf(v), ageOf(v), upstreamsOf(v), join(v.DomainsOut), refusedOf(v))
 	}
 	for address, reason := range r.Unreachable {
 		fmt.Fprintf(w, "%s\tno answer: %s\n", address, reason)
@@ -153,6 +154,14 @@
 	return "reached"
 }
 
+// ageOf returns the age of the oldest table.
+func ageOf(v *gateway.Status) string {
+	if len(v.TableAgesMs) == 0 {
+		return "unknown"
+	}
+	return fmt.Sprintf("%d ms", slices.Max(slices.Collect(maps.Values(v.TableAgesMs))))
+}
+
 func upstreamsOf(v *gateway.Status) string {
 	if v.Isolated {
 		return "none reached"
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -87,6 +87,9 @@
 		operatorFeed: newFeedMonitor(), upstreamFeed: newFeedMonitor(),
 	}
 	c.reach = newReach(c.view, m, log)
+	for table, feed := range c.feeds() {
+		m.exportTableAge(table, feed.age)
+	}
 	c.current.Store(&view{rank: -1, vms: initialVMs, rankUntil: &c.rankUntil, superseded: make(chan struct{})})
 	return c
 }
@@ -127,6 +130,7 @@
 			for _, u := range s.upstreams {
 				u.pool.CloseExpired(now)
 			}
+			c.logStaleTables()
 		case <-ctx.Done():
 			return
 		}
@@ -137,6 +141,20 @@
 	}
 }
 
+// logStaleTables logs when what this VM knows of a table becomes stale or current.
+func (c *control) logStaleTables() {
+	for table, feed := range c.feeds() {
+		if age, stale, changed := feed.becameStale(); changed {
+			c.log.Warn().Str("event", "table_stale").Str("table", table).Bool("stale", stale).Dur("age_ms", age).Int64("newest", feed.newestChange()).Msg("")
+		}
+	}
+}
+
+// feeds returns the monitors of the tables that every VM follows.
+func (c *control) feeds() map[string]*feedMonitor {
+	return map[string]*feedMonitor{fleet.TableOperator: c.operatorFeed, fleet.TableUpstreams: c.upstreamFeed}
+}
+
 func (c *control) expireRemovals(s *state) {
 	now := time.Now()
 	c.expireHeld(s, now)
--- a/server/gateway/feedmonitor.go
+++ b/server/gateway/feedmonitor.go
@@ -29,8 +29,13 @@
 	// interrupt ends the poll in flight, nil if there is none.
 	interrupt context.CancelCauseFunc
 	checkAt   time.Duration // of the next check, 0 if none is scheduled
+	stale     bool          // as last logged
 }
 
+// staleAge is the age of a table that is logged: it is known within two seconds of a change
+// while the store answers.
+const staleAge = 3 * time.Second
+
 func newFeedMonitor() *feedMonitor {
 	return &feedMonitor{clock: bootTime, table: freshness.NewTable(freshness.DefaultConfig())}
 }
@@ -121,6 +126,18 @@
 	return m.table.Age(m.clock())
 }
 
+// becameStale reports whether the table is stale now, and whether that has changed since the
+// last call. A table that was never read is not stale.
+func (m *feedMonitor) becameStale() (age time.Duration, stale, changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	age, known := m.table.Age(m.clock())
+	stale = known && age > staleAge
+	changed = stale != m.stale
+	m.stale = stale
+	return age, stale, changed
+}
+
 // ageMs returns the age for a message to another VM, at least 1, or 0 if it is not known.
 func (m *feedMonitor) ageMs() int64 {
 	age, ok := m.age()
--- a/server/gateway/feedmonitor_test.go
+++ b/server/gateway/feedmonitor_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -88,3 +89,39 @@
 	d.configure(8, "keyed")
 	d.eventually(func() bool { return b.control.view().config.Version == 8 }, "vm-b learns of the change from vm-a")
 }
+
+// TestStaleTableShows guards against a VM that lags behind the store without a sign of it in its
+// log and metrics.
+func TestStaleTableShows(t *testing.T) {
+	now := 100 * time.Second
+	var log bytes.Buffer
+	m := NewMetrics()
+	c := newControl(fleet.NewStore("", newStoreClient()), m, zerolog.New(&log))
+	for _, feed := range c.feeds() {
+		feed.clock = func() time.Duration { return now }
+	}
+	age := func() string {
+		response := httptest.NewRecorder()
+		m.handler().ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		for line := range strings.Lines(response.Body.String()) {
+			if value, ok := strings.CutPrefix(line, `dandelionhill_table_age_seconds{table="op"} `); ok {
+				return strings.TrimSpace(value)
+			}
+		}
+		return ""
+	}
+	c.logStaleTables()
+	require.Empty(t, log.String(), "nothing has been read")
+	require.Equal(t, "NaN", age())
+	c.operatorFeed.read(nil, 5)
+	now += staleAge + time.Second
+	c.logStaleTables()
+	require.Contains(t, log.String(), `"event":"table_stale","table":"op","stale":true`)
+	require.Equal(t, "4", age())
+	log.Reset()
+	c.logStaleTables()
+	require.Empty(t, log.String(), "nothing has changed")
+	c.operatorFeed.vouched(1, 5)
+	c.logStaleTables()
+	require.Contains(t, log.String(), `"stale":false`)
+}
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -92,6 +93,20 @@
 	return m
 }
 
+// exportTableAge exports the age of what this VM knows of a table: it lacks no change that the
+// store had accepted before that.
+func (m *Metrics) exportTableAge(table string, age func() (time.Duration, bool)) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "table_age_seconds", ConstLabels: prometheus.Labels{"table": table},
+		Help: "Age of what this VM knows of a table of the store, NaN before it has read the table.",
+	}, func() float64 {
+		if age, ok := age(); ok {
+			return age.Seconds()
+		}
+		return math.NaN()
+	}))
+}
+
 func (m *Metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/server/gateway/status.go
+++ b/server/gateway/status.go
@@ -32,6 +32,9 @@
 	ConfigurationSince   time.Time `json:"since"`
 	// StoreUnavailable means that the store does not answer this VM.
 	StoreUnavailable bool `json:"store_lost"`
+	// TableAgesMs holds the age of what this VM knows of each table of the store that it has
+	// read, in milliseconds. VMs of earlier versions do not state it.
+	TableAgesMs map[string]int64 `json:"table_ages_ms,omitempty"`
 	// Isolated means that no upstream can be reached from this VM.
 	Isolated bool `json:"isolated"`
 	// Granter is the VM that this one follows, or itself; it is empty if it follows none.
@@ -64,10 +67,16 @@
 	s := Status{
 		VM: g.settings.VM, FailureDomain: g.settings.FailureDomain, Incarnation: g.links.incarnation,
 		Stopping: g.draining.Load(), StoreUnavailable: v.storeUnavailable, Rank: v.rank, VMs: v.vms, ConfigurationSince: v.configSince,
-		DomainsOut: []api.FailureDomain{}, Upstreams: make(map[api.ServiceName]UpstreamCounts), Peers: []string{},
+		TableAgesMs: make(map[string]int64),
+		DomainsOut:  []api.FailureDomain{}, Upstreams: make(map[api.ServiceName]UpstreamCounts), Peers: []string{},
 	}
 	s.Ready = v.config != nil && !s.Stopping
 	s.Isolated, _ = g.control.reach.isolated()
+	for table, feed := range g.control.feeds() {
+		if age, ok := feed.age(); ok {
+			s.TableAgesMs[table] = age.Milliseconds()
+		}
+	}
 	if v.config != nil {
 		s.ConfigurationVersion = v.config.Version
 	}
--- a/server/gateway/status_test.go
+++ b/server/gateway/status_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/platform/fleet"
 )
 
 // TestStatus guards against a status that differs from the state of the VMs, and against
@@ -38,6 +40,8 @@
 		require.Equal(t, int64(1), status.ConfigurationVersion)
 		require.Equal(t, stored.Granter, status.Granter)
 		require.Equal(t, UpstreamCounts{Known: 1, Usable: 1}, status.Upstreams["keyed"])
+		require.Contains(t, status.TableAgesMs, fleet.TableOperator)
+		require.Contains(t, status.TableAgesMs, fleet.TableUpstreams)
 	}
 	status, err := ReadStatus(context.Background(), b.settings.Listen.Peers)
 	require.NoError(t, err)
