--- a/core/routing/upstream.go
+++ b/core/routing/upstream.go
@@ -1,8 +1,12 @@
 package routing
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"dandelionhill.dev/api"
 )
 
@@ -23,6 +27,34 @@
 	ColdRemainingMs int64
 }
 
+const (
+	// maxSlots is far above what one process runs at a time: an upstream with more would get
+	// all keys of its service.
+	maxSlots = 1 << 16
+	// maxColdTime is far above the time for which a process is cold after its start.
+	maxColdTime = 24 * time.Hour
+)
+
+// Check reports why a registration names no upstream that can be used, nil if it does.
+func (u Upstream) Check() error {
+	colon := strings.LastIndexByte(u.Address, ':')
+	if colon <= 0 {
+		return errors.Errorf("register IP:port as the address, not %q", u.Address)
+	}
+	port, err := strconv.ParseUint(u.Address[colon+1:], 10, 16)
+	switch {
+	case err != nil || port == 0:
+		return errors.Errorf("the port of the address %q is not between 1 and 65535", u.Address)
+	case u.Service == "":
+		return errors.New("the registration names no service")
+	case u.Slots <= 0 || u.Slots > maxSlots:
+		return errors.Errorf("the number of slots, %d, is not between 1 and %d", u.Slots, maxSlots)
+	case u.ColdRemainingMs < 0 || u.ColdRemainingMs > maxColdTime.Milliseconds():
+		return errors.Errorf("the remaining cold time, %d ms, is not between 0 and %v", u.ColdRemainingMs, maxColdTime)
+	}
+	return nil
+}
+
 // coldTolerance bounds the difference from the expected remaining cold time within which a
 // registration says nothing new.
 const coldTolerance = 250 * time.Millisecond
--- a/server/gateway/registration_test.go
+++ b/server/gateway/registration_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -41,3 +43,29 @@
 	c.submitUpstreamRows(&fleet.Page{Version: 35}, true)
 	require.False(t, usable(), "it is missing now")
 }
+
+// TestOddEntryLeavesOthersInUse guards against VMs that end, or stop following the registrations,
+// because another writer has left an odd entry among them: deeply nested, with a number too
+// large, or with a port out of range.
+func TestOddEntryLeavesOthersInUse(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("k1", "keyed")
+	g := d.startVM("vm-a")
+	d.requireServed(g, keyedPath, 1)
+	entry := func(address, slots, cold string) []byte {
+		return fmt.Appendf(nil, `{"Address":%q,"born":17,"Info":{"Service":"keyed","Zone":"zone-a","MaxConcurrency":%s},"Status":{"State":"ready","ColdLeftS":%s}}`, address, slots, cold)
+	}
+	for key, value := range map[string][]byte{
+		"nested": []byte(strings.Repeat(`{"Info":`, 6000)), "slots": entry("127.0.0.1:9", "9223372036854775807", "0"),
+		"cold": entry("127.0.0.1:9", "4", "1e300"), "port": entry("127.0.0.1:99999", "4", "0"), "number": entry("127.0.0.1:9", "1e400", "0"),
+		"k1-\r\nconfig": {0xff},
+	} {
+		d.store.Put("servers", key, value)
+	}
+	d.addUpstream("k2", "keyed")
+	d.eventually(func() bool { return g.control.view().upstreams["k2"] != nil }, "the VM follows the registrations")
+	require.Len(t, g.control.view().services["keyed"], 2, "odd entries name no upstream")
+	for key := 0; key < fleet.KeyCount; key += 4000 {
+		d.requireServed(g, keyedPath, key)
+	}
+}
