server/upstreamconn: orders are reset when they are given up

Trace: edge-tata-d-1 sends a renewal of keys 11312 to 11535, fence 1048577, at 7.571 s into the cut (4 to 10 s), on a pooled connection that had been quiet since the cut began; until then two releases had taken both places for calls of that upstream. At 8.000 s the kernel gives the connection up (keep-alive), "connection timed out", 0.07 s before the limit of the call. The span is released on a new connection at 10.027 s and goes to another upstream with fence 1048616. At 10.587 s the former owner takes it again with fence 1048577.

Cause: bytes that a cut holds up are dropped only if their sender resets the connection. A call that reaches its own limit does; a connection that the kernel gives up, or closes for a killed process, does not. Class: an order that its sender has given up can still be carried out.

Change: grants and releases use no connection that has been quiet for 1.5 s, reset theirs at every end, also that of the process, and switch the kernel's detection off on connections of their own. In addition a granter does not send a grant under a lower fence than one that it has sent or read for any of the keys, and logs both (grant_stopped).

TestOrderOnQuietConnection and TestOrderEndsWithAReset do not compile before; without keepForOrder or the check of quietSince they fail.

--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -36,6 +36,7 @@
 
 	mu     sync.Mutex
 	queues map[ownership.Owner]*callQueue
+	fences map[api.ServiceName]*ownership.Fences
 }
 
 // callQueue holds the calls to one incarnation of an upstream.
@@ -48,7 +49,31 @@
 }
 
 func newCallQueues(g *granter) *callQueues {
-	return &callQueues{granter: g, log: g.log, queues: make(map[ownership.Owner]*callQueue)}
+	q := &callQueues{granter: g, log: g.log, queues: make(map[ownership.Owner]*callQueue), fences: make(map[api.ServiceName]*ownership.Fences)}
+	for service, entries := range g.initial.owners {
+		q.fences[service] = new(ownership.Fences)
+		for _, e := range entries {
+			q.fences[service].Granted(e.Span, e.Fence)
+		}
+	}
+	return q
+}
+
+// checkFence records the fence of a grant that is about to be sent. It reports false if one of
+// the keys was granted under a higher fence: another upstream may hold it.
+func (q *callQueues) checkFence(service api.ServiceName, a ownership.Action) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.fences[service] == nil {
+		q.fences[service] = new(ownership.Fences)
+	}
+	if highest := q.fences[service].Highest(a.Span); highest > a.Fence {
+		q.log.Error().Str("event", "grant_stopped").Str("service", string(service)).Str("upstream", string(a.Owner.UpstreamID)).
+			Int("first", a.Span.First).Int("last", a.Span.Last).Int64("fence", a.Fence).Int64("highest", highest).Msg("")
+		return false
+	}
+	q.fences[service].Granted(a.Span, a.Fence)
+	return true
 }
 
 // suspect reports whether calls have lately failed to reach an owner, or have shown that
@@ -99,6 +124,11 @@
 		q.complete(service, a, ownership.NotSent, "")
 		return
 	}
+	if a.Kind == ownership.Grant && !q.checkFence(service, a) {
+		q.granter.metrics.calls.WithLabelValues("grant", "stopped").Inc()
+		q.complete(service, a, ownership.Fenced, "")
+		return
+	}
 	result, handover := q.call(a, u)
 	now := bootTime()
 	q.mu.Lock()
@@ -145,6 +175,7 @@
 		// Responses to calls carry no ID. A late copy of one does no harm to the renewal of a
 		// lease: it is taken to run longer than it does.
 		OwnConn: a.Kind == ownership.Release || !a.Renewal,
+		Order:   true,
 		// Responses with a request ID belong to forwarded requests.
 		Matches: func(_ int, header http.Header) bool { return fleet.ParseResponseHeaders(0, header).RequestID == "" },
 	})
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -50,6 +50,10 @@
 	maxRoundTrip = 10 * time.Millisecond
 	// keepAlive is the idle time after which keep-alive probes start.
 	keepAlive = time.Second
+	// maxQuietTime is how long a connection may have been quiet before an order is sent on it.
+	// The kernel gives a connection up 2.5 s after the last sign of its peer at the earliest,
+	// and an order that shares a connection takes 0.5 s at most.
+	maxQuietTime = 1500 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged. It also decides when
 	// keep-alive probes without a reply end the connection, whatever their number.
 	userTimeout = 3 * time.Second
@@ -102,6 +106,10 @@
 	// OwnConn sends the request on a new connection, which is closed afterwards. A response
 	// that cannot be matched with its request may be a late copy of an earlier one.
 	OwnConn bool
+	// Order means that the request must not arrive after Do has returned. Bytes that a cut of
+	// the network holds up arrive when it heals, unless the sender resets the connection; it
+	// does not if the kernel gives the connection up, or closes it for a killed process.
+	Order bool
 	// Earlier holds the connections on which this request was sent before. They are not used
 	// again: a late copy of the earlier response would match. nil if it is sent once.
 	Earlier *Connections
@@ -181,6 +189,10 @@
 	bounded *boundedReader
 	reader  *bufio.Reader // of bounded
 	expires time.Time     // while idle
+	// quietSince is when the last response was read.
+	quietSince time.Time
+	// resets means that any end of the process or of the connection resets it.
+	resets bool
 }
 
 // boundedReader fails after a number of bytes.
@@ -235,14 +247,14 @@
 	p.idle = kept
 }
 
-// get returns an idle connection that is not one of the given, nil if there is none.
-func (p *Pool) get(except *Connections) *conn {
+// get returns an idle connection for a request, nil if there is none.
+func (p *Pool) get(req *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	for n := len(p.idle) - 1; n >= 0; n-- {
 		c := p.idle[n]
-		if except.contains(c) {
+		if req.Earlier.contains(c) || req.Order && now.Sub(c.quietSince) > maxQuietTime {
 			continue
 		}
 		p.idle = slices.Delete(p.idle, n, n+1)
@@ -261,10 +273,39 @@
 		c.Close()
 		return
 	}
-	c.expires = time.Now().Add(idle)
+	c.quietSince = time.Now()
+	c.expires = c.quietSince.Add(idle)
 	p.idle = append(p.idle, c)
 }
 
+// keepForOrder makes every end of the connection a reset. alone means that it carries nothing
+// else, so that the kernel need not detect a silent peer: Do ends the exchange.
+func (c *conn) keepForOrder(alone bool) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || c.resets {
+		return nil
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		return errors.Wrap(err, "make the connection reset when it ends")
+	}
+	c.resets = true
+	if !alone {
+		return nil
+	}
+	if err := tcp.SetKeepAlive(false); err != nil {
+		return errors.Wrap(err, "switch keep-alive probes off")
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "access the socket")
+	}
+	var setErr error
+	if err := raw.Control(func(fd uintptr) { setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 0) }); err != nil {
+		return errors.Wrap(err, "access the socket")
+	}
+	return errors.Wrap(setErr, "switch the user timeout off")
+}
+
 // abort closes the connection. After a failure it resets it, so that the kernel does not
 // continue to send a request that was given up.
 func (c *conn) abort(failure error) {
@@ -386,7 +427,7 @@
 	var c *conn
 	opened := false
 	if !req.OwnConn {
-		c = p.get(req.Earlier)
+		c = p.get(req)
 	}
 	var roundTrip time.Duration
 	if c == nil {
@@ -408,6 +449,12 @@
 		c.Close()
 		return nil, &Error{Err: err}
 	}
+	if req.Order {
+		if err := c.keepForOrder(req.OwnConn); err != nil {
+			c.Close()
+			return nil, &Error{Err: err}
+		}
+	}
 	req.Earlier.add(c)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	resp, idle, err := p.exchange(c, req)
--- a/server/upstreamconn/conn_test.go
+++ b/server/upstreamconn/conn_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // serve handles each connection with a function until the test ends. It returns a pool
@@ -167,3 +170,82 @@
 	require.ErrorIs(t, err, context.Canceled)
 	<-closed
 }
+
+// TestOrderOnQuietConnection guards against an order on a connection whose peer may be cut off:
+// if the kernel gives it up, the order still arrives when the cut ends.
+func TestOrderOnQuietConnection(t *testing.T) {
+	pool, accepted := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, responseText("a", "ok")); err != nil {
+				return
+			}
+		}
+	})
+	order := get("a")
+	order.Order = true
+	send := func(req *Request) {
+		_, err := pool.Do(context.Background(), req)
+		require.NoError(t, err)
+	}
+	send(get("a"))
+	send(order)
+	require.Equal(t, 1, accepted(), "the connection has just been used")
+	pool.idle[0].quietSince = time.Now().Add(-maxQuietTime - time.Millisecond)
+	send(order)
+	require.Equal(t, 2, accepted())
+	send(get("a"))
+	require.Equal(t, 2, accepted(), "other requests use quiet connections")
+}
+
+// TestOrderEndsWithAReset guards against an order that arrives after it was given up: bytes that
+// are held up in the network are dropped only if the sender resets the connection, also when its
+// process is killed.
+func TestOrderEndsWithAReset(t *testing.T) {
+	option := func(conn net.Conn, level, name int) (value int) {
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		require.NoError(t, err)
+		require.NoError(t, raw.Control(func(fd uintptr) {
+			value, err = unix.GetsockoptInt(int(fd), level, name)
+		}))
+		require.NoError(t, err)
+		return value
+	}
+	for _, own := range []bool{false, true} {
+		received, ended := make(chan struct{}), make(chan error, 1)
+		pool, _ := serve(t, func(_ net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				close(received)
+				_, err := r.ReadByte()
+				ended <- err
+			}
+		})
+		dialled := make(chan net.Conn, 1)
+		pool.network.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := Dial(ctx, network, address)
+			dialled <- conn
+			return conn, err
+		}
+		order := get("a")
+		order.Order, order.OwnConn = true, own
+		ctx, cancel := context.WithCancel(context.Background())
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			_, err := pool.Do(ctx, order)
+			assert.Error(t, err)
+		}()
+		<-received
+		conn := <-dialled
+		require.Equal(t, 1, option(conn, unix.SOL_SOCKET, unix.SO_LINGER), "a killed process resets its connections")
+		if own {
+			require.Zero(t, option(conn, unix.SOL_SOCKET, unix.SO_KEEPALIVE), "the kernel does not give up the connection")
+			require.Zero(t, option(conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT), "the kernel does not give up the connection")
+		}
+		cancel()
+		<-sent
+		require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+	}
+}
