--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"syscall"
@@ -33,6 +34,7 @@
 	seedCount    int
 	replayFailed bool
 	gateway      string
+	production   string
 	dir          string
 	options      soak.Options
 }
@@ -40,7 +42,7 @@
 func (*runCommand) Name() string     { return "run" }
 func (*runCommand) Synopsis() string { return "run seeds" }
 func (*runCommand) Usage() string {
-	return "soak run -gateway target/dandelionhilld [-from 1] [-seeds 1 | -failed] [-length 20s]\n"
+	return "soak run -gateway target/dandelionhilld [-from 1] [-seeds 1 | -failed] [-length 20s] [-production COMMIT]\n"
 }
 
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
@@ -48,6 +50,7 @@
 	f.IntVar(&c.seedCount, "seeds", 1, "number of seeds")
 	f.BoolVar(&c.replayFailed, "failed", false, "run the seeds that have failed before instead")
 	f.StringVar(&c.gateway, "gateway", "bin/dandelionhilld", "the daemon")
+	f.StringVar(&c.production, "production", "", "commit of this repository whose daemon all VMs run at first; they are upgraded during the run")
 	f.StringVar(&c.dir, "dir", "", "directory for settings and logs; a temporary directory if empty")
 	f.IntVar(&c.options.VMs, "vms", 4, "VMs")
 	f.IntVar(&c.options.KeyedUpstreams, "keyed", 6, "upstreams of the keyed service")
@@ -77,6 +80,11 @@
 			return errors.Wrap(err, "make a directory for logs")
 		}
 	}
+	if c.production != "" {
+		if c.options.ProductionBinary, err = buildCommit(ctx, c.production, c.dir); err != nil {
+			return err
+		}
+	}
 	failedSeeds, seeds := 0, make([]uint64, 0, c.seedCount)
 	for i := range c.seedCount {
 		seeds = append(seeds, c.firstSeed+uint64(i))
@@ -114,6 +122,26 @@
 	return nil
 }
 
+// buildCommit builds the daemon of a commit in a work tree of its own, and returns its path.
+func buildCommit(ctx context.Context, commit, dir string) (binary string, err error) {
+	tree := filepath.Join(dir, "tree-"+commit)
+	binary = filepath.Join(dir, "dandelionhilld-"+commit)
+	run := func(dir, name string, args ...string) error {
+		cmd := exec.CommandContext(ctx, name, args...)
+		cmd.Dir, cmd.Stderr = dir, os.Stderr
+		return errors.Wrapf(cmd.Run(), "build the daemon of commit %q: %s", commit, name)
+	}
+	if err := run("", "git", "worktree", "add", "--detach", tree, commit); err != nil {
+		return "", err
+	}
+	defer func() {
+		if removed := run("", "git", "worktree", "remove", "--force", tree); err == nil {
+			err = removed
+		}
+	}()
+	return binary, run(tree, "go", "build", "-o", binary, "./server/cmd/dandelionhilld")
+}
+
 type upstreamCommand struct {
 	options soak.UpstreamOptions
 }
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -87,6 +87,9 @@
 	if d.Restores {
 		actions = append(actions, d.planRestores(rand.New(rand.NewPCG(d.Seed, 1)), duration)...)
 	}
+	if d.ProductionBinary != "" {
+		actions = append(actions, d.planUpgrade(rand.New(rand.NewPCG(d.Seed, 2)), duration)...)
+	}
 	sort.SliceStable(actions, func(i, j int) bool { return actions[i].At < actions[j].At })
 	return actions
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -44,6 +45,9 @@
 	// GatewayBinary is the path of the daemon, SoakBinary that of the program that runs
 	// upstreams.
 	GatewayBinary, SoakBinary string
+	// ProductionBinary, unless it is empty, is the build of the daemon that all VMs run at
+	// first. They are replaced by GatewayBinary during the run.
+	ProductionBinary string
 	// Dir is the directory for settings and logs.
 	Dir string
 }
@@ -86,7 +90,8 @@
 // vm is one VM with the proxies to it and to its store.
 type vm struct {
 	*process
-	callerAddr string // where it listens for callers
+	binary     atomic.Pointer[string] // the daemon of the next start
+	callerAddr string                 // where it listens for callers
 	storeProxy *proxy
 	peerProxy  *proxy
 }
@@ -279,8 +284,10 @@
 					panic(errors.Wrap(err, "write a log"))
 				}
 			},
-			newCommand: func() *exec.Cmd { return exec.Command(d.GatewayBinary, "gateway", "-settings", path) },
+			newCommand: func() *exec.Cmd { return exec.Command(*v.binary.Load(), "gateway", "-settings", path) },
 		}
+		binary := cmp.Or(d.ProductionBinary, d.GatewayBinary)
+		v.binary.Store(&binary)
 		d.vms = append(d.vms, v)
 	}
 	return nil
