server/gateway: releases do not take the places of renewals

Found in the trace of the held-up order: two releases to an upstream, which wait for its running requests, took both places for calls to it until their limit of 4 s. Renewals of its other keys waited that long, and a lease lasts 2 s: callers of these keys were refused.

Change: grants and releases have two places each. TestReleasesDoNotHoldUpRenewals does not compile before; with a common limit the renewal waits for a release.

--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -19,7 +19,7 @@
 	grantTimeout = 500 * time.Millisecond
 	// releaseTimeout bounds a release call, which waits for running requests.
 	releaseTimeout = 4 * time.Second
-	// maxConcurrentCalls bounds the concurrent calls to one upstream.
+	// maxConcurrentCalls bounds the concurrent calls of one kind to one upstream.
 	maxConcurrentCalls = 2
 	// suspectAfter is how long calls may fail to reach an upstream before its keys move,
 	// suspectFor is how long it then gets no keys, as after the end of its process.
@@ -27,8 +27,8 @@
 	suspectFor   = 3 * time.Second
 )
 
-// callQueues sends grant and release calls to upstreams, at most maxConcurrentCalls at a
-// time to each, so that they share connections.
+// callQueues sends grant and release calls to upstreams, at most maxConcurrentCalls of each
+// kind at a time to each, so that they share connections.
 type callQueues struct {
 	granter *granter
 	ctx     context.Context
@@ -41,13 +41,20 @@
 
 // callQueue holds the calls to one incarnation of an upstream.
 type callQueue struct {
-	pending []func()
-	running int
+	// grants and releases have separate places: a release waits for running requests, longer
+	// than a lease can wait for its renewal.
+	grants, releases callLane
 	// unreachableSince is since when no call has reached the upstream, 0 if one has.
 	unreachableSince time.Duration
 	suspectUntil     time.Duration
 }
 
+// callLane holds the calls of one kind.
+type callLane struct {
+	pending []func()
+	running int
+}
+
 func newCallQueues(g *granter) *callQueues {
 	q := &callQueues{granter: g, log: g.log, queues: make(map[ownership.Owner]*callQueue), fences: make(map[api.ServiceName]*ownership.Fences)}
 	for service, entries := range g.initial.owners {
@@ -99,22 +106,26 @@
 		queue = &callQueue{}
 		q.queues[a.Owner] = queue
 	}
-	queue.pending = append(queue.pending, func() { q.run(service, a, u, queue) })
-	q.startQueued(queue)
+	lane := &queue.grants
+	if a.Kind == ownership.Release {
+		lane = &queue.releases
+	}
+	lane.pending = append(lane.pending, func() { q.run(service, a, u, queue) })
+	q.startQueued(lane)
 }
 
 // startQueued starts pending calls up to the limit; q.mu is held.
-func (q *callQueues) startQueued(queue *callQueue) {
-	for queue.running < maxConcurrentCalls && len(queue.pending) > 0 {
-		run := queue.pending[0]
-		queue.pending = queue.pending[1:]
-		queue.running++
+func (q *callQueues) startQueued(lane *callLane) {
+	for lane.running < maxConcurrentCalls && len(lane.pending) > 0 {
+		run := lane.pending[0]
+		lane.pending = lane.pending[1:]
+		lane.running++
 		go func() {
 			guard{q.granter.metrics, q.log}.run("call", run)
 			q.mu.Lock()
 			defer q.mu.Unlock()
-			queue.running--
-			q.startQueued(queue)
+			lane.running--
+			q.startQueued(lane)
 		}()
 	}
 }
--- a/server/gateway/fence_test.go
+++ b/server/gateway/fence_test.go
@@ -30,3 +30,32 @@
 	require.True(t, grant("keyed", 16, 23, 8))
 	require.True(t, grant("other", 16, 31, 1), "keys of another service")
 }
+
+// TestReleasesDoNotHoldUpRenewals guards against leases that run out because releases, which
+// wait for running requests, take all places for calls to their upstream.
+func TestReleasesDoNotHoldUpRenewals(t *testing.T) {
+	g := &granter{elector: &elector{log: zerolog.Nop(), metrics: NewMetrics()}, tasks: make(chan func(), 16), done: make(chan struct{})}
+	calls := newCallQueues(g)
+	running, unblock := make(chan struct{}), make(chan struct{})
+	queue := &callQueue{}
+	block := func() {
+		running <- struct{}{}
+		<-unblock
+	}
+	calls.mu.Lock()
+	queue.releases.pending = []func(){block, block, block}
+	calls.startQueued(&queue.releases)
+	calls.mu.Unlock()
+	for range maxConcurrentCalls {
+		<-running
+	}
+	renewed := make(chan struct{})
+	calls.mu.Lock()
+	queue.grants.pending = []func(){func() { close(renewed) }}
+	calls.startQueued(&queue.grants)
+	require.Len(t, queue.releases.pending, 1, "releases have their own limit")
+	calls.mu.Unlock()
+	<-renewed
+	close(unblock)
+	<-running
+}
