--- a/ctl/cmd/dandelionctl/gateway.go
+++ b/ctl/cmd/dandelionctl/gateway.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -125,9 +126,9 @@
 		t.printf("%s: %s, fencing token %d, keys %d to %d\n", owner, r.Owner.Owner.UpstreamID, r.Owner.Fence, r.Owner.Span.First, r.Owner.Span.Last)
 	}
 	w := tabwriter.NewWriter(t.out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "VM\tDOMAIN\tSTATE\tCONFIG\tSINCE\tGRANTER\tTERM\tSTORE\tAGE\tUPSTREAMS\tOUT\tREFUSED")
+	fmt.Fprintln(w, "VM\tVERSION\tDOMAIN\tSTATE\tCONFIG\tSINCE\tGRANTER\tTERM\tSTORE\tAGE\tUPSTREAMS\tOUT\tREFUSED")
 	for _, v := range r.VMs {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", v.VM, v.FailureDomain, stateOf(v), v.ConfigurationVersion,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", v.VM, cmp.Or(v.Version, "unknown"), v.FailureDomain, stateOf(v), v.ConfigurationVersion,
 			v.ConfigurationSince.UTC().Format(time.RFC3339), orNone(v.Granter), v.Term, storeOf(v), ageOf(v), upstreamsOf(v), join(v.DomainsOut), refusedOf(v))
 	}
 	for address, reason := range r.Unreachable {
--- a/ctl/cmd/dandelionctl/gateway_test.go
+++ b/ctl/cmd/dandelionctl/gateway_test.go
@@ -29,7 +29,7 @@
 	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		require.Equal(t, gateway.StatusPath, r.URL.Path)
 		require.NoError(t, json.NewEncoder(w).Encode(gateway.Status{
-			VM: "vm-a", FailureDomain: "gyor-a", Ready: true, ConfigurationVersion: 7, ConfigurationSince: time.Unix(0, 0), Granter: "vm-a", Term: 3,
+			VM: "vm-a", Version: "3812532aaaaa", FailureDomain: "gyor-a", Ready: true, ConfigurationVersion: 7, ConfigurationSince: time.Unix(0, 0), Granter: "vm-a", Term: 3,
 			TableAgesMs: map[string]int64{"op": 1200, "servers": 80}, DomainsOut: []api.FailureDomain{"papa-b"}, Refused: map[string]int{"no_owner": 2}, Peers: []string{unreachable},
 		}))
 	}))
@@ -53,7 +53,7 @@
 	at := server.Listener.Addr().String()
 	text, code := runTool("gateway", "--store", at, "--owner", "foglalas/7")
 	require.Zero(t, code, text)
-	for _, want := range []string{"lease: vm-a, term 3", "foglalas/7: u1, fencing token 42", "papa-b", "no_owner=2", "1200 ms", unreachable + "  no answer"} {
+	for _, want := range []string{"lease: vm-a, term 3", "foglalas/7: u1, fencing token 42", "papa-b", "no_owner=2", "1200 ms", "3812532aaaaa", unreachable + "  no answer"} {
 		require.Contains(t, text, want)
 	}
 	text, code = runTool("--json", "gateway", "--store", at, "--owner", "foglalas/100")
--- a/server/gateway/feedmonitor.go
+++ b/server/gateway/feedmonitor.go
@@ -97,7 +97,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if ageMs > 0 {
-		m.table.Vouched(m.clock(), time.Duration(ageMs)*time.Millisecond, newest)
+		m.table.Vouched(m.clock(), statedAge(ageMs), newest)
 	} else {
 		m.table.Reported(m.clock(), newest)
 	}
@@ -108,7 +108,7 @@
 func (m *feedMonitor) relayed(ageMs, known int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table.Relayed(m.clock(), time.Duration(ageMs)*time.Millisecond, known)
+	m.table.Relayed(m.clock(), statedAge(ageMs), known)
 }
 
 // unwatch ends the reliance on the granter, which this VM is from now on.
@@ -147,6 +147,12 @@
 	return age.Milliseconds() + 1
 }
 
+// statedAge returns an age that another VM states in milliseconds, bounded so that it can be
+// calculated with.
+func statedAge(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), time.Hour.Milliseconds())) * time.Millisecond
+}
+
 // scheduleCheck ends the poll in flight, or schedules the next check of it; m.mu is held.
 func (m *feedMonitor) scheduleCheck() {
 	if m.interrupt == nil {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -85,6 +85,7 @@
 			voter: election.NewVoter(election.DefaultConfig(), bootTime()),
 		},
 	}
+	m.exportVersion(buildVersion())
 	l.elector = g.elector
 	g.proxies = newProxies(s, limits, g.handler, &g.draining, l.knownPeers, m, log)
 	g.handler.proxies, g.elector.proxies = g.proxies, g.proxies
@@ -161,7 +162,7 @@
 		}
 		go g.serve(server, listeners[i])
 	}
-	g.log.Info().Str("event", "started").Str("incarnation", string(g.links.incarnation)).
+	g.log.Info().Str("event", "started").Str("incarnation", string(g.links.incarnation)).Str("version", buildVersion()).
 		Str("domain", string(g.settings.FailureDomain)).Str("callers", g.settings.Listen.Callers).Msg("")
 	return nil
 }
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -13,13 +13,15 @@
 	// maxRelayRows bounds the rows that a granter keeps for the other VMs.
 	maxRelayRows = 1000
 	// relayTimeout is how long after its last message a VM relies on the granter for
-	// registrations, and maxRelayAge how long after the store has last answered the granter.
+	// registrations.
 	relayTimeout = linkTimeout
 	// relayCheckInterval is the interval between checks whether the granter still relays
 	// registrations.
 	relayCheckInterval = 100 * time.Millisecond
 )
 
+// maxRelayAge is how long after the store has last answered the granter a VM relies on it for
+// registrations.
 var maxRelayAge = freshness.DefaultConfig().MaxAge
 
 // relayedRegistration is a registration with the time of bootTime at which it was read.
@@ -132,7 +134,7 @@
 	r.to = max(r.to, u.RowsTo)
 	r.rows, r.from, r.relayed = nil, r.to, nil
 	if u.RowsAgeMs > 0 {
-		r.activeUntil = bootTime() + min(relayTimeout, maxRelayAge-time.Duration(u.RowsAgeMs)*time.Millisecond)
+		r.activeUntil = bootTime() + min(relayTimeout, maxRelayAge-statedAge(u.RowsAgeMs))
 	}
 	return rows, true
 }
--- a/server/gateway/status.go
+++ b/server/gateway/status.go
@@ -23,6 +23,8 @@
 	VM            api.VMID          `json:"vm"`
 	FailureDomain api.FailureDomain `json:"failure_domain"`
 	Incarnation   api.Incarnation   `json:"incarnation"`
+	// Version is the commit from which the program was built; earlier programs do not state it.
+	Version string `json:"version,omitempty"`
 	// Ready means that the load balancer may send requests, Stopping that the VM is stopping.
 	Ready    bool `json:"ready"`
 	Stopping bool `json:"stopping"`
@@ -65,7 +67,7 @@
 func (g *Gateway) status() Status {
 	v := g.control.view()
 	s := Status{
-		VM: g.settings.VM, FailureDomain: g.settings.FailureDomain, Incarnation: g.links.incarnation,
+		VM: g.settings.VM, FailureDomain: g.settings.FailureDomain, Incarnation: g.links.incarnation, Version: buildVersion(),
 		Stopping: g.draining.Load(), StoreUnavailable: v.storeUnavailable, Rank: v.rank, VMs: v.vms, ConfigurationSince: v.configSince,
 		TableAgesMs: make(map[string]int64),
 		DomainsOut:  []api.FailureDomain{}, Upstreams: make(map[api.ServiceName]UpstreamCounts), Peers: []string{},
--- a/server/gateway/status_test.go
+++ b/server/gateway/status_test.go
@@ -40,6 +40,7 @@
 		require.Equal(t, int64(1), status.ConfigurationVersion)
 		require.Equal(t, stored.Granter, status.Granter)
 		require.Equal(t, UpstreamCounts{Known: 1, Usable: 1}, status.Upstreams["keyed"])
+		require.NotEmpty(t, status.Version)
 		require.Contains(t, status.TableAgesMs, fleet.TableOperator)
 		require.Contains(t, status.TableAgesMs, fleet.TableUpstreams)
 	}
