--- a/server/gateway/feedmonitor_test.go
+++ b/server/gateway/feedmonitor_test.go
@@ -45,29 +45,37 @@
 	return func() time.Duration { return time.Since(start) }
 }
 
+// followLostFeed lets a VM follow a table in a store that answers no long poll, from version 5.
+// It returns the store, the VM's state and the monitor of the table.
+func followLostFeed(t *testing.T, table string) (*lostFeedStore, *control, *feedMonitor) {
+	store := &lostFeedStore{}
+	store.version.Store(5)
+	c := newControl(fleet.NewStore("store", &http.Client{Transport: store}), NewMetrics(), zerolog.Nop())
+	monitor := c.feeds()[table]
+	monitor.clock = bubbleClock()
+	go c.followTable(t.Context(), source{
+		table: table, interval: func() time.Duration { return feedInterval },
+		apply: func(*fleet.Page, bool) {}, monitor: monitor,
+	})
+	return store, c, monitor
+}
+
 // TestLongPollWithoutResponse guards against a VM that keeps an older configuration because
 // the response to its long poll was lost: it reads the table again once another VM reports a
 // newer row, and only then.
 func TestLongPollWithoutResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &lostFeedStore{}
-		store.version.Store(5)
-		c := newControl(fleet.NewStore("store", &http.Client{Transport: store}), NewMetrics(), zerolog.Nop())
-		c.operatorFeed.clock = bubbleClock()
-		go c.followTable(t.Context(), source{
-			table: fleet.TableOperator, interval: func() time.Duration { return feedInterval },
-			apply: func(*fleet.Page, bool) {}, monitor: c.operatorFeed,
-		})
+		store, _, monitor := followLostFeed(t, fleet.TableOperator)
 		time.Sleep(time.Second)
 		require.EqualValues(t, 1, store.reads.Load())
-		c.operatorFeed.reported(5)
+		monitor.reported(5)
 		time.Sleep(time.Second)
 		require.EqualValues(t, 1, store.reads.Load(), "no other VM knows more")
 		store.version.Store(9)
-		c.operatorFeed.reported(9)
+		monitor.reported(9)
 		time.Sleep(freshness.DefaultConfig().MaxLag + feedInterval)
 		require.EqualValues(t, 2, store.reads.Load())
-		require.Equal(t, int64(9), c.operatorFeed.newestChange())
+		require.Equal(t, int64(9), monitor.newestChange())
 		time.Sleep(time.Second)
 		require.EqualValues(t, 2, store.reads.Load(), "the VM has caught up")
 	})
--- a/server/gateway/restored_test.go
+++ b/server/gateway/restored_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -101,14 +100,7 @@
 // restored and waits for a change, while another call has shown the restore.
 func TestLongPollAcrossRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &lostFeedStore{}
-		store.version.Store(5)
-		c := newControl(fleet.NewStore("store", &http.Client{Transport: store}), NewMetrics(), zerolog.Nop())
-		c.upstreamFeed.clock = bubbleClock()
-		go c.followTable(t.Context(), source{
-			table: fleet.TableUpstreams, interval: func() time.Duration { return feedInterval },
-			apply: func(*fleet.Page, bool) {}, monitor: c.upstreamFeed,
-		})
+		store, c, _ := followLostFeed(t, fleet.TableUpstreams)
 		time.Sleep(time.Second)
 		c.observeEra(&fleet.Page{Era: 1})
 		time.Sleep(freshness.DefaultConfig().MaxLag + feedInterval)
