core/freshness, server/upstreamconn: two comments

The reason why a call after a lost one does not wait had been dropped with the code that moved; the comment of keepForOrder says what the kernel must not do. No statement changes.

--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -89,6 +89,7 @@
 	t.begunAt, t.long = now, false
 	switch {
 	case t.lost:
+		// The store may have been restored, which its next response shows.
 		return Call{Timeout: t.cfg.CallTimeout}
 	case watching:
 		return Call{Wait: t.cfg.WatchWait, Timeout: t.cfg.WatchWait + t.cfg.ResponseTime}
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -279,7 +279,7 @@
 }
 
 // keepForOrder makes every end of the connection a reset. alone means that it carries nothing
-// else, so that the kernel need not detect a silent peer: Do ends the exchange.
+// but the order: its limit ends the exchange, and the kernel must not do so before.
 func (c *conn) keepForOrder(alone bool) error {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok || c.resets {
