core/election, server/gateway: a refused connection does not show that a granter has ended

Cause: a VM whose connection to the granter was reset and then refused took the granter's process for ended, and moved keys at once. A cut with resets does the same to the connections, while the granter goes on renewing the grants of upstreams for the rest of its lease of 3 s. Ruled out: a granter that acts beyond its lease (it stops 3 s after its last renewal), grants on their way (a silent cut breaks nothing).

Change: a granter with authority resets the connections that it closes, so a connection that ends in order shows that its process has ended; another process at its address shows it as before. All else leaves the successor with the rest of the lease. The granter says in its updates that it does so (field 21); VMs of earlier versions ignore the field, and a connection to a granter of an earlier version proves nothing by its end.

TestNoTwoGranters now gives the VMs only what their connections show; with the old rule it fails (TestNoTwoGrantersDetects).

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -66,7 +66,8 @@
 	Vacant bool
 	// Reserved means that the granter has named another VM as its successor.
 	Reserved bool
-	// GranterEnded means that the granter's process is known to have ended.
+	// GranterEnded means that the granter is known not to act any more: its process has ended,
+	// or it has given up its authority.
 	GranterEnded bool
 	// Age is the time since the last renewal.
 	Age time.Duration
@@ -74,6 +75,24 @@
 	PredecessorsRemaining time.Duration
 }
 
+// LinkEnd says how a connection to a granter ended, or why it could not be opened.
+type LinkEnd int
+
+const (
+	// LinkLost means that the connection was reset, refused or silent. The granter may be well:
+	// a cut between two VMs does the same.
+	LinkLost LinkEnd = iota
+	// LinkClosed means that the granter's side closed the connection in order. A granter with
+	// authority resets the connections that it closes, so only the end of its process closes one
+	// in order.
+	LinkClosed
+	// OtherProcess means that another process of the granter's VM has responded.
+	OtherProcess
+)
+
+// GranterEnded reports whether the granter is known not to act any more.
+func (e LinkEnd) GranterEnded() bool { return e == LinkClosed || e == OtherProcess }
+
 // Step is what a VM does next.
 type Step int
 
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -35,6 +35,7 @@
 	ended        bool
 	granter      *process // the granter that it is connected to
 	disconnected bool     // the connection was lost since seenVersion
+	endedTerm    int      // the last term whose granter is known not to act any more
 	seenVersion  int
 	checkedAt    time.Duration
 
@@ -53,6 +54,7 @@
 	storeReachable bool
 	frozenUntil    time.Duration
 	isolatedUntil  time.Duration // it reaches no upstream until then
+	cutUntil       time.Duration // it reaches no other VM until then
 	startAt        time.Duration // of the next process
 	stopAt         time.Duration // when a stopping process ends, 0 if it does not stop
 }
@@ -67,6 +69,8 @@
 	voterCfg           election.Config // of the VMs; differs from cfg in broken variants
 	forgetPredecessors bool            // the lease does not name the granters before the last
 	forgetHandover     bool            // a granter that has handed over does not keep from taking over
+	refusalIsEnd       bool            // a refused connection is taken for the end of the granter
+	closesInOrder      bool            // a granter with authority closes connections in order
 	rng                *rand.Rand
 	now                time.Duration
 	vms                []*vm
@@ -96,6 +100,45 @@
 	s.tracef("%s starts", v.name)
 }
 
+// linked reports whether two VMs reach each other.
+func (s *sim) linked(a, b *vm) bool { return a == b || a.cutUntil <= s.now && b.cutUntil <= s.now }
+
+// linkEnded records what a process learns from the end of a connection to a granter, or from
+// an attempt to connect.
+func (s *sim) linkEnded(p *process, term int, end election.LinkEnd) {
+	p.disconnected = true
+	if end.GranterEnded() {
+		p.endedTerm = term
+		s.counts["learnt of an end"]++
+	}
+}
+
+// refused returns what a process learns from an attempt to connect to the granter of the lease.
+func (s *sim) refused(p, granter *process) election.LinkEnd {
+	switch current := granter.vm.proc; {
+	case s.refusalIsEnd && (!s.linked(p.vm, granter.vm) || current.ended):
+		return election.LinkClosed
+	case s.linked(p.vm, granter.vm) && current != granter && !current.ended && granter.vm.frozenUntil <= s.now:
+		return election.OtherProcess
+	}
+	return election.LinkLost
+}
+
+// cutLinks cuts a VM off from the others for a while, with resets.
+func (s *sim) cutLinks(v *vm) {
+	v.cutUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
+	s.tracef("%s is cut off from the other VMs until %.2fs", v.name, (v.cutUntil - time.Minute).Seconds())
+	for _, other := range s.vms {
+		for _, p := range []*process{v.proc, other.proc} {
+			if g := p.granter; g != nil && !s.linked(p.vm, g.vm) {
+				s.counts["cut off from a granter"]++
+				s.disconnect(p)
+				s.linkEnded(p, g.term, election.LinkLost)
+			}
+		}
+	}
+}
+
 func (s *sim) endProcess(v *vm) {
 	p := v.proc
 	p.ended = true
@@ -110,7 +153,8 @@
 		return
 	}
 	for m := range p.members {
-		m.granter, m.disconnected = nil, true
+		m.granter = nil
+		s.linkEnded(m, p.term, election.LinkClosed)
 	}
 	p.auth, p.members, p.caretaker = nil, nil, false
 }
@@ -146,7 +190,7 @@
 		remaining = 0
 	}
 	return election.Lease{
-		Vacant: g == nil || s.row.released, GranterEnded: g != nil && (g.ended || g.vm == p.vm), Age: s.now - s.row.renewedAt,
+		Vacant: g == nil || s.row.released, GranterEnded: g != nil && (p.endedTerm == s.row.term || g.vm == p.vm), Age: s.now - s.row.renewedAt,
 		PredecessorsRemaining: remaining,
 	}
 }
@@ -158,7 +202,7 @@
 			return
 		}
 		for _, v := range s.vms {
-			if g := v.proc; g.auth != nil && !g.ended && g != p && v.frozenUntil <= s.now && s.rng.IntN(2) == 0 {
+			if g := v.proc; g.auth != nil && !g.ended && g != p && s.linked(p.vm, v) && v.frozenUntil <= s.now && s.rng.IntN(2) == 0 {
 				p.voter.StoreUnreachable(s.now)
 				s.join(p, g, p.voter.PromiseRemaining(s.now))
 				s.counts["joined without the store"]++
@@ -177,10 +221,10 @@
 		s.takeOver(p, p.voter.PredecessorsUntil(s.now, l))
 	case election.Follow:
 		g := s.row.granter
-		if g.auth != nil && !g.ended && g.vm.frozenUntil <= s.now && s.rng.IntN(5) > 0 {
+		if g.auth != nil && !g.ended && s.linked(p.vm, g.vm) && g.vm.frozenUntil <= s.now && s.rng.IntN(5) > 0 {
 			s.join(p, g, 0)
 		} else {
-			p.disconnected = true
+			s.linkEnded(p, s.row.term, s.refused(p, g))
 		}
 	case election.Wait:
 	}
@@ -197,9 +241,18 @@
 // stepMember runs one step of a process that is connected to a granter.
 func (s *sim) stepMember(p *process) {
 	g := p.granter
-	if g.auth == nil || g.ended || g.vm.frozenUntil > s.now && s.rng.IntN(14) == 0 || s.rng.IntN(400) == 0 {
+	if g.vm.frozenUntil > s.now && s.rng.IntN(14) == 0 {
+		s.disconnect(p)
+		s.linkEnded(p, g.term, election.LinkLost)
+		return
+	}
+	if s.rng.IntN(400) == 0 {
+		end := election.LinkLost
+		if s.closesInOrder {
+			end = election.LinkClosed
+		}
 		s.disconnect(p)
-		p.disconnected = true
+		s.linkEnded(p, g.term, end)
 		return
 	}
 	if !g.auth.StoreUnreachable(s.now) {
@@ -294,7 +347,7 @@
 		}
 		term := p.term
 		s.send(false, func() {
-			if m.ended || m.auth != nil || m.vm.frozenUntil > s.now {
+			if m.ended || m.auth != nil || m.vm.frozenUntil > s.now || !s.linked(p.vm, m.vm) {
 				return
 			}
 			s.disconnect(m)
@@ -352,6 +405,8 @@
 		s.tracef("%s freezes until %.2fs", v.name, (v.frozenUntil - time.Minute).Seconds())
 	case n < 34 && v.isolatedUntil <= s.now:
 		s.isolate(v)
+	case n < 40 && v.cutUntil <= s.now:
+		s.cutLinks(v)
 	}
 }
 
@@ -431,8 +486,9 @@
 }
 
 // TestNoTwoGranters guards against a granter that moves keys while another one
-// still renews their leases, under store outages for all or for single VMs, kills,
-// stops with handovers, freezes and lost messages.
+// still renews their leases, under store outages for all or for single VMs, cuts between
+// VMs, kills, stops with handovers, freezes and lost messages. What a VM knows of another one
+// comes from the connections between them.
 func TestNoTwoGranters(t *testing.T) {
 	counts := make(map[string]int)
 	for seed := uint64(1); seed <= 1500; seed++ {
@@ -447,7 +503,7 @@
 	}
 	for _, event := range []string{
 		"takeovers", "released", "caretakers", "resigned", "handed over without a stop", "joined without the store", "ticks with moves", "promised without a check",
-		"ticks renewed without the store", "ticks renewed by a caretaker",
+		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
 	}
@@ -471,6 +527,8 @@
 		"a successor does not wait":                  func(s *sim) { s.voterCfg.LeaseTTL, s.voterCfg.RestartPromiseTTL = 0, 0 },
 		"a handover without a stop is forgotten":     func(s *sim) { s.forgetHandover = true },
 		"earlier granters are forgotten":             func(s *sim) { s.forgetPredecessors = true },
+		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
+		"a granter closes connections in order":      func(s *sim) { s.closesInOrder = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 1500; seed++ {
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -240,7 +239,8 @@
 	return err
 }
 
-// granterEndedError means that the process of a term's granter has ended.
+// granterEndedError means that the granter of a term does not act any more, see
+// election.LinkEnd.
 type granterEndedError struct {
 	term  int64 // 0 if not known
 	cause error
@@ -248,7 +248,7 @@
 
 // Error implements error.
 func (e *granterEndedError) Error() string {
-	return "the granter's process has ended, take over: " + e.cause.Error()
+	return "the granter has ended, take over: " + e.cause.Error()
 }
 
 // granterEnded reports whether err says that the granter of a term has ended.
@@ -260,9 +260,6 @@
 // followGranter stays connected to a granter and returns why that ended.
 func (e *elector) followGranter(ctx context.Context, l lease) error {
 	err := e.links.connect(ctx, l, func(u update) error { return e.handleUpdate(ctx, u) })
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		err = &granterEndedError{term: l.Term, cause: err}
-	}
 	e.log.Info().Str("event", "granter_lost").Str("granter", string(l.VM)).Int64("term", l.Term).Err(err).Msg("")
 	return err
 }
@@ -444,7 +441,7 @@
 		return
 	}
 	e.log.Info().Str("event", "granter_started").Int64("term", next.Term).Str("predecessor", string(previous.VM)).
-		Dur("moves_in_ms", max(predecessor.Until-sent, 0)).Dur("predecessor_age_ms", previous.age).Dur("predecessor_hold_ms", predecessor.MaxLeaseTTL).Msg("")
+		Dur("moves_in_ms", max(predecessor.Until-sent, 0)).Dur("predecessor_age_ms", previous.age).Dur("predecessor_hold_ms", predecessor.MaxLeaseTTL).Bool("predecessor_ended", predecessor.Until <= previous.readAt).Msg("")
 	authority := election.NewAuthority(election.DefaultConfig(), sent, previous.VMs)
 	e.runGranter(ctx, newGranter(e, next, state.condition().after(page.Version), authority, sent, predecessor, state))
 }
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -135,8 +135,9 @@
 			g.termOver = true
 		}
 	}
+	stopCalls()
 	for m := range g.members {
-		m.close()
+		m.closeInOrder()
 	}
 }
 
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
@@ -100,6 +102,9 @@
 	LeavingUpstreams []ownership.Owner `cbor:"18,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
 	Handover *handover `cbor:"12,keyasint,omitempty"`
+	// ResetsLinks means that the granter resets a connection that it closes while it has
+	// authority. Granters of earlier versions close it in order.
+	ResetsLinks bool `cbor:"21,keyasint,omitempty"`
 
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
@@ -204,12 +209,16 @@
 	conn.SetReadLimit(maxFrameBytes)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
+	link := linkConnOf(r)
+	if link != nil {
+		link.resets.Store(true)
+	}
 	var h hello
 	if err := receive(ctx, conn, &h, linkDialTimeout); err != nil || h.Term > g.term {
 		l.log.Warn().Str("event", "link_refused").Str("peer", string(h.VM)).Int64("term", h.Term).Err(err).Msg("")
 		return
 	}
-	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, permits: newPermitClient(), updates: make(chan update, 1), close: cancel, ended: ctx.Done()}
+	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, permits: newPermitClient(), updates: make(chan update, 1), link: link, close: cancel, ended: ctx.Done()}
 	if !g.addMember(member, time.Duration(h.PromiseMs)*time.Millisecond) {
 		return
 	}
@@ -258,10 +267,7 @@
 				return &moved
 			}
 		}
-		if resp != nil && to.Incarnation != "" && resp.Header.Get(incarnationHeader) != "" && resp.Header.Get(incarnationHeader) != string(to.Incarnation) {
-			return &granterEndedError{term: to.Term, cause: err}
-		}
-		return errors.Wrap(err, "connect to the granter")
+		return linkError(to, dialEnd(to, resp), errors.Wrap(err, "connect to the granter"))
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
@@ -279,14 +285,16 @@
 		}
 	}()
 	defer l.setFollowed(lease{}, nil, false)
+	resets := false
 	for {
 		var u update
 		if err := receive(ctx, conn, &u, linkTimeout); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
-			return err
+			return linkError(to, linkEnd(err, resets), err)
 		}
+		resets = resets || u.ResetsLinks
 		l.crashes.merge(u.Crashes)
 		if u.Lease != nil {
 			if to.VM != "" && to.VM != unknownVM && u.Lease.VM != to.VM {
@@ -301,6 +309,34 @@
 	}
 }
 
+// dialEnd says what a response to an attempt to connect to a granter shows; resp is nil if there
+// was none.
+func dialEnd(to lease, resp *http.Response) election.LinkEnd {
+	if resp == nil || to.Incarnation == "" {
+		return election.LinkLost
+	}
+	if incarnation := resp.Header.Get(incarnationHeader); incarnation != "" && incarnation != string(to.Incarnation) {
+		return election.OtherProcess
+	}
+	return election.LinkLost
+}
+
+// linkEnd says what the error of a connection to a granter shows; resets is update.ResetsLinks.
+func linkEnd(err error, resets bool) election.LinkEnd {
+	if resets && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
+		return election.LinkClosed
+	}
+	return election.LinkLost
+}
+
+// linkError returns the error for the end of a connection to a granter.
+func linkError(granter lease, end election.LinkEnd, err error) error {
+	if end.GranterEnded() {
+		return &granterEndedError{term: granter.Term, cause: err}
+	}
+	return err
+}
+
 // sendReports sends reports to the granter until ctx ends or a send fails.
 func (l *links) sendReports(ctx context.Context, conn *websocket.Conn) error {
 	ticker := time.NewTicker(reportInterval)
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -32,7 +32,9 @@
 	isolated bool
 	// contactAt is when the VM last opened a connection to an upstream, as far as known; 0 if
 	// it has not.
-	contactAt     time.Duration
+	contactAt time.Duration
+	// link is the connection, nil if it cannot be reset; close ends it.
+	link          *linkConn
 	close         func()
 	sentVersions  map[api.ServiceName]int64 // the versions of the owner tables last sent
 	sentJoinCount int                       // joinCount when the peers were last sent, at peersSentAt
@@ -42,6 +44,14 @@
 	relayedTo     int64 // the version up to which registrations were relayed
 }
 
+// closeInOrder closes the connection in order: the granter does not act any more.
+func (m *member) closeInOrder() {
+	if m.link != nil {
+		m.link.resets.Store(false)
+	}
+	m.close()
+}
+
 // rank is the rank of a VM; leftAt is when it was last connected.
 type rank struct {
 	vm        api.VMID
@@ -211,7 +221,7 @@
 		u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
 		m.relayedTo = u.RowsTo
 	}
-	u.Isolated = g.isolation.active
+	u.Isolated, u.ResetsLinks = g.isolation.active, m.link != nil
 	leaving, sent := g.control.leaving.news(m.leavingSent)
 	u.LeavingUpstreams, m.leavingSent = append(u.LeavingUpstreams, leaving...), sent
 	if m.isolated {
