core/freshness, server/gateway: a pause after a failed call ends when the store is seen to answer

Ruled out: configurations that are not applied (no configuration_refused), and refusals by the store (all calls end by their limit).

Change: the pauses are decided in core/freshness. They grow to 0.8 s and end when the store answers another call of the VM, when the granter reaches the store again, and early if this VM lacks a change that another one knows. A call without a wait is given up 0.4 s after it was sent if the store has answered a later one; the call after it has its whole time. The word of a granter that the store is away counts for 1.6 s after the last one, not until another.

--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -8,6 +8,10 @@
 // is fresh, and end them when it is not, or when they lack a change that it names. So the calls
 // to the store at rest hardly grow with the number of VMs, and each VM learns of a change soon
 // after any VM does.
+//
+// After a failed call a VM pauses before the next one. The pause ends early when the store is
+// seen to answer: another call of this VM, or the watcher again. A call without a wait that a
+// later call overtakes counts as lost.
 package freshness
 
 import "time"
@@ -31,6 +35,16 @@
 	// watcher. It covers a call of the watcher that is lost, the call after it and the interval
 	// between the watcher's messages.
 	MaxAge time.Duration
+	// RetryDelay is the mean pause after a failed call. It doubles with each further failure, up
+	// to MaxRetryDelay.
+	RetryDelay, MaxRetryDelay time.Duration
+	// OutageDelayPerVM is the part of each VM in the pause while the store does not answer the
+	// watcher either, MaxOutageDelay the longest such pause. They bound the rate of the calls of
+	// all VMs.
+	OutageDelayPerVM, MaxOutageDelay time.Duration
+	// ReturnSpreadPerVM is the part of each VM in the time over which the VMs call a store that
+	// answers again.
+	ReturnSpreadPerVM time.Duration
 }
 
 // DefaultConfig returns the times in use.
@@ -39,6 +53,8 @@
 		WatchWait: 700 * time.Millisecond, WaitPerVM: 10 * time.Millisecond, LongWait: 25 * time.Second,
 		ResponseTime: 400 * time.Millisecond, CallTimeout: 1500 * time.Millisecond,
 		MaxLag: 400 * time.Millisecond, MaxAge: 1600 * time.Millisecond,
+		RetryDelay: 400 * time.Millisecond, MaxRetryDelay: 800 * time.Millisecond,
+		OutageDelayPerVM: 50 * time.Millisecond, MaxOutageDelay: 5 * time.Second, ReturnSpreadPerVM: time.Millisecond,
 	}
 }
 
@@ -59,6 +75,8 @@
 	Behind
 	// Unwatched means that no watcher vouches for the table any more.
 	Unwatched
+	// Overtaken means that the store has answered a later call of this VM.
+	Overtaken
 )
 
 // Table is what one VM knows of a table. It is not safe for concurrent use.
@@ -73,11 +91,14 @@
 	confirmed   bool
 	// watchedUntil is until when the watcher's word counts.
 	watchedUntil time.Duration
-	// begunAt is when the call in flight began, long means that it relies on the watcher.
-	begunAt time.Duration
-	long    bool
-	// lost means that the last call got no response.
-	lost bool
+	// begunAt is when the call in flight, or the last one, began. long means that it relies on the
+	// watcher, whole that it reads the whole table, immediate that the store answers it at once.
+	begunAt                time.Duration
+	long, whole, immediate bool
+	// lost means that the last call got no response, overtaken that it was given up since a later
+	// call was answered.
+	lost, overtaken bool
+	retry           retry
 }
 
 // NewTable returns a table of which nothing is known.
@@ -86,7 +107,7 @@
 // Begin returns the next call. watching means that this VM is the watcher; vms is the number
 // of VMs.
 func (t *Table) Begin(now time.Duration, watching bool, vms int) Call {
-	t.begunAt, t.long = now, false
+	t.begunAt, t.long, t.whole, t.immediate = now, false, false, t.lost
 	switch {
 	case t.lost:
 		// The store may have been restored, which its next response shows.
@@ -102,10 +123,16 @@
 	}
 }
 
+// BeginRead returns the next call, which reads the whole table.
+func (t *Table) BeginRead(now time.Duration) Call {
+	t.begunAt, t.long, t.whole, t.immediate = now, false, true, true
+	return Call{Timeout: t.cfg.CallTimeout}
+}
+
 // Answered records a response of the store: all changes up to version known, the newest of
 // which has version newest.
 func (t *Table) Answered(now time.Duration, known, newest int64) {
-	t.lost = false
+	t.lost, t.overtaken, t.retry.failures = false, false, 0
 	t.known = max(t.known, known)
 	t.confirm(now)
 	t.Reported(now, min(newest, known))
@@ -140,7 +167,7 @@
 }
 
 // Unwatch ends the reliance on the watcher.
-func (t *Table) Unwatch() { t.watchedUntil = 0 }
+func (t *Table) Unwatch() { t.watchedUntil, t.retry.awayUntil = 0, 0 }
 
 func (t *Table) confirm(at time.Duration) {
 	if !t.confirmed || at > t.confirmedAt {
@@ -151,17 +178,26 @@
 // Check returns what becomes of the call in flight, and when to check again, 0 if there is no
 // need before the next event.
 func (t *Table) Check(now time.Duration) (verdict Verdict, next time.Duration) {
-	if t.known < t.newest {
+	if t.immediate && !t.overtaken && t.retry.answeredSent > t.begunAt {
+		// Responses may overtake each other within the time that a slow store takes.
+		due := t.begunAt + t.cfg.ResponseTime
+		if now >= due {
+			return Overtaken, 0
+		}
+		next = due
+	}
+	if t.known < t.newest && !t.whole {
 		due := t.behindSince + t.cfg.MaxLag
 		if !t.lost {
 			// A call that has just begun returns the change.
 			due = max(due, t.begunAt+t.cfg.MaxLag)
 		}
-		if now < due {
-			next = due
-		} else {
+		if now >= due {
 			return Behind, 0
 		}
+		if next == 0 || due < next {
+			next = due
+		}
 	}
 	if t.long {
 		if now >= t.watchedUntil {
--- a/server/gateway/feedmonitor.go
+++ b/server/gateway/feedmonitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	errFeedBehind = errors.New("another VM knows newer rows than the feed has returned: read the table again")
 	// errFeedUnwatched means that the granter no longer says that it follows the table.
 	errFeedUnwatched = errors.New("the granter does not follow the table at present: poll in short intervals")
+	// errCallOvertaken means that the store has answered a later call of this VM.
+	errCallOvertaken = errors.New("the store has answered a later call and not this one: call it again")
 )
 
 // feedMonitor ends long polls that may wait in vain, see package freshness.
@@ -30,6 +33,8 @@
 	interrupt context.CancelCauseFunc
 	checkAt   time.Duration // of the next check, 0 if none is scheduled
 	stale     bool          // as last logged
+	// changed is closed, and replaced, by news that may end a pause after a failed call.
+	changed chan struct{}
 }
 
 // staleAge is the age of a table that is logged: it is known within two seconds of a change
@@ -37,15 +42,25 @@
 const staleAge = 3 * time.Second
 
 func newFeedMonitor() *feedMonitor {
-	return &feedMonitor{clock: bootTime, table: freshness.NewTable(freshness.DefaultConfig())}
+	return &feedMonitor{clock: bootTime, table: freshness.NewTable(freshness.DefaultConfig()), changed: make(chan struct{})}
 }
 
 // poll starts a poll: it returns how long the store holds it without changes, and a context
 // that ends when it is given up. done must be called after the poll.
 func (m *feedMonitor) poll(ctx context.Context, watching bool, vms int) (pollCtx context.Context, wait time.Duration, done func()) {
+	return m.begin(ctx, func(now time.Duration) freshness.Call { return m.table.Begin(now, watching, vms) })
+}
+
+// readWhole starts a call that reads the whole table, see poll.
+func (m *feedMonitor) readWhole(ctx context.Context) (callCtx context.Context, done func()) {
+	callCtx, _, done = m.begin(ctx, m.table.BeginRead)
+	return callCtx, done
+}
+
+func (m *feedMonitor) begin(ctx context.Context, begin func(now time.Duration) freshness.Call) (pollCtx context.Context, wait time.Duration, done func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	call := m.table.Begin(m.clock(), watching, vms)
+	call := begin(m.clock())
 	pollCtx, cancel := context.WithCancelCause(ctx)
 	pollCtx, stop := context.WithTimeout(pollCtx, call.Timeout)
 	m.interrupt = cancel
@@ -77,6 +92,55 @@
 	m.table.Lost()
 }
 
+// givenUp records that a call was given up with errCallOvertaken.
+func (m *feedMonitor) givenUp() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.GivenUp()
+}
+
+// pause waits after a failed call until the next one is due. refused means that the store
+// responded.
+func (m *feedMonitor) pause(ctx context.Context, refused bool, vms int) {
+	m.mu.Lock()
+	m.table.Failed(m.clock(), refused, vms, rand.Float64())
+	m.mu.Unlock()
+	for {
+		m.mu.Lock()
+		now, changed := m.clock(), m.changed
+		at := m.table.RetryAt(now)
+		m.mu.Unlock()
+		if now >= at {
+			return
+		}
+		timer := time.NewTimer(at - now)
+		select {
+		case <-timer.C:
+		case <-changed:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// storeAnswered records that the store has answered a call to any table, sent at a time.
+func (m *feedMonitor) storeAnswered(sent time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.StoreAnswered(m.clock(), sent)
+	m.scheduleCheck()
+}
+
+// storeAway records what the granter says of whether the store does not answer it.
+func (m *feedMonitor) storeAway(away bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.StoreAway(m.clock(), away)
+	m.scheduleCheck()
+}
+
 // newestChange returns the version of the newest change that any VM has reported.
 func (m *feedMonitor) newestChange() int64 {
 	m.mu.Lock()
@@ -153,9 +217,12 @@
 	return time.Duration(min(max(ms, 0), time.Hour.Milliseconds())) * time.Millisecond
 }
 
-// scheduleCheck ends the poll in flight, or schedules the next check of it; m.mu is held.
+// scheduleCheck ends the poll in flight, or schedules the next check of it; a pause is checked at
+// once. m.mu is held.
 func (m *feedMonitor) scheduleCheck() {
 	if m.interrupt == nil {
+		close(m.changed)
+		m.changed = make(chan struct{})
 		return
 	}
 	now := m.clock()
@@ -164,6 +231,8 @@
 		m.interrupt(errFeedBehind)
 	case freshness.Unwatched:
 		m.interrupt(errFeedUnwatched)
+	case freshness.Overtaken:
+		m.interrupt(errCallOvertaken)
 	case freshness.Continue:
 		if next != 0 && (m.checkAt == 0 || next < m.checkAt) {
 			m.checkAt = next
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -21,19 +20,8 @@
 	// upstreamFeedInterval is feedInterval for the registrations at VMs that do not grant:
 	// they have 2 s to stop using an upstream that shuts down.
 	upstreamFeedInterval = 600 * time.Millisecond
-	// storeRetryDelay is the pause after a failed call to the store; for feeds it doubles with
-	// each failure, up to maxStoreRetryDelay.
-	storeRetryDelay    = 400 * time.Millisecond
-	maxStoreRetryDelay = 1600 * time.Millisecond
-	// outageDelayPerVM is the part of each VM in the pause after a failed call while the granter
-	// does not reach the store either, up to maxOutageDelay. The pause ends soon after the
-	// granter has reached the store.
-	outageDelayPerVM    = 50 * time.Millisecond
-	maxOutageDelay      = 5 * time.Second
-	outageCheckInterval = 50 * time.Millisecond
-	// returnJitterPerVM is the part of each VM in the time over which the VMs call a store that
-	// is back.
-	returnJitterPerVM = time.Millisecond
+	// storeRetryDelay is the pause after a feed has failed for another reason than the store.
+	storeRetryDelay = 400 * time.Millisecond
 	// storeIdleTimeout is how long an idle connection to the store is kept.
 	storeIdleTimeout = 30 * time.Second
 )
@@ -74,7 +62,6 @@
 // readTable is followTable up to the first panic.
 func (c *control) readTable(ctx context.Context, s source) {
 	version, known := int64(0), false
-	retryDelay := storeRetryDelay
 	for ctx.Err() == nil {
 		if s.relay != nil && known && !c.watching.Load() {
 			if to, ok := s.relay.active(); ok {
@@ -87,7 +74,6 @@
 		switch {
 		case err == nil:
 			c.setStoreAvailable(true)
-			retryDelay = storeRetryDelay
 			if len(page.Rows) > 0 || !known {
 				s.apply(page, !known)
 			}
@@ -106,6 +92,8 @@
 			known = false
 		case errors.Is(err, errFeedUnwatched):
 			c.log.Info().Str("event", "feed_unwatched").Str("table", s.table).Int64("after", version).Msg("")
+		case errors.Is(err, errCallOvertaken):
+			c.log.Warn().Str("event", "feed_overtaken").Str("table", s.table).Int64("after", version).Msg("")
 		case errors.Is(err, errPollLost):
 			c.log.Warn().Str("event", "feed_lost").Str("table", s.table).Int64("after", version).Msg("")
 		case ctx.Err() != nil:
@@ -116,27 +104,11 @@
 				s.relay.markFeedFailed()
 			}
 			c.log.Warn().Str("event", "store_call_failed").Str("table", s.table).Err(err).Msg("")
-			c.awaitRetry(ctx, retryDelay)
-			retryDelay = min(2*retryDelay, maxStoreRetryDelay)
+			s.monitor.pause(ctx, errors.Is(err, fleet.ErrRefused), c.view().vms)
 		}
 	}
 }
 
-// awaitRetry waits after a failed call of the store, longer while the granter does not reach the
-// store either. Jitter keeps the VMs from calling together when the store is back.
-func (c *control) awaitRetry(ctx context.Context, delay time.Duration) {
-	vms := time.Duration(c.view().vms)
-	shortest := time.Duration((0.75 + 0.5*rand.Float64()) * float64(delay))
-	longest := min(vms*outageDelayPerVM, maxOutageDelay)
-	if !wait.For(ctx, shortest) || !c.movesPaused.Load() {
-		return
-	}
-	for waited := shortest; waited < longest && c.movesPaused.Load(); waited += outageCheckInterval {
-		wait.For(ctx, outageCheckInterval)
-	}
-	wait.For(ctx, time.Duration(rand.Int64N(int64(vms*returnJitterPerVM)+1)))
-}
-
 // errPollLost means that a poll got no response after its wait. The call after it shows whether
 // the store answers.
 var errPollLost = errors.New("the store has not answered a poll after its wait: call it again")
@@ -144,33 +116,47 @@
 // readChanges reads all rows, or waits for those that changed after a version.
 func (c *control) readChanges(ctx context.Context, s source, version int64, known bool) (*fleet.Page, error) {
 	if !known {
-		page, err := c.readAll(ctx, s.table)
+		readCtx, done := s.monitor.readWhole(ctx)
+		defer done()
+		page, err := c.readAll(readCtx, s.table)
 		if err != nil {
-			s.monitor.lost()
+			err = c.callLost(s, readCtx, err)
 		}
 		return page, err
 	}
 	pollCtx, waits, done := s.monitor.poll(ctx, c.watching.Load(), c.view().vms)
 	defer done()
+	sent := bootTime()
 	page, err := c.store.WaitForChanges(pollCtx, s.table, version, waits)
 	c.observeEra(page)
-	c.storeCallEnded("feed", err)
+	c.storeCallEnded("feed", sent, err)
 	if err == nil || errors.Is(err, fleet.ErrCompacted) {
 		return page, err
 	}
-	cause := context.Cause(pollCtx)
+	err = c.callLost(s, pollCtx, err)
+	if errors.Is(context.Cause(pollCtx), context.DeadlineExceeded) && waits > 0 {
+		err = errPollLost
+	}
+	return nil, err
+}
+
+// callLost records that a call of a feed has failed with an error, and returns why.
+func (c *control) callLost(s source, callCtx context.Context, err error) error {
+	cause := context.Cause(callCtx)
 	switch {
 	case errors.Is(cause, errFeedUnwatched):
-		return nil, cause
+		return cause
 	case errors.Is(cause, errFeedBehind):
-		// The connections may be as silent as the one of the poll.
+		// The connections may be as silent as the one of the call.
 		c.store.CloseIdleConnections()
-		return nil, cause
-	case errors.Is(cause, context.DeadlineExceeded) && waits > 0:
-		err = errPollLost
+		return cause
+	case errors.Is(cause, errCallOvertaken):
+		c.store.CloseIdleConnections()
+		s.monitor.givenUp()
+		return cause
 	}
 	s.monitor.lost()
-	return nil, err
+	return err
 }
 
 func (c *control) readAll(ctx context.Context, table string) (*fleet.Page, error) {
@@ -182,14 +168,19 @@
 		c.observeEra(page)
 		c.submitClock(sent, bootTime(), page)
 	}
-	c.storeCallEnded("read", err)
+	c.storeCallEnded("read", sent, err)
 	return page, err
 }
 
-// storeCallEnded counts a call of the store. After one without a response the next call gets a
-// new connection: the idle ones may be silent too.
-func (c *control) storeCallEnded(call string, err error) {
+// storeCallEnded counts a call of the store, and tells the feeds of a response. After a call
+// without one the next call gets a new connection: the idle ones may be silent too.
+func (c *control) storeCallEnded(call string, sent time.Duration, err error) {
 	c.metrics.recordStoreCall(call, err)
+	if err == nil || errors.Is(err, fleet.ErrConflict) {
+		for _, feed := range c.feeds() {
+			feed.storeAnswered(sent)
+		}
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		c.store.CloseIdleConnections()
 	}
--- a/server/gateway/follow_test.go
+++ b/server/gateway/follow_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/core/freshness"
 	"dandelionhill.dev/platform/fleet"
 )
 
@@ -219,3 +220,29 @@
 		d.eventually(func() bool { return g.control.view().config.Version == 5 }, "the change is in force")
 	}
 }
+
+// TestChangeInSilence guards against a VM that acts on an old configuration after a silence of the
+// store with a change in it, because it waits for the end of a call that was sent in the silence,
+// or of the pause after one, although the store answers its other calls (CONFIG). Here both are
+// endless.
+func TestChangeInSilence(t *testing.T) {
+	const silent = 3 * time.Second // the calls in flight are lost, and those after them
+	cfg := freshness.DefaultConfig()
+	cfg.CallTimeout, cfg.RetryDelay, cfg.MaxRetryDelay = time.Hour, time.Hour, time.Hour
+	d := newDeployment(t)
+	address, silence := d.silentStore()
+	d.addUpstream("k1", "keyed")
+	for i := range 3 {
+		g := d.startVMWith(fmt.Sprint("vm-", i), address, func(g *Gateway) {
+			g.control.operatorFeed.table, g.control.upstreamFeed.table = freshness.NewTable(cfg), freshness.NewTable(cfg)
+		})
+		d.requireServed(g, keyedPath, 1)
+	}
+	silence.Store(true)
+	time.Sleep(silent)
+	d.configure(5, "keyed")
+	silence.Store(false)
+	for _, g := range d.vms {
+		d.eventually(func() bool { return g.control.view().config.Version == 5 }, "the change is in force")
+	}
+}
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -236,8 +236,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := bootTime()
 	page, err := c.store.Commit(ctx, tx)
 	c.observeEra(page)
-	c.storeCallEnded("commit", err)
+	c.storeCallEnded("commit", sent, err)
 	return page, err
 }
