--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -37,6 +37,9 @@
 // connections and never responds does not use up the timeout of the command.
 const defaultAttemptTimeout = 5 * time.Second
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 // Options holds the addresses and credentials of the admin interface.
 type Options struct {
 	// Addresses are IP:port, tried in this order.
@@ -69,7 +72,7 @@
 	}
 	c := &Client{token: o.Token, AttemptTimeout: defaultAttemptTimeout, Sleep: sleep}
 	scheme := "http"
-	transport := &http.Transport{}
+	transport := &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}
 	if o.CAFile != "" {
 		scheme = "https"
 		config, err := tlsConfig(o)
--- a/server/gateway/link_test.go
+++ b/server/gateway/link_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -24,6 +26,7 @@
 	listener net.Listener
 	mu       sync.Mutex
 	conns    []*net.TCPConn // of other VMs
+	silenced []*net.TCPConn // carry no more bytes
 }
 
 // startVMBehind starts a VM that other VMs reach through a network.
@@ -53,11 +56,35 @@
 		n.mu.Lock()
 		n.conns = append(n.conns, conn.(*net.TCPConn))
 		n.mu.Unlock()
-		go io.Copy(conn, onward)
-		go io.Copy(onward, conn)
+		go n.pass(conn.(*net.TCPConn), conn, onward)
+		go n.pass(conn.(*net.TCPConn), onward, conn)
 	}
 }
 
+// pass passes bytes from one end to the other until the connection ends or is silenced.
+func (n *linkNetwork) pass(conn *net.TCPConn, to, from net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		size, err := from.Read(buf)
+		n.mu.Lock()
+		silenced := slices.Contains(n.silenced, conn)
+		n.mu.Unlock()
+		if err != nil || silenced {
+			return
+		}
+		if _, err := to.Write(buf[:size]); err != nil {
+			return
+		}
+	}
+}
+
+// silence makes the open connections silent for good; new ones work.
+func (n *linkNetwork) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silenced = append(n.silenced, n.conns...)
+}
+
 // end ends all connections, with a reset or in order, and refuses new ones.
 func (n *linkNetwork) end(reset bool) {
 	n.listener.Close()
@@ -127,6 +154,24 @@
 	require.LessOrEqual(t, g.predecessor.Until, g.initial.lease.readAt)
 }
 
+// TestSilentLinks guards against VMs that keep their connections to the granter although these are
+// silent for good: they would not learn that keys have moved.
+func TestSilentLinks(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("k1", "keyed")
+	a, network := d.startVMBehind("vm-a", d.storeAddr)
+	d.eventually(func() bool { return a.links.currentGranter() != nil }, "the first VM grants")
+	b := d.startVM("vm-b")
+	d.requireServed(b, keyedPath, 1)
+	network.silence()
+	d.addUpstream("k2", "keyed")
+	d.store.Remove("servers", "k1")
+	d.eventually(func() bool {
+		resp, body := d.do(b, http.MethodPost, keyedPath, 1, 2*time.Second)
+		return resp.StatusCode == http.StatusOK && strings.HasPrefix(body, "k2")
+	}, "the second VM sends the key to its new owner")
+}
+
 // TestGranterResetsLinks guards against a granter that closes the connection of a silent VM in
 // order, which this VM would take for the end of the granter's process.
 func TestGranterResetsLinks(t *testing.T) {
--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -31,6 +31,8 @@
 	redialDelay = 100 * time.Millisecond
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = time.Second
+	// maxHeadBytes bounds the head of a peer's response.
+	maxHeadBytes = 64 << 10
 )
 
 // ErrNotSent means that a frame was not queued for the peer, so it had no effect.
@@ -176,10 +178,12 @@
 
 // dial connects to a peer and serves the connection until it breaks.
 func (h *Hub) dial(ctx context.Context, l *link) error {
-	scheme, client := "ws://", &http.Client{}
+	scheme, client := "ws://", &http.Client{Transport: &http.Transport{TLSClientConfig: h.cfg.TLS, MaxResponseHeaderBytes: maxHeadBytes}}
 	if h.cfg.TLS != nil {
-		scheme, client = "wss://", &http.Client{Transport: &http.Transport{TLSClientConfig: h.cfg.TLS}}
+		scheme = "wss://"
 	}
+	// A VM that does not accept the connection may keep it open.
+	defer client.CloseIdleConnections()
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
 	defer cancelDial()
 	conn, _, err := websocket.Dial(dialCtx, scheme+l.peer.Address+Path, &websocket.DialOptions{HTTPClient: client})
