--- a/core/election/election.go
+++ b/core/election/election.go
@@ -82,9 +82,9 @@
 	// LinkLost means that the connection was reset, refused or silent. The granter may be well:
 	// a cut between two VMs does the same.
 	LinkLost LinkEnd = iota
-	// LinkClosed means that the granter's side closed the connection in order. A granter with
-	// authority resets the connections that it closes, so only the end of its process closes one
-	// in order.
+	// LinkClosed means that the granter's side closed the connection in order. A granter resets
+	// the connections that it closes before it has given up its authority, so either it has, or
+	// the kernel has closed the connections of its process, which has ended.
 	LinkClosed
 	// OtherProcess means that another process of the granter's VM has responded.
 	OtherProcess
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -102,8 +102,9 @@
 	LeavingUpstreams []ownership.Owner `cbor:"18,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
 	Handover *handover `cbor:"12,keyasint,omitempty"`
-	// ResetsLinks means that the granter resets a connection that it closes while it has
-	// authority. Granters of earlier versions close it in order.
+	// ResetsLinks means that the granter closes this connection in order only when it does not act
+	// any more, see election.LinkClosed. Granters of earlier versions close it in order while they
+	// act.
 	ResetsLinks bool `cbor:"21,keyasint,omitempty"`
 
 	// sent is closed when the update has been sent, unless it is nil.
