bench/soak: the proxy between VMs passes a reset as a reset

Cause: the proxy closed the caller's side in order when the other side was reset or could not be reached.

Change: any end of a connection but an orderly one resets both sides. TestProxyPassesEnds failed before; 300 runs with the race detector pass. docs/platform.md says what connections between VMs must not pass.

--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -69,14 +69,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // closed below in any case
-		}
+		resetOnClose(c)
 		c.Close()
 	}
 	clear(p.conns)
 }
 
+// resetOnClose makes the connection reset when it is closed.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it is closed in any case
+	}
+}
+
 func (p *proxy) close() {
 	p.listener.Close()
 	p.reset()
@@ -95,36 +100,36 @@
 func (p *proxy) serve(caller net.Conn) {
 	defer caller.Close()
 	if fault(p.fault.Load()) == faultReset {
-		if tcp, ok := caller.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(caller)
 		return
 	}
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
+		resetOnClose(caller)
 		return
 	}
 	defer server.Close()
 	p.mu.Lock()
 	p.conns[caller], p.conns[server] = true, true
 	p.mu.Unlock()
-	done := make(chan struct{}, 2)
-	forward := func(to, from net.Conn, blocking fault) {
-		p.forward(to, from, blocking)
-		done <- struct{}{}
-	}
+	done := make(chan bool, 2)
+	forward := func(to, from net.Conn, blocking fault) { done <- p.forward(to, from, blocking) }
 	go forward(server, caller, faultBlackholeRequests)
 	go forward(caller, server, faultBlackholeResponses)
-	<-done
+	if inOrder := <-done; !inOrder {
+		// The end of a connection tells a VM whether the process at the other end has ended.
+		resetOnClose(caller)
+		resetOnClose(server)
+	}
 	p.mu.Lock()
 	delete(p.conns, caller)
 	delete(p.conns, server)
 	p.mu.Unlock()
 }
 
-// forward copies one direction until either side closes; blocking is the fault that
-// stops this direction.
-func (p *proxy) forward(to, from net.Conn, blocking fault) {
+// forward copies one direction until either side closes, and reports whether the sender has
+// closed its side in order; blocking is the fault that stops this direction.
+func (p *proxy) forward(to, from net.Conn, blocking fault) (inOrder bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -135,7 +140,7 @@
 				open := p.conns[from]
 				p.mu.Unlock()
 				if !open {
-					return
+					return false
 				}
 				time.Sleep(proxyPollInterval)
 			case f == faultDelay:
@@ -147,17 +152,17 @@
 		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
-				return
+				return false
 			}
 		}
 		if err == io.EOF {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite() // the other direction stays open
 			}
-			return
+			return true
 		}
 		if err != nil {
-			return
+			return false
 		}
 	}
 }
