--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -20,7 +20,8 @@
 	// upstreamFeedInterval is feedInterval for the registrations at VMs that do not grant:
 	// they have 2 s to stop using an upstream that shuts down.
 	upstreamFeedInterval = 600 * time.Millisecond
-	// storeRetryDelay is the pause after a feed has failed for another reason than the store.
+	// storeRetryDelay is the pause after a feed has panicked; half of it is the pause between two
+	// attempts of a granter to write its lease.
 	storeRetryDelay = 400 * time.Millisecond
 	// storeIdleTimeout is how long an idle connection to the store is kept.
 	storeIdleTimeout = 30 * time.Second
--- a/server/gateway/linkconn.go
+++ b/server/gateway/linkconn.go
@@ -21,6 +21,7 @@
 func (c *linkConn) Close() error {
 	if c.resets.Load() {
 		if err := c.SetLinger(0); err != nil {
+			// The first error is the cause; this one adds nothing.
 			c.TCPConn.Close()
 			return errors.Wrap(err, "make the connection reset when it ends")
 		}
