server/gateway: the log says how an order to an upstream was sent

An order with an unknown result could not be told from one that waited on a new connection. grant and release lines now have renewal, new_conn, took_ms and sent_after_ms, and accepted grants that take over 100 ms are logged.

--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -19,6 +19,8 @@
 	grantTimeout = 500 * time.Millisecond
 	// releaseTimeout bounds a release call, which waits for running requests.
 	releaseTimeout = 4 * time.Second
+	// slowCall is the time from which an accepted grant is logged.
+	slowCall = 100 * time.Millisecond
 	// maxConcurrentCalls bounds the concurrent calls of one kind to one upstream.
 	maxConcurrentCalls = 2
 	// suspectAfter is how long calls may fail to reach an upstream before its keys move,
@@ -178,8 +180,9 @@
 	defer cancel()
 	reservation := q.granter.buffers.Reserve()
 	defer reservation.Release()
+	began, trace := time.Now(), new(upstreamconn.Trace)
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
-		Method: call.Method, Target: call.Path, Body: call.Body, Buffers: reservation,
+		Method: call.Method, Target: call.Path, Body: call.Body, Buffers: reservation, Trace: trace,
 		// The address may belong to another upstream by now, which must not take these
 		// keys.
 		Header: http.Header{"Content-Type": {"application/json"}, fleet.HeaderExpectedUpstream: {string(u.id)}},
@@ -209,10 +212,16 @@
 	default:
 		status = resp.Status
 	}
+	took := time.Since(began)
 	q.granter.metrics.calls.WithLabelValues(kind, resultNames[result]).Inc()
-	if result != ownership.Accepted || a.Kind == ownership.Release {
-		q.log.Info().Str("event", kind).Str("upstream", string(u.id)).Int("first", a.Span.First).Int("last", a.Span.Last).
-			Int64("fence", a.Fence).Str("result", resultNames[result]).Int("status", status).Err(err).Msg("")
+	if result != ownership.Accepted || a.Kind == ownership.Release || took > slowCall {
+		event := q.log.Info().Str("event", kind).Str("upstream", string(u.id)).Int("first", a.Span.First).Int("last", a.Span.Last).
+			Int64("fence", a.Fence).Bool("renewal", a.Renewal).Str("result", resultNames[result]).Int("status", status).
+			Bool("new_conn", trace.NewConn).Dur("took_ms", took)
+		if !trace.SentAt.IsZero() {
+			event.Dur("sent_after_ms", trace.SentAt.Sub(began))
+		}
+		event.Err(err).Msg("")
 	}
 	return result, handover
 }
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -113,12 +113,23 @@
 	// Earlier holds the connections on which this request was sent before. They are not used
 	// again: a late copy of the earlier response would match. nil if it is sent once.
 	Earlier *Connections
+	// Trace, unless it is nil, receives how the request was sent. SentAt is set for bodies up to
+	// inlineBody.
+	Trace *Trace
 	// Buffers bounds the memory of the response together with other responses.
 	Buffers *buffers.Reservation
 	// Matches reports whether a response belongs to this request; nil accepts all.
 	Matches func(status int, header http.Header) bool
 }
 
+// Trace says how a request was sent.
+type Trace struct {
+	// NewConn means that its connection was opened for it.
+	NewConn bool
+	// SentAt is when its last byte was handed to the kernel, zero if it was not.
+	SentAt time.Time
+}
+
 // Response is a complete response.
 type Response struct {
 	Status int
@@ -438,6 +449,9 @@
 		}
 		opened, roundTrip = true, time.Since(began)
 	}
+	if req.Trace != nil {
+		req.Trace.NewConn = opened
+	}
 	if opened && req.CheckNewConn {
 		time.Sleep(min(roundTrip, maxRoundTrip) + newConnWait)
 		if !c.usable() {
@@ -483,6 +497,9 @@
 	if len(req.Body) <= inlineBody {
 		head.Write(req.Body)
 		_, err := c.Write(head.Bytes())
+		if req.Trace != nil && err == nil {
+			req.Trace.SentAt = time.Now()
+		}
 		written <- err
 	} else {
 		go func() {
