core/ownership: an older view of the upstreams does not end an owner

The incarnation is `born`, the Unix millisecond of the start, so a lower one is an earlier life. A granter whose view of the registrations is older than the owners that it read (a takeover just after a restart of an upstream; a store restored from an older copy, whose registrations are applied after 3.5 s) gave the keys of the living owner to another upstream, or to the life before, under the owner's lease.

Now only a later incarnation ends the owner. With an earlier one the entry stays as it is: no grant, no release, no move, until the bound of the owner's lease has passed; then the keys move as those of a lost owner. Until then the earlier incarnation gains no other keys either: a grant to it could reach the later process under its name.

If the time of day steps back between two lives, the new one looks like an older view. Its keys are then free one lease later, in place of at once, and it may own keys after that.

TestOlderViewEndsNoOwner, TestOlderViewGainsNoKeys, TestOlderViewThatCatchesUpKeepsOwner and TestOnlyUpstreamWithEarlierIncarnationGetsKeys failed before: the first write, which gave the keys of {a 200} to {b 1} or {a 100}, came at 0 s, under a lease that ran until 2.19 s.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -25,12 +25,18 @@
 // Len returns the number of keys.
 func (s Span) Len() int { return s.Last - s.First + 1 }
 
-// Owner is one incarnation of an upstream.
+// Owner is one incarnation of an upstream. A later incarnation has a higher number, unless
+// the time of day has stepped back between the two.
 type Owner struct {
 	UpstreamID  api.UpstreamID `cbor:"1,keyasint" json:"Upstream"`
 	Incarnation int64          `cbor:"2,keyasint" json:"Life"`
 }
 
+// follows reports whether an owner is a later incarnation of the same upstream.
+func (o Owner) follows(other Owner) bool {
+	return o.UpstreamID == other.UpstreamID && o.Incarnation > other.Incarnation
+}
+
 // Entry is a span with its owner, as stored.
 type Entry struct {
 	Span  Span  `cbor:"1,keyasint"`
@@ -256,7 +262,7 @@
 		m.markLost(now)
 		if now >= m.balanceAt {
 			m.balanceAt = now + m.cfg.BalanceEvery
-			m.balance()
+			m.balance(now)
 		}
 		actions = m.releases(now, actions)
 	}
@@ -278,9 +284,13 @@
 		if exists && u.MayKeepKeys && u.Incarnation == e.Owner.Incarnation {
 			continue
 		}
+		if exists && e.Owner.follows(u.Owner) && now < e.leaseUntil {
+			// The view is older than the owner, or the time of day has stepped back.
+			continue
+		}
 		e.moving, e.released, e.target = true, false, Owner{}
 		m.changed = true
-		if exists && u.Incarnation != e.Owner.Incarnation {
+		if exists && u.Owner.follows(e.Owner) {
 			// The incarnation that owned the keys has ended, and its leases with it.
 			e.ownerEnded(now)
 			if u.MayKeepKeys {
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -55,14 +55,20 @@
 func (u *upstreamLoad) utilization() float64 { return u.load / u.Capacity }
 
 // upstreamLoads returns the upstreams that may own keys, with their load after all
-// pending moves.
-func (m *Machine) upstreamLoads() map[api.UpstreamID]*upstreamLoad {
+// pending moves. An incarnation may own none while a later one of the same upstream may still
+// hold a lease: the view is older, and the grant could reach the later one.
+func (m *Machine) upstreamLoads(now time.Duration) map[api.UpstreamID]*upstreamLoad {
 	byID := make(map[api.UpstreamID]*upstreamLoad)
 	for id, u := range m.upstreams {
 		if u.MayKeepKeys && u.Capacity > 0 {
 			byID[id] = &upstreamLoad{Upstream: u}
 		}
 	}
+	for _, e := range m.entries {
+		if u := byID[e.Owner.UpstreamID]; u != nil && e.Owner.follows(u.Owner) && now < e.leaseUntil {
+			delete(byID, e.Owner.UpstreamID)
+		}
+	}
 	for _, e := range m.entries {
 		id := e.Owner.UpstreamID
 		if e.moving && !e.writing {
@@ -99,7 +105,7 @@
 // assignTargets gives every moving span a target and makes the target the owner of
 // free spans. It reports whether there is something to write.
 func (m *Machine) assignTargets(now time.Duration) (placed bool) {
-	byID := m.upstreamLoads()
+	byID := m.upstreamLoads(now)
 	targets := moveTargets(byID)
 	if len(targets) == 0 {
 		return false
@@ -188,14 +194,14 @@
 const minConcurrentMoves = 8
 
 // balance moves keys from the most to the least utilized upstream.
-func (m *Machine) balance() {
+func (m *Machine) balance(now time.Duration) {
 	moving := 0
 	for _, e := range m.entries {
 		if e.moving || e.writing {
 			moving++
 		}
 	}
-	byID := m.upstreamLoads()
+	byID := m.upstreamLoads(now)
 	targets := moveTargets(byID)
 	if len(targets) < 2 {
 		return
--- a/core/ownership/sim_test.go
+++ b/core/ownership/sim_test.go
@@ -413,7 +413,7 @@
 		s.step(50 * time.Millisecond)
 	}
 	total, most, added := 0.0, 0.0, 0.0
-	for _, u := range s.machine.upstreamLoads() {
+	for _, u := range s.machine.upstreamLoads(s.now) {
 		total += u.load
 		most = max(most, u.load)
 		if u.Upstream.UpstreamID == "new" {
--- /dev/null
+++ b/core/ownership/views_test.go
@@ -0,0 +1,106 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+)
+
+// tickUntil ticks a machine every 50 ms, without an answer to its calls, and returns the
+// actions with the times of the writes of which it stores the result.
+func tickUntil(m *Machine, from, until time.Duration) (actions []Action, writtenAt []time.Duration) {
+	for now := from; now < until; now += 50 * time.Millisecond {
+		for _, a := range m.Tick(now, Mode{Renew: true, Move: true}) {
+			actions = append(actions, a)
+			switch a.Kind {
+			case Write:
+				m.WriteDone()
+				writtenAt = append(writtenAt, now)
+			case Grant:
+				m.GrantDone(now, a, NotSent)
+			case Release:
+				m.ReleaseDone(now, a, NotSent, "")
+			}
+		}
+	}
+	return actions, writtenAt
+}
+
+func usable(id string, incarnation int64) Upstream {
+	return Upstream{Owner: Owner{UpstreamID: api.UpstreamID(id), Incarnation: incarnation}, Capacity: 1, MayKeepKeys: true, MayGainKeys: true}
+}
+
+// TestOlderViewEndsNoOwner guards against a granter that takes a living owner for ended, and
+// gives its keys away under its lease, because its view of the upstreams is older than the
+// owners that it read: it still has the incarnation before.
+func TestOlderViewEndsNoOwner(t *testing.T) {
+	cfg := DefaultConfig(simKeys)
+	owner := Owner{UpstreamID: "a", Incarnation: 200}
+	for name, view := range map[string][]Upstream{
+		"usable":   {usable("a", 100), usable("b", 1)},
+		"draining": {{Owner: Owner{UpstreamID: "a", Incarnation: 100}, Capacity: 1}, usable("b", 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New(cfg, 2, []Entry{{Span: Span{0, simKeys - 1}, Owner: owner, Fence: 1}}, Predecessor{MaxLeaseTTL: cfg.LeaseTTL})
+			expiry := m.safeTTL(cfg.LeaseTTL)
+			m.SetUpstreams(view)
+			actions, _ := tickUntil(m, 0, expiry)
+			require.Empty(t, actions, "while the lease of the owner runs")
+			_, writtenAt := tickUntil(m, expiry, expiry+time.Second)
+			require.NotEmpty(t, writtenAt, "the keys have another owner after that")
+			for _, e := range m.entries {
+				require.NotEqual(t, owner, e.Owner)
+			}
+		})
+	}
+}
+
+// TestOlderViewGainsNoKeys guards against keys that are assigned to an incarnation which a
+// later one has followed, while that one holds keys: the grant would reach the later one.
+func TestOlderViewGainsNoKeys(t *testing.T) {
+	cfg := DefaultConfig(simKeys)
+	owner := Owner{UpstreamID: "a", Incarnation: 200}
+	m := New(cfg, 2, []Entry{{Span: Span{0, 511}, Owner: owner, Fence: 1}}, Predecessor{MaxLeaseTTL: cfg.LeaseTTL})
+	m.SetUpstreams([]Upstream{usable("a", 100), usable("b", 1)})
+	actions, _ := tickUntil(m, 0, time.Second)
+	require.NotEmpty(t, actions)
+	for _, a := range actions {
+		for _, e := range a.Entries {
+			require.NotEqual(t, int64(100), e.Owner.Incarnation)
+		}
+	}
+}
+
+// TestOlderViewThatCatchesUpKeepsOwner guards against an owner that loses its keys though the
+// view was older for a moment only.
+func TestOlderViewThatCatchesUpKeepsOwner(t *testing.T) {
+	cfg := DefaultConfig(simKeys)
+	owner := Owner{UpstreamID: "a", Incarnation: 200}
+	m := New(cfg, 2, []Entry{{Span: Span{0, simKeys - 1}, Owner: owner, Fence: 1}}, Predecessor{MaxLeaseTTL: cfg.LeaseTTL})
+	m.SetUpstreams([]Upstream{usable("a", 100)})
+	tickUntil(m, 0, time.Second)
+	m.SetUpstreams([]Upstream{usable("a", 200)})
+	actions, _ := tickUntil(m, time.Second, time.Second+50*time.Millisecond)
+	require.Len(t, actions, 1)
+	require.Equal(t, Grant, actions[0].Kind)
+	require.Equal(t, owner, actions[0].Owner)
+	require.EqualValues(t, 1, actions[0].Fence, "the grant that it has is renewed")
+}
+
+// TestOnlyUpstreamWithEarlierIncarnationGetsKeys guards against keys that are lost for ever
+// when the time of day has stepped back between two lives of an upstream.
+func TestOnlyUpstreamWithEarlierIncarnationGetsKeys(t *testing.T) {
+	cfg := DefaultConfig(simKeys)
+	m := New(cfg, 2, []Entry{{Span: Span{0, simKeys - 1}, Owner: Owner{UpstreamID: "a", Incarnation: 200}, Fence: 1}}, Predecessor{MaxLeaseTTL: cfg.LeaseTTL})
+	m.SetUpstreams([]Upstream{usable("a", 100)})
+	expiry := m.safeTTL(cfg.LeaseTTL)
+	_, writtenAt := tickUntil(m, 0, expiry)
+	require.Empty(t, writtenAt)
+	tickUntil(m, expiry, expiry+time.Second)
+	for _, e := range m.entries {
+		require.Equal(t, Owner{UpstreamID: "a", Incarnation: 100}, e.Owner)
+	}
+}
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -95,7 +95,7 @@
 // enqueue queues the grant or release call for an action.
 func (q *callQueues) enqueue(service api.ServiceName, a ownership.Action, u *upstream, now time.Duration) {
 	if u == nil || u.registration.Load().Incarnation != a.Owner.Incarnation {
-		// The incarnation is unknown or has ended.
+		// This VM does not know the incarnation: it has ended, or the view is older.
 		go q.complete(service, a, ownership.NotSent, "")
 		return
 	}
