core/ownership: a later life of an upstream may hold the leases of the one before

Cause, by reading and a test: a call names an upstream by its ID, not its incarnation, so a grant to an incarnation that has ended reaches the next one, if that has the same address and the VM has not read its registration yet. When it had read it, markLost ended all leases of the former incarnation at once, and if the new one was not usable (draining, its failure domain out) its keys went to another upstream, beside the lease that it had taken. A grant under way at that moment was no obstacle either. core/lease has kept such leases from the start (Table.Observe).

Now the bound of these leases stays: the same upstream gets its keys at once, as before, with a higher fence; another one only after the bound, and InDoubtUntil carries the bound to the next granter. The order of incarnations then decides only how soon a key moves: if the time of day steps back between two lives and the view is of the former one, which looks later, its keys still go to no other upstream under the lease.

Not mended: such a grant reaches the new life with the fence of the one before; only a call that names the incarnation could prevent that.

TestLaterLifeMayHoldGrantOfEarlier failed before, in three of its four cases: the keys went to b while the lease of a ran, and InDoubtUntil was 2 ms in place of 2.19 s. The fourth, a grant under way with an unknown result, held before.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -99,10 +99,13 @@
 	leaseUntil time.Duration
 	// inDoubtUntil is an upper bound of when an unanswered grant can take effect.
 	inDoubtUntil time.Duration
-	grantSentAt  time.Duration
-	grantSent    bool // in this term
-	granting     bool // a grant is in flight
-	releasing    bool // a release is in flight
+	// formerUntil is an upper bound of the expiry of leases that were granted to an earlier
+	// incarnation. Its successor may hold them: a call names an upstream, not its incarnation.
+	formerUntil time.Duration
+	grantSentAt time.Duration
+	grantSent   bool // in this term
+	granting    bool // a grant is in flight
+	releasing   bool // a release is in flight
 	// releaseAt is when the next attempt to release is due.
 	releaseAt time.Duration
 	acked     bool
@@ -291,7 +294,8 @@
 		e.moving, e.released, e.target = true, false, Owner{}
 		m.changed = true
 		if exists && u.Owner.follows(e.Owner) {
-			// The incarnation that owned the keys has ended, and its leases with it.
+			// The incarnation that owned the keys has ended.
+			e.formerUntil = max(e.formerUntil, e.leaseUntil)
 			e.ownerEnded(now)
 			if u.MayKeepKeys {
 				e.target = u.Owner
@@ -325,6 +329,12 @@
 	return e.Owner.UpstreamID == "" || now >= e.leaseUntil || e.released && now >= e.inDoubtUntil
 }
 
+// freeFor reports whether a free span may go to an owner. Another incarnation of the same
+// upstream may take over the leases of a former one.
+func (e *entry) freeFor(now time.Duration, next Owner) bool {
+	return e.free(now) && (e.Owner.UpstreamID == next.UpstreamID || now >= e.formerUntil)
+}
+
 // assign gives free spans to their targets and returns the write that stores them.
 func (m *Machine) assign(now time.Duration) (Action, bool) {
 	if m.writing || m.awaitsUpstreams(now) || !m.assignTargets(now) {
@@ -419,6 +429,7 @@
 			merged[n-1].Span.Last = e.Span.Last
 			merged[n-1].leaseUntil = max(merged[n-1].leaseUntil, e.leaseUntil)
 			merged[n-1].inDoubtUntil = max(merged[n-1].inDoubtUntil, e.inDoubtUntil)
+			merged[n-1].formerUntil = max(merged[n-1].formerUntil, e.formerUntil)
 			continue
 		}
 		merged = append(merged, e)
@@ -461,6 +472,10 @@
 func (m *Machine) GrantDone(now time.Duration, a Action, result Result) {
 	for _, e := range m.entriesOf(a) {
 		e.granting = false
+		if e.released && (result == Accepted || result == Unknown) {
+			// A later incarnation became known while the call was under way.
+			e.formerUntil = max(e.formerUntil, now+m.safeTTL(a.LeaseTTL))
+		}
 		switch result {
 		case Accepted:
 			// The lease runs from the arrival of the call, which may have waited for its
@@ -526,7 +541,7 @@
 // for the successor of this granter.
 func (m *Machine) InDoubtUntil(now time.Duration) (until time.Duration) {
 	for _, e := range m.entries {
-		until = max(until, e.inDoubtUntil)
+		until = max(until, e.inDoubtUntil, e.formerUntil)
 		if e.granting {
 			until = max(until, now+m.safeTTL(m.cfg.LeaseTTL))
 		}
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -131,7 +131,7 @@
 		m.distribute(now, e, targets, fairUtilization)
 	}
 	for _, e := range m.entries {
-		if e.free(now) && e.target.UpstreamID != "" {
+		if e.target.UpstreamID != "" && e.freeFor(now, e.target) {
 			e.Owner, e.target, e.writing, placed = e.target, Owner{}, true, true
 		}
 	}
--- a/core/ownership/views_test.go
+++ b/core/ownership/views_test.go
@@ -104,3 +104,70 @@
 		require.Equal(t, Owner{UpstreamID: "a", Incarnation: 100}, e.Owner)
 	}
 }
+
+// grantedTo returns a machine in which an owner has confirmed all keys at a time.
+func grantedTo(t *testing.T, o Owner, at time.Duration) *Machine {
+	t.Helper()
+	m := New(DefaultConfig(simKeys), 2, []Entry{{Span: Span{0, simKeys - 1}, Owner: o, Fence: 1}}, Predecessor{})
+	m.SetUpstreams([]Upstream{{Owner: o, Capacity: 1, MayKeepKeys: true, MayGainKeys: true}})
+	actions := m.Tick(at, Mode{Renew: true, Move: true})
+	require.Len(t, actions, 1)
+	m.GrantDone(at, actions[0], Accepted)
+	return m
+}
+
+func draining(id string, incarnation int64) Upstream {
+	return Upstream{Owner: Owner{UpstreamID: api.UpstreamID(id), Incarnation: incarnation}, Capacity: 1}
+}
+
+// TestLaterLifeMayHoldGrantOfEarlier guards against two owners of a key when a grant to an
+// earlier incarnation reached the later one, at the same address, before the VM knew of it.
+func TestLaterLifeMayHoldGrantOfEarlier(t *testing.T) {
+	expiry := New(DefaultConfig(simKeys), 2, nil, Predecessor{}).safeTTL(DefaultConfig(simKeys).LeaseTTL)
+	earlier := Owner{UpstreamID: "a", Incarnation: 100}
+	requireNoOther := func(t *testing.T, m *Machine, from time.Duration) {
+		t.Helper()
+		actions, _ := tickUntil(m, from, expiry)
+		for _, a := range actions {
+			require.NotEqual(t, api.UpstreamID("b"), a.Owner.UpstreamID)
+			for _, e := range a.Entries {
+				require.Equal(t, api.UpstreamID("a"), e.Owner.UpstreamID, "while the lease of the grant runs")
+			}
+		}
+		tickUntil(m, expiry, expiry+time.Second)
+		for _, e := range m.entries {
+			require.Equal(t, api.UpstreamID("b"), e.Owner.UpstreamID)
+		}
+	}
+	t.Run("the later one drains", func(t *testing.T) {
+		m := grantedTo(t, earlier, 0)
+		m.SetUpstreams([]Upstream{draining("a", 200), usable("b", 1)})
+		requireNoOther(t, m, 50*time.Millisecond)
+	})
+	for name, result := range map[string]Result{"accepted": Accepted, "unknown": Unknown} {
+		t.Run("a grant is under way and its result is "+name, func(t *testing.T) {
+			m := grantedTo(t, earlier, -time.Hour)
+			grant := m.Tick(-50*time.Millisecond, Mode{Renew: true, Move: true})
+			require.Len(t, grant, 1)
+			m.SetUpstreams([]Upstream{draining("a", 200), usable("b", 1)})
+			require.Empty(t, m.Tick(-25*time.Millisecond, Mode{Renew: true, Move: true}))
+			m.GrantDone(0, grant[0], result)
+			requireNoOther(t, m, 0)
+		})
+	}
+	t.Run("the later one has the keys and drains, or is not at its address", func(t *testing.T) {
+		m := grantedTo(t, earlier, 0)
+		m.SetUpstreams([]Upstream{usable("a", 200), usable("b", 1)})
+		actions := m.Tick(time.Millisecond, Mode{Renew: true, Move: true})
+		require.Len(t, actions, 1)
+		require.Equal(t, Write, actions[0].Kind)
+		require.Equal(t, Owner{UpstreamID: "a", Incarnation: 200}, actions[0].Entries[0].Owner, "it gets the keys at once")
+		m.WriteDone()
+		grant := m.Tick(2*time.Millisecond, Mode{Renew: true, Move: true})
+		require.Equal(t, Grant, grant[0].Kind)
+		m.GrantDone(2*time.Millisecond, grant[0], OwnerEnded)
+		require.GreaterOrEqual(t, m.InDoubtUntil(2*time.Millisecond), expiry, "the next granter waits too")
+		m.SetUpstreams([]Upstream{draining("a", 200), usable("b", 1)})
+		requireNoOther(t, m, 50*time.Millisecond)
+	})
+}
