core/ownership: an upstream that refuses a fence may still hold other keys of the span

Cause, by reading and a test: a refused renewal (409: a higher fence was seen on one of the keys) released the whole span. If the owner was not usable by then (draining, its failure domain out), the span went to another upstream at once, beside the lease that the owner held on the keys that have no higher fence.

Now the bound of that lease stays: the same upstream gets the keys with a new fence at once, as before; another one waits for the bound.

TestFencedOwnerKeepsLease failed before: the write that gave the keys to b came at 1 s, under a lease that ran until 2.19 s.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -99,8 +99,9 @@
 	leaseUntil time.Duration
 	// inDoubtUntil is an upper bound of when an unanswered grant can take effect.
 	inDoubtUntil time.Duration
-	// formerUntil is an upper bound of the expiry of leases that were granted to an earlier
-	// incarnation. Its successor may hold them: a call names an upstream, not its incarnation.
+	// formerUntil is an upper bound of the expiry of leases that the owner's upstream may hold
+	// besides that of Entry: those granted under a lower fence, or to an earlier incarnation,
+	// since a call names an upstream, not its incarnation.
 	formerUntil time.Duration
 	grantSentAt time.Duration
 	grantSent   bool // in this term
@@ -329,8 +330,8 @@
 	return e.Owner.UpstreamID == "" || now >= e.leaseUntil || e.released && now >= e.inDoubtUntil
 }
 
-// freeFor reports whether a free span may go to an owner. Another incarnation of the same
-// upstream may take over the leases of a former one.
+// freeFor reports whether a free span may go to an owner. The leases until formerUntil are no
+// obstacle to the upstream that holds them.
 func (e *entry) freeFor(now time.Duration, next Owner) bool {
 	return e.free(now) && (e.Owner.UpstreamID == next.UpstreamID || now >= e.formerUntil)
 }
@@ -494,7 +495,9 @@
 			e.ownerEnded(now)
 			m.changed = true
 		case Fenced:
-			// The upstream accepts no grant without a new fence.
+			// The upstream accepts no grant without a new fence. It has perhaps seen the higher one
+			// on some of the keys only, and holds the others.
+			e.formerUntil = max(e.formerUntil, e.leaseUntil)
 			e.moving, e.released, e.target, m.changed = true, true, e.Owner, true
 		}
 	}
--- a/core/ownership/views_test.go
+++ b/core/ownership/views_test.go
@@ -171,3 +171,22 @@
 		requireNoOther(t, m, 50*time.Millisecond)
 	})
 }
+
+// TestFencedOwnerKeepsLease guards against two owners of a key when an upstream refuses a renewal
+// because it has seen a higher fence on some of the keys, and may not keep them: it still holds the
+// others until its lease expires.
+func TestFencedOwnerKeepsLease(t *testing.T) {
+	owner := Owner{UpstreamID: "a", Incarnation: 100}
+	m := grantedTo(t, owner, 0)
+	expiry := m.safeTTL(DefaultConfig(simKeys).LeaseTTL)
+	renewal := m.Tick(time.Second, Mode{Renew: true, Move: true})
+	require.Len(t, renewal, 1)
+	m.SetUpstreams([]Upstream{draining("a", 100), usable("b", 1)})
+	m.GrantDone(time.Second, renewal[0], Fenced)
+	_, writtenAt := tickUntil(m, time.Second, expiry)
+	require.Empty(t, writtenAt, "while the lease of the owner runs")
+	tickUntil(m, expiry, expiry+time.Second)
+	for _, e := range m.entries {
+		require.Equal(t, api.UpstreamID("b"), e.Owner.UpstreamID)
+	}
+}
