core/membership: a delayed heartbeat of an unknown incarnation does not replace the present one

Cause, by reading and a test: incarnations of VMs are random, so a heartbeat of an unknown one was always taken for a newer process. If it is an older one, delayed, of which this VM knew nothing (it has started since, or knows eight later ones), the running process became a former incarnation, whose heartbeats were dropped from then on: the VM stayed dead here for as long as its process ran.

Now a former incarnation returns if its heartbeats arrive without a gap for SuspectAfter while the other is silent. Heartbeats that the network held back arrive at once, or while the newer process is heard, and change nothing; one that the list reports as gone does not return. No guarantee depends on the state, so this concerns routes and takeovers of the deployment on the project's own fakes only.

TestDelayedHeartbeatDoesNotReplaceNewIncarnation failed before: dead in place of alive, 4 s later. TestBurstOfDelayedHeartbeatsRevivesNoIncarnation held before too.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -135,3 +135,40 @@
 	table.UpdateFromList(10*time.Second, map[api.VMID]ListState{"b": ListGone, "c": ListGone, "d": ListGone, "e": ListGone})
 	require.True(t, table.HasMajority(10*time.Second), "gone VMs are not")
 }
+
+// TestDelayedHeartbeatDoesNotReplaceNewIncarnation guards against a VM that stays dead for ever,
+// because a delayed heartbeat of its former incarnation, which this VM did not know, is taken
+// for a newer one, and the present one for the former.
+func TestDelayedHeartbeatDoesNotReplaceNewIncarnation(t *testing.T) {
+	cfg := DefaultConfig()
+	table := New("a", cfg, []api.VMID{"b"})
+	hear := func(from, until time.Duration, incarnation api.Incarnation) {
+		for now := from; now < until; now += cfg.HeartbeatEvery {
+			table.HandleHeartbeat(now, Heartbeat{From: "b", Incarnation: incarnation})
+			table.Tick(now)
+		}
+	}
+	hear(0, time.Second, "2")
+	table.HandleHeartbeat(time.Second, Heartbeat{From: "b", Incarnation: "1"})
+	hear(time.Second, 5*time.Second, "2")
+	require.Equal(t, Alive, table.State("b"))
+	require.EqualValues(t, "2", table.Incarnation("b"))
+	table.HandleHeartbeat(5*time.Second, Heartbeat{From: "b", Incarnation: "1"})
+	require.EqualValues(t, "2", table.Incarnation("b"))
+}
+
+// TestBurstOfDelayedHeartbeatsRevivesNoIncarnation guards against a dead VM that counts as
+// alive again, because the network delivers many heartbeats of a former incarnation at once.
+func TestBurstOfDelayedHeartbeatsRevivesNoIncarnation(t *testing.T) {
+	cfg := DefaultConfig()
+	table := New("a", cfg, []api.VMID{"b"})
+	table.HandleHeartbeat(0, Heartbeat{From: "b", Incarnation: "1"})
+	table.HandleHeartbeat(time.Second, Heartbeat{From: "b", Incarnation: "2"})
+	for i := range 50 {
+		now := 5*time.Second + time.Duration(i)*10*time.Millisecond
+		table.HandleHeartbeat(now, Heartbeat{From: "b", Incarnation: "1"})
+		table.Tick(now)
+		require.Equal(t, Dead, table.State("b"))
+		require.EqualValues(t, "2", table.Incarnation("b"))
+	}
+}
--- a/core/membership/peer.go
+++ b/core/membership/peer.go
@@ -29,6 +29,11 @@
 	consecutive        int           // consecutive heartbeats while not alive
 	leaving            bool          // by its own heartbeat
 
+	// returning is a former incarnation whose heartbeats arrive regularly while the present one
+	// is silent, since returningSince and last at returningAt.
+	returning                   api.Incarnation
+	returningSince, returningAt time.Duration
+
 	listed      ListState
 	listedSince time.Duration
 	gone        bool // listed as gone for this incarnation
@@ -40,7 +45,7 @@
 // handleHeartbeat processes a heartbeat and reports whether it is from the
 // current incarnation, or a newer one, of a VM that is not gone.
 func (p *peer) handleHeartbeat(now time.Duration, hb Heartbeat, cfg Config) bool {
-	if slices.Contains(p.formerIncarnations, hb.Incarnation) {
+	if slices.Contains(p.formerIncarnations, hb.Incarnation) && !p.returns(now, hb.Incarnation, cfg) {
 		return false
 	}
 	if !p.everHeard || hb.Incarnation != p.incarnation {
@@ -61,9 +66,27 @@
 	return true
 }
 
+// returns reports whether a heartbeat of a former incarnation shows that it is the present one:
+// a delayed heartbeat of an incarnation that was not known is taken for a newer one. Delayed
+// heartbeats arrive at once or while the newer one is heard; those of a running process go on.
+func (p *peer) returns(now time.Duration, incarnation api.Incarnation, cfg Config) bool {
+	if p.gone || now-p.lastHeard < cfg.SuspectAfter {
+		return false
+	}
+	if p.returning != incarnation || now-p.returningAt >= 2*cfg.HeartbeatEvery {
+		p.returning, p.returningSince = incarnation, now
+	}
+	p.returningAt = now
+	return now-p.returningSince >= cfg.SuspectAfter
+}
+
 // startIncarnation resets the state for a new incarnation, which is alive with
 // its first heartbeat whatever the state of the earlier one.
 func (p *peer) startIncarnation(now time.Duration, incarnation api.Incarnation) {
+	p.returning = ""
+	if i := slices.Index(p.formerIncarnations, incarnation); i >= 0 {
+		p.formerIncarnations = slices.Delete(p.formerIncarnations, i, i+1)
+	}
 	if p.everHeard {
 		if len(p.formerIncarnations) == maxFormerIncarnations {
 			p.formerIncarnations = slices.Delete(p.formerIncarnations, 0, 1)
