server/gateway: a limit of an incarnation that is not known yet is kept

Cause, by reading and a test: a VM that got a limit of an incarnation which its view does not have took the incarnation for ended and dropped the limit. If its view was the older one, the limit was lost until it changed or the connection ended: the sender counts it as reported. At the granter this means that the sender's requests wait for permits which nobody issues, until the granter's own VM or another one has a response with the limit.

Now such a limit is kept for 10 s and takes effect with the next message after the registration is known. Its age decides between it and newer ones, as before.

TestLimitOfIncarnationNotKnownYet failed before: the limit was still unknown at the second report. No message changes.

--- a/server/gateway/permits_test.go
+++ b/server/gateway/permits_test.go
@@ -59,3 +59,31 @@
 	unknown := ownership.Owner{UpstreamID: "u1", Incarnation: 8}
 	require.False(t, allocator.handleReport(v, b, report{Limits: []limitNews{{Upstream: unknown, Rate: 1}}}, at(26)))
 }
+
+// TestLimitOfIncarnationNotKnownYet guards against a limit that is lost, so that requests wait for
+// permits which nobody issues, because it arrives at a VM whose view of the registrations is
+// older than that of the sender.
+func TestLimitOfIncarnationNotKnownYet(t *testing.T) {
+	newUpstreamOf := func(incarnation int64) *upstream {
+		return newUpstream(&registration{Upstream: routing.Upstream{ID: "u1", Incarnation: incarnation}}, upstreamconn.Limits{}, upstreamconn.Network{}, func() {})
+	}
+	viewOf := func(u *upstream) *view { return &view{upstreams: map[api.UpstreamID]*upstream{"u1": u}} }
+	later := ownership.Owner{UpstreamID: "u1", Incarnation: 8}
+	allocator := newPermitAllocator(newStatedLimits(zerolog.Nop()))
+	client := newPermitClient()
+	u7, u8 := newUpstreamOf(7), newUpstreamOf(8)
+	demand := []permitDemand{{Upstream: later, Waiting: 1}}
+	require.False(t, allocator.handleReport(viewOf(u7), client, report{Limits: []limitNews{{Upstream: later, Rate: 2, AgeMs: 100}}, Demands: demand}, 10*time.Second))
+	require.Zero(t, u7.limiter.rate())
+	require.True(t, allocator.handleReport(viewOf(u8), client, report{Demands: demand}, 11*time.Second))
+	require.Equal(t, 2.0, u8.limiter.rate())
+	require.Equal(t, 9900*time.Millisecond, allocator.limits.all()[u8].At)
+	allocator.issue(11*time.Second, 0, []*permitClient{client})
+	allocator.issue(13*time.Second, 0, []*permitClient{client})
+	require.Equal(t, 1, client.takeGrants()[0].Permits)
+
+	l := newStatedLimits(zerolog.Nop())
+	l.merge(viewOf(u7), []limitNews{{Upstream: later, Rate: 2}}, time.Second, "granter")
+	l.merge(viewOf(u7), nil, time.Second+2*earlyLimitTTL, "granter")
+	require.Empty(t, l.early, "an incarnation that has ended")
+}
--- a/server/gateway/statedlimits.go
+++ b/server/gateway/statedlimits.go
@@ -56,8 +56,15 @@
 
 	mu         sync.Mutex
 	byUpstream map[*upstream]*upstreamLimit
+	// early holds limits that other VMs have sent, of incarnations that this VM does not know: its
+	// view of the registrations may be older than theirs.
+	early map[ownership.Owner]ratelimit.StatedLimit
 }
 
+// earlyLimitTTL is how long a limit of an unknown incarnation is kept: registrations reach all
+// VMs within it, unless a VM is cut off from both the store and the granter.
+const earlyLimitTTL = 10 * time.Second
+
 // upstreamLimit is the limit of one upstream.
 type upstreamLimit struct {
 	ratelimit.StatedLimit
@@ -70,7 +77,7 @@
 }
 
 func newStatedLimits(log zerolog.Logger) *statedLimits {
-	return &statedLimits{log: log, reportNow: func() {}, byUpstream: make(map[*upstream]*upstreamLimit)}
+	return &statedLimits{log: log, reportNow: func() {}, byUpstream: make(map[*upstream]*upstreamLimit), early: make(map[ownership.Owner]ratelimit.StatedLimit)}
 }
 
 // observe applies a response to a request of this VM; rate is 0 if it states no limit. Times
@@ -93,18 +100,33 @@
 func (l *statedLimits) merge(v *view, news []limitNews, received time.Duration, source string) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, n := range news {
-		u := v.incarnation(n.Upstream)
-		if u == nil || n.Rate < 0 || math.IsNaN(n.Rate) || math.IsInf(n.Rate, 1) {
-			continue
-		}
+	apply := func(u *upstream, stated ratelimit.StatedLimit) {
 		limit := l.limitOf(u)
-		limit.reported = n.Rate
-		if limit.Merge(ratelimit.StatedLimit{Rate: n.Rate, At: received - time.Duration(n.AgeMs)*time.Millisecond}) {
+		limit.reported = stated.Rate
+		if limit.Merge(stated) {
 			l.changed(u, limit, source)
 			changed = true
 		}
 	}
+	for owner, stated := range l.early {
+		if u := v.incarnation(owner); u != nil {
+			apply(u, stated)
+			delete(l.early, owner)
+		} else if received-stated.At > earlyLimitTTL {
+			delete(l.early, owner)
+		}
+	}
+	for _, n := range news {
+		if n.Rate < 0 || math.IsNaN(n.Rate) || math.IsInf(n.Rate, 1) {
+			continue
+		}
+		stated := ratelimit.StatedLimit{Rate: n.Rate, At: received - time.Duration(n.AgeMs)*time.Millisecond}
+		if u := v.incarnation(n.Upstream); u != nil {
+			apply(u, stated)
+		} else {
+			l.early[n.Upstream] = stated
+		}
+	}
 	return changed
 }
 
