--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -25,12 +25,18 @@
 // Len returns the number of keys.
 func (s Span) Len() int { return s.Last - s.First + 1 }
 
-// Owner is one incarnation of an upstream.
+// Owner is one incarnation of an upstream. A later incarnation has a higher number, unless
+// the time of day has stepped back between the two.
 type Owner struct {
 	UpstreamID  api.UpstreamID `cbor:"1,keyasint" json:"Upstream"`
 	Incarnation int64          `cbor:"2,keyasint" json:"Life"`
 }
 
+// follows reports whether an owner is a later incarnation of the same upstream.
+func (o Owner) follows(other Owner) bool {
+	return o.UpstreamID == other.UpstreamID && o.Incarnation > other.Incarnation
+}
+
 // Entry is a span with its owner, as stored.
 type Entry struct {
 	Span  Span  `cbor:"1,keyasint"`
@@ -93,10 +99,14 @@
 	leaseUntil time.Duration
 	// inDoubtUntil is an upper bound of when an unanswered grant can take effect.
 	inDoubtUntil time.Duration
-	grantSentAt  time.Duration
-	grantSent    bool // in this term
-	granting     bool // a grant is in flight
-	releasing    bool // a release is in flight
+	// formerUntil is an upper bound of the expiry of leases that the owner's upstream may hold
+	// besides that of Entry: those granted under a lower fence, or to an earlier incarnation,
+	// since a call names an upstream, not its incarnation.
+	formerUntil time.Duration
+	grantSentAt time.Duration
+	grantSent   bool // in this term
+	granting    bool // a grant is in flight
+	releasing   bool // a release is in flight
 	// releaseAt is when the next attempt to release is due.
 	releaseAt time.Duration
 	acked     bool
@@ -256,7 +266,7 @@
 		m.markLost(now)
 		if now >= m.balanceAt {
 			m.balanceAt = now + m.cfg.BalanceEvery
-			m.balance()
+			m.balance(now)
 		}
 		actions = m.releases(now, actions)
 	}
@@ -278,10 +288,15 @@
 		if exists && u.MayKeepKeys && u.Incarnation == e.Owner.Incarnation {
 			continue
 		}
+		if exists && e.Owner.follows(u.Owner) && now < e.leaseUntil {
+			// The view is older than the owner, or the time of day has stepped back.
+			continue
+		}
 		e.moving, e.released, e.target = true, false, Owner{}
 		m.changed = true
-		if exists && u.Incarnation != e.Owner.Incarnation {
-			// The incarnation that owned the keys has ended, and its leases with it.
+		if exists && u.Owner.follows(e.Owner) {
+			// The incarnation that owned the keys has ended.
+			e.formerUntil = max(e.formerUntil, e.leaseUntil)
 			e.ownerEnded(now)
 			if u.MayKeepKeys {
 				e.target = u.Owner
@@ -315,6 +330,12 @@
 	return e.Owner.UpstreamID == "" || now >= e.leaseUntil || e.released && now >= e.inDoubtUntil
 }
 
+// freeFor reports whether a free span may go to an owner. The leases until formerUntil are no
+// obstacle to the upstream that holds them.
+func (e *entry) freeFor(now time.Duration, next Owner) bool {
+	return e.free(now) && (e.Owner.UpstreamID == next.UpstreamID || now >= e.formerUntil)
+}
+
 // assign gives free spans to their targets and returns the write that stores them.
 func (m *Machine) assign(now time.Duration) (Action, bool) {
 	if m.writing || m.awaitsUpstreams(now) || !m.assignTargets(now) {
@@ -409,6 +430,7 @@
 			merged[n-1].Span.Last = e.Span.Last
 			merged[n-1].leaseUntil = max(merged[n-1].leaseUntil, e.leaseUntil)
 			merged[n-1].inDoubtUntil = max(merged[n-1].inDoubtUntil, e.inDoubtUntil)
+			merged[n-1].formerUntil = max(merged[n-1].formerUntil, e.formerUntil)
 			continue
 		}
 		merged = append(merged, e)
@@ -451,6 +473,10 @@
 func (m *Machine) GrantDone(now time.Duration, a Action, result Result) {
 	for _, e := range m.entriesOf(a) {
 		e.granting = false
+		if e.released && (result == Accepted || result == Unknown) {
+			// A later incarnation became known while the call was under way.
+			e.formerUntil = max(e.formerUntil, now+m.safeTTL(a.LeaseTTL))
+		}
 		switch result {
 		case Accepted:
 			// The lease runs from the arrival of the call, which may have waited for its
@@ -469,7 +495,9 @@
 			e.ownerEnded(now)
 			m.changed = true
 		case Fenced:
-			// The upstream accepts no grant without a new fence.
+			// The upstream accepts no grant without a new fence. It has perhaps seen the higher one
+			// on some of the keys only, and holds the others.
+			e.formerUntil = max(e.formerUntil, e.leaseUntil)
 			e.moving, e.released, e.target, m.changed = true, true, e.Owner, true
 		}
 	}
@@ -516,7 +544,7 @@
 // for the successor of this granter.
 func (m *Machine) InDoubtUntil(now time.Duration) (until time.Duration) {
 	for _, e := range m.entries {
-		until = max(until, e.inDoubtUntil)
+		until = max(until, e.inDoubtUntil, e.formerUntil)
 		if e.granting {
 			until = max(until, now+m.safeTTL(m.cfg.LeaseTTL))
 		}
