core/election, server/gateway: the end of a connection does not show that a granter has ended

Seen by callers: two upstreams may hold the same keys and run requests for them (OWNER) if a proxy, a load balancer or a firewall ends the connections between the granter and the other VMs in order.

The kernel closes the connections of an ended process so, but so does any device on the way whose far side is reset or cut off. The granter goes on renewing grants for the rest of its lease of 3 s, and its successor moves keys at once.

Change: no end of a connection shows anything of the granter, whether reset, refused, silent or in order. Only a response of another process of the granter's VM does. A granter that stops releases its lease in the store before it closes connections, or hands over, so a successor of such a granter moves keys at once as before; one whose process is killed leaves its successor with the rest of the lease, unless its next process responds or takes over first.

Tests: TestGranterCutOff (in order) failed before: the successor may move keys 2.8 s before the former lease ends. TestGranterEnds demanded the wrong conclusion and is replaced: TestGranterRestarts demands a takeover at once, by the proof that stays. TestGranterResetsLinks and TestLinkEndOfEarlierVersion (now TestDialEnd) lose the lines on what an orderly end shows: there is no such rule left.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -66,8 +66,7 @@
 	Vacant bool
 	// Reserved means that the granter has named another VM as its successor.
 	Reserved bool
-	// GranterEnded means that the granter is known not to act any more: its process has ended,
-	// or it has given up its authority.
+	// GranterEnded means that the granter's process is known to have ended.
 	GranterEnded bool
 	// Age is the time since the last renewal.
 	Age time.Duration
@@ -79,19 +78,15 @@
 type LinkEnd int
 
 const (
-	// LinkLost means that the connection was reset, refused or silent. The granter may be well:
-	// a cut between two VMs does the same.
+	// LinkLost means that the connection was refused, silent, reset or closed in order. The
+	// granter may be well: a cut, or a device between two VMs, does the same.
 	LinkLost LinkEnd = iota
-	// LinkClosed means that the granter's side closed the connection in order. A granter resets
-	// the connections that it closes before it has given up its authority, so either it has, or
-	// the kernel has closed the connections of its process, which has ended.
-	LinkClosed
 	// OtherProcess means that another process of the granter's VM has responded.
 	OtherProcess
 )
 
 // GranterEnded reports whether the granter is known not to act any more.
-func (e LinkEnd) GranterEnded() bool { return e == LinkClosed || e == OtherProcess }
+func (e LinkEnd) GranterEnded() bool { return e == OtherProcess }
 
 // Step is what a VM does next.
 type Step int
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -70,7 +70,7 @@
 	forgetPredecessors bool            // the lease does not name the granters before the last
 	forgetHandover     bool            // a granter that has handed over does not keep from taking over
 	refusalIsEnd       bool            // a refused connection is taken for the end of the granter
-	closesInOrder      bool            // a granter with authority closes connections in order
+	orderlyEndIsEnd    bool            // a connection closed in order is taken for the end of the granter
 	rng                *rand.Rand
 	now                time.Duration
 	vms                []*vm
@@ -117,14 +117,23 @@
 func (s *sim) refused(p, granter *process) election.LinkEnd {
 	switch current := granter.vm.proc; {
 	case s.refusalIsEnd && (!s.linked(p.vm, granter.vm) || current.ended):
-		return election.LinkClosed
+		return election.OtherProcess
 	case s.linked(p.vm, granter.vm) && current != granter && !current.ended && granter.vm.frozenUntil <= s.now:
 		return election.OtherProcess
 	}
 	return election.LinkLost
 }
 
-// cutLinks cuts a VM off from the others for a while, with resets.
+// closedInOrder returns what a process learns from a connection that is closed in order.
+func (s *sim) closedInOrder() election.LinkEnd {
+	if s.orderlyEndIsEnd {
+		return election.OtherProcess
+	}
+	return election.LinkLost
+}
+
+// cutLinks cuts a VM off from the others for a while. Connections are reset, or closed in order
+// by a device between the VMs.
 func (s *sim) cutLinks(v *vm) {
 	v.cutUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
 	s.tracef("%s is cut off from the other VMs until %.2fs", v.name, (v.cutUntil - time.Minute).Seconds())
@@ -133,7 +142,11 @@
 			if g := p.granter; g != nil && !s.linked(p.vm, g.vm) {
 				s.counts["cut off from a granter"]++
 				s.disconnect(p)
-				s.linkEnded(p, g.term, election.LinkLost)
+				end := election.LinkLost
+				if s.rng.IntN(2) == 0 {
+					end = s.closedInOrder()
+				}
+				s.linkEnded(p, g.term, end)
 			}
 		}
 	}
@@ -154,7 +167,7 @@
 	}
 	for m := range p.members {
 		m.granter = nil
-		s.linkEnded(m, p.term, election.LinkClosed)
+		s.linkEnded(m, p.term, s.closedInOrder())
 	}
 	p.auth, p.members, p.caretaker = nil, nil, false
 }
@@ -247,12 +260,8 @@
 		return
 	}
 	if s.rng.IntN(400) == 0 {
-		end := election.LinkLost
-		if s.closesInOrder {
-			end = election.LinkClosed
-		}
 		s.disconnect(p)
-		s.linkEnded(p, g.term, end)
+		s.linkEnded(p, g.term, s.closedInOrder())
 		return
 	}
 	if !g.auth.StoreUnreachable(s.now) {
@@ -528,7 +537,7 @@
 		"a handover without a stop is forgotten":     func(s *sim) { s.forgetHandover = true },
 		"earlier granters are forgotten":             func(s *sim) { s.forgetPredecessors = true },
 		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
-		"a granter closes connections in order":      func(s *sim) { s.closesInOrder = true },
+		"an orderly end is taken for an end":         func(s *sim) { s.orderlyEndIsEnd = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 1500; seed++ {
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -239,7 +239,7 @@
 	return err
 }
 
-// granterEndedError means that the granter of a term does not act any more, see
+// granterEndedError means that the process of the granter of a term has ended, see
 // election.LinkEnd.
 type granterEndedError struct {
 	term  int64 // 0 if not known
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -268,7 +267,11 @@
 				return &moved
 			}
 		}
-		return linkError(to, dialEnd(to, resp), errors.Wrap(err, "connect to the granter"))
+		err = errors.Wrap(err, "connect to the granter")
+		if dialEnd(to, resp).GranterEnded() {
+			return &granterEndedError{term: to.Term, cause: err}
+		}
+		return err
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
@@ -286,16 +289,14 @@
 		}
 	}()
 	defer l.setFollowed(lease{}, nil, false)
-	resets := false
 	for {
 		var u update
 		if err := receive(ctx, conn, &u, linkTimeout); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
-			return linkError(to, linkEnd(err, resets), err)
+			return err
 		}
-		resets = resets || u.ResetsLinks
 		l.crashes.merge(u.Crashes)
 		if u.Lease != nil {
 			if to.VM != "" && to.VM != unknownVM && u.Lease.VM != to.VM {
@@ -322,22 +323,6 @@
 	return election.LinkLost
 }
 
-// linkEnd says what the error of a connection to a granter shows; resets is update.ResetsLinks.
-func linkEnd(err error, resets bool) election.LinkEnd {
-	if resets && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
-		return election.LinkClosed
-	}
-	return election.LinkLost
-}
-
-// linkError returns the error for the end of a connection to a granter.
-func linkError(granter lease, end election.LinkEnd, err error) error {
-	if end.GranterEnded() {
-		return &granterEndedError{term: granter.Term, cause: err}
-	}
-	return err
-}
-
 // sendReports sends reports to the granter until ctx ends or a send fails.
 func (l *links) sendReports(ctx context.Context, conn *websocket.Conn) error {
 	ticker := time.NewTicker(reportInterval)
--- a/server/gateway/link_test.go
+++ b/server/gateway/link_test.go
@@ -1,10 +1,9 @@
 package gateway
 
 import (
-	"context"
-	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
@@ -117,40 +117,48 @@
 	return g.links.following
 }
 
-// TestGranterCutOffWithResets guards against two granters that act: the connections to a granter
-// are reset and refused, as by the end of its process, but it still renews the grants of its
-// upstreams, and its successor moves keys.
-func TestGranterCutOffWithResets(t *testing.T) {
-	d := newDeployment(t)
-	store, refuse := d.storeFor()
-	a, network := d.startVMBehind("vm-a", store)
-	d.eventually(func() bool { return a.links.currentGranter() != nil }, "the first VM grants")
-	b := d.startVM("vm-b")
-	d.eventually(b.connected, "the second VM follows the first")
-	d.awaitRenewal(b)
-	before := a.links.currentGranter()
-	refuse.Store(true)
-	network.end(true)
-	d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM takes over")
-	// Leases of keys are extended by MaxMessageDelay, which covers errors in the reading of the
-	// store's clock.
-	allowance := ownership.DefaultConfig(fleet.KeyCount).MaxMessageDelay
-	require.GreaterOrEqual(t, b.links.currentGranter().predecessor.Until+allowance, time.Duration(before.renewUntil.Load()))
+// TestGranterCutOff guards against two granters that act: the connections to a granter are reset,
+// or ended in order by a device on the way, but it still renews the grants of its upstreams, and
+// its successor moves keys.
+func TestGranterCutOff(t *testing.T) {
+	for name, reset := range map[string]bool{"with resets": true, "in order": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			store, refuse := d.storeFor()
+			a, network := d.startVMBehind("vm-a", store)
+			d.eventually(func() bool { return a.links.currentGranter() != nil }, "the first VM grants")
+			b := d.startVM("vm-b")
+			d.eventually(b.connected, "the second VM follows the first")
+			d.awaitRenewal(b)
+			before := a.links.currentGranter()
+			refuse.Store(true)
+			network.end(reset)
+			d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM takes over")
+			// Leases of keys are extended by MaxMessageDelay, which covers errors in the reading of the
+			// store's clock.
+			allowance := ownership.DefaultConfig(fleet.KeyCount).MaxMessageDelay
+			require.GreaterOrEqual(t, b.links.currentGranter().predecessor.Until+allowance, time.Duration(before.renewUntil.Load()))
+		})
+	}
 }
 
-// TestGranterEnds guards against a slow takeover from a granter whose process has ended: the
-// kernel closes its connections in order.
-func TestGranterEnds(t *testing.T) {
+// TestGranterRestarts guards against a slow takeover from a granter whose process has ended: another
+// process of its VM responds.
+func TestGranterRestarts(t *testing.T) {
 	d := newDeployment(t)
-	a, network := d.startVMBehind("vm-a", d.storeAddr)
-	d.eventually(func() bool { return a.links.currentGranter() != nil }, "the first VM grants")
+	server := httptest.NewServer(&links{self: "vm-a", incarnation: "2"})
+	t.Cleanup(server.Close)
+	// The lease is not stale during the test.
+	const ahead = time.Hour
+	row, err := cbor.Marshal(lease{
+		VM: "vm-a", Incarnation: "1", Address: server.Listener.Addr().String(), Term: 1, Seq: 1,
+		RenewedAtMs: ahead.Milliseconds(), PredecessorsMs: -ahead.Milliseconds(),
+	})
+	require.NoError(t, err)
+	d.store.Put(systemTable, leaseKey, row)
 	b := d.startVM("vm-b")
-	d.eventually(b.connected, "the second VM follows the first")
-	d.awaitRenewal(b)
-	network.end(false)
 	d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM takes over")
 	g := b.links.currentGranter()
-	require.Less(t, g.initial.lease.age, election.DefaultConfig().StaleAfter)
 	require.LessOrEqual(t, g.predecessor.Until, g.initial.lease.readAt)
 }
 
@@ -190,15 +198,11 @@
 		err = receive(t.Context(), conn, &u, waitTimeout)
 	}
 	require.ErrorIs(t, err, syscall.ECONNRESET)
-	require.Equal(t, election.LinkLost, linkEnd(err, u.ResetsLinks))
 }
 
-// TestLinkEndOfEarlierVersion guards against trust in an orderly end of a connection to a granter
-// of an earlier version, which closes connections in order while it acts.
-func TestLinkEndOfEarlierVersion(t *testing.T) {
-	require.Equal(t, election.LinkLost, linkEnd(io.EOF, false))
-	require.Equal(t, election.LinkClosed, linkEnd(io.EOF, true))
-	require.Equal(t, election.LinkLost, linkEnd(context.DeadlineExceeded, true))
+// TestDialEnd guards against trust in a response that does not come from another process of the
+// granter's VM.
+func TestDialEnd(t *testing.T) {
 	refused := &http.Response{Header: http.Header{incarnationHeader: {"2"}}}
 	require.Equal(t, election.LinkLost, dialEnd(lease{}, refused))
 	require.Equal(t, election.LinkLost, dialEnd(lease{Incarnation: "2"}, refused))
