server/gateway: granters close connections to other VMs without a reset

Change: linkConn, its listener and field 21 of updates go away; the number stays reserved.

TestUpdatePromisesNothing (an update with all fields set lacks field 21) failed with the field. TestGranterResetsLinks goes away with the resets that it demanded: what it guarded against, a VM that takes the close of its connection for the end of the granter, is what TestGranterCutOff plays. TestEarlierVersions passes.

--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -52,7 +52,6 @@
 	links        *links
 	draining     atomic.Bool
 	callers      *http.Server
-	peers        *http.Server // of other VMs
 	conns        callerConns
 	listener     net.Listener // of callers
 	servers      []*http.Server
@@ -102,9 +101,8 @@
 	g.callers = &http.Server{
 		Addr: s.Listen.Callers, Handler: http.HandlerFunc(g.serveCaller), ConnState: g.conns.connState,
 	}
-	g.peers = &http.Server{Addr: s.Listen.Peers, Handler: peers, ConnContext: withLinkConn}
 	g.servers = []*http.Server{
-		g.peers,
+		{Addr: s.Listen.Peers, Handler: peers},
 		{Addr: s.Listen.Health, Handler: health},
 		{Addr: s.Listen.Metrics, Handler: metricsRouter},
 		g.callers,
@@ -158,12 +156,9 @@
 		g.elector.run(ctx)
 	}()
 	for i, server := range g.servers {
-		switch server {
-		case g.callers:
+		if server == g.callers {
 			g.listener = callerListener{Listener: listeners[i], conns: &g.conns}
 			listeners[i] = g.listener
-		case g.peers:
-			listeners[i] = linkListener{listeners[i]}
 		}
 		go g.serve(server, listeners[i])
 	}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -137,7 +137,7 @@
 	}
 	stopCalls()
 	for m := range g.members {
-		m.closeInOrder()
+		m.close()
 	}
 }
 
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -101,10 +101,8 @@
 	LeavingUpstreams []ownership.Owner `cbor:"18,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
 	Handover *handover `cbor:"12,keyasint,omitempty"`
-	// ResetsLinks means that the granter closes this connection in order only when it does not act
-	// any more, see election.LinkClosed. Granters of earlier versions close it in order while they
-	// act.
-	ResetsLinks bool `cbor:"21,keyasint,omitempty"`
+	// Field 21 is reserved: VMs of earlier versions take it as the promise that an orderly end of
+	// the connection shows the end of the granter.
 
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
@@ -209,16 +207,12 @@
 	conn.SetReadLimit(maxFrameBytes)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	link := linkConnOf(r)
-	if link != nil {
-		link.resets.Store(true)
-	}
 	var h hello
 	if err := receive(ctx, conn, &h, linkDialTimeout); err != nil || h.Term > g.term {
 		l.log.Warn().Str("event", "link_refused").Str("peer", string(h.VM)).Int64("term", h.Term).Err(err).Msg("")
 		return
 	}
-	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, permits: newPermitClient(), updates: make(chan update, 1), link: link, close: cancel, ended: ctx.Done()}
+	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, permits: newPermitClient(), updates: make(chan update, 1), close: cancel, ended: ctx.Done()}
 	if !g.addMember(member, time.Duration(h.PromiseMs)*time.Millisecond) {
 		return
 	}
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -33,8 +33,7 @@
 	// contactAt is when the VM last opened a connection to an upstream, as far as known; 0 if
 	// it has not.
 	contactAt time.Duration
-	// link is the connection, nil if it cannot be reset; close ends it.
-	link          *linkConn
+	// close ends the connection.
 	close         func()
 	sentVersions  map[api.ServiceName]int64 // the versions of the owner tables last sent
 	sentJoinCount int                       // joinCount when the peers were last sent, at peersSentAt
@@ -44,14 +43,6 @@
 	relayedTo     int64 // the version up to which registrations were relayed
 }
 
-// closeInOrder closes the connection in order: the granter does not act any more.
-func (m *member) closeInOrder() {
-	if m.link != nil {
-		m.link.resets.Store(false)
-	}
-	m.close()
-}
-
 // rank is the rank of a VM; leftAt is when it was last connected.
 type rank struct {
 	vm        api.VMID
@@ -221,7 +212,7 @@
 		u.Rows, u.RowsFrom, u.RowsTo = g.links.relay.since(m.relayedTo)
 		m.relayedTo = u.RowsTo
 	}
-	u.Isolated, u.ResetsLinks = g.isolation.active, m.link != nil
+	u.Isolated = g.isolation.active
 	leaving, sent := g.control.leaving.news(m.leavingSent)
 	u.LeavingUpstreams, m.leavingSent = append(u.LeavingUpstreams, leaving...), sent
 	if m.isolated {
