core/election, server/gateway: a response at a granter's address shows its end only if it comes from its VM

Seen by callers: two upstreams may hold the same keys (OWNER) if another VM has the address of a living granter, or if a proxy or a translation of addresses passes a connection to another VM.

Cause: a VM that is not the granter responds with its incarnation alone, and any incarnation but the granter's was taken for the next process of the granter's VM.

Change: the response gives the name of the VM too (header Dandelionhill-VM); the decision is election.ResponseShows. It rests on what the election relies on anyway: a VM has one process at a time, and its name is its own. A process that listens before it takes part in the election answers while it runs, so a response to a call that was sent after the lease was read can't come from a process that had ended before the granter started. A VM of an earlier version does not give its name and proves nothing; VMs of earlier versions skip the header.

Tests: TestOtherVMAtGranterAddress failed before in the cases "another VM" and "a VM of an earlier version". In TestNoTwoGranters connections to a VM reach another one for a while; the old rule is a broken variant of TestNoTwoGrantersDetects.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -85,6 +85,22 @@
 	OtherProcess
 )
 
+// Process identifies a process of a VM. A VM has one process at a time.
+type Process struct {
+	VM          api.VMID
+	Incarnation api.Incarnation
+}
+
+// ResponseShows says what a response at a granter's address shows. Another VM may have the address,
+// or a device between two VMs may have passed the call to it.
+func ResponseShows(granter, responder Process) LinkEnd {
+	known := granter.Incarnation != "" && responder.Incarnation != ""
+	if known && responder.VM == granter.VM && responder.Incarnation != granter.Incarnation {
+		return OtherProcess
+	}
+	return LinkLost
+}
+
 // GranterEnded reports whether the granter is known not to act any more.
 func (e LinkEnd) GranterEnded() bool { return e == OtherProcess }
 
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -31,6 +31,7 @@
 // process is one process of a VM; a restart replaces it.
 type process struct {
 	vm           *vm
+	incarnation  api.Incarnation
 	voter        *election.Voter
 	ended        bool
 	granter      *process // the granter that it is connected to
@@ -55,6 +56,8 @@
 	frozenUntil    time.Duration
 	isolatedUntil  time.Duration // it reaches no upstream until then
 	cutUntil       time.Duration // it reaches no other VM until then
+	address        *vm           // the VM that connections to its address reach
+	divertedUntil  time.Duration // until when address is another VM
 	startAt        time.Duration // of the next process
 	stopAt         time.Duration // when a stopping process ends, 0 if it does not stop
 }
@@ -71,7 +74,9 @@
 	forgetHandover     bool            // a granter that has handed over does not keep from taking over
 	refusalIsEnd       bool            // a refused connection is taken for the end of the granter
 	orderlyEndIsEnd    bool            // a connection closed in order is taken for the end of the granter
+	anyProcessIsEnd    bool            // a response of any other process is taken for the end of the granter
 	rng                *rand.Rand
+	starts             int // of processes
 	now                time.Duration
 	vms                []*vm
 	row                row
@@ -84,7 +89,7 @@
 	s := &sim{cfg: cfg, voterCfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), counts: make(map[string]int), now: time.Minute}
 	for i := range vms {
 		v := &vm{name: api.VMID(fmt.Sprint("vm-", i)), storeReachable: true, startAt: s.now}
-		v.proc = &process{vm: v, ended: true}
+		v.proc, v.address = &process{vm: v, ended: true}, v
 		s.vms = append(s.vms, v)
 	}
 	return s
@@ -95,7 +100,8 @@
 }
 
 func (s *sim) start(v *vm) {
-	v.proc = &process{vm: v, voter: election.NewVoter(s.voterCfg, s.now)}
+	s.starts++
+	v.proc = &process{vm: v, incarnation: api.Incarnation(fmt.Sprint(s.starts)), voter: election.NewVoter(s.voterCfg, s.now)}
 	v.stopAt = 0
 	s.tracef("%s starts", v.name)
 }
@@ -115,13 +121,35 @@
 
 // refused returns what a process learns from an attempt to connect to the granter of the lease.
 func (s *sim) refused(p, granter *process) election.LinkEnd {
-	switch current := granter.vm.proc; {
-	case s.refusalIsEnd && (!s.linked(p.vm, granter.vm) || current.ended):
-		return election.OtherProcess
-	case s.linked(p.vm, granter.vm) && current != granter && !current.ended && granter.vm.frozenUntil <= s.now:
-		return election.OtherProcess
+	responder := granter.vm.address.proc
+	switch {
+	case !s.linked(p.vm, responder.vm) || responder.ended:
+		if s.refusalIsEnd {
+			return election.OtherProcess
+		}
+		return election.LinkLost
+	case responder.auth != nil || responder.vm.frozenUntil > s.now:
+		return election.LinkLost
+	case responder.vm != granter.vm:
+		s.counts["another VM responded"]++
 	}
-	return election.LinkLost
+	asked := election.Process{VM: granter.vm.name, Incarnation: granter.incarnation}
+	answered := election.Process{VM: responder.vm.name, Incarnation: responder.incarnation}
+	if s.anyProcessIsEnd {
+		answered.VM = asked.VM
+	}
+	return election.ResponseShows(asked, answered)
+}
+
+// divert makes connections to the address of a VM reach another one for a while.
+func (s *sim) divert(v *vm) {
+	v.address, v.divertedUntil = s.vms[s.rng.IntN(len(s.vms))], s.now+time.Duration(s.rng.IntN(6000))*time.Millisecond
+	s.tracef("connections to %s reach %s until %.2fs", v.name, v.address.name, (v.divertedUntil - time.Minute).Seconds())
+}
+
+// reached reports whether a connection of p to the address of a granter reaches it.
+func (s *sim) reached(p, g *process) bool {
+	return g.auth != nil && !g.ended && g.vm.address == g.vm && s.linked(p.vm, g.vm) && g.vm.frozenUntil <= s.now
 }
 
 // closedInOrder returns what a process learns from a connection that is closed in order.
@@ -215,7 +243,7 @@
 			return
 		}
 		for _, v := range s.vms {
-			if g := v.proc; g.auth != nil && !g.ended && g != p && s.linked(p.vm, v) && v.frozenUntil <= s.now && s.rng.IntN(2) == 0 {
+			if g := v.proc; g != p && s.reached(p, g) && s.rng.IntN(2) == 0 {
 				p.voter.StoreUnreachable(s.now)
 				s.join(p, g, p.voter.PromiseRemaining(s.now))
 				s.counts["joined without the store"]++
@@ -234,7 +262,7 @@
 		s.takeOver(p, p.voter.PredecessorsUntil(s.now, l))
 	case election.Follow:
 		g := s.row.granter
-		if g.auth != nil && !g.ended && s.linked(p.vm, g.vm) && g.vm.frozenUntil <= s.now && s.rng.IntN(5) > 0 {
+		if s.reached(p, g) && s.rng.IntN(5) > 0 {
 			s.join(p, g, 0)
 		} else {
 			s.linkEnded(p, s.row.term, s.refused(p, g))
@@ -392,6 +420,11 @@
 }
 
 func (s *sim) injectFaults() {
+	for _, v := range s.vms {
+		if v.divertedUntil <= s.now {
+			v.address = v
+		}
+	}
 	v := s.vms[s.rng.IntN(len(s.vms))]
 	switch n := s.rng.IntN(1000); {
 	case n < 6:
@@ -416,6 +449,8 @@
 		s.isolate(v)
 	case n < 40 && v.cutUntil <= s.now:
 		s.cutLinks(v)
+	case n < 46 && v.address == v:
+		s.divert(v)
 	}
 }
 
@@ -496,8 +531,8 @@
 
 // TestNoTwoGranters guards against a granter that moves keys while another one
 // still renews their leases, under store outages for all or for single VMs, cuts between
-// VMs, kills, stops with handovers, freezes and lost messages. What a VM knows of another one
-// comes from the connections between them.
+// VMs, connections that reach another VM, kills, stops with handovers, freezes and lost messages.
+// What a VM knows of another one comes from the connections between them.
 func TestNoTwoGranters(t *testing.T) {
 	counts := make(map[string]int)
 	for seed := uint64(1); seed <= 1500; seed++ {
@@ -512,7 +547,7 @@
 	}
 	for _, event := range []string{
 		"takeovers", "released", "caretakers", "resigned", "handed over without a stop", "joined without the store", "ticks with moves", "promised without a check",
-		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter",
+		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter", "another VM responded",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
 	}
@@ -538,6 +573,7 @@
 		"earlier granters are forgotten":             func(s *sim) { s.forgetPredecessors = true },
 		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
 		"an orderly end is taken for an end":         func(s *sim) { s.orderlyEndIsEnd = true },
+		"a response of another VM is taken for one":  func(s *sim) { s.anyProcessIsEnd = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 1500; seed++ {
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -25,7 +25,9 @@
 const (
 	// linkPath is the path at which the granter accepts connections of the other VMs.
 	linkPath = "/granter/v1"
-	// incarnationHeader holds the incarnation of a VM that responds that it is not the granter.
+	// vmHeader and incarnationHeader hold the name and the incarnation of a VM that responds that
+	// it is not the granter. VMs of earlier versions do not give their name.
+	vmHeader          = "Dandelionhill-VM"
 	incarnationHeader = "Dandelionhill-Incarnation"
 	// lastGranterHeader holds the lease of the granter that the responding VM follows, in JSON.
 	lastGranterHeader = "Dandelionhill-Granter"
@@ -156,6 +158,7 @@
 func (l *links) redirect(w http.ResponseWriter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	w.Header().Set(vmHeader, string(l.self))
 	w.Header().Set(incarnationHeader, string(l.incarnation))
 	if !l.following {
 		return
@@ -308,13 +311,12 @@
 // dialEnd says what a response to an attempt to connect to a granter shows; resp is nil if there
 // was none.
 func dialEnd(to lease, resp *http.Response) election.LinkEnd {
-	if resp == nil || to.Incarnation == "" {
+	if resp == nil {
 		return election.LinkLost
 	}
-	if incarnation := resp.Header.Get(incarnationHeader); incarnation != "" && incarnation != string(to.Incarnation) {
-		return election.OtherProcess
-	}
-	return election.LinkLost
+	return election.ResponseShows(election.Process{VM: to.VM, Incarnation: to.Incarnation}, election.Process{
+		VM: api.VMID(resp.Header.Get(vmHeader)), Incarnation: api.Incarnation(resp.Header.Get(incarnationHeader)),
+	})
 }
 
 // sendReports sends reports to the granter until ctx ends or a send fails.
--- a/server/gateway/link_test.go
+++ b/server/gateway/link_test.go
@@ -13,7 +13,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
-	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
@@ -190,12 +189,30 @@
 	require.NotContains(t, fields, reserved)
 }
 
-// TestDialEnd guards against trust in a response that does not come from another process of the
-// granter's VM.
-func TestDialEnd(t *testing.T) {
-	refused := &http.Response{Header: http.Header{incarnationHeader: {"2"}}}
-	require.Equal(t, election.LinkLost, dialEnd(lease{}, refused))
-	require.Equal(t, election.LinkLost, dialEnd(lease{Incarnation: "2"}, refused))
-	require.Equal(t, election.LinkLost, dialEnd(lease{Incarnation: "1"}, nil))
-	require.Equal(t, election.OtherProcess, dialEnd(lease{Incarnation: api.Incarnation("1")}, refused))
+// TestOtherVMAtGranterAddress guards against a takeover from a living granter whose address another
+// VM has, or whose VM is of an earlier version, which does not give its name.
+func TestOtherVMAtGranterAddress(t *testing.T) {
+	granter := lease{VM: "vm-a", Incarnation: "1"}
+	for name, c := range map[string]struct {
+		granter   lease
+		responder http.Handler
+		want      election.LinkEnd
+	}{
+		"the granter's process":            {granter, &links{self: "vm-a", incarnation: "1"}, election.LinkLost},
+		"another process of its VM":        {granter, &links{self: "vm-a", incarnation: "2"}, election.OtherProcess},
+		"another VM":                       {granter, &links{self: "vm-b", incarnation: "2"}, election.LinkLost},
+		"a granter of unknown incarnation": {lease{VM: "vm-a"}, &links{self: "vm-a", incarnation: "2"}, election.LinkLost},
+		"a VM of an earlier version": {granter, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(incarnationHeader, "2")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}), election.LinkLost},
+		"another program": {granter, http.NotFoundHandler(), election.LinkLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			c.responder.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, linkPath, nil))
+			require.Equal(t, c.want, dialEnd(c.granter, recorder.Result()))
+		})
+	}
+	require.Equal(t, election.LinkLost, dialEnd(granter, nil))
 }
