core/election, server/gateway: a granter does not hand over while the store may hold a young renewal

Seen by callers: two upstreams may hold the same keys (OWNER) if the store goes silent after it has taken a renewal of the lease, the granter stops, and the store answers again within 1.2 s of that renewal.

Cause: a VM that takes over a lease from an ended process reckons with no caretaker if the lease is younger than 1.2 s, because a granter hands over only when its last renewal is older. The granter counted from the last renewal that the store had answered, the successor from the last one that the store holds. A renewal whose answer was lost lies up to 1 s after the former, so the next process of the granter's VM moved keys while the caretaker renewed them.

Change: the granter counts from the sending of the last renewal that the store may hold (Authority.Renewing). A granter that stops in the first 1.2 s after an unanswered renewal can't hand over, as one that stops in the first 1.2 s of an outage could not before; its lease runs out then.

Tests: the simulation loses answers of the store to renewals, and granters stop in short outages. That server/gateway records each renewal (renewal.go) is not covered by a test.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -214,7 +214,7 @@
 }
 
 // PredecessorsUntil returns until when earlier granters may act, for a VM that takes
-// over a lease. A granter hands over or relies on promises only when its last renewal
+// over a lease. A granter hands over only when the last renewal that the store may hold
 // is older than StoreTimeout, so a process that ended before that has no caretaker.
 func (v *Voter) PredecessorsUntil(now time.Duration, l Lease) time.Duration {
 	until := now + l.PredecessorsRemaining
@@ -246,7 +246,8 @@
 type Authority struct {
 	cfg        Config
 	startedAt  time.Duration
-	renewedAt  time.Duration // when the last renewal that the store holds was sent
+	renewedAt  time.Duration // when the last renewal that the store has answered was sent
+	sentAt     time.Duration // when the last renewal that the store may hold was sent
 	renewUntil time.Duration
 	peers      map[api.VMID]*peer
 	// missing is the number of VMs that the predecessor knew and that have not
@@ -259,11 +260,14 @@
 // the given time. vms is the number of VMs that its predecessor knew.
 func NewAuthority(cfg Config, sent time.Duration, vms int) *Authority {
 	return &Authority{
-		cfg: cfg, startedAt: sent, renewedAt: sent, renewUntil: sent + cfg.LeaseTTL,
+		cfg: cfg, startedAt: sent, renewedAt: sent, sentAt: sent, renewUntil: sent + cfg.LeaseTTL,
 		peers: make(map[api.VMID]*peer), missing: max(vms-1, 0),
 	}
 }
 
+// Renewing records that a renewal is sent. Until the store has answered, it may hold it or not.
+func (a *Authority) Renewing(now time.Duration) { a.sentAt = now }
+
 // Renewed records that the store holds a renewal that was sent at the given time.
 func (a *Authority) Renewed(sent time.Duration) {
 	a.renewedAt, a.renewUntil = sent, sent+a.cfg.LeaseTTL
@@ -342,9 +346,12 @@
 
 // HandOver ends the authority of a granter that stops while the store is
 // unreachable. It returns the promises for the caretaker, which must be another VM;
-// ok is false if one is missing. The granter's process must not take over again.
+// ok is false if one is missing, or if the lease in the store may be so young that a VM
+// which takes it over reckons with no caretaker, see Voter.PredecessorsUntil. The granter's
+// process must not take over again.
 func (a *Authority) HandOver(now time.Duration, self, caretaker api.VMID) (promises []Promise, ok bool) {
-	if !a.StoreUnreachable(now) || now >= a.RenewUntil(now) || a.promisedUntil(now) <= now {
+	young := !a.caretaker && now-a.sentAt <= a.cfg.StoreTimeout
+	if !a.StoreUnreachable(now) || young || now >= a.RenewUntil(now) || a.promisedUntil(now) <= now {
 		return nil, false
 	}
 	a.renewUntil = now
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -44,6 +44,7 @@
 	term              int
 	predecessorsUntil time.Duration
 	renewAt           time.Duration
+	unansweredAt      time.Duration // when the renewal was sent that the store holds and has not answered, 0 if there is none
 	members           map[*process]bool
 	caretaker         bool
 }
@@ -74,10 +75,12 @@
 	forgetHandover     bool            // a granter that has handed over does not keep from taking over
 	refusalIsEnd       bool            // a refused connection is taken for the end of the granter
 	orderlyEndIsEnd    bool            // a connection closed in order is taken for the end of the granter
+	forgetUnanswered   bool            // a granter hands over although the store may hold a young renewal
 	anyProcessIsEnd    bool            // a response of any other process is taken for the end of the granter
 	rng                *rand.Rand
 	starts             int // of processes
 	now                time.Duration
+	storeBackAt        time.Duration // when a short outage of the store ends, 0 if there is none
 	vms                []*vm
 	row                row
 	messages           []message
@@ -322,6 +325,16 @@
 	})
 }
 
+// write writes the lease of a granter to the store, unless the store holds that renewal.
+func (s *sim) write(p *process) {
+	if p.unansweredAt == 0 {
+		s.row.renewedAt, s.row.version, p.unansweredAt = s.now, s.row.version+1, s.now
+		if !s.forgetUnanswered {
+			p.auth.Renewing(s.now)
+		}
+	}
+}
+
 func (s *sim) stepGranter(p *process) {
 	if p.caretaker {
 		if p.vm.storeReachable && s.rng.IntN(5) == 0 {
@@ -338,9 +351,11 @@
 			s.stopGranting(p)
 			return
 		}
-		s.row.renewedAt, s.row.version = s.now, s.row.version+1
-		p.auth.Renewed(s.now)
-		p.renewAt = s.now + time.Second
+		s.write(p)
+		if s.rng.IntN(10) > 0 {
+			p.auth.Renewed(p.unansweredAt)
+			p.renewAt, p.unansweredAt = p.unansweredAt+time.Second, 0
+		}
 	}
 	if p.auth.ShouldResign(s.now) {
 		s.tracef("%s resigns", p.vm.name)
@@ -419,7 +434,35 @@
 	s.stopGranting(p)
 }
 
+// reachStore makes all VMs reach the store, or none; a renewal that is on its way may then be
+// written and not answered.
+func (s *sim) reachStore(reached bool) {
+	g := s.row.granter
+	if !reached && g != nil && g.auth != nil && !g.caretaker && g.term == s.row.term && !s.row.released && g.vm.storeReachable && s.rng.IntN(2) == 0 {
+		s.write(g)
+		s.counts["renewals not answered"]++
+	}
+	for _, each := range s.vms {
+		each.storeReachable = reached
+	}
+	s.tracef("store reached by all: %v", reached)
+}
+
+// stopWithin makes the process of a VM stop within a number of milliseconds.
+func (s *sim) stopWithin(v *vm, ms int) {
+	if v.stopAt > 0 {
+		return
+	}
+	v.proc.voter.Leave()
+	v.stopAt = s.now + time.Duration(s.rng.IntN(ms))*time.Millisecond
+	s.tracef("%s stops", v.name)
+}
+
 func (s *sim) injectFaults() {
+	if s.storeBackAt > 0 && s.now >= s.storeBackAt {
+		s.storeBackAt = 0
+		s.reachStore(true)
+	}
 	for _, v := range s.vms {
 		if v.divertedUntil <= s.now {
 			v.address = v
@@ -428,20 +471,14 @@
 	v := s.vms[s.rng.IntN(len(s.vms))]
 	switch n := s.rng.IntN(1000); {
 	case n < 6:
-		down := s.rng.IntN(2) == 0
-		for _, each := range s.vms {
-			each.storeReachable = !down
-		}
-		s.tracef("store reached by all: %v", !down)
+		s.reachStore(s.rng.IntN(2) > 0)
 	case n < 10:
 		v.storeReachable = !v.storeReachable
 		s.tracef("store reached by %s: %v", v.name, v.storeReachable)
 	case n < 12 && !v.proc.ended:
 		s.endProcess(v)
-	case n < 20 && !v.proc.ended && v.stopAt == 0:
-		v.proc.voter.Leave()
-		v.stopAt = s.now + time.Duration(s.rng.IntN(3000))*time.Millisecond
-		s.tracef("%s stops", v.name)
+	case n < 20 && !v.proc.ended:
+		s.stopWithin(v, 3000)
 	case n < 22:
 		v.frozenUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
 		s.tracef("%s freezes until %.2fs", v.name, (v.frozenUntil - time.Minute).Seconds())
@@ -451,6 +488,12 @@
 		s.cutLinks(v)
 	case n < 46 && v.address == v:
 		s.divert(v)
+	case n < 52 && s.storeBackAt == 0:
+		s.storeBackAt = s.now + time.Duration(s.rng.IntN(2500))*time.Millisecond
+		s.reachStore(false)
+		if g := s.row.granter; g != nil && !g.ended {
+			s.stopWithin(g.vm, 2000)
+		}
 	}
 }
 
@@ -531,8 +574,8 @@
 
 // TestNoTwoGranters guards against a granter that moves keys while another one
 // still renews their leases, under store outages for all or for single VMs, cuts between
-// VMs, connections that reach another VM, kills, stops with handovers, freezes and lost messages.
-// What a VM knows of another one comes from the connections between them.
+// VMs, connections that reach another VM, kills, stops with handovers, freezes, lost messages and
+// lost answers of the store. What a VM knows of another one comes from the connections between them.
 func TestNoTwoGranters(t *testing.T) {
 	counts := make(map[string]int)
 	for seed := uint64(1); seed <= 1500; seed++ {
@@ -547,7 +590,7 @@
 	}
 	for _, event := range []string{
 		"takeovers", "released", "caretakers", "resigned", "handed over without a stop", "joined without the store", "ticks with moves", "promised without a check",
-		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter", "another VM responded",
+		"ticks renewed without the store", "ticks renewed by a caretaker", "renewals not answered", "learnt of an end", "cut off from a granter", "another VM responded",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
 	}
@@ -573,6 +616,7 @@
 		"earlier granters are forgotten":             func(s *sim) { s.forgetPredecessors = true },
 		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
 		"an orderly end is taken for an end":         func(s *sim) { s.orderlyEndIsEnd = true },
+		"an unanswered renewal is forgotten":         func(s *sim) { s.forgetUnanswered = true },
 		"a response of another VM is taken for one":  func(s *sim) { s.anyProcessIsEnd = true },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -36,6 +36,7 @@
 	services := slices.Collect(maps.Keys(g.pendingWrites))
 	g.pendingWrites = make(map[api.ServiceName][]ownership.Entry)
 	g.writing, g.rewrite = true, false
+	g.authority.Renewing(now)
 	go g.write(ctx, next, services, puts)
 }
 
