core/election, server/gateway: a process that takes over from an earlier one of its VM dates its end by its own start

Seen by callers: keys of upstreams that are lost together with the granter's process wait for 3.5 s.

Cause: a granter hands over to a caretaker only when its last renewal is older than 1.2 s. The age at the time of the read was compared with this, although an earlier process of the same VM had ended when this one started.

Change: for a lease of an earlier process the age at the start of this one counts. It is computed from the sending of the read, so that a slow answer makes it older, not younger.

Tests: TestPredecessorsUntil fails without the new case (3 s from the start in place of none). TestLeaseOfThisVM.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -68,8 +68,11 @@
 	Reserved bool
 	// GranterEnded means that the granter's process is known to have ended.
 	GranterEnded bool
-	// Age is the time since the last renewal.
-	Age time.Duration
+	// EarlierProcess means that the granter was an earlier process of this VM.
+	EarlierProcess bool
+	// Age is the time since the last renewal, as of a moment after AskedAt.
+	Age     time.Duration
+	AskedAt time.Duration
 	// PredecessorsRemaining is how much longer the predecessors of its granter may act.
 	PredecessorsRemaining time.Duration
 }
@@ -222,8 +225,13 @@
 	case l.Vacant && l.Age < v.cfg.AbsentTimeout:
 		// A caretaker of an earlier term may rely on promises of this VM.
 		return max(until, v.promisedUntil, v.startedAt+v.cfg.RestartPromiseTTL)
-	case l.Vacant, l.GranterEnded && l.Age < v.cfg.StoreTimeout:
+	case l.Vacant:
 		return until
+	case l.GranterEnded && l.Age < v.cfg.StoreTimeout:
+		return max(until, v.promisedUntil)
+	case l.EarlierProcess && l.Age-(l.AskedAt-v.startedAt) < v.cfg.StoreTimeout:
+		// It had ended when this process started.
+		return max(until, v.promisedUntil)
 	case l.Age < v.cfg.StoreTimeout:
 		return max(until, now+v.cfg.LeaseTTL-l.Age)
 	}
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -69,6 +69,10 @@
 	promised.StoreUnreachable(now)
 	require.Equal(t, now+cfg.PromiseTTL, promised.PredecessorsUntil(now, election.Lease{Vacant: true, Age: time.Second}), "this VM has promised a caretaker")
 	require.Equal(t, now+time.Second, v.PredecessorsUntil(now, election.Lease{GranterEnded: true, Age: cfg.StoreTimeout / 2, PredecessorsRemaining: time.Second}))
+	earlier := election.Lease{GranterEnded: true, EarlierProcess: true, Age: cfg.StoreTimeout + time.Second, AskedAt: started + time.Second}
+	require.Equal(t, started+cfg.RestartPromiseTTL, v.PredecessorsUntil(started+time.Second, earlier), "it may have handed over before this process started")
+	earlier.Age--
+	require.Equal(t, started+time.Second, v.PredecessorsUntil(started+time.Second, earlier))
 	require.Equal(t, now+cfg.LeaseTTL-2*time.Second, v.PredecessorsUntil(now, election.Lease{Age: 2 * time.Second}))
 	require.Equal(t, now, v.PredecessorsUntil(now, election.Lease{Age: time.Minute}))
 	require.Equal(t, started+cfg.RestartPromiseTTL, v.PredecessorsUntil(started, election.Lease{GranterEnded: true, Age: time.Minute}),
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -76,6 +76,7 @@
 	refusalIsEnd       bool            // a refused connection is taken for the end of the granter
 	orderlyEndIsEnd    bool            // a connection closed in order is taken for the end of the granter
 	forgetUnanswered   bool            // a granter hands over although the store may hold a young renewal
+	askedLate          time.Duration   // how much too late the read of the lease is taken to have been sent
 	anyProcessIsEnd    bool            // a response of any other process is taken for the end of the granter
 	rng                *rand.Rand
 	starts             int // of processes
@@ -235,7 +236,7 @@
 	}
 	return election.Lease{
 		Vacant: g == nil || s.row.released, GranterEnded: g != nil && (p.endedTerm == s.row.term || g.vm == p.vm), Age: s.now - s.row.renewedAt,
-		PredecessorsRemaining: remaining,
+		EarlierProcess: g != nil && g.vm == p.vm && g != p, AskedAt: s.now + s.askedLate, PredecessorsRemaining: remaining,
 	}
 }
 
@@ -617,6 +618,7 @@
 		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
 		"an orderly end is taken for an end":         func(s *sim) { s.orderlyEndIsEnd = true },
 		"an unanswered renewal is forgotten":         func(s *sim) { s.forgetUnanswered = true },
+		"a read of the lease is dated too late":      func(s *sim) { s.askedLate = time.Second },
 		"a response of another VM is taken for one":  func(s *sim) { s.anyProcessIsEnd = true },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -91,6 +91,11 @@
 	return withVoter(e, (*election.Voter).PromiseRemaining)
 }
 
+// process returns this process.
+func (e *elector) process() election.Process {
+	return election.Process{VM: e.self, Incarnation: e.incarnation}
+}
+
 // leave announces that this process is stopping.
 func (e *elector) leave() {
 	e.mu.Lock()
@@ -134,7 +139,7 @@
 			lost = nil
 		}
 		known = state.lease
-		lease := known.electionLease(e.self, ended)
+		lease := known.electionLease(e.process(), ended)
 		isolated, _ := e.control.reach.isolated()
 		switch withVoter(e, func(v *election.Voter, now time.Duration) election.Step {
 			v.SetIsolated(isolated)
@@ -374,7 +379,7 @@
 // that the previous granter is known to have ended.
 func (e *elector) takeOver(ctx context.Context, state systemState, ended bool) {
 	previous := state.lease
-	electionLease := previous.electionLease(e.self, ended)
+	electionLease := previous.electionLease(e.process(), ended)
 	until := withVoter(e, func(v *election.Voter, _ time.Duration) time.Duration {
 		return v.PredecessorsUntil(previous.readAt, electionLease)
 	})
--- a/server/gateway/elector_test.go
+++ b/server/gateway/elector_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
@@ -39,3 +40,26 @@
 	require.LessOrEqual(t, int(accepted.Load()), int(most))
 	require.NotZero(t, accepted.Load())
 }
+
+// TestLeaseOfThisVM guards against a process that takes its own lease, or that of another VM, for
+// one of an earlier process, which can't have a caretaker if its lease was not old at the start.
+func TestLeaseOfThisVM(t *testing.T) {
+	self := election.Process{VM: "vm-a", Incarnation: "2"}
+	for name, c := range map[string]struct {
+		lease          lease
+		ended, earlier bool
+	}{
+		"an earlier process":     {lease{VM: "vm-a", Incarnation: "1"}, true, true},
+		"this process":           {lease{VM: "vm-a", Incarnation: "2"}, true, false},
+		"an unknown incarnation": {lease{VM: "vm-a"}, true, false},
+		"another VM":             {lease{VM: "vm-b", Incarnation: "1"}, false, false},
+		"no VM":                  {lease{}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := leaseRow{lease: c.lease, version: 1, age: time.Second, readAt: 3 * time.Second, askedAt: 2 * time.Second}.electionLease(self, false)
+			require.Equal(t, c.ended, l.GranterEnded)
+			require.Equal(t, c.earlier, l.EarlierProcess)
+			require.Equal(t, 2*time.Second, l.AskedAt)
+		})
+	}
+}
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -77,21 +77,25 @@
 	// age is the time since the last renewal, by the store's clock at readAt.
 	age    time.Duration
 	readAt time.Duration // on bootTime
+	// askedAt is when the read was sent.
+	askedAt time.Duration
 }
 
 // electionLease returns the lease as package election takes it. ended means that the
-// granter's process is known to have ended; a lease of this VM belongs to an earlier
-// process of it.
-func (l leaseRow) electionLease(self api.VMID, ended bool) election.Lease {
+// granter's process is known to have ended; a lease of the VM of self belongs to an earlier
+// process of it, or to this one, which has stopped granting.
+func (l leaseRow) electionLease(self election.Process, ended bool) election.Lease {
 	age := l.age
 	if l.version == 0 {
 		age = noLeaseAge
 	}
 	return election.Lease{
 		Vacant:                l.version == 0 || l.Released || l.VM == "",
-		Reserved:              l.Released && l.Successor != "" && l.Successor != self,
-		GranterEnded:          ended || l.VM == self,
+		Reserved:              l.Released && l.Successor != "" && l.Successor != self.VM,
+		GranterEnded:          ended || l.VM == self.VM,
+		EarlierProcess:        election.ResponseShows(election.Process{VM: l.VM, Incarnation: l.Incarnation}, self).GranterEnded(),
 		Age:                   age,
+		AskedAt:               l.askedAt,
 		PredecessorsRemaining: max(time.Duration(l.PredecessorsMs)*time.Millisecond-l.age, 0),
 	}
 }
@@ -125,11 +129,13 @@
 // readSystem reads the rows of this system. A lease that cannot be decoded is logged
 // and counts as vacant.
 func (c *control) readSystem(ctx context.Context) (systemState, error) {
+	asked := bootTime()
 	page, err := c.readAll(ctx, systemTable)
 	if err != nil {
 		return systemState{}, err
 	}
 	state := decodeSystem(page)
+	state.lease.askedAt = asked
 	for _, err := range state.unreadable {
 		c.log.Error().Str("event", "owners_unreadable").Err(err).Msg("")
 	}
