--- a/server/gateway/handover_test.go
+++ b/server/gateway/handover_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/core/election"
 	fakes "dandelionhill.dev/fakes/fleet"
 )
 
@@ -90,3 +91,32 @@
 	d.store.Remove("servers", "k1")
 	d.eventually(func() bool { return d.upstreams["k2"].Holds(1) }, "keys move again")
 }
+
+// TestNoHandoverAfterUnansweredRenewal guards against a granter that hands over while the store may
+// hold a young renewal: its next process would reckon with no caretaker.
+func TestNoHandoverAfterUnansweredRenewal(t *testing.T) {
+	d := newDeployment(t)
+	a := d.startVM("vm-a")
+	d.eventually(func() bool { return a.links.currentGranter() != nil }, "the VM grants")
+	g := a.links.currentGranter()
+	handsOver := func(renew bool) bool {
+		handedOver := make(chan bool, 1)
+		require.True(t, g.do(func() {
+			cfg, now := election.DefaultConfig(), bootTime()
+			former := g.authority
+			defer func() { g.authority = former }()
+			g.authority = election.NewAuthority(cfg, now-2*cfg.StoreTimeout, 1)
+			g.authority.Joined("vm-b")
+			g.authority.Promised("vm-b", now, cfg.PromiseTTL)
+			if renew {
+				g.rewrite, g.writing = true, false
+				g.renew(t.Context(), now)
+			}
+			_, ok := g.authority.HandOver(now, g.self, "vm-b")
+			handedOver <- ok
+		}))
+		return <-handedOver
+	}
+	require.True(t, handsOver(false))
+	require.False(t, handsOver(true))
+}
