--- a/core/election/election.go
+++ b/core/election/election.go
@@ -66,11 +66,13 @@
 	Vacant bool
 	// Reserved means that the granter has named another VM as its successor.
 	Reserved bool
-	// GranterEnded means that the granter is known not to act any more: its process has ended,
-	// or it has given up its authority.
+	// GranterEnded means that the granter's process is known to have ended.
 	GranterEnded bool
-	// Age is the time since the last renewal.
-	Age time.Duration
+	// EarlierProcess means that the granter was an earlier process of this VM.
+	EarlierProcess bool
+	// Age is the time since the last renewal, as of a moment after AskedAt.
+	Age     time.Duration
+	AskedAt time.Duration
 	// PredecessorsRemaining is how much longer the predecessors of its granter may act.
 	PredecessorsRemaining time.Duration
 }
@@ -79,19 +81,31 @@
 type LinkEnd int
 
 const (
-	// LinkLost means that the connection was reset, refused or silent. The granter may be well:
-	// a cut between two VMs does the same.
+	// LinkLost means that the connection was refused, silent, reset or closed in order. The
+	// granter may be well: a cut, or a device between two VMs, does the same.
 	LinkLost LinkEnd = iota
-	// LinkClosed means that the granter's side closed the connection in order. A granter resets
-	// the connections that it closes before it has given up its authority, so either it has, or
-	// the kernel has closed the connections of its process, which has ended.
-	LinkClosed
 	// OtherProcess means that another process of the granter's VM has responded.
 	OtherProcess
 )
 
+// Process identifies a process of a VM. A VM has one process at a time.
+type Process struct {
+	VM          api.VMID
+	Incarnation api.Incarnation
+}
+
+// ResponseShows says what a response at a granter's address shows. Another VM may have the address,
+// or a device between two VMs may have passed the call to it.
+func ResponseShows(granter, responder Process) LinkEnd {
+	known := granter.Incarnation != "" && responder.Incarnation != ""
+	if known && responder.VM == granter.VM && responder.Incarnation != granter.Incarnation {
+		return OtherProcess
+	}
+	return LinkLost
+}
+
 // GranterEnded reports whether the granter is known not to act any more.
-func (e LinkEnd) GranterEnded() bool { return e == LinkClosed || e == OtherProcess }
+func (e LinkEnd) GranterEnded() bool { return e == OtherProcess }
 
 // Step is what a VM does next.
 type Step int
@@ -203,7 +217,7 @@
 }
 
 // PredecessorsUntil returns until when earlier granters may act, for a VM that takes
-// over a lease. A granter hands over or relies on promises only when its last renewal
+// over a lease. A granter hands over only when the last renewal that the store may hold
 // is older than StoreTimeout, so a process that ended before that has no caretaker.
 func (v *Voter) PredecessorsUntil(now time.Duration, l Lease) time.Duration {
 	until := now + l.PredecessorsRemaining
@@ -211,8 +225,13 @@
 	case l.Vacant && l.Age < v.cfg.AbsentTimeout:
 		// A caretaker of an earlier term may rely on promises of this VM.
 		return max(until, v.promisedUntil, v.startedAt+v.cfg.RestartPromiseTTL)
-	case l.Vacant, l.GranterEnded && l.Age < v.cfg.StoreTimeout:
+	case l.Vacant:
 		return until
+	case l.GranterEnded && l.Age < v.cfg.StoreTimeout:
+		return max(until, v.promisedUntil)
+	case l.EarlierProcess && l.Age-(l.AskedAt-v.startedAt) < v.cfg.StoreTimeout:
+		// It had ended when this process started.
+		return max(until, v.promisedUntil)
 	case l.Age < v.cfg.StoreTimeout:
 		return max(until, now+v.cfg.LeaseTTL-l.Age)
 	}
@@ -235,7 +254,8 @@
 type Authority struct {
 	cfg        Config
 	startedAt  time.Duration
-	renewedAt  time.Duration // when the last renewal that the store holds was sent
+	renewedAt  time.Duration // when the last renewal that the store has answered was sent
+	sentAt     time.Duration // when the last renewal that the store may hold was sent
 	renewUntil time.Duration
 	peers      map[api.VMID]*peer
 	// missing is the number of VMs that the predecessor knew and that have not
@@ -248,11 +268,14 @@
 // the given time. vms is the number of VMs that its predecessor knew.
 func NewAuthority(cfg Config, sent time.Duration, vms int) *Authority {
 	return &Authority{
-		cfg: cfg, startedAt: sent, renewedAt: sent, renewUntil: sent + cfg.LeaseTTL,
+		cfg: cfg, startedAt: sent, renewedAt: sent, sentAt: sent, renewUntil: sent + cfg.LeaseTTL,
 		peers: make(map[api.VMID]*peer), missing: max(vms-1, 0),
 	}
 }
 
+// Renewing records that a renewal is sent. Until the store has answered, it may hold it or not.
+func (a *Authority) Renewing(now time.Duration) { a.sentAt = now }
+
 // Renewed records that the store holds a renewal that was sent at the given time.
 func (a *Authority) Renewed(sent time.Duration) {
 	a.renewedAt, a.renewUntil = sent, sent+a.cfg.LeaseTTL
@@ -331,9 +354,12 @@
 
 // HandOver ends the authority of a granter that stops while the store is
 // unreachable. It returns the promises for the caretaker, which must be another VM;
-// ok is false if one is missing. The granter's process must not take over again.
+// ok is false if one is missing, or if the lease in the store may be so young that a VM
+// which takes it over reckons with no caretaker, see Voter.PredecessorsUntil. The granter's
+// process must not take over again.
 func (a *Authority) HandOver(now time.Duration, self, caretaker api.VMID) (promises []Promise, ok bool) {
-	if !a.StoreUnreachable(now) || now >= a.RenewUntil(now) || a.promisedUntil(now) <= now {
+	young := !a.caretaker && now-a.sentAt <= a.cfg.StoreTimeout
+	if !a.StoreUnreachable(now) || young || now >= a.RenewUntil(now) || a.promisedUntil(now) <= now {
 		return nil, false
 	}
 	a.renewUntil = now
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -31,6 +31,7 @@
 // process is one process of a VM; a restart replaces it.
 type process struct {
 	vm           *vm
+	incarnation  api.Incarnation
 	voter        *election.Voter
 	ended        bool
 	granter      *process // the granter that it is connected to
@@ -43,6 +44,7 @@
 	term              int
 	predecessorsUntil time.Duration
 	renewAt           time.Duration
+	unansweredAt      time.Duration // when the renewal was sent that the store holds and has not answered, 0 if there is none
 	members           map[*process]bool
 	caretaker         bool
 }
@@ -55,6 +57,8 @@
 	frozenUntil    time.Duration
 	isolatedUntil  time.Duration // it reaches no upstream until then
 	cutUntil       time.Duration // it reaches no other VM until then
+	address        *vm           // the VM that connections to its address reach
+	divertedUntil  time.Duration // until when address is another VM
 	startAt        time.Duration // of the next process
 	stopAt         time.Duration // when a stopping process ends, 0 if it does not stop
 }
@@ -70,9 +74,14 @@
 	forgetPredecessors bool            // the lease does not name the granters before the last
 	forgetHandover     bool            // a granter that has handed over does not keep from taking over
 	refusalIsEnd       bool            // a refused connection is taken for the end of the granter
-	closesInOrder      bool            // a granter with authority closes connections in order
+	orderlyEndIsEnd    bool            // a connection closed in order is taken for the end of the granter
+	forgetUnanswered   bool            // a granter hands over although the store may hold a young renewal
+	askedLate          time.Duration   // how much too late the read of the lease is taken to have been sent
+	anyProcessIsEnd    bool            // a response of any other process is taken for the end of the granter
 	rng                *rand.Rand
+	starts             int // of processes
 	now                time.Duration
+	storeBackAt        time.Duration // when a short outage of the store ends, 0 if there is none
 	vms                []*vm
 	row                row
 	messages           []message
@@ -84,7 +93,7 @@
 	s := &sim{cfg: cfg, voterCfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), counts: make(map[string]int), now: time.Minute}
 	for i := range vms {
 		v := &vm{name: api.VMID(fmt.Sprint("vm-", i)), storeReachable: true, startAt: s.now}
-		v.proc = &process{vm: v, ended: true}
+		v.proc, v.address = &process{vm: v, ended: true}, v
 		s.vms = append(s.vms, v)
 	}
 	return s
@@ -95,7 +104,8 @@
 }
 
 func (s *sim) start(v *vm) {
-	v.proc = &process{vm: v, voter: election.NewVoter(s.voterCfg, s.now)}
+	s.starts++
+	v.proc = &process{vm: v, incarnation: api.Incarnation(fmt.Sprint(s.starts)), voter: election.NewVoter(s.voterCfg, s.now)}
 	v.stopAt = 0
 	s.tracef("%s starts", v.name)
 }
@@ -115,16 +125,47 @@
 
 // refused returns what a process learns from an attempt to connect to the granter of the lease.
 func (s *sim) refused(p, granter *process) election.LinkEnd {
-	switch current := granter.vm.proc; {
-	case s.refusalIsEnd && (!s.linked(p.vm, granter.vm) || current.ended):
-		return election.LinkClosed
-	case s.linked(p.vm, granter.vm) && current != granter && !current.ended && granter.vm.frozenUntil <= s.now:
+	responder := granter.vm.address.proc
+	switch {
+	case !s.linked(p.vm, responder.vm) || responder.ended:
+		if s.refusalIsEnd {
+			return election.OtherProcess
+		}
+		return election.LinkLost
+	case responder.auth != nil || responder.vm.frozenUntil > s.now:
+		return election.LinkLost
+	case responder.vm != granter.vm:
+		s.counts["another VM responded"]++
+	}
+	asked := election.Process{VM: granter.vm.name, Incarnation: granter.incarnation}
+	answered := election.Process{VM: responder.vm.name, Incarnation: responder.incarnation}
+	if s.anyProcessIsEnd {
+		answered.VM = asked.VM
+	}
+	return election.ResponseShows(asked, answered)
+}
+
+// divert makes connections to the address of a VM reach another one for a while.
+func (s *sim) divert(v *vm) {
+	v.address, v.divertedUntil = s.vms[s.rng.IntN(len(s.vms))], s.now+time.Duration(s.rng.IntN(6000))*time.Millisecond
+	s.tracef("connections to %s reach %s until %.2fs", v.name, v.address.name, (v.divertedUntil - time.Minute).Seconds())
+}
+
+// reached reports whether a connection of p to the address of a granter reaches it.
+func (s *sim) reached(p, g *process) bool {
+	return g.auth != nil && !g.ended && g.vm.address == g.vm && s.linked(p.vm, g.vm) && g.vm.frozenUntil <= s.now
+}
+
+// closedInOrder returns what a process learns from a connection that is closed in order.
+func (s *sim) closedInOrder() election.LinkEnd {
+	if s.orderlyEndIsEnd {
 		return election.OtherProcess
 	}
 	return election.LinkLost
 }
 
-// cutLinks cuts a VM off from the others for a while, with resets.
+// cutLinks cuts a VM off from the others for a while. Connections are reset, or closed in order
+// by a device between the VMs.
 func (s *sim) cutLinks(v *vm) {
 	v.cutUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
 	s.tracef("%s is cut off from the other VMs until %.2fs", v.name, (v.cutUntil - time.Minute).Seconds())
@@ -133,7 +174,11 @@
 			if g := p.granter; g != nil && !s.linked(p.vm, g.vm) {
 				s.counts["cut off from a granter"]++
 				s.disconnect(p)
-				s.linkEnded(p, g.term, election.LinkLost)
+				end := election.LinkLost
+				if s.rng.IntN(2) == 0 {
+					end = s.closedInOrder()
+				}
+				s.linkEnded(p, g.term, end)
 			}
 		}
 	}
@@ -154,7 +199,7 @@
 	}
 	for m := range p.members {
 		m.granter = nil
-		s.linkEnded(m, p.term, election.LinkClosed)
+		s.linkEnded(m, p.term, s.closedInOrder())
 	}
 	p.auth, p.members, p.caretaker = nil, nil, false
 }
@@ -191,7 +236,7 @@
 	}
 	return election.Lease{
 		Vacant: g == nil || s.row.released, GranterEnded: g != nil && (p.endedTerm == s.row.term || g.vm == p.vm), Age: s.now - s.row.renewedAt,
-		PredecessorsRemaining: remaining,
+		EarlierProcess: g != nil && g.vm == p.vm && g != p, AskedAt: s.now + s.askedLate, PredecessorsRemaining: remaining,
 	}
 }
 
@@ -202,7 +247,7 @@
 			return
 		}
 		for _, v := range s.vms {
-			if g := v.proc; g.auth != nil && !g.ended && g != p && s.linked(p.vm, v) && v.frozenUntil <= s.now && s.rng.IntN(2) == 0 {
+			if g := v.proc; g != p && s.reached(p, g) && s.rng.IntN(2) == 0 {
 				p.voter.StoreUnreachable(s.now)
 				s.join(p, g, p.voter.PromiseRemaining(s.now))
 				s.counts["joined without the store"]++
@@ -221,7 +266,7 @@
 		s.takeOver(p, p.voter.PredecessorsUntil(s.now, l))
 	case election.Follow:
 		g := s.row.granter
-		if g.auth != nil && !g.ended && s.linked(p.vm, g.vm) && g.vm.frozenUntil <= s.now && s.rng.IntN(5) > 0 {
+		if s.reached(p, g) && s.rng.IntN(5) > 0 {
 			s.join(p, g, 0)
 		} else {
 			s.linkEnded(p, s.row.term, s.refused(p, g))
@@ -247,12 +292,8 @@
 		return
 	}
 	if s.rng.IntN(400) == 0 {
-		end := election.LinkLost
-		if s.closesInOrder {
-			end = election.LinkClosed
-		}
 		s.disconnect(p)
-		s.linkEnded(p, g.term, end)
+		s.linkEnded(p, g.term, s.closedInOrder())
 		return
 	}
 	if !g.auth.StoreUnreachable(s.now) {
@@ -285,6 +326,16 @@
 	})
 }
 
+// write writes the lease of a granter to the store, unless the store holds that renewal.
+func (s *sim) write(p *process) {
+	if p.unansweredAt == 0 {
+		s.row.renewedAt, s.row.version, p.unansweredAt = s.now, s.row.version+1, s.now
+		if !s.forgetUnanswered {
+			p.auth.Renewing(s.now)
+		}
+	}
+}
+
 func (s *sim) stepGranter(p *process) {
 	if p.caretaker {
 		if p.vm.storeReachable && s.rng.IntN(5) == 0 {
@@ -301,9 +352,11 @@
 			s.stopGranting(p)
 			return
 		}
-		s.row.renewedAt, s.row.version = s.now, s.row.version+1
-		p.auth.Renewed(s.now)
-		p.renewAt = s.now + time.Second
+		s.write(p)
+		if s.rng.IntN(10) > 0 {
+			p.auth.Renewed(p.unansweredAt)
+			p.renewAt, p.unansweredAt = p.unansweredAt+time.Second, 0
+		}
 	}
 	if p.auth.ShouldResign(s.now) {
 		s.tracef("%s resigns", p.vm.name)
@@ -382,24 +435,51 @@
 	s.stopGranting(p)
 }
 
+// reachStore makes all VMs reach the store, or none; a renewal that is on its way may then be
+// written and not answered.
+func (s *sim) reachStore(reached bool) {
+	g := s.row.granter
+	if !reached && g != nil && g.auth != nil && !g.caretaker && g.term == s.row.term && !s.row.released && g.vm.storeReachable && s.rng.IntN(2) == 0 {
+		s.write(g)
+		s.counts["renewals not answered"]++
+	}
+	for _, each := range s.vms {
+		each.storeReachable = reached
+	}
+	s.tracef("store reached by all: %v", reached)
+}
+
+// stopWithin makes the process of a VM stop within a number of milliseconds.
+func (s *sim) stopWithin(v *vm, ms int) {
+	if v.stopAt > 0 {
+		return
+	}
+	v.proc.voter.Leave()
+	v.stopAt = s.now + time.Duration(s.rng.IntN(ms))*time.Millisecond
+	s.tracef("%s stops", v.name)
+}
+
 func (s *sim) injectFaults() {
+	if s.storeBackAt > 0 && s.now >= s.storeBackAt {
+		s.storeBackAt = 0
+		s.reachStore(true)
+	}
+	for _, v := range s.vms {
+		if v.divertedUntil <= s.now {
+			v.address = v
+		}
+	}
 	v := s.vms[s.rng.IntN(len(s.vms))]
 	switch n := s.rng.IntN(1000); {
 	case n < 6:
-		down := s.rng.IntN(2) == 0
-		for _, each := range s.vms {
-			each.storeReachable = !down
-		}
-		s.tracef("store reached by all: %v", !down)
+		s.reachStore(s.rng.IntN(2) > 0)
 	case n < 10:
 		v.storeReachable = !v.storeReachable
 		s.tracef("store reached by %s: %v", v.name, v.storeReachable)
 	case n < 12 && !v.proc.ended:
 		s.endProcess(v)
-	case n < 20 && !v.proc.ended && v.stopAt == 0:
-		v.proc.voter.Leave()
-		v.stopAt = s.now + time.Duration(s.rng.IntN(3000))*time.Millisecond
-		s.tracef("%s stops", v.name)
+	case n < 20 && !v.proc.ended:
+		s.stopWithin(v, 3000)
 	case n < 22:
 		v.frozenUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
 		s.tracef("%s freezes until %.2fs", v.name, (v.frozenUntil - time.Minute).Seconds())
@@ -407,6 +487,14 @@
 		s.isolate(v)
 	case n < 40 && v.cutUntil <= s.now:
 		s.cutLinks(v)
+	case n < 46 && v.address == v:
+		s.divert(v)
+	case n < 52 && s.storeBackAt == 0:
+		s.storeBackAt = s.now + time.Duration(s.rng.IntN(2500))*time.Millisecond
+		s.reachStore(false)
+		if g := s.row.granter; g != nil && !g.ended {
+			s.stopWithin(g.vm, 2000)
+		}
 	}
 }
 
@@ -487,8 +575,8 @@
 
 // TestNoTwoGranters guards against a granter that moves keys while another one
 // still renews their leases, under store outages for all or for single VMs, cuts between
-// VMs, kills, stops with handovers, freezes and lost messages. What a VM knows of another one
-// comes from the connections between them.
+// VMs, connections that reach another VM, kills, stops with handovers, freezes, lost messages and
+// lost answers of the store. What a VM knows of another one comes from the connections between them.
 func TestNoTwoGranters(t *testing.T) {
 	counts := make(map[string]int)
 	for seed := uint64(1); seed <= 1500; seed++ {
@@ -503,7 +591,7 @@
 	}
 	for _, event := range []string{
 		"takeovers", "released", "caretakers", "resigned", "handed over without a stop", "joined without the store", "ticks with moves", "promised without a check",
-		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter",
+		"ticks renewed without the store", "ticks renewed by a caretaker", "renewals not answered", "learnt of an end", "cut off from a granter", "another VM responded",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
 	}
@@ -528,7 +616,10 @@
 		"a handover without a stop is forgotten":     func(s *sim) { s.forgetHandover = true },
 		"earlier granters are forgotten":             func(s *sim) { s.forgetPredecessors = true },
 		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
-		"a granter closes connections in order":      func(s *sim) { s.closesInOrder = true },
+		"an orderly end is taken for an end":         func(s *sim) { s.orderlyEndIsEnd = true },
+		"an unanswered renewal is forgotten":         func(s *sim) { s.forgetUnanswered = true },
+		"a read of the lease is dated too late":      func(s *sim) { s.askedLate = time.Second },
+		"a response of another VM is taken for one":  func(s *sim) { s.anyProcessIsEnd = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 1500; seed++ {
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,7 +25,9 @@
 const (
 	// linkPath is the path at which the granter accepts connections of the other VMs.
 	linkPath = "/granter/v1"
-	// incarnationHeader holds the incarnation of a VM that responds that it is not the granter.
+	// vmHeader and incarnationHeader hold the name and the incarnation of a VM that responds that
+	// it is not the granter. VMs of earlier versions do not give their name.
+	vmHeader          = "Dandelionhill-VM"
 	incarnationHeader = "Dandelionhill-Incarnation"
 	// lastGranterHeader holds the lease of the granter that the responding VM follows, in JSON.
 	lastGranterHeader = "Dandelionhill-Granter"
@@ -102,10 +103,8 @@
 	LeavingUpstreams []ownership.Owner `cbor:"18,keyasint,omitempty"`
 	// Handover makes the receiver the caretaker.
 	Handover *handover `cbor:"12,keyasint,omitempty"`
-	// ResetsLinks means that the granter closes this connection in order only when it does not act
-	// any more, see election.LinkClosed. Granters of earlier versions close it in order while they
-	// act.
-	ResetsLinks bool `cbor:"21,keyasint,omitempty"`
+	// Field 21 is reserved: VMs of earlier versions take it as the promise that an orderly end of
+	// the connection shows the end of the granter.
 
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
@@ -159,6 +158,7 @@
 func (l *links) redirect(w http.ResponseWriter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	w.Header().Set(vmHeader, string(l.self))
 	w.Header().Set(incarnationHeader, string(l.incarnation))
 	if !l.following {
 		return
@@ -210,16 +210,12 @@
 	conn.SetReadLimit(maxFrameBytes)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	link := linkConnOf(r)
-	if link != nil {
-		link.resets.Store(true)
-	}
 	var h hello
 	if err := receive(ctx, conn, &h, linkDialTimeout); err != nil || h.Term > g.term {
 		l.log.Warn().Str("event", "link_refused").Str("peer", string(h.VM)).Int64("term", h.Term).Err(err).Msg("")
 		return
 	}
-	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, permits: newPermitClient(), updates: make(chan update, 1), link: link, close: cancel, ended: ctx.Done()}
+	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, permits: newPermitClient(), updates: make(chan update, 1), close: cancel, ended: ctx.Done()}
 	if !g.addMember(member, time.Duration(h.PromiseMs)*time.Millisecond) {
 		return
 	}
@@ -268,7 +264,11 @@
 				return &moved
 			}
 		}
-		return linkError(to, dialEnd(to, resp), errors.Wrap(err, "connect to the granter"))
+		err = errors.Wrap(err, "connect to the granter")
+		if dialEnd(to, resp).GranterEnded() {
+			return &granterEndedError{term: to.Term, cause: err}
+		}
+		return err
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
@@ -286,16 +286,14 @@
 		}
 	}()
 	defer l.setFollowed(lease{}, nil, false)
-	resets := false
 	for {
 		var u update
 		if err := receive(ctx, conn, &u, linkTimeout); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
-			return linkError(to, linkEnd(err, resets), err)
+			return err
 		}
-		resets = resets || u.ResetsLinks
 		l.crashes.merge(u.Crashes)
 		if u.Lease != nil {
 			if to.VM != "" && to.VM != unknownVM && u.Lease.VM != to.VM {
@@ -313,29 +311,12 @@
 // dialEnd says what a response to an attempt to connect to a granter shows; resp is nil if there
 // was none.
 func dialEnd(to lease, resp *http.Response) election.LinkEnd {
-	if resp == nil || to.Incarnation == "" {
+	if resp == nil {
 		return election.LinkLost
 	}
-	if incarnation := resp.Header.Get(incarnationHeader); incarnation != "" && incarnation != string(to.Incarnation) {
-		return election.OtherProcess
-	}
-	return election.LinkLost
-}
-
-// linkEnd says what the error of a connection to a granter shows; resets is update.ResetsLinks.
-func linkEnd(err error, resets bool) election.LinkEnd {
-	if resets && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
-		return election.LinkClosed
-	}
-	return election.LinkLost
-}
-
-// linkError returns the error for the end of a connection to a granter.
-func linkError(granter lease, end election.LinkEnd, err error) error {
-	if end.GranterEnded() {
-		return &granterEndedError{term: granter.Term, cause: err}
-	}
-	return err
+	return election.ResponseShows(election.Process{VM: to.VM, Incarnation: to.Incarnation}, election.Process{
+		VM: api.VMID(resp.Header.Get(vmHeader)), Incarnation: api.Incarnation(resp.Header.Get(incarnationHeader)),
+	})
 }
 
 // sendReports sends reports to the granter until ctx ends or a send fails.
--- a/server/gateway/link_test.go
+++ b/server/gateway/link_test.go
@@ -1,21 +1,18 @@
 package gateway
 
 import (
-	"context"
-	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
-	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
-	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
@@ -117,40 +114,48 @@
 	return g.links.following
 }
 
-// TestGranterCutOffWithResets guards against two granters that act: the connections to a granter
-// are reset and refused, as by the end of its process, but it still renews the grants of its
-// upstreams, and its successor moves keys.
-func TestGranterCutOffWithResets(t *testing.T) {
-	d := newDeployment(t)
-	store, refuse := d.storeFor()
-	a, network := d.startVMBehind("vm-a", store)
-	d.eventually(func() bool { return a.links.currentGranter() != nil }, "the first VM grants")
-	b := d.startVM("vm-b")
-	d.eventually(b.connected, "the second VM follows the first")
-	d.awaitRenewal(b)
-	before := a.links.currentGranter()
-	refuse.Store(true)
-	network.end(true)
-	d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM takes over")
-	// Leases of keys are extended by MaxMessageDelay, which covers errors in the reading of the
-	// store's clock.
-	allowance := ownership.DefaultConfig(fleet.KeyCount).MaxMessageDelay
-	require.GreaterOrEqual(t, b.links.currentGranter().predecessor.Until+allowance, time.Duration(before.renewUntil.Load()))
+// TestGranterCutOff guards against two granters that act: the connections to a granter are reset,
+// or ended in order by a device on the way, but it still renews the grants of its upstreams, and
+// its successor moves keys.
+func TestGranterCutOff(t *testing.T) {
+	for name, reset := range map[string]bool{"with resets": true, "in order": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			store, refuse := d.storeFor()
+			a, network := d.startVMBehind("vm-a", store)
+			d.eventually(func() bool { return a.links.currentGranter() != nil }, "the first VM grants")
+			b := d.startVM("vm-b")
+			d.eventually(b.connected, "the second VM follows the first")
+			d.awaitRenewal(b)
+			before := a.links.currentGranter()
+			refuse.Store(true)
+			network.end(reset)
+			d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM takes over")
+			// Leases of keys are extended by MaxMessageDelay, which covers errors in the reading of the
+			// store's clock.
+			allowance := ownership.DefaultConfig(fleet.KeyCount).MaxMessageDelay
+			require.GreaterOrEqual(t, b.links.currentGranter().predecessor.Until+allowance, time.Duration(before.renewUntil.Load()))
+		})
+	}
 }
 
-// TestGranterEnds guards against a slow takeover from a granter whose process has ended: the
-// kernel closes its connections in order.
-func TestGranterEnds(t *testing.T) {
+// TestGranterRestarts guards against a slow takeover from a granter whose process has ended: another
+// process of its VM responds.
+func TestGranterRestarts(t *testing.T) {
 	d := newDeployment(t)
-	a, network := d.startVMBehind("vm-a", d.storeAddr)
-	d.eventually(func() bool { return a.links.currentGranter() != nil }, "the first VM grants")
+	server := httptest.NewServer(&links{self: "vm-a", incarnation: "2"})
+	t.Cleanup(server.Close)
+	// The lease is not stale during the test.
+	const ahead = time.Hour
+	row, err := cbor.Marshal(lease{
+		VM: "vm-a", Incarnation: "1", Address: server.Listener.Addr().String(), Term: 1, Seq: 1,
+		RenewedAtMs: ahead.Milliseconds(), PredecessorsMs: -ahead.Milliseconds(),
+	})
+	require.NoError(t, err)
+	d.store.Put(systemTable, leaseKey, row)
 	b := d.startVM("vm-b")
-	d.eventually(b.connected, "the second VM follows the first")
-	d.awaitRenewal(b)
-	network.end(false)
 	d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM takes over")
 	g := b.links.currentGranter()
-	require.Less(t, g.initial.lease.age, election.DefaultConfig().StaleAfter)
 	require.LessOrEqual(t, g.predecessor.Until, g.initial.lease.readAt)
 }
 
@@ -172,36 +177,42 @@
 	}, "the second VM sends the key to its new owner")
 }
 
-// TestGranterResetsLinks guards against a granter that closes the connection of a silent VM in
-// order, which this VM would take for the end of the granter's process.
-func TestGranterResetsLinks(t *testing.T) {
-	d := newDeployment(t)
-	a := d.startVM("vm-a")
-	d.eventually(func() bool { return a.links.currentGranter() != nil }, "the VM grants")
-	conn, resp, err := websocket.Dial(t.Context(), "ws://"+a.settings.Listen.Peers+linkPath, nil)
+// TestUpdatePromisesNothing guards against VMs of earlier versions that take an orderly end of the
+// connection for the end of the granter, because an update says that they may.
+func TestUpdatePromisesNothing(t *testing.T) {
+	const reserved = 21
+	data, err := cbor.Marshal(sampleMessages()["update"])
 	require.NoError(t, err)
-	require.Equal(t, http.StatusSwitchingProtocols, resp.StatusCode)
-	conn.SetReadLimit(maxFrameBytes)
-	require.NoError(t, send(t.Context(), conn, hello{VM: "vm-silent", Address: "127.0.0.1:1"}))
-	var u update
-	require.NoError(t, receive(t.Context(), conn, &u, waitTimeout))
-	require.True(t, u.ResetsLinks)
-	for err == nil {
-		err = receive(t.Context(), conn, &u, waitTimeout)
-	}
-	require.ErrorIs(t, err, syscall.ECONNRESET)
-	require.Equal(t, election.LinkLost, linkEnd(err, u.ResetsLinks))
+	var fields map[int]cbor.RawMessage
+	require.NoError(t, cbor.Unmarshal(data, &fields))
+	require.Contains(t, fields, reserved-1)
+	require.NotContains(t, fields, reserved)
 }
 
-// TestLinkEndOfEarlierVersion guards against trust in an orderly end of a connection to a granter
-// of an earlier version, which closes connections in order while it acts.
-func TestLinkEndOfEarlierVersion(t *testing.T) {
-	require.Equal(t, election.LinkLost, linkEnd(io.EOF, false))
-	require.Equal(t, election.LinkClosed, linkEnd(io.EOF, true))
-	require.Equal(t, election.LinkLost, linkEnd(context.DeadlineExceeded, true))
-	refused := &http.Response{Header: http.Header{incarnationHeader: {"2"}}}
-	require.Equal(t, election.LinkLost, dialEnd(lease{}, refused))
-	require.Equal(t, election.LinkLost, dialEnd(lease{Incarnation: "2"}, refused))
-	require.Equal(t, election.LinkLost, dialEnd(lease{Incarnation: "1"}, nil))
-	require.Equal(t, election.OtherProcess, dialEnd(lease{Incarnation: api.Incarnation("1")}, refused))
+// TestOtherVMAtGranterAddress guards against a takeover from a living granter whose address another
+// VM has, or whose VM is of an earlier version, which does not give its name.
+func TestOtherVMAtGranterAddress(t *testing.T) {
+	granter := lease{VM: "vm-a", Incarnation: "1"}
+	for name, c := range map[string]struct {
+		granter   lease
+		responder http.Handler
+		want      election.LinkEnd
+	}{
+		"the granter's process":            {granter, &links{self: "vm-a", incarnation: "1"}, election.LinkLost},
+		"another process of its VM":        {granter, &links{self: "vm-a", incarnation: "2"}, election.OtherProcess},
+		"another VM":                       {granter, &links{self: "vm-b", incarnation: "2"}, election.LinkLost},
+		"a granter of unknown incarnation": {lease{VM: "vm-a"}, &links{self: "vm-a", incarnation: "2"}, election.LinkLost},
+		"a VM of an earlier version": {granter, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(incarnationHeader, "2")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}), election.LinkLost},
+		"another program": {granter, http.NotFoundHandler(), election.LinkLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			c.responder.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, linkPath, nil))
+			require.Equal(t, c.want, dialEnd(c.granter, recorder.Result()))
+		})
+	}
+	require.Equal(t, election.LinkLost, dialEnd(granter, nil))
 }
