core/election, server/gateway: a promise counts from the update that it answers

Callers: two upstreams hold the same keys (OWNER) after a store outage in which the granter was stopped, waited for a busy processor, or got the messages of the other VMs late.

Cause: a VM that does not reach the store promises not to take over for 1.2 s, by its own clock. The granter counted the promise from the receipt of the report, less 200 ms. A report that waited in a socket buffer while the granter was stopped for 1 s, or behind a cut that healed, therefore counted for up to 1 s (a connection lives through 0.7 s of silence, a stop of the receiver is seen by neither side) after the promise had ended. The promising VM may reach the store by then and take over, and moves keys once its own promise and the lease have run out, while the former granter goes on renewing.

Change: updates carry the granter's clock (SentAtMs); reports on the same connection return that of the last update received before the promise was computed (AnswersMs). The promise counts from that time, whatever the message waited for. The promise in the first message of a connection counts from before the connection was accepted. Reports of earlier versions, without AnswersMs, count from their receipt less 200 ms as before; earlier granters ignore the new field.

Test: in the simulation a message to a VM that is frozen waited for nothing, so that no seed could show this. The former rule stays as a broken variant that must be found.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -32,7 +32,7 @@
 	// RestartPromiseTTL is how long a stopping VM promises not to take over. The
 	// promise also binds its next process.
 	RestartPromiseTTL time.Duration
-	// MaxMessageDelay is subtracted from a promise for the transit time of its message.
+	// MaxMessageDelay is subtracted from a promise whose message does not say when it was asked for.
 	MaxMessageDelay time.Duration
 	// AbsentTimeout is how long a VM that left without a promise could still take over.
 	AbsentTimeout time.Duration
@@ -276,14 +276,22 @@
 	}
 }
 
-// Promised records the promise of a connected VM, from a message received at the
-// given time.
-func (a *Authority) Promised(vm api.VMID, received, promise time.Duration) {
+// Promised records the promise of a connected VM. It counts from asked, a time on the granter's
+// clock at which the VM had not yet given it: its message may have waited for the granter, or on
+// the way, for any time.
+func (a *Authority) Promised(vm api.VMID, asked, promise time.Duration) {
 	if p := a.peers[vm]; p != nil {
-		p.promisedUntil = max(p.promisedUntil, received+promise-a.cfg.MaxMessageDelay)
+		p.promisedUntil = max(p.promisedUntil, asked+promise)
 	}
 }
 
+// PromisedUndated records the promise of a VM whose message does not say which update it
+// answers, as those of earlier versions. It is taken to have been on its way for
+// Config.MaxMessageDelay.
+func (a *Authority) PromisedUndated(vm api.VMID, received, promise time.Duration) {
+	a.Promised(vm, received-a.cfg.MaxMessageDelay, promise)
+}
+
 // StoreUnreachable reports whether the granter cannot renew its lease.
 func (a *Authority) StoreUnreachable(now time.Duration) bool {
 	return a.caretaker || now-a.renewedAt > a.cfg.StoreTimeout
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -38,6 +38,7 @@
 	endedTerm    int      // the last term whose granter is known not to act any more
 	seenVersion  int
 	checkedAt    time.Duration
+	askedAt      time.Duration // when the last update that it has received was sent, by the granter's clock
 
 	auth              *election.Authority // nil if it is not the granter
 	term              int
@@ -61,6 +62,7 @@
 
 type message struct {
 	at time.Duration
+	to *vm // it waits while that VM is frozen; nil does not wait
 	do func()
 }
 
@@ -71,6 +73,7 @@
 	forgetHandover     bool            // a granter that has handed over does not keep from taking over
 	refusalIsEnd       bool            // a refused connection is taken for the end of the granter
 	closesInOrder      bool            // a granter with authority closes connections in order
+	promisesOnReceipt  bool            // a promise counts from its receipt
 	rng                *rand.Rand
 	now                time.Duration
 	vms                []*vm
@@ -167,16 +170,16 @@
 	p.granter = nil
 }
 
-// send delivers a message after a random delay, unless it is lost.
-func (s *sim) send(reliable bool, do func()) {
+// send delivers a message to a VM after a random delay, unless it is lost.
+func (s *sim) send(reliable bool, to *vm, do func()) {
 	if !reliable && s.rng.IntN(20) == 0 {
 		return
 	}
-	s.messages = append(s.messages, message{at: s.now + time.Duration(s.rng.Int64N(int64(maxMessageDelay))), do: do})
+	s.messages = append(s.messages, message{at: s.now + time.Duration(s.rng.Int64N(int64(maxMessageDelay))), to: to, do: do})
 }
 
 func (s *sim) join(p, g *process, promise time.Duration) {
-	p.granter, p.disconnected = g, false
+	p.granter, p.disconnected, p.askedAt = g, false, s.now
 	g.members[p] = true
 	g.auth.Joined(p.vm.name)
 	if promise > 0 {
@@ -255,6 +258,9 @@
 		s.linkEnded(p, g.term, end)
 		return
 	}
+	if g.vm.frozenUntil <= s.now {
+		p.askedAt = max(p.askedAt, s.now-time.Duration(s.rng.Int64N(int64(maxMessageDelay))))
+	}
 	if !g.auth.StoreUnreachable(s.now) {
 		p.voter.GranterRenews()
 		return
@@ -277,11 +283,23 @@
 	default:
 		p.voter.StoreUnreachable(s.now)
 	}
-	promise := max(p.voter.PromiseRemaining(s.now), s.cfg.PromiseTTL)
-	s.send(false, func() {
-		if p.granter == g && g.auth != nil {
-			g.auth.Promised(p.vm.name, s.now, promise)
+	s.sendPromise(p, false, max(p.voter.PromiseRemaining(s.now), s.cfg.PromiseTTL))
+}
+
+// sendPromise sends the granter of a process its promise.
+func (s *sim) sendPromise(p *process, reliable bool, promise time.Duration) {
+	g, asked, sent := p.granter, p.askedAt, s.now
+	s.send(reliable, g.vm, func() {
+		if g.ended || g.auth == nil || !reliable && p.granter != g {
+			return
 		}
+		if s.now-sent > maxMessageDelay+tick {
+			s.counts["promises that waited"]++
+		}
+		if s.promisesOnReceipt {
+			asked = s.now - s.cfg.MaxMessageDelay
+		}
+		g.auth.Promised(p.vm.name, asked, promise)
 	})
 }
 
@@ -315,12 +333,7 @@
 func (s *sim) stop(v *vm) {
 	p := v.proc
 	if p.granter != nil {
-		g, promise := p.granter, s.cfg.RestartPromiseTTL
-		s.send(true, func() {
-			if g.auth != nil {
-				g.auth.Promised(v.name, s.now, promise)
-			}
-		})
+		s.sendPromise(p, true, s.cfg.RestartPromiseTTL)
 	}
 	if p.auth != nil {
 		s.giveUp(p)
@@ -346,7 +359,7 @@
 			return false
 		}
 		term := p.term
-		s.send(false, func() {
+		s.send(false, nil, func() {
 			if m.ended || m.auth != nil || m.vm.frozenUntil > s.now || !s.linked(p.vm, m.vm) {
 				return
 			}
@@ -407,6 +420,9 @@
 		s.isolate(v)
 	case n < 40 && v.cutUntil <= s.now:
 		s.cutLinks(v)
+	case n >= 40 && n < 52 && v.frozenUntil <= s.now:
+		v.frozenUntil = s.now + 100*time.Millisecond + time.Duration(s.rng.IntN(900))*time.Millisecond
+		s.counts["short stops"]++
 	}
 }
 
@@ -417,7 +433,7 @@
 		pending := s.messages
 		s.messages = nil
 		for _, m := range pending {
-			if m.at <= s.now {
+			if m.at <= s.now && (m.to == nil || m.to.frozenUntil <= s.now) {
 				m.do()
 			} else {
 				s.messages = append(s.messages, m)
@@ -487,7 +503,7 @@
 
 // TestNoTwoGranters guards against a granter that moves keys while another one
 // still renews their leases, under store outages for all or for single VMs, cuts between
-// VMs, kills, stops with handovers, freezes and lost messages. What a VM knows of another one
+// VMs, kills, stops with handovers, freezes, and messages that are lost or wait for their receiver. What a VM knows of another one
 // comes from the connections between them.
 func TestNoTwoGranters(t *testing.T) {
 	counts := make(map[string]int)
@@ -503,7 +519,7 @@
 	}
 	for _, event := range []string{
 		"takeovers", "released", "caretakers", "resigned", "handed over without a stop", "joined without the store", "ticks with moves", "promised without a check",
-		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter",
+		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter", "promises that waited", "short stops",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
 	}
@@ -529,6 +545,7 @@
 		"earlier granters are forgotten":             func(s *sim) { s.forgetPredecessors = true },
 		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
 		"a granter closes connections in order":      func(s *sim) { s.closesInOrder = true },
+		"promises count from their receipt":          func(s *sim) { s.promisesOnReceipt = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 1500; seed++ {
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -107,6 +107,10 @@
 	// act.
 	ResetsLinks bool `cbor:"21,keyasint,omitempty"`
 
+	// SentAtMs is the granter's clock before the update was sent, in milliseconds. It means nothing
+	// to the receiver, which returns it in its reports on the same connection.
+	SentAtMs int64 `cbor:"22,keyasint,omitempty"`
+
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
 }
@@ -201,6 +205,7 @@
 		http.Error(w, "this VM does not grant keys: read the lease again", http.StatusMisdirectedRequest)
 		return
 	}
+	accepted := bootTime()
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		l.log.Warn().Str("event", "link_refused").Err(err).Msg("")
@@ -220,7 +225,7 @@
 		return
 	}
 	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, permits: newPermitClient(), updates: make(chan update, 1), link: link, close: cancel, ended: ctx.Done()}
-	if !g.addMember(member, time.Duration(h.PromiseMs)*time.Millisecond) {
+	if !g.addMember(member, accepted, time.Duration(h.PromiseMs)*time.Millisecond) {
 		return
 	}
 	go func() {
@@ -280,8 +285,9 @@
 		return err
 	}
 	l.limits.connected()
+	var answers atomic.Int64 // SentAtMs of the last update
 	go func() {
-		if err := l.sendReports(ctx, conn); err != nil {
+		if err := l.sendReports(ctx, conn, &answers); err != nil {
 			cancel(err)
 		}
 	}()
@@ -295,6 +301,7 @@
 			}
 			return linkError(to, linkEnd(err, resets), err)
 		}
+		answers.Store(u.SentAtMs)
 		resets = resets || u.ResetsLinks
 		l.crashes.merge(u.Crashes)
 		if u.Lease != nil {
@@ -338,8 +345,9 @@
 	return err
 }
 
-// sendReports sends reports to the granter until ctx ends or a send fails.
-func (l *links) sendReports(ctx context.Context, conn *websocket.Conn) error {
+// sendReports sends reports to the granter until ctx ends or a send fails. answers is
+// update.SentAtMs of the last update received.
+func (l *links) sendReports(ctx context.Context, conn *websocket.Conn, answers *atomic.Int64) error {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	var evidence crashSender
@@ -352,6 +360,8 @@
 			return nil
 		}
 		rep := l.stats.takeReport()
+		// Read before the promise, which therefore was computed after that update was sent.
+		rep.AnswersMs = answers.Load()
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
 		rep.RowsTo = l.relay.version()
 		l.elector.control.reach.addTo(&rep)
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -60,14 +60,13 @@
 	connected bool
 }
 
-// addMember adds a VM that has connected and given a promise. It reports false if the
-// term is over.
-func (g *granter) addMember(m *member, promise time.Duration) bool {
+// addMember adds a VM that has connected and given a promise, after its connection was accepted
+// at the given time. It reports false if the term is over.
+func (g *granter) addMember(m *member, accepted, promise time.Duration) bool {
 	m.sentVersions = make(map[api.ServiceName]int64)
-	received := bootTime()
 	return g.do(func() {
 		g.authority.Joined(m.vm)
-		g.authority.Promised(m.vm, received, promise)
+		g.authority.Promised(m.vm, accepted, promise)
 		g.members[m] = true
 		g.joinCount++
 		g.assignRank(m)
@@ -109,6 +108,16 @@
 	})
 }
 
+// promised records the promise in a report.
+func (g *granter) promised(m *member, r report, received time.Duration) {
+	promise := time.Duration(r.PromiseMs) * time.Millisecond
+	if asked := time.Duration(r.AnswersMs) * time.Millisecond; asked > 0 && asked <= received {
+		g.authority.Promised(m.vm, asked, promise)
+		return
+	}
+	g.authority.PromisedUndated(m.vm, received, promise)
+}
+
 func (g *granter) handleReport(m *member, r report) {
 	received := bootTime()
 	g.control.operatorFeed.reported(r.OperatorChange)
@@ -123,7 +132,7 @@
 			defer func() { g.sendUpdate(received, m, g.news(g.peers(received))) }()
 		}
 		if r.PromiseMs > 0 {
-			g.authority.Promised(m.vm, received, time.Duration(r.PromiseMs)*time.Millisecond)
+			g.promised(m, r, received)
 		}
 		if m.relayedTo == 0 {
 			m.relayedTo = r.RowsTo
@@ -195,7 +204,7 @@
 func (g *granter) sendUpdate(now time.Duration, m *member, n news) {
 	lease := g.lease
 	rank := g.rankOf(m.vm)
-	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange}
+	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange, SentAtMs: now.Milliseconds()}
 	u.OperatorAgeMs, u.RowsAgeMs = g.control.operatorFeed.ageMs(), g.control.upstreamFeed.ageMs()
 	if m.crashes.due(n.crashes, now) {
 		u.Crashes = n.crashes
--- /dev/null
+++ b/server/gateway/promise_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/election"
+)
+
+// TestPromiseThatWaited guards against a granter that renews on a promise which has ended: it was
+// stopped, or the message was held up on its way, and it counts the promise from its receipt.
+func TestPromiseThatWaited(t *testing.T) {
+	cfg := election.DefaultConfig()
+	received := bootTime()
+	asked := received - time.Second
+	const vm api.VMID = "vm-b"
+	for name, c := range map[string]struct {
+		answers time.Duration
+		want    time.Duration
+	}{
+		"an update":               {answers: asked, want: asked + cfg.PromiseTTL},
+		"no update":               {want: received + cfg.PromiseTTL - cfg.MaxMessageDelay},
+		"an update of the future": {answers: received + time.Hour, want: received + cfg.PromiseTTL - cfg.MaxMessageDelay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			authority := election.NewAuthority(cfg, received-time.Minute, 2)
+			authority.Joined(vm)
+			g := &granter{elector: &elector{log: zerolog.Nop()}, authority: authority}
+			g.promised(&member{vm: vm}, report{PromiseMs: cfg.PromiseTTL.Milliseconds(), AnswersMs: c.answers.Milliseconds()}, received)
+			require.InDelta(t, c.want.Milliseconds(), authority.RenewUntil(received).Milliseconds(), 1)
+		})
+	}
+}
+
+// TestReportNamesItsUpdate guards against promises that the granter can't date, because a report
+// does not say which update its VM had received.
+func TestReportNamesItsUpdate(t *testing.T) {
+	const sentAt = 12345
+	d := newDeployment(t)
+	g := d.startVM("vm-a")
+	reports := make(chan report, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer conn.CloseNow()
+		var h hello
+		if receive(r.Context(), conn, &h, waitTimeout) != nil {
+			return
+		}
+		for r.Context().Err() == nil {
+			var rep report
+			if send(r.Context(), conn, update{SentAtMs: sentAt}) != nil || receive(r.Context(), conn, &rep, waitTimeout) != nil {
+				return
+			}
+			if rep.AnswersMs != 0 {
+				reports <- rep
+				return
+			}
+			g.links.reportNow()
+		}
+	}))
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	go func() {
+		_ = g.links.connect(ctx, lease{VM: "vm-b", Address: server.Listener.Addr().String()}, func(update) error { return nil })
+	}()
+	select {
+	case rep := <-reports:
+		require.EqualValues(t, sentAt, rep.AnswersMs)
+	case <-ctx.Done():
+		t.Fatal("no report names an update")
+	}
+}
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -32,6 +32,9 @@
 	// PromiseMs is for how long the VM promises not to take over from the granter, in
 	// milliseconds; 0 promises nothing.
 	PromiseMs int64 `cbor:"3,keyasint,omitempty"`
+	// AnswersMs is update.SentAtMs of an update that the VM had received before it computed
+	// PromiseMs, 0 if there is none.
+	AnswersMs int64 `cbor:"14,keyasint,omitempty"`
 	// Leaving means that the VM is stopping.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// RowsTo is the version up to which the VM has all registrations.
