core/election, server/gateway: promises passed to a caretaker count from its report

A granter that hands over passes on how much longer the promises of the other VMs hold; the caretaker counted that from the receipt of the message, less 200 ms. A caretaker that was stopped, or a message that waited up to handoverTimeout (0.4 s) to be sent, made promises outlast their end on the VMs that gave them.

Change: reports carry the VM's clock (SentAtMs); the handover returns that of the last report that the granter had received (AnswersMs), from which the caretaker counts. It loses up to the interval of the reports (0.4 s) of the promises that it is passed; the other VMs promise again when they connect to it. Granters of earlier versions: counted from the receipt less 200 ms, as before.

Test: in the simulation a handover to a frozen VM was lost; now it waits. The former rule stays as a broken variant. Stops are 0.1 to 2 s long and more frequent, so that each variant is found.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -353,11 +353,17 @@
 	return append(promises, Promise{VM: self, RemainingMs: a.cfg.RestartPromiseTTL.Milliseconds()}), true
 }
 
-// NewCaretaker returns the authority of a VM to which a granter has handed over.
-func NewCaretaker(cfg Config, received time.Duration, promises []Promise) *Authority {
+// NewCaretaker returns the authority of a VM to which a granter has handed over. The promises
+// count from reported: a time on the caretaker's clock at which it sent a message that the granter
+// had received before it handed over. If it is 0, as with granters of earlier versions, the
+// promises are taken to have been on their way for Config.MaxMessageDelay.
+func NewCaretaker(cfg Config, received, reported time.Duration, promises []Promise) *Authority {
+	if reported <= 0 || reported > received {
+		reported = received - cfg.MaxMessageDelay
+	}
 	a := &Authority{cfg: cfg, startedAt: received, renewedAt: received, renewUntil: received, peers: make(map[api.VMID]*peer), caretaker: true}
 	for _, p := range promises {
-		a.peers[p.VM] = &peer{leftAt: received, promisedUntil: received + time.Duration(p.RemainingMs)*time.Millisecond - cfg.MaxMessageDelay}
+		a.peers[p.VM] = &peer{leftAt: received, promisedUntil: reported + time.Duration(p.RemainingMs)*time.Millisecond}
 	}
 	return a
 }
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -101,3 +101,19 @@
 		require.Equal(t, min(vms, int(cfg.StoreCheckers)), checks)
 	}
 }
+
+// TestHandoverThatWaited guards against a caretaker that renews on promises which have ended, because
+// the message of the granter waited for it.
+func TestHandoverThatWaited(t *testing.T) {
+	cfg := election.DefaultConfig()
+	const received = time.Minute
+	const reported = received - 900*time.Millisecond
+	promises := []election.Promise{{VM: "vm-c", RemainingMs: 1000}}
+	for _, c := range []struct{ reported, want time.Duration }{
+		{reported: reported, want: reported + time.Second},
+		{reported: 0, want: received + time.Second - cfg.MaxMessageDelay},
+		{reported: received + time.Second, want: received + time.Second - cfg.MaxMessageDelay},
+	} {
+		require.Equal(t, c.want, election.NewCaretaker(cfg, received, c.reported, promises).RenewUntil(received))
+	}
+}
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -16,6 +16,7 @@
 	tick            = 50 * time.Millisecond
 	maxMessageDelay = 150 * time.Millisecond // within Config.MaxMessageDelay
 	checkInterval   = 350 * time.Millisecond // between reads of the lease by a VM that was asked for its promise
+	reportInterval  = 400 * time.Millisecond // between reports of a VM to the granter
 )
 
 // row is the lease in the simulated store.
@@ -39,6 +40,7 @@
 	seenVersion  int
 	checkedAt    time.Duration
 	askedAt      time.Duration // when the last update that it has received was sent, by the granter's clock
+	reportedAt   time.Duration // when its last report that the granter has received was sent
 
 	auth              *election.Authority // nil if it is not the granter
 	term              int
@@ -62,7 +64,7 @@
 
 type message struct {
 	at time.Duration
-	to *vm // it waits while that VM is frozen; nil does not wait
+	to *vm // it waits while that VM is frozen
 	do func()
 }
 
@@ -74,6 +76,7 @@
 	refusalIsEnd       bool            // a refused connection is taken for the end of the granter
 	closesInOrder      bool            // a granter with authority closes connections in order
 	promisesOnReceipt  bool            // a promise counts from its receipt
+	handoverOnReceipt  bool            // promises that a caretaker gets count from their receipt
 	rng                *rand.Rand
 	now                time.Duration
 	vms                []*vm
@@ -179,7 +182,7 @@
 }
 
 func (s *sim) join(p, g *process, promise time.Duration) {
-	p.granter, p.disconnected, p.askedAt = g, false, s.now
+	p.granter, p.disconnected, p.askedAt, p.reportedAt = g, false, s.now, s.now
 	g.members[p] = true
 	g.auth.Joined(p.vm.name)
 	if promise > 0 {
@@ -260,6 +263,7 @@
 	}
 	if g.vm.frozenUntil <= s.now {
 		p.askedAt = max(p.askedAt, s.now-time.Duration(s.rng.Int64N(int64(maxMessageDelay))))
+		p.reportedAt = max(p.reportedAt, s.now-time.Duration(s.rng.Int64N(int64(reportInterval+maxMessageDelay))))
 	}
 	if !g.auth.StoreUnreachable(s.now) {
 		p.voter.GranterRenews()
@@ -359,12 +363,16 @@
 			return false
 		}
 		term := p.term
-		s.send(false, nil, func() {
-			if m.ended || m.auth != nil || m.vm.frozenUntil > s.now || !s.linked(p.vm, m.vm) {
+		reported := m.reportedAt
+		s.send(false, m.vm, func() {
+			if m.ended || m.auth != nil || !s.linked(p.vm, m.vm) {
 				return
 			}
+			if s.handoverOnReceipt {
+				reported = s.now - s.cfg.MaxMessageDelay
+			}
 			s.disconnect(m)
-			m.auth, m.term, m.caretaker = election.NewCaretaker(s.cfg, s.now, promises), term, true
+			m.auth, m.term, m.caretaker = election.NewCaretaker(s.cfg, s.now, reported, promises), term, true
 			m.members = make(map[*process]bool)
 			s.counts["caretakers"]++
 			s.tracef("%s is caretaker", m.vm.name)
@@ -420,8 +428,8 @@
 		s.isolate(v)
 	case n < 40 && v.cutUntil <= s.now:
 		s.cutLinks(v)
-	case n >= 40 && n < 52 && v.frozenUntil <= s.now:
-		v.frozenUntil = s.now + 100*time.Millisecond + time.Duration(s.rng.IntN(900))*time.Millisecond
+	case n >= 40 && n < 60 && v.frozenUntil <= s.now:
+		v.frozenUntil = s.now + 100*time.Millisecond + time.Duration(s.rng.IntN(1900))*time.Millisecond
 		s.counts["short stops"]++
 	}
 }
@@ -433,7 +441,7 @@
 		pending := s.messages
 		s.messages = nil
 		for _, m := range pending {
-			if m.at <= s.now && (m.to == nil || m.to.frozenUntil <= s.now) {
+			if m.at <= s.now && m.to.frozenUntil <= s.now {
 				m.do()
 			} else {
 				s.messages = append(s.messages, m)
@@ -546,6 +554,7 @@
 		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
 		"a granter closes connections in order":      func(s *sim) { s.closesInOrder = true },
 		"promises count from their receipt":          func(s *sim) { s.promisesOnReceipt = true },
+		"a handover counts from its receipt":         func(s *sim) { s.handoverOnReceipt = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 1500; seed++ {
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -334,7 +334,7 @@
 		e.control.upstreamFeed.relayed(u.RowsAgeMs, u.RowsTo)
 	}
 	if u.Handover != nil {
-		return &handedOverError{handover: *u.Handover, received: bootTime()}
+		return &handedOverError{handover: *u.Handover, received: bootTime(), reported: time.Duration(u.AnswersMs) * time.Millisecond}
 	}
 	if !u.StoreUnreachable {
 		withVoter(e, func(v *election.Voter, _ time.Duration) struct{} { v.GranterRenews(); return struct{}{} })
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -34,6 +34,9 @@
 type handedOverError struct {
 	handover
 	received time.Duration // on bootTime
+	// reported is when this VM sent the last report that the granter had received, 0 if it is not
+	// known.
+	reported time.Duration
 }
 
 // Error implements error.
@@ -100,7 +103,7 @@
 	}
 	g.log.Info().Str("event", "handed_over").Str("peer", string(successor.vm)).Int64("term", g.term).Msg("")
 	deadline := time.After(handoverTimeout)
-	g.sendLast(successor, update{Rank: g.rankOf(successor.vm), VMs: len(g.ranks), StoreUnreachable: true, Handover: &handover{
+	g.sendLast(successor, update{Rank: g.rankOf(successor.vm), VMs: len(g.ranks), StoreUnreachable: true, AnswersMs: successor.reportedAtMs, Handover: &handover{
 		Lease: next, LeaseVersion: g.condition.lease, Promises: promises, Entries: entries,
 	}}, deadline)
 	for m := range g.members {
@@ -161,7 +164,7 @@
 // Then this VM takes over the lease in the store, unless another VM has.
 func (e *elector) runCaretaker(ctx context.Context, handed *handedOverError) {
 	cfg := election.DefaultConfig()
-	authority := election.NewCaretaker(cfg, handed.received, handed.Promises)
+	authority := election.NewCaretaker(cfg, handed.received, handed.reported, handed.Promises)
 	predecessor := ownership.Predecessor{
 		Until: handed.received, MaxLeaseTTL: min(ownership.DefaultConfig(fleet.KeyCount).LeaseTTL, e.bounds.MaxLease.AsDuration()), InDoubtUntil: handed.received + cfg.LeaseTTL,
 	}
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -110,6 +110,9 @@
 	// SentAtMs is the granter's clock before the update was sent, in milliseconds. It means nothing
 	// to the receiver, which returns it in its reports on the same connection.
 	SentAtMs int64 `cbor:"22,keyasint,omitempty"`
+	// AnswersMs is report.SentAtMs of the last report that the granter had received before it
+	// computed Handover, 0 if there is none.
+	AnswersMs int64 `cbor:"23,keyasint,omitempty"`
 
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
@@ -361,7 +364,7 @@
 		}
 		rep := l.stats.takeReport()
 		// Read before the promise, which therefore was computed after that update was sent.
-		rep.AnswersMs = answers.Load()
+		rep.AnswersMs, rep.SentAtMs = answers.Load(), bootTime().Milliseconds()
 		rep.PromiseMs, rep.Leaving = l.elector.promiseRemaining().Milliseconds(), l.leaving.Load()
 		rep.RowsTo = l.relay.version()
 		l.elector.control.reach.addTo(&rep)
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -33,6 +33,8 @@
 	// contactAt is when the VM last opened a connection to an upstream, as far as known; 0 if
 	// it has not.
 	contactAt time.Duration
+	// reportedAtMs is report.SentAtMs of the last report.
+	reportedAtMs int64
 	// link is the connection, nil if it cannot be reset; close ends it.
 	link          *linkConn
 	close         func()
@@ -123,7 +125,7 @@
 	g.control.operatorFeed.reported(r.OperatorChange)
 	g.do(func() {
 		becameIsolated := r.Isolated && !m.isolated
-		m.leaving, m.isolated = r.Leaving, r.Isolated
+		m.leaving, m.isolated, m.reportedAtMs = r.Leaving, r.Isolated, r.SentAtMs
 		if r.ContactMs > 0 {
 			m.contactAt = received - time.Duration(r.ContactMs)*time.Millisecond
 		}
--- a/server/gateway/promise_test.go
+++ b/server/gateway/promise_test.go
@@ -13,6 +13,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
+	fakes "dandelionhill.dev/fakes/fleet"
 )
 
 // TestPromiseThatWaited guards against a granter that renews on a promise which has ended: it was
@@ -82,3 +83,40 @@
 		t.Fatal("no report names an update")
 	}
 }
+
+// TestHandoverNamesItsReport guards against promises that a caretaker can't date, because the
+// granter does not say which of its reports it had received.
+func TestHandoverNamesItsReport(t *testing.T) {
+	const sentAt = 777
+	d := newDeployment(t)
+	a := d.startVM("vm-a")
+	d.eventually(func() bool { return a.links.currentGranter() != nil }, "the VM grants")
+	granter := a.links.currentGranter()
+	conn, resp, err := websocket.Dial(t.Context(), "ws://"+a.settings.Listen.Peers+linkPath, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusSwitchingProtocols, resp.StatusCode)
+	defer conn.CloseNow()
+	conn.SetReadLimit(maxFrameBytes)
+	require.NoError(t, send(t.Context(), conn, hello{VM: "vm-b", Address: "127.0.0.1:1"}))
+	d.store.SetFaults(fakes.Faults{Refuse: true})
+	handedOver := make(chan bool, 1)
+	for promises := 0; ; {
+		var u update
+		require.NoError(t, receive(t.Context(), conn, &u, waitTimeout))
+		if u.Handover != nil {
+			require.EqualValues(t, sentAt, u.AnswersMs)
+			require.True(t, <-handedOver)
+			return
+		}
+		require.NoError(t, send(t.Context(), conn, report{PromiseMs: time.Minute.Milliseconds(), AnswersMs: u.SentAtMs, SentAtMs: sentAt}))
+		if !u.StoreUnreachable {
+			continue
+		}
+		if promises++; promises == 2 {
+			go granter.do(func() {
+				handedOver <- granter.handOver(granter.successor())
+				granter.termOver = true
+			})
+		}
+	}
+}
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -35,6 +35,9 @@
 	// AnswersMs is update.SentAtMs of an update that the VM had received before it computed
 	// PromiseMs, 0 if there is none.
 	AnswersMs int64 `cbor:"14,keyasint,omitempty"`
+	// SentAtMs is the VM's clock before the report was sent, in milliseconds, see
+	// update.AnswersMs.
+	SentAtMs int64 `cbor:"15,keyasint,omitempty"`
 	// Leaving means that the VM is stopping.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// RowsTo is the version up to which the VM has all registrations.
