server/gateway: a renewed lease counts from the time that it states

Callers: two upstreams hold the same keys (OWNER) if the granter is stopped, or waits for a busy processor, while it renews its lease, and then loses the store.

Cause: the row states RenewedAtMs, the store's clock at the beginning of the granter's tick, from which a successor reckons when the granter can no longer act. The granter counted its own lease of 3 s from the sending of the row, after the tick and in another goroutine. A stop of 1 s in between let it renew grants for 1 s longer than its successor reckoned. Besides, RenewedAtMs came from an estimate of the store's clock that is wrong by up to half of the time that its reading took, in the wrong direction if the process was stopped between the response and its reading; a first reading, or one after 30 s, is taken however long it took. All of this, the ways of the messages included, had to fit into the 150 ms that leases of keys are extended by.

Change: both sides count from the same moment, the one before the row was made, for every attempt; RenewedAtMs is the upper bound of the store's clock at that moment. It is at most one round trip to the store later than before. Rows keep their form.

--- a/server/gateway/clock.go
+++ b/server/gateway/clock.go
@@ -37,4 +37,10 @@
 	*c = sharedClock{offset: store - sent - delay, delay: delay, readAt: received, known: true}
 }
 
+// latestMs returns an upper bound of the store's clock at a time on bootTime, in milliseconds. The
+// store may have read its clock at any time between the request and the response.
+func (c sharedClock) latestMs(boot time.Duration) int64 {
+	return (c.at(boot) + c.delay + time.Millisecond - 1).Milliseconds()
+}
+
 func (c sharedClock) at(boot time.Duration) time.Duration { return boot + c.offset }
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -25,7 +25,7 @@
 	next := g.lease
 	next.Seq++
 	next.Era = g.condition.era
-	next.RenewedAtMs = clock.at(now).Milliseconds()
+	next.RenewedAtMs = clock.latestMs(now)
 	next.VMs = len(g.members) + 1
 	next.PredecessorsMs = max(g.predecessor.Until-now, 0).Milliseconds()
 	puts, err := g.storedRows.changes(g.pendingWrites)
@@ -36,24 +36,20 @@
 	services := slices.Collect(maps.Keys(g.pendingWrites))
 	g.pendingWrites = make(map[api.ServiceName][]ownership.Entry)
 	g.writing, g.rewrite = true, false
-	go g.write(ctx, next, services, puts)
+	go g.write(ctx, now, next, services, puts)
 }
 
-// write retries a transaction with the owners of the services until its result is known.
-func (g *granter) write(ctx context.Context, next lease, services []api.ServiceName, owners []fleet.Put) {
-	first := bootTime()
+// write retries a transaction with the owners of the services until its result is known. The
+// lease counts from renewedAt, the time for which it states RenewedAtMs, whichever attempt takes
+// effect and when: its successor reckons from there.
+func (g *granter) write(ctx context.Context, renewedAt time.Duration, next lease, services []api.ServiceName, owners []fleet.Put) {
 	for {
-		sent := bootTime()
 		page, err := g.control.commit(ctx, g.condition, next, owners, nil)
 		if errors.Is(err, fleet.ErrConflict) {
 			page, err = g.resolveConflict(page, next)
 		}
 		if err == nil || errors.Is(err, fleet.ErrConflict) || errors.Is(err, errStoreRestored) {
-			if err == nil && page.Version != 0 && sent != first {
-				// Which attempt took effect is unknown: the lease counts from the first.
-				sent = first
-			}
-			g.do(func() { g.writeDone(next, services, owners, page, sent, err) })
+			g.do(func() { g.writeDone(next, services, owners, page, renewedAt, err) })
 			return
 		}
 		g.log.Warn().Str("event", "write_failed").Int64("term", next.Term).Int64("seq", next.Seq).Int("rows", len(owners)).Err(err).Msg("")
@@ -105,7 +101,7 @@
 	}
 }
 
-func (g *granter) writeDone(next lease, services []api.ServiceName, owners []fleet.Put, page *fleet.Page, sent time.Duration, err error) {
+func (g *granter) writeDone(next lease, services []api.ServiceName, owners []fleet.Put, page *fleet.Page, renewedAt time.Duration, err error) {
 	g.writing = false
 	if now := bootTime(); errors.Is(err, errStoreRestored) && g.mayRenew() {
 		g.enterEra(now, page)
@@ -118,11 +114,11 @@
 		return
 	}
 	g.storedRows.markStored(owners)
-	g.lease, g.condition, g.renewedAt = next, g.condition.after(page.Version), sent
-	g.authority.Renewed(sent)
+	g.lease, g.condition, g.renewedAt = next, g.condition.after(page.Version), renewedAt
+	g.authority.Renewed(renewedAt)
 	g.renewUntil.Store(int64(g.authority.RenewUntil(bootTime())))
 	if page.ClockSeconds > 0 {
-		g.control.submitClock(sent, bootTime(), page)
+		g.control.submitClock(renewedAt, bootTime(), page)
 	}
 	// Entries that were assigned while the transaction was under way are not in it.
 	for _, name := range services {
@@ -145,7 +141,7 @@
 	next.Seq += 2
 	next.Released, next.Successor = true, successor
 	now := bootTime()
-	next.RenewedAtMs = g.control.view().clock.at(now).Milliseconds()
+	next.RenewedAtMs = g.control.view().clock.latestMs(now)
 	next.PredecessorsMs = max(g.predecessor.Until-now, 0).Milliseconds()
 	for _, m := range g.machines {
 		next.InDoubtMs = max(next.InDoubtMs, (m.InDoubtUntil(now) - now).Milliseconds())
--- a/server/gateway/renewal_test.go
+++ b/server/gateway/renewal_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
@@ -108,3 +109,37 @@
 	d.eventually(func() bool { return !owner.Holds(1) }, "the keys move once the store answers")
 	d.requireServed(g, keyedPath, 1)
 }
+
+// TestLeaseCountsFromItsStatedTime guards against a granter that acts for longer than its successor
+// reckons: it was stopped between the moment that the row states and the sending of the row.
+func TestLeaseCountsFromItsStatedTime(t *testing.T) {
+	const stop = 400 * time.Millisecond
+	d := newDeployment(t)
+	g := d.startVM("vm-a")
+	d.eventually(func() bool { return g.links.currentGranter() != nil && g.control.view().config != nil }, "the VM is the granter")
+	granter := g.links.currentGranter()
+	seq := int64(0)
+	d.eventually(func() bool {
+		began := make(chan bool, 1)
+		return granter.do(func() {
+			idle := !granter.writing
+			if idle {
+				seq, granter.rewrite = granter.lease.Seq+1, true
+				granter.renew(t.Context(), bootTime()-stop)
+			}
+			began <- idle
+		}) && <-began
+	}, "a renewal begins")
+	d.eventually(func() bool {
+		ended := make(chan bool, 1)
+		return granter.do(func() {
+			done := granter.lease.Seq >= seq
+			if done {
+				clock := g.control.view().clock
+				counted, stated := (clock.at(granter.renewedAt) - clock.delay).Milliseconds(), granter.lease.RenewedAtMs
+				assert.LessOrEqual(t, counted, stated, "the granter's lease ends after the one in the store")
+			}
+			ended <- done
+		}) && <-ended
+	}, "the renewal ends")
+}
