server/gateway: a taken over lease counts from the read whose time it states

Cause: the first row of a term states the store's clock of the response from which the VM took over. The new granter counted its lease from the sending of the row, up to takeoverJitter (150 ms) and any stop of the process later, and so acted for longer than its own successor reckons. In a store without a lease the row stated 0, so that another VM took the new granter for one that had been silent for long.

Change: the lease counts from before that read; the row states the clock of the response, also if there was no lease.

--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -426,7 +426,7 @@
 	previous := state.lease
 	next := lease{
 		VM: e.self, Incarnation: e.incarnation, Address: e.address, Term: previous.Term + 1, Seq: 1,
-		RenewedAtMs: (time.Duration(previous.RenewedAtMs)*time.Millisecond + previous.age).Milliseconds(), VMs: previous.VMs,
+		RenewedAtMs: state.clock.Milliseconds(), VMs: previous.VMs,
 		PredecessorsMs: max(predecessor.Until-previous.readAt+callTimeout, 0).Milliseconds(), Era: state.era,
 	}
 	sent := bootTime()
@@ -444,8 +444,9 @@
 	}
 	e.log.Info().Str("event", "granter_started").Int64("term", next.Term).Str("predecessor", string(previous.VM)).
 		Dur("moves_in_ms", max(predecessor.Until-sent, 0)).Dur("predecessor_age_ms", previous.age).Dur("predecessor_hold_ms", predecessor.MaxLeaseTTL).Bool("predecessor_ended", predecessor.Until <= previous.readAt).Msg("")
-	authority := election.NewAuthority(election.DefaultConfig(), sent, previous.VMs)
-	e.runGranter(ctx, newGranter(e, next, state.condition().after(page.Version), authority, sent, predecessor, state))
+	// The lease counts from before the moment that its row states.
+	authority := election.NewAuthority(election.DefaultConfig(), state.requestedAt, previous.VMs)
+	e.runGranter(ctx, newGranter(e, next, state.condition().after(page.Version), authority, state.requestedAt, predecessor, state))
 }
 
 // runGranter runs a granter until its term ends.
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -106,6 +106,8 @@
 	// hold the owners.
 	era, eraRow int64
 	ownerRows   []fleet.RowID
+	// clock is the store's clock when it responded, after requestedAt on bootTime.
+	clock, requestedAt time.Duration
 	// unreadable holds an error for each row of owners that cannot be decoded.
 	unreadable []error
 }
@@ -125,11 +127,13 @@
 // readSystem reads the rows of this system. A lease that cannot be decoded is logged
 // and counts as vacant.
 func (c *control) readSystem(ctx context.Context) (systemState, error) {
+	requestedAt := bootTime()
 	page, err := c.readAll(ctx, systemTable)
 	if err != nil {
 		return systemState{}, err
 	}
 	state := decodeSystem(page)
+	state.requestedAt = requestedAt
 	for _, err := range state.unreadable {
 		c.log.Error().Str("event", "owners_unreadable").Err(err).Msg("")
 	}
@@ -141,7 +145,7 @@
 
 // decodeSystem decodes the rows of this system, read just now.
 func decodeSystem(page *fleet.Page) systemState {
-	state := systemState{owners: make(map[api.ServiceName][]ownership.Entry), era: page.Era}
+	state := systemState{owners: make(map[api.ServiceName][]ownership.Entry), era: page.Era, clock: page.Clock()}
 	for _, row := range page.Rows {
 		if row.Key == leaseKey {
 			state.lease = decodeLease(row, page.Clock())
--- a/server/gateway/renewal_test.go
+++ b/server/gateway/renewal_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -143,3 +145,34 @@
 		}) && <-ended
 	}, "the renewal ends")
 }
+
+// TestTakeoverCountsFromItsStatedTime guards against a new granter that acts for longer than its
+// successor reckons: it was stopped between the store's response, from which the row states the
+// time, and the sending of the row.
+func TestTakeoverCountsFromItsStatedTime(t *testing.T) {
+	d := newDeployment(t)
+	a := d.startVM("vm-a")
+	d.eventually(func() bool { return a.links.currentGranter() != nil && a.control.view().clock.known }, "the first VM is the granter")
+	storeClock := a.control.view().clock
+	a.Stop()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		response := httptest.NewRecorder()
+		d.store.ServeHTTP(response, r)
+		if r.Method == http.MethodGet && !strings.HasSuffix(r.URL.Path, "feed") {
+			time.Sleep(300 * time.Millisecond)
+		}
+		maps.Copy(w.Header(), response.Header())
+		w.WriteHeader(response.Code)
+		_, _ = w.Write(response.Body.Bytes())
+	}))
+	t.Cleanup(server.Close)
+	b := d.startVMAt("vm-b", server.Listener.Addr().String())
+	d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM is the granter")
+	granter := b.links.currentGranter()
+	compared := make(chan bool, 1)
+	require.True(t, granter.do(func() {
+		counted, stated := (storeClock.at(granter.renewedAt) - storeClock.delay).Milliseconds(), granter.lease.RenewedAtMs
+		compared <- assert.LessOrEqual(t, counted, stated, "the granter's lease ends after the one in the store")
+	}))
+	require.True(t, <-compared)
+}
