core/election, server/gateway: a grant is begun only while 0.3 s of the authority is left

Callers: two upstreams hold the same keys (OWNER) if a granter near the end of its authority (in an outage of the store, or refused by it) is stopped or waits for a busy processor between its last check and the write of a grant.

Cause: a grant was begun until the very end of the authority. Between the check (callqueue.go, run; then only whether the context has ended, which is a flag that a timer sets, not a look at the clock) and the write nothing bounds the time, so that a stop of 0.1 to 1 s let the grant leave that much after the end, while a successor reckons that the lease of the keys ends one lease after the end, and 150 ms for the way.

Change: MaxSendDelay (0.3 s) names the longest time between the check and the last byte that is assumed; a grant is begun, and waited for, only while that much of the authority is left (Authority.SendUntil). It costs nothing while the store answers (2 s are left at least) and the last 0.3 s of an authority that ends. A grant whose call returns after the end is logged (grant_late, late_ms) and counted (orders_total, result late); its result is that of the call, unknown unless the upstream has answered. Stops that are longer than MaxSendDelay within those few statements, at the end of an authority, are not covered.

Test: in the simulation a granter that is stopped for at most MaxSendDelay had a grant in its hands, which leaves when it goes on. A frozen granter of the simulation gave up its lease when it was cut off from the upstreams; a stopped process does nothing. TestGranterCutOffWithResets compares with the last byte, and no longer allows 150 ms for errors of the store's clock.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -34,6 +34,10 @@
 	RestartPromiseTTL time.Duration
 	// MaxMessageDelay is subtracted from a promise whose message does not say when it was asked for.
 	MaxMessageDelay time.Duration
+	// MaxSendDelay bounds the time from the last check that a grant may be sent to its last byte:
+	// a granter begins no grant when less of its authority is left. A process that is stopped
+	// for longer in between breaks this assumption.
+	MaxSendDelay time.Duration
 	// AbsentTimeout is how long a VM that left without a promise could still take over.
 	AbsentTimeout time.Duration
 	// StoreCheckers is the number of VMs that check at a time whether the store answers them
@@ -54,7 +58,7 @@
 func DefaultConfig() Config {
 	return Config{
 		LeaseTTL: 3 * time.Second, StaleAfter: 1300 * time.Millisecond, StoreTimeout: 1200 * time.Millisecond,
-		PromiseTTL: 1200 * time.Millisecond, RestartPromiseTTL: 3 * time.Second, MaxMessageDelay: 200 * time.Millisecond,
+		PromiseTTL: 1200 * time.Millisecond, RestartPromiseTTL: 3 * time.Second, MaxMessageDelay: 200 * time.Millisecond, MaxSendDelay: 300 * time.Millisecond,
 		AbsentTimeout: 30 * time.Second, StoreCheckers: 12, ResignAfter: time.Second,
 		SuccessorPatience: 500 * time.Millisecond, IsolatedPatience: 4 * time.Second,
 	}
@@ -310,6 +314,12 @@
 	return a.renewUntil
 }
 
+// SendUntil returns until when the granter may begin to send a grant, so that its last byte leaves
+// before RenewUntil.
+func (a *Authority) SendUntil(now time.Duration) time.Duration {
+	return a.RenewUntil(now) - a.cfg.MaxSendDelay
+}
+
 // ShouldResign reports whether the granter has been without authority for too long.
 func (a *Authority) ShouldResign(now time.Duration) bool {
 	return a.StoreUnreachable(now) && now > a.RenewUntil(now)+a.cfg.ResignAfter
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -17,6 +17,7 @@
 	maxMessageDelay = 150 * time.Millisecond // within Config.MaxMessageDelay
 	checkInterval   = 350 * time.Millisecond // between reads of the lease by a VM that was asked for its promise
 	reportInterval  = 400 * time.Millisecond // between reports of a VM to the granter
+	maxSendDelay    = 300 * time.Millisecond // Config.MaxSendDelay
 )
 
 // row is the lease in the simulated store.
@@ -56,12 +57,20 @@
 	proc           *process
 	storeReachable bool
 	frozenUntil    time.Duration
+	heldGrant      *heldGrant    // by a stop
 	isolatedUntil  time.Duration // it reaches no upstream until then
 	cutUntil       time.Duration // it reaches no other VM until then
 	startAt        time.Duration // of the next process
 	stopAt         time.Duration // when a stopping process ends, 0 if it does not stop
 }
 
+// heldGrant is a grant whose granter was stopped between its last check and the send.
+type heldGrant struct {
+	granter *process
+	term    int
+	leaves  time.Duration
+}
+
 type message struct {
 	at time.Duration
 	to *vm // it waits while that VM is frozen
@@ -388,7 +397,7 @@
 	v.isolatedUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
 	s.tracef("%s is isolated until %.2fs", v.name, (v.isolatedUntil - time.Minute).Seconds())
 	p := v.proc
-	if p.auth == nil || p.caretaker || p.ended {
+	if p.auth == nil || p.caretaker || p.ended || v.frozenUntil > s.now {
 		return
 	}
 	without := p.auth.StoreUnreachable(s.now)
@@ -403,6 +412,38 @@
 	s.stopGranting(p)
 }
 
+// stopBriefly stops a process for 0.1 to 2 s. If it is a granter, it was about to send a grant.
+func (s *sim) stopBriefly(v *vm) {
+	stop := 100*time.Millisecond + time.Duration(s.rng.IntN(1900))*time.Millisecond
+	v.frozenUntil = s.now + stop
+	s.counts["short stops"]++
+	if p := v.proc; p.auth != nil && !p.ended && stop <= maxSendDelay && s.now < p.auth.SendUntil(s.now) {
+		v.heldGrant = &heldGrant{granter: p, term: p.term, leaves: v.frozenUntil}
+		s.counts["held grants"]++
+	}
+}
+
+// checkHeldGrants returns a violation if a grant leaves while another granter may move keys.
+func (s *sim) checkHeldGrants(movers []*process) string {
+	for _, v := range s.vms {
+		held := v.heldGrant
+		if held == nil || s.now < held.leaves {
+			continue
+		}
+		v.heldGrant = nil
+		if held.granter.ended {
+			continue // killed while it was stopped
+		}
+		for _, m := range movers {
+			if m != held.granter && m.term >= held.term && m.predecessorsUntil <= held.leaves {
+				return fmt.Sprintf("%s moves keys in term %d from %.2fs, a grant of %s in term %d leaves at %.2fs", m.vm.name, m.term,
+					(m.predecessorsUntil - time.Minute).Seconds(), v.name, held.term, (held.leaves - time.Minute).Seconds())
+			}
+		}
+	}
+	return ""
+}
+
 func (s *sim) injectFaults() {
 	v := s.vms[s.rng.IntN(len(s.vms))]
 	switch n := s.rng.IntN(1000); {
@@ -429,8 +470,7 @@
 	case n < 40 && v.cutUntil <= s.now:
 		s.cutLinks(v)
 	case n >= 40 && n < 60 && v.frozenUntil <= s.now:
-		v.frozenUntil = s.now + 100*time.Millisecond + time.Duration(s.rng.IntN(1900))*time.Millisecond
-		s.counts["short stops"]++
+		s.stopBriefly(v)
 	}
 }
 
@@ -506,7 +546,7 @@
 			}
 		}
 	}
-	return ""
+	return s.checkHeldGrants(movers)
 }
 
 // TestNoTwoGranters guards against a granter that moves keys while another one
@@ -527,7 +567,7 @@
 	}
 	for _, event := range []string{
 		"takeovers", "released", "caretakers", "resigned", "handed over without a stop", "joined without the store", "ticks with moves", "promised without a check",
-		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter", "promises that waited", "short stops",
+		"ticks renewed without the store", "ticks renewed by a caretaker", "learnt of an end", "cut off from a granter", "promises that waited", "short stops", "held grants",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
 	}
@@ -554,6 +594,7 @@
 		"a refused connection is taken for an end":   func(s *sim) { s.refusalIsEnd = true },
 		"a granter closes connections in order":      func(s *sim) { s.closesInOrder = true },
 		"promises count from their receipt":          func(s *sim) { s.promisesOnReceipt = true },
+		"grants are sent until the authority ends":   func(s *sim) { s.cfg.MaxSendDelay = 0 },
 		"a handover counts from its receipt":         func(s *sim) { s.handoverOnReceipt = true },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
@@ -142,6 +143,7 @@
 	}
 	result, handover := q.call(a, u)
 	now := bootTime()
+	q.noteLate(service, a, now, result)
 	q.mu.Lock()
 	switch {
 	case result == ownership.OwnerEnded:
@@ -158,6 +160,19 @@
 	q.complete(service, a, result, handover)
 }
 
+// noteLate logs and counts a grant that may have left after the authority to send it had ended.
+func (q *callQueues) noteLate(service api.ServiceName, a ownership.Action, returned time.Duration, result ownership.Result) {
+	until := time.Duration(q.granter.renewUntil.Load())
+	late := returned - until - election.DefaultConfig().MaxSendDelay
+	if a.Kind != ownership.Grant || result == ownership.NotSent || until == 0 || late <= 0 {
+		return
+	}
+	q.granter.metrics.calls.WithLabelValues("grant", "late").Inc()
+	q.log.Warn().Str("event", "grant_late").Str("service", string(service)).Str("upstream", string(a.Owner.UpstreamID)).
+		Int("first", a.Span.First).Int("last", a.Span.Last).Int64("fence", a.Fence).Str("result", resultNames[result]).
+		Int64("late_ms", late.Milliseconds()).Msg("")
+}
+
 func (q *callQueues) call(a ownership.Action, u *upstream) (ownership.Result, string) {
 	span := fleet.Span{First: a.Span.First, Last: a.Span.Last}
 	call, err := fleet.GrantCall(span, a.Fence, a.LeaseTTL, a.Handover)
--- a/server/gateway/fence_test.go
+++ b/server/gateway/fence_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 )
 
@@ -59,3 +61,23 @@
 	close(unblock)
 	<-running
 }
+
+// TestGrantAfterItsAuthority guards against a grant that leaves after the authority of its granter
+// has ended, because the process was stopped between the check and the send, and against one that
+// no log line tells of.
+func TestGrantAfterItsAuthority(t *testing.T) {
+	cfg := election.DefaultConfig()
+	var log bytes.Buffer
+	sent := bootTime()
+	g := &granter{elector: &elector{log: zerolog.New(&log), metrics: NewMetrics()}, authority: election.NewAuthority(cfg, sent, 1)}
+	g.calls = newCallQueues(g)
+	g.renewUntil.Store(int64(g.authority.SendUntil(sent)))
+	require.Equal(t, sent+cfg.LeaseTTL-cfg.MaxSendDelay, time.Duration(g.renewUntil.Load()))
+
+	grant := ownership.Action{Kind: ownership.Grant, Owner: ownership.Owner{UpstreamID: "k1"}, Span: ownership.Span{First: 1, Last: 2}, Fence: 3}
+	g.calls.noteLate("keyed", grant, sent+cfg.LeaseTTL, ownership.Accepted)
+	g.calls.noteLate("keyed", grant, sent+cfg.LeaseTTL+time.Second, ownership.NotSent)
+	require.Empty(t, log.String())
+	g.calls.noteLate("keyed", grant, sent+cfg.LeaseTTL+time.Second, ownership.Unknown)
+	require.Contains(t, log.String(), `"event":"grant_late","service":"keyed","upstream":"k1","first":1,"last":2,"fence":3,"result":"unknown","late_ms":1000`)
+}
--- a/server/gateway/link_test.go
+++ b/server/gateway/link_test.go
@@ -17,8 +17,6 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
-	"dandelionhill.dev/core/ownership"
-	"dandelionhill.dev/platform/fleet"
 )
 
 // linkNetwork passes the connections of other VMs to one VM.
@@ -132,10 +130,8 @@
 	refuse.Store(true)
 	network.end(true)
 	d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM takes over")
-	// Leases of keys are extended by MaxMessageDelay, which covers errors in the reading of the
-	// store's clock.
-	allowance := ownership.DefaultConfig(fleet.KeyCount).MaxMessageDelay
-	require.GreaterOrEqual(t, b.links.currentGranter().predecessor.Until+allowance, time.Duration(before.renewUntil.Load()))
+	lastByte := time.Duration(before.renewUntil.Load()) + election.DefaultConfig().MaxSendDelay
+	require.GreaterOrEqual(t, b.links.currentGranter().predecessor.Until, lastByte)
 }
 
 // TestGranterEnds guards against a slow takeover from a granter whose process has ended: the
