core/ownership, server/gateway: grants of the granter before count for as long as they are held

Callers: two upstreams hold the same keys (OWNER) for up to 0.2 s after a takeover from a granter that acted until the end of its authority.

Cause: a successor moves a released key when no grant of the granter before can count any more. It took the end of that authority and one lease, but a lease runs from the arrival of its grant, by a clock that may be 2% slow: 41 ms and the way more. Keys that are not released had this margin.

Change: the same bound for both, Config.MaxHold, also after a caretaker and after a restored store. A key that is released early in a term after a lost granter moves 0.19 s later.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -203,8 +203,12 @@
 }
 
 // safeTTL returns the time after which a lease has expired on the owner's clock too.
-func (m *Machine) safeTTL(ttl time.Duration) time.Duration {
-	return time.Duration(float64(ttl)/(1-m.cfg.Drift)) + m.cfg.MaxMessageDelay
+func (m *Machine) safeTTL(ttl time.Duration) time.Duration { return m.cfg.MaxHold(ttl) }
+
+// MaxHold returns the longest time from the sending of a grant to the end of its lease on the
+// owner's clock.
+func (c Config) MaxHold(ttl time.Duration) time.Duration {
+	return time.Duration(float64(ttl)/(1-c.Drift)) + c.MaxMessageDelay
 }
 
 // SetUpstreams replaces the known upstreams.
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -413,13 +413,18 @@
 // until when their unanswered grants may take effect.
 func (e *elector) predecessor(previous leaseRow, until time.Duration) ownership.Predecessor {
 	predecessor := ownership.Predecessor{Until: until, MaxLeaseTTL: min(ownership.DefaultConfig(fleet.KeyCount).LeaseTTL, e.bounds.MaxLease.AsDuration())}
-	predecessor.InDoubtUntil = predecessor.Until + predecessor.MaxLeaseTTL
+	predecessor.InDoubtUntil = predecessor.Until + maxHold(predecessor.MaxLeaseTTL)
 	if previous.Released && previous.PredecessorsMs == 0 {
 		predecessor.InDoubtUntil = previous.readAt + time.Duration(previous.InDoubtMs)*time.Millisecond
 	}
 	return predecessor
 }
 
+// maxHold returns the longest time from the sending of a grant to the end of its lease.
+func maxHold(ttl time.Duration) time.Duration {
+	return ownership.DefaultConfig(fleet.KeyCount).MaxHold(ttl)
+}
+
 // startTerm writes the lease of a new term with rows of owners, and runs the granter if that
 // succeeds. Rows of owners that are not in the state are removed.
 func (e *elector) startTerm(ctx context.Context, state systemState, predecessor ownership.Predecessor, owners []fleet.Put) {
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -200,7 +200,7 @@
 		if state.lease.Term == handed.Lease.Term && !state.lease.Released && ctx.Err() == nil {
 			// Every VM that acted in this term has handed over to this one.
 			now := bootTime()
-			e.startTerm(ctx, state, ownership.Predecessor{Until: now, MaxLeaseTTL: predecessor.MaxLeaseTTL, InDoubtUntil: now + predecessor.MaxLeaseTTL}, nil)
+			e.startTerm(ctx, state, ownership.Predecessor{Until: now, MaxLeaseTTL: predecessor.MaxLeaseTTL, InDoubtUntil: now + maxHold(predecessor.MaxLeaseTTL)}, nil)
 		}
 	default:
 	}
@@ -226,5 +226,5 @@
 	// A granter that took over and whose lease was lost with the rows may act until its lease
 	// expires.
 	until := now + election.DefaultConfig().LeaseTTL
-	e.startTerm(ctx, state, ownership.Predecessor{Until: until, MaxLeaseTTL: caretaker.predecessor.MaxLeaseTTL, InDoubtUntil: until + caretaker.predecessor.MaxLeaseTTL}, puts)
+	e.startTerm(ctx, state, ownership.Predecessor{Until: until, MaxLeaseTTL: caretaker.predecessor.MaxLeaseTTL, InDoubtUntil: until + maxHold(caretaker.predecessor.MaxLeaseTTL)}, puts)
 }
