server/gateway: a released lease counts grants that are still to leave

Callers: two upstreams hold the same keys (OWNER) after a granter stopped in order, or named another VM as its successor, on a busy machine.

Cause: a granter that releases its lease says that it does not act any more, and its successor moves keys at once, but for grants in doubt, which count from the release. A call that had passed its check may wait for a processor or its connection while the release is written by another thread, and leaves after it. The same holds for a caretaker that takes the lease once the store answers.

Change: the granter first ends its authority, then waits 0.1 s at most until the calls that had passed the check have ended. A caretaker waits in the same way, and for the granter that handed over to it.

--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,6 +14,7 @@
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
@@ -26,6 +28,10 @@
 	// suspectFor is how long it then gets no keys, as after the end of its process.
 	suspectAfter = 500 * time.Millisecond
 	suspectFor   = 3 * time.Second
+	// grantsEndTimeout is how long a granter that gives up its authority waits for the grants that
+	// are on their way; sendPollInterval is the interval between looks at them.
+	grantsEndTimeout = 100 * time.Millisecond
+	sendPollInterval = time.Millisecond
 )
 
 // callQueues sends grant and release calls to upstreams, at most maxConcurrentCalls of each
@@ -34,6 +40,9 @@
 	granter *granter
 	ctx     context.Context
 	log     zerolog.Logger
+	// sending is the number of grants that have been checked, or are about to be, and whose calls
+	// have not ended.
+	sending atomic.Int64
 
 	mu     sync.Mutex
 	queues map[ownership.Owner]*callQueue
@@ -132,16 +141,25 @@
 }
 
 func (q *callQueues) run(service api.ServiceName, a ownership.Action, u *upstream, queue *callQueue) {
+	ended := func() {}
+	if a.Kind == ownership.Grant {
+		q.sending.Add(1)
+		ended = sync.OnceFunc(func() { q.sending.Add(-1) })
+		defer ended()
+	}
 	if !q.granter.mayRenew() {
+		ended()
 		q.complete(service, a, ownership.NotSent, "")
 		return
 	}
 	if a.Kind == ownership.Grant && !q.checkFence(service, a) {
+		ended()
 		q.granter.metrics.calls.WithLabelValues("grant", "stopped").Inc()
 		q.complete(service, a, ownership.Fenced, "")
 		return
 	}
 	result, handover := q.call(a, u)
+	ended()
 	now := bootTime()
 	q.noteLate(service, a, now, result)
 	q.mu.Lock()
@@ -160,6 +178,19 @@
 	q.complete(service, a, result, handover)
 }
 
+// awaitGrants waits until no grant can leave any more, after renewUntil was set to 0. It reports
+// false if some still can.
+func (q *callQueues) awaitGrants(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, grantsEndTimeout)
+	defer cancel()
+	for q.sending.Load() > 0 {
+		if !wait.For(ctx, sendPollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // noteLate logs and counts a grant that may have left after the authority to send it had ended.
 func (q *callQueues) noteLate(service api.ServiceName, a ownership.Action, returned time.Duration, result ownership.Result) {
 	until := time.Duration(q.granter.renewUntil.Load())
--- a/server/gateway/fence_test.go
+++ b/server/gateway/fence_test.go
@@ -11,6 +11,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/platform/fleet"
 )
 
 // TestOlderFenceIsStopped guards against a grant under a lower fence than one under which the
@@ -81,3 +82,23 @@
 	g.calls.noteLate("keyed", grant, sent+cfg.LeaseTTL+time.Second, ownership.Unknown)
 	require.Contains(t, log.String(), `"event":"grant_late","service":"keyed","upstream":"k1","first":1,"last":2,"fence":3,"result":"unknown","late_ms":1000`)
 }
+
+// TestReleasedLeaseCountsGrantsOnTheirWay guards against a successor that moves keys at once while a
+// grant of the granter that has released its lease is still to leave: the sender waits for a
+// processor.
+func TestReleasedLeaseCountsGrantsOnTheirWay(t *testing.T) {
+	for name, waiting := range map[string]int64{"a grant waits": 1, "none": 0} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			a := d.startVM("vm-a")
+			d.eventually(func() bool { return a.links.currentGranter() != nil }, "the VM grants")
+			a.links.currentGranter().calls.sending.Add(waiting)
+			a.Stop()
+			b := newControl(fleet.NewStore(d.storeAddr, newStoreClient()), NewMetrics(), zerolog.Nop())
+			state, err := b.readSystem(t.Context())
+			require.NoError(t, err)
+			require.True(t, state.lease.Released)
+			require.Equal(t, waiting*election.DefaultConfig().MaxSendDelay.Milliseconds(), state.lease.PredecessorsMs)
+		})
+	}
+}
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -199,8 +199,14 @@
 		}
 		if state.lease.Term == handed.Lease.Term && !state.lease.Released && ctx.Err() == nil {
 			// Every VM that acted in this term has handed over to this one.
+			g.renewUntil.Store(0)
+			ended := g.calls.awaitGrants(ctx)
 			now := bootTime()
-			e.startTerm(ctx, state, ownership.Predecessor{Until: now, MaxLeaseTTL: predecessor.MaxLeaseTTL, InDoubtUntil: now + maxHold(predecessor.MaxLeaseTTL)}, nil)
+			until := max(now, handed.received+cfg.MaxSendDelay)
+			if !ended {
+				until = now + cfg.MaxSendDelay
+			}
+			e.startTerm(ctx, state, ownership.Predecessor{Until: until, MaxLeaseTTL: predecessor.MaxLeaseTTL, InDoubtUntil: until + maxHold(predecessor.MaxLeaseTTL)}, nil)
 		}
 	default:
 	}
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -137,12 +137,16 @@
 // successor leaves the lease to any VM.
 func (g *granter) releaseLease(ctx context.Context, successor api.VMID) {
 	g.renewUntil.Store(0)
+	ended := g.calls.awaitGrants(ctx)
 	next := g.lease
 	next.Seq += 2
 	next.Released, next.Successor = true, successor
 	now := bootTime()
 	next.RenewedAtMs = g.control.view().clock.latestMs(now)
 	next.PredecessorsMs = max(g.predecessor.Until-now, 0).Milliseconds()
+	if !ended {
+		next.PredecessorsMs = max(next.PredecessorsMs, election.DefaultConfig().MaxSendDelay.Milliseconds())
+	}
 	for _, m := range g.machines {
 		next.InDoubtMs = max(next.InDoubtMs, (m.InDoubtUntil(now) - now).Milliseconds())
 	}
