server/gateway: stalls of the process are logged and counted

Whether a process was stopped or waited for a processor could not be told from logs or metrics, so that an incident in which an order left late could not be told from a slow network.

--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -153,6 +153,7 @@
 		monitor: g.control.upstreamFeed,
 	})
 	go g.enforceCallerLimits(ctx)
+	go g.watchStalls(ctx)
 	go func() {
 		defer close(g.electionDone)
 		g.elector.run(ctx)
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -46,6 +46,9 @@
 	proxied, proxyServed *prometheus.CounterVec
 	// leaving counts the upstreams that said that they leave, by the source of the news.
 	leaving *prometheus.CounterVec
+	// stalls counts the times at which this process did not run for minStall or longer,
+	// stalledSeconds adds them up.
+	stalls, stalledSeconds prometheus.Counter
 	// rests counts the responses that ask this VM to send no requests for a time: service.
 	rests *prometheus.CounterVec
 }
@@ -89,7 +92,13 @@
 			Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines dropped because the log was not read fast enough.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.limitedSends, m.panics, m.store, m.granter, m.config, m.dropped, m.isolated, m.reachRounds, m.proxied, m.proxyServed, m.leaving, m.rests)
+	m.stalls = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "stalls_total", Help: "Times at which this process was stopped or waited for a processor.",
+	})
+	m.stalledSeconds = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "stalled_seconds_total", Help: "Total length of the stalls.",
+	})
+	m.registry.MustRegister(m.stalls, m.stalledSeconds, m.requests, m.refusals, m.retries, m.latency, m.upstream, m.calls, m.failedSends, m.limitedSends, m.panics, m.store, m.granter, m.config, m.dropped, m.isolated, m.reachRounds, m.proxied, m.proxyServed, m.leaving, m.rests)
 	return m
 }
 
