server/gateway: a grant that was begun in time may wait for its answer until the authority ends

Change: only the check before the call takes MaxSendDelay off; the call may last until the end of the authority, as before. A grant that waits for a connection is still sent until then: the check directly before the write belongs in server/upstreamconn.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -317,9 +317,12 @@
 // SendUntil returns until when the granter may begin to send a grant, so that its last byte leaves
 // before RenewUntil.
 func (a *Authority) SendUntil(now time.Duration) time.Duration {
-	return a.RenewUntil(now) - a.cfg.MaxSendDelay
+	return a.cfg.SendUntil(a.RenewUntil(now))
 }
 
+// SendUntil returns until when a grant may be begun that must leave before a time.
+func (c Config) SendUntil(renewUntil time.Duration) time.Duration { return renewUntil - c.MaxSendDelay }
+
 // ShouldResign reports whether the granter has been without authority for too long.
 func (a *Authority) ShouldResign(now time.Duration) bool {
 	return a.StoreUnreachable(now) && now > a.RenewUntil(now)+a.cfg.ResignAfter
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -10,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
-	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
@@ -194,7 +193,7 @@
 // noteLate logs and counts a grant that may have left after the authority to send it had ended.
 func (q *callQueues) noteLate(service api.ServiceName, a ownership.Action, returned time.Duration, result ownership.Result) {
 	until := time.Duration(q.granter.renewUntil.Load())
-	late := returned - until - election.DefaultConfig().MaxSendDelay
+	late := returned - until
 	if a.Kind != ownership.Grant || result == ownership.NotSent || until == 0 || late <= 0 {
 		return
 	}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -50,8 +50,8 @@
 	initial     systemState
 
 	authority *election.Authority
-	// renewUntil is until when this VM may begin to send a grant, on bootTime, as last computed
-	// by authority.
+	// renewUntil is until when grants of this VM may leave, on bootTime, as last computed by
+	// authority.
 	renewUntil atomic.Int64
 	// caretaker means that the previous granter stopped during a store outage and handed
 	// over: this one renews existing grants until the store is back.
@@ -95,7 +95,7 @@
 		speeds: make(map[api.UpstreamID]float64), restUntil: make(map[ownership.Owner]time.Duration), renewedAt: sent,
 		allocator: newPermitAllocator(e.control.limits), ownPermits: newPermitClient(),
 	}
-	g.renewUntil.Store(int64(authority.SendUntil(sent)))
+	g.renewUntil.Store(int64(authority.RenewUntil(sent)))
 	g.calls = newCallQueues(g)
 	// There is a rank for each VM that the previous granter knew, to be taken when it
 	// connects.
@@ -107,7 +107,10 @@
 	return g
 }
 
-func (g *granter) mayRenew() bool { return int64(bootTime()) < g.renewUntil.Load() }
+// mayRenew reports whether this VM may begin to send a grant.
+func (g *granter) mayRenew() bool {
+	return bootTime() < election.DefaultConfig().SendUntil(time.Duration(g.renewUntil.Load()))
+}
 
 // run assigns and renews until the term ends or ctx does; then it releases the lease.
 func (g *granter) run(ctx context.Context) {
@@ -264,7 +267,7 @@
 		g.log.Warn().Str("event", "store_silent").Bool("silent", unreachable).Int64("term", g.term).Dur("renewed_ms", now-g.renewedAt).Msg("")
 		g.sendUpdates(now)
 	}
-	g.renewUntil.Store(int64(g.authority.SendUntil(now)))
+	g.renewUntil.Store(int64(g.authority.RenewUntil(now)))
 	if g.authority.ShouldResign(now) {
 		g.log.Warn().Str("event", "granter_resigns").Int64("term", g.term).Msg("")
 		g.termOver = true
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -116,7 +116,7 @@
 	g.storedRows.markStored(owners)
 	g.lease, g.condition, g.renewedAt = next, g.condition.after(page.Version), renewedAt
 	g.authority.Renewed(renewedAt)
-	g.renewUntil.Store(int64(g.authority.SendUntil(bootTime())))
+	g.renewUntil.Store(int64(g.authority.RenewUntil(bootTime())))
 	if page.ClockSeconds > 0 {
 		g.control.submitClock(renewedAt, bootTime(), page)
 	}
