--- a/core/election/election.go
+++ b/core/election/election.go
@@ -32,8 +32,12 @@
 	// RestartPromiseTTL is how long a stopping VM promises not to take over. The
 	// promise also binds its next process.
 	RestartPromiseTTL time.Duration
-	// MaxMessageDelay is subtracted from a promise for the transit time of its message.
+	// MaxMessageDelay is subtracted from a promise whose message does not say when it was asked for.
 	MaxMessageDelay time.Duration
+	// MaxSendDelay bounds the time from the last check that a grant may be sent to its last byte:
+	// a granter begins no grant when less of its authority is left. A process that is stopped
+	// for longer in between breaks this assumption.
+	MaxSendDelay time.Duration
 	// AbsentTimeout is how long a VM that left without a promise could still take over.
 	AbsentTimeout time.Duration
 	// StoreCheckers is the number of VMs that check at a time whether the store answers them
@@ -54,7 +58,7 @@
 func DefaultConfig() Config {
 	return Config{
 		LeaseTTL: 3 * time.Second, StaleAfter: 1300 * time.Millisecond, StoreTimeout: 1200 * time.Millisecond,
-		PromiseTTL: 1200 * time.Millisecond, RestartPromiseTTL: 3 * time.Second, MaxMessageDelay: 200 * time.Millisecond,
+		PromiseTTL: 1200 * time.Millisecond, RestartPromiseTTL: 3 * time.Second, MaxMessageDelay: 200 * time.Millisecond, MaxSendDelay: 300 * time.Millisecond,
 		AbsentTimeout: 30 * time.Second, StoreCheckers: 12, ResignAfter: time.Second,
 		SuccessorPatience: 500 * time.Millisecond, IsolatedPatience: 4 * time.Second,
 	}
@@ -299,14 +303,22 @@
 	}
 }
 
-// Promised records the promise of a connected VM, from a message received at the
-// given time.
-func (a *Authority) Promised(vm api.VMID, received, promise time.Duration) {
+// Promised records the promise of a connected VM. It counts from asked, a time on the granter's
+// clock at which the VM had not yet given it: its message may have waited for the granter, or on
+// the way, for any time.
+func (a *Authority) Promised(vm api.VMID, asked, promise time.Duration) {
 	if p := a.peers[vm]; p != nil {
-		p.promisedUntil = max(p.promisedUntil, received+promise-a.cfg.MaxMessageDelay)
+		p.promisedUntil = max(p.promisedUntil, asked+promise)
 	}
 }
 
+// PromisedUndated records the promise of a VM whose message does not say which update it
+// answers, as those of earlier versions. It is taken to have been on its way for
+// Config.MaxMessageDelay.
+func (a *Authority) PromisedUndated(vm api.VMID, received, promise time.Duration) {
+	a.Promised(vm, received-a.cfg.MaxMessageDelay, promise)
+}
+
 // StoreUnreachable reports whether the granter cannot renew its lease.
 func (a *Authority) StoreUnreachable(now time.Duration) bool {
 	return a.caretaker || now-a.renewedAt > a.cfg.StoreTimeout
@@ -325,6 +337,15 @@
 	return a.renewUntil
 }
 
+// SendUntil returns until when the granter may begin to send a grant, so that its last byte leaves
+// before RenewUntil.
+func (a *Authority) SendUntil(now time.Duration) time.Duration {
+	return a.cfg.SendUntil(a.RenewUntil(now))
+}
+
+// SendUntil returns until when a grant may be begun that must leave before a time.
+func (c Config) SendUntil(renewUntil time.Duration) time.Duration { return renewUntil - c.MaxSendDelay }
+
 // ShouldResign reports whether the granter has been without authority for too long.
 func (a *Authority) ShouldResign(now time.Duration) bool {
 	return a.StoreUnreachable(now) && now > a.RenewUntil(now)+a.cfg.ResignAfter
@@ -371,11 +392,17 @@
 	return append(promises, Promise{VM: self, RemainingMs: a.cfg.RestartPromiseTTL.Milliseconds()}), true
 }
 
-// NewCaretaker returns the authority of a VM to which a granter has handed over.
-func NewCaretaker(cfg Config, received time.Duration, promises []Promise) *Authority {
+// NewCaretaker returns the authority of a VM to which a granter has handed over. The promises
+// count from reported: a time on the caretaker's clock at which it sent a message that the granter
+// had received before it handed over. If it is 0, as with granters of earlier versions, the
+// promises are taken to have been on their way for Config.MaxMessageDelay.
+func NewCaretaker(cfg Config, received, reported time.Duration, promises []Promise) *Authority {
+	if reported <= 0 || reported > received {
+		reported = received - cfg.MaxMessageDelay
+	}
 	a := &Authority{cfg: cfg, startedAt: received, renewedAt: received, renewUntil: received, peers: make(map[api.VMID]*peer), caretaker: true}
 	for _, p := range promises {
-		a.peers[p.VM] = &peer{leftAt: received, promisedUntil: received + time.Duration(p.RemainingMs)*time.Millisecond - cfg.MaxMessageDelay}
+		a.peers[p.VM] = &peer{leftAt: received, promisedUntil: reported + time.Duration(p.RemainingMs)*time.Millisecond}
 	}
 	return a
 }
--- a/core/election/sim_test.go
+++ b/core/election/sim_test.go
@@ -16,6 +16,8 @@
 	tick            = 50 * time.Millisecond
 	maxMessageDelay = 150 * time.Millisecond // within Config.MaxMessageDelay
 	checkInterval   = 350 * time.Millisecond // between reads of the lease by a VM that was asked for its promise
+	reportInterval  = 400 * time.Millisecond // between reports of a VM to the granter
+	maxSendDelay    = 300 * time.Millisecond // Config.MaxSendDelay
 )
 
 // row is the lease in the simulated store.
@@ -39,6 +41,8 @@
 	endedTerm    int      // the last term whose granter is known not to act any more
 	seenVersion  int
 	checkedAt    time.Duration
+	askedAt      time.Duration // when the last update that it has received was sent, by the granter's clock
+	reportedAt   time.Duration // when its last report that the granter has received was sent
 
 	auth              *election.Authority // nil if it is not the granter
 	term              int
@@ -55,6 +59,7 @@
 	proc           *process
 	storeReachable bool
 	frozenUntil    time.Duration
+	heldGrant      *heldGrant    // by a stop
 	isolatedUntil  time.Duration // it reaches no upstream until then
 	cutUntil       time.Duration // it reaches no other VM until then
 	address        *vm           // the VM that connections to its address reach
@@ -63,8 +68,16 @@
 	stopAt         time.Duration // when a stopping process ends, 0 if it does not stop
 }
 
+// heldGrant is a grant whose granter was stopped between its last check and the send.
+type heldGrant struct {
+	granter *process
+	term    int
+	leaves  time.Duration
+}
+
 type message struct {
 	at time.Duration
+	to *vm // it waits while that VM is frozen
 	do func()
 }
 
@@ -78,6 +91,8 @@
 	forgetUnanswered   bool            // a granter hands over although the store may hold a young renewal
 	askedLate          time.Duration   // how much too late the read of the lease is taken to have been sent
 	anyProcessIsEnd    bool            // a response of any other process is taken for the end of the granter
+	promisesOnReceipt  bool            // a promise counts from its receipt
+	handoverOnReceipt  bool            // promises that a caretaker gets count from their receipt
 	rng                *rand.Rand
 	starts             int // of processes
 	now                time.Duration
@@ -212,16 +227,16 @@
 	p.granter = nil
 }
 
-// send delivers a message after a random delay, unless it is lost.
-func (s *sim) send(reliable bool, do func()) {
+// send delivers a message to a VM after a random delay, unless it is lost.
+func (s *sim) send(reliable bool, to *vm, do func()) {
 	if !reliable && s.rng.IntN(20) == 0 {
 		return
 	}
-	s.messages = append(s.messages, message{at: s.now + time.Duration(s.rng.Int64N(int64(maxMessageDelay))), do: do})
+	s.messages = append(s.messages, message{at: s.now + time.Duration(s.rng.Int64N(int64(maxMessageDelay))), to: to, do: do})
 }
 
 func (s *sim) join(p, g *process, promise time.Duration) {
-	p.granter, p.disconnected = g, false
+	p.granter, p.disconnected, p.askedAt, p.reportedAt = g, false, s.now, s.now
 	g.members[p] = true
 	g.auth.Joined(p.vm.name)
 	if promise > 0 {
@@ -296,6 +311,10 @@
 		s.linkEnded(p, g.term, s.closedInOrder())
 		return
 	}
+	if g.vm.frozenUntil <= s.now {
+		p.askedAt = max(p.askedAt, s.now-time.Duration(s.rng.Int64N(int64(maxMessageDelay))))
+		p.reportedAt = max(p.reportedAt, s.now-time.Duration(s.rng.Int64N(int64(reportInterval+maxMessageDelay))))
+	}
 	if !g.auth.StoreUnreachable(s.now) {
 		p.voter.GranterRenews()
 		return
@@ -318,11 +337,23 @@
 	default:
 		p.voter.StoreUnreachable(s.now)
 	}
-	promise := max(p.voter.PromiseRemaining(s.now), s.cfg.PromiseTTL)
-	s.send(false, func() {
-		if p.granter == g && g.auth != nil {
-			g.auth.Promised(p.vm.name, s.now, promise)
+	s.sendPromise(p, false, max(p.voter.PromiseRemaining(s.now), s.cfg.PromiseTTL))
+}
+
+// sendPromise sends the granter of a process its promise.
+func (s *sim) sendPromise(p *process, reliable bool, promise time.Duration) {
+	g, asked, sent := p.granter, p.askedAt, s.now
+	s.send(reliable, g.vm, func() {
+		if g.ended || g.auth == nil || !reliable && p.granter != g {
+			return
+		}
+		if s.now-sent > maxMessageDelay+tick {
+			s.counts["promises that waited"]++
 		}
+		if s.promisesOnReceipt {
+			asked = s.now - s.cfg.MaxMessageDelay
+		}
+		g.auth.Promised(p.vm.name, asked, promise)
 	})
 }
 
@@ -368,12 +399,7 @@
 func (s *sim) stop(v *vm) {
 	p := v.proc
 	if p.granter != nil {
-		g, promise := p.granter, s.cfg.RestartPromiseTTL
-		s.send(true, func() {
-			if g.auth != nil {
-				g.auth.Promised(v.name, s.now, promise)
-			}
-		})
+		s.sendPromise(p, true, s.cfg.RestartPromiseTTL)
 	}
 	if p.auth != nil {
 		s.giveUp(p)
@@ -399,12 +425,16 @@
 			return false
 		}
 		term := p.term
-		s.send(false, func() {
-			if m.ended || m.auth != nil || m.vm.frozenUntil > s.now || !s.linked(p.vm, m.vm) {
+		reported := m.reportedAt
+		s.send(false, m.vm, func() {
+			if m.ended || m.auth != nil || !s.linked(p.vm, m.vm) {
 				return
 			}
+			if s.handoverOnReceipt {
+				reported = s.now - s.cfg.MaxMessageDelay
+			}
 			s.disconnect(m)
-			m.auth, m.term, m.caretaker = election.NewCaretaker(s.cfg, s.now, promises), term, true
+			m.auth, m.term, m.caretaker = election.NewCaretaker(s.cfg, s.now, reported, promises), term, true
 			m.members = make(map[*process]bool)
 			s.counts["caretakers"]++
 			s.tracef("%s is caretaker", m.vm.name)
@@ -420,7 +450,7 @@
 	v.isolatedUntil = s.now + time.Duration(s.rng.IntN(6000))*time.Millisecond
 	s.tracef("%s is isolated until %.2fs", v.name, (v.isolatedUntil - time.Minute).Seconds())
 	p := v.proc
-	if p.auth == nil || p.caretaker || p.ended {
+	if p.auth == nil || p.caretaker || p.ended || v.frozenUntil > s.now {
 		return
 	}
 	without := p.auth.StoreUnreachable(s.now)
@@ -459,6 +489,38 @@
 	s.tracef("%s stops", v.name)
 }
 
+// stopBriefly stops a process for 0.1 to 2 s. If it is a granter, it was about to send a grant.
+func (s *sim) stopBriefly(v *vm) {
+	stop := 100*time.Millisecond + time.Duration(s.rng.IntN(1900))*time.Millisecond
+	v.frozenUntil = s.now + stop
+	s.counts["short stops"]++
+	if p := v.proc; p.auth != nil && !p.ended && stop <= maxSendDelay && s.now < p.auth.SendUntil(s.now) {
+		v.heldGrant = &heldGrant{granter: p, term: p.term, leaves: v.frozenUntil}
+		s.counts["held grants"]++
+	}
+}
+
+// checkHeldGrants returns a violation if a grant leaves while another granter may move keys.
+func (s *sim) checkHeldGrants(movers []*process) string {
+	for _, v := range s.vms {
+		held := v.heldGrant
+		if held == nil || s.now < held.leaves {
+			continue
+		}
+		v.heldGrant = nil
+		if held.granter.ended {
+			continue // killed while it was stopped
+		}
+		for _, m := range movers {
+			if m != held.granter && m.term >= held.term && m.predecessorsUntil <= held.leaves {
+				return fmt.Sprintf("%s moves keys in term %d from %.2fs, a grant of %s in term %d leaves at %.2fs", m.vm.name, m.term,
+					(m.predecessorsUntil - time.Minute).Seconds(), v.name, held.term, (held.leaves - time.Minute).Seconds())
+			}
+		}
+	}
+	return ""
+}
+
 func (s *sim) injectFaults() {
 	if s.storeBackAt > 0 && s.now >= s.storeBackAt {
 		s.storeBackAt = 0
@@ -495,6 +557,8 @@
 		if g := s.row.granter; g != nil && !g.ended {
 			s.stopWithin(g.vm, 2000)
 		}
+	case n >= 52 && n < 72 && v.frozenUntil <= s.now:
+		s.stopBriefly(v)
 	}
 }
 
@@ -505,7 +569,7 @@
 		pending := s.messages
 		s.messages = nil
 		for _, m := range pending {
-			if m.at <= s.now {
+			if m.at <= s.now && m.to.frozenUntil <= s.now {
 				m.do()
 			} else {
 				s.messages = append(s.messages, m)
@@ -570,13 +634,14 @@
 			}
 		}
 	}
-	return ""
+	return s.checkHeldGrants(movers)
 }
 
 // TestNoTwoGranters guards against a granter that moves keys while another one
 // still renews their leases, under store outages for all or for single VMs, cuts between
-// VMs, connections that reach another VM, kills, stops with handovers, freezes, lost messages and
-// lost answers of the store. What a VM knows of another one comes from the connections between them.
+// VMs, connections that reach another VM, kills, stops with handovers, freezes, messages that are
+// lost or wait for their receiver, and lost answers of the store. What a VM knows of another one
+// comes from the connections between them.
 func TestNoTwoGranters(t *testing.T) {
 	counts := make(map[string]int)
 	for seed := uint64(1); seed <= 1500; seed++ {
@@ -592,6 +657,7 @@
 	for _, event := range []string{
 		"takeovers", "released", "caretakers", "resigned", "handed over without a stop", "joined without the store", "ticks with moves", "promised without a check",
 		"ticks renewed without the store", "ticks renewed by a caretaker", "renewals not answered", "learnt of an end", "cut off from a granter", "another VM responded",
+		"promises that waited", "short stops", "held grants",
 	} {
 		require.Greater(t, counts[event], 100, "%s: %v", event, counts)
 	}
@@ -620,6 +686,9 @@
 		"an unanswered renewal is forgotten":         func(s *sim) { s.forgetUnanswered = true },
 		"a read of the lease is dated too late":      func(s *sim) { s.askedLate = time.Second },
 		"a response of another VM is taken for one":  func(s *sim) { s.anyProcessIsEnd = true },
+		"promises count from their receipt":          func(s *sim) { s.promisesOnReceipt = true },
+		"grants are sent until the authority ends":   func(s *sim) { s.cfg.MaxSendDelay = 0 },
+		"a handover counts from its receipt":         func(s *sim) { s.handoverOnReceipt = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 1500; seed++ {
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,6 +13,7 @@
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
@@ -30,6 +32,10 @@
 	// suspectFor is how long it then gets no keys, as after the end of its process.
 	suspectAfter = 500 * time.Millisecond
 	suspectFor   = 3 * time.Second
+	// grantsEndTimeout is how long a granter that gives up its authority waits for the grants that
+	// are on their way; sendPollInterval is the interval between looks at them.
+	grantsEndTimeout = 100 * time.Millisecond
+	sendPollInterval = time.Millisecond
 )
 
 // callQueues sends grant and release calls to upstreams, at most maxConcurrentCalls of each
@@ -38,6 +44,9 @@
 	granter *granter
 	ctx     context.Context
 	log     zerolog.Logger
+	// sending is the number of grants whose last check has been made, or is about to be, and whose
+	// calls have not ended.
+	sending atomic.Int64
 
 	mu     sync.Mutex
 	queues map[ownership.Owner]*callQueue
@@ -145,13 +154,14 @@
 		q.complete(service, a, ownership.Fenced, "")
 		return
 	}
-	result, handover, connected := q.call(a, u)
+	done := q.call(a, u)
 	now := bootTime()
+	q.noteLate(service, a, done)
 	q.mu.Lock()
 	switch {
-	case result == ownership.OwnerEnded:
+	case done.result == ownership.OwnerEnded:
 		queue.suspectUntil, queue.unreachableSince = now+suspectFor, 0
-	case connected:
+	case done.connected:
 		queue.unreachableSince = 0
 	case queue.unreachableSince == 0:
 		queue.unreachableSince = now
@@ -160,12 +170,47 @@
 		q.log.Warn().Str("event", "upstream_unreachable").Str("upstream", string(u.id)).Msg("")
 	}
 	q.mu.Unlock()
-	q.complete(service, a, result, handover)
+	q.complete(service, a, done.result, done.handover)
 }
 
-// call sends the call for an action. connected means that there was a connection to the
-// upstream.
-func (q *callQueues) call(a ownership.Action, u *upstream) (result ownership.Result, handover string, connected bool) {
+// awaitGrants waits until no grant can leave any more, after renewUntil was set to 0. It reports
+// false if some still can.
+func (q *callQueues) awaitGrants(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, grantsEndTimeout)
+	defer cancel()
+	for q.sending.Load() > 0 {
+		if !wait.For(ctx, sendPollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+// noteLate logs and counts a grant that left after the authority to send it had ended.
+func (q *callQueues) noteLate(service api.ServiceName, a ownership.Action, done callOutcome) {
+	until := time.Duration(q.granter.renewUntil.Load())
+	late := done.sentAt - until
+	if a.Kind != ownership.Grant || done.sentAt == 0 || until == 0 || late <= 0 {
+		return
+	}
+	q.granter.metrics.calls.WithLabelValues("grant", "late").Inc()
+	q.log.Warn().Str("event", "grant_late").Str("service", string(service)).Str("upstream", string(a.Owner.UpstreamID)).
+		Int("first", a.Span.First).Int("last", a.Span.Last).Int64("fence", a.Fence).Str("result", resultNames[done.result]).
+		Int64("late_ms", late.Milliseconds()).Msg("")
+}
+
+// callOutcome is the outcome of a call.
+type callOutcome struct {
+	result   ownership.Result
+	handover string
+	// connected means that there was a connection to the upstream.
+	connected bool
+	// sentAt is when the last byte left, on bootTime; 0 if it did not.
+	sentAt time.Duration
+}
+
+// call sends the call for an action.
+func (q *callQueues) call(a ownership.Action, u *upstream) (done callOutcome) {
 	span := fleet.Span{First: a.Span.First, Last: a.Span.Last}
 	call, err := fleet.GrantCall(span, a.Fence, a.LeaseTTL, a.Handover)
 	timeout, kind := grantTimeout, "grant"
@@ -175,11 +220,24 @@
 	}
 	if err != nil {
 		q.log.Error().Str("event", "order_not_encoded").Err(err).Msg("")
-		return ownership.NotSent, "", false
+		return callOutcome{result: ownership.NotSent}
 	}
 	reservation := q.granter.buffers.Reserve()
 	defer reservation.Release()
 	began, trace := time.Now(), new(upstreamconn.Trace)
+	sending := false
+	defer func() {
+		if sending {
+			q.sending.Add(-1)
+		}
+	}()
+	maySend := func() bool {
+		if a.Kind == ownership.Grant {
+			sending = true
+			q.sending.Add(1)
+		}
+		return q.granter.mayRenew()
+	}
 	resp, err := u.pool.Do(q.ctx, &upstreamconn.Request{
 		Method: call.Method, Target: call.Path, Body: call.Body, Buffers: reservation, Trace: trace,
 		// The address may belong to another upstream by now, which must not take these
@@ -190,15 +248,14 @@
 		OwnConn: a.Kind == ownership.Release || !a.Renewal,
 		// The call waits for its connection and for the upstream; the authority to send it may end
 		// in the meantime.
-		Order: &upstreamconn.Order{ReadTimeout: callReadTimeout, ResponseTimeout: timeout, MaySend: q.granter.mayRenew},
+		Order: &upstreamconn.Order{ReadTimeout: callReadTimeout, ResponseTimeout: timeout, MaySend: maySend},
 		// Responses with a request ID belong to forwarded requests.
 		Matches: func(_ int, header http.Header) bool { return fleet.ParseResponseHeaders(0, header).RequestID == "" },
 	})
 	if err == nil && fleet.ParseLeaving(resp.Header) {
 		q.granter.control.leaving.observe(u, "call")
 	}
-	result = ownership.Unknown
-	status := 0
+	result, handover, status := ownership.Unknown, "", 0
 	switch {
 	case err != nil && notSent(err):
 		// A refused connection does not prove that the process has ended: while it shuts
@@ -225,7 +282,11 @@
 		}
 		event.Err(err).Msg("")
 	}
-	return result, handover, connectedTo(err)
+	done = callOutcome{result: result, handover: handover, connected: connectedTo(err)}
+	if !trace.SentAt.IsZero() {
+		done.sentAt = bootTime() - time.Since(trace.SentAt)
+	}
+	return done
 }
 
 var resultNames = map[ownership.Result]string{
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -339,7 +339,7 @@
 		e.control.upstreamFeed.relayed(u.RowsAgeMs, u.RowsTo)
 	}
 	if u.Handover != nil {
-		return &handedOverError{handover: *u.Handover, received: bootTime()}
+		return &handedOverError{handover: *u.Handover, received: bootTime(), reported: time.Duration(u.AnswersMs) * time.Millisecond}
 	}
 	if !u.StoreUnreachable {
 		withVoter(e, func(v *election.Voter, _ time.Duration) struct{} { v.GranterRenews(); return struct{}{} })
@@ -418,20 +418,25 @@
 // until when their unanswered grants may take effect.
 func (e *elector) predecessor(previous leaseRow, until time.Duration) ownership.Predecessor {
 	predecessor := ownership.Predecessor{Until: until, MaxLeaseTTL: min(ownership.DefaultConfig(fleet.KeyCount).LeaseTTL, e.bounds.MaxLease.AsDuration())}
-	predecessor.InDoubtUntil = predecessor.Until + predecessor.MaxLeaseTTL
+	predecessor.InDoubtUntil = predecessor.Until + maxHold(predecessor.MaxLeaseTTL)
 	if previous.Released && previous.PredecessorsMs == 0 {
 		predecessor.InDoubtUntil = previous.readAt + time.Duration(previous.InDoubtMs)*time.Millisecond
 	}
 	return predecessor
 }
 
+// maxHold returns the longest time from the sending of a grant to the end of its lease.
+func maxHold(ttl time.Duration) time.Duration {
+	return ownership.DefaultConfig(fleet.KeyCount).MaxHold(ttl)
+}
+
 // startTerm writes the lease of a new term with rows of owners, and runs the granter if that
 // succeeds. Rows of owners that are not in the state are removed.
 func (e *elector) startTerm(ctx context.Context, state systemState, predecessor ownership.Predecessor, owners []fleet.Put) {
 	previous := state.lease
 	next := lease{
 		VM: e.self, Incarnation: e.incarnation, Address: e.address, Term: previous.Term + 1, Seq: 1,
-		RenewedAtMs: (time.Duration(previous.RenewedAtMs)*time.Millisecond + previous.age).Milliseconds(), VMs: previous.VMs,
+		RenewedAtMs: state.clock.Milliseconds(), VMs: previous.VMs,
 		PredecessorsMs: max(predecessor.Until-previous.readAt+callTimeout, 0).Milliseconds(), Era: state.era,
 	}
 	sent := bootTime()
@@ -449,8 +454,9 @@
 	}
 	e.log.Info().Str("event", "granter_started").Int64("term", next.Term).Str("predecessor", string(previous.VM)).
 		Dur("moves_in_ms", max(predecessor.Until-sent, 0)).Dur("predecessor_age_ms", previous.age).Dur("predecessor_hold_ms", predecessor.MaxLeaseTTL).Bool("predecessor_ended", predecessor.Until <= previous.readAt).Msg("")
-	authority := election.NewAuthority(election.DefaultConfig(), sent, previous.VMs)
-	e.runGranter(ctx, newGranter(e, next, state.condition().after(page.Version), authority, sent, predecessor, state))
+	// The lease counts from before the moment that its row states.
+	authority := election.NewAuthority(election.DefaultConfig(), state.requestedAt, previous.VMs)
+	e.runGranter(ctx, newGranter(e, next, state.condition().after(page.Version), authority, state.requestedAt, predecessor, state))
 }
 
 // runGranter runs a granter until its term ends.
--- a/server/gateway/fence_test.go
+++ b/server/gateway/fence_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/platform/fleet"
 )
 
 // TestOlderFenceIsStopped guards against a grant under a lower fence than one under which the
@@ -59,3 +62,47 @@
 	close(unblock)
 	<-running
 }
+
+// TestGrantAfterItsAuthority guards against a grant that leaves after the authority of its granter
+// has ended, because the process was stopped between the check and the send, and against one that
+// no log line tells of.
+func TestGrantAfterItsAuthority(t *testing.T) {
+	cfg := election.DefaultConfig()
+	var log bytes.Buffer
+	sent := bootTime()
+	g := &granter{elector: &elector{log: zerolog.New(&log), metrics: NewMetrics()}, authority: election.NewAuthority(cfg, sent, 1)}
+	g.calls = newCallQueues(g)
+	require.Equal(t, sent+cfg.LeaseTTL-cfg.MaxSendDelay, g.authority.SendUntil(sent))
+	g.renewUntil.Store(int64(bootTime() + cfg.MaxSendDelay))
+	require.False(t, g.mayRenew())
+	g.renewUntil.Store(int64(bootTime() + time.Hour))
+	require.True(t, g.mayRenew())
+	g.renewUntil.Store(int64(g.authority.RenewUntil(sent)))
+
+	grant := ownership.Action{Kind: ownership.Grant, Owner: ownership.Owner{UpstreamID: "k1"}, Span: ownership.Span{First: 1, Last: 2}, Fence: 3}
+	g.calls.noteLate("keyed", grant, callOutcome{result: ownership.Accepted, sentAt: sent + cfg.LeaseTTL})
+	g.calls.noteLate("keyed", grant, callOutcome{result: ownership.NotSent})
+	require.Empty(t, log.String())
+	g.calls.noteLate("keyed", grant, callOutcome{result: ownership.Unknown, sentAt: sent + cfg.LeaseTTL + time.Second})
+	require.Contains(t, log.String(), `"event":"grant_late","service":"keyed","upstream":"k1","first":1,"last":2,"fence":3,"result":"unknown","late_ms":1000`)
+}
+
+// TestReleasedLeaseCountsGrantsOnTheirWay guards against a successor that moves keys at once while a
+// grant of the granter that has released its lease is still to leave: the sender waits for a
+// processor.
+func TestReleasedLeaseCountsGrantsOnTheirWay(t *testing.T) {
+	for name, waiting := range map[string]int64{"a grant waits": 1, "none": 0} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			a := d.startVM("vm-a")
+			d.eventually(func() bool { return a.links.currentGranter() != nil }, "the VM grants")
+			a.links.currentGranter().calls.sending.Add(waiting)
+			a.Stop()
+			b := newControl(fleet.NewStore(d.storeAddr, newStoreClient()), NewMetrics(), zerolog.Nop())
+			state, err := b.readSystem(t.Context())
+			require.NoError(t, err)
+			require.True(t, state.lease.Released)
+			require.Equal(t, waiting*election.DefaultConfig().MaxSendDelay.Milliseconds(), state.lease.PredecessorsMs)
+		})
+	}
+}
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -50,7 +50,7 @@
 	initial     systemState
 
 	authority *election.Authority
-	// renewUntil is until when this VM may grant and renew, on bootTime, as last computed by
+	// renewUntil is until when grants of this VM may leave, on bootTime, as last computed by
 	// authority.
 	renewUntil atomic.Int64
 	// caretaker means that the previous granter stopped during a store outage and handed
@@ -107,7 +107,10 @@
 	return g
 }
 
-func (g *granter) mayRenew() bool { return int64(bootTime()) < g.renewUntil.Load() }
+// mayRenew reports whether this VM may begin to send a grant.
+func (g *granter) mayRenew() bool {
+	return bootTime() < election.DefaultConfig().SendUntil(time.Duration(g.renewUntil.Load()))
+}
 
 // run assigns and renews until the term ends or ctx does; then it releases the lease.
 func (g *granter) run(ctx context.Context) {
--- a/server/gateway/link_test.go
+++ b/server/gateway/link_test.go
@@ -14,8 +14,6 @@
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/core/election"
-	"dandelionhill.dev/core/ownership"
-	"dandelionhill.dev/platform/fleet"
 )
 
 // linkNetwork passes the connections of other VMs to one VM.
@@ -131,10 +129,7 @@
 			refuse.Store(true)
 			network.end(reset)
 			d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM takes over")
-			// Leases of keys are extended by MaxMessageDelay, which covers errors in the reading of the
-			// store's clock.
-			allowance := ownership.DefaultConfig(fleet.KeyCount).MaxMessageDelay
-			require.GreaterOrEqual(t, b.links.currentGranter().predecessor.Until+allowance, time.Duration(before.renewUntil.Load()))
+			require.GreaterOrEqual(t, b.links.currentGranter().predecessor.Until, time.Duration(before.renewUntil.Load()))
 		})
 	}
 }
--- a/server/gateway/renewal_test.go
+++ b/server/gateway/renewal_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
@@ -108,3 +111,68 @@
 	d.eventually(func() bool { return !owner.Holds(1) }, "the keys move once the store answers")
 	d.requireServed(g, keyedPath, 1)
 }
+
+// TestLeaseCountsFromItsStatedTime guards against a granter that acts for longer than its successor
+// reckons: it was stopped between the moment that the row states and the sending of the row.
+func TestLeaseCountsFromItsStatedTime(t *testing.T) {
+	const stop = 400 * time.Millisecond
+	d := newDeployment(t)
+	g := d.startVM("vm-a")
+	d.eventually(func() bool { return g.links.currentGranter() != nil && g.control.view().config != nil }, "the VM is the granter")
+	granter := g.links.currentGranter()
+	seq := int64(0)
+	d.eventually(func() bool {
+		began := make(chan bool, 1)
+		return granter.do(func() {
+			idle := !granter.writing
+			if idle {
+				seq, granter.rewrite = granter.lease.Seq+1, true
+				granter.renew(t.Context(), bootTime()-stop)
+			}
+			began <- idle
+		}) && <-began
+	}, "a renewal begins")
+	d.eventually(func() bool {
+		ended := make(chan bool, 1)
+		return granter.do(func() {
+			done := granter.lease.Seq >= seq
+			if done {
+				clock := g.control.view().clock
+				counted, stated := (clock.at(granter.renewedAt) - clock.delay).Milliseconds(), granter.lease.RenewedAtMs
+				assert.LessOrEqual(t, counted, stated, "the granter's lease ends after the one in the store")
+			}
+			ended <- done
+		}) && <-ended
+	}, "the renewal ends")
+}
+
+// TestTakeoverCountsFromItsStatedTime guards against a new granter that acts for longer than its
+// successor reckons: it was stopped between the store's response, from which the row states the
+// time, and the sending of the row.
+func TestTakeoverCountsFromItsStatedTime(t *testing.T) {
+	d := newDeployment(t)
+	a := d.startVM("vm-a")
+	d.eventually(func() bool { return a.links.currentGranter() != nil && a.control.view().clock.known }, "the first VM is the granter")
+	storeClock := a.control.view().clock
+	a.Stop()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		response := httptest.NewRecorder()
+		d.store.ServeHTTP(response, r)
+		if r.Method == http.MethodGet && !strings.HasSuffix(r.URL.Path, "feed") {
+			time.Sleep(300 * time.Millisecond)
+		}
+		maps.Copy(w.Header(), response.Header())
+		w.WriteHeader(response.Code)
+		_, _ = w.Write(response.Body.Bytes())
+	}))
+	t.Cleanup(server.Close)
+	b := d.startVMAt("vm-b", server.Listener.Addr().String())
+	d.eventually(func() bool { return b.links.currentGranter() != nil }, "the second VM is the granter")
+	granter := b.links.currentGranter()
+	compared := make(chan bool, 1)
+	require.True(t, granter.do(func() {
+		counted, stated := (storeClock.at(granter.renewedAt) - storeClock.delay).Milliseconds(), granter.lease.RenewedAtMs
+		compared <- assert.LessOrEqual(t, counted, stated, "the granter's lease ends after the one in the store")
+	}))
+	require.True(t, <-compared)
+}
