fakes/fleet: a release waits for running requests, calls on new connections may wait for a slot

The fake upstream answered a release while requests still ran on its keys, which the protocol excludes, so that no check could tell a grant during work from one after it. It took each call at once, so that no test met a call that is taken late, and its clock was never slow.

A release now waits for the requests on its keys. GateConnections lets requests wait for Slots places and a new connection wait for a free place before its first read. SetSlowClock lengthens holds. Events carry the fence, the sender's address and the wait of a call; EventRunEnded is new.

--- a/fakes/fleet/upstream.go
+++ b/fakes/fleet/upstream.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,14 +25,21 @@
 
 // Event is the effect of a grant or release call, or of a request, on an upstream.
 type Event struct {
-	// Kind is EventHeld, EventReleased or EventRun.
+	// Kind is EventHeld, EventReleased, EventRun or EventRunEnded.
 	Kind string `json:"kind"`
 	// First and Last are the keys of a call, both included.
 	First int `json:"first,omitempty"`
 	Last  int `json:"last,omitempty"`
-	// HoldSeconds is for how long the keys are held, in seconds.
+	// Fence is the fence of a call.
+	Fence int64 `json:"fence,omitempty"`
+	// Sender is the remote address of a call.
+	Sender string `json:"sender,omitempty"`
+	// WaitedSeconds is how long the connection of a call waited for a slot before it was read, in
+	// seconds.
+	WaitedSeconds float64 `json:"waited_s,omitempty"`
+	// HoldSeconds is for how long the keys are held by a true clock, in seconds.
 	HoldSeconds float64 `json:"hold_s,omitempty"`
-	// Run is the request of EventRun.
+	// Run is the request of EventRun and EventRunEnded.
 	Run *Run `json:"run,omitempty"`
 }
 
@@ -40,6 +48,7 @@
 	EventHeld     = "held"
 	EventReleased = "released"
 	EventRun      = "run"
+	EventRunEnded = "run_ended"
 )
 
 // Upstream is a fake upstream that checks fences, holds keys for a limited time and runs
@@ -57,6 +66,12 @@
 	rateLimit float64
 	// leaving means that responses say that the upstream is about to leave.
 	leaving bool
+	// running holds the requests that have not ended; a release waits for those on its keys.
+	running map[*Run]chan struct{}
+	// slowClock is by which factor the clock that measures holds runs slow; 0 means not at all.
+	slowClock float64
+	// gate, if set, has a place for each running request; see GateConnections.
+	gate chan struct{}
 	// handler, if set, handles requests in place of the default.
 	handler http.HandlerFunc
 	// observer, if set, is called with each event.
@@ -69,7 +84,7 @@
 func NewUpstream(id, service, zone string) *Upstream {
 	return &Upstream{
 		ID: id, Service: service, Zone: zone, Slots: 2, startedMs: time.Now().UnixMilli(),
-		fences: make([]int64, fleet.KeyCount), heldUntil: make([]time.Time, fleet.KeyCount),
+		fences: make([]int64, fleet.KeyCount), heldUntil: make([]time.Time, fleet.KeyCount), running: make(map[*Run]chan struct{}),
 	}
 }
 
@@ -100,6 +115,13 @@
 	u.leaving = leaving
 }
 
+// SetSlowClock makes holds last longer by a factor: 0.02 for a clock that runs 2% slow.
+func (u *Upstream) SetSlowClock(factor float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.slowClock = factor
+}
+
 // SetObserver sets a function that is called with each event and must return quickly.
 func (u *Upstream) SetObserver(observer func(Event)) {
 	u.mu.Lock()
@@ -185,13 +207,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	waited, _ := r.Context().Value(waitedKey{}).(*gatedConn)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if r.URL.Path == "/api/release" {
 		for key := call.From; key <= call.Target; key++ {
 			u.heldUntil[key] = time.Time{}
 		}
-		u.notify(Event{Kind: EventReleased, First: call.From, Last: call.Target})
+		u.notify(Event{Kind: EventReleased, First: call.From, Last: call.Target, Fence: call.Fence, Sender: r.RemoteAddr})
+		u.waitRuns(r.Context(), call.From, call.Target)
 		w.Header().Set(fleet.HeaderHandover, "token")
 		return
 	}
@@ -201,14 +225,46 @@
 			return
 		}
 	}
-	until := time.Now().Add(time.Duration(call.HoldS * float64(time.Second)))
+	hold := call.HoldS * (1 + u.slowClock)
+	until := time.Now().Add(time.Duration(hold * float64(time.Second)))
 	for key := call.From; key <= call.Target; key++ {
 		u.fences[key], u.heldUntil[key] = call.Fence, until
 	}
-	u.notify(Event{Kind: EventHeld, First: call.From, Last: call.Target, HoldSeconds: call.HoldS})
+	u.notify(Event{
+		Kind: EventHeld, First: call.From, Last: call.Target, Fence: call.Fence, HoldSeconds: hold,
+		Sender: r.RemoteAddr, WaitedSeconds: waited.takeWaited().Seconds(),
+	})
+}
+
+// waitRuns waits until the requests that run on a span of keys have ended; u.mu is held, but not
+// while it waits.
+func (u *Upstream) waitRuns(ctx context.Context, first, last int) {
+	var ended []chan struct{}
+	for run, done := range u.running {
+		if first <= run.Key && run.Key <= last {
+			ended = append(ended, done)
+		}
+	}
+	u.mu.Unlock()
+	defer u.mu.Lock()
+	for _, done := range ended {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 func (u *Upstream) handleRequest(w http.ResponseWriter, r *http.Request) {
+	if gate := u.slots(); gate != nil {
+		select {
+		case gate <- struct{}{}:
+			defer func() { <-gate }()
+		case <-r.Context().Done():
+			return
+		}
+	}
 	key := -1
 	if text := r.Header.Get(fleet.HeaderKey); text != "" {
 		n, err := strconv.Atoi(text)
@@ -228,8 +284,16 @@
 	run := Run{RequestID: id, Key: key, Path: r.RequestURI, Body: string(body), At: time.Now()}
 	u.runs = append(u.runs, run)
 	u.notify(Event{Kind: EventRun, Run: &run})
-	handler, rateLimit := u.handler, u.rateLimit
+	handler, rateLimit, done := u.handler, u.rateLimit, make(chan struct{})
+	u.running[&run] = done
 	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.running, &run)
+		close(done)
+		u.notify(Event{Kind: EventRunEnded, Run: &Run{RequestID: id, Key: key}})
+	}()
 	if rateLimit > 0 {
 		w.Header().Set(fleet.HeaderRateLimit, strconv.FormatFloat(rateLimit, 'f', -1, 64))
 	}
