bench/soak: one check for each OWNER rule, cuts in which nothing passes

The soak had one check for owners: a grant of keys that another upstream holds. It skips grants to an upstream that was paused in the last 0.3 s altogether, knows no fences, and does not see a grant of keys on which another upstream still works.

Added, with cases in TestOwnerChecks that break and keep each rule: - two upstreams hold the same keys and both begin requests on such keys. Only a grant that arrives 0.3 s or less after its sender was thawed or its link healed is excused; - a grant whose fence is not above all with which other upstreams had a key, with the same excuse; - two upstreams hold the same keys for over 0.5 s, or one is granted a key on which another is at work before that one's hold has run out. Grants that were held up or taken late are excused. The former check stays as it is, so nothing is checked less than before. The cases of TestChecks that break it now have fences that rise and overlaps of 0.4 s, so that they still break one check.

The excuses need the sender. The soak finds the VM at the other end of a connection by its socket in /proc; a proxy also notes when it has passed on the bytes of a call. For a sender that stays unknown any thawed VM is an excuse.

A proxy may now separate its upstream from chosen VMs: no bytes, closes or resets pass either way and new connections wait; afterwards held-back bytes arrive unless their sender has reset the connection. The spans of overlapping pauses of one process no longer stay open for good, which excused everything after them.

Each run writes the events of its upstreams into history.log.

--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -36,6 +36,8 @@
 type recordedEvent struct {
 	Upstream, Domain string
 	Incarnation      int
+	sender           *sender       // of a grant
+	arrived          time.Duration // when a grant reached the upstream, which may have taken it later
 	upstreamEvent
 }
 
@@ -62,13 +64,18 @@
 	h.events = append(h.events, e)
 }
 
-// lineHandler returns a function that records the events of an upstream's output.
-func (h *history) lineHandler(upstream, domain string) func(int, []byte) {
+// lineHandler returns a function that records the events of an upstream's output; senderAt
+// returns the sender at a remote address.
+func (h *history) lineHandler(upstream, domain string, senderAt func(address string) *sender) func(int, []byte) {
 	return func(incarnation int, line []byte) {
 		e := recordedEvent{Upstream: upstream, Domain: domain, Incarnation: incarnation}
 		if err := json.Unmarshal(line, &e.upstreamEvent); err != nil {
 			return // the incomplete last line of a killed process
 		}
+		if e.Kind == fakes.EventHeld {
+			e.sender = senderAt(e.Sender)
+			e.arrived = e.sender.arrival(e.At)
+		}
 		h.addEvent(e)
 	}
 }
@@ -93,6 +100,8 @@
 	Ended map[string][]span
 	// UpstreamPaused is when upstreams were paused, by ID.
 	UpstreamPaused map[string][]span
+	// LinkFaults is when the proxy of an upstream injected faults, by ID.
+	LinkFaults map[string][]span
 	// StoreFaults is when the store was unreachable or faulty, by VM.
 	StoreFaults map[string][]span
 	// Stalls is when this process did not run.
@@ -113,6 +122,10 @@
 	events, calls, changes := h.snapshot()
 	var found []string
 	found = append(found, concurrentOwners(events, c)...)
+	found = append(found, ownersBothBegin(events, c)...)
+	found = append(found, lowFences(events, c)...)
+	found = append(found, longSharedHolds(events, c)...)
+	found = append(found, grantsDuringWork(events, c)...)
 	runs := make(map[string]int) // by request ID
 	for _, e := range events {
 		if e.Kind == fakes.EventRun {
--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -12,9 +12,10 @@
 	fakes "dandelionhill.dev/fakes/fleet"
 )
 
+// held is a grant whose fence is above those of all earlier ones.
 func held(upstream string, incarnation int, at time.Duration, first, last int, holdSeconds float64) recordedEvent {
 	return recordedEvent{Upstream: upstream, Domain: "a", Incarnation: incarnation, upstreamEvent: upstreamEvent{
-		At: at, Event: fakes.Event{Kind: fakes.EventHeld, First: first, Last: last, HoldSeconds: holdSeconds},
+		At: at, Event: fakes.Event{Kind: fakes.EventHeld, First: first, Last: last, Fence: int64(at), HoldSeconds: holdSeconds},
 	}}
 }
 
@@ -60,11 +61,11 @@
 		"acquired after lease expiry":  {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("v", 1, 12*s, 0, 9, 2)}},
 		"acquired after owner exit":    {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("u", 2, 11*s+1, 0, 9, 2)}, c: down},
 		"released part acquired":       {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), released("u", 11*s, 5, 9), held("v", 1, 11*s+1, 5, 9, 2)}},
-		"acquired before release":      {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), released("u", 11*s, 5, 9), held("v", 1, 11*s+1, 4, 9, 2)}, want: "two owners"},
-		"acquired before owner exit":   {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("v", 1, 10*s+1, 9, 12, 2)}, c: down, want: "two owners"},
+		"acquired before release":      {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), released("u", 11*s, 5, 9), held("v", 1, 11*s+1, 4, 9, 0.4)}, want: "two owners"},
+		"acquired before owner exit":   {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("v", 1, 10*s+1, 9, 12, 0.4)}, c: down, want: "two owners"},
 		"call queued during pause":     {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("v", 1, 11*s, 0, 9, 2)}, c: conditions{UpstreamPaused: map[string][]span{"u": {{From: 8 * s, To: 10 * s}}}}},
-		"call after pause":             {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("v", 1, 11*s, 0, 9, 2)}, c: conditions{UpstreamPaused: map[string][]span{"u": {{From: 8 * s, To: 9 * s}}}}, want: "two owners"},
-		"acquired by next incarnation": {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("u", 2, 10*s+1, 0, 9, 2)}, want: "two owners"},
+		"call after pause":             {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("v", 1, 11*s, 0, 9, 0.4)}, c: conditions{UpstreamPaused: map[string][]span{"u": {{From: 8 * s, To: 9 * s}}}}, want: "two owners"},
+		"acquired by next incarnation": {events: []recordedEvent{held("u", 1, 10*s, 0, 9, 2), held("u", 2, 10*s+1, 0, 9, 0.4)}, want: "two owners"},
 
 		"one run":                                {events: []recordedEvent{ran("r", 10*s)}, calls: []call{answered("r", 1, 10*s, "keyed")}},
 		"two runs, idempotent":                   {events: []recordedEvent{ran("r", 10*s), ran("r", 10*s+1)}, calls: []call{answered("r", -1, 10*s, "keyed")}},
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -104,9 +104,12 @@
 			p.stopping = append(p.stopping, span{From: monotonic()})
 		}
 	case syscall.SIGSTOP:
-		p.paused = append(p.paused, span{From: monotonic()})
+		if n := len(p.paused); n == 0 || p.paused[n-1].To != 0 {
+			p.paused = append(p.paused, span{From: monotonic()})
+		}
 	case syscall.SIGCONT:
-		defer closeSpan(p.paused)
+		// What the process sends afterwards must not be older than the end of the pause.
+		closeSpan(p.paused)
 	case syscall.SIGKILL:
 		// Requests in flight may fail from now on.
 		p.down = append(p.down, span{From: monotonic()})
--- a/bench/soak/proxy_test.go
+++ b/bench/soak/proxy_test.go
@@ -16,7 +16,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		defer listener.Close()
-		p, err := newProxy("127.0.0.1:0", listener.Addr().String())
+		p, err := newProxy("127.0.0.1:0", listener.Addr().String(), nil, nil)
 		require.NoError(t, err)
 		defer p.close()
 		conn, err := net.Dial("tcp", p.address())
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -4,8 +4,10 @@
 package soak
 
 import (
+	"bufio"
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -112,6 +114,7 @@
 	upstreams []*upstream
 	domains   []string
 	history   history
+	senders   *senders
 	closers   []func()
 
 	// operator orders the writes of operators; it guards version and domainsOut.
@@ -129,6 +132,7 @@
 // Run runs one seed.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	d := &deployment{Options: o, store: fakes.NewStore(), domains: []string{"a", "b", "c"}, storeFaults: make(map[string][]span), domainsOut: make(map[string]bool)}
+	d.senders = newSenders(d.processIDs)
 	defer d.close()
 	if err := d.build(); err != nil {
 		return nil, err
@@ -137,6 +141,7 @@
 	defer cancel()
 	go d.expireRegistrations(ctx)
 	go d.recordStalls(ctx)
+	go d.senders.run(ctx)
 	if o.Restores {
 		go d.copyStore(ctx)
 	}
@@ -154,7 +159,7 @@
 	cancel()
 	report.Violations = append(report.Violations, d.history.check(d.conditions())...)
 	d.countOutcomes(report)
-	return report, nil
+	return report, d.writeHistory()
 }
 
 func (d *deployment) processes() (all []*process) {
@@ -167,6 +172,29 @@
 	return all
 }
 
+// processIDs returns the process IDs of the VMs that run, by name.
+func (d *deployment) processIDs() map[string]int {
+	ids := make(map[string]int)
+	for _, v := range d.vms {
+		if v.running() {
+			v.mu.Lock()
+			ids[v.name] = v.cmd.Process.Pid
+			v.mu.Unlock()
+		}
+	}
+	return ids
+}
+
+// domainOf returns the failure domain of a VM.
+func (d *deployment) domainOf(name string) string {
+	for i, v := range d.vms {
+		if v.name == name {
+			return d.domains[i%len(d.domains)]
+		}
+	}
+	return ""
+}
+
 func (d *deployment) close() {
 	killAll(d.processes())
 	for _, c := range d.closers {
@@ -214,7 +242,7 @@
 	u := &upstream{service: service, domain: d.domains[n%len(d.domains)]}
 	register := listen
 	if n%2 == 0 {
-		if u.proxy, err = newProxy("127.0.0.1:0", listen); err != nil {
+		if u.proxy, err = newProxy("127.0.0.1:0", listen, d.senders, func(vm string) bool { return d.domainOf(vm) != u.domain }); err != nil {
 			return errors.Wrap(err, "listen for a proxy")
 		}
 		d.closers = append(d.closers, u.proxy.close)
@@ -224,7 +252,8 @@
 	if err != nil {
 		return err
 	}
-	u.process = &process{name: id, stderr: logFile, handleLine: d.history.lineHandler(id, u.domain), newCommand: func() *exec.Cmd {
+	senderAt := func(address string) *sender { return d.senders.at(socketAddrs{address, listen}) }
+	u.process = &process{name: id, stderr: logFile, handleLine: d.history.lineHandler(id, u.domain, senderAt), newCommand: func() *exec.Cmd {
 		return exec.Command(d.SoakBinary, "upstream", "-id", id, "-service", service, "-domain", u.domain,
 			"-listen", listen, "-register", register, "-store", d.storeAddr)
 	}}
@@ -245,10 +274,10 @@
 	for i := range d.VMs {
 		v := &vm{}
 		name := fmt.Sprintf("vm-%d", i)
-		if v.storeProxy, err = newProxy("127.0.0.1:0", d.storeAddr); err != nil {
+		if v.storeProxy, err = newProxy("127.0.0.1:0", d.storeAddr, nil, nil); err != nil {
 			return errors.Wrap(err, "listen for a proxy")
 		}
-		if v.peerProxy, err = newProxy(proxyAddr(i), listenAddr(i)); err != nil {
+		if v.peerProxy, err = newProxy(proxyAddr(i), listenAddr(i), nil, nil); err != nil {
 			return errors.Wrap(err, "listen for a proxy")
 		}
 		d.closers = append(d.closers, v.storeProxy.close, v.peerProxy.close)
@@ -502,6 +531,7 @@
 	c := conditions{
 		Down: make(map[string][]span), Stopping: make(map[string][]span), Paused: make(map[string][]span),
 		Ended: make(map[string][]span), UpstreamPaused: make(map[string][]span), StoreFaults: make(map[string][]span),
+		LinkFaults: make(map[string][]span),
 	}
 	copyOf := func(s []span) []span { return append([]span(nil), s...) }
 	for _, v := range d.vms {
@@ -513,6 +543,11 @@
 		u.mu.Lock()
 		c.Ended[u.name], c.UpstreamPaused[u.name] = copyOf(u.down), copyOf(u.paused)
 		u.mu.Unlock()
+		if u.proxy != nil {
+			u.proxy.mu.Lock()
+			c.LinkFaults[u.name] = append(copyOf(u.proxy.faultSpans), u.proxy.cutSpans...)
+			u.proxy.mu.Unlock()
+		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -523,6 +558,25 @@
 	return c
 }
 
+// writeHistory writes the events of the upstreams in order, with their times since the load began.
+func (d *deployment) writeHistory() error {
+	file, err := createLog(filepath.Join(d.Dir, "history.log"))
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	events, _, _ := d.history.snapshot()
+	out := bufio.NewWriter(file)
+	for _, e := range sortedEvents(events) {
+		text, err := json.Marshal(e.Event)
+		if err != nil {
+			return errors.Wrap(err, "encode an event")
+		}
+		fmt.Fprintf(out, "%.6f %s %d %s %s\n", (e.At - d.loadStart).Seconds(), e.Upstream, e.Incarnation, cmp.Or(e.sender.name(), "-"), text)
+	}
+	return errors.Wrap(out.Flush(), "write the history")
+}
+
 func (d *deployment) countOutcomes(report *Report) {
 	_, calls, _ := d.history.snapshot()
 	for _, c := range calls {
