bench/soak: -key-faults and -size grown

The soak never paused a VM for a short time, several times in a row, had no upstream that takes a call late, and cut no failure domain off. It ran 4 VMs only.

-key-faults adds, from a source of randomness of its own, so that the plans of known seeds stay: series of pauses of 0.1 to 1 s of the granter or another VM, and cuts of a failure domain's upstreams from the VMs of the other domains. Each third keyed upstream has 2 slots, takes a new connection when one is free, and runs each third keyed request of a caller for 0.7 s until the last fault has ended. Every keyed upstream then has a proxy, and half of them a clock that runs 2% slow, which is so without the option too.

-size grown runs 77 VMs and 222 keyed upstreams with one caller for each VM. Upstreams register every 4 s, and the store drops its history every 20 s, as it compares each change with every row of it. VMs are probed four at a time at the end.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -36,13 +36,14 @@
 	gateway      string
 	production   string
 	dir          string
+	size         string
 	options      soak.Options
 }
 
 func (*runCommand) Name() string     { return "run" }
 func (*runCommand) Synopsis() string { return "run seeds" }
 func (*runCommand) Usage() string {
-	return "soak run -gateway target/dandelionhilld [-from 1] [-seeds 1 | -failed] [-length 20s] [-production COMMIT]\n"
+	return "soak run -gateway target/dandelionhilld [-from 1] [-seeds 1 | -failed] [-length 20s] [-size grown] [-key-faults] [-production COMMIT]\n"
 }
 
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
@@ -57,6 +58,8 @@
 	f.IntVar(&c.options.UnkeyedUpstreams, "plain", 2, "upstreams of each of the three unkeyed services")
 	f.IntVar(&c.options.CallersPerVM, "callers", 3, "callers of each VM")
 	f.DurationVar(&c.options.Pause, "pause", 40*time.Millisecond, "mean pause of a caller between requests")
+	f.StringVar(&c.size, "size", "", "grown: 77 VMs and 222 keyed upstreams, with few requests and a longer run")
+	f.BoolVar(&c.options.KeyFaults, "key-faults", false, "pause VMs in series, cut failure domains, run upstreams that take calls late")
 	f.BoolVar(&c.options.Restores, "restores", false, "restore the store from older copies")
 	f.DurationVar(&c.options.Duration, "length", 20*time.Second, "how long faults are injected")
 }
@@ -74,6 +77,13 @@
 	if err != nil {
 		return errors.Wrap(err, "find the path of this program")
 	}
+	switch c.size {
+	case "":
+	case "grown":
+		c.options.Grow()
+	default:
+		return errors.Errorf("size %q is not known: leave it empty or use grown", c.size)
+	}
 	c.options.SoakBinary, c.options.GatewayBinary = self, c.gateway
 	if c.dir == "" {
 		if c.dir, err = os.MkdirTemp("", "soak-"); err != nil {
@@ -158,6 +168,9 @@
 	f.StringVar(&c.options.Register, "register", "", "the address that it registers")
 	f.StringVar(&c.options.Store, "store", "", "address of the store")
 	f.DurationVar(&c.options.ServiceTime, "work", 8*time.Millisecond, "how long a request runs")
+	f.BoolVar(&c.options.Gated, "gated", false, "requests and new connections wait for slots")
+	f.Float64Var(&c.options.SlowClock, "slow-clock", 0, "by which factor its clock runs slow")
+	f.DurationVar(&c.options.RegistrationInterval, "register-every", 500*time.Millisecond, "time between two registrations")
 }
 
 func (c *upstreamCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -17,11 +17,15 @@
 	soakHost    = "shop.example"
 	keyedPath   = "/keyed/"
 	unkeyedPath = "/plain/"
+	// longPath is under keyedPath; its requests run for long on gated upstreams.
+	longPath = keyedPath + "long"
 	// requestTimeout is the timeout that callers put into their requests.
 	requestTimeout = 1500 * time.Millisecond
 	// callerTimeoutMargin is how long callers wait beyond requestTimeout before the
 	// response counts as missing.
 	callerTimeoutMargin = 3 * time.Second
+	// Each longRunShare-th keyed request of a caller is for longPath.
+	longRunShare = 3
 )
 
 // call is one request of a caller with its result.
@@ -47,6 +51,8 @@
 	client  *http.Client
 	rng     *rand.Rand
 	lastID  int
+	// longRuns, if set, reports whether some keyed requests are for longPath.
+	longRuns func() bool
 }
 
 func newCaller(vm, address string, n int, seed uint64) *caller {
@@ -77,6 +83,9 @@
 	method, path, body := http.MethodGet, unkeyedPath, io.Reader(nil)
 	if key >= 0 {
 		method, path, body = http.MethodPost, keyedPath, strings.NewReader(result.ID)
+		if c.longRuns != nil && c.lastID%longRunShare == 0 && c.longRuns() {
+			path = longPath
+		}
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, body)
 	if err != nil {
--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -105,7 +105,7 @@
 // TestPlanIsDeterministic guards against plans that differ between runs of one seed.
 func TestPlanIsDeterministic(t *testing.T) {
 	names := func() string {
-		d := &deployment{domains: []string{"a", "b"}}
+		d := &deployment{Options: Options{KeyFaults: true}, domains: []string{"a", "b"}}
 		for _, name := range []string{"vm-0", "vm-1"} {
 			d.vms = append(d.vms, &vm{process: &process{name: name}, storeProxy: &proxy{}, peerProxy: &proxy{}})
 		}
@@ -118,4 +118,6 @@
 	}
 	require.Equal(t, names(), names())
 	require.Greater(t, strings.Count(names(), "\n"), 20)
+	require.Contains(t, names(), "cut off the upstreams of a")
+	require.Contains(t, names(), "pause the granter, 2 of a series")
 }
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -84,6 +84,9 @@
 			}
 		}
 	}
+	if d.KeyFaults {
+		actions = append(actions, d.planKeyFaults(rand.New(rand.NewPCG(d.Seed, 3)), duration)...)
+	}
 	if d.Restores {
 		actions = append(actions, d.planRestores(rand.New(rand.NewPCG(d.Seed, 1)), duration)...)
 	}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,13 @@
 	// caller between requests.
 	CallersPerVM int
 	Pause        time.Duration
+	// KeyFaults adds the faults of planKeyFaults; each third keyed upstream is then gated.
+	KeyFaults bool
+	// RegistrationInterval is the time between two registrations of an upstream, 0.5 s if it is 0.
+	RegistrationInterval time.Duration
+	// BoundHistory lets the store drop its history each storeHistory. The store's answer to each
+	// VM takes time in proportion to it.
+	BoundHistory bool
 	// Restores adds restores of the store from older copies.
 	Restores bool
 	// GatewayBinary is the path of the daemon, SoakBinary that of the program that runs
@@ -54,6 +62,13 @@
 	Dir string
 }
 
+// Grow sets the size of the largest deployment in use. Each caller pauses for long, and upstreams
+// register less often, so that one machine can run it.
+func (o *Options) Grow() {
+	o.VMs, o.KeyedUpstreams, o.UnkeyedUpstreams = 77, 222, 1
+	o.CallersPerVM, o.Pause, o.RegistrationInterval, o.BoundHistory = 1, time.Second, 4*time.Second, true
+}
+
 // FailedSeeds are the seeds that have failed, with the cause. They are run with the
 // default options.
 var FailedSeeds = []struct {
@@ -74,8 +89,9 @@
 }
 
 const (
-	// registrationTTL is the age at which an upstream's registration is removed from the store.
-	registrationTTL = 3 * registrationInterval
+	// registrationsMissed is after how many intervals without one an upstream's registration is
+	// removed from the store.
+	registrationsMissed = 3
 	// restartDelay is the time from the exit of a process to its restart.
 	restartDelay = 400 * time.Millisecond
 	// checkInterval is the time between checks during a run.
@@ -83,8 +99,16 @@
 	// stallThreshold is the shortest pause of this process that excuses late responses.
 	stallThreshold    = 100 * time.Millisecond
 	stallPollInterval = 20 * time.Millisecond
+	// maxSlowClock is by which factor the clock of an upstream may run slow.
+	maxSlowClock = 0.02
 	// startTimeout bounds the time until all VMs serve requests.
 	startTimeout = 20 * time.Second
+	// vmsPerProcessor is the number of VMs from which on starts and checks take longer.
+	vmsPerProcessor = 10
+	// probedVMs is the number of VMs that are probed at the same time at the end.
+	probedVMs = 4
+	// storeHistory is how long the store keeps its history.
+	storeHistory = 20 * time.Second
 	// probeKeys is the number of keys that each VM must serve at the end.
 	probeKeys = 40
 )
@@ -115,6 +139,7 @@
 	domains   []string
 	history   history
 	senders   *senders
+	longRuns  atomic.Bool // whether callers send requests that run for long
 	closers   []func()
 
 	// operator orders the writes of operators; it guards version and domainsOut.
@@ -132,6 +157,7 @@
 // Run runs one seed.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	d := &deployment{Options: o, store: fakes.NewStore(), domains: []string{"a", "b", "c"}, storeFaults: make(map[string][]span), domainsOut: make(map[string]bool)}
+	d.RegistrationInterval = cmp.Or(d.RegistrationInterval, 500*time.Millisecond)
 	d.senders = newSenders(d.processIDs)
 	defer d.close()
 	if err := d.build(); err != nil {
@@ -145,13 +171,16 @@
 	if o.Restores {
 		go d.copyStore(ctx)
 	}
+	if o.BoundHistory {
+		go d.compactStore(ctx)
+	}
 	for _, p := range d.processes() {
 		if err := p.run(); err != nil {
 			return nil, err
 		}
 		go d.restart(ctx, p)
 	}
-	if err := d.waitServing(startTimeout); err != nil {
+	if err := d.waitServing(startTimeout * time.Duration(1+o.VMs/vmsPerProcessor)); err != nil {
 		return nil, err
 	}
 	report := &Report{}
@@ -241,7 +270,7 @@
 	}
 	u := &upstream{service: service, domain: d.domains[n%len(d.domains)]}
 	register := listen
-	if n%2 == 0 {
+	if n%2 == 0 || d.KeyFaults {
 		if u.proxy, err = newProxy("127.0.0.1:0", listen, d.senders, func(vm string) bool { return d.domainOf(vm) != u.domain }); err != nil {
 			return errors.Wrap(err, "listen for a proxy")
 		}
@@ -255,7 +284,8 @@
 	senderAt := func(address string) *sender { return d.senders.at(socketAddrs{address, listen}) }
 	u.process = &process{name: id, stderr: logFile, handleLine: d.history.lineHandler(id, u.domain, senderAt), newCommand: func() *exec.Cmd {
 		return exec.Command(d.SoakBinary, "upstream", "-id", id, "-service", service, "-domain", u.domain,
-			"-listen", listen, "-register", register, "-store", d.storeAddr)
+			"-listen", listen, "-register", register, "-store", d.storeAddr, "-register-every", d.RegistrationInterval.String(),
+			"-slow-clock", fmt.Sprint(float64(n%2)*maxSlowClock), fmt.Sprintf("-gated=%t", d.KeyFaults && service == "keyed" && n%3 == 0))
 	}}
 	d.upstreams = append(d.upstreams, u)
 	return nil
@@ -365,21 +395,28 @@
 }
 
 // expireRegistrations removes the registrations that upstreams have not renewed for
-// registrationTTL.
+// registrationsMissed intervals.
 func (d *deployment) expireRegistrations(ctx context.Context) {
 	lastVersion, changedAt := make(map[string]int64), make(map[string]time.Time)
-	for wait.For(ctx, registrationInterval/2) {
+	for wait.For(ctx, d.RegistrationInterval/2) {
 		for _, u := range d.upstreams {
 			row := d.store.Row(fleet.TableUpstreams, u.name)
 			if row.Version != lastVersion[u.name] {
 				lastVersion[u.name], changedAt[u.name] = row.Version, time.Now()
-			} else if row.Version != 0 && time.Since(changedAt[u.name]) > registrationTTL {
+			} else if row.Version != 0 && time.Since(changedAt[u.name]) > registrationsMissed*d.RegistrationInterval {
 				d.store.Remove(fleet.TableUpstreams, u.name)
 			}
 		}
 	}
 }
 
+// compactStore drops the store's history each storeHistory until ctx ends.
+func (d *deployment) compactStore(ctx context.Context) {
+	for wait.For(ctx, storeHistory) {
+		d.store.Compact()
+	}
+}
+
 func (d *deployment) recordStalls(ctx context.Context) {
 	for last := monotonic(); wait.For(ctx, stallPollInterval); last = monotonic() {
 		if now := monotonic(); now-last > stallThreshold {
@@ -456,15 +493,17 @@
 	for i, v := range d.vms {
 		for n := range d.CallersPerVM {
 			c := newCaller(v.name, v.callerAddr, i*d.CallersPerVM+n+1, d.Seed)
+			c.longRuns = d.longRuns.Load
 			callers.Go(func() { c.run(load, &d.history, d.Pause) })
 		}
 	}
 	checkDone := make(chan struct{})
 	go func() {
 		defer close(checkDone)
-		for wait.For(load, checkInterval) && len(d.history.check(d.conditions())) == 0 {
+		for wait.For(load, checkInterval*time.Duration(1+d.VMs/vmsPerProcessor)) && len(d.history.check(d.conditions())) == 0 {
 		}
 	}()
+	d.longRuns.Store(d.KeyFaults)
 	start := time.Now()
 	d.mu.Lock()
 	d.loadStart = monotonic()
@@ -482,6 +521,7 @@
 		})
 	}
 	reverts.Wait()
+	d.longRuns.Store(false)
 	wait.For(ctx, faultFreeEnd)
 	report.Violations = append(report.Violations, d.checkRecovery()...)
 	stopLoad()
@@ -509,19 +549,30 @@
 // checkRecovery sends each VM requests for keys spread over the whole range, at most
 // three for a key.
 func (d *deployment) checkRecovery() (found []string) {
+	var probes sync.WaitGroup
+	unserved, free := make([][]string, len(d.vms)), make(chan struct{}, probedVMs)
 	for i, v := range d.vms {
-		c := newCaller(v.name, v.callerAddr, 950+i, d.Seed)
-		for n := range probeKeys {
-			key, last := n*fleet.KeyCount/probeKeys, call{}
-			for range 3 {
-				if last = c.send(key); last.Status == http.StatusOK {
-					break
-				}
-				time.Sleep(300 * time.Millisecond)
-			}
-			if last.Status != http.StatusOK {
-				found = append(found, fmt.Sprintf("%s does not serve key %d %v after the last fault: %d %s %v", v.name, key, faultFreeEnd, last.Status, last.Body, last.Err))
+		free <- struct{}{}
+		probes.Go(func() {
+			unserved[i] = d.probe(v, newCaller(v.name, v.callerAddr, 950+i, d.Seed))
+			<-free
+		})
+	}
+	probes.Wait()
+	return slices.Concat(unserved...)
+}
+
+func (d *deployment) probe(v *vm, c *caller) (found []string) {
+	for n := range probeKeys {
+		key, last := n*fleet.KeyCount/probeKeys, call{}
+		for range 3 {
+			if last = c.send(key); last.Status == http.StatusOK {
+				break
 			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		if last.Status != http.StatusOK {
+			found = append(found, fmt.Sprintf("%s does not serve key %d %v after the last fault: %d %s %v", v.name, key, faultFreeEnd, last.Status, last.Body, last.Err))
 		}
 	}
 	return found
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	// registrationInterval is the time between two registrations of an upstream.
-	registrationInterval = 500 * time.Millisecond
+	// headerTimeout bounds the time until a request is read, with the wait for a slot.
+	headerTimeout = 10 * time.Second
+	// longRun is how long a request for longPath runs on a gated upstream.
+	longRun = 700 * time.Millisecond
 	// drainTime is how long a stopping upstream is registered as draining before it exits.
 	drainTime = 1500 * time.Millisecond
 	// storeTimeout bounds a call of an upstream to the store.
@@ -36,6 +38,13 @@
 	Store            string
 	// ServiceTime is how long each request runs.
 	ServiceTime time.Duration
+	// Gated makes requests wait for slots, and new connections too before they are read;
+	// requests for longPath then run for long.
+	Gated bool
+	// SlowClock is by which factor its clock runs slow.
+	SlowClock float64
+	// RegistrationInterval is the time between two registrations.
+	RegistrationInterval time.Duration
 }
 
 // upstreamEvent is one line of an upstream's event log, with its time on the monotonic
@@ -67,9 +76,14 @@
 		}
 	})
 	u.SetHandler(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(o.ServiceTime)
+		id := r.Header.Get(fleet.HeaderRequestID)
+		if o.Gated && r.URL.Path == longPath {
+			time.Sleep(longRun)
+		} else {
+			time.Sleep(o.ServiceTime)
+		}
 		w.Header().Set(fleet.HeaderSignature, "seal-of-"+o.ID)
-		if _, err := io.WriteString(w, responseBody(o.Service, r.Header.Get(fleet.HeaderRequestID))); err != nil {
+		if _, err := io.WriteString(w, responseBody(o.Service, id)); err != nil {
 			panic(http.ErrAbortHandler)
 		}
 	})
@@ -77,7 +91,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: u, ReadHeaderTimeout: requestTimeout}
+	u.SetSlowClock(o.SlowClock)
+	if o.Gated {
+		listener = u.GateConnections(listener)
+	}
+	server := &http.Server{Handler: u, ConnContext: fakes.ConnContext, ReadHeaderTimeout: headerTimeout}
 	go func() {
 		// Serves until the process exits.
 		_ = server.Serve(listener)
@@ -85,7 +103,7 @@
 	store := fleet.NewStore(o.Store, &http.Client{})
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM)
-	state, ticker := "ready", time.NewTicker(registrationInterval)
+	state, ticker := "ready", time.NewTicker(o.RegistrationInterval)
 	defer ticker.Stop()
 	var drained <-chan time.Time
 	for {
