server: a handler that returns without a response ends the connection

The same held for a body that was cut off or malformed, for messages between VMs that are neither a response nor a refusal, and for values of the admin interface that cannot be encoded.

listen.All, which all servers of both deployments pass through, wraps their handlers: without a response the connection ends. The single places state what they know: 400 for a malformed body, 502 for a message without an outcome, 500 for a value that cannot be encoded.

--- a/server/admin/admin.go
+++ b/server/admin/admin.go
@@ -234,6 +234,9 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			if r.Context().Err() != nil {
+				return // the caller has left before the end of the watch
+			}
 			writeJSON(w, admin.Watch{Revision: since})
 			return
 		}
@@ -241,6 +244,11 @@
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(value)
+	w.Write(append(data, '\n'))
 }
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -120,7 +120,7 @@
 	} else {
 		f.Revision = snapshot.Document.Revision
 		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(f.TimeoutMs)*time.Millisecond)
-		reply = e.run(ctx, name, f)
+		reply = validReply(e.run(ctx, name, f))
 		cancel()
 	}
 	if !known {
@@ -262,6 +262,14 @@
 	}
 }
 
+// validReply returns a reply that is neither a refusal nor a whole response as a refusal.
+func validReply(reply *wire.Reply) *wire.Reply {
+	if reply.Refusal == nil && (reply.Status < http.StatusOK || reply.Status > 999) {
+		return wire.Refused(api.Refuse(api.UpstreamFailed, "the reply of the holder has no final status"))
+	}
+	return reply
+}
+
 // respond writes the outcome of a request.
 func respond(w http.ResponseWriter, reply *wire.Reply) {
 	h := w.Header()
--- a/server/entry/forward_test.go
+++ b/server/entry/forward_test.go
@@ -123,3 +123,15 @@
 	require.EqualValues(t, 1, s.calls.Load())
 	require.EqualValues(t, maxWaitingRequests, e.waiting.Load())
 }
+
+// TestReplyWithoutStatus guards against a success for a reply that is neither a response nor a
+// refusal.
+func TestReplyWithoutStatus(t *testing.T) {
+	for _, status := range []int{0, 100, 1000} {
+		refused := validReply(&wire.Reply{Status: status}).Refusal
+		require.NotNil(t, refused, status)
+		require.Equal(t, api.Unknown, refused.Outcome)
+	}
+	require.Nil(t, validReply(&wire.Reply{Status: 204}).Refusal)
+	require.NotNil(t, validReply(wire.Refused(api.Refuse(api.Shed, ""))).Refusal)
+}
--- a/server/gateway/guard.go
+++ b/server/gateway/guard.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 
 	"github.com/rs/zerolog"
+
+	"dandelionhill.dev/server/response"
 )
 
 // guard runs the handling of one message, change or request. A panic in it is logged and
@@ -35,14 +37,14 @@
 // serve calls handle for a request of a caller. After a panic it responds that the outcome
 // is unknown, unless a response has begun.
 func (g guard) serve(w http.ResponseWriter, request string, handle func(w http.ResponseWriter)) {
-	tracked := &headTracker{ResponseWriter: w}
+	tracked := &response.Tracker{ResponseWriter: w}
 	defer func() {
 		cause := recover()
 		if cause == nil {
 			return
 		}
 		g.record("request", request, cause)
-		if tracked.begun {
+		if tracked.Begun() {
 			// Only a broken connection tells the caller that the response is not complete.
 			panic(http.ErrAbortHandler)
 		}
@@ -50,24 +52,3 @@
 	}()
 	handle(tracked)
 }
-
-// headTracker records whether the head of a response was written.
-type headTracker struct {
-	http.ResponseWriter
-	begun bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (t *headTracker) WriteHeader(status int) {
-	t.begun = true
-	t.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (t *headTracker) Write(p []byte) (int, error) {
-	t.begun = true
-	return t.ResponseWriter.Write(p)
-}
-
-// Unwrap returns the writer for http.ResponseController.
-func (t *headTracker) Unwrap() http.ResponseWriter { return t.ResponseWriter }
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -308,6 +310,7 @@
 		err = stream.SetReadDeadline(time.Time{})
 	}
 	var large *http.MaxBytesError
+	var broken net.Error
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		w.Header().Set("Connection", "close")
@@ -317,8 +320,11 @@
 	case errors.Is(err, buffers.ErrExhausted):
 		w.Header().Set("Connection", "close")
 		return outcome{reason: buffersFull, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter, err: err}
-	case err != nil:
+	case errors.As(err, &broken), errors.Is(err, io.ErrUnexpectedEOF):
 		return outcome{reason: callerLeft, status: http.StatusBadRequest, err: err}
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return outcome{reason: badRequest, status: http.StatusBadRequest, err: err}
 	}
 	q.body = body
 	return outcome{}
@@ -350,7 +356,7 @@
 func (h *requestHandler) refuse(w http.ResponseWriter, q *request, failure outcome) {
 	h.logRefusal(q, failure)
 	if failure.reason == callerLeft {
-		return
+		return // without a response the connection ends
 	}
 	body := refusal{Reason: failure.reason, Outcome: string(api.NotRun), Remedy: "send the request again"}
 	if failure.status == http.StatusBadGateway || failure.status == http.StatusGatewayTimeout {
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -181,6 +181,9 @@
 		TimeoutMs: (q.remaining() - proxyMargin).Milliseconds(), Configuration: configuration,
 		Counted: q.service != nil, MayHaveRun: q.mayHaveRun,
 	})
+	if err == nil && !resp.valid() {
+		return nil, true, errNoOutcome
+	}
 	if err == nil && !q.buffers.Take(int64(len(resp.Body))) {
 		return nil, true, buffers.ErrExhausted
 	}
--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -82,6 +82,18 @@
 	return false
 }
 
+// errNoOutcome means that the message of another VM is neither a response nor a refusal.
+var errNoOutcome = errors.New("the VM that sends the request returned no outcome")
+
+// valid reports whether the message is a whole response of an upstream, or a refusal. Only the VM
+// that the caller is connected to knows whether the caller has left.
+func (r *proxyResponse) valid() bool {
+	if r.Status != 0 {
+		return r.Status >= http.StatusOK && r.Status <= 999
+	}
+	return r.Reason != callerLeft && r.FailureStatus >= http.StatusBadRequest && r.FailureStatus <= 599
+}
+
 // proxyConn is a connection of an isolated VM to one that sends its requests.
 type proxyConn struct {
 	ws *websocket.Conn
--- a/server/listen/listen.go
+++ b/server/listen/listen.go
@@ -6,9 +6,12 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"dandelionhill.dev/server/response"
 )
 
-// All listens on the address of each server. If one fails, none stays open.
+// All listens on the address of each server. If one fails, none stays open. A handler of these
+// servers that returns without a response ends the connection.
 func All(servers []*http.Server) ([]net.Listener, error) {
 	listeners := make([]net.Listener, 0, len(servers))
 	for _, server := range servers {
@@ -21,5 +24,8 @@
 		}
 		listeners = append(listeners, listener)
 	}
+	for _, server := range servers {
+		server.Handler = response.Required(server.Handler)
+	}
 	return listeners, nil
 }
