core/crash, server/gateway: one VM at a time tries a request after its quarantine

A request that waited for an upstream was sent although its quarantine had begun meanwhile.

After a quarantine the VM whose turn it is claims the next run; the claim begins the next quarantine on all VMs, twice as long, before the request is sent. VMs that do not hear from the granter have no turn. A success ends the quarantine everywhere. Crashes of runs that began before the first crash was known do not count as the second. Evidence is sent in messages of at most 32 entries, changed ones first; so crashSender has take in place of due, and its test checks what is sent, not only when.

TestQuarantineStopsWaitingRequests failed without the check before the send (200 in place of 503).

--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -47,6 +47,13 @@
 	ProvenTTL time.Duration
 	// Capacity bounds the fingerprints kept without a run in progress.
 	Capacity int
+	// Slot is the time in which one VM may run a fingerprint after its quarantine, if VMs share
+	// their evidence; 0 if they do not.
+	Slot time.Duration
+	// MaxQuarantine bounds shared quarantines: each is twice as long as the one before.
+	MaxQuarantine time.Duration
+	// Retention is how long a shared quarantine is remembered.
+	Retention time.Duration
 	// MaxUnprovenRuns bounds the concurrent runs of a fingerprint that never succeeded.
 	MaxUnprovenRuns int
 }
@@ -70,9 +77,17 @@
 	exclusive   bool // the run in progress was admitted as a suspect
 	running     int
 	expiresAt   time.Duration // end of the quarantine, or of the record
-	class       class
-	list        *recordList // the list that holds the record, if any
-	prev, next  *record
+	endsAt      time.Duration // end of the quarantine
+	// level counts the quarantines; clearedLevel is the one that a success has ended.
+	level, clearedLevel int
+	trial               bool // the run in progress was admitted after the quarantine
+	claimedAt           time.Duration
+	// earlier counts the runs in progress that began before the first crash was known, if VMs share
+	// evidence.
+	earlier    int
+	class      class
+	list       *recordList // the list that holds the record, if any
+	prev, next *record
 }
 
 // Evidence holds the crash evidence of one shard. It is not safe for concurrent use.
@@ -82,6 +97,8 @@
 	records map[uint64]*record
 	idle    [classes]recordList // records without a run, oldest first
 	busy    recordList          // suspects and quarantined records with a run
+	claimed *record             // the record that this VM has claimed or runs after a quarantine
+	cleared []uint64            // fingerprints whose quarantine has ended with a success
 }
 
 // New returns empty evidence.
@@ -92,6 +109,8 @@
 	defaults.Positive(&cfg.ProvenTTL, def.ProvenTTL)
 	defaults.Positive(&cfg.Capacity, def.Capacity)
 	defaults.Positive(&cfg.MaxUnprovenRuns, def.MaxUnprovenRuns)
+	cfg.MaxQuarantine = max(cfg.MaxQuarantine, cfg.Quarantine)
+	cfg.Retention = max(cfg.Retention, 2*cfg.MaxQuarantine)
 	return &Evidence{cfg: cfg, records: map[uint64]*record{}}
 }
 
@@ -142,8 +161,11 @@
 	if r == nil {
 		return
 	}
+	if r.trial {
+		e.clear(r, r.level)
+	}
 	if r.class != quarantined {
-		r.crashes = 0
+		r.crashes, r.earlier = 0, 0
 		r.proven = true
 		r.exclusive = false
 	}
@@ -179,19 +201,29 @@
 // countCrash counts one crash of r. A fingerprint that has succeeded before may be
 // in flight on many upstreams when a failure domain is lost, so for it only the
 // crash of an exclusive run counts as the second. An unproven fingerprint has at
-// most two concurrent runs, so counting each crash limits it to two.
+// most two concurrent runs, so counting each crash limits it to two. VMs that share
+// evidence don't bound these runs: there the crashes of runs that began before the first
+// crash was known may have one other cause, the loss of a failure domain, and don't count.
 func (e *Evidence) countCrash(r *record) {
 	if r.class == quarantined {
 		return
 	}
+	if r.earlier > 0 {
+		return
+	}
 	if r.crashes > 0 && (!r.proven || r.exclusive) {
-		r.crashes = 2
-		r.proven = false
-		r.class = quarantined
-		r.expiresAt = e.now + e.cfg.Quarantine
+		e.quarantine(r, r.level+1, e.quarantineTime(r.level+1))
 		return
 	}
 	r.crashes = 1
+	e.becomeSuspect(r)
+}
+
+// becomeSuspect records that runs in progress began before the first crash of r was known.
+func (e *Evidence) becomeSuspect(r *record) {
+	if e.shared() {
+		r.earlier = r.running
+	}
 }
 
 func contains(all []uint64, fingerprint uint64) bool {
@@ -208,7 +240,11 @@
 	if r.running > 0 {
 		r.running--
 	}
+	r.earlier = min(max(r.earlier-1, 0), r.running)
 	if r.running == 0 {
+		if r.trial {
+			e.endClaim(r)
+		}
 		r.exclusive = false
 	}
 	e.relist(r)
--- a/core/crash/exchange.go
+++ b/core/crash/exchange.go
@@ -8,6 +8,11 @@
 	Fingerprint uint64        `json:"fingerprint"`
 	Quarantined bool          `json:"quarantined"`
 	Remaining   time.Duration `json:"left"`
+	// Level counts the quarantines of the fingerprint, if VMs share them. Remaining is negative
+	// after the end of one.
+	Level int `json:"level,omitempty"`
+	// Cleared means that a run after the quarantine has succeeded.
+	Cleared bool `json:"cleared,omitempty"`
 }
 
 // minRemaining is the shortest remaining time that Merge accepts. Otherwise two VMs
@@ -21,20 +26,27 @@
 func (e *Evidence) Snapshot(limit int) []Entry {
 	var out []Entry
 	add := func(r *record, remaining time.Duration) {
-		if len(out) < limit && remaining > 0 {
-			out = append(out, Entry{r.fingerprint, r.class == quarantined, remaining})
+		if len(out) >= limit || remaining <= 0 && !(e.shared() && r.class == quarantined) {
+			return
 		}
+		entry := Entry{Fingerprint: r.fingerprint, Quarantined: r.class == quarantined, Remaining: remaining}
+		if entry.Quarantined && e.shared() {
+			entry.Level = r.level
+		}
+		out = append(out, entry)
 	}
 	for r := e.idle[quarantined].last; r != nil && len(out) < limit; r = r.prev {
-		add(r, r.expiresAt-e.now)
+		add(r, r.endsAt-e.now)
 	}
 	for r := e.busy.last; r != nil && len(out) < limit; r = r.prev {
 		if r.class == quarantined {
-			add(r, r.expiresAt-e.now)
+			add(r, r.endsAt-e.now)
 		} else {
 			add(r, e.cfg.SuspectTTL)
 		}
 	}
+	cleared := e.clearedEntries()
+	out = append(out, cleared[:min(len(cleared), limit-len(out))]...)
 	for r := e.idle[suspect].last; r != nil && len(out) < limit; r = r.prev {
 		add(r, r.expiresAt-e.now)
 	}
@@ -47,6 +59,11 @@
 func (e *Evidence) Merge(now time.Duration, entries []Entry) {
 	e.advance(now)
 	for _, entry := range entries {
+		// Entries without a level are of earlier versions.
+		if e.shared() && (entry.Cleared || entry.Quarantined && (entry.Level > 0 || entry.Remaining >= minRemaining)) {
+			e.mergeShared(entry)
+			continue
+		}
 		if entry.Remaining < minRemaining {
 			continue
 		}
@@ -63,11 +80,12 @@
 		r = &record{fingerprint: entry.Fingerprint}
 		e.records[entry.Fingerprint] = r
 	}
+	if r.crashes == 0 {
+		e.becomeSuspect(r)
+	}
 	r.crashes = 1
 	if entry.Quarantined {
-		r.crashes = 2
-		r.class = quarantined
-		r.expiresAt = e.now + min(entry.Remaining, e.cfg.Quarantine)
+		e.quarantine(r, 1, min(entry.Remaining, e.cfg.Quarantine))
 	}
 	e.relist(r)
 	if r.class == suspect && r.running == 0 {
--- a/server/gateway/crashes.go
+++ b/server/gateway/crashes.go
@@ -3,32 +3,49 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/server/upstreamconn"
+	"dandelionhill.dev/server/wait"
 )
 
 const (
-	// quarantineTime is how long a request that has crashed upstreams is refused.
-	quarantineTime = 30 * time.Second
+	// quarantineTime is how long a request that has crashed upstreams is refused at first. Each
+	// further quarantine is twice as long, up to maxQuarantineTime.
+	quarantineTime    = 30 * time.Second
+	maxQuarantineTime = 16 * time.Minute
+	// quarantineRetention is how long after its last quarantine began a request is remembered.
+	quarantineRetention = time.Hour
+	// trialSlot is the time in which one VM may try a request after its quarantine. It is a
+	// multiple of the time in which the others hear of the trial.
+	trialSlot = 5 * time.Second
 	// crashCapacity bounds the fingerprints that one VM keeps.
 	crashCapacity = 4096
-	// maxSharedCrashes bounds the entries that a VM sends to another at a time.
-	maxSharedCrashes = 32
+	// maxSharedCrashes bounds the entries that VMs share, maxCrashesSent those in one message.
+	maxSharedCrashes = 512
+	maxCrashesSent   = 32
 )
 
 // crashes holds the evidence on requests that crash upstreams, shared by the VMs.
 type crashes struct {
-	start time.Time
+	began time.Time
+	// place returns the rank of this VM, negative if it is not confirmed, and the number of VMs.
+	place func() (rank, vms int)
+	// reportNow tells the granter of a change without delay.
+	reportNow func()
+	// linkedAt is when this VM began to follow the granter, or to be it, on bootTime.
+	linkedAt atomic.Int64
 
 	mu       sync.Mutex
 	evidence *crash.Evidence
 }
 
 func newCrashes() *crashes {
-	return &crashes{start: time.Now(), evidence: crash.New(crash.Config{
+	return &crashes{began: time.Now(), place: func() (rank, vms int) { return -1, 0 }, reportNow: func() {}, evidence: crash.New(crash.Config{
 		Quarantine: quarantineTime, SuspectTTL: quarantineTime, ProvenTTL: quarantineTime, Capacity: crashCapacity,
+		Slot: trialSlot, MaxQuarantine: maxQuarantineTime, Retention: quarantineRetention,
 	})}
 }
 
@@ -36,7 +53,7 @@
 func (c *crashes) withEvidence(f func(e *crash.Evidence, now time.Duration)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f(c.evidence, time.Since(c.start))
+	f(c.evidence, time.Since(c.began))
 }
 
 // quarantined reports whether a request must not run.
@@ -45,8 +62,36 @@
 	return yes
 }
 
-func (c *crashes) started(fingerprint uint64) {
-	c.withEvidence(func(e *crash.Evidence, now time.Duration) { e.Started(now, fingerprint) })
+// linked records that this VM begins to follow a granter, or to be it.
+func (c *crashes) linked() { c.linkedAt.Store(int64(bootTime())) }
+
+// turn returns the turn of this VM. It has none until it has surely heard what the others know.
+func (c *crashes) turn() crash.Turn {
+	rank, vms := c.place()
+	if bootTime()-time.Duration(c.linkedAt.Load()) < trialSlot {
+		rank = -1
+	}
+	return crash.Turn{Rank: rank, VMs: vms}
+}
+
+// claim reports whether a request may run. The first one after a quarantine waits until the other
+// VMs have heard of it, unless it has less time.
+func (c *crashes) claim(ctx context.Context, fingerprint uint64, spare time.Duration) (ok bool) {
+	turn := c.turn()
+	var delay time.Duration
+	c.withEvidence(func(e *crash.Evidence, now time.Duration) { delay, ok = e.Claim(now, fingerprint, turn) })
+	if !ok || delay == 0 {
+		return ok
+	}
+	c.reportNow()
+	return delay < spare && wait.For(ctx, delay)
+}
+
+// start records a run, which must follow. It reports false if the request must not run.
+func (c *crashes) start(fingerprint uint64) (ok bool) {
+	turn := c.turn()
+	c.withEvidence(func(e *crash.Evidence, now time.Duration) { ok = e.Start(now, fingerprint, turn) })
+	return ok
 }
 
 // succeeded records that a run gave a complete response.
@@ -76,32 +121,51 @@
 			e.Ended(now, fingerprint)
 		}
 	})
+	if crashed {
+		c.reportNow()
+	}
 }
 
 // crashResendInterval is the interval at which unchanged evidence is sent again.
 const crashResendInterval = 5 * time.Second
 
+// crashState is what was sent of an entry.
+type crashState struct {
+	quarantined, cleared bool
+	level                int
+}
+
 // crashSender remembers the evidence last sent to another VM.
 type crashSender struct {
-	sent   map[uint64]bool // by fingerprint: whether it is quarantined
+	sent   map[uint64]crashState // by fingerprint
 	sentAt time.Duration
+	// next is the index at which the repetition of unchanged entries continues.
+	next int
 }
 
-// due reports whether evidence is to be sent: it has changed, or was sent a while ago.
-func (s *crashSender) due(entries []crash.Entry, now time.Duration) bool {
-	changed := len(entries) != len(s.sent)
+// take returns the entries to send, at most maxCrashesSent: those that have changed, or some of the
+// others if none was sent for a while.
+func (s *crashSender) take(entries []crash.Entry, now time.Duration) (out []crash.Entry) {
+	if s.sent == nil || len(s.sent) > len(entries)+maxSharedCrashes {
+		s.sent = make(map[uint64]crashState, len(entries))
+	}
 	for _, e := range entries {
-		was, known := s.sent[e.Fingerprint]
-		changed = changed || !known || was != e.Quarantined
+		state := crashState{e.Quarantined, e.Cleared, e.Level}
+		if was, known := s.sent[e.Fingerprint]; len(out) < maxCrashesSent && (!known || was != state) {
+			out = append(out, e)
+			s.sent[e.Fingerprint] = state
+		}
 	}
-	if len(entries) == 0 || !changed && now-s.sentAt < crashResendInterval {
-		return false
+	if len(out) == 0 && now-s.sentAt >= crashResendInterval {
+		for range min(len(entries), maxCrashesSent) {
+			s.next = (s.next + 1) % len(entries)
+			out = append(out, entries[s.next])
+		}
 	}
-	s.sent, s.sentAt = make(map[uint64]bool, len(entries)), now
-	for _, e := range entries {
-		s.sent[e.Fingerprint] = e.Quarantined
+	if len(out) > 0 {
+		s.sentAt = now
 	}
-	return true
+	return out
 }
 
 // snapshot returns the evidence to send to other VMs.
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -56,6 +56,10 @@
 		if u == nil {
 			return nil, h.finalOutcome(ctx, q, failure)
 		}
+		if !h.crashes.start(q.fingerprint) {
+			u.limiter.release(0, capacityUnknown)
+			return nil, h.finalOutcome(ctx, q, outcome{reason: quarantined, status: http.StatusServiceUnavailable, retryAfter: quarantineTime})
+		}
 		resp, headers, err := h.send(ctx, q, u)
 		switch {
 		case err == nil && !headers.NotRun:
@@ -441,7 +445,8 @@
 	}
 }
 
-// send sends the request once and releases the slot of the limiter.
+// send sends the request once and releases the slot of the limiter. The run was recorded with
+// crashes.start.
 func (h *requestHandler) send(ctx context.Context, q *request, u *upstream) (*upstreamconn.Response, fleet.ResponseHeaders, error) {
 	acquired, capacity := time.Now(), capacityUnknown
 	defer func() { u.limiter.release(time.Since(acquired), capacity) }()
@@ -454,7 +459,6 @@
 	if u.limiter.rate() > 0 {
 		h.metrics.limitedSends.WithLabelValues(string(q.service.Name)).Inc()
 	}
-	h.crashes.started(q.fingerprint)
 	resp, err := u.pool.Do(ctx, &upstreamconn.Request{
 		// Without an ID, a late copy of an earlier response cannot be told from the response.
 		OwnConn: q.params.RequestID == "",
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -90,6 +90,14 @@
 	l.elector = g.elector
 	g.proxies = newProxies(s, limits, g.handler, &g.draining, l.knownPeers, m, log)
 	g.handler.proxies, g.elector.proxies = g.proxies, g.proxies
+	cr.reportNow = l.reportNow
+	cr.place = func() (rank, vms int) {
+		v := c.view()
+		if !v.hasRank(bootTime()) {
+			return -1, v.vms
+		}
+		return v.rank, v.vms
+	}
 	c.limits.reportNow, c.reach.changed, c.leaving.changed = l.reportNow, l.reportNow, l.reportNow
 	peers := chi.NewRouter()
 	peers.Handle(linkPath, l)
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -5,14 +5,18 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/election"
+	"dandelionhill.dev/core/shardmap"
 	fakes "dandelionhill.dev/fakes/fleet"
 	"dandelionhill.dev/platform/fleet"
 )
@@ -393,3 +397,41 @@
 	resp, body := d.do(g, http.MethodPost, keyedPath, 1, 300*time.Millisecond)
 	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode, body)
 }
+
+// TestQuarantineStopsWaitingRequests guards against a request that reaches an upstream because it
+// was waiting for it when its quarantine began (BUDGET).
+func TestQuarantineStopsWaitingRequests(t *testing.T) {
+	d := newDeployment(t)
+	d.allowSlowRequests()
+	fake := d.addUpstream("p1", "plain")
+	g := d.startVM("vm-a")
+	d.requireServed(g, plainPath, -1)
+	d.eventually(func() bool { return g.control.view().config.Version == 2 }, "the configuration is known")
+	u := g.control.view().upstreams["p1"]
+	held, released := make(chan struct{}, 100), make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
+	fake.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+		held <- struct{}{}
+		<-released
+		w.Header().Set(fleet.HeaderSignature, "seal")
+	})
+	limit := int(u.limit.Load())
+	for n := range limit {
+		go d.send(g, strconv.Itoa(n), plainPath, -1, 15*time.Second)
+	}
+	for range limit {
+		receiveWithin(t, held, "requests fill the upstream")
+	}
+	status := make(chan int, 1)
+	go func() { status <- d.send(g, "poison", plainPath+"poison", -1, 15*time.Second).StatusCode }()
+	d.eventually(func() bool { return u.limiter.load() == limit+1 }, "the request waits")
+	poison := shardmap.Fingerprint("plain", http.MethodPost, plainPath+"poison", []byte("body"))
+	for range 2 {
+		require.True(t, g.handler.crashes.start(poison))
+		g.handler.crashes.withEvidence(func(e *crash.Evidence, now time.Duration) { e.Crashed(now, []uint64{poison}) })
+	}
+	release()
+	require.Equal(t, http.StatusServiceUnavailable, <-status)
+	require.Empty(t, held, "it is not sent")
+}
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -230,7 +230,7 @@
 		h.stats.recordDemand(q)
 	}
 	q.fingerprint = shardmap.Fingerprint(name, q.http.Method, q.http.RequestURI, q.body)
-	if h.crashes.quarantined(q.fingerprint) {
+	if !h.crashes.claim(ctx, q.fingerprint, h.spareTime(q)) {
 		return nil, h.finalOutcome(ctx, q, outcome{reason: quarantined, status: http.StatusServiceUnavailable, retryAfter: quarantineTime})
 	}
 	return h.forward(ctx, q)
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -151,6 +151,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.granter = g
+	l.crashes.linked()
 	l.elector.control.setWatching(g != nil)
 }
 
@@ -280,6 +281,7 @@
 		return err
 	}
 	l.limits.connected()
+	l.crashes.linked()
 	go func() {
 		if err := l.sendReports(ctx, conn); err != nil {
 			cancel(err)
@@ -358,9 +360,7 @@
 		rep.Rests = l.elector.control.view().rests()
 		rep.LeavingUpstreams, leavingSent = l.elector.control.leaving.news(leavingSent)
 		rep.Limits, rep.Demands = l.limits.report()
-		if crashes := l.crashes.snapshot(); evidence.due(crashes, bootTime()) {
-			rep.Crashes = crashes
-		}
+		rep.Crashes = evidence.take(l.crashes.snapshot(), bootTime())
 		rep.OperatorChange = l.elector.control.operatorFeed.newestChange()
 		if err := send(ctx, conn, rep); err != nil {
 			return err
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -197,9 +197,7 @@
 	rank := g.rankOf(m.vm)
 	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange}
 	u.OperatorAgeMs, u.RowsAgeMs = g.control.operatorFeed.ageMs(), g.control.upstreamFeed.ageMs()
-	if m.crashes.due(n.crashes, now) {
-		u.Crashes = n.crashes
-	}
+	u.Crashes = m.crashes.take(n.crashes, now)
 	// A pending update is replaced; the new one includes its content.
 	select {
 	case old := <-m.updates:
@@ -207,9 +205,7 @@
 		u.Snapshot = old.Snapshot
 		u.Limits, u.Permits = old.Limits, old.Permits
 		u.LeavingUpstreams = old.LeavingUpstreams
-		if u.Crashes == nil {
-			u.Crashes = old.Crashes
-		}
+		u.Crashes = append(old.Crashes, u.Crashes...)
 		if old.RowsTo != 0 {
 			// Relay the same rows again, together with newer ones.
 			m.relayedTo = old.RowsFrom
--- a/server/gateway/relay_test.go
+++ b/server/gateway/relay_test.go
@@ -113,14 +113,39 @@
 // changed, and against changed evidence that waits.
 func TestCrashSender(t *testing.T) {
 	var s crashSender
-	require.False(t, s.due(nil, 0))
-	suspect := crash.Entry{Fingerprint: 1, Remaining: 9 * time.Second}
-	require.True(t, s.due([]crash.Entry{suspect}, 0))
+	require.Empty(t, s.take(nil, 0))
+	suspect, other := crash.Entry{Fingerprint: 1, Remaining: 9 * time.Second}, crash.Entry{Fingerprint: 2}
+	require.Equal(t, []crash.Entry{suspect}, s.take([]crash.Entry{suspect}, 0))
 	suspect.Remaining = 8 * time.Second
-	require.False(t, s.due([]crash.Entry{suspect}, time.Second))
-	require.True(t, s.due([]crash.Entry{suspect, {Fingerprint: 2}}, time.Second))
-	suspect.Quarantined = true
-	require.True(t, s.due([]crash.Entry{suspect, {Fingerprint: 2}}, time.Second))
-	require.False(t, s.due([]crash.Entry{suspect, {Fingerprint: 2}}, 2*time.Second))
-	require.True(t, s.due([]crash.Entry{suspect, {Fingerprint: 2}}, time.Second+crashResendInterval))
+	require.Empty(t, s.take([]crash.Entry{suspect}, time.Second))
+	require.Equal(t, []crash.Entry{other}, s.take([]crash.Entry{suspect, other}, time.Second))
+	for _, change := range []func(){
+		func() { suspect.Quarantined = true }, func() { suspect.Level = 2 }, func() { suspect.Quarantined, suspect.Cleared = false, true },
+	} {
+		change()
+		require.Equal(t, []crash.Entry{suspect}, s.take([]crash.Entry{suspect, other}, time.Second))
+	}
+	require.Empty(t, s.take([]crash.Entry{suspect, other}, 2*time.Second))
+	require.ElementsMatch(t, []crash.Entry{suspect, other}, s.take([]crash.Entry{suspect, other}, time.Second+crashResendInterval))
+}
+
+// TestManyCrashesAreSent guards against evidence on many requests of which some is never sent, or
+// that is sent in messages without bound.
+func TestManyCrashesAreSent(t *testing.T) {
+	var s crashSender
+	entries := make([]crash.Entry, 100)
+	for i := range entries {
+		entries[i] = crash.Entry{Fingerprint: uint64(i), Quarantined: true, Level: 1}
+	}
+	for _, now := range []time.Duration{0, time.Hour} { // the second time they are repeated
+		got := make(map[uint64]bool)
+		for i := range 4 {
+			sent := s.take(entries, now+time.Duration(i)*crashResendInterval)
+			require.LessOrEqual(t, len(sent), maxCrashesSent)
+			for _, e := range sent {
+				got[e.Fingerprint] = true
+			}
+		}
+		require.Len(t, got, len(entries))
+	}
 }
