core/outage, server/gateway: removals count at once after a cut from a well store

The wait is for upstreams whose registrations expired while the store was down.

core/outage decides it by since when the store is known to answer this VM or the granter. The granter says for how long it knows so, in a new field of its updates; without the field its word counts from when it is heard. A removal that waits counts as soon as such word arrives.

With the word of the granter left out, which is the former decision, TestRemovalAfterACutFromTheStore (2.18 s in place of 0), four cases of TestCutOffFromAWellStore, TestWordDuringTheCut and TestOutage fail.

--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// reregistrationGrace is how long after a store outage the registrations of running
-	// upstreams may be missing: they register again within 2 s.
-	reregistrationGrace = 2200 * time.Millisecond
 	// removedRetention is how long a removed upstream is kept for requests in flight.
 	removedRetention = 15 * time.Second
 	// upstreamConcurrency is the number of requests of all VMs that may be at an upstream,
@@ -55,6 +52,7 @@
 	watching atomic.Bool
 	// era is the newest era of the store that was seen, see fleet.Page.
 	era     atomic.Int64
+	outage  *outageMonitor
 	limits  *statedLimits
 	leaving *leavingUpstreams
 	// movesPaused means that keys cannot move at present: the granter does not reach the store.
@@ -73,18 +71,16 @@
 	rowVersions      map[api.UpstreamID]int64
 	removedAt        map[api.UpstreamID]time.Time
 	// pendingRemovals holds removals that are not certain yet, with the time at which they
-	// take effect.
+	// take effect, unless an outage of the store has ended earlier than was known.
 	pendingRemovals map[api.UpstreamID]time.Time
-	// storeRecoveredAt is when the store last answered after a failure.
-	storeRecoveredAt time.Time
-	dirty            bool
-	restore          restoreState
+	dirty           bool
+	restore         restoreState
 }
 
 func newControl(store *fleet.Store, m *Metrics, log zerolog.Logger) *control {
 	c := &control{
 		log: log, metrics: m, store: store, changes: make(chan func(*state), 256), limits: newStatedLimits(log), leaving: newLeavingUpstreams(m, log),
-		operatorFeed: newFeedMonitor(), upstreamFeed: newFeedMonitor(),
+		outage: newOutageMonitor(), operatorFeed: newFeedMonitor(), upstreamFeed: newFeedMonitor(),
 	}
 	c.reach = newReach(c.view, m, log)
 	for table, feed := range c.feeds() {
@@ -159,7 +155,7 @@
 	now := time.Now()
 	c.expireHeld(s, now)
 	for id, at := range s.pendingRemovals {
-		if now.After(at) {
+		if now.After(at) || c.outage.removalWait() == 0 {
 			delete(s.pendingRemovals, id)
 			c.remove(s, id)
 		}
@@ -210,8 +206,8 @@
 // setStoreAvailable records whether the store answers this VM.
 func (c *control) setStoreAvailable(available bool) {
 	c.do(func(s *state) {
+		c.outage.answers(available)
 		if available && s.storeUnavailable {
-			s.storeRecoveredAt = time.Now()
 			c.log.Info().Str("event", "store_regained").Msg("")
 		}
 		if !available && !s.storeUnavailable {
@@ -307,7 +303,7 @@
 	c.do(func(s *state) {
 		restored := full && s.restore.upstreamsRead(page.Era)
 		if restored {
-			s.storeRecoveredAt = time.Now()
+			c.outage.restored()
 		}
 		listed := make(map[api.UpstreamID]bool)
 		for _, row := range page.Rows {
@@ -391,7 +387,7 @@
 }
 
 // handleMissing handles the removal of an upstream's registration, seen at a version of the
-// store. Soon after a store outage the removal is delayed, since the upstream may register
+// store. Soon after an outage of the store the removal is delayed, since the upstream may register
 // again.
 func (c *control) handleMissing(s *state, id api.UpstreamID, version int64) {
 	if version < s.rowVersions[id] {
@@ -402,7 +398,7 @@
 	if s.upstreams[id] == nil || !s.removedAt[id].IsZero() {
 		return
 	}
-	if wait := time.Until(s.storeRecoveredAt.Add(reregistrationGrace)); wait > 0 {
+	if wait := c.outage.removalWait(); wait > 0 {
 		if _, waiting := s.pendingRemovals[id]; !waiting {
 			s.pendingRemovals[id] = time.Now().Add(wait)
 			c.log.Info().Str("event", "upstream_missing").Str("upstream", string(id)).Dur("counts_in_ms", wait).Msg("")
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -312,6 +312,7 @@
 	e.control.limits.merge(e.control.view(), u.Limits, bootTime(), "granter")
 	e.control.limits.receive(e.control.view(), u.Permits)
 	e.control.movesPaused.Store(u.StoreUnreachable)
+	e.control.outage.word(!u.StoreUnreachable, statedAge(u.StoreKnownMs))
 	e.control.operatorFeed.storeAway(u.StoreUnreachable)
 	e.control.upstreamFeed.storeAway(u.StoreUnreachable)
 	e.control.leaving.merge(e.control.view(), u.LeavingUpstreams, "granter")
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -95,6 +95,9 @@
 	// had accepted before that. 0 if it does not know, as with granters of earlier versions.
 	OperatorAgeMs int64 `cbor:"19,keyasint,omitempty"`
 	RowsAgeMs     int64 `cbor:"20,keyasint,omitempty"`
+	// StoreKnownMs is for how long the store has been known to answer, in milliseconds; 0 if the
+	// granter does not know, as with those of earlier versions.
+	StoreKnownMs int64 `cbor:"22,keyasint,omitempty"`
 	// Isolated means that no upstream can be reached from the granter: it asks whether the
 	// receiver reaches any.
 	Isolated bool `cbor:"17,keyasint,omitempty"`
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -148,6 +148,7 @@
 	}
 	g.proxies.setReaching(g.reaching(0))
 	g.control.confirmRank()
+	g.control.outage.word(!g.storeUnreachable.Load(), 0)
 	g.control.limits.confirmIssuer()
 	g.control.submitOwners(maps.Clone(g.owners), 0, len(g.ranks))
 }
@@ -196,6 +197,9 @@
 	lease := g.lease
 	rank := g.rankOf(m.vm)
 	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange}
+	if !u.StoreUnreachable {
+		u.StoreKnownMs = g.control.outage.knownMs()
+	}
 	u.OperatorAgeMs, u.RowsAgeMs = g.control.operatorFeed.ageMs(), g.control.upstreamFeed.ageMs()
 	u.Crashes = m.crashes.take(n.crashes, now)
 	// A pending update is replaced; the new one includes its content.
