server/gateway: TestChangesAfterRestore waits for the first configuration

Its condition reads the version of a configuration that may not be there yet when the upstream already is, and a nil pointer then ended the test process, once in nine runs of a part of the tests beside other load. With the configuration applied 0.3 s late it panics before, and passes now. The condition is as strict: it waits until the version is 2.

--- a/server/gateway/restored_test.go
+++ b/server/gateway/restored_test.go
@@ -80,7 +80,8 @@
 	p1 := d.addUpstream("p1", "plain")
 	d.configure(2, "keyed")
 	d.eventually(func() bool {
-		return len(g.control.view().services["plain"]) == 1 && g.control.view().config.Version == 2
+		v := g.control.view()
+		return len(v.services["plain"]) == 1 && v.config != nil && v.config.Version == 2
 	}, "the VM knows the upstream and the configuration")
 	known := d.store.Row("op", "config").Version
 
