--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -96,6 +96,9 @@
 	// had accepted before that. 0 if it does not know, as with granters of earlier versions.
 	OperatorAgeMs int64 `cbor:"19,keyasint,omitempty"`
 	RowsAgeMs     int64 `cbor:"20,keyasint,omitempty"`
+	// StoreKnownMs is for how long the store has been known to answer, in milliseconds; 0 if the
+	// granter does not know, as with those of earlier versions.
+	StoreKnownMs int64 `cbor:"24,keyasint,omitempty"`
 	// Isolated means that no upstream can be reached from the granter: it asks whether the
 	// receiver reaches any.
 	Isolated bool `cbor:"17,keyasint,omitempty"`
@@ -157,6 +160,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.granter = g
+	l.crashes.linked()
 	l.elector.control.setWatching(g != nil)
 }
 
@@ -289,6 +293,7 @@
 	}
 	l.limits.connected()
 	var answers atomic.Int64 // SentAtMs of the last update
+	l.crashes.linked()
 	go func() {
 		if err := l.sendReports(ctx, conn, &answers); err != nil {
 			cancel(err)
@@ -352,9 +357,7 @@
 		rep.Rests = l.elector.control.view().rests()
 		rep.LeavingUpstreams, leavingSent = l.elector.control.leaving.news(leavingSent)
 		rep.Limits, rep.Demands = l.limits.report()
-		if crashes := l.crashes.snapshot(); evidence.due(crashes, bootTime()) {
-			rep.Crashes = crashes
-		}
+		rep.Crashes = evidence.take(l.crashes.snapshot(), bootTime())
 		rep.OperatorChange = l.elector.control.operatorFeed.newestChange()
 		if err := send(ctx, conn, rep); err != nil {
 			return err
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -150,6 +150,7 @@
 	}
 	g.proxies.setReaching(g.reaching(0))
 	g.control.confirmRank()
+	g.control.outage.word(!g.storeUnreachable.Load(), 0)
 	g.control.limits.confirmIssuer()
 	g.control.submitOwners(maps.Clone(g.owners), 0, len(g.ranks))
 }
@@ -198,10 +199,11 @@
 	lease := g.lease
 	rank := g.rankOf(m.vm)
 	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange, SentAtMs: now.Milliseconds()}
-	u.OperatorAgeMs, u.RowsAgeMs = g.control.operatorFeed.ageMs(), g.control.upstreamFeed.ageMs()
-	if m.crashes.due(n.crashes, now) {
-		u.Crashes = n.crashes
+	if !u.StoreUnreachable {
+		u.StoreKnownMs = g.control.outage.knownMs()
 	}
+	u.OperatorAgeMs, u.RowsAgeMs = g.control.operatorFeed.ageMs(), g.control.upstreamFeed.ageMs()
+	u.Crashes = m.crashes.take(n.crashes, now)
 	// A pending update is replaced; the new one includes its content.
 	select {
 	case old := <-m.updates:
@@ -209,9 +211,7 @@
 		u.Snapshot = old.Snapshot
 		u.Limits, u.Permits = old.Limits, old.Permits
 		u.LeavingUpstreams = old.LeavingUpstreams
-		if u.Crashes == nil {
-			u.Crashes = old.Crashes
-		}
+		u.Crashes = append(old.Crashes, u.Crashes...)
 		if old.RowsTo != 0 {
 			// Relay the same rows again, together with newer ones.
 			m.relayedTo = old.RowsFrom
--- a/server/gateway/versions_test.go
+++ b/server/gateway/versions_test.go
@@ -134,3 +134,21 @@
 		}
 	}
 }
+
+// TestFieldNumbersAreUnique guards against two fields of a message with one number, which the
+// encoder leaves out both, and against the use of a number that earlier versions take otherwise.
+func TestFieldNumbersAreUnique(t *testing.T) {
+	reserved := map[reflect.Type]string{reflect.TypeFor[update](): "21"}
+	for _, message := range []reflect.Type{reflect.TypeFor[update](), reflect.TypeFor[report](), reflect.TypeFor[hello](), reflect.TypeFor[handover](), reflect.TypeFor[lease]()} {
+		used := map[string]string{reserved[message]: "(reserved)"}
+		for i := range message.NumField() {
+			field := message.Field(i)
+			number, _, _ := strings.Cut(field.Tag.Get("cbor"), ",")
+			if number == "" || number == "-" {
+				continue
+			}
+			require.Empty(t, used[number], "%s.%s has the number %s", message, field.Name, number)
+			used[number] = field.Name
+		}
+	}
+}
