--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -170,6 +170,7 @@
 	f.DurationVar(&c.options.ServiceTime, "work", 8*time.Millisecond, "how long a request runs")
 	f.BoolVar(&c.options.Gated, "gated", false, "requests and new connections wait for slots")
 	f.Float64Var(&c.options.SlowClock, "slow-clock", 0, "by which factor its clock runs slow")
+	f.DurationVar(&c.options.RegisterAfter, "register-after", 0, "for how long it serves before it registers")
 	f.DurationVar(&c.options.RegistrationInterval, "register-every", 500*time.Millisecond, "time between two registrations")
 }
 
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -99,6 +99,8 @@
 	// stallThreshold is the shortest pause of this process that excuses late responses.
 	stallThreshold    = 100 * time.Millisecond
 	stallPollInterval = 20 * time.Millisecond
+	// lateRegistration is for how long some upstreams serve before they register.
+	lateRegistration = 500 * time.Millisecond
 	// maxSlowClock is by which factor the clock of an upstream may run slow.
 	maxSlowClock = 0.02
 	// startTimeout bounds the time until all VMs serve requests.
@@ -282,9 +284,13 @@
 		return err
 	}
 	senderAt := func(address string) *sender { return d.senders.at(socketAddrs{address, listen}) }
+	registerAfter := time.Duration(0)
+	if d.KeyFaults && n%3 == 1 {
+		registerAfter = lateRegistration
+	}
 	u.process = &process{name: id, stderr: logFile, handleLine: d.history.lineHandler(id, u.domain, senderAt), newCommand: func() *exec.Cmd {
 		return exec.Command(d.SoakBinary, "upstream", "-id", id, "-service", service, "-domain", u.domain,
-			"-listen", listen, "-register", register, "-store", d.storeAddr, "-register-every", d.RegistrationInterval.String(),
+			"-listen", listen, "-register", register, "-store", d.storeAddr, "-register-every", d.RegistrationInterval.String(), "-register-after", registerAfter.String(),
 			"-slow-clock", fmt.Sprint(float64(n%2)*maxSlowClock), fmt.Sprintf("-gated=%t", d.KeyFaults && service == "keyed" && n%3 == 0))
 	}}
 	d.upstreams = append(d.upstreams, u)
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -43,6 +43,8 @@
 	Gated bool
 	// SlowClock is by which factor its clock runs slow.
 	SlowClock float64
+	// RegisterAfter is for how long it serves before it registers.
+	RegisterAfter time.Duration
 	// RegistrationInterval is the time between two registrations.
 	RegistrationInterval time.Duration
 }
@@ -103,6 +105,7 @@
 	store := fleet.NewStore(o.Store, &http.Client{})
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM)
+	time.Sleep(o.RegisterAfter)
 	state, ticker := "ready", time.NewTicker(o.RegistrationInterval)
 	defer ticker.Stop()
 	var drained <-chan time.Time
