server/upstreamconn, server/gateway: orders answer to their own responses, and wait for slots

A response that arrives before the upstream has asked for the body was returned without asking Request.Matches. A late copy of the 421 of a forwarded request on a kept connection counted as the refusal of a renewal, which shows that the owner has ended, so that its keys were given away under its lease. TestCopyOfRefusalBeforeOrder failed before (no error).

The limit of 0.5 s until the upstream reads was that of the whole call. By reading: at an upstream that reads new connections later, releases yield no handover, first grants are not taken, and renewals lapse. A call that is not read is harmless, so it may wait longer than a response: a grant 1.5 s, a release 4 s on a new connection. On a kept one, which an upstream reads at once, the limit stays, and a connection attempt has 0.5 s as before.

Also: an order without a body is refused, it would be whole with its head; an order that was withdrawn when its time had ended counts as unsent. TestGrantChecksItsAuthorityLast: the check of the authority before the body, which no test covered.

--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// callReadTimeout bounds the time until an upstream begins to read a call: a new connection
-	// may wait until a slot is free.
-	callReadTimeout = 500 * time.Millisecond
+	// callReadTimeout bounds the time until an upstream begins to read a call on a connection that
+	// it has read before. On a new one, which may wait for a free slot, a grant waits for
+	// grantReadTimeout, which a lease that was just renewed outlasts, and a release for
+	// releaseTimeout.
+	callReadTimeout  = 500 * time.Millisecond
+	grantReadTimeout = 1500 * time.Millisecond
 	// grantTimeout bounds the response to a grant; upstreams respond within milliseconds.
 	grantTimeout = 500 * time.Millisecond
 	// releaseTimeout bounds the response to a release, which waits for running requests.
@@ -213,10 +216,10 @@
 func (q *callQueues) call(a ownership.Action, u *upstream) (done callOutcome) {
 	span := fleet.Span{First: a.Span.First, Last: a.Span.Last}
 	call, err := fleet.GrantCall(span, a.Fence, a.LeaseTTL, a.Handover)
-	timeout, kind := grantTimeout, "grant"
+	timeout, readTimeout, kind := grantTimeout, grantReadTimeout, "grant"
 	if a.Kind == ownership.Release {
 		call, err = fleet.ReleaseCall(span, a.Fence)
-		timeout, kind = releaseTimeout, "release"
+		timeout, readTimeout, kind = releaseTimeout, releaseTimeout, "release"
 	}
 	if err != nil {
 		q.log.Error().Str("event", "order_not_encoded").Err(err).Msg("")
@@ -248,7 +251,7 @@
 		OwnConn: a.Kind == ownership.Release || !a.Renewal,
 		// The call waits for its connection and for the upstream; the authority to send it may end
 		// in the meantime.
-		Order: &upstreamconn.Order{ReadTimeout: callReadTimeout, ResponseTimeout: timeout, MaySend: maySend},
+		Order: &upstreamconn.Order{ReadTimeout: callReadTimeout, NewConnReadTimeout: readTimeout, ResponseTimeout: timeout, MaySend: maySend},
 		// Responses with a request ID belong to forwarded requests.
 		Matches: func(_ int, header http.Header) bool { return fleet.ParseResponseHeaders(0, header).RequestID == "" },
 	})
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -25,6 +25,8 @@
 )
 
 const (
+	// orderDialTimeout bounds the time to open a connection for an order.
+	orderDialTimeout = 500 * time.Millisecond
 	// dialTimeout bounds the time to open a connection: a round trip takes a few
 	// milliseconds, a lost packet is retransmitted after a second.
 	dialTimeout = 700 * time.Millisecond
@@ -52,7 +54,7 @@
 	keepAlive = time.Second
 	// maxQuietTime is how long a connection may have been quiet before an order is sent on it.
 	// The kernel gives a connection up 2.5 s after the last sign of its peer at the earliest,
-	// and an order that shares a connection takes 0.5 s at most.
+	// and an order that shares a connection takes 1 s at most.
 	maxQuietTime = 1500 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged. It also decides when
 	// keep-alive probes without a reply end the connection, whatever their number.
@@ -74,6 +76,8 @@
 	ErrDialCancelled = errors.New("the upstreams cannot be reached from here: the attempt to connect was given up")
 	// ErrNotRead means that the upstream has not begun to read an order.
 	ErrNotRead = errors.New("the upstream did not ask for the body of the call in time: it must respond to Expect: 100-continue; the call was not carried out")
+	// ErrEmptyOrder means that an order has no body: it would be whole with its head.
+	ErrEmptyOrder = errors.New("an order needs a body: send it as another request")
 	// ErrOrderWithdrawn means that Order.MaySend has declined.
 	ErrOrderWithdrawn = errors.New("the sender of the call may not send it any more: the call was not carried out")
 	// ErrEarlyResponse means that a success arrived before the body of the order was sent.
@@ -138,9 +142,11 @@
 // connection; it does not if the kernel gives the connection up, or closes it for a killed
 // process. So each end of the connection is a reset.
 type Order struct {
-	// ReadTimeout bounds the time until the upstream begins to read, ResponseTimeout that from
-	// there to its response.
-	ReadTimeout, ResponseTimeout time.Duration
+	// ReadTimeout bounds the time until the upstream begins to read. NewConnReadTimeout takes its
+	// place on a new connection, which an upstream may read only when it has a free slot.
+	ReadTimeout, NewConnReadTimeout time.Duration
+	// ResponseTimeout bounds the time from there to the response.
+	ResponseTimeout time.Duration
 	// MaySend is asked immediately before the body leaves; nil stands for yes.
 	MaySend func() bool
 }
@@ -458,13 +464,10 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: err}
 	}
-	readCtx := ctx
-	if req.Order != nil {
-		var cancel context.CancelFunc
-		readCtx, cancel = context.WithTimeout(ctx, req.Order.ReadTimeout)
-		defer cancel()
+	if req.Order != nil && len(req.Body) == 0 {
+		return nil, &Error{Err: ErrEmptyOrder}
 	}
-	c, err := p.connection(readCtx, req)
+	c, opened, err := p.connection(ctx, req)
 	if err != nil {
 		return nil, err
 	}
@@ -476,8 +479,14 @@
 	if req.Order != nil {
 		if err := c.keepForOrder(req.OwnConn); err != nil {
 			c.Close()
-			return nil, &Error{Err: err}
+			return nil, &Error{Connected: true, Err: err}
 		}
+		limit := req.Order.ReadTimeout
+		if opened {
+			limit = req.Order.NewConnReadTimeout
+		}
+		readCtx, cancelRead := context.WithTimeout(ctx, limit)
+		defer cancelRead()
 		resp, err := p.awaitReader(readCtx, c, req, unsent.Bytes())
 		if err != nil {
 			c.abort(err)
@@ -504,37 +513,42 @@
 		c.abort(err)
 	}
 	if err != nil {
+		sent := !errors.Is(err, ErrOrderWithdrawn)
 		if ctx.Err() != nil {
 			err = errors.Wrap(ctx.Err(), err.Error())
 		}
-		return nil, &Error{Sent: !errors.Is(err, ErrOrderWithdrawn), Connected: true, Err: err}
+		return nil, &Error{Sent: sent, Connected: true, Err: err}
 	}
 	return resp, nil
 }
 
 // connection returns an idle connection or opens one.
-func (p *Pool) connection(ctx context.Context, req *Request) (*conn, error) {
+func (p *Pool) connection(ctx context.Context, req *Request) (c *conn, opened bool, err error) {
 	if !req.OwnConn {
 		if c := p.get(req); c != nil {
-			return c, nil
+			return c, false, nil
 		}
 	}
 	if req.Trace != nil {
 		req.Trace.NewConn = true
 	}
+	if req.Order != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, orderDialTimeout)
+		defer cancel()
+	}
 	began := time.Now()
-	c, err := p.dial(ctx)
-	if err != nil {
-		return nil, err
+	if c, err = p.dial(ctx); err != nil {
+		return nil, true, err
 	}
 	if req.CheckNewConn {
 		time.Sleep(min(time.Since(began), maxRoundTrip) + newConnWait)
 		if !c.usable() {
 			c.Close()
-			return nil, &Error{Err: ErrConnectionRejected}
+			return nil, true, &Error{Err: ErrConnectionRejected}
 		}
 	}
-	return c, nil
+	return c, true, nil
 }
 
 // awaitReader sends the head of an order and waits until the upstream asks for the body. If it
@@ -568,6 +582,9 @@
 			return nil, nil
 		case resp.StatusCode >= http.StatusOK:
 			final, _, err := p.readBody(c, req, resp)
+			if err == nil && req.Matches != nil && !req.Matches(final.Status, final.Header) {
+				err = ErrMismatchedResponse
+			}
 			return final, err
 		}
 	}
