--- a/core/election/election.go
+++ b/core/election/election.go
@@ -259,7 +259,7 @@
 	cfg        Config
 	startedAt  time.Duration
 	renewedAt  time.Duration // when the last renewal that the store has answered was sent
-	sentAt     time.Duration // when the last renewal that the store may hold was sent
+	sentAt     time.Duration // not before the time that the last renewal states that the store may hold
 	renewUntil time.Duration
 	peers      map[api.VMID]*peer
 	// missing is the number of VMs that the predecessor knew and that have not
@@ -277,8 +277,9 @@
 	}
 }
 
-// Renewing records that a renewal is sent. Until the store has answered, it may hold it or not.
-func (a *Authority) Renewing(now time.Duration) { a.sentAt = now }
+// Renewing records that a renewal is sent, and an upper bound of the time that it states. Until
+// the store has answered, it may hold it or not.
+func (a *Authority) Renewing(stated time.Duration) { a.sentAt = stated }
 
 // Renewed records that the store holds a renewal that was sent at the given time.
 func (a *Authority) Renewed(sent time.Duration) {
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -121,3 +121,21 @@
 		require.Equal(t, c.want, election.NewCaretaker(cfg, received, c.reported, promises).RenewUntil(received))
 	}
 }
+
+// TestHandoverAfterLateStatedRenewal guards against a granter that hands over while the age of its
+// lease, which counts from the time that the row states, lets the next process of its VM reckon
+// with no caretaker.
+func TestHandoverAfterLateStatedRenewal(t *testing.T) {
+	cfg := election.DefaultConfig()
+	const stated = 700 * time.Millisecond // after the moment from which the granter counts
+	a := election.NewAuthority(cfg, 0, 1)
+	a.Renewing(stated)
+	a.Joined("vm-b")
+	for _, now := range []time.Duration{cfg.StoreTimeout + time.Millisecond, stated + cfg.StoreTimeout} {
+		a.Promised("vm-b", now, cfg.PromiseTTL)
+		_, ok := a.HandOver(now, "vm-a", "vm-b")
+		require.False(t, ok, "%v", now)
+	}
+	_, ok := a.HandOver(stated+cfg.StoreTimeout+time.Millisecond, "vm-a", "vm-b")
+	require.True(t, ok)
+}
--- a/server/gateway/clock.go
+++ b/server/gateway/clock.go
@@ -43,4 +43,9 @@
 	return (c.at(boot) + c.delay + time.Millisecond - 1).Milliseconds()
 }
 
+// latestLocal returns an upper bound of the time on bootTime that latestMs states for a time.
+func (c sharedClock) latestLocal(boot time.Duration) time.Duration {
+	return boot + 2*c.delay + time.Millisecond
+}
+
 func (c sharedClock) at(boot time.Duration) time.Duration { return boot + c.offset }
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -457,6 +457,7 @@
 		Dur("moves_in_ms", max(predecessor.Until-sent, 0)).Dur("predecessor_age_ms", previous.age).Dur("predecessor_hold_ms", predecessor.MaxLeaseTTL).Bool("predecessor_ended", predecessor.Until <= previous.readAt).Msg("")
 	// The lease counts from before the moment that its row states.
 	authority := election.NewAuthority(election.DefaultConfig(), state.requestedAt, previous.VMs)
+	authority.Renewing(sent) // after that moment
 	e.runGranter(ctx, newGranter(e, next, state.condition().after(page.Version), authority, state.requestedAt, predecessor, state))
 }
 
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -36,7 +36,7 @@
 	services := slices.Collect(maps.Keys(g.pendingWrites))
 	g.pendingWrites = make(map[api.ServiceName][]ownership.Entry)
 	g.writing, g.rewrite = true, false
-	g.authority.Renewing(now)
+	g.authority.Renewing(clock.latestLocal(now))
 	go g.write(ctx, now, next, services, puts)
 }
 
