--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -4,12 +4,9 @@
 package soak
 
 import (
-	"bufio"
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,7 +17,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -79,15 +75,6 @@
 	{102, "the check counted a grant call that was queued while the upstream was paused as a new lease"},
 }
 
-// Report is the result of a run.
-type Report struct {
-	// The numbers of requests by outcome. Refused requests did not run; for ConnRefused
-	// the VM did not listen.
-	Calls, Answered, Refused, ConnRefused, Failed int
-	// Plan lists the actions that were taken, Violations the guarantees that were broken.
-	Plan, Violations []string
-}
-
 const (
 	// registrationsMissed is after how many intervals without one an upstream's registration is
 	// removed from the store.
@@ -358,35 +345,6 @@
 	return nil
 }
 
-// The ports of the processes are below those that the kernel gives to outgoing connections: one
-// of these could take a port while its process is down.
-const (
-	firstPort = 10000
-	portCount = 20000
-	portTries = 100
-)
-
-// nextPort counts the ports that were tried, from a random start: other runs may be active.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(rand.Int64N(portCount)) }
-
-func freePort(ip string) (port int, err error) {
-	for range portTries {
-		port = firstPort + int(nextPort.Add(1)%portCount)
-		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port)); err == nil {
-			return port, errors.Wrap(l.Close(), "close a listener")
-		}
-	}
-	return 0, errors.Wrap(err, "find a free port")
-}
-
-func freeAddress(ip string) (string, error) {
-	port, err := freePort(ip)
-	return fmt.Sprintf("%s:%d", ip, port), err
-}
-
 // restart restarts a process each time it exits.
 func (d *deployment) restart(ctx context.Context, p *process) {
 	for {
@@ -614,57 +572,3 @@
 	c.Stalls, c.LoadStart = copyOf(d.stalls), d.loadStart
 	return c
 }
-
-// writeHistory writes the events of the upstreams in order: the time since the load began, the
-// upstream, its incarnation, the VM, and for how long a grant was there before it was taken.
-func (d *deployment) writeHistory() error {
-	file, err := createLog(filepath.Join(d.Dir, "history.log"))
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	events, _, _ := d.history.snapshot()
-	out := bufio.NewWriter(file)
-	for _, e := range sortedEvents(events) {
-		text, err := json.Marshal(e.Event)
-		if err != nil {
-			return errors.Wrap(err, "encode an event")
-		}
-		waited := e.At - cmp.Or(e.arrived, e.At)
-		fmt.Fprintf(out, "%.6f %s %d %s %.6f %s\n", (e.At - d.loadStart).Seconds(), e.Upstream, e.Incarnation, cmp.Or(e.sender.name(), "-"), waited.Seconds(), text)
-	}
-	return errors.Wrap(out.Flush(), "write the history")
-}
-
-func (d *deployment) countOutcomes(report *Report) {
-	_, calls, _ := d.history.snapshot()
-	for _, c := range calls {
-		report.Calls++
-		switch {
-		case c.Status == http.StatusOK:
-			report.Answered++
-		case c.Status == http.StatusServiceUnavailable:
-			report.Refused++
-		case errors.Is(c.Err, syscall.ECONNREFUSED):
-			report.ConnRefused++
-		default:
-			report.Failed++
-		}
-	}
-}
-
-// Summary returns the report in one line.
-func (r *Report) Summary() string {
-	return fmt.Sprintf("%d requests: %d answered, %d refused, %d connections refused, %d failed; %d actions; %d violations",
-		r.Calls, r.Answered, r.Refused, r.ConnRefused, r.Failed, len(r.Plan), len(r.Violations))
-}
-
-// Print writes the summary and, if there are violations, the plan and the first of them.
-func (r *Report) Print(w io.Writer, seed uint64) error {
-	text := fmt.Sprintf("seed %d: %s\n", seed, r.Summary())
-	if len(r.Violations) > 0 {
-		text += "plan:\n  " + strings.Join(r.Plan, "\n  ") + "\nviolations:\n  " + strings.Join(r.Violations[:min(len(r.Violations), 30)], "\n  ") + "\n"
-	}
-	_, err := io.WriteString(w, text)
-	return errors.Wrap(err, "write the report")
-}
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -8,12 +8,10 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -134,23 +132,6 @@
 	Matches func(status int, header http.Header) bool
 }
 
-// Order says how a request that must not be carried out late is sent. Its body leaves once the
-// upstream has begun to read it ("Expect: 100-continue"): a request that is whole can wait in the
-// upstream's receive buffer, and the reset of a connection that is given up can be lost.
-//
-// Bytes that a cut of the network holds up arrive when it heals, unless the sender resets the
-// connection; it does not if the kernel gives the connection up, or closes it for a killed
-// process. So each end of the connection is a reset.
-type Order struct {
-	// ReadTimeout bounds the time until the upstream begins to read. NewConnReadTimeout takes its
-	// place on a new connection, which an upstream may read only when it has a free slot.
-	ReadTimeout, NewConnReadTimeout time.Duration
-	// ResponseTimeout bounds the time from there to the response.
-	ResponseTimeout time.Duration
-	// MaySend is asked immediately before the body leaves; nil stands for yes.
-	MaySend func() bool
-}
-
 // Trace says how a request was sent.
 type Trace struct {
 	// NewConn means that its connection was opened for it.
@@ -159,13 +140,6 @@
 	SentAt time.Time
 }
 
-// Response is a complete response.
-type Response struct {
-	Status int
-	Header http.Header
-	Body   []byte
-}
-
 // Connections is the set of connections on which a request was sent.
 type Connections struct{ conns []*conn }
 
@@ -235,31 +209,6 @@
 	resets bool
 }
 
-// boundedReader fails after a number of bytes.
-type boundedReader struct {
-	source io.Reader
-	left   int64
-	// err is the error after the last byte; exceeded means that it was returned.
-	err      error
-	exceeded bool
-}
-
-// allow permits a number of bytes from now on, and sets the error after them.
-func (r *boundedReader) allow(bytes int64, err error) {
-	r.left, r.err, r.exceeded = bytes, err, false
-}
-
-// Read implements io.Reader.
-func (r *boundedReader) Read(p []byte) (int, error) {
-	if r.left <= 0 {
-		r.exceeded = true
-		return 0, r.err
-	}
-	n, err := r.source.Read(p[:min(int64(len(p)), r.left)])
-	r.left -= int64(n)
-	return n, err
-}
-
 // Close closes the idle connections; those in use are closed when their exchange ends.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -318,34 +267,6 @@
 	p.idle = append(p.idle, c)
 }
 
-// keepForOrder makes every end of the connection a reset. alone means that it carries nothing
-// but the order: its limit ends the exchange, and the kernel must not do so before.
-func (c *conn) keepForOrder(alone bool) error {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || c.resets {
-		return nil
-	}
-	if err := tcp.SetLinger(0); err != nil {
-		return errors.Wrap(err, "make the connection reset when it ends")
-	}
-	c.resets = true
-	if !alone {
-		return nil
-	}
-	if err := tcp.SetKeepAlive(false); err != nil {
-		return errors.Wrap(err, "switch keep-alive probes off")
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "access the socket")
-	}
-	var setErr error
-	if err := raw.Control(func(fd uintptr) { setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 0) }); err != nil {
-		return errors.Wrap(err, "access the socket")
-	}
-	return errors.Wrap(setErr, "switch the user timeout off")
-}
-
 // abort closes the connection. After a failure it resets it, so that the kernel does not
 // continue to send a request that was given up.
 func (c *conn) abort(failure error) {
@@ -551,45 +472,6 @@
 	return c, true, nil
 }
 
-// awaitReader sends the head of an order and waits until the upstream asks for the body. If it
-// responds instead, with a refusal, the response is returned and the connection must be closed.
-func (p *Pool) awaitReader(ctx context.Context, c *conn, req *Request, head []byte) (*Response, error) {
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	resp, err := p.sendHead(c, req, head)
-	switch {
-	case !stop():
-		return nil, ErrNotRead
-	case err != nil:
-		return nil, err
-	case resp != nil && resp.Status < http.StatusMultipleChoices:
-		return nil, ErrEarlyResponse
-	}
-	return resp, nil
-}
-
-// sendHead sends a head and returns nil once the upstream asks for the body, or its response.
-func (p *Pool) sendHead(c *conn, req *Request, head []byte) (*Response, error) {
-	if _, err := c.Write(head); err != nil {
-		return nil, errors.Wrap(err, "send the head of a call")
-	}
-	c.bounded.allow(p.limits.Head, ErrHeadTooLarge)
-	for {
-		resp, err := p.readHead(c, req)
-		switch {
-		case err != nil:
-			return nil, err
-		case resp.StatusCode == http.StatusContinue:
-			return nil, nil
-		case resp.StatusCode >= http.StatusOK:
-			final, _, err := p.readBody(c, req, resp)
-			if err == nil && req.Matches != nil && !req.Matches(final.Status, final.Header) {
-				err = ErrMismatchedResponse
-			}
-			return final, err
-		}
-	}
-}
-
 // exchange sends the head, unless it is empty, and the body. It returns the response and for how long the connection may stay idle, 0 if it
 // must be closed.
 func (p *Pool) exchange(c *conn, req *Request, head *bytes.Buffer) (*Response, time.Duration, error) {
@@ -658,62 +540,3 @@
 	head.WriteString("\r\n")
 	return head
 }
-
-func (p *Pool) readResponse(c *conn, req *Request) (*Response, time.Duration, error) {
-	c.bounded.allow(p.limits.Head, ErrHeadTooLarge)
-	for {
-		resp, err := p.readHead(c, req)
-		if err != nil {
-			return nil, 0, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return p.readBody(c, req, resp)
-		}
-	}
-}
-
-// readHead reads the head of a response, which may be informational.
-func (p *Pool) readHead(c *conn, req *Request) (*http.Response, error) {
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
-	if c.bounded.exceeded {
-		// The parser may have failed on the line that was cut.
-		err = ErrHeadTooLarge
-	}
-	return resp, errors.Wrap(err, "read the upstream's response")
-}
-
-// readBody reads the body of a response. It returns for how long the connection may stay
-// idle, 0 if it must be closed.
-func (p *Pool) readBody(c *conn, req *Request, resp *http.Response) (*Response, time.Duration, error) {
-	c.bounded.allow(bodyOverhead*p.limits.Body, ErrBodyTooLarge)
-	body, err := req.Buffers.ReadAll(resp.Body, p.limits.Body)
-	if errors.Is(err, buffers.ErrTooLarge) {
-		err = ErrBodyTooLarge
-	}
-	if err != nil {
-		// Closing the body would read the rest of it.
-		return nil, 0, errors.Wrap(err, "read the body of the upstream's response")
-	}
-	idle := idleTimeout(resp)
-	if c.reader.Buffered() > 0 {
-		idle = 0
-	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, idle, nil
-}
-
-// idleTimeout returns for how long a connection may stay idle after a response.
-func idleTimeout(resp *http.Response) time.Duration {
-	if resp.Close {
-		return 0
-	}
-	for _, field := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if s, err := strconv.Atoi(value); err == nil {
-			return time.Duration(float64(s) * idleTimeoutShare * float64(time.Second))
-		}
-	}
-	return defaultIdleTimeout
-}
