server/gateway: a test of quarantines waits for its requests

The requests that fill the upstream ended after the test, whose end closes their connections. The test now waits for them; its assertions are the same.

--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -410,6 +410,8 @@
 	u := g.control.view().upstreams["p1"]
 	held, released := make(chan struct{}, 100), make(chan struct{})
 	release := sync.OnceFunc(func() { close(released) })
+	var filling sync.WaitGroup
+	defer filling.Wait()
 	defer release()
 	fake.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
 		held <- struct{}{}
@@ -418,7 +420,7 @@
 	})
 	limit := int(u.limit.Load())
 	for n := range limit {
-		go d.send(g, strconv.Itoa(n), plainPath, -1, 15*time.Second)
+		filling.Go(func() { d.send(g, strconv.Itoa(n), plainPath, -1, 15*time.Second) })
 	}
 	for range limit {
 		receiveWithin(t, held, "requests fill the upstream")
