--- a/bench/soak/owner.go
+++ b/bench/soak/owner.go
@@ -44,7 +44,8 @@
 }
 
 // afterThaw reports whether a grant arrived so soon after its sender was thawed or its link
-// healed that it does not count, even if the upstream took it later. Any VM may be the sender of a grant whose sender is unknown.
+// healed that it does not count, even if the upstream took it later. Any VM may be the sender of a
+// grant whose sender is unknown.
 func (c *conditions) afterThaw(e *recordedEvent) bool {
 	arrived := cmp.Or(e.arrived, e.At)
 	if followsEnd(c.LinkFaults[e.Upstream], arrived) {
--- a/server/gateway/callqueue.go
+++ b/server/gateway/callqueue.go
@@ -246,8 +246,9 @@
 		// The address may belong to another upstream by now, which must not take these
 		// keys.
 		Header: http.Header{"Content-Type": {"application/json"}, fleet.HeaderExpectedUpstream: {string(u.id)}},
-		// Responses to calls carry no ID. A late copy of one does no harm to the renewal of a
-		// lease: it is taken to run longer than it does.
+		// Responses to calls carry no ID. A late copy of one ends a renewal whose body was not sent;
+		// after that it is taken for the response, and the lease to run longer than it does, unless
+		// a cut holds the body up.
 		OwnConn: a.Kind == ownership.Release || !a.Renewal,
 		// The call waits for its connection and for the upstream; the authority to send it may end
 		// in the meantime.
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -472,8 +472,8 @@
 	return c, true, nil
 }
 
-// exchange sends the head, unless it is empty, and the body. It returns the response and for how long the connection may stay idle, 0 if it
-// must be closed.
+// exchange sends the head, unless it is empty, and the body. It returns the response and for how
+// long the connection may stay idle, 0 if it must be closed.
 func (p *Pool) exchange(c *conn, req *Request, head *bytes.Buffer) (*Response, time.Duration, error) {
 	written := make(chan error, 1)
 	if req.Order != nil && req.Order.MaySend != nil && !req.Order.MaySend() {
