--- a/review/standin2/drain.go
+++ b/review/standin2/drain.go
@@ -37,16 +37,19 @@
 
 func playDrain(c *caseRun) (broken bool, err error) {
 	zones := []string{"a", "b", "c", "d"}
-	s, err := startSystem(c.dir, c.gateway, c.rec, drainVMs, zones, fmt.Sprintf(`{"Version":"r3","Routes":{
+	s, err := newSystem(c.dir, c.gateway, c.rec, drainVMs, zones, fmt.Sprintf(`{"Version":"r3","Routes":{
 		"r-1":{"Host":%q,"Prefix":%q,"RouteType":"non_idempotent","TimeoutS":%g,"TargetLatencyS":0.5,"Priority":0,"Service":"plain","MaxAttempts":2}},
 		"Services":{"plain":{"HealthPath":"/health","MaxConns":130,"Protocol":"h1","Tls":false,"ColdStartS":3.0,"ColdPerS":3.1}},
 		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutS":3,"IdleTimeoutS":15}}`, host, route, drainDeadline.Seconds()))
-	if s != nil {
-		defer s.stop()
-	}
 	if err != nil {
 		return false, err
 	}
+	defer s.stop()
+	for range drainVMs {
+		if err := s.startVM(s.storeAddress); err != nil {
+			return false, err
+		}
+	}
 	started := 0
 	start := func(cold time.Duration) (*worker, error) {
 		started++
--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -93,6 +93,10 @@
 	store *fakefleet.Store
 	vms   []*vm
 	http  []*http.Server
+
+	gateway, storeAddress string
+	zones, ips            []string
+	ports                 [4]int
 }
 
 // freePort returns a port that is free at all the given addresses.
@@ -119,8 +123,8 @@
 	return 0, fmt.Errorf("no port is free at all of %v", ips)
 }
 
-// startSystem starts the store and the VMs, with the settings of deploy/settings.jsonc.
-func startSystem(dir, gateway string, rec *recorder, vms int, zones []string, configuration string) (*system, error) {
+// newSystem starts the store, and prepares VMs with the settings of deploy/settings.jsonc.
+func newSystem(dir, gateway string, rec *recorder, vms int, zones []string, configuration string) (*system, error) {
 	s := &system{dir: dir, rec: rec, store: fakefleet.NewStore()}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -140,37 +144,44 @@
 			return nil, err
 		}
 	}
-	for i, ip := range ips {
-		v := &vm{name: fmt.Sprintf("edge-%d", i+1), ip: ip, callers: fmt.Sprintf("%s:%d", ip, ports[0]), health: fmt.Sprintf("%s:%d", ip, ports[1])}
-		path := filepath.Join(dir, v.name+".jsonc")
-		settings := fmt.Sprintf(`{"vm":%q,"failure_domain":%q,"listen":{"callers":%q,"health":%q,"peers":"%s:%d","metrics":"%s:%d"},
-			"store":%q,"seeds":[%q],"bounds":{"grace":"6s","drain":"2s","hold":"10s","repeat_window":"10s","repeat_ratio":0.2,"repeat_slack":62},"memory_mb":284}`,
-			v.name, zones[i%len(zones)], v.callers, v.health, ip, ports[2], ip, ports[3], l.Addr().String(), ips[0])
-		if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
-			return nil, err
-		}
-		v.cmd = exec.Command(gateway, "gateway", "-settings", path)
-		logFile, err := os.Create(filepath.Join(dir, v.name+".log"))
-		if err != nil {
-			return nil, err
-		}
-		v.cmd.Stdout, v.cmd.Stderr = logFile, logFile
-		if err := v.cmd.Start(); err != nil {
-			return nil, err
-		}
-		if err := notePID(dir, v.cmd.Process.Pid); err != nil {
-			return nil, err
-		}
-		v.ended = make(chan struct{})
-		go func() {
-			v.cmd.Wait()
-			close(v.ended)
-		}()
-		s.vms = append(s.vms, v)
-	}
+	s.storeAddress, s.zones, s.gateway = l.Addr().String(), zones, gateway
+	s.ips, s.ports = ips, ports
 	return s, nil
 }
 
+// startVM starts the next VM, which calls the store at an address.
+func (s *system) startVM(store string) error {
+	i := len(s.vms)
+	ip := s.ips[i]
+	v := &vm{name: fmt.Sprintf("edge-%d", i+1), ip: ip, callers: fmt.Sprintf("%s:%d", ip, s.ports[0]), health: fmt.Sprintf("%s:%d", ip, s.ports[1])}
+	path := filepath.Join(s.dir, v.name+".jsonc")
+	settings := fmt.Sprintf(`{"vm":%q,"failure_domain":%q,"listen":{"callers":%q,"health":%q,"peers":"%s:%d","metrics":"%s:%d"},
+		"store":%q,"seeds":[%q],"bounds":{"grace":"6s","drain":"2s","hold":"10s","repeat_window":"10s","repeat_ratio":0.2,"repeat_slack":62},"memory_mb":284}`,
+		v.name, s.zones[i%len(s.zones)], v.callers, v.health, ip, s.ports[2], ip, s.ports[3], store, s.ips[0])
+	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
+		return err
+	}
+	v.cmd = exec.Command(s.gateway, "gateway", "-settings", path)
+	logFile, err := os.Create(filepath.Join(s.dir, v.name+".log"))
+	if err != nil {
+		return err
+	}
+	v.cmd.Stdout, v.cmd.Stderr = logFile, logFile
+	if err := v.cmd.Start(); err != nil {
+		return err
+	}
+	if err := notePID(s.dir, v.cmd.Process.Pid); err != nil {
+		return err
+	}
+	v.ended = make(chan struct{})
+	go func() {
+		v.cmd.Wait()
+		close(v.ended)
+	}()
+	s.vms = append(s.vms, v)
+	return nil
+}
+
 // notePID adds a process to the list of those that the script ends if the stand-in does not.
 func notePID(dir string, pid int) error {
 	f, err := os.OpenFile(filepath.Join(dir, "pids"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -67,17 +67,19 @@
 	return w, nil
 }
 
-// register writes the entry of the worker. The store has accepted it on return.
+// register writes the entry of the worker unless it would change in Sequence alone. The store has
+// accepted it on return.
 func (w *worker) register() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.gone {
-		return
-	}
 	w.sequence++
-	w.store.Put(fleet.TableUpstreams, w.id, fmt.Appendf(nil,
-		`{"Address":%q,"born":%d,"Info":{"Service":%q,"Version":"v1","Zone":%q,"MaxConcurrency":%d},"Status":{"State":%q,"Sequence":%d,"ColdLeftS":%.2f}}`,
-		w.address, w.born, w.service, w.zone, w.slots, w.state, w.sequence, max(time.Until(w.coldUntil).Seconds(), 0)))
+	cold := max(time.Until(w.coldUntil).Seconds(), 0)
+	if content := fmt.Sprint(w.state, cold); !w.gone && content != w.written {
+		w.written = content
+		w.store.Put(fleet.TableUpstreams, w.id, fmt.Appendf(nil,
+			`{"Address":%q,"born":%d,"Info":{"Service":%q,"Version":"v1","Zone":%q,"MaxConcurrency":%d},"Status":{"State":%q,"Sequence":%d,"ColdLeftS":%.2f}}`,
+			w.address, w.born, w.service, w.zone, w.slots, w.state, w.sequence, cold))
+	}
 }
 
 // beat renews the entry at each heartbeat.
