--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -45,6 +45,7 @@
 	work     time.Duration
 	state    string
 	sequence int
+	written  string // what the entry says beside Sequence
 	gone     bool
 	stop     chan struct{}
 }
