--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,7 +23,7 @@
 	dir := flag.String("dir", "", "temporary folder")
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
-	cases := map[string]func(c *caseRun) (broken bool, err error){"drain": playDrain, "regress": playRegress}
+	cases := map[string]func(c *caseRun) (broken bool, err error){"drain": playDrain, "regress": playRegress, "poison": playPoison}
 	play := cases[*scenario]
 	if play == nil || *dir == "" {
 		fmt.Fprintln(os.Stderr, "standin2: name a case and a temporary folder")
--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -227,8 +227,12 @@
 
 // post sends one request on a new connection and records the answer.
 func (s *system) post(v *vm, id string, deadline time.Duration) {
+	s.postTo(v, route+id, id, deadline)
+}
+
+func (s *system) postTo(v *vm, path, id string, deadline time.Duration) {
 	client := &http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(http.MethodPost, "http://"+v.callers+route+id, strings.NewReader("one order"))
+	req, err := http.NewRequest(http.MethodPost, "http://"+v.callers+path, strings.NewReader("one order"))
 	if err != nil {
 		panic(err)
 	}
