--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,4 +2,5 @@
 # BUDGET: a request that crashes workers is let through again after each kill of all VMs.
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../play-2.sh"
-play poison "$here"
+# TROUBLE=0 plays the same without the disruption, and must pass.
+play poison "$here" "${TROUBLE:-1}"
--- a/review/play-2.sh
+++ b/review/play-2.sh
@@ -1,5 +1,5 @@
-# play CASE FOLDER plays a case of standin2. The exit code is that of the case: 1 if the rule was
-# broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# play CASE FOLDER TROUBLE plays a case of standin2, without the disruption if TROUBLE is 0. The exit
+# code is that of the case: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 play() {
   local root dir code=0 trouble=true pid
   root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
@@ -7,7 +7,7 @@
   for program in target/dandelionhilld review/bin/standin2; do
     [ -x "$program" ] || { echo "$program is missing: run the build of the deploy file and review/build-2.sh" >&2; return 2; }
   done
-  [ "${TROUBLE:-1}" = 0 ] && trouble=false
+  [ "$3" = 0 ] && trouble=false
   dir=$(mktemp -d) || return 2
   : >"$2/record.txt"
   timeout -k 2 112 review/bin/standin2 -case "$1" -trouble=$trouble -dir "$dir" -record "$2/record.txt" || code=$?
