bench/soak: workspaces with keys that are replaced, a quota, large responses

Change: -workspaces gives callers keys of four workspaces, of which one has a quota; keys are replaced while VMs are killed, cut off and restarted, some requests use removed or unknown keys and a forged workspace header; a route of type download has responses of 300 KB, half of them read slowly. New checks: no run with a removed or unknown key or for another workspace, no 401 for a key that is in force, no window above the quota, no short response that looks complete.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -61,6 +61,7 @@
 	f.StringVar(&c.size, "size", "", "grown: 77 VMs and 222 keyed upstreams, with few requests and a longer run")
 	f.BoolVar(&c.options.KeyFaults, "key-faults", false, "pause VMs in series, cut failure domains, run upstreams that take calls late")
 	f.BoolVar(&c.options.Restores, "restores", false, "restore the store from older copies")
+	f.BoolVar(&c.options.Workspaces, "workspaces", false, "callers with keys that are replaced, a quota, large responses and slow readers")
 	f.DurationVar(&c.options.Duration, "length", 20*time.Second, "how long faults are injected")
 }
 
--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -108,6 +108,8 @@
 	Stalls []span
 	// LoadStart is when the load started.
 	LoadStart time.Duration
+	// Keys are the keys of workspaces, empty if the deployment has none.
+	Keys []apiKey
 }
 
 // snapshot copies the history so far.
@@ -135,6 +137,7 @@
 	found = append(found, wrongOutcomes(runs, calls)...)
 	found = append(found, badResponses(runs, calls, c)...)
 	found = append(found, staleConfigurations(calls, changes, c)...)
+	found = append(found, checkWorkspaces(events, calls, c)...)
 	found = append(found, runsInEvacuatedDomains(events, calls, changes, c)...)
 	return found
 }
@@ -218,7 +221,7 @@
 		if !c.idempotent() && runs[c.ID] > 1 {
 			found = append(found, fmt.Sprintf("%s ran %d times", c.ID, runs[c.ID]))
 		}
-		refused := c.Status == http.StatusServiceUnavailable || c.Status == http.StatusNotFound || c.Status == http.StatusTooManyRequests
+		refused := c.Status == http.StatusServiceUnavailable || c.Status == http.StatusNotFound || c.Status == http.StatusTooManyRequests || c.Status == http.StatusUnauthorized
 		if refused && runs[c.ID] > 0 {
 			found = append(found, fmt.Sprintf("%s was refused as not run (%d) and ran", c.ID, c.Status))
 		}
@@ -232,8 +235,10 @@
 	for _, req := range calls {
 		vm := req.VM
 		switch {
-		case req.Status == http.StatusOK && !strings.HasSuffix(req.Body, " ran "+req.ID):
-			found = append(found, fmt.Sprintf("%s got the response %q", req.ID, req.Body))
+		case req.Err == nil && req.Status == http.StatusOK && !strings.HasSuffix(req.Body, " ran "+req.ID), req.Large && req.complete() && len(req.Body) < largeBytes:
+			found = append(found, fmt.Sprintf("%s got the response %q with %d bytes", req.ID, req.Body[:min(len(req.Body), 100)], len(req.Body)))
+		case req.Large && req.Status == http.StatusOK:
+			// A large response may be late, and may end early in a way that its caller sees.
 		case overlaps(c.Down[vm], req.Sent, req.Ended+closeRaceWindow), overlaps(c.Paused[vm], req.Sent-faultEffectTime, req.Ended), overlaps(c.Stalls, req.Sent, req.Ended):
 		case req.Err != nil && errors.Is(req.Err, syscall.ECONNREFUSED) && overlaps(c.Stopping[vm], req.Sent, req.Ended+closeRaceWindow):
 		case req.Err != nil && runs[req.ID] == 0 && req.Ended-req.Sent < closeRaceWindow && overlaps(c.Stopping[vm], req.Sent, req.Ended+closeRaceWindow):
@@ -261,7 +266,7 @@
 	sort.Slice(calls, func(i, j int) bool { return calls[i].Sent < calls[j].Sent })
 	observed := make(map[string][]version) // by VM, in the order in which requests were sent
 	for _, req := range calls {
-		if req.Key >= 0 || req.Status != http.StatusOK {
+		if req.Key >= 0 || req.Large || req.Status != http.StatusOK {
 			continue
 		}
 		minVersion := 0
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -84,6 +84,9 @@
 			}
 		}
 	}
+	if d.Workspaces {
+		actions = append(actions, d.planKeyRotations(rand.New(rand.NewPCG(d.Seed, 4)), duration)...)
+	}
 	if d.KeyFaults {
 		actions = append(actions, d.planKeyFaults(rand.New(rand.NewPCG(d.Seed, 3)), duration)...)
 	}
--- a/bench/soak/report.go
+++ b/bench/soak/report.go
@@ -51,7 +51,7 @@
 		switch {
 		case c.Status == http.StatusOK:
 			report.Answered++
-		case c.Status == http.StatusServiceUnavailable:
+		case c.Status == http.StatusServiceUnavailable, c.Status == http.StatusTooManyRequests, c.Status == http.StatusUnauthorized:
 			report.Refused++
 		case errors.Is(c.Err, syscall.ECONNREFUSED):
 			report.ConnRefused++
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -48,6 +48,9 @@
 	BoundHistory bool
 	// Restores adds restores of the store from older copies.
 	Restores bool
+	// Workspaces adds workspaces whose keys are replaced during the run, one of them with a quota,
+	// and requests with large responses.
+	Workspaces bool
 	// GatewayBinary is the path of the daemon, SoakBinary that of the program that runs
 	// upstreams.
 	GatewayBinary, SoakBinary string
@@ -129,7 +132,9 @@
 	history   history
 	senders   *senders
 	longRuns  atomic.Bool // whether callers send requests that run for long
-	closers   []func()
+	// workspaces is nil unless Options.Workspaces is set.
+	workspaces *workspaces
+	closers    []func()
 
 	// operator orders the writes of operators; it guards version and domainsOut.
 	operator   sync.Mutex
@@ -148,6 +153,12 @@
 	d := &deployment{Options: o, store: fakes.NewStore(), domains: []string{"a", "b", "c"}, storeFaults: make(map[string][]span), domainsOut: make(map[string]bool)}
 	d.RegistrationInterval = cmp.Or(d.RegistrationInterval, 500*time.Millisecond)
 	d.senders = newSenders(d.processIDs)
+	if o.Workspaces {
+		d.workspaces = &workspaces{}
+		for n := range workspaceCount {
+			d.workspaces.add(workspaceName(n))
+		}
+	}
 	defer d.close()
 	if err := d.build(); err != nil {
 		return nil, err
@@ -395,8 +406,17 @@
 func (d *deployment) configure() {
 	d.operator.Lock()
 	defer d.operator.Unlock()
+	d.nextConfiguration(nil)
+}
+
+// nextConfiguration writes the next configuration, from which keys are removed; d.operator is held.
+func (d *deployment) nextConfiguration(removed []string) {
 	d.version++
-	d.history.addChange(change{At: d.putConfiguration(), Service: d.unkeyedService()})
+	at := d.putConfiguration()
+	d.history.addChange(change{At: at, Service: d.unkeyedService()})
+	if d.workspaces != nil {
+		d.workspaces.acknowledge(at, removed)
+	}
 }
 
 // unkeyedService returns the service of the present configuration; d.operator is held.
@@ -408,12 +428,17 @@
 	for _, name := range unkeyedServices {
 		services += fmt.Sprintf(`%q:{"HealthPath":"/health","MaxConns":60,"ColdStartS":0,"ColdPerS":50},`, name)
 	}
+	large, tenants := "", ""
+	if d.workspaces != nil {
+		large = fmt.Sprintf(`,"l":{"Host":%q,"Prefix":%q,"RouteType":"download","TimeoutS":4,"TargetLatencyS":2,"Service":%q,"MaxAttempts":2}`, soakHost, largePath, d.unkeyedService())
+		tenants = `,"Tenants":` + string(d.workspaces.tenants())
+	}
 	d.store.Put(fleet.TableOperator, fleet.KeyConfiguration, fmt.Appendf(nil, `{"Version":"r%d","Routes":{
 		"k":{"Host":%[2]q,"Prefix":%[3]q,"RouteType":"non_idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":"keyed","MaxAttempts":2},
-		"p":{"Host":%[2]q,"Prefix":%[4]q,"RouteType":"idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":%[5]q,"MaxAttempts":2}},
+		"p":{"Host":%[2]q,"Prefix":%[4]q,"RouteType":"idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":%[5]q,"MaxAttempts":2}%[7]s},
 		"Services":{%[6]s"keyed":{"HealthPath":"/health","MaxConns":60,"ColdStartS":0,"ColdPerS":50,"Sharded":true,"WarmupS":1}},
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,"HeaderTimeoutS":3,"IdleTimeoutS":15}}`,
-		d.version, soakHost, keyedPath, unkeyedPath, d.unkeyedService(), services))
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,"HeaderTimeoutS":3,"IdleTimeoutS":15}%[8]s}`,
+		d.version, soakHost, keyedPath, unkeyedPath, d.unkeyedService(), services, large, tenants))
 	return monotonic()
 }
 
@@ -458,6 +483,9 @@
 		for n := range d.CallersPerVM {
 			c := newCaller(v.name, v.callerAddr, i*d.CallersPerVM+n+1, d.Seed)
 			c.longRuns = d.longRuns.Load
+			if d.workspaces != nil {
+				c.apiKey = func() string { return d.workspaces.pick(c.rng) }
+			}
 			callers.Go(func() { c.run(load, &d.history, d.Pause) })
 		}
 	}
@@ -499,7 +527,7 @@
 func (d *deployment) waitServing(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for i, v := range d.vms {
-		c := newCaller(v.name, v.callerAddr, 900+i, d.Seed)
+		c := d.newProbe(v, 900+i)
 		for c.send(1).Status != http.StatusOK || c.send(-1).Status != http.StatusOK {
 			if time.Now().After(deadline) {
 				return errors.Errorf("%s does not serve after %v: see its log in %s", v.name, limit, d.Dir)
@@ -518,7 +546,7 @@
 	for i, v := range d.vms {
 		free <- struct{}{}
 		probes.Go(func() {
-			unserved[i] = d.probe(v, newCaller(v.name, v.callerAddr, 950+i, d.Seed))
+			unserved[i] = d.probe(v, d.newProbe(v, 950+i))
 			<-free
 		})
 	}
@@ -526,6 +554,15 @@
 	return slices.Concat(unserved...)
 }
 
+// newProbe returns a caller of a workspace without a quota.
+func (d *deployment) newProbe(v *vm, n int) *caller {
+	c := newCaller(v.name, v.callerAddr, n, d.Seed)
+	if d.workspaces != nil {
+		c.apiKey = func() string { return d.workspaces.usable(workspaceName(1), monotonic()) }
+	}
+	return c
+}
+
 func (d *deployment) probe(v *vm, c *caller) (found []string) {
 	for n := range probeKeys {
 		key, last := n*fleet.KeyCount/probeKeys, call{}
@@ -570,5 +607,8 @@
 		c.StoreFaults[v.name] = append(copyOf(d.storeFaults[""]), d.storeFaults[v.name]...)
 	}
 	c.Stalls, c.LoadStart = copyOf(d.stalls), d.loadStart
+	if d.workspaces != nil {
+		c.Keys = d.workspaces.snapshot()
+	}
 	return c
 }
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -85,7 +86,11 @@
 			time.Sleep(o.ServiceTime)
 		}
 		w.Header().Set(fleet.HeaderSignature, "seal-of-"+o.ID)
-		if _, err := io.WriteString(w, responseBody(o.Service, id)); err != nil {
+		body := responseBody(o.Service, id)
+		if r.URL.Path == largePath {
+			body = strings.Repeat("x", largeBytes) + body
+		}
+		if _, err := io.WriteString(w, body); err != nil {
 			panic(http.ErrAbortHandler)
 		}
 	})
--- a/fakes/fleet/upstream.go
+++ b/fakes/fleet/upstream.go
@@ -19,6 +19,8 @@
 	Key       int
 	Path      string
 	Body      string
+	// Workspace is the one that the request names, empty if there is none.
+	Workspace string `json:",omitempty"`
 	// At is when the run began.
 	At time.Time `json:"-"`
 }
@@ -313,7 +315,7 @@
 	}
 	id := r.Header.Get(fleet.HeaderRequestID)
 	u.mu.Lock()
-	run := Run{RequestID: id, Key: key, Path: r.RequestURI, Body: string(body), At: time.Now()}
+	run := Run{RequestID: id, Key: key, Path: r.RequestURI, Body: string(body), Workspace: r.Header.Get(fleet.HeaderWorkspace), At: time.Now()}
 	u.runs = append(u.runs, run)
 	u.notify(Event{Kind: EventRun, Run: &run})
 	handler, rateLimit, done := u.handler, u.rateLimit, make(chan struct{})
