gateway: a granter tries the upstreams once more before it resigns

Cause: when a cut of all VMs from the upstreams ends, the VMs regain contact at different times, as each tries every 250 ms. If another VM did so first, the granter took itself for the only one cut off and resigned, 37 ms after that contact and 214 ms before its own in the log of a failed run of TestNoVMReachesUpstreams. Keys did not move for the 1.2 s of the takeover.

Change: reachability.Resignation. A granter that hears that another VM reaches upstreams starts a round at once, and resigns only if a round that began after that has failed. A round during which the process did not run does not count.

TestGranterTriesUpstreamsBeforeItResigns (gateway) has the report arrive while the granter is cut off; without the change it fails with "Should be false" and the log has the takeover.

--- a/core/reachability/reachability.go
+++ b/core/reachability/reachability.go
@@ -35,6 +35,8 @@
 	roundAt   time.Duration
 	contacted bool
 	contactAt time.Duration
+	// failedFrom is when the last round began that found no upstream.
+	failedFrom time.Duration
 }
 
 // NewDetector returns the Detector of a VM that is not isolated.
@@ -43,6 +45,9 @@
 // Isolated reports whether no upstream can be reached, and since when.
 func (d *Detector) Isolated() (isolated bool, since time.Duration) { return d.isolated, d.since }
 
+// FailedFrom returns when the last round began that found no upstream, 0 if there was none.
+func (d *Detector) FailedFrom() time.Duration { return d.failedFrom }
+
 // ContactAge returns the time since a connection to any upstream was opened; ok is false if
 // none was.
 func (d *Detector) ContactAge(now time.Duration) (age time.Duration, ok bool) {
@@ -79,12 +84,16 @@
 	switch {
 	case connected > 0:
 		return d.Connected(now)
-	case tried == 0 || d.isolated || d.contacted && d.contactAt >= began:
+	case tried == 0 || d.contacted && d.contactAt >= began:
 		return false
 	case now-began > 2*d.cfg.RoundTimeout:
 		// The process did not run for a part of the round.
 		return false
 	}
+	d.failedFrom = began
+	if d.isolated {
+		return false
+	}
 	d.isolated, d.since = true, now
 	return true
 }
--- a/server/gateway/isolation.go
+++ b/server/gateway/isolation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionhill.dev/core/election"
+	"dandelionhill.dev/core/reachability"
 )
 
 // isolationDecision is how long a granter that reaches no upstream waits for the other VMs to
@@ -16,6 +17,8 @@
 	// active means that the granter reaches no upstream, since a time on bootTime.
 	active bool
 	since  time.Duration
+	// resignation decides whether the term ends.
+	resignation reachability.Resignation
 }
 
 // undecided reports whether the upstreams may be well although the granter reaches none.
@@ -24,11 +27,12 @@
 }
 
 // resignIfIsolated ends the term if no upstream can be reached from this VM while another VM
-// reaches some, and names that VM as the successor. It reports whether the term is over. If no
-// VM reaches any, the upstreams are lost and the granter stays.
+// reaches some, and names that VM as the successor. It reports whether the term is over. This VM
+// tries once more before, see reachability.Resignation. If no VM reaches any upstream, the upstreams
+// are lost and the granter stays.
 func (g *granter) resignIfIsolated(ctx context.Context, now time.Duration) bool {
 	isolated, since := g.control.reach.isolated()
-	if isolated != g.isolation.active {
+	if isolated != g.isolation.active || isolated && since != g.isolation.since {
 		g.isolation = isolation{active: isolated, since: since}
 		g.sendUpdates(now)
 	}
@@ -37,7 +41,12 @@
 		return false
 	}
 	successor := g.lowestRank(func(m *member) bool { return !m.leaving && !m.isolated && m.contactAt > since })
-	if successor == nil {
+	switch g.isolation.resignation.Decide(now, successor != nil, g.control.reach.failedFrom()) {
+	case reachability.TryAgain:
+		go g.control.reach.tryAgain(ctx)
+		return false
+	case reachability.Resign:
+	default:
 		return false
 	}
 	g.log.Warn().Str("event", "granter_isolated").Int64("term", g.term).Str("successor", string(successor.vm)).
--- a/server/gateway/isolation_test.go
+++ b/server/gateway/isolation_test.go
@@ -246,6 +246,42 @@
 	d.requireRunOnce()
 }
 
+// TestGranterTriesUpstreamsBeforeItResigns guards against a granter that resigns because another VM
+// regains contact with the upstreams before it does, when a cut of all VMs ends.
+func TestGranterTriesUpstreamsBeforeItResigns(t *testing.T) {
+	d := newCutDeployment(t, 3)
+	i := d.granter()
+	g := d.vms[i].links.currentGranter()
+	for _, n := range d.networks {
+		n.set(hangCut)
+	}
+	for _, g := range d.vms {
+		d.eventually(func() bool {
+			d.do(g, http.MethodGet, plainPath, -1, 300*time.Millisecond)
+			return isIsolated(g)
+		}, "the VM finds out")
+	}
+	resigned := make(chan bool, 1)
+	require.True(t, g.do(func() {
+		// The report of a VM that regains contact comes while the granter is cut off.
+		now := bootTime()
+		for m := range g.members {
+			m.isolated, m.contactAt = false, now
+		}
+		over := g.resignIfIsolated(t.Context(), now)
+		for _, n := range d.networks {
+			n.set(noCut)
+		}
+		resigned <- over
+	}))
+	require.False(t, <-resigned)
+	for _, g := range d.vms {
+		d.eventually(func() bool { return !isIsolated(g) }, "the VM finds out that the cut has ended")
+		d.requireServed(g, keyedPath, 7)
+	}
+	require.Equal(t, i, d.granter())
+}
+
 // cutGranter cuts the granter off from the upstreams and waits until another VM grants.
 func (d *cutDeployment) cutGranter(granter int, kind cut) {
 	d.t.Helper()
--- a/server/gateway/reach.go
+++ b/server/gateway/reach.go
@@ -70,6 +70,22 @@
 	return r.detector.ContactAge(bootTime())
 }
 
+// failedFrom returns when the last round began that found no upstream, 0 if there was none.
+func (r *reach) failedFrom() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.detector.FailedFrom()
+}
+
+// tryAgain runs a round that begins after the call.
+func (r *reach) tryAgain(ctx context.Context) {
+	called := bootTime()
+	if r.check(ctx) && r.failedFrom() < called {
+		// The round that ended had begun before.
+		r.check(ctx)
+	}
+}
+
 // addTo adds to a report whether this VM reaches upstreams.
 func (r *reach) addTo(rep *report) {
 	rep.Isolated, _ = r.isolated()
