gateway: logs of VMs that come after their test end no test run

Cause: the VMs of a test log to the test's output. A call to an upstream that was under way when the test ended logs its result later, which the testing package answers with a panic ("Log in goroutine after ... has completed"). It ends the process, and with it whichever test runs then. Seen in 1 of 29 processes that ran TestNoVMReachesUpstreams and TestGranterTriesUpstreamsBeforeItResigns, both of which had passed; the call was a renewal that a cut had held up for 0.48 s.

Change: testLog drops what is logged after the cleanups of the test.

--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -33,6 +33,7 @@
 // deployment is a test deployment on loopback: a store, upstreams and entry VMs.
 type deployment struct {
 	t              *testing.T
+	log            *testLog
 	store          *fakes.Store
 	storeAddr      string
 	upstreams      map[string]*fakes.Upstream
@@ -45,7 +46,7 @@
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, store: fakes.NewStore(), upstreams: make(map[string]*fakes.Upstream), addresses: make(map[string]string), stopListening: make(map[string]func()), crashUpstreams: make(map[string]func()), timeoutS: 2}
+	d := &deployment{t: t, log: newTestLog(t), store: fakes.NewStore(), upstreams: make(map[string]*fakes.Upstream), addresses: make(map[string]string), stopListening: make(map[string]func()), crashUpstreams: make(map[string]func()), timeoutS: 2}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
 	d.storeAddr = server.Listener.Addr().String()
@@ -178,7 +179,7 @@
 			TerminationGrace: strict.Duration(6 * time.Second), Drain: strict.Duration(defaultDrain), MaxLease: strict.Duration(10 * time.Second),
 			RetryWindow: strict.Duration(10 * time.Second), RetryRatio: 0.2, RetryAllowance: 60,
 		},
-	}, NewMetrics(), zerolog.New(zerolog.NewTestWriter(d.t)))
+	}, NewMetrics(), zerolog.New(d.log))
 	// The VMs of a test have different ports.
 	g.links.peers = peers
 	prepare(g)
