core/ownership: keys that get requests leave an upstream that asks for a long rest

Cause: an upstream that asks for rest keeps keys for a tenth of its capacity, and callers of these are refused for as long as it rests. The first move takes a piece off either end of a span, whichever comes nearest to the load that is wanted; if that leaves the requested key behind, its bucket is heavier than what is still to be moved, and it stays for good. Which end is chosen depends on the load of the key at that moment, and so on how many requests the callers sent before: that is why TestKeysOfRestingUpstreamMove failed now and then.

Change: ownership.Upstream.Resting, for a rest above maxOwnerWait, which requests cannot wait out. Such an upstream gains no keys, and balance moves the spans that get requests to the least utilized upstream that does not rest, within its bound on concurrent moves. If all rest, nothing changes.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -53,6 +53,8 @@
 	MayKeepKeys bool
 	// MayGainKeys means that it may be assigned more keys.
 	MayGainKeys bool
+	// Resting means that it wants no requests for a time: the keys that get requests move away.
+	Resting bool
 }
 
 // Config holds the parameters of a Machine.
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -199,6 +200,35 @@
 // minConcurrentMoves is the number of spans that may always move concurrently.
 const minConcurrentMoves = 8
 
+// minRequestedLoad is the observed load from which a span counts as one that gets requests: a
+// millisecond of work in the time constant of Decay.
+const minRequestedLoad = 1e-3
+
+// requested reports whether the keys of a span get requests.
+func (l *loads) requested(s Span) bool {
+	return l.of(s)-baseKeyLoad*float64(s.Len()) >= minRequestedLoad
+}
+
+// relieve moves up to a number of spans that get requests away from resting upstreams. Balance
+// alone may leave them there: it moves no bucket whose load is more than the difference to the mean.
+func (m *Machine) relieve(byID map[api.UpstreamID]*upstreamLoad, targets []*upstreamLoad, moves int) {
+	targets = slices.DeleteFunc(slices.Clone(targets), func(u *upstreamLoad) bool { return u.Resting })
+	if len(targets) == 0 {
+		return
+	}
+	for _, e := range m.entries {
+		from := byID[e.Owner.UpstreamID]
+		if from == nil || !from.Resting || e.moving || e.writing || e.inCall() || moves <= 0 || !m.loads.requested(e.Span) {
+			continue
+		}
+		to := slices.MinFunc(targets, func(a, b *upstreamLoad) int { return cmp.Compare(a.utilization(), b.utilization()) })
+		e.moving, e.released, e.target, m.changed = true, false, to.Owner, true
+		from.load -= m.loads.of(e.Span)
+		to.load += m.loads.of(e.Span)
+		moves--
+	}
+}
+
 // balance moves keys from the most to the least utilized upstream.
 func (m *Machine) balance(now time.Duration) {
 	moving := 0
@@ -209,7 +239,8 @@
 	}
 	byID := m.upstreamLoads(now)
 	targets := moveTargets(byID)
-	if len(targets) < 2 {
+	resting := slices.ContainsFunc(slices.Collect(maps.Values(byID)), func(u *upstreamLoad) bool { return u.Resting })
+	if len(targets) < 2 && !resting {
 		return
 	}
 	total, capacity := 0.0, 0.0
@@ -219,6 +250,9 @@
 	}
 	mean := total / capacity
 	maxMoves := max(minConcurrentMoves, int(m.cfg.MovesPerUpstream*float64(len(byID))))
+	if resting {
+		defer func() { m.relieve(byID, targets, maxMoves-moving) }()
+	}
 	exhausted := make(map[api.UpstreamID]bool)
 	for moving < maxMoves {
 		var from *upstreamLoad
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -306,13 +306,15 @@
 		if rate := u.limiter.rate(); rate > 0 {
 			capacity = min(capacity, rate*g.stats.averageLatency(reg.Service))
 		}
-		if now < g.restUntil[owner] {
+		rest := g.restUntil[owner] - now
+		if rest > 0 {
 			capacity *= restingCapacity
 		}
 		out[reg.Service] = append(out[reg.Service], ownership.Upstream{
 			Owner:       owner,
 			Capacity:    capacity,
-			MayKeepKeys: usable, MayGainKeys: usable && now > u.coldUntil()-maxColdRemaining,
+			MayKeepKeys: usable, MayGainKeys: usable && now > u.coldUntil()-maxColdRemaining && rest <= maxOwnerWait,
+			Resting: rest > maxOwnerWait,
 		})
 	}
 	return out
--- a/server/gateway/rest.go
+++ b/server/gateway/rest.go
@@ -10,7 +10,8 @@
 	// maxRestsSent bounds the upstreams in a report.
 	maxRestsSent = 64
 	// restingCapacity is the share of its capacity for which an upstream that asks for rest
-	// gets keys.
+	// keeps keys. If it asks for more than maxOwnerWait, which requests cannot wait out, those are
+	// keys without requests.
 	restingCapacity = 0.1
 )
 
