admission: flows by route without workspaces, and refusal of late requests

Without workspaces all requests of a service were one flow, so a route that floods took over the queue of an upstream, and late requests were served while others became late.

overload.fair_routes makes the flows the routes of a priority, and the failure domain of an isolated VM that passes requests on. overload.refuse_late refuses a late request while the demand of a VM for an upstream exceeds what it takes and others have become late.

In TestSharesAreBounded and TestFloodingWorkspaceWaits only the type of the flow changes.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -8,8 +8,6 @@
 import (
 	"slices"
 	"time"
-
-	"dandelionhill.dev/api"
 )
 
 // priorityDelay is added to the arrival time of a request for each step of lower
@@ -39,8 +37,17 @@
 	Arrived, Target, Deadline time.Duration
 	// ServiceTime is how long the upstream usually takes for such a request.
 	ServiceTime time.Duration
-	// Workspace is that of the caller, empty without workspaces.
-	Workspace api.WorkspaceName
+	// Flow is that of SetShares.
+	Flow Flow
+	// MayHaveRun means that the request was sent before and has no outcome: it cannot be refused
+	// as not run.
+	MayHaveRun bool
+	// Late is set when the queue refuses the request because it can no longer meet its target;
+	// RetryAfter is then the time until there may be capacity.
+	Late       bool
+	RetryAfter time.Duration
+	// missed means that the queue has counted the request as one that it made late.
+	missed bool
 	// Token identifies the request to the user of the queue.
 	Token any
 }
@@ -71,6 +78,7 @@
 	pressure        backpressure
 	// shares is the state of SetShares, nil in the order by arrival time.
 	shares Sharer
+	late   lateness
 }
 
 // New returns a queue that allows limit concurrent requests to the upstream.
@@ -99,7 +107,12 @@
 func (q *Queue) Offer(now time.Duration, r *Request) (d Decision, wait time.Duration) {
 	q.pressure.arrive(now, r)
 	if q.shares != nil {
-		q.shares.Arrive(now, r.Workspace)
+		q.shares.Arrive(now, r.Flow)
+	}
+	r.missed = !r.inTime(now)
+	if r.missed && !r.MayHaveRun && q.refusesLate(now) {
+		r.Late, r.RetryAfter = true, q.wait(now, len(q.waiting)+1)
+		return Refuse, r.RetryAfter
 	}
 	if len(q.waiting) == 0 && q.canStart(now) {
 		q.start(now, r)
@@ -108,6 +121,7 @@
 	ahead := q.ahead(now, r)
 	wait = max(q.wait(now, ahead), q.permits.wait(now, ahead, len(q.waiting)+1))
 	if r.MissesDeadline(now + wait) {
+		q.countMiss(now, r)
 		return Refuse, wait
 	}
 	q.waiting = append(q.waiting, r)
@@ -147,10 +161,14 @@
 // their deadline.
 func (q *Queue) Next(now time.Duration) (start, refuse []*Request) {
 	for _, r := range q.waiting {
+		if !r.inTime(now) {
+			q.countMiss(now, r)
+		}
 		if r.MissesDeadline(now + q.permitWait(now, r)) {
 			refuse = append(refuse, r)
 		}
 	}
+	refuse = append(refuse, q.lateOnes(now, refuse)...)
 	if len(refuse) == 0 {
 		refuse = q.outranked(now)
 	}
@@ -177,7 +195,7 @@
 
 func (q *Queue) start(now time.Duration, r *Request) {
 	if q.shares != nil {
-		q.shares.Start(r.Workspace, r.ServiceTime)
+		q.shares.Start(r.Flow, r.ServiceTime)
 	}
 	q.permits.use()
 	q.running++
--- a/core/admission/shares_test.go
+++ b/core/admission/shares_test.go
@@ -83,7 +83,7 @@
 	now := time.Duration(0)
 	for i := range 10000 {
 		now += 100 * ms
-		name := api.WorkspaceName(strconv.Itoa(i))
+		name := Flow{Workspace: api.WorkspaceName(strconv.Itoa(i))}
 		s.Arrive(now, name)
 		s.Start(name, 100*ms)
 	}
@@ -92,14 +92,15 @@
 	require.Equal(t, 10000, s.Len()+s.Forgotten())
 
 	s = NewShares()
+	large, small := Flow{Workspace: "large"}, Flow{Workspace: "small"}
 	for range 10 {
-		s.Arrive(0, "large")
-		s.Start("large", time.Second)
+		s.Arrive(0, large)
+		s.Start(large, time.Second)
 	}
-	s.Arrive(0, "small")
-	require.Greater(t, s.Rank("large"), s.Rank("small"))
-	s.Arrive(2*time.Second, "small")
-	require.Greater(t, s.Rank("large"), s.Rank("small"))
+	s.Arrive(0, small)
+	require.Greater(t, s.Rank(large), s.Rank(small))
+	s.Arrive(2*time.Second, small)
+	require.Greater(t, s.Rank(large), s.Rank(small))
 }
 
 // TestOrderByShares guards against requests without a workspace that are ordered otherwise than by
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -69,6 +69,9 @@
 	workspaces int
 	flood      float64
 	fair       bool
+	// routeFlows makes the routes the flows of Shares; without workspaces it is the first route that
+	// floods. refuseLate sets SetRefuseLate.
+	routeFlows, refuseLate bool
 	// length is the simulated time, simRun by default.
 	length time.Duration
 	// lost is the share of the VMs that callers do not reach, although they count.
@@ -86,7 +89,7 @@
 }
 
 // simCount counts the requests of a route or workspace.
-type simCount struct{ requests, inTime, late int }
+type simCount struct{ requests, inTime, late, refused int }
 
 func (c simCount) served() float64 { return float64(c.inTime+c.late) / float64(max(c.requests, 1)) }
 
@@ -150,14 +153,22 @@
 
 type simRequest struct {
 	Request
-	upstream    int
-	idempotent  bool
+	upstream   int
+	idempotent bool
+	// retriedAt is when the caller sent it last; a VM does not know of earlier attempts.
+	retriedAt   time.Duration
 	sends, left int
 	// size is the work relative to the mean.
 	size             float64
 	route, workspace int
 }
 
+// simToken is the token of a request in a queue.
+type simToken struct {
+	r    *simRequest
+	send func()
+}
+
 type simSend struct {
 	vm   int
 	r    *simRequest
@@ -225,8 +236,9 @@
 	return s.queues[vm][u]
 }
 
-// newRequest lets a caller send a request to a VM; workspace is -1 for a random one.
-func (s *sim) newRequest(shares []float64, workspace int) {
+// newRequest lets a caller send a request to a VM; flooding is that of the workspace or route that
+// floods.
+func (s *sim) newRequest(shares []float64, flooding bool) {
 	r := &simRequest{left: 2, idempotent: s.rng.Float64() < 0.6, size: 0.7 + 0.6*s.rng.Float64()}
 	r.Arrived, r.Target, r.Deadline, r.ServiceTime = s.now, s.now+simTarget, s.now+simDeadline, simWork
 	r.Token = r
@@ -239,14 +251,19 @@
 	for r.route = 0; r.route < len(s.routes)-1 && pick >= s.routes[r.route].share; r.route++ {
 		pick -= s.routes[r.route].share
 	}
+	if flooding && s.workspaces == 0 {
+		r.route = 0
+	}
 	route := s.routes[r.route]
+	if s.routeFlows {
+		r.Flow = Flow{Route: strconv.Itoa(r.route), Priority: route.priority}
+	}
 	r.Priority, r.Target, r.Deadline, r.ServiceTime = route.priority, s.now+route.target, s.now+route.deadline, route.work
 	if s.workspaces > 0 {
-		r.workspace = workspace
-		if workspace < 0 {
+		if !flooding {
 			r.workspace = s.rng.IntN(s.workspaces)
 		}
-		r.Workspace = api.WorkspaceName(strconv.Itoa(r.workspace))
+		r.Flow.Workspace = api.WorkspaceName(strconv.Itoa(r.workspace))
 	}
 	if s.counted() {
 		s.requests++
@@ -264,7 +281,12 @@
 	q := s.queue(vm, r.upstream)
 	copied := *r
 	offered := &copied.Request
-	offered.Token = func() { s.send(vm, r) }
+	if r.retriedAt > 0 {
+		offered.Target += r.retriedAt - r.Arrived
+		offered.Arrived = r.retriedAt
+	}
+	offered.MayHaveRun = r.sends > 0 && s.rejection != sheds
+	offered.Token = simToken{r, func() { s.send(vm, r) }}
 	decision, wait := q.Offer(s.now, offered)
 	switch decision {
 	case Start:
@@ -307,11 +329,14 @@
 func (s *sim) dispatch(q *Queue) {
 	start, refuse := q.Next(s.now)
 	for _, r := range start {
-		r.Token.(func())()
+		r.Token.(simToken).send()
 	}
-	for range refuse {
-		if s.counted() {
+	for _, r := range refuse {
+		if token := r.Token.(simToken); r.Late {
+			s.refuse(token.r, r.RetryAfter)
+		} else if s.counted() {
 			s.refused++
+			s.byRoute[token.r.route].refused++
 		}
 	}
 	if at, ok := q.NextWake(); ok && s.wakes[q] <= s.now {
@@ -325,11 +350,13 @@
 	retryAfter = max(retryAfter, 250*ms)
 	if r.left > 0 && r.sends == 0 && retryAfter < (r.Deadline-s.now)/3 {
 		r.left--
+		r.retriedAt = s.now + retryAfter
 		s.at(s.now+retryAfter, func() { s.attempt(s.choices.IntN(s.reachable()), r) })
 		return
 	}
 	if s.counted() {
 		s.refused++
+		s.byRoute[r.route].refused++
 	}
 }
 
@@ -583,6 +610,9 @@
 				queues[i].SetBackpressure(p.vms, simSlots, s.choices.Float64)
 			}
 		}
+		for _, q := range queues {
+			q.SetRefuseLate(p.refuseLate)
+		}
 		s.queues = append(s.queues, queues)
 		if p.fair {
 			shares := NewShares()
@@ -601,15 +631,19 @@
 	rate := capacity * p.load
 	var next func()
 	next = func() {
-		s.newRequest(shares, -1)
+		s.newRequest(shares, false)
 		s.at(s.now+time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	s.at(0, next)
 	if p.flood > 0 {
+		share := p.routes[0].share
+		if p.workspaces > 0 {
+			share = 1 / float64(p.workspaces)
+		}
 		var more func()
 		more = func() {
-			s.newRequest(shares, 0)
-			s.at(s.now+time.Duration(s.rng.ExpFloat64()/(rate*(p.flood-1)/float64(p.workspaces))*float64(time.Second)), more)
+			s.newRequest(shares, true)
+			s.at(s.now+time.Duration(s.rng.ExpFloat64()/(rate*(p.flood-1)*share)*float64(time.Second)), more)
 		}
 		s.at(p.length/2, more)
 	}
--- a/server/gateway/backpressure.go
+++ b/server/gateway/backpressure.go
@@ -20,6 +20,7 @@
 	if l.senders != nil {
 		l.queue.SetBackpressure(int(l.senders.Load()), l.slots, rand.Float64)
 	}
+	l.queue.SetRefuseLate(l.refuseLate)
 	if l.shares.active() {
 		l.queue.SetShares(l.shares)
 	} else {
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -401,6 +401,7 @@
 		}
 		s.upstreams[id] = newUpstream(reg, c.responseLimits, c.network(), func() { c.limits.reportNow() })
 		s.upstreams[id].limiter.shares = c.sharesOf(decoded.Service)
+		s.upstreams[id].limiter.refuseLate = c.overload.RefuseLate
 		s.upstreams[id].leavingSince.Store(int64(c.leaving.since(s.upstreams[id].owner())))
 		s.upstreams[id].calls.whole.Store(c.wholeCalls.contains(s.upstreams[id].owner()))
 		s.upstreams[id].coldAtLeastUntil(c.cold.until(s.upstreams[id].owner()))
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -214,7 +214,7 @@
 // acquire acquires a slot of the limiter of an upstream.
 func (h *requestHandler) acquire(ctx context.Context, q *request, u *upstream) error {
 	if u.limiter.permitWait() > 0 && !h.limits.hasIssuer() {
-		return noCapacityError{shortRetryAfter}
+		return noCapacityError{retryAfter: shortRetryAfter}
 	}
 	target := q.deadline
 	if q.route.TargetLatency > 0 {
@@ -223,10 +223,15 @@
 	expected := time.Duration(h.stats.expectedLatency(q.route.Name) * float64(time.Second))
 	began := time.Now()
 	defer func() { h.metrics.queued.WithLabelValues(string(q.service.Name)).Observe(time.Since(began).Seconds()) }()
-	return u.limiter.acquire(ctx, admissionParams{
+	err := u.limiter.acquire(ctx, admissionParams{
 		priority: q.priority(), arrived: q.arrived, target: target, deadline: q.deadline, serviceTime: expected,
-		workspace: q.workspaceName(),
+		flow: h.flow(q),
 	})
+	var noCapacity noCapacityError
+	if errors.As(err, &noCapacity) {
+		h.metrics.queueRefusals.WithLabelValues(q.route.Name, string(noCapacity.reason())).Inc()
+	}
+	return err
 }
 
 // busyOutcome returns the outcome of a failed acquire for an upstream.
@@ -239,6 +244,9 @@
 	var noCapacity noCapacityError
 	if errors.As(err, &noCapacity) {
 		failure.retryAfter = max(noCapacity.retryAfter, shortRetryAfter)
+		if noCapacity.late {
+			failure.reason = late
+		}
 	}
 	return failure
 }
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -46,6 +46,7 @@
 	buffersFull        reason = "buffers_full" // the memory for bodies is used up
 	noUpstream         reason = "no_upstream"  // the service has no usable upstream
 	busy               reason = "busy"         // the limiter admits no request before the deadline
+	late               reason = "late"         // past its target, where others can still meet theirs
 	cold               reason = "cold"         // the rate limit of the cold upstream is reached
 	limited            reason = "limited"      // the limit that the upstream states is reached
 	shed               reason = "shed"         // upstreams shed the request
@@ -193,6 +194,9 @@
 	// for the retry budget. proxy is the VM to which this one passed it last.
 	proxied, counted bool
 	proxy            string
+	// callerDomain is the failure domain of that isolated VM, empty if it is that of this one or not
+	// known.
+	callerDomain api.FailureDomain
 	// agreed is the version of the configuration by which a proxied request must be handled, 0 if
 	// the isolated VM takes any.
 	agreed int64
--- a/server/gateway/limiter.go
+++ b/server/gateway/limiter.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/admission"
 	"dandelionhill.dev/core/ratelimit"
 )
@@ -17,6 +16,8 @@
 type noCapacityError struct {
 	// retryAfter is the time until there may be capacity.
 	retryAfter time.Duration
+	// late means that the request would be served late in the place of one that can meet its target.
+	late bool
 }
 
 // Error implements error.
@@ -24,6 +25,14 @@
 	return "the upstream has no capacity before the deadline: retry after the stated time"
 }
 
+// reason returns the reason of the refusal, without regard to a limit that the upstream states.
+func (e noCapacityError) reason() reason {
+	if e.late {
+		return late
+	}
+	return busy
+}
+
 // limiter limits the concurrent requests of this VM to one upstream. Package admission
 // decides their order.
 type limiter struct {
@@ -32,9 +41,11 @@
 	// slots is the number of slots that the upstream registered.
 	senders *atomic.Int32
 	slots   int
-	// shares is nil unless Overload.Fair is set.
-	shares *fairShares
-	start  time.Time
+	// shares is nil unless Overload.Fair or Overload.FairRoutes is set. refuseLate is
+	// Overload.RefuseLate.
+	shares     *fairShares
+	refuseLate bool
+	start      time.Time
 	// permitsWanted is called when a request begins to wait for a permit.
 	permitsWanted func()
 
@@ -105,7 +116,7 @@
 	priority                  int
 	arrived, target, deadline time.Time
 	serviceTime               time.Duration
-	workspace                 api.WorkspaceName
+	flow                      admission.Flow
 }
 
 // acquire waits for admission. Every success must be followed by release. The error is a
@@ -115,7 +126,7 @@
 	admitted := make(chan bool, 1)
 	r := &admission.Request{
 		Priority: p.priority, Arrived: p.arrived.Sub(l.start), Target: p.target.Sub(l.start),
-		Deadline: p.deadline.Sub(l.start), ServiceTime: p.serviceTime, Workspace: p.workspace, Token: admitted,
+		Deadline: p.deadline.Sub(l.start), ServiceTime: p.serviceTime, Flow: p.flow, Token: admitted,
 	}
 	l.mu.Lock()
 	l.configure()
@@ -130,15 +141,18 @@
 	case admission.Start:
 		return nil
 	case admission.Refuse:
-		return noCapacityError{retryAfter}
+		return noCapacityError{retryAfter, r.Late}
 	}
 	tooLate := time.NewTimer(time.Until(p.deadline.Add(-p.serviceTime)))
 	defer tooLate.Stop()
-	var err error = noCapacityError{retryAfter}
+	var err error = noCapacityError{retryAfter: retryAfter}
 	select {
 	case ok := <-admitted:
 		if !ok {
 			l.shares.recordRefusal(p)
+			if r.Late {
+				return noCapacityError{r.RetryAfter, true}
+			}
 			return err
 		}
 		return nil
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -75,6 +75,8 @@
 	rests *prometheus.CounterVec
 	// workspaceRequests counts the requests of workspaces with a quota: workspace, result.
 	workspaceRequests *prometheus.CounterVec
+	// queueRefusals counts the requests that an upstream's queue refused: route, reason.
+	queueRefusals *prometheus.CounterVec
 	// unauthorized counts the requests refused with 401, by cause.
 	unauthorized *prometheus.CounterVec
 }
@@ -119,6 +121,7 @@
 		isolated:          gauge("isolated", "1 while no upstream can be reached from this VM."),
 		queued:            histogram("queue_seconds", "Time for which a request waits for capacity of an upstream."),
 		fairRefusals:      counter("fair_refusals_total", "Requests refused while they waited, by workspace.", "workspace"),
+		queueRefusals:     counter("queue_refusals_total", "Requests refused for lack of capacity of an upstream, by route.", "route", "reason"),
 		closed:            counter("connections_closed_total", "Connections closed, bodies given up and requests refused for a limit on clients, by reason.", "listener", "reason"),
 		callStyles:        counter("upstream_call_styles_total", "Upstreams whose grants count as arriving late, by reason: ignores_expect or exceeds_call_delay.", "reason"),
 		reachRounds: prometheus.NewCounter(prometheus.CounterOpts{
@@ -168,6 +171,7 @@
 		m.healthChecks,
 		m.queued,
 		m.fairRefusals,
+		m.queueRefusals,
 		m.closed,
 		m.callStyles,
 	)
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -186,7 +186,7 @@
 	resp, sent, err = c.call(ctx, &proxyRequest{
 		From: p.self, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: q.upstreamHeader(), Body: q.body,
 		TimeoutMs: (q.remaining() - proxyMargin).Milliseconds(), Configuration: configuration, Exact: true,
-		Counted: q.service != nil, MayHaveRun: q.mayHaveRun, Authorization: q.credentials(),
+		Counted: q.service != nil, MayHaveRun: q.mayHaveRun, Authorization: q.credentials(), Domain: p.handler.domain,
 	})
 	if err == nil && !resp.valid() {
 		return nil, true, errNoOutcome
@@ -252,6 +252,9 @@
 	q := &request{
 		arrived: time.Now(), buffers: h.buffers.Reserve(), body: req.Body, proxied: true, counted: req.Counted, mayHaveRun: req.MayHaveRun,
 	}
+	if req.Domain != h.domain {
+		q.callerDomain = req.Domain
+	}
 	if req.Exact {
 		q.agreed = req.Configuration
 	}
--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -65,6 +65,8 @@
 	// ConfigurationRow, unless it is nil, means that there is no request: the receiver, which has an
 	// older configuration than version Configuration, applies this row.
 	ConfigurationRow *fleet.Row `cbor:"13,keyasint,omitempty"`
+	// Domain is the failure domain of the isolated VM; VMs of earlier versions state none.
+	Domain api.FailureDomain `cbor:"16,keyasint,omitempty"`
 }
 
 // proxyResponse is the response of an upstream, or the outcome of a request without one.
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -164,6 +164,12 @@
 	// Fair orders the requests that wait for an upstream by priority and remaining time, and
 	// within a priority by the shares of the workspaces.
 	Fair bool `json:"fair,omitempty"`
+	// FairRoutes does the same without workspaces, by the shares of the routes, and of the failure
+	// domains of callers where several reach this VM.
+	FairRoutes bool `json:"fair_routes,omitempty"`
+	// RefuseLate refuses requests that can no longer meet their target while the demand for an
+	// upstream exceeds what it takes and others become late for that.
+	RefuseLate bool `json:"refuse_late,omitempty"`
 }
 
 // Defaults of Limits.
--- a/server/gateway/shares.go
+++ b/server/gateway/shares.go
@@ -9,12 +9,14 @@
 	"dandelionhill.dev/core/admission"
 )
 
-// fairShares are the shares of the workspaces of one service on this VM, for concurrent use. nil
-// stands for none.
+// fairShares are the shares of the flows of one service on this VM, for concurrent use. nil stands
+// for none.
 type fairShares struct {
 	metrics *Metrics
-	// hasWorkspaces means that the configuration has workspaces. Without, requests keep their
-	// order by arrival.
+	// overload says whether workspaces, and without them routes, are flows; requests keep their
+	// order by arrival if they are not.
+	overload Overload
+	// hasWorkspaces means that the configuration has workspaces.
 	hasWorkspaces *atomic.Bool
 
 	mu     sync.Mutex
@@ -24,36 +26,53 @@
 }
 
 // active reports whether requests are ordered by shares.
-func (s *fairShares) active() bool { return s != nil && s.hasWorkspaces.Load() }
+func (s *fairShares) active() bool {
+	if s == nil {
+		return false
+	}
+	if s.hasWorkspaces.Load() {
+		return s.overload.Fair
+	}
+	return s.overload.FairRoutes
+}
 
 // Arrive implements admission.Sharer. The queues of the upstreams have a clock each, the shares
 // one for all.
-func (s *fairShares) Arrive(_ time.Duration, name api.WorkspaceName) {
+func (s *fairShares) Arrive(_ time.Duration, flow admission.Flow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shares.Arrive(bootTime(), name)
+	s.shares.Arrive(bootTime(), flow)
 }
 
 // Start implements admission.Sharer.
-func (s *fairShares) Start(name api.WorkspaceName, work time.Duration) {
+func (s *fairShares) Start(flow admission.Flow, work time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shares.Start(name, work)
+	s.shares.Start(flow, work)
 }
 
 // Rank implements admission.Sharer.
-func (s *fairShares) Rank(name api.WorkspaceName) float64 {
+func (s *fairShares) Rank(flow admission.Flow) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.shares.Rank(name)
+	return s.shares.Rank(flow)
 }
 
-// recordRefusal counts a request that was refused while it waited.
+// recordRefusal counts a request of a workspace that was refused while it waited.
 func (s *fairShares) recordRefusal(p admissionParams) {
-	if !s.active() {
+	if !s.active() || !s.hasWorkspaces.Load() {
 		return
 	}
-	s.metrics.fairRefusals.WithLabelValues(s.label(p.workspace)).Inc()
+	s.metrics.fairRefusals.WithLabelValues(s.label(p.flow.Workspace)).Inc()
+}
+
+// flow returns the flow of a request. The failure domain of a caller is known of requests that an
+// isolated VM has passed on: it is that VM's. The other callers of a VM are one domain.
+func (h *requestHandler) flow(q *request) admission.Flow {
+	if q.hasWorkspaces() {
+		return admission.Flow{Workspace: q.workspaceName()}
+	}
+	return admission.Flow{Route: q.route.Name, Domain: q.callerDomain, Priority: q.priority()}
 }
 
 // label returns the label of a workspace in metrics.
@@ -67,10 +86,10 @@
 	return string(name)
 }
 
-// sharesOf returns the shares of a service, nil without Overload.Fair. Only the control goroutine
+// sharesOf returns the shares of a service, nil without Overload.Fair and FairRoutes. Only the control goroutine
 // calls it.
 func (c *control) sharesOf(service api.ServiceName) *fairShares {
-	if !c.overload.Fair {
+	if !c.overload.Fair && !c.overload.FairRoutes {
 		return nil
 	}
 	if c.shares == nil {
@@ -78,7 +97,7 @@
 	}
 	s := c.shares[service]
 	if s == nil {
-		s = &fairShares{metrics: c.metrics, hasWorkspaces: &c.hasWorkspaces, shares: admission.NewShares(), labelled: make(map[api.WorkspaceName]bool)}
+		s = &fairShares{metrics: c.metrics, overload: c.overload, hasWorkspaces: &c.hasWorkspaces, shares: admission.NewShares(), labelled: make(map[api.WorkspaceName]bool)}
 		c.shares[service] = s
 	}
 	return s
