gateway: place keys by the health of their owners (overload.owner_health)

Cause: an owner that fails, hangs or becomes slow keeps its keys; the granter knows only the latency of upstreams without a queue. Change: VMs report what the owners of keys do (fields 40 to 42 of report, absent without the switch). The granter measures health and speed with core/ownerhealth and applies them to the capacity of upstreams; one that fails everything keeps no key. A cold owner counts at its rate.

--- a/ctl/cmd/dandelionctl/gateway.go
+++ b/ctl/cmd/dandelionctl/gateway.go
@@ -151,6 +151,11 @@
 	if err := w.Flush(); err != nil {
 		return errors.Wrap(err, "print")
 	}
+	for _, v := range r.VMs {
+		for _, o := range v.UnhealthyOwners {
+			t.printf("owner %s of %s: %s\n", o.Upstream, o.Service, healthOf(o))
+		}
+	}
 	switch n := r.workspaceCount(); {
 	case n == 0:
 		return nil
@@ -161,6 +166,13 @@
 	return t.printWorkspaces(r.Workspaces)
 }
 
+func healthOf(o gateway.OwnerHealth) string {
+	if o.Failing {
+		return "fails, keeps no keys"
+	}
+	return fmt.Sprintf("capacity for keys %.1f of %d slots", o.Capacity, o.Slots)
+}
+
 func stateOf(v *gateway.Status) string {
 	switch {
 	case v.Stopping:
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -66,6 +66,8 @@
 	cold    *coldUpstreams
 	// wholeCalls holds the upstreams that ignore Expect: 100-continue.
 	wholeCalls *wholeCalls
+	// ownerHealth holds the owners of keys with a reduced capacity while this VM is the granter.
+	ownerHealth atomic.Pointer[[]OwnerHealth]
 	// movesPaused means that keys cannot move at present: the granter does not reach the store.
 	movesPaused atomic.Bool
 	// reach watches the connections to upstreams; dialUpstream opens them, nil stands for
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
+	"dandelionhill.dev/core/ownerhealth"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/listen"
@@ -73,6 +74,9 @@
 	c.responseLimits, c.overload = limits.response(), s.Overload
 	c.quotas = newQuotas(s.Bounds.quotaRule(), m, log)
 	st := newTrafficStats()
+	if s.Overload.OwnerHealth {
+		st.health = ownerhealth.NewRecorder()
+	}
 	cr := newCrashes()
 	l := &links{
 		self: s.VM, incarnation: incarnation, address: s.peersAddress(), stats: st, crashes: cr, relay: &relay{}, operatorRelay: &relay{latestOnly: true}, limits: c.limits, log: log,
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -10,6 +10,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/election"
+	"dandelionhill.dev/core/ownerhealth"
 	"dandelionhill.dev/core/ownership"
 )
 
@@ -31,10 +32,6 @@
 	peerRetention = 30 * time.Second
 	// rankRetention is how long a disconnected VM keeps its rank.
 	rankRetention = 5 * time.Second
-	// speedWeight is the weight of one report in the average speed of an upstream.
-	speedWeight = 0.15
-	// minSpeed and maxSpeed bound the speed of an upstream relative to its service.
-	minSpeed, maxSpeed = 0.15, 1.8
 )
 
 // granter assigns keys to upstreams for one term.
@@ -67,7 +64,11 @@
 	storedRows    ownerRows                             // written by this granter
 	members       map[*member]bool
 	ranks         []rank
-	speeds        map[api.UpstreamID]float64
+	speeds        ownerhealth.Speeds
+	// health measures the owners of keys, nil unless Overload.OwnerHealth is set; healthAt is when
+	// it was last asked.
+	health   *ownerhealth.Monitor
+	healthAt time.Duration
 	// restUntil is until when an upstream wants no requests from some VM.
 	restUntil  map[ownership.Owner]time.Duration
 	calls      *callQueues
@@ -98,12 +99,15 @@
 		tasks: make(chan func(), 256), done: make(chan struct{}),
 		machines: make(map[api.ServiceName]*ownership.Machine), owners: make(map[api.ServiceName]ownerTable), ownerChanges: make(map[api.ServiceName][]ownerTable), publishedAt: make(map[api.ServiceName]time.Duration),
 		pendingWrites: make(map[api.ServiceName][]ownership.Entry), storedRows: make(ownerRows), members: make(map[*member]bool),
-		speeds: make(map[api.UpstreamID]float64), restUntil: make(map[ownership.Owner]time.Duration), renewedAt: sent, startedAt: sent,
+		speeds: make(ownerhealth.Speeds), restUntil: make(map[ownership.Owner]time.Duration), renewedAt: sent, startedAt: sent,
 		allocator: newPermitAllocator(e.control.limits), ownPermits: newPermitClient(),
 	}
 	g.renewUntil.Store(int64(authority.RenewUntil(sent)))
 	g.quarantines = quarantinesOf(stored.crashes)
 	g.calls = newCallQueues(g)
+	if e.control.overload.OwnerHealth {
+		g.health = ownerhealth.NewMonitor()
+	}
 	g.quotas = newQuotaIssuer(e.bounds.quotaRule(), bootTime(), predecessor.Until, l.VMs, e.self)
 	// There is a rank for each VM that the previous granter knew, to be taken when it
 	// connects.
@@ -151,6 +155,8 @@
 	for m := range g.members {
 		m.close()
 	}
+	g.control.ownerHealth.Store(nil)
+	g.exportHealth(nil)
 }
 
 // do runs task on the granter's goroutine. It reports false if the term is over.
@@ -183,14 +189,7 @@
 		}
 	}
 	for id, sample := range r.Latencies {
-		if !isPositive(sample.Observed) || !isPositive(sample.Expected) {
-			continue
-		}
-		speed := min(max(sample.Expected/sample.Observed, minSpeed), maxSpeed)
-		if average, ok := g.speeds[id]; ok {
-			speed = average + speedWeight*(speed-average)
-		}
-		g.speeds[id] = speed
+		g.speeds.Observe(id, sample.Expected, sample.Observed)
 	}
 }
 
@@ -204,7 +203,10 @@
 		g.renew(ctx, now)
 		return
 	}
-	g.observe(g.stats.takeReport())
+	own := g.stats.takeReport()
+	g.observe(own)
+	g.observeHealth(g.self, own, now)
+	g.stepHealth(v, now)
 	g.observeRests(v.rests(), now)
 	decay := now-g.decayedAt >= decayInterval
 	if decay {
@@ -296,13 +298,10 @@
 		if reg.removed {
 			continue
 		}
-		speed, ok := g.speeds[id]
-		if !ok {
-			speed = 1
-		}
 		owner := ownership.Owner{UpstreamID: id, Incarnation: reg.Incarnation}
 		usable := v.usable(u) && !u.isLeaving() && !g.calls.suspect(owner, now)
-		capacity := float64(reg.Slots) * speed
+		capacity, healthy := g.ownerCapacity(v, u, now)
+		usable = usable && healthy
 		if rate := u.limiter.rate(); rate > 0 {
 			capacity = min(capacity, rate*g.stats.averageLatency(reg.Service))
 		}
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -144,6 +144,7 @@
 			m.operatorTo = r.OperatorTo
 		}
 		g.observe(r)
+		g.observeHealth(m.vm, r, received)
 		g.observeRests(r.Rests, received)
 		g.control.leaving.merge(g.control.view(), r.LeavingUpstreams, "vm")
 		becameCold := g.control.cold.merge(g.control.view(), r.Cold, "vm")
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -75,6 +75,10 @@
 	rests *prometheus.CounterVec
 	// workspaceRequests counts the requests of workspaces with a quota: workspace, result.
 	workspaceRequests *prometheus.CounterVec
+	// ownerHealth counts the decisions on the health of owners of keys: service, change;
+	// unhealthyOwners is the number of owners with a reduced capacity, by state, on the granter.
+	ownerHealth     *prometheus.CounterVec
+	unhealthyOwners *prometheus.GaugeVec
 	// unauthorized counts the requests refused with 401, by cause.
 	unauthorized *prometheus.CounterVec
 }
@@ -120,7 +124,11 @@
 		queued:            histogram("queue_seconds", "Time for which a request waits for capacity of an upstream."),
 		fairRefusals:      counter("fair_refusals_total", "Requests refused while they waited, by workspace.", "workspace"),
 		closed:            counter("connections_closed_total", "Connections closed, bodies given up and requests refused for a limit on clients, by reason.", "listener", "reason"),
-		callStyles:        counter("upstream_call_styles_total", "Upstreams whose grants count as arriving late, by reason: ignores_expect or exceeds_call_delay.", "reason"),
+		ownerHealth:       counter("owner_health_changes_total", "Decisions of the granter on the health of owners of keys.", "service", "change"),
+		unhealthyOwners: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "unhealthy_owners", Help: "Owners of keys that have lost their keys (failing) or some of their capacity (reduced), on the granter.",
+		}, []string{"state"}),
+		callStyles: counter("upstream_call_styles_total", "Upstreams whose grants count as arriving late, by reason: ignores_expect or exceeds_call_delay.", "reason"),
 		reachRounds: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "reach_checks_total", Help: "Checks whether upstreams can be reached, after connections failed.",
 		}),
@@ -170,6 +178,8 @@
 		m.fairRefusals,
 		m.closed,
 		m.callStyles,
+		m.ownerHealth,
+		m.unhealthyOwners,
 	)
 	return m
 }
--- a/server/gateway/send.go
+++ b/server/gateway/send.go
@@ -29,6 +29,12 @@
 	q.lastUpstream = u.id
 	u.usedAt.Store(int64(bootTime()))
 	var headers fleet.ResponseHeaders
+	var ownerSend *sendEnd
+	if q.service.Keyed {
+		end := h.beginOwnerSend(q, u)
+		defer func() { h.endOwnerSend(ctx, q, u, end) }()
+		ownerSend = end
+	}
 	began, sent := time.Now(), bootTime()
 	q.sendDelay = began.Sub(q.arrived)
 	if u.limiter.rate() > 0 {
@@ -68,6 +74,7 @@
 	if err == nil && !headers.NotRun && (headers.ContentEncoded || resp.Status < http.StatusMultipleChoices && !headers.Signed) {
 		resp, err = nil, &upstreamconn.Error{Sent: true, Err: upstreamconn.ErrInvalidResponse}
 	}
+	ownerSend.returned(took, resp, headers, err)
 	if err != nil {
 		if !notSent(err) {
 			q.sends++
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -164,6 +164,9 @@
 	// Fair orders the requests that wait for an upstream by priority and remaining time, and
 	// within a priority by the shares of the workspaces.
 	Fair bool `json:"fair,omitempty"`
+	// OwnerHealth places the keys of a service by the failures, the silence and the speed of their
+	// owners, as all VMs report them.
+	OwnerHealth bool `json:"owner_health,omitempty"`
 }
 
 // Defaults of Limits.
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -6,6 +6,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/ownerhealth"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/quota"
 	"dandelionhill.dev/platform/fleet"
@@ -64,6 +65,11 @@
 	Rests []upstreamRest `cbor:"13,keyasint,omitempty"`
 	// Cold holds upstreams that are cold, as the VM has read in responses.
 	Cold []coldNews `cbor:"38,keyasint,omitempty"`
+	// OwnerSamples, OwnerFailures and OwnerPending are what the VM has seen of the owners of keys,
+	// if Overload.OwnerHealth is set.
+	OwnerSamples  []ownerhealth.Sample  `cbor:"40,keyasint,omitempty"`
+	OwnerFailures []ownerhealth.Failure `cbor:"41,keyasint,omitempty"`
+	OwnerPending  []ownerhealth.Pending `cbor:"42,keyasint,omitempty"`
 	// Quota is the demand for tokens of workspaces; VMs of earlier versions admit without them.
 	Quota *quota.Report `cbor:"30,keyasint,omitempty"`
 }
@@ -82,6 +88,8 @@
 	// seconds.
 	serviceLatency map[api.ServiceName]float64
 	pending        report
+	// health records what this VM sees of the owners of keys, nil unless Overload.OwnerHealth is set.
+	health *ownerhealth.Recorder
 }
 
 func newTrafficStats() *trafficStats {
@@ -153,5 +161,9 @@
 	defer s.mu.Unlock()
 	r := s.pending
 	s.pending = emptyReport()
+	if s.health != nil {
+		seen := s.health.Take(bootTime())
+		r.OwnerSamples, r.OwnerFailures, r.OwnerPending = seen.Samples, seen.Failures, seen.Pending
+	}
 	return r
 }
--- a/server/gateway/status.go
+++ b/server/gateway/status.go
@@ -49,6 +49,8 @@
 	DomainsOut []api.FailureDomain `json:"out"`
 	// Upstreams counts the upstreams of each service.
 	Upstreams map[api.ServiceName]UpstreamCounts `json:"upstreams"`
+	// UnhealthyOwners holds the owners of keys with a reduced capacity, on the granter.
+	UnhealthyOwners []OwnerHealth `json:"unhealthy_owners,omitempty"`
 	// Workspaces is the number of workspaces, see WorkspacesPath.
 	Workspaces int `json:"workspaces,omitempty"`
 	// Refused counts the requests of this process without a response from an upstream.
@@ -84,6 +86,9 @@
 		s.ConfigurationVersion = v.config.Version
 		s.Workspaces = len(v.config.Workspaces)
 	}
+	if unhealthy := g.control.ownerHealth.Load(); unhealthy != nil {
+		s.UnhealthyOwners = *unhealthy
+	}
 	for domain := range v.domainsOut {
 		s.DomainsOut = append(s.DomainsOut, domain)
 	}
