--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -77,6 +77,10 @@
 	workspaceRequests *prometheus.CounterVec
 	// queueRefusals counts the requests that an upstream's queue refused: route, reason.
 	queueRefusals *prometheus.CounterVec
+	// ownerHealth counts the decisions on the health of owners of keys: service, change;
+	// unhealthyOwners is the number of owners with a reduced capacity, by state, on the granter.
+	ownerHealth     *prometheus.CounterVec
+	unhealthyOwners *prometheus.GaugeVec
 	// unauthorized counts the requests refused with 401, by cause.
 	unauthorized *prometheus.CounterVec
 }
@@ -123,7 +127,11 @@
 		fairRefusals:      counter("fair_refusals_total", "Requests refused while they waited, by workspace.", "workspace"),
 		queueRefusals:     counter("queue_refusals_total", "Requests refused for lack of capacity of an upstream, by route.", "route", "reason"),
 		closed:            counter("connections_closed_total", "Connections closed, bodies given up and requests refused for a limit on clients, by reason.", "listener", "reason"),
-		callStyles:        counter("upstream_call_styles_total", "Upstreams whose grants count as arriving late, by reason: ignores_expect or exceeds_call_delay.", "reason"),
+		ownerHealth:       counter("owner_health_changes_total", "Decisions of the granter on the health of owners of keys.", "service", "change"),
+		unhealthyOwners: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "unhealthy_owners", Help: "Owners of keys that have lost their keys (failing) or some of their capacity (reduced), on the granter.",
+		}, []string{"state"}),
+		callStyles: counter("upstream_call_styles_total", "Upstreams whose grants count as arriving late, by reason: ignores_expect or exceeds_call_delay.", "reason"),
 		reachRounds: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "reach_checks_total", Help: "Checks whether upstreams can be reached, after connections failed.",
 		}),
@@ -174,6 +182,8 @@
 		m.queueRefusals,
 		m.closed,
 		m.callStyles,
+		m.ownerHealth,
+		m.unhealthyOwners,
 	)
 	return m
 }
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -170,6 +170,9 @@
 	// RefuseLate refuses requests that can no longer meet their target while the demand for an
 	// upstream exceeds what it takes and others become late for that.
 	RefuseLate bool `json:"refuse_late,omitempty"`
+	// OwnerHealth places the keys of a service by the failures, the silence and the speed of their
+	// owners, as all VMs report them.
+	OwnerHealth bool `json:"owner_health,omitempty"`
 }
 
 // Defaults of Limits.
