admission: tell rejections by full upstreams from others

In a simulation with upstreams that shed 0.3 of their requests whatever their load, and 0.02 of the new connections broken, each such rejection began a pause of half a queue, doubled by the next, and news of a free slot did not end it.

A shed request now counts as full only with three quarters of a queue or no stated load; a broken connection, a new one too, only with another sign. Other rejections cost one departure, doubled until a response comes. A free slot ends the pause. A state counts as a sign for 8 departures, a rejection for 10 s. Without backpressure nothing changes.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -223,6 +223,7 @@
 // UpstreamAccepted records that the upstream accepted a request.
 func (q *Queue) UpstreamAccepted() {
 	if q.pressure.enabled() {
+		q.pressure.unexplained = 0
 		return // Observe adjusts the backoff
 	}
 	q.backoff = time.Duration(backoffDecay * float64(q.backoff))
--- a/core/admission/backpressure.go
+++ b/core/admission/backpressure.go
@@ -15,8 +15,12 @@
 	// contention is the share of the capacity of an upstream from which the VMs pace their
 	// requests to it. Below it the queue of the upstream absorbs the variation.
 	contention = 0.9
-	// minDemand is the demand of a VM from which a broken connection is taken for contention.
+	// minDemand is the demand of a VM from which contention is judged after a broken connection:
+	// the one request that broke shows none.
 	minDemand = 1.5
+	// maxStateAge is how long a reported queue says that the upstream may be full, in departures:
+	// a full queue of 2 slots has left by then.
+	maxStateAge = 2 * queuePerSlot
 	// paceFactor is the factor on the interval between requests after a response that reports
 	// more than half a queue, and paceDecay that after one that reports less than a quarter.
 	paceFactor, paceDecay = 1.3, 0.8
@@ -39,6 +43,12 @@
 // free returns how many more requests the upstream can queue.
 func (s State) free() int { return queuePerSlot*s.Slots - s.Waiting }
 
+// HasFreeSlot reports whether the upstream would run another request at once.
+func (s State) HasFreeSlot() bool { return s.Slots > 0 && s.Running < s.Slots && s.Waiting == 0 }
+
+// full reports whether the queue is full, but for what left it since.
+func (s State) full() bool { return s.free() <= queuePerSlot*s.Slots/4 }
+
 // backpressure limits what one VM sends to an upstream by the state that the upstream reports.
 type backpressure struct {
 	// vms is the number of VMs that send to the upstream, 0 without backpressure.
@@ -46,6 +56,14 @@
 	// random returns a number in [0, 1). The VMs would otherwise send in step.
 	random func() float64
 	state  State
+	// observedAt is when state was reported.
+	observedAt time.Duration
+	// unexplained counts the rejections since the last response without a sign that the upstream
+	// is full.
+	unexplained int
+	// fullUntil is until when the upstream is believed to be full if no response reports room: VMs
+	// that share a full upstream get a response in maxBackoff or so.
+	fullUntil time.Duration
 	// work is the average service time of the requests at an upstream of usual speed.
 	work time.Duration
 	// demand is the number of requests in demandWindow, averaged, at demandAt.
@@ -126,12 +144,14 @@
 	if !b.enabled() || state.Slots <= 0 {
 		return
 	}
-	b.state = state
+	b.state, b.observedAt = state, now
 	switch free := state.free(); {
-	case state.Waiting == 0 && state.Running < state.Slots:
+	case state.HasFreeSlot():
 		// It was not full: connections break for other reasons too.
-		q.backoff = 0
+		q.backoff, q.nextAt = 0, min(q.nextAt, now)
+		b.unexplained, b.fullUntil = 0, 0
 	case free < queuePerSlot*state.Slots/2:
+		b.fullUntil = now + 2*maxBackoff
 		fair, _ := b.share(now)
 		q.backoff = min(max(time.Duration(paceFactor*float64(q.backoff)), b.departure()), maxPace*fair, maxBackoff)
 		// The requests that wait beyond half of the queue must leave first.
@@ -140,31 +160,56 @@
 	case free >= queuePerSlot*state.Slots*3/4:
 		q.backoff = time.Duration(paceDecay * float64(q.backoff))
 		if q.backoff < minBackoff {
-			q.backoff = 0
+			q.backoff, b.fullUntil = 0, 0
 		}
 	}
 }
 
+// Shed records that the upstream shed a request with a response that reported its state, which
+// Observe has been given. A full queue shows that it is full, and a short one that it sheds for
+// another reason, so that the request may be sent again at once. Between them its queue may be
+// shorter than that of others.
+func (q *Queue) Shed(now time.Duration) {
+	b := &q.pressure
+	switch {
+	case !b.enabled() || b.state.full():
+		q.UpstreamFull(now)
+	case b.state.Waiting >= b.state.Slots:
+		q.unexplained(now)
+	}
+}
+
 // ConnectionBroken records that a request got no response because its connection broke: the
-// upstream was full, or the connection broke for another reason. Without other signs that it is
-// full, the next request, which may be the same one, waits for one departure only.
+// upstream was full, or the connection broke for another reason.
 func (q *Queue) ConnectionBroken(now time.Duration) {
 	b := &q.pressure
 	if !b.enabled() {
 		q.UpstreamFull(now)
 		return
 	}
-	if b.decay(now); b.demand >= minDemand || q.backoff > 0 || b.state.free() < queuePerSlot*b.state.Slots/2 {
+	_, contended := b.share(now)
+	recent := now-b.observedAt < maxStateAge*b.departure()
+	if now < b.fullUntil || contended && (b.demand >= minDemand || b.unexplained > 0) || recent && b.state.free() < queuePerSlot*b.state.Slots/2 {
 		q.rejected(now)
 		return
 	}
-	q.backoff = max(b.departure(), initialBackoff)
+	q.unexplained(now)
+}
+
+// unexplained records a rejection without a sign that the upstream is full. The next request, which
+// may be the same one, waits for one departure only, and for twice as long after each further one
+// without a response that shows the upstream at work.
+func (q *Queue) unexplained(now time.Duration) {
+	b := &q.pressure
+	q.backoff = min(max(b.departure(), initialBackoff)<<min(b.unexplained, 10), maxBackoff)
+	b.unexplained++
 	q.nextAt = now + b.jitter(q.backoff)
 }
 
 // rejected records that the upstream rejected a request because it was full.
 func (q *Queue) rejected(now time.Duration) {
 	b := &q.pressure
+	b.fullUntil = now + 2*maxBackoff
 	interval := max(2*q.backoff, queuePerSlot*b.departure()*time.Duration(max(b.state.Slots, 1))/2, initialBackoff)
 	if fair, contended := b.share(now); contended {
 		interval = max(interval, fair)
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -72,6 +72,10 @@
 	// routeFlows makes the routes the flows of Shares; without workspaces it is the first route that
 	// floods. refuseLate sets SetRefuseLate.
 	routeFlows, refuseLate bool
+	// shed is the share of the arrivals that upstreams shed whatever their load, broken that of the
+	// sends whose new connection breaks before the request is sent.
+	shed, broken float64
+	seed         uint64
 	// length is the simulated time, simRun by default.
 	length time.Duration
 	// lost is the share of the VMs that callers do not reach, although they count.
@@ -367,6 +371,10 @@
 		hop *= 2
 	}
 	send := &simSend{vm: vm, r: r, sent: s.now}
+	if s.broken > 0 && s.choices.Float64() < s.broken {
+		s.at(s.now+hop, func() { s.onConnectionBroken(send) })
+		return
+	}
 	s.at(s.now+hop, func() { s.arrive(send) })
 	if s.rejection != silences {
 		return
@@ -409,6 +417,11 @@
 		s.arrivals++
 		u.arrivals++
 	}
+	if s.shed > 0 && s.choices.Float64() < s.shed {
+		state := s.state(u)
+		s.at(s.now+simHop, func() { s.onRejected(send, state) })
+		return
+	}
 	send.queued = true
 	if u.running < simSlots {
 		s.run(u, send)
@@ -479,11 +492,32 @@
 	s.dispatch(q)
 }
 
+// onConnectionBroken handles a new connection that the upstream closed at once.
+func (s *sim) onConnectionBroken(send *simSend) {
+	r, q := send.r, s.queue(send.vm, send.r.upstream)
+	send.ended = true
+	r.sends--
+	q.Done(0)
+	// As in the gateway, a free slot that was stated just before shows another cause.
+	if seen := s.seen[send.vm][r.upstream]; s.policy != independent || s.now-seen.at >= simLoadAge || !seen.state.HasFreeSlot() {
+		q.ConnectionBroken(s.now)
+	}
+	s.seen[send.vm][r.upstream].avoidUntil = s.now + time.Second
+	if s.keyed {
+		s.refuse(r, 250*ms)
+	} else {
+		s.attempt(send.vm, r)
+	}
+	s.dispatch(q)
+}
+
 func (s *sim) onRejected(send *simSend, state State) {
 	r := send.r
 	q := s.queue(send.vm, r.upstream)
 	q.Done(0)
 	known := s.rejection == sheds
+	// As in the gateway, a rejection by an upstream that states a short queue is none for its load.
+	full := !known || state.Waiting >= state.Slots
 	seen := &s.seen[send.vm][r.upstream]
 	if known {
 		seen.state, seen.at, seen.avoidUntil = state, s.now, s.now+simLoadAge
@@ -494,9 +528,13 @@
 		if known {
 			q.Observe(s.now, state)
 		}
-		if s.rejection == resets {
+		switch {
+		case known && s.policy == independent:
+			q.Shed(s.now)
+		case !full:
+		case s.rejection == resets:
 			q.ConnectionBroken(s.now)
-		} else {
+		default:
 			q.UpstreamFull(s.now)
 		}
 	}
@@ -505,7 +543,7 @@
 		s.at(s.now+simReport, func() { s.limit(u) })
 	}
 	again := (known || r.idempotent) && r.sends < 3 && s.now+r.ServiceTime < r.Deadline
-	if s.policy == backoffOnly && known && s.keyed {
+	if s.policy == backoffOnly && known && full && s.keyed {
 		again = false
 	}
 	switch {
@@ -577,7 +615,7 @@
 	if p.routes == nil {
 		p.routes = []simRoute{{share: 1, work: simWork, target: simTarget, deadline: simDeadline, late: 0.3}}
 	}
-	s := &sim{simParams: p, rng: rand.New(rand.NewPCG(11, uint64(p.vms))), choices: rand.New(rand.NewPCG(12, 1)), wakes: make(map[*Queue]time.Duration)}
+	s := &sim{simParams: p, rng: rand.New(rand.NewPCG(11+p.seed, uint64(p.vms))), choices: rand.New(rand.NewPCG(12, 1+p.seed)), wakes: make(map[*Queue]time.Duration)}
 	s.byRoute, s.byWorkspace = make([]simCount, len(p.routes)), make([]simCount, max(p.workspaces, 1))
 	work := 0.0
 	for _, route := range p.routes {
--- a/server/gateway/backpressure.go
+++ b/server/gateway/backpressure.go
@@ -53,10 +53,21 @@
 	return l.queue.Pause(time.Since(l.start))
 }
 
-// hadRoom reports whether the upstream has just stated a free slot: a connection that breaks
-// then has another cause.
-func (u *upstream) hadRoom(now time.Time) bool {
+// brokenSignal returns what a broken connection shows under backpressure: nothing about the
+// capacity if the upstream has just stated a free slot.
+func (u *upstream) brokenSignal(now time.Time) capacitySignal {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.load.Slots > 0 && now.Sub(u.loadAt) < loadAge && u.load.Running < u.load.Slots
+	if u.load.Slots > 0 && now.Sub(u.loadAt) < loadAge && u.load.Running < u.load.Slots {
+		return capacityUnknown
+	}
+	return capacityBroken
+}
+
+// shedSignal returns what a shed request with a load that leaves no capacity shows.
+func (l *limiter) shedSignal(load fleet.Load) capacitySignal {
+	if load.Slots > 0 && l.hasBackpressure() {
+		return capacityShed
+	}
+	return capacityFull
 }
--- a/server/gateway/backpressure_test.go
+++ b/server/gateway/backpressure_test.go
@@ -114,3 +114,21 @@
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 	require.Zero(t, u.limiter.pause())
 }
+
+// TestCapacitySignals guards against a broken connection to an upstream with a free slot, or a shed
+// request with a stated load, that counts as full whatever the load, and against a change of the
+// signals without backpressure.
+func TestCapacitySignals(t *testing.T) {
+	u := &upstream{limiter: newLimiter(new(atomic.Int32), func() {})}
+	u.limiter.senders = &u.senders
+	now := time.Now()
+	require.Equal(t, capacityBroken, u.brokenSignal(now))
+	u.load, u.loadAt = fleet.Load{Running: 1, Slots: 2}, now
+	require.Equal(t, capacityUnknown, u.brokenSignal(now))
+	require.Equal(t, capacityBroken, u.brokenSignal(now.Add(loadAge)))
+	full := fleet.Load{Running: 2, Waiting: 8, Slots: 2}
+	require.Equal(t, capacityFull, u.limiter.shedSignal(full))
+	u.senders.Store(89)
+	require.Equal(t, capacityShed, u.limiter.shedSignal(full))
+	require.Equal(t, capacityFull, u.limiter.shedSignal(fleet.Load{}), "no load is stated")
+}
--- a/server/gateway/limiter.go
+++ b/server/gateway/limiter.go
@@ -177,6 +177,8 @@
 	capacityUnknown capacitySignal = iota
 	capacityFree
 	capacityFull
+	// capacityShed means that the upstream shed the request and stated its load, which was observed.
+	capacityShed
 	// capacityBroken means that the connection broke, perhaps because the upstream is full.
 	capacityBroken
 )
@@ -192,6 +194,8 @@
 		l.queue.UpstreamAccepted()
 	case capacityFull:
 		l.queue.UpstreamFull(now.Sub(l.start))
+	case capacityShed:
+		l.queue.Shed(now.Sub(l.start))
 	case capacityBroken:
 		l.queue.ConnectionBroken(now.Sub(l.start))
 	}
--- a/server/gateway/send.go
+++ b/server/gateway/send.go
@@ -83,10 +83,12 @@
 			switch {
 			case silent:
 				capacity = capacityFull
+			case u.limiter.hasBackpressure():
+				if errors.Is(err, upstreamconn.ErrConnectionRejected) || why == connectionBroken {
+					capacity = u.brokenSignal(now)
+				}
 			case u.overloaded(now) || errors.Is(err, upstreamconn.ErrConnectionRejected):
 				capacity = capacityFull
-			case u.limiter.hasBackpressure() && why == connectionBroken && !u.hadRoom(now):
-				capacity = capacityBroken
 			}
 			if capacity != capacityUnknown && !silent {
 				// The watch counts silent ones.
@@ -118,7 +120,7 @@
 			h.log.Info().Str("event", "upstream_resting").Str("upstream", string(u.id)).Dur("rest_ms", headers.Rest).Str("request", q.params.RequestID).Msg("")
 		}
 		if !headers.Misdirected && overloaded(headers.Load) {
-			capacity = capacityFull
+			capacity = u.limiter.shedSignal(headers.Load)
 			h.metrics.rejectedSends.WithLabelValues(string(q.service.Name), rejectedByShedding).Inc()
 			if queueFull(headers.Load) {
 				h.recordVisibleRejection(q.service.Name)
