server/listen, gateway: a memory budget for messages between VMs

Messages between VMs (up to 4 MB, 8.3 MB for proxied requests) were read and decoded without a budget, and a connection that has left HTTP was never chosen when connections were short.

Messages of the listener for other VMs are granted memory as their bytes arrive, with that of the decoded message, by data items, before it is decoded: 9 KB of each connection, then 2% of the memory for callers, then up to half of the memory for bodies, half of both for one connection. The requests of isolated VMs that are handled are limited to 1,024 for each connection and 4,096 in total. One beyond a limit is discarded and refused as not run, and goes to another VM; the connection and its other requests stay. The memory of a response is held until it was sent. A message below the minimum rate, and a connection for proxied requests without one for 15 s, are closed; connections without a message count as idle, those of VMs that the granter has accepted come after them.

A response that finds no memory in the VM was taken for a possible crash of the upstream and verified by a new connection each: 256 descriptors with many proxied requests. It is no evidence of a crash.

--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -102,6 +102,9 @@
 	// Slow and Silent are those of Progress.
 	Slow   bool
 	Silent time.Duration
+	// Established means that the connection is of use while it is idle, such as that of a VM to the
+	// granter.
+	Established bool
 	// Memory is the number of bytes that closing the connection frees.
 	Memory int64
 }
@@ -121,7 +124,7 @@
 //
 // A running request is never chosen: it may have been sent to an upstream. A response is chosen
 // only if its client reads slowly. Slow connections come before idle ones, and these before
-// messages that make progress. Among equals the peer with the largest share comes first, then the
+// messages that make progress and established connections. Among equals the peer with the largest share comes first, then the
 // connection that has been silent for longest. When memory is short, a message that makes progress
 // is not chosen: it is as good as the one that needs the memory.
 func Victim(conns []Conn, shortage Shortage) (index int, ok bool) {
@@ -167,7 +170,7 @@
 		return slow
 	case c.Phase == Writing:
 		return notEligible
-	case c.Phase == Idle:
+	case c.Phase == Idle && !c.Established:
 		return idle
 	case shortage == Memory:
 		return notEligible
--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -40,6 +40,16 @@
 		"idle before active": {conns: []shedding.Conn{
 			{Peer: "a", Phase: shedding.Body}, {Peer: "a", Phase: shedding.Idle}, {Peer: "a", Phase: shedding.Running},
 		}, want: 1},
+		"established before active ones of a peer with fewer": {conns: []shedding.Conn{
+			{Peer: "a", Phase: shedding.Idle, Established: true, Silent: s},
+			{Peer: "b", Phase: shedding.Body}, {Peer: "b", Phase: shedding.Body},
+		}, want: 1},
+		"idle before established": {conns: []shedding.Conn{
+			{Peer: "a", Phase: shedding.Idle, Established: true, Silent: 60 * s}, {Peer: "b", Phase: shedding.Idle},
+		}, want: 1},
+		"established connections are kept in a shortage of memory": {conns: []shedding.Conn{
+			{Peer: "a", Phase: shedding.Idle, Established: true, Memory: 9},
+		}, shortage: shedding.Memory, want: -1},
 		"the peer with the most connections": {conns: []shedding.Conn{
 			{Peer: "a", Phase: shedding.Idle, Silent: 60 * s},
 			{Peer: "b", Phase: shedding.Idle, Silent: s},
--- a/server/buffers/buffers.go
+++ b/server/buffers/buffers.go
@@ -59,7 +59,10 @@
 func (b *Budget) Total() int64 { return b.total }
 
 // LargestBody returns the size of the largest body of a request that the budget has room for.
-func (b *Budget) LargestBody() int64 { return max(b.total-b.total/reserveShare-initialBytes, 0) }
+func (b *Budget) LargestBody() int64 { return max(b.total-b.Reserved()-initialBytes, 0) }
+
+// Reserved returns the bytes that only responses may use.
+func (b *Budget) Reserved() int64 { return b.total / reserveShare }
 
 // Reserve returns an empty reservation, which must be released.
 func (b *Budget) Reserve() *Reservation { return &Reservation{budget: b} }
@@ -108,13 +111,22 @@
 	return true
 }
 
+// TryTake takes bytes if they are free, and leaves a number of bytes free. It closes nothing.
+func (r *Reservation) TryTake(bytes, free int64) bool { return r.tryTake(bytes, free) }
+
+// Return returns some of the bytes in use.
+func (r *Reservation) Return(bytes int64) {
+	r.taken.Add(-bytes)
+	r.budget.left.Add(bytes)
+}
+
 // Release returns all bytes to the budget.
 func (r *Reservation) Release() { r.budget.left.Add(r.taken.Swap(0)) }
 
 // ReadBody reads the body of a request until EOF as ReadAll does. size is the size that its header
 // states, or negative. It leaves a part of the budget free for responses.
 func (r *Reservation) ReadBody(src io.Reader, size, limit int64) ([]byte, error) {
-	return r.read(src, size, limit, r.budget.total/reserveShare)
+	return r.read(src, size, limit, r.budget.Reserved())
 }
 
 // ReadAll reads a message until EOF. It fails with ErrTooLarge beyond limit bytes, and with
--- a/server/gateway/budget.go
+++ b/server/gateway/budget.go
@@ -31,6 +31,18 @@
 	return listen.NewBudget(memoryMB).Buffers
 }
 
+// messages returns the limits on messages of other VMs.
+func (l Limits) messages(memoryMB int) listen.MessageLimits {
+	budget := listen.NewBudget(memoryMB)
+	out := budget.MessageLimits(l.buffersBytes(memoryMB))
+	if l.MessagesMB > 0 {
+		out.SetBytes(budget.Messages, int64(l.MessagesMB)<<20)
+	}
+	out.Count = cmp.Or(l.PeerMessages, out.Count)
+	out.ConnectionCount = cmp.Or(l.PeerConnectionMessages, out.ConnectionCount)
+	return out
+}
+
 // listenerLimits holds the limits of each listener of a VM.
 type listenerLimits struct{ callers, peers, health, metrics listen.Limits }
 
@@ -39,7 +51,7 @@
 	budget := listen.NewBudget(memoryMB)
 	out := listenerLimits{
 		callers: budget.CallerLimits(files, callersFiles),
-		peers:   budget.Limits(files, peersFiles, otherHeadsBytes),
+		peers:   budget.PeerLimits(files, peersFiles, otherHeadsBytes),
 		health:  budget.Limits(files, healthFiles, otherHeadsBytes),
 		metrics: budget.Limits(files, metricsFiles, otherHeadsBytes),
 	}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -138,6 +138,10 @@
 	g.guards = []*listen.Guard{
 		guard("peers", of.peers), guard("health", of.health), guard("metrics", of.metrics), guard("callers", of.callers),
 	}
+	messages := limits.messages(s.MemoryMB)
+	l.messages = listen.NewMessages(messages, g.guards[0], buffers.NewBudget(listen.NewBudget(s.MemoryMB).Messages), budget)
+	g.proxies.accepted = l.messages
+	g.proxies.opened = listen.NewMessages(messages, nil, buffers.NewBudget(0), budget)
 	callersGuard := g.guards[len(g.guards)-1]
 	budget.SetReclaimer(callersGuard.ReclaimBodies)
 	g.conns.limitReached = callersGuard.Closed
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -44,21 +44,23 @@
 	noOwner            reason = "no_owner"     // no upstream owns the key at present
 	vmStopping         reason = "stopping"     // the VM is about to end; others serve the request
 	buffersFull        reason = "buffers_full" // the memory for bodies is used up
-	noUpstream         reason = "no_upstream"  // the service has no usable upstream
-	busy               reason = "busy"         // the limiter admits no request before the deadline
-	cold               reason = "cold"         // the rate limit of the cold upstream is reached
-	limited            reason = "limited"      // the limit that the upstream states is reached
-	shed               reason = "shed"         // upstreams shed the request
-	unreachable        reason = "unreachable"  // no connection to an upstream
-	timeoutUnsent      reason = "timeout_unsent"
-	timeoutSent        reason = "timeout_sent" // sent to an upstream, no response in time
-	responseLost       reason = "answer_lost"  // sent to an upstream, the response was lost
-	callerLeft         reason = "caller_left"
-	quarantined        reason = "quarantined" // the request has crashed upstreams
-	ownerLeaving       reason = "leaving"     // the owner of the key leaves, and no key can move at present
-	resting            reason = "resting"     // upstreams want no requests from this VM for a time
-	isolatedVM         reason = "isolated"    // neither upstreams nor a VM that reaches them can be reached
-	clientShed         reason = "client_shed" // the body was given up for others, as the caller is slow
+	// messagesFull means that the VM that was to send the request has no room for its message.
+	messagesFull  reason = "messages_full"
+	noUpstream    reason = "no_upstream" // the service has no usable upstream
+	busy          reason = "busy"        // the limiter admits no request before the deadline
+	cold          reason = "cold"        // the rate limit of the cold upstream is reached
+	limited       reason = "limited"     // the limit that the upstream states is reached
+	shed          reason = "shed"        // upstreams shed the request
+	unreachable   reason = "unreachable" // no connection to an upstream
+	timeoutUnsent reason = "timeout_unsent"
+	timeoutSent   reason = "timeout_sent" // sent to an upstream, no response in time
+	responseLost  reason = "answer_lost"  // sent to an upstream, the response was lost
+	callerLeft    reason = "caller_left"
+	quarantined   reason = "quarantined" // the request has crashed upstreams
+	ownerLeaving  reason = "leaving"     // the owner of the key leaves, and no key can move at present
+	resting       reason = "resting"     // upstreams want no requests from this VM for a time
+	isolatedVM    reason = "isolated"    // neither upstreams nor a VM that reaches them can be reached
+	clientShed    reason = "client_shed" // the body was given up for others, as the caller is slow
 )
 
 // outcome is the result of a request that got no response from an upstream.
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -19,6 +19,7 @@
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/quota"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/listen"
 	"dandelionhill.dev/server/upstreamconn"
 	"dandelionhill.dev/server/wait"
 )
@@ -155,6 +156,8 @@
 	relay, operatorRelay *relay
 	limits               *statedLimits
 	log                  zerolog.Logger
+	// messages grants memory to the messages of other VMs.
+	messages *listen.Messages
 	// elector provides this VM's promises, hasConfig reports whether this VM has a configuration.
 	elector   *elector
 	hasConfig func() bool
@@ -255,8 +258,9 @@
 	conn.SetReadLimit(maxFrameBytes)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
+	messages := l.messages.Connection(listen.ConnOf(r), maxFrameBytes)
 	var h hello
-	if err := receive(ctx, conn, &h, linkDialTimeout); err != nil || h.Term > g.term {
+	if err := receiveBounded(ctx, messages, conn, &h, linkDialTimeout); err != nil || h.Term > g.term {
 		l.log.Warn().Str("event", "link_refused").Str("peer", string(h.VM)).Int64("term", h.Term).Err(err).Msg("")
 		return
 	}
@@ -264,6 +268,7 @@
 	if !g.addMember(member, accepted, time.Duration(h.PromiseMs)*time.Millisecond) {
 		return
 	}
+	messages.Establish()
 	go func() {
 		defer cancel()
 		for {
@@ -282,7 +287,7 @@
 	}()
 	for {
 		var rep report
-		if err = receive(ctx, conn, &rep, 3*reportInterval+linkTimeout); err != nil {
+		if err = receiveBounded(ctx, messages, conn, &rep, 3*reportInterval+linkTimeout); err != nil {
 			break
 		}
 		l.crashes.merge(rep.Crashes)
@@ -449,3 +454,15 @@
 	}
 	return errors.Wrap(cbor.Unmarshal(data, message), "decode a message between VMs")
 }
+
+// receiveBounded is receive within the limits on messages of other VMs.
+func receiveBounded(ctx context.Context, messages *listen.MessageConn, conn *websocket.Conn, message any, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	m, err := readMessage(ctx, messages, conn)
+	defer m.Release()
+	if err != nil {
+		return errors.Wrap(err, "receive a message between VMs")
+	}
+	return errors.Wrap(cbor.Unmarshal(m.Data, message), "decode a message between VMs")
+}
--- /dev/null
+++ b/server/gateway/messages_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/server/buffers"
+	"dandelionhill.dev/server/listen"
+)
+
+// TestProxiedRequestWithoutRoom guards against a request of an isolated VM that the limits on messages
+// refuse without saying that it has not run, or by ending the other requests of its connection.
+func TestProxiedRequestWithoutRoom(t *testing.T) {
+	const roomBytes = 1 << 20
+	shared := buffers.NewBudget(4 << 20)
+	messages := listen.NewMessages(listen.MessageLimits{Bytes: roomBytes, ConnectionBytes: roomBytes, ConnectionCount: 1}, nil, buffers.NewBudget(0), shared)
+	served, finish := make(chan string, 10), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		require.NoError(t, err)
+		defer ws.CloseNow()
+		ws.SetReadLimit(maxFrameBytes)
+		serve := func(_ context.Context, req *proxyRequest) *proxyResponse {
+			served <- req.Target
+			<-finish
+			return &proxyResponse{Status: http.StatusOK, Body: make([]byte, roomBytes/4)}
+		}
+		//nolint:errcheck // the connection ends with the test
+		serveProxyConn(r.Context(), ws, messages.Connection(nil, maxFrameBytes), guard{NewMetrics(), zerolog.Nop()}, serve)
+	}))
+	t.Cleanup(server.Close)
+	opened := listen.NewMessages(listen.MessageLimits{}, nil, nil, nil)
+	c, err := dialProxy(t.Context(), server.Listener.Addr().String(), maxFrameBytes, opened)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.end(errProxyIdle) })
+	call := func(target string, body int) *proxyResponse {
+		resp, sent, err := c.call(t.Context(), &proxyRequest{From: api.VMID("isolated"), Target: target, Body: make([]byte, body), TimeoutMs: 10_000})
+		require.NoError(t, err)
+		require.True(t, sent)
+		return resp
+	}
+	first := make(chan *proxyResponse, 1)
+	go func() { first <- call("/first", 0) }()
+	require.Equal(t, "/first", <-served)
+	for name, body := range map[string]int{"number": 0, "bytes": 2 * roomBytes} {
+		refused := call("/refused", body)
+		require.Equal(t, messagesFull, refused.Reason, name)
+		require.Equal(t, http.StatusServiceUnavailable, refused.FailureStatus, name)
+		require.Zero(t, refused.MayHaveRun, name)
+		require.True(t, refused.notTaken(), "another VM may send it")
+	}
+	close(finish)
+	require.Equal(t, http.StatusOK, (<-first).Status)
+	require.Equal(t, http.StatusOK, call("/second", 0).Status, "the first request counts no longer")
+	require.Equal(t, "/second", <-served)
+	require.Empty(t, served, "no refused request was served")
+	// The memory of a response is released after it was sent.
+	require.Eventually(t, func() bool { return shared.Left() == shared.Total() }, waitTimeout, time.Millisecond)
+}
+
+// TestFrameID guards against a refusal of the wrong request.
+func TestFrameID(t *testing.T) {
+	for _, id := range []uint64{0, 1, 23, 24, 255, 70_000, 1 << 40} {
+		data, err := cbor.Marshal(proxyFrame{ID: id, Request: &proxyRequest{}})
+		require.NoError(t, err)
+		got, err := frameID(data[:min(len(data), 16)])
+		require.NoError(t, err)
+		require.Equal(t, id, got)
+	}
+	for _, head := range [][]byte{nil, {0xa1}, {0xa1, 0x02, 0x01}, {0x81, 0x01, 0x01}, {0xa1, 0x01, 0x1b}} {
+		_, err := frameID(head)
+		require.ErrorIs(t, err, errNoFrameID)
+	}
+}
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -18,6 +18,7 @@
 	"dandelionhill.dev/core/reachability"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/buffers"
+	"dandelionhill.dev/server/listen"
 	"dandelionhill.dev/server/upstreamconn"
 	"dandelionhill.dev/server/wait"
 )
@@ -43,6 +44,9 @@
 	self            api.VMID
 	address         string
 	maxMessageBytes int64
+	// accepted grants memory to the messages of isolated VMs, opened to those of VMs that this one
+	// has connected to.
+	accepted, opened *listen.Messages
 	// knownPeers returns the addresses of VMs, of which some may be isolated too.
 	knownPeers func() []string
 	handler    *requestHandler
@@ -105,7 +109,7 @@
 	if c != nil && c.open() {
 		return c, nil
 	}
-	c, err := dialProxy(ctx, address, p.maxMessageBytes)
+	c, err := dialProxy(ctx, address, p.maxMessageBytes, p.opened)
 	if err != nil {
 		return nil, err
 	}
@@ -206,20 +210,26 @@
 	}
 	defer ws.CloseNow()
 	ws.SetReadLimit(p.maxMessageBytes)
-	if err := serveProxyConn(r.Context(), ws, guard{p.metrics, p.log}, p.serve); err != nil {
+	if err := serveProxyConn(r.Context(), ws, p.accepted.Connection(listen.ConnOf(r), p.maxMessageBytes), guard{p.metrics, p.log}, p.serve); err != nil {
 		p.log.Debug().Str("event", "proxy_connection_ended").Err(err).Msg("")
 	}
 }
 
 // serve sends a request of an isolated VM to an upstream.
-func (p *proxies) serve(ctx context.Context, req *proxyRequest) *proxyResponse {
+func (p *proxies) serve(ctx context.Context, req *proxyRequest) (out *proxyResponse) {
 	p.serving.Add(1)
 	defer p.serving.Add(-1)
 	if req.WantConfiguration || req.ConfigurationRow != nil {
 		return p.exchangeConfiguration(ctx, req)
 	}
-	q, resp, failure := p.handler.serveProxied(ctx, req, p.stopping.Load())
-	out := &proxyResponse{Upstream: q.lastUpstream, Sends: q.sends, MayHaveRun: q.mayHaveRun, NeedsConfiguration: failure.reason == noConfiguration}
+	reservation := p.handler.buffers.Reserve()
+	defer func() {
+		if out == nil { // a panic
+			reservation.Release()
+		}
+	}()
+	q, resp, failure := p.handler.serveProxied(ctx, req, reservation, p.stopping.Load())
+	out = &proxyResponse{release: reservation.Release, Upstream: q.lastUpstream, Sends: q.sends, MayHaveRun: q.mayHaveRun, NeedsConfiguration: failure.reason == noConfiguration}
 	out.Configuration = p.handler.view().configVersion()
 	if resp != nil {
 		p.metrics.proxyServed.WithLabelValues("answered").Inc()
@@ -247,15 +257,15 @@
 	}
 }
 
-// serveProxied sends a request of an isolated VM to an upstream.
-func (h *requestHandler) serveProxied(ctx context.Context, req *proxyRequest, stopping bool) (*request, *upstreamconn.Response, outcome) {
+// serveProxied sends a request of an isolated VM to an upstream. reservation holds the memory of the
+// response; that of the body is held by the message.
+func (h *requestHandler) serveProxied(ctx context.Context, req *proxyRequest, reservation *buffers.Reservation, stopping bool) (*request, *upstreamconn.Response, outcome) {
 	q := &request{
-		arrived: time.Now(), buffers: h.buffers.Reserve(), body: req.Body, proxied: true, counted: req.Counted, mayHaveRun: req.MayHaveRun,
+		arrived: time.Now(), buffers: reservation, body: req.Body, proxied: true, counted: req.Counted, mayHaveRun: req.MayHaveRun,
 	}
 	if req.Exact {
 		q.agreed = req.Configuration
 	}
-	defer q.buffers.Release()
 	q.deadline = q.arrived.Add(time.Duration(req.TimeoutMs) * time.Millisecond)
 	refused := func(why reason, status int, err error) (*request, *upstreamconn.Response, outcome) {
 		return q, nil, h.finalOutcome(ctx, q, outcome{reason: why, status: status, retryAfter: otherVMRetryAfter, err: err})
@@ -279,8 +289,6 @@
 		return refused(noConfiguration, http.StatusServiceUnavailable, nil)
 	case req.Exact && v.config.Version != req.Configuration:
 		return refused(newerConfiguration, http.StatusServiceUnavailable, nil)
-	case !q.buffers.Take(int64(len(req.Body))):
-		return refused(buffersFull, http.StatusServiceUnavailable, buffers.ErrExhausted)
 	}
 	if q.route = v.config.Match(req.Host, target.EscapedPath()); q.route == nil {
 		return refused(noRoute, http.StatusServiceUnavailable, nil)
--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -11,7 +12,10 @@
 	"github.com/pkg/errors"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/api/wire"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/buffers"
+	"dandelionhill.dev/server/listen"
 	"dandelionhill.dev/server/upstreamconn"
 )
 
@@ -89,13 +93,16 @@
 	// NeedsConfiguration means that the VM has an older configuration than the request names, and
 	// takes it from the sender.
 	NeedsConfiguration bool `cbor:"15,keyasint,omitempty"`
+
+	// release, unless it is nil, returns the memory of the response.
+	release func()
 }
 
 // notTaken reports whether the VM could not send the request to any upstream, so that another
 // VM may.
 func (r *proxyResponse) notTaken() bool {
 	switch r.Reason {
-	case isolatedVM, vmStopping, noConfiguration, newerConfiguration, noRoute, unconfirmed:
+	case isolatedVM, vmStopping, messagesFull, noConfiguration, newerConfiguration, noRoute, unconfirmed:
 		return r.Sends == 0
 	}
 	return false
@@ -115,7 +122,8 @@
 
 // proxyConn is a connection of an isolated VM to one that sends its requests.
 type proxyConn struct {
-	ws *websocket.Conn
+	ws       *websocket.Conn
+	messages *listen.MessageConn
 
 	mu      sync.Mutex
 	lastID  uint64
@@ -127,7 +135,7 @@
 }
 
 // dialProxy connects to a VM.
-func dialProxy(ctx context.Context, address string, maxMessageBytes int64) (*proxyConn, error) {
+func dialProxy(ctx context.Context, address string, maxMessageBytes int64, messages *listen.Messages) (*proxyConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, proxyDialTimeout)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}
@@ -137,7 +145,7 @@
 		return nil, errors.Wrap(err, "connect to a VM that reaches the upstreams")
 	}
 	ws.SetReadLimit(maxMessageBytes)
-	c := &proxyConn{ws: ws, waiting: make(map[uint64]chan *proxyResponse), usedAt: time.Now(), ended: make(chan struct{})}
+	c := &proxyConn{ws: ws, messages: messages.Connection(nil, maxMessageBytes), waiting: make(map[uint64]chan *proxyResponse), usedAt: time.Now(), ended: make(chan struct{})}
 	go c.read()
 	go c.keepAlive()
 	return c, nil
@@ -146,11 +154,16 @@
 // read passes responses to the requests that wait for them, until the connection ends.
 func (c *proxyConn) read() {
 	for {
-		_, data, err := c.ws.Read(context.Background())
 		var frame proxyFrame
-		if err == nil {
-			err = cbor.Unmarshal(data, &frame)
+		message, err := readMessage(context.Background(), c.messages, c.ws)
+		switch {
+		case errors.Is(err, listen.ErrMessageRefused):
+			// The request that waits for this response ends without one.
+			frame.ID, err = frameID(message.Data)
+		case err == nil:
+			err = cbor.Unmarshal(message.Data, &frame)
 		}
+		message.Release()
 		if err != nil {
 			c.end(errors.Wrap(err, "read from a VM that sends requests"))
 			return
@@ -159,7 +172,7 @@
 		waiting := c.waiting[frame.ID]
 		delete(c.waiting, frame.ID)
 		c.mu.Unlock()
-		if waiting != nil && frame.Response != nil {
+		if waiting != nil {
 			waiting <- frame.Response
 		}
 	}
@@ -245,6 +258,9 @@
 	}
 	select {
 	case resp := <-response:
+		if resp == nil {
+			return nil, true, buffers.ErrExhausted
+		}
 		return resp, true, nil
 	case <-c.ended:
 		return nil, true, c.err
@@ -256,47 +272,129 @@
 	}
 }
 
+// readMessage reads a message within the limits on messages. The message must be released.
+func readMessage(ctx context.Context, messages *listen.MessageConn, ws *websocket.Conn) (*listen.Message, error) {
+	return messages.Read(func() (io.Reader, error) {
+		_, r, err := ws.Reader(ctx)
+		return r, err
+	}, wire.Items)
+}
+
+// errNoFrameID means that the first bytes of a message do not hold the ID of a request.
+var errNoFrameID = errors.New("a message was refused for its size, and it does not begin with its number")
+
+// frameID returns the ID of a frame of which only the first bytes are known: VMs encode it first.
+func frameID(head []byte) (id uint64, err error) {
+	const cborMap, key = 5, 1
+	if len(head) < 3 || head[0]>>5 != cborMap || head[1] != key {
+		return 0, errNoFrameID
+	}
+	if _, err := cbor.UnmarshalFirst(head[2:], &id); err != nil {
+		return 0, errNoFrameID
+	}
+	return id, nil
+}
+
+// servedProxyConn is a connection on which an isolated VM passes its requests.
+type servedProxyConn struct {
+	ws       *websocket.Conn
+	messages *listen.MessageConn
+	guard    guard
+	serve    func(context.Context, *proxyRequest) *proxyResponse
+	// ended ends the connection.
+	ended context.CancelFunc
+
+	mu      sync.Mutex
+	cancels map[uint64]context.CancelFunc
+	// sending admits one response at a time, as each has an encoded copy.
+	sending sync.Mutex
+}
+
 // serveProxyConn passes the requests on a connection to serve and sends the responses, until
 // the connection ends.
-func serveProxyConn(ctx context.Context, ws *websocket.Conn, guard guard, serve func(context.Context, *proxyRequest) *proxyResponse) error {
+func serveProxyConn(ctx context.Context, ws *websocket.Conn, messages *listen.MessageConn, guard guard, serve func(context.Context, *proxyRequest) *proxyResponse) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var mu sync.Mutex
-	cancels := make(map[uint64]context.CancelFunc)
+	c := &servedProxyConn{ws: ws, messages: messages, guard: guard, serve: serve, ended: cancel, cancels: make(map[uint64]context.CancelFunc)}
 	for {
-		_, data, err := ws.Read(ctx)
+		message, err := readMessage(ctx, messages, ws)
+		if err == nil {
+			err = c.handle(ctx, message)
+		} else if errors.Is(err, listen.ErrMessageRefused) {
+			var id uint64
+			if id, err = frameID(message.Data); err == nil {
+				err = c.refuse(ctx, id)
+			}
+			message.Release()
+		}
 		if err != nil {
 			return errors.Wrap(err, "read from an isolated VM")
 		}
-		var frame proxyFrame
-		if err := cbor.Unmarshal(data, &frame); err != nil {
-			return errors.Wrap(err, "decode a message of an isolated VM")
-		}
-		mu.Lock()
-		if stop := cancels[frame.ID]; frame.Cancel && stop != nil {
+	}
+}
+
+// refuse says that a request has not run and never will: another VM may send it.
+func (c *servedProxyConn) refuse(ctx context.Context, id uint64) error {
+	return send(ctx, c.ws, proxyFrame{ID: id, Response: &proxyResponse{
+		Reason: messagesFull, FailureStatus: http.StatusServiceUnavailable, RetryAfterMs: otherVMRetryAfter.Milliseconds(),
+	}})
+}
+
+// handle handles a message and releases it.
+func (c *servedProxyConn) handle(ctx context.Context, message *listen.Message) error {
+	var frame proxyFrame
+	err := cbor.Unmarshal(message.Data, &frame)
+	message.Decoded()
+	if err != nil || frame.Request == nil {
+		message.Release()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if stop := c.cancels[frame.ID]; frame.Cancel && stop != nil {
 			stop()
 		}
-		mu.Unlock()
-		if frame.Request == nil {
-			continue
-		}
-		requestCtx, stop := context.WithCancel(ctx)
-		mu.Lock()
-		cancels[frame.ID] = stop
-		mu.Unlock()
-		go func() {
-			defer stop()
-			resp := &proxyResponse{Reason: responseLost, FailureStatus: http.StatusBadGateway, MayHaveRun: 1}
-			guard.run("proxied_request", func() { resp = serve(requestCtx, frame.Request) })
-			mu.Lock()
-			delete(cancels, frame.ID)
-			mu.Unlock()
-			if requestCtx.Err() != nil {
-				return // the caller has left
-			}
-			if err := send(ctx, ws, proxyFrame{ID: frame.ID, Response: resp}); err != nil {
-				cancel()
-			}
-		}()
+		return errors.Wrap(err, "decode a message of an isolated VM")
+	}
+	if err := message.Handle(); err != nil {
+		message.Release()
+		return c.refuse(ctx, frame.ID)
+	}
+	requestCtx, stop := context.WithCancel(ctx)
+	c.mu.Lock()
+	c.cancels[frame.ID] = stop
+	c.mu.Unlock()
+	go func() {
+		defer stop()
+		c.serveRequest(ctx, requestCtx, frame, message)
+	}()
+	return nil
+}
+
+// serveRequest sends a request and then its response, unless the caller has left.
+func (c *servedProxyConn) serveRequest(ctx, requestCtx context.Context, frame proxyFrame, message *listen.Message) {
+	resp := &proxyResponse{Reason: responseLost, FailureStatus: http.StatusBadGateway, MayHaveRun: 1}
+	c.guard.run("proxied_request", func() { resp = c.serve(requestCtx, frame.Request) })
+	if resp.release != nil {
+		defer resp.release()
+	}
+	// Responses that wait for their turn hold no memory that the one before them waits for.
+	message.Release()
+	c.mu.Lock()
+	delete(c.cancels, frame.ID)
+	c.mu.Unlock()
+	if requestCtx.Err() != nil {
+		return
+	}
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	if requestCtx.Err() != nil {
+		return
+	}
+	releaseCopy, ok := c.messages.Reserve(requestCtx, int64(len(resp.Body)))
+	defer releaseCopy()
+	if !ok {
+		resp = &proxyResponse{Reason: responseLost, FailureStatus: http.StatusBadGateway, Upstream: resp.Upstream, Sends: resp.Sends, MayHaveRun: resp.MayHaveRun}
+	}
+	if err := send(ctx, c.ws, proxyFrame{ID: frame.ID, Response: resp}); err != nil {
+		c.ended()
 	}
 }
--- a/server/gateway/send.go
+++ b/server/gateway/send.go
@@ -49,7 +49,8 @@
 	took := now.Sub(began)
 	silent := watch.dropped(sendCtx, err)
 	switch {
-	case silent:
+	case silent, errors.Is(err, buffers.ErrExhausted):
+		// A response that finds no memory in this VM shows that the upstream has not crashed.
 		h.crashes.ended(fingerprint)
 	case err == nil && resp.Stream != nil:
 		// The run ends with the response.
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -140,6 +140,12 @@
 	HealthConnections     int `json:"health_connections,omitempty"`
 	MetricsConnections    int `json:"metrics_connections,omitempty"`
 	ConnectionsPerAddress int `json:"connections_per_address,omitempty"`
+	// MessagesMB bounds the memory of messages of other VMs beyond the reserved one, in megabytes. It
+	// is a part of BuffersMB. PeerMessages and PeerConnectionMessages bound the requests of isolated
+	// VMs that are handled at a time, over all connections and for each.
+	MessagesMB             int `json:"messages_mb,omitempty"`
+	PeerMessages           int `json:"messages,omitempty"`
+	PeerConnectionMessages int `json:"messages_per_connection,omitempty"`
 	// MinRate is the lowest rate at which a body must arrive and a response must be read, in
 	// bytes per second over MinRateWindow; 1,000 over 5 s by default.
 	MinRate       int             `json:"min_rate,omitempty"`
@@ -241,6 +247,8 @@
 		"limits.caller_connections": s.Limits.CallerConnections, "limits.peer_connections": s.Limits.PeerConnections,
 		"limits.health_connections": s.Limits.HealthConnections, "limits.metrics_connections": s.Limits.MetricsConnections,
 		"limits.connections_per_address": s.Limits.ConnectionsPerAddress, "limits.min_rate": s.Limits.MinRate,
+		"limits.messages_mb": s.Limits.MessagesMB, "limits.messages": s.Limits.PeerMessages,
+		"limits.messages_per_connection": s.Limits.PeerConnectionMessages,
 	} {
 		if value < 0 {
 			c.Add(field, "write a limit above 0, or leave it out for the default", "%d is out of range", value)
--- a/server/listen/budget.go
+++ b/server/listen/budget.go
@@ -16,11 +16,15 @@
 	programBytes   = 8 << 20
 	// baseBytes is what the runtime uses without callers, with room for the garbage collector.
 	baseBytes = 14 << 20
-	// What remains of the runtime's limit is divided between bodies and responses, heads, and
-	// connections, in percent.
-	buffersPercent, headsPercent, connectionsPercent = 72, 14, 14
+	// What remains of the runtime's limit is divided between bodies and responses, messages of other
+	// VMs, heads, and connections, in percent.
+	buffersPercent, messagesPercent, headsPercent, connectionsPercent = 70, 2, 14, 14
 	// minCallersBytes is the smallest sum of these three.
 	minCallersBytes = 2 << 20
+	// sharedMessagesPercent of the memory for bodies and responses is the most that messages may use
+	// beyond their own, connectionMessagesPercent of both that of the messages of one connection: a
+	// proxied request with its decoded copy fits a VM of 144 MB.
+	sharedMessagesPercent, connectionMessagesPercent = 50, 50
 	// connectionBytes is the memory of a connection without a head: the buffers of http.Server for
 	// reading and writing, and two goroutines.
 	connectionBytes = 24 << 10
@@ -29,6 +33,14 @@
 	// queueBytes is the size of the queue of a connection in each direction. The kernel doubles it
 	// for its own overhead. It is enough for 60 Mbit/s with a round trip of 6 ms.
 	queueBytes = 32 << 10
+	// minPeerConnections is enough for a granter of 300 VMs, 300 isolated VMs and operators.
+	minPeerConnections = 640
+	// The messages that are handled at a time: an isolated VM passes on what its callers' connections
+	// ask for.
+	messageCount, connectionMessageCount = 4096, 1024
+	// messageIdleTimeout is how long a connection for proxied requests is kept without one; the VM
+	// that opened it closes it earlier.
+	messageIdleTimeout = 15 * time.Second
 	// minConnections is the smallest default of a limit on connections.
 	minConnections = 8
 	// addressPercent is the part of the connections that one address may have: callers may share
@@ -49,8 +61,9 @@
 // Budget is the memory of a VM. Its values are 0, for no limit, if the memory is unknown.
 type Budget struct {
 	// Runtime is the memory limit of the Go runtime, Buffers the memory for bodies and responses,
-	// Heads that for heads of requests, Queues the most bytes in the queues of the kernel.
-	Runtime, Buffers, Heads, Queues int64
+	// Messages that reserved for messages of other VMs, Heads that for heads of requests, Queues the
+	// most bytes in the queues of the kernel.
+	Runtime, Buffers, Messages, Heads, Queues int64
 	// Connections is the most connections of callers.
 	Connections int
 }
@@ -65,6 +78,7 @@
 	callers := max(runtime-baseBytes, minCallersBytes)
 	return Budget{
 		Runtime: runtime, Buffers: callers * buffersPercent / 100, Heads: callers * headsPercent / 100,
+		Messages:    callers * messagesPercent / 100,
 		Queues:      memory * queuesPercent / 100,
 		Connections: max(int(callers*connectionsPercent/100/connectionBytes), minConnections),
 	}
@@ -90,6 +104,25 @@
 	return l
 }
 
+// PeerLimits returns the default limits of the listener of other VMs.
+func (b Budget) PeerLimits(files, fileShares int, heads int64) Limits {
+	l := b.Limits(files, fileShares, heads)
+	if b.Connections > 0 {
+		l.Connections = min(l.Connections, max(b.Connections, minPeerConnections))
+	}
+	return l
+}
+
+// MessageLimits returns the default limits of messages of other VMs, given the memory for bodies and
+// responses.
+func (b Budget) MessageLimits(buffers int64) MessageLimits {
+	l := MessageLimits{Count: messageCount, ConnectionCount: connectionMessageCount, IdleTimeout: messageIdleTimeout}
+	if b.Messages > 0 {
+		l.SetBytes(b.Messages, buffers*sharedMessagesPercent/100)
+	}
+	return l
+}
+
 // ShareByAddress returns the most connections of one address by default.
 func ShareByAddress(connections int) int { return max(connections*addressPercent/100, 1) }
 
--- a/server/listen/conn.go
+++ b/server/listen/conn.go
@@ -67,6 +67,13 @@
 	// active means that the head of a request has arrived and the request has not ended, hijacked
 	// that the connection is no longer one of HTTP.
 	active, hijacked bool
+	// messages means that a hijacked connection carries messages, of which running are handled; it
+	// may be idle for idleTimeout, 0 for no limit.
+	messages    bool
+	running     int
+	established bool // see MessageConn.Establish
+	idleTimeout time.Duration
+	idleSince   time.Duration
 	// begun means that bytes of a head have arrived.
 	begun bool
 	// reading means that a body is being read, discarding that it is read only to be discarded.
@@ -94,6 +101,8 @@
 	switch {
 	case c.writing > 0:
 		return shedding.Writing
+	case c.hijacked && c.messages:
+		return c.messagePhase()
 	case c.hijacked:
 		return shedding.Running
 	case c.active && (c.reading || c.discarding):
@@ -120,7 +129,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f()
-	c.progress.Begin(c.guard.now(), c.phase())
+	phase := c.phase()
+	if phase != shedding.Idle {
+		c.idleSince = c.guard.now()
+	}
+	c.progress.Begin(c.guard.now(), phase)
 }
 
 // Read implements net.Conn.
@@ -276,13 +289,16 @@
 func (c *Conn) candidate(now time.Duration, rules shedding.Rules, memory func(*Conn) int64) shedding.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := shedding.Conn{Peer: c.peer, Phase: c.phase(), Slow: c.progress.Slow(now, rules), Silent: c.progress.Silent(now)}
+	out := shedding.Conn{Peer: c.peer, Phase: c.phase(), Slow: c.progress.Slow(now, rules), Silent: c.progress.Silent(now), Established: c.established}
 	if memory != nil {
 		out.Memory = memory(c)
 	}
 	if c.aborted != "" {
 		out.Phase, out.Memory = shedding.Running, 0 // it ends soon
 	}
+	if c.running > 0 {
+		out.Phase = shedding.Running // its requests may have been sent
+	}
 	return out
 }
 
@@ -291,7 +307,7 @@
 func (c *Conn) observe(now time.Duration, rules shedding.Rules) (Reason, int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hijacked || c.aborted != "" {
+	if c.hijacked && !c.messages || c.aborted != "" {
 		return "", 0
 	}
 	unread := int64(0)
@@ -305,12 +321,20 @@
 	}
 	c.queued = c.unsent + unread
 	c.progress.Begin(now, phase)
+	if phase != shedding.Idle {
+		c.idleSince = now
+	} else if c.messages && c.idleTimeout > 0 && now-c.idleSince >= c.idleTimeout {
+		return IdleTimeout, c.queued
+	}
 	// Bytes count as sent once the client has acknowledged them.
 	if !c.progress.Observe(now, c.received+c.sent-c.unsent, rules) {
 		return "", c.queued
 	}
-	if phase == shedding.Writing {
+	switch {
+	case phase == shedding.Writing:
 		return SlowReader, c.queued
+	case c.messages:
+		return SlowMessage, c.queued
 	}
 	return SlowBody, c.queued
 }
@@ -337,7 +361,7 @@
 		return false
 	}
 	c.aborted = reason
-	if phase == shedding.Body {
+	if phase == shedding.Body && !c.hijacked {
 		defer c.mu.Unlock()
 		return c.TCPConn.SetReadDeadline(time.Unix(1, 0)) == nil
 	}
--- a/server/listen/guard.go
+++ b/server/listen/guard.go
@@ -31,6 +31,9 @@
 	HeadTimeout     Reason = "head_timeout"     // a head takes too long
 	IdleTimeout     Reason = "idle_timeout"     // no request for too long
 	NotHTTP         Reason = "not_http"         // the bytes are no request of HTTP/1.1
+	MessageMemory   Reason = "message_memory"   // the memory for messages is used up
+	MessageCount    Reason = "message_count"    // too many messages are handled
+	SlowMessage     Reason = "slow_message"     // a message arrives below the minimum rate
 )
 
 const (
--- a/server/listen/guard_test.go
+++ b/server/listen/guard_test.go
@@ -373,7 +373,7 @@
 		b := NewBudget(memoryMB)
 		memory := int64(memoryMB) << 20
 		callers := b.CallerLimits(3075, 24)
-		require.LessOrEqual(t, baseBytes+b.Buffers+b.Heads+int64(callers.Connections)*connectionBytes, b.Runtime)
+		require.LessOrEqual(t, baseBytes+b.Buffers+b.Messages+b.Heads+int64(callers.Connections)*connectionBytes, b.Runtime)
 		require.LessOrEqual(t, programBytes+b.Runtime+b.Queues, memory, "%d MB", memoryMB)
 	}
 	smallest := NewBudget(144)
--- /dev/null
+++ b/server/listen/messages.go
@@ -0,0 +1,363 @@
+package listen
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/core/shedding"
+	"dandelionhill.dev/server/buffers"
+	"dandelionhill.dev/server/wait"
+)
+
+const (
+	// shortMessageBytes is the size of messages that each connection reads, one at a time, without a
+	// grant. Cancellations arrive while a flood holds the rest.
+	shortMessageBytes = 1 << 10
+	// inlineBytes is the further memory that each connection has without a grant, so that the usual
+	// reports of other VMs arrive then too.
+	inlineBytes = 8 << 10
+	// itemCost is the memory of a decoded data item beside its bytes: 131,072 empty maps in an array
+	// are as many structures.
+	itemCost = 64
+	// handlingCost is the memory of a request that is being handled: its goroutine and its headers.
+	handlingCost = 8 << 10
+	// messageHeadBytes is how much of a refused message is kept: it names what is refused.
+	messageHeadBytes = 256
+	// grantPolls and grantInterval bound the wait for memory that closed connections release.
+	grantPolls    = 20
+	grantInterval = 5 * time.Millisecond
+)
+
+// ErrMessageRefused means that a message was read and discarded, because the limits on messages have
+// no room for it. It had no effect.
+var ErrMessageRefused = errors.New("the limits on messages between VMs have no room for the message: see messages_mb and messages of the settings")
+
+// ErrMessageTooLarge means that a message exceeds the limit of its connection.
+var ErrMessageTooLarge = errors.New("the message exceeds its limit")
+
+// MessageLimits are the limits of the messages on a listener's connections that are no longer ones
+// of HTTP. 0 is no limit.
+type MessageLimits struct {
+	// Bytes is the most memory of all messages beyond the reserved one, ConnectionBytes the most of
+	// those of one connection.
+	Bytes, ConnectionBytes int64
+	// Count is the most messages that are handled at a time, ConnectionCount those of one connection.
+	Count, ConnectionCount int
+	// IdleTimeout is how long a connection without a message is kept.
+	IdleTimeout time.Duration
+}
+
+// SetBytes sets the limits on bytes, given those that are reserved and those beyond.
+func (l *MessageLimits) SetBytes(reserved, shared int64) {
+	l.Bytes, l.ConnectionBytes = shared, max((reserved+shared)*connectionMessagesPercent/100, inlineBytes)
+}
+
+// Messages grants memory to messages. Short ones use what each connection has, further ones the
+// reserved memory, and the rest comes from the shared memory of bodies and responses.
+type Messages struct {
+	limits           MessageLimits
+	guard            *Guard
+	reserved, shared *buffers.Budget
+	// sharedUsed are the bytes of the shared memory in use, count the messages that are handled.
+	sharedUsed, count atomic.Int64
+}
+
+// NewMessages returns the grants of a listener. reserved and shared are nil for no limit.
+func NewMessages(limits MessageLimits, guard *Guard, reserved, shared *buffers.Budget) *Messages {
+	return &Messages{limits: limits, guard: guard, reserved: reserved, shared: shared}
+}
+
+// MessageConn is a connection of messages.
+type MessageConn struct {
+	messages *Messages
+	conn     *Conn // nil without a guard
+	// limit is the size of the largest message.
+	limit int64
+
+	mu sync.Mutex
+	// used is the memory of the messages, of which reserved and shared were granted.
+	used             int64
+	reserved, shared *buffers.Reservation
+	count            int
+}
+
+// Connection returns the state of a connection that has left HTTP, with messages up to limit bytes.
+// conn is nil without a guard.
+func (m *Messages) Connection(conn *Conn, limit int64) *MessageConn {
+	c := &MessageConn{messages: m, conn: conn, limit: limit}
+	if m.shared != nil {
+		c.reserved, c.shared = m.reserved.Reserve(), m.shared.Reserve()
+	}
+	if conn != nil {
+		conn.carry(c, m.limits.IdleTimeout)
+	}
+	return c
+}
+
+// Taken implements Memory.
+func (c *MessageConn) Taken() int64 {
+	if c.shared == nil {
+		return 0
+	}
+	return c.reserved.Taken() + c.shared.Taken()
+}
+
+// tryTake takes memory. final means that waiting does not help.
+func (c *MessageConn) tryTake(bytes int64) (ok, final bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limits := c.messages.limits
+	if limit := limits.ConnectionBytes; limit != 0 && c.used+bytes > limit {
+		return false, true
+	}
+	granted := max(c.used+bytes-inlineBytes, 0) - max(c.used-inlineBytes, 0)
+	if granted > 0 && c.shared != nil && !c.reserved.TryTake(granted, 0) {
+		if c.messages.sharedUsed.Add(granted) > limits.Bytes || !c.shared.TryTake(granted, c.messages.shared.Reserved()) {
+			c.messages.sharedUsed.Add(-granted)
+			return false, granted > limits.Bytes
+		}
+	}
+	c.used += bytes
+	return true, false
+}
+
+// take takes memory, of slow messages if there is no other.
+func (c *MessageConn) take(bytes int64) bool {
+	ok, final := c.tryTake(bytes)
+	if ok || final {
+		return ok
+	}
+	if guard := c.messages.guard; guard == nil || guard.reclaim(bytes, MessageMemory, (*Conn).bodyMemory) < bytes {
+		return false
+	}
+	for range grantPolls {
+		time.Sleep(grantInterval)
+		if ok, final = c.tryTake(bytes); ok || final {
+			return ok
+		}
+	}
+	return false
+}
+
+// give returns memory.
+func (c *MessageConn) give(bytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.put(min(bytes, c.used))
+}
+
+// put is give; c.mu is held. Reserved memory becomes free last.
+func (c *MessageConn) put(bytes int64) {
+	granted := max(c.used-inlineBytes, 0) - max(c.used-bytes-inlineBytes, 0)
+	c.used -= bytes
+	if c.shared == nil {
+		return
+	}
+	fromShared := min(granted, c.shared.Taken())
+	c.shared.Return(fromShared)
+	c.messages.sharedUsed.Add(-fromShared)
+	c.reserved.Return(min(granted-fromShared, c.reserved.Taken()))
+}
+
+// Message is a message that was read.
+type Message struct {
+	// Data is the message, or its first bytes if it was refused.
+	Data []byte
+
+	conn *MessageConn
+	// raw is the memory of Data, decoded that of what is decoded from it, as far as it was taken.
+	raw, decoded int64
+	// cost is the memory of the decoded message.
+	cost    int64
+	counted bool
+}
+
+// Read reads the next message, which next waits for. items returns the number of data items of an
+// encoded message. After ErrMessageRefused the message holds the first bytes. Release must be called
+// in any case.
+func (c *MessageConn) Read(next func() (io.Reader, error), items func([]byte) int64) (*Message, error) {
+	m := &Message{conn: c}
+	src, err := next()
+	if err != nil {
+		return m, err
+	}
+	c.setReading(true)
+	defer c.setReading(false)
+	if err := m.read(src); err != nil {
+		return m, err
+	}
+	m.cost = int64(len(m.Data)) + items(m.Data)*itemCost
+	if len(m.Data) > shortMessageBytes && !m.takeDecoded(0) {
+		return m, m.refuse(nil, MessageMemory)
+	}
+	return m, nil
+}
+
+func (m *Message) read(src io.Reader) error {
+	m.Data = make([]byte, 0, shortMessageBytes)
+	for {
+		if len(m.Data) == cap(m.Data) {
+			// One byte more than the limit, so that the end is read without growing again.
+			size := min(2*int64(cap(m.Data)), m.conn.limit+1)
+			if size <= int64(cap(m.Data)) {
+				return ErrMessageTooLarge
+			}
+			if !m.conn.take(size) {
+				return m.refuse(src, MessageMemory)
+			}
+			larger := make([]byte, len(m.Data), size)
+			copy(larger, m.Data)
+			m.conn.give(m.raw)
+			m.Data, m.raw = larger, size
+		}
+		n, err := src.Read(m.Data[len(m.Data):cap(m.Data)])
+		m.Data = m.Data[:len(m.Data)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read a message")
+		}
+	}
+}
+
+func (m *Message) takeDecoded(further int64) bool {
+	bytes := m.cost + further - m.decoded
+	if !m.conn.take(bytes) {
+		return false
+	}
+	m.decoded += bytes
+	return true
+}
+
+// Handle counts the message as a request that is handled until Release. It returns
+// ErrMessageRefused if the limits have no room for it.
+func (m *Message) Handle() error {
+	if !m.takeDecoded(handlingCost) {
+		return m.refuse(nil, MessageMemory)
+	}
+	if !m.conn.countOne() {
+		return m.refuse(nil, MessageCount)
+	}
+	m.counted = true
+	return nil
+}
+
+// refuse releases the memory but for the first bytes, and reads the rest of the message.
+func (m *Message) refuse(rest io.Reader, reason Reason) error {
+	if m.conn.conn != nil {
+		m.conn.conn.guard.record(reason)
+	}
+	head := append([]byte(nil), m.Data[:min(len(m.Data), messageHeadBytes)]...)
+	m.Release()
+	m.Data = head
+	if rest != nil {
+		if _, err := io.Copy(io.Discard, rest); err != nil {
+			return errors.Wrap(err, "read the rest of a message")
+		}
+	}
+	return ErrMessageRefused
+}
+
+// Decoded releases the memory of the message but for what was decoded from it.
+func (m *Message) Decoded() {
+	m.conn.give(m.raw)
+	m.Data, m.raw = nil, 0
+}
+
+// Release releases the memory of the message.
+func (m *Message) Release() {
+	m.conn.give(m.raw + m.decoded)
+	m.Data, m.raw, m.decoded = nil, 0, 0
+	if m.counted {
+		m.counted = false
+		m.conn.uncount()
+	}
+}
+
+// Reserve takes memory for a response of a number of bytes, and waits for it until ctx ends.
+func (c *MessageConn) Reserve(ctx context.Context, bytes int64) (release func(), ok bool) {
+	for {
+		taken, final := c.tryTake(bytes)
+		if taken {
+			return func() { c.give(bytes) }, true
+		}
+		if final && !c.busy() || !wait.For(ctx, grantInterval) {
+			return func() {}, false
+		}
+	}
+}
+
+// busy reports whether the connection uses memory that it will return.
+func (c *MessageConn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used > 0
+}
+
+// countOne counts a request that is handled, if the limits allow it.
+func (c *MessageConn) countOne() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limits := c.messages.limits
+	if limits.ConnectionCount > 0 && c.count >= limits.ConnectionCount {
+		return false
+	}
+	if n := c.messages.count.Add(1); limits.Count > 0 && n > int64(limits.Count) {
+		c.messages.count.Add(-1)
+		return false
+	}
+	c.count++
+	c.changeRunning(1)
+	return true
+}
+
+func (c *MessageConn) uncount() {
+	c.mu.Lock()
+	c.messages.count.Add(-1)
+	c.count--
+	c.mu.Unlock()
+	c.changeRunning(-1)
+}
+
+func (c *MessageConn) setReading(reading bool) {
+	if c.conn != nil {
+		c.conn.change(func() { c.conn.reading = reading })
+	}
+}
+
+func (c *MessageConn) changeRunning(by int) {
+	if c.conn != nil {
+		c.conn.change(func() { c.conn.running += by })
+	}
+}
+
+// Establish says that the connection is of use while it carries no message: it is closed after idle
+// ones when connections are short.
+func (c *MessageConn) Establish() {
+	if c.conn != nil {
+		c.conn.change(func() { c.conn.established = true })
+	}
+}
+
+// carry marks a connection that has left HTTP as one of messages.
+func (c *Conn) carry(m *MessageConn, idleTimeout time.Duration) {
+	c.change(func() { c.messages, c.idleTimeout, c.body = true, idleTimeout, m })
+}
+
+// messagePhase returns the phase of a connection of messages; c.mu is held.
+func (c *Conn) messagePhase() shedding.Phase {
+	switch {
+	case c.reading:
+		return shedding.Body
+	case c.running > 0:
+		return shedding.Running
+	default:
+		return shedding.Idle
+	}
+}
