--- a/server/gateway/messages_test.go
+++ b/server/gateway/messages_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,8 +16,10 @@
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/listen"
+	"dandelionhill.dev/server/upstreamconn"
 )
 
 // TestProxiedRequestWithoutRoom guards against a request of an isolated VM that the limits on messages
@@ -81,3 +86,32 @@
 		require.ErrorIs(t, err, errNoFrameID)
 	}
 }
+
+// TestResponseWithoutRoom guards against a response that finds no memory in the VM and counts as
+// evidence of a crash, if the upstream refuses the next connection.
+func TestResponseWithoutRoom(t *testing.T) {
+	d := newDeployment(t)
+	u := d.addUpstream("p1", "plain")
+	d.addUpstream("k1", "keyed") // the VM reaches it: it is not isolated
+	var refuse atomic.Bool
+	g := d.startVMWith("vm-a", d.storeAddr, func(g *Gateway) {
+		g.control.dialUpstream = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if refuse.Load() && address == d.addresses["p1"] {
+				return nil, syscall.ECONNREFUSED
+			}
+			return upstreamconn.Dial(ctx, network, address)
+		}
+	})
+	d.requireServed(g, plainPath, -1)
+	u.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+		refuse.Store(true)
+		w.Header().Set(fleet.HeaderSignature, "seal")
+		w.Write(make([]byte, 4<<20)) //nolint:errcheck // the VM closes the connection
+	})
+	others := g.handler.buffers.Reserve()
+	require.True(t, others.Take(g.handler.buffers.Left()-g.handler.buffers.Reserved()-64<<10))
+	resp, _ := d.do(g, http.MethodGet, plainPath, -1, waitTimeout)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.True(t, refuse.Load(), "the upstream got the request")
+	require.Empty(t, g.handler.crashes.snapshot())
+}
