gateway: MaxHeaderBytes of the configuration is enforced, with 431

Heads up to 64 KB were read whatever the configuration said. The limit that is in force when the head is complete decides. Only the bytes of names and values count: that is the fewest that any way of counting finds, so a caller within the limit is never refused.

--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -40,6 +40,7 @@
 	newerConfiguration reason = "newer_configuration"
 	badRequest         reason = "bad_request"
 	tooLarge           reason = "body_too_large"
+	headTooLarge       reason = "head_too_large"
 	bodyTimeout        reason = "body_timeout" // the body did not arrive before the deadline
 	noOwner            reason = "no_owner"     // no upstream owns the key at present
 	vmStopping         reason = "stopping"     // the VM is about to end; others serve the request
@@ -225,6 +226,10 @@
 		h.refuse(w, q, outcome{reason: noConfiguration, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
 		return
 	}
+	if limit := v.config.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		h.refuse(w, q, outcome{reason: headTooLarge, status: http.StatusRequestHeaderFieldsTooLarge, err: errHeadTooLarge})
+		return
+	}
 	if q.route = v.config.Match(r.Host, r.URL.EscapedPath()); q.route == nil {
 		h.refuse(w, q, outcome{reason: noRoute, status: http.StatusNotFound})
 		return
