daemon: without memory_mb the memory is that of the machine or its control group

The daemon without gateway had no limit on its memory unless its settings stated one. The line memory_limit names the source.

--- a/server/cmd/dandelionhilld/main.go
+++ b/server/cmd/dandelionhilld/main.go
@@ -50,11 +50,26 @@
 	return err
 }
 
+// setMemory sets the memory of the VM to that of the machine or of the process's control group, unless
+// the settings state it. It returns where it comes from.
+func setMemory(s *settings.Settings, machineMB int) (source string) {
+	switch {
+	case s.MemoryMB > 0:
+		return "settings"
+	case machineMB > 0:
+		s.MemoryMB = machineMB
+		return "machine"
+	default:
+		return "unknown"
+	}
+}
+
 func runDaemon(path string) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
+	source := setMemory(s, listen.MachineMemoryMB())
 	if limit := listen.NewBudget(s.MemoryMB).Runtime; limit > 0 {
 		debug.SetMemoryLimit(limit)
 	}
@@ -62,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	log.Info().Str("event", "memory_limit").Str("source", source).Int("memory_mb", s.MemoryMB).Msg("")
 	d, err := daemon.New(s, log)
 	if err != nil {
 		return err
--- a/server/cmd/dandelionhilld/main_test.go
+++ b/server/cmd/dandelionhilld/main_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/server/settings"
 )
 
 // TestMain runs the daemon in place of the tests if the environment asks for it.
@@ -45,3 +47,16 @@
 		require.Contains(t, out.String(), "the field is missing", "the process has read its settings")
 	}
 }
+
+// TestMemoryOfMachine guards against a daemon whose memory has no limit because its settings state none,
+// and against a setting that is ignored.
+func TestMemoryOfMachine(t *testing.T) {
+	for _, c := range []struct {
+		set, machine, want int
+		source             string
+	}{{0, 512, 512, "machine"}, {100, 512, 100, "settings"}, {0, 0, 0, "unknown"}} {
+		s := &settings.Settings{MemoryMB: c.set}
+		require.Equal(t, c.source, setMemory(s, c.machine))
+		require.Equal(t, c.want, s.MemoryMB)
+	}
+}
--- a/server/settings/parse.go
+++ b/server/settings/parse.go
@@ -57,7 +57,7 @@
 		v.Add("stop_timeout", fmt.Sprintf("choose a time above 0s and at most %s", maxStopTimeout), "%s is out of range", d)
 	}
 	if s.MemoryMB < 0 {
-		v.Add("memory_mb", "write the memory of the VM in megabytes, or leave it out for no limit", "%d is out of range", s.MemoryMB)
+		v.Add("memory_mb", "write the memory of the VM in megabytes, or leave it out for that of the machine", "%d is out of range", s.MemoryMB)
 	}
 	if err := v.Err(); err != nil {
 		return nil, err
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -33,8 +33,8 @@
 	AdminTLS TLS `json:"admin_tls,omitempty"`
 	// Operators lists who may use the admin interface.
 	Operators []Operator `json:"operators"`
-	// MemoryMB is the memory of the VM in megabytes. If it is 0, bodies and heads in memory have no
-	// common limit.
+	// MemoryMB is the memory of the VM in megabytes. If it is 0, it is that of the machine or of the
+	// process's control group.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// LogLevel is the minimum level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log_level,omitempty"`
