server/buffers: responses without a stated size take memory as they arrive

From a quarter of response_body_kb on, the buffer of a response without a stated size doubled and then took the limit: a response of 3 MB took 4 MB, one of 5 MB took 8 MB. It grows by a quarter now. Bodies of requests, which may be as large as the memory allows and come one at a time, keep their rule.

TestResponsesTakeMemoryAsTheyArrive fails before (4,194,304 bytes taken after 2,097,152).

--- a/bench/untrusted/process_test.go
+++ b/bench/untrusted/process_test.go
@@ -45,6 +45,9 @@
 	// largePath is a path of the route whose response has largeBytes.
 	largePath  = routePath + "large"
 	largeBytes = 256 << 10
+	// largerPath is one whose response has largerBytes, without a stated size.
+	largerPath  = routePath + "larger"
+	largerBytes = 3 << 20
 	// sampleInterval is the time between two samples of the memory of the process.
 	sampleInterval = 20 * time.Millisecond
 	// startTimeout bounds the start of the process until it serves a request.
@@ -112,6 +115,12 @@
 			w.Write(large) //nolint:errcheck // the VM may close the connection
 			return
 		}
+		if r.URL.Path == largerPath {
+			for range largerBytes / largeBytes {
+				w.Write(large) //nolint:errcheck // as above
+			}
+			return
+		}
 		io.WriteString(w, "ran") //nolint:errcheck // as above
 	})
 	upstreamServer := httptest.NewServer(u)
--- a/server/buffers/buffers.go
+++ b/server/buffers/buffers.go
@@ -126,27 +126,27 @@
 // ReadBody reads the body of a request until EOF as ReadAll does. size is the size that its header
 // states, or negative. It leaves a part of the budget free for responses.
 func (r *Reservation) ReadBody(src io.Reader, size, limit int64) ([]byte, error) {
-	return r.read(src, size, limit, r.budget.Reserved())
+	return r.read(src, limit, r.budget.Reserved(), func(capacity int64) int64 { return grow(capacity, size, limit) })
 }
 
 // ReadAll reads a message until EOF. It fails with ErrTooLarge beyond limit bytes, and with
 // ErrExhausted if the budget is used up.
 func (r *Reservation) ReadAll(src io.Reader, limit int64) ([]byte, error) {
-	return r.read(src, -1, limit, 0)
+	return r.read(src, limit, 0, func(capacity int64) int64 { return growGradually(capacity, limit) })
 }
 
 // knownSizeBytes is how much of a body must have arrived before a buffer of its whole stated size
 // is allocated: its size alone costs a client nothing.
 const knownSizeBytes = 64 << 10
 
-func (r *Reservation) read(src io.Reader, size, limit, free int64) ([]byte, error) {
+func (r *Reservation) read(src io.Reader, limit, free int64, grow func(capacity int64) int64) ([]byte, error) {
 	if !r.take(initialBytes, free) {
 		return nil, ErrExhausted
 	}
 	data := make([]byte, 0, initialBytes)
 	for {
 		if len(data) == cap(data) {
-			grown, ok := r.extend(int64(cap(data)), size, limit, free)
+			grown, ok := r.extend(int64(cap(data)), free, grow)
 			if !ok {
 				return nil, ErrExhausted
 			}
@@ -170,8 +170,8 @@
 
 // extend takes the bytes for the next buffer and returns its size. If there is no room for a buffer
 // of the whole message, it doubles the buffer.
-func (r *Reservation) extend(capacity, size, limit, free int64) (grown int64, ok bool) {
-	grown, twice := grow(capacity, size, limit), 2*capacity
+func (r *Reservation) extend(capacity, free int64, grow func(capacity int64) int64) (grown int64, ok bool) {
+	grown, twice := grow(capacity), 2*capacity
 	if grown > twice && (r == nil || r.tryTake(grown-capacity, free)) {
 		return grown, true
 	}
@@ -192,3 +192,13 @@
 		return 2 * capacity
 	}
 }
+
+// growGradually returns the size of the next buffer of a message whose size is not stated and which is
+// one of many: from a quarter of the limit on, the buffer grows by a quarter, so that the memory follows
+// the bytes that have arrived. The last buffer has one byte more than the limit, as with grow.
+func growGradually(capacity, limit int64) int64 {
+	if 4*capacity < limit {
+		return 2 * capacity
+	}
+	return min(capacity+capacity/4, max(limit, capacity)+1)
+}
--- a/server/buffers/buffers_test.go
+++ b/server/buffers/buffers_test.go
@@ -94,3 +94,38 @@
 	require.True(t, next.Take(200))
 	require.Equal(t, int64(800), budget.Left())
 }
+
+// arriving counts the bytes that have arrived and checks the memory taken for them.
+type arriving struct {
+	t       *testing.T
+	r       *Reservation
+	left    int
+	arrived int64
+}
+
+func (a *arriving) Read(p []byte) (int, error) {
+	require.LessOrEqual(a.t, a.r.Taken(), max(2*a.arrived+initialBytes, initialBytes), "after %d bytes", a.arrived)
+	if a.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), a.left, 10_000)
+	a.left, a.arrived = a.left-n, a.arrived+int64(n)
+	return n, nil
+}
+
+// TestResponsesTakeMemoryAsTheyArrive guards against a response without a stated size that takes the
+// limit of responses when a quarter of it has arrived, and against one of stated size that takes more
+// than that.
+func TestResponsesTakeMemoryAsTheyArrive(t *testing.T) {
+	const limit = 8 << 20
+	for _, size := range []int{0, 1, 2<<20 - 1, 2 << 20, 2<<20 + 1, 3 << 20, 7 << 20, limit - 1, limit} {
+		r := NewBudget(limit + limit/4).Reserve()
+		got, err := r.ReadAll(&arriving{t: t, r: r, left: size}, limit)
+		require.NoError(t, err)
+		require.Len(t, got, size)
+		require.LessOrEqual(t, r.Taken(), max(int64(size)*5/4+1, 2<<20), "%d bytes", size)
+	}
+	r := NewBudget(2 * limit).Reserve()
+	_, err := r.ReadAll(&arriving{t: t, r: r, left: limit + 1}, limit)
+	require.ErrorIs(t, err, ErrTooLarge)
+}
