--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 FUZZ_TIME := 5s
 FUZZ := server/upstreamconn:FuzzRequest server/upstreamconn:FuzzResponse server/gateway:FuzzMessages \
 	platform/fleet:FuzzHeaders platform/fleet:FuzzRows server/entry:FuzzRequest server/settings:FuzzParse \
-	api/wire:FuzzDecode core/config:FuzzParse core/dedup:FuzzParseID
+	api/wire:FuzzDecode api/wire:FuzzItems core/config:FuzzParse core/dedup:FuzzParseID
 
 fuzz:
 	@set -e; for f in $(FUZZ); do \
