fakes/fleet: the store skips no change when a wait ends

Cause: a call for changes looked for rows, waited, and when the wait was over responded with no rows and the version of that moment. A change that came in between is below the stated version, so the VM asks for later ones only and never learns of it. A call without a wait takes this path each time.

Change: rows and version are read under one lock. The fault is the stand-in's, not the product's.

--- a/fakes/fleet/store.go
+++ b/fakes/fleet/store.go
@@ -215,7 +215,7 @@
 	}
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
-	for {
+	for expired := false; ; {
 		s.mu.Lock()
 		if after+1 < s.oldest || after > s.version {
 			s.mu.Unlock()
@@ -229,7 +229,8 @@
 			}
 		}
 		changed := s.changed
-		if len(rows) > 0 {
+		if len(rows) > 0 || expired {
+			// The rows and the version are of one moment.
 			s.writePage(w, http.StatusOK, rows)
 			s.mu.Unlock()
 			return
@@ -238,10 +239,7 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
-			s.mu.Lock()
-			s.writePage(w, http.StatusOK, nil)
-			s.mu.Unlock()
-			return
+			expired = true
 		case <-r.Context().Done():
 			return
 		}
