gateway: the granter tells all VMs of a contended upstream

With overload.contention a VM reports an upstream that it finds full, the granter collects the demand of all VMs for it (field 34 of report and update) and states an interval while that is at least four times what the upstream can run. VMs begin at a random time within it. core/admission has Contentions for the granter and Queue.SetInterval for a VM. Off by default; without the granter a VM goes by its own rejections after 1.5 s.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -79,6 +79,8 @@
 	// shares is the state of SetShares, nil in the order by arrival time.
 	shares Sharer
 	late   lateness
+	// contention is the state of SetInterval.
+	contention contentionState
 }
 
 // New returns a queue that allows limit concurrent requests to the upstream.
@@ -200,6 +202,9 @@
 	q.permits.use()
 	q.running++
 	q.nextAt = now + q.backoff
+	if q.contention.paced(now) {
+		q.nextAt = now + q.pressure.jitter(q.contention.interval)
+	}
 }
 
 // NextWake returns when Next should be called even if no slot is freed; ok is false
--- a/core/admission/backpressure.go
+++ b/core/admission/backpressure.go
@@ -145,6 +145,11 @@
 		return
 	}
 	b.state, b.observedAt = state, now
+	q.contention.responded = true
+	q.contention.full = q.contention.full || state.full()
+	if q.contention.paced(now) {
+		return
+	}
 	switch free := state.free(); {
 	case state.HasFreeSlot():
 		// It was not full: connections break for other reasons too.
@@ -210,6 +215,10 @@
 func (q *Queue) rejected(now time.Duration) {
 	b := &q.pressure
 	b.fullUntil = now + 2*maxBackoff
+	if q.contention.full = true; q.contention.paced(now) {
+		q.nextAt = max(q.nextAt, now+b.jitter(q.contention.interval))
+		return
+	}
 	interval := max(2*q.backoff, queuePerSlot*b.departure()*time.Duration(max(b.state.Slots, 1))/2, initialBackoff)
 	if fair, contended := b.share(now); contended {
 		interval = max(interval, fair)
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -4,11 +4,8 @@
 	"container/heap"
 	"math/rand/v2"
 	"strconv"
-	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/ratelimit"
 	"dandelionhill.dev/core/selection"
@@ -32,6 +29,8 @@
 	backoffOnly policy = iota
 	// independent means backpressure by each VM.
 	independent
+	// told means backpressure by each VM, and that the granter tells all of contention.
+	told
 	// leased means that a granter issues permits at the rate of an upstream once it has been
 	// full.
 	leased
@@ -76,6 +75,9 @@
 	// sends whose new connection breaks before the request is sent.
 	shed, broken float64
 	seed         uint64
+	// granterUntil is when the granter is lost, 0 for never. fromStart counts the first second too.
+	granterUntil time.Duration
+	fromStart    bool
 	// length is the simulated time, simRun by default.
 	length time.Duration
 	// lost is the share of the VMs that callers do not reach, although they count.
@@ -204,6 +206,11 @@
 	wakes        map[*Queue]time.Duration
 	// seen holds what each VM has read, by upstream.
 	seen [][]simSeen
+	// contentions and watched are those of the granter, and the upstreams of which it has told the
+	// VMs; reporting holds the VMs whose report is under way.
+	contentions *Contentions[int]
+	watched     []int
+	reporting   map[int]bool
 	// order is the order of the upstreams at each VM.
 	order [][]int
 	simResult
@@ -230,7 +237,9 @@
 
 func (s *sim) reachable() int { return int(float64(s.vms) * (1 - s.lost)) }
 
-func (s *sim) counted() bool { return s.now >= time.Second && (s.flood == 0 || s.now >= s.length/2) }
+func (s *sim) counted() bool {
+	return (s.fromStart || s.now >= time.Second) && (s.flood == 0 || s.now >= s.length/2)
+}
 
 // queue returns the queue that holds the requests of a VM for an upstream.
 func (s *sim) queue(vm, u int) *Queue {
@@ -475,6 +484,7 @@
 	}
 	q.UpstreamAccepted()
 	q.Observe(s.now, state)
+	s.report(send.vm, q)
 	if s.counted() {
 		switch {
 		case s.now <= send.r.Target:
@@ -529,7 +539,7 @@
 			q.Observe(s.now, state)
 		}
 		switch {
-		case known && s.policy == independent:
+		case known && (s.policy == independent || s.policy == told):
 			q.Shed(s.now)
 		case !full:
 		case s.rejection == resets:
@@ -538,6 +548,7 @@
 			q.UpstreamFull(s.now)
 		}
 	}
+	s.report(send.vm, q)
 	if s.policy == leased && !s.upstreams[r.upstream].limited {
 		u := s.upstreams[r.upstream]
 		s.at(s.now+simReport, func() { s.limit(u) })
@@ -557,213 +568,3 @@
 	}
 	s.dispatch(q)
 }
-
-// limit lets the granter issue permits for an upstream.
-func (s *sim) limit(u *simUpstream) {
-	if u.limited {
-		return
-	}
-	u.limited, u.idleSince, u.issuer = true, s.now, ratelimit.NewPermitIssuer(s.now)
-	for vm := range s.queues {
-		s.queues[vm][u.index].SetRate(s.rate(u))
-	}
-	s.issue(u)
-}
-
-// rate is the rate at which the granter issues permits: it knows the usual speed.
-func (s *sim) rate(u *simUpstream) float64 {
-	return 0.95 * simSlots * u.speed / (simWork.Seconds() * 1.4)
-}
-
-func (s *sim) issue(u *simUpstream) {
-	wanted, total := make([]int, s.vms), 0
-	for vm := range s.queues {
-		wanted[vm], _ = s.queues[vm][u.index].MissingPermits(s.now)
-		total += wanted[vm]
-	}
-	if total > 0 {
-		u.idleSince = s.now
-	}
-	if s.now-u.idleSince > time.Second {
-		u.limited = false
-		for vm := range s.queues {
-			s.queues[vm][u.index].SetRate(0)
-			s.dispatch(s.queues[vm][u.index])
-		}
-		return
-	}
-	issued := u.issuer.Issue(s.now, s.rate(u), wanted)
-	for vm, n := range issued {
-		total -= n
-		if wanted[vm] == 0 {
-			continue
-		}
-		backlog := u.issuer.Backlog(total)
-		s.at(s.now+simReport, func() {
-			s.queues[vm][u.index].AddPermits(s.now, n, ratelimit.PermitTTL, backlog)
-			s.dispatch(s.queues[vm][u.index])
-		})
-	}
-	s.at(s.now+2*simReport, func() { s.issue(u) })
-}
-
-// simulate plays VMs that send to upstreams, without a network.
-func simulate(p simParams) simResult {
-	if p.length == 0 {
-		p.length = simRun
-	}
-	if p.routes == nil {
-		p.routes = []simRoute{{share: 1, work: simWork, target: simTarget, deadline: simDeadline, late: 0.3}}
-	}
-	s := &sim{simParams: p, rng: rand.New(rand.NewPCG(11+p.seed, uint64(p.vms))), choices: rand.New(rand.NewPCG(12, 1+p.seed)), wakes: make(map[*Queue]time.Duration)}
-	s.byRoute, s.byWorkspace = make([]simCount, len(p.routes)), make([]simCount, max(p.workspaces, 1))
-	work := 0.0
-	for _, route := range p.routes {
-		work += route.share * route.work.Seconds()
-	}
-	capacity := 0.0
-	for i := range p.upstreams {
-		u := &simUpstream{index: i, speed: 0.5 + 1.1*s.rng.Float64()}
-		s.upstreams = append(s.upstreams, u)
-		capacity += simSlots * u.speed / (work * 1.4)
-	}
-	shares := make([]float64, p.upstreams)
-	total := 0.0
-	for _, u := range s.upstreams {
-		total += u.speed
-	}
-	for i, u := range s.upstreams {
-		shares[i] = (1 - p.hot) * u.speed / total
-	}
-	shares[0] += p.hot
-	limit := ratelimit.Share(24, p.vms)
-	for range p.vms {
-		queues := make([]*Queue, p.upstreams)
-		for i := range queues {
-			queues[i] = New(limit)
-			switch p.policy {
-			case queueOwner:
-				queues[i].SetLimit(simSlots * 2)
-			case independent:
-				queues[i].SetBackpressure(p.vms, simSlots, s.choices.Float64)
-			}
-		}
-		for _, q := range queues {
-			q.SetRefuseLate(p.refuseLate)
-		}
-		s.queues = append(s.queues, queues)
-		if p.fair {
-			shares := NewShares()
-			for _, q := range queues {
-				q.SetShares(shares)
-			}
-			s.shares = append(s.shares, shares)
-		}
-		seen := make([]simSeen, p.upstreams)
-		for i := range seen {
-			seen[i] = simSeen{at: -simLoadAge, latency: simWork.Seconds()}
-		}
-		s.seen = append(s.seen, seen)
-		s.order = append(s.order, s.choices.Perm(p.upstreams))
-	}
-	rate := capacity * p.load
-	var next func()
-	next = func() {
-		s.newRequest(shares, false)
-		s.at(s.now+time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), next)
-	}
-	s.at(0, next)
-	if p.flood > 0 {
-		share := p.routes[0].share
-		if p.workspaces > 0 {
-			share = 1 / float64(p.workspaces)
-		}
-		var more func()
-		more = func() {
-			s.newRequest(shares, true)
-			s.at(s.now+time.Duration(s.rng.ExpFloat64()/(rate*(p.flood-1)*share)*float64(time.Second)), more)
-		}
-		s.at(p.length/2, more)
-	}
-	for s.events[0].at < p.length {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.run()
-	}
-	var used time.Duration
-	for _, u := range s.upstreams {
-		used += u.usedTime
-		s.busiest = max(s.busiest, float64(u.arrivals)/float64(max(s.arrivals, 1))*total/u.speed)
-	}
-	s.used = used.Seconds() / ((p.length - time.Second).Seconds() * simSlots * float64(p.upstreams))
-	return s.simResult
-}
-
-var (
-	policyNames    = [...]string{"backoff", "independent", "leased", "owner"}
-	rejectionNames = [...]string{"shed", "reset", "silent"}
-)
-
-// TestSharing compares the policies, and guards against VMs that overrun an upstream because
-// they do not know of each other's requests, and against backpressure that costs callers more
-// than it saves. With -v it prints the comparison.
-func TestSharing(t *testing.T) {
-	for _, p := range []simParams{
-		// One hot key, at the sizes of the deployments; then without one, and without keys.
-		{vms: 75, upstreams: 60, keyed: true, hot: 0.35},
-		{vms: 300, upstreams: 60, keyed: true, hot: 0.35},
-		{vms: 75, upstreams: 30, keyed: true},
-		{vms: 10, upstreams: 20, keyed: true, hot: 0.35},
-		{vms: 1, upstreams: 20, keyed: true, hot: 0.35},
-		{vms: 75, upstreams: 30},
-		{vms: 1, upstreams: 20},
-	} {
-		for _, p.load = range []float64{0.6, 0.9, 1.2, 2} {
-			for _, p.rejection = range []rejection{sheds, resets, silences} {
-				var results [4]simResult
-				for _, p.policy = range []policy{backoffOnly, independent, leased, queueOwner} {
-					if p.policy > independent && p.rejection != resets {
-						continue // these two hardly meet a full upstream
-					}
-					r := simulate(p)
-					results[p.policy] = r
-					n := float64(r.requests)
-					t.Logf("keyed=%v hot=%.2f vms=%3d load=%.1f %6s %11s worth=%.3f inTime=%.3f rejected=%.3f used=%.2f busiest=%.2f refused=%.3f failed=%.3f given up=%.4f",
-						p.keyed, p.hot, p.vms, p.load, rejectionNames[p.rejection], policyNames[p.policy],
-						r.worth(), float64(r.inTime)/n, r.rejectedShare(), r.used, r.busiest, float64(r.refused)/n, float64(r.failed)/n, float64(r.givenUp)/n)
-				}
-				was, is := results[backoffOnly], results[independent]
-				if p.load < 1 {
-					// Each of 300 VMs has too few requests for a hot key to learn its share soon.
-					limit := 0.05
-					if p.vms > 100 {
-						limit = 0.75 * was.rejectedShare()
-					}
-					require.Less(t, is.rejectedShare(), limit, "%+v", p)
-					require.Less(t, float64(is.givenUp), 0.001*float64(is.requests), "%+v", p)
-					require.Greater(t, is.worth(), was.worth()-0.03, "%+v", p)
-				}
-				if p.load >= 2 && p.rejection == resets {
-					require.Less(t, is.failed, was.failed, "%+v", p)
-				}
-				if p.hot > 0 && p.rejection == resets {
-					// At 300 VMs the first two requests of each are most of those in 3 s.
-					part := 3.0
-					if p.vms > 100 {
-						part = 2
-					}
-					require.Less(t, is.rejectedShare(), was.rejectedShare()/part, "%+v", p)
-				}
-			}
-		}
-	}
-}
-
-// TestSharingAfterLossOfVMs guards against capacity that stays unused because VMs that were
-// lost, and are still counted, had a share of it.
-func TestSharingAfterLossOfVMs(t *testing.T) {
-	p := simParams{vms: 76, upstreams: 20, load: 1.2, rejection: resets, keyed: true, hot: 0.35, policy: independent}
-	all := simulate(p)
-	p.lost = 0.5
-	require.Greater(t, simulate(p).used, 0.95*all.used)
-}
--- /dev/null
+++ b/server/gateway/contention_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/core/admission"
+)
+
+// TestContentionIsTold guards against a VM that learns of the contention for an upstream by its own
+// rejections alone, against one that keeps the interval without contention, and against intervals in
+// a deployment that has not enabled them.
+func TestContentionIsTold(t *testing.T) {
+	for name, enabled := range map[string]bool{"on": true, "off": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.addUpstream("k1", "keyed")
+			var vms []*Gateway
+			for _, name := range []string{"vm-a", "vm-b"} {
+				vms = append(vms, d.startVMWith(name, d.storeAddr, func(g *Gateway) {
+					g.control.overload = Overload{Backpressure: true, Contention: enabled}
+				}))
+				d.requireServed(vms[0], keyedPath, 1)
+			}
+			granter, other := vms[0], vms[1]
+			if other.links.currentGranter() != nil {
+				granter, other = other, granter
+			}
+			limiterOf := func(g *Gateway) *limiter { return g.control.view().upstreams["k1"].limiter }
+			d.eventually(func() bool { return other.control.view().upstreams["k1"] != nil }, "the VM knows the upstream")
+			d.eventually(func() bool { return limiterOf(other).hasBackpressure() && limiterOf(granter).hasBackpressure() }, "the VMs know their number")
+			interval := func(g *Gateway) time.Duration {
+				l := limiterOf(g)
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				return l.queue.Interval(time.Since(l.start))
+			}
+			// One VM has 200 requests of 1 s for an upstream that runs two at a time.
+			overrun := func() {
+				l := limiterOf(other)
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				now := time.Since(l.start)
+				l.configure()
+				for range 200 {
+					r := &admission.Request{Arrived: now, Target: now, Deadline: now, ServiceTime: time.Second}
+					if decision, _ := l.queue.Offer(now, r); decision == admission.Start {
+						l.queue.Done(0)
+					}
+				}
+				l.queue.Observe(now, admission.State{Running: 2, Waiting: 8, Slots: 2, Slowdown: 1})
+				l.tellFull()
+			}
+			if !enabled {
+				overrun()
+				require.Zero(t, interval(granter))
+				require.Empty(t, other.control.contentions.report())
+				return
+			}
+			d.eventually(func() bool {
+				overrun()
+				return interval(granter) > 0 && interval(other) > 0
+			}, "both VMs are told")
+			d.eventually(func() bool { return interval(granter) == 0 && interval(other) == 0 }, "it ends with the demand")
+		})
+	}
+}
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -64,6 +64,8 @@
 	quotas  *quotas
 	leaving *leavingUpstreams
 	cold    *coldUpstreams
+	// contentions is what this VM knows of upstreams that get more than they can run.
+	contentions *contentions
 	// wholeCalls holds the upstreams that ignore Expect: 100-continue.
 	wholeCalls *wholeCalls
 	// movesPaused means that keys cannot move at present: the granter does not reach the store.
@@ -93,7 +95,7 @@
 		log: log, metrics: m, store: store, changes: make(chan func(*state), 256), limits: newStatedLimits(log), quotas: newQuotas(quota.DefaultRule, m, log), leaving: newLeavingUpstreams(m, log), cold: newColdUpstreams(m, log), wholeCalls: newWholeCalls(m, log),
 		outage: newOutageMonitor(), operatorFeed: newFeedMonitor(), upstreamFeed: newFeedMonitor(),
 	}
-	c.reach = newReach(c.view, m, log)
+	c.reach, c.contentions = newReach(c.view, m, log), newContentions(m)
 	for table, feed := range c.feeds() {
 		m.exportTableAge(table, feed.age)
 	}
@@ -402,6 +404,9 @@
 		s.upstreams[id] = newUpstream(reg, c.responseLimits, c.network(), func() { c.limits.reportNow() })
 		s.upstreams[id].limiter.shares = c.sharesOf(decoded.Service)
 		s.upstreams[id].limiter.refuseLate = c.overload.RefuseLate
+		if created := s.upstreams[id]; c.overload.Contention {
+			created.limiter.onFull = func() { c.contentions.upstreamFull(created) }
+		}
 		s.upstreams[id].leavingSince.Store(int64(c.leaving.since(s.upstreams[id].owner())))
 		s.upstreams[id].calls.whole.Store(c.wholeCalls.contains(s.upstreams[id].owner()))
 		s.upstreams[id].coldAtLeastUntil(c.cold.until(s.upstreams[id].owner()))
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -335,6 +335,9 @@
 	e.control.leaving.merge(e.control.view(), u.LeavingUpstreams, "granter")
 	e.control.wholeCalls.merge(e.control.view(), u.WholeCalls)
 	e.control.cold.merge(e.control.view(), u.Cold, "granter")
+	if u.Handover == nil && e.control.contentions.receive(e.control.view(), u.Contended) {
+		e.links.reportNow()
+	}
 	if u.Isolated {
 		go e.control.reach.answerGranter(ctx)
 	}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -113,7 +113,7 @@
 		l.reportNow()
 	}
 	c.limits.reportNow, c.reach.changed, c.leaving.changed = l.reportNow, l.reportNow, l.reportNow
-	c.cold.changed = l.coldNews
+	c.cold.changed, c.contentions.reportNow = l.coldNews, l.reportNow
 	peers := chi.NewRouter()
 	peers.Handle(linkPath, l)
 	peers.Handle(proxyPath, g.proxies)
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -74,6 +74,7 @@
 	allocator  *permitAllocator
 	ownPermits *permitClient // of this VM
 	quotas     *quotaIssuer
+	contention *contentionGranter
 
 	// quarantines are those of the row in the store, as far as known; crashesWrittenAt is
 	// when the row was last written.
@@ -104,6 +105,7 @@
 	g.renewUntil.Store(int64(authority.RenewUntil(sent)))
 	g.quarantines = quarantinesOf(stored.crashes)
 	g.calls = newCallQueues(g)
+	g.contention = newContentionGranter(e.log)
 	g.quotas = newQuotaIssuer(e.bounds.quotaRule(), bootTime(), predecessor.Until, l.VMs, e.self)
 	// There is a rank for each VM that the previous granter knew, to be taken when it
 	// connects.
@@ -239,6 +241,7 @@
 	}
 	g.issuePermits(now, v)
 	g.issueQuotas(now)
+	g.tickContention(now)
 	g.renew(ctx, now)
 	if now-g.updatesSentAt >= updateInterval {
 		g.sendUpdates(now)
--- a/server/gateway/limiter.go
+++ b/server/gateway/limiter.go
@@ -46,6 +46,8 @@
 	shares     *fairShares
 	refuseLate bool
 	start      time.Time
+	// onFull is called when the upstream is full, nil without Overload.Contention.
+	onFull func()
 	// permitsWanted is called when a request begins to wait for a permit.
 	permitsWanted func()
 
@@ -199,6 +201,7 @@
 	case capacityBroken:
 		l.queue.ConnectionBroken(now.Sub(l.start))
 	}
+	l.tellFull()
 	l.configure()
 	l.dispatch(now)
 }
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -140,6 +140,10 @@
 	// Quota holds tokens of workspaces. Granters of earlier versions issue none.
 	Quota *quota.Update `cbor:"30,keyasint,omitempty"`
 
+	// Contended holds all upstreams that are watched for contention. Granters of earlier versions
+	// watch none.
+	Contended []contentionNews `cbor:"34,keyasint,omitempty"`
+
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
 }
@@ -407,6 +411,7 @@
 		rep.Cold, coldSent = l.elector.control.cold.news(coldSent)
 		rep.Limits, rep.Demands = l.limits.report()
 		rep.Quota = l.elector.control.quotas.report()
+		rep.Contended = l.elector.control.contentions.report()
 		rep.Crashes = evidence.take(l.crashes.snapshot(), bootTime())
 		rep.OperatorChange = l.elector.control.operatorFeed.newestChange()
 		if err := send(ctx, conn, rep); err != nil {
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -151,6 +151,7 @@
 			g.sendUpdates(received)
 		}
 		g.handleQuotaReport(received, m, r)
+		g.handleContention(received, m, r.Contended)
 	})
 }
 
@@ -167,6 +168,7 @@
 	g.control.confirmRank()
 	g.control.outage.word(!g.storeUnreachable.Load(), 0)
 	g.control.limits.confirmIssuer()
+	g.control.contentions.receive(g.control.view(), news.contended)
 	g.control.submitOwners(maps.Clone(g.owners), 0, len(g.ranks))
 }
 
@@ -187,10 +189,11 @@
 	operatorChange int64
 	peers          []string
 	limits         map[*upstream]ratelimit.StatedLimit
+	contended      []contentionNews
 }
 
 func (g *granter) news(peers []string) news {
-	return news{crashes: g.links.crashes.snapshot(), operatorChange: g.control.operatorFeed.newestChange(), peers: peers, limits: g.control.limits.all()}
+	return news{crashes: g.links.crashes.snapshot(), operatorChange: g.control.operatorFeed.newestChange(), peers: peers, limits: g.control.limits.all(), contended: g.contentionNews()}
 }
 
 // samplePeers returns at most maxPeersSent addresses, spread over all; each rank gets others.
@@ -218,7 +221,7 @@
 		u.StoreKnownMs = g.control.outage.knownMs()
 	}
 	u.OperatorAgeMs, u.RowsAgeMs = g.control.operatorFeed.ageMs(), g.control.upstreamFeed.ageMs()
-	u.Crashes = m.crashes.take(n.crashes, now)
+	u.Crashes, u.Contended = m.crashes.take(n.crashes, now), n.contended
 	var replaced *quota.Update
 	// A pending update is replaced; the new one includes its content.
 	select {
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -77,6 +77,8 @@
 	workspaceRequests *prometheus.CounterVec
 	// queueRefusals counts the requests that an upstream's queue refused: route, reason.
 	queueRefusals *prometheus.CounterVec
+	// contended is the number of upstreams whose requests this VM paces on the granter's word.
+	contended prometheus.Gauge
 	// unauthorized counts the requests refused with 401, by cause.
 	unauthorized *prometheus.CounterVec
 }
@@ -121,6 +123,7 @@
 		isolated:          gauge("isolated", "1 while no upstream can be reached from this VM."),
 		queued:            histogram("queue_seconds", "Time for which a request waits for capacity of an upstream."),
 		fairRefusals:      counter("fair_refusals_total", "Requests refused while they waited, by workspace.", "workspace"),
+		contended:         gauge("contended_upstreams", "Upstreams that get many times what they can run, to which this VM keeps the interval of the granter."),
 		queueRefusals:     counter("queue_refusals_total", "Requests refused for lack of capacity of an upstream, by route.", "route", "reason"),
 		closed:            counter("connections_closed_total", "Connections closed, bodies given up and requests refused for a limit on clients, by reason.", "listener", "reason"),
 		callStyles:        counter("upstream_call_styles_total", "Upstreams whose grants count as arriving late, by reason: ignores_expect or exceeds_call_delay.", "reason"),
@@ -172,6 +175,7 @@
 		m.queued,
 		m.fairRefusals,
 		m.queueRefusals,
+		m.contended,
 		m.closed,
 		m.callStyles,
 	)
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -170,6 +170,9 @@
 	// RefuseLate refuses requests that can no longer meet their target while the demand for an
 	// upstream exceeds what it takes and others become late for that.
 	RefuseLate bool `json:"refuse_late,omitempty"`
+	// Contention makes the granter tell all VMs of upstreams that get many times what they can run,
+	// as with a hot key, and the VMs share these from the start. It needs Backpressure.
+	Contention bool `json:"contention,omitempty"`
 }
 
 // Defaults of Limits.
--- a/server/gateway/stats.go
+++ b/server/gateway/stats.go
@@ -66,6 +66,8 @@
 	Cold []coldNews `cbor:"38,keyasint,omitempty"`
 	// Quota is the demand for tokens of workspaces; VMs of earlier versions admit without them.
 	Quota *quota.Report `cbor:"30,keyasint,omitempty"`
+	// Contended holds the upstreams that are watched for contention, or that the VM found full.
+	Contended []contentionReport `cbor:"34,keyasint,omitempty"`
 }
 
 // upstreamRest says for how much longer an upstream wants no requests from a VM.
