admission: expected wait behind the interval of a contended upstream

A request behind others at a contended upstream was told the wait of the next turn alone, and waited until its deadline; it is refused at once now if the turns before it do not fit.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -134,7 +134,7 @@
 func (q *Queue) wait(now time.Duration, ahead int) time.Duration {
 	// On average, the running requests have used half of their time.
 	wait := (q.serviceTime*time.Duration(ahead) + q.serviceTime/2) / time.Duration(q.pressure.outstanding(q.limit))
-	return max(wait, q.nextAt-now+q.backoff*time.Duration(ahead))
+	return max(wait, q.nextAt-now+max(q.backoff, q.Interval(now))*time.Duration(ahead))
 }
 
 // ahead returns the number of waiting requests that go before r.
