--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -79,6 +79,8 @@
 	// shares is the state of SetShares, nil in the order by arrival time.
 	shares Sharer
 	late   lateness
+	// contention is the state of SetInterval.
+	contention contentionState
 }
 
 // New returns a queue that allows limit concurrent requests to the upstream.
@@ -132,7 +134,7 @@
 func (q *Queue) wait(now time.Duration, ahead int) time.Duration {
 	// On average, the running requests have used half of their time.
 	wait := (q.serviceTime*time.Duration(ahead) + q.serviceTime/2) / time.Duration(q.pressure.outstanding(q.limit))
-	return max(wait, q.nextAt-now+q.backoff*time.Duration(ahead))
+	return max(wait, q.nextAt-now+max(q.backoff, q.Interval(now))*time.Duration(ahead))
 }
 
 // ahead returns the number of waiting requests that go before r.
@@ -200,6 +202,9 @@
 	q.permits.use()
 	q.running++
 	q.nextAt = now + q.backoff
+	if q.contention.paced(now) {
+		q.nextAt = now + q.pressure.jitter(q.contention.interval)
+	}
 }
 
 // NextWake returns when Next should be called even if no slot is freed; ok is false
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -75,6 +75,7 @@
 	allocator  *permitAllocator
 	ownPermits *permitClient // of this VM
 	quotas     *quotaIssuer
+	contention *contentionGranter
 
 	// quarantines are those of the row in the store, as far as known; crashesWrittenAt is
 	// when the row was last written.
@@ -108,6 +109,7 @@
 	if e.control.overload.OwnerHealth {
 		g.health = ownerhealth.NewMonitor()
 	}
+	g.contention = newContentionGranter(e.log)
 	g.quotas = newQuotaIssuer(e.bounds.quotaRule(), bootTime(), predecessor.Until, l.VMs, e.self)
 	// There is a rank for each VM that the previous granter knew, to be taken when it
 	// connects.
@@ -241,6 +243,7 @@
 	}
 	g.issuePermits(now, v)
 	g.issueQuotas(now)
+	g.tickContention(now)
 	g.renew(ctx, now)
 	if now-g.updatesSentAt >= updateInterval {
 		g.sendUpdates(now)
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -81,6 +81,8 @@
 	// unhealthyOwners is the number of owners with a reduced capacity, by state, on the granter.
 	ownerHealth     *prometheus.CounterVec
 	unhealthyOwners *prometheus.GaugeVec
+	// contended is the number of upstreams whose requests this VM paces on the granter's word.
+	contended prometheus.Gauge
 	// unauthorized counts the requests refused with 401, by cause.
 	unauthorized *prometheus.CounterVec
 }
@@ -125,6 +127,7 @@
 		isolated:          gauge("isolated", "1 while no upstream can be reached from this VM."),
 		queued:            histogram("queue_seconds", "Time for which a request waits for capacity of an upstream."),
 		fairRefusals:      counter("fair_refusals_total", "Requests refused while they waited, by workspace.", "workspace"),
+		contended:         gauge("contended_upstreams", "Upstreams that get many times what they can run, to which this VM keeps the interval of the granter."),
 		queueRefusals:     counter("queue_refusals_total", "Requests refused for lack of capacity of an upstream, by route.", "route", "reason"),
 		closed:            counter("connections_closed_total", "Connections closed, bodies given up and requests refused for a limit on clients, by reason.", "listener", "reason"),
 		ownerHealth:       counter("owner_health_changes_total", "Decisions of the granter on the health of owners of keys.", "service", "change"),
@@ -180,6 +183,7 @@
 		m.queued,
 		m.fairRefusals,
 		m.queueRefusals,
+		m.contended,
 		m.closed,
 		m.callStyles,
 		m.ownerHealth,
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -179,6 +179,9 @@
 	// OwnerHealth places the keys of a service by the failures, the silence and the speed of their
 	// owners, as all VMs report them.
 	OwnerHealth bool `json:"owner_health,omitempty"`
+	// Contention makes the granter tell all VMs of upstreams that get many times what they can run,
+	// as with a hot key, and the VMs share these from the start. It needs Backpressure.
+	Contention bool `json:"contention,omitempty"`
 }
 
 // Defaults of Limits.
