ownership: a hot bucket has its owner to itself, moving spans are split early

Cause: the other keys of the owner of a hot key wait in its full queue, and a hot key stays with a slow owner. A span that moves to several upstreams was released as a whole, so its idle keys waited for the running requests of the others. Change: with Config.LoadWindow (set by the granter with overload.owner_health) the Machine finds hot buckets, moves the other keys of their owner away, moves a hot bucket to a much faster upstream, and leaves these owners out of the balance. Moving spans get their targets before the release. Leases, fences and writes are unchanged. owners_changed logs the number of hot owners.

--- a/core/ownerhealth/sim_test.go
+++ b/core/ownerhealth/sim_test.go
@@ -497,4 +497,10 @@
 	}
 }
 
-func (s *sim) config() ownership.Config { return ownership.DefaultConfig(simKeys) }
+func (s *sim) config() ownership.Config {
+	cfg := ownership.DefaultConfig(simKeys)
+	if s.health {
+		cfg.LoadWindow = 6 * time.Second
+	}
+	return cfg
+}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -75,6 +75,9 @@
 	// MovesPerUpstream times the number of upstreams bounds the spans that move
 	// concurrently for balance; at least minConcurrentMoves may.
 	MovesPerUpstream float64
+	// LoadWindow is the time constant of Decay. If it is set, buckets with the load of a large part
+	// of an upstream are placed alone, and moving spans are split before they are released.
+	LoadWindow time.Duration
 	// InitialAssignmentDelay is how long the number of upstreams that may gain keys
 	// must stay unchanged before the keys of a service without owners are first
 	// assigned.
@@ -172,6 +175,7 @@
 	entries   []*entry
 	upstreams map[api.UpstreamID]Upstream
 	loads     *loads
+	hot       hotBuckets
 	writing   bool
 	balanceAt time.Duration
 	changed   bool
@@ -280,10 +284,16 @@
 	var actions []Action
 	if mode.Move && !mode.Keep {
 		m.markLost(now)
+		m.placeHot(now)
 		if now >= m.balanceAt {
 			m.balanceAt = now + m.cfg.BalanceEvery
 			m.balance(now)
 		}
+		if m.cfg.LoadWindow > 0 && !m.awaitsUpstreams(now) {
+			// A span that goes to several upstreams is split before its release: the parts without
+			// requests are free at once.
+			m.placeMoving(now)
+		}
 		actions = m.releases(now, actions)
 	}
 	if mode.Move {
@@ -519,10 +529,13 @@
 // Summary counts the spans of a Machine.
 type Summary struct {
 	Spans, Moving, Unowned int
+	// Hot counts the upstreams that own a hot bucket alone.
+	Hot int
 }
 
 // Summary returns the counts for logs and metrics.
 func (m *Machine) Summary() (s Summary) {
+	s.Hot = len(m.hot.alone)
 	for _, e := range m.entries {
 		s.Spans++
 		if e.moving {
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -50,6 +50,8 @@
 type upstreamLoad struct {
 	Upstream
 	load float64
+	// alone means that it owns a hot bucket and gets no other keys.
+	alone bool
 }
 
 func (u *upstreamLoad) utilization() float64 { return u.load / u.Capacity }
@@ -61,7 +63,8 @@
 	byID := make(map[api.UpstreamID]*upstreamLoad)
 	for id, u := range m.upstreams {
 		if u.MayKeepKeys && u.Capacity > 0 {
-			byID[id] = &upstreamLoad{Upstream: u}
+			_, alone := m.hot.alone[id]
+			byID[id] = &upstreamLoad{Upstream: u, alone: alone}
 		}
 	}
 	for _, e := range m.entries {
@@ -82,10 +85,14 @@
 }
 
 // moveTargets returns the upstreams that may gain keys, in the order of their IDs.
-// If there are none, it returns those that may keep keys.
+// If there are none, it returns those that may keep keys. Those that own a hot bucket alone are
+// left out.
 func moveTargets(byID map[api.UpstreamID]*upstreamLoad) []*upstreamLoad {
 	var targets, fallback []*upstreamLoad
 	for _, u := range byID {
+		if u.alone {
+			continue
+		}
 		fallback = append(fallback, u)
 		if u.MayGainKeys {
 			targets = append(targets, u)
@@ -102,9 +109,8 @@
 // split when its keys are spread over the others.
 const maxPiecesPerShare = 3
 
-// assignTargets gives every moving span a target and makes the target the owner of
-// free spans. It reports whether there is something to write.
-func (m *Machine) assignTargets(now time.Duration) (placed bool) {
+// placeMoving gives every moving span a target. It reports false if there is none to choose from.
+func (m *Machine) placeMoving(now time.Duration) bool {
 	byID := m.upstreamLoads(now)
 	targets := moveTargets(byID)
 	if len(targets) == 0 {
@@ -130,6 +136,15 @@
 	for _, e := range unplaced {
 		m.distribute(now, e, targets, fairUtilization)
 	}
+	return true
+}
+
+// assignTargets gives every moving span a target and makes the target the owner of
+// free spans. It reports whether there is something to write.
+func (m *Machine) assignTargets(now time.Duration) (placed bool) {
+	if !m.placeMoving(now) {
+		return false
+	}
 	for _, e := range m.entries {
 		if e.moving && !e.writing && now < e.lateUntil && e.free(now) {
 			// Only the former owner may have the keys now. The new fence stops grants that arrive late.
@@ -214,8 +229,10 @@
 	}
 	total, capacity := 0.0, 0.0
 	for _, u := range byID {
-		total += u.load
-		capacity += u.Capacity
+		if !u.alone {
+			total += u.load
+			capacity += u.Capacity
+		}
 	}
 	mean := total / capacity
 	maxMoves := max(minConcurrentMoves, int(m.cfg.MovesPerUpstream*float64(len(byID))))
@@ -223,7 +240,7 @@
 	for moving < maxMoves {
 		var from *upstreamLoad
 		for _, u := range byID {
-			if !exhausted[u.Upstream.UpstreamID] && (from == nil || u.utilization() > from.utilization() ||
+			if !u.alone && !exhausted[u.Upstream.UpstreamID] && (from == nil || u.utilization() > from.utilization() ||
 				u.utilization() == from.utilization() && u.Upstream.UpstreamID < from.Upstream.UpstreamID) {
 				from = u
 			}
--- a/core/ownership/sim_test.go
+++ b/core/ownership/sim_test.go
@@ -74,6 +74,10 @@
 	// violation is the first violation, if it must not end the test.
 	violation  string
 	violations bool
+	// loadWindow is Config.LoadWindow of later granters, hot the bucket with a high load while it is
+	// set.
+	loadWindow time.Duration
+	hot        int
 }
 
 // simView is the list of upstreams at a time.
@@ -105,6 +109,7 @@
 func (s *sim) takeOver(authorityLeft time.Duration) {
 	s.term++
 	cfg := DefaultConfig(simKeys)
+	cfg.LoadWindow = s.loadWindow
 	predecessor := Predecessor{Until: s.now + authorityLeft, MaxLeaseTTL: cfg.LeaseTTL}
 	predecessor.InDoubtUntil = predecessor.Until + 3*time.Second
 	if authorityLeft == 0 && s.machine != nil {
@@ -194,6 +199,9 @@
 	for range 4 {
 		s.machine.Observe(s.rng.IntN(simKeys/KeysPerBucket), s.rng.Float64())
 	}
+	if s.loadWindow > 0 {
+		s.machine.Observe(s.hot, 1)
+	}
 	s.machine.Decay(0.99)
 	if !s.storeDown {
 		s.renewedAt = s.now
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -223,7 +223,7 @@
 		}
 		m := g.machines[name]
 		if m == nil {
-			m = ownership.New(g.bounds.ownership(), g.term, g.initial.owners[name], g.predecessor)
+			m = ownership.New(g.ownershipConfig(), g.term, g.initial.owners[name], g.predecessor)
 			g.machines[name] = m
 		}
 		m.SetUpstreams(upstreams[name])
@@ -338,6 +338,6 @@
 	}
 	s := m.Summary()
 	g.log.Info().Str("event", "owners_changed").Str("service", string(name)).Int64("term", table.Term).Int64("turn", table.Version).
-		Int("spans", s.Spans).Int("leaving", s.Moving).Int("unowned", s.Unowned).Msg("")
+		Int("spans", s.Spans).Int("leaving", s.Moving).Int("unowned", s.Unowned).Int("hot", s.Hot).Msg("")
 	g.sendUpdates(now)
 }
--- a/server/gateway/ownerhealth.go
+++ b/server/gateway/ownerhealth.go
@@ -110,6 +110,15 @@
 	f(s.health, expected)
 }
 
+// ownershipConfig returns the parameters of the machines.
+func (g *granter) ownershipConfig() ownership.Config {
+	cfg := g.bounds.ownership()
+	if g.health != nil {
+		cfg.LoadWindow = loadDecayTime
+	}
+	return cfg
+}
+
 // observeHealth records what a VM reports of the owners of keys.
 func (g *granter) observeHealth(vm api.VMID, r report, received time.Duration) {
 	if g.health != nil {
