--- a/server/gateway/ownerhealth.go
+++ b/server/gateway/ownerhealth.go
@@ -69,7 +69,7 @@
 		case e.err == nil && !e.headers.NotRun:
 			r.Responded(now, e.owner, ownerhealth.Response{
 				Took: e.took, Expected: expected, Failed: e.status >= http.StatusInternalServerError, Fingerprint: e.fingerprint,
-				Waiting: e.headers.Load.Waiting, Slots: e.headers.Load.Slots,
+				Waiting: e.headers.Load.Waiting, Slots: e.headers.Load.Slots, Slowdown: e.headers.Load.Slowdown,
 			})
 		case e.err == nil && !e.headers.Misdirected && overloaded(e.headers.Load), e.err != nil && u.shownFull(e.err):
 			r.Full(now, e.owner)
@@ -110,6 +110,15 @@
 	f(s.health, expected)
 }
 
+// ownershipConfig returns the parameters of the machines.
+func (g *granter) ownershipConfig() ownership.Config {
+	cfg := g.bounds.ownership()
+	if g.health != nil {
+		cfg.LoadWindow = loadDecayTime
+	}
+	return cfg
+}
+
 // observeHealth records what a VM reports of the owners of keys.
 func (g *granter) observeHealth(vm api.VMID, r report, received time.Duration) {
 	if g.health != nil {
