gateway: requests leave the queue of an upstream that drains at once

Cause: a request that waits in the limiter of an upstream was told of nothing but a free slot. If the upstream drained, it waited for its turn there, up to its deadline, and was checked and sent elsewhere only then.

Change: when a view makes an upstream unusable (draining, removed, replaced, failure domain out), control withdraws the requests from its limiter, after the view is in force, and they choose again by it. While the upstream is unusable, none begins to wait there. The log line is waiting_withdrawn.

TestDecisionsAreRepeatedAfterConnecting takes the slot before the upstream drains, as forward does; it took it afterwards, when there is none now. What it requires is the same.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -234,3 +234,10 @@
 	q.waiting = slices.Delete(q.waiting, i, i+1)
 	return true
 }
+
+// Withdraw removes all waiting requests and returns them.
+func (q *Queue) Withdraw() []*Request {
+	withdrawn := q.waiting
+	q.waiting = nil
+	return withdrawn
+}
--- a/server/gateway/control.go
+++ b/server/gateway/control.go
@@ -204,8 +204,27 @@
 	next.operatorRows = slices.Collect(maps.Values(s.operatorRowByKey))
 	next.superseded = make(chan struct{})
 	c.quotas.configure(next.config)
+	for _, u := range next.upstreams {
+		if next.usable(u) {
+			u.limiter.setUsable(true)
+		}
+	}
 	previous := c.current.Swap(&next)
 	close(previous.superseded)
+	c.withdrawWaiting(previous, &next)
+}
+
+// withdrawWaiting lets the requests that wait for upstreams which a new view has made unusable go
+// elsewhere at once. They choose by that view, which is in force.
+func (c *control) withdrawWaiting(previous, next *view) {
+	for id, u := range previous.upstreams {
+		if next.upstreams[id] == u && next.usable(u) {
+			continue
+		}
+		if n := u.limiter.setUsable(false); n > 0 {
+			c.log.Info().Str("event", "waiting_withdrawn").Str("upstream", string(id)).Int("requests", n).Msg("")
+		}
+	}
 }
 
 // concurrencyLimit returns how many requests of this VM may be at an upstream: its
--- a/server/gateway/eligibility_test.go
+++ b/server/gateway/eligibility_test.go
@@ -153,10 +153,10 @@
 	d.eventually(func() bool { return len(g.control.view().services["plain"]) == 2 }, "both upstreams are known")
 	q := newTestRequest(t, g, plainPath, -1)
 	h := g.handler
+	require.NoError(t, h.acquire(t.Context(), q, u))
 	require.True(t, h.claimSend(q, h.view(), u))
 	apply(g, func(*state) { editRegistration(func(r *registration) { r.Draining = true })(nil, u) })
 	require.True(t, h.crashes.start(q.fingerprint))
-	require.NoError(t, h.acquire(t.Context(), q, u))
 	_, _, err := h.send(t.Context(), q, u)
 	require.True(t, notSent(err), "%v", err)
 	require.Len(t, first.Runs(), runs)
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -200,7 +200,10 @@
 		if u == nil {
 			return nil, outcome{reason: cause, status: http.StatusServiceUnavailable, retryAfter: max(retryAfter, shortRetryAfter)}
 		}
-		if err := h.acquire(ctx, q, u); err != nil {
+		if err := h.acquire(ctx, q, u); errors.Is(err, errUnusable) {
+			v = h.viewAfter(ctx, v)
+			continue
+		} else if err != nil {
 			return nil, busyOutcome(u, err)
 		}
 		v = h.view()
@@ -384,7 +387,10 @@
 		switch why {
 		case "":
 			h.recordOwner(q)
-			if err := h.acquire(ctx, q, u); err != nil {
+			if err := h.acquire(ctx, q, u); errors.Is(err, errUnusable) {
+				v = h.viewAfter(ctx, v)
+				continue
+			} else if err != nil {
 				return nil, busyOutcome(u, err)
 			}
 			v = h.view()
@@ -454,6 +460,15 @@
 	return h.absences.Missing(time.Since(h.start), q.service.Name, q.params.Key)
 }
 
+// viewAfter returns the current view after an upstream of v was unusable. If v is current, the one
+// that says so is about to be published.
+func (h *requestHandler) viewAfter(ctx context.Context, v *view) *view {
+	if h.view() == v {
+		h.awaitView(ctx, v, shortRetryAfter)
+	}
+	return h.view()
+}
+
 // awaitView waits until v is superseded. It reports false if that does not happen within
 // d or before ctx ends.
 func (h *requestHandler) awaitView(ctx context.Context, v *view, d time.Duration) bool {
--- a/server/gateway/limiter.go
+++ b/server/gateway/limiter.go
@@ -24,6 +24,9 @@
 	return "the upstream has no capacity before the deadline: retry after the stated time"
 }
 
+// errUnusable means that the upstream may get no requests any more: another one is to be chosen.
+var errUnusable = errors.New("the upstream may get no requests any more: choose another one")
+
 // limiter limits the concurrent requests of this VM to one upstream. Package admission
 // decides their order.
 type limiter struct {
@@ -40,6 +43,8 @@
 
 	mu    sync.Mutex
 	queue *admission.Queue
+	// unusable means that the upstream may get no requests, see setUsable.
+	unusable bool
 	// timerAt is when a timer calls onTimer, on the clock of the queue; 0 if none is set.
 	timerAt time.Duration
 }
@@ -108,16 +113,44 @@
 	workspace                 api.WorkspaceName
 }
 
+// setUsable records whether the upstream may get requests. While it may not, no request waits for it.
+// It returns how many waited.
+func (l *limiter) setUsable(usable bool) (withdrawn int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unusable = !usable; usable {
+		return 0
+	}
+	waiting := l.queue.Withdraw()
+	for _, r := range waiting {
+		r.Token.(chan admissionResult) <- withdrawnResult
+	}
+	return len(waiting)
+}
+
+// admissionResult is what becomes of a request that waits.
+type admissionResult int
+
+const (
+	admittedResult admissionResult = iota + 1
+	refusedResult
+	withdrawnResult
+)
+
 // acquire waits for admission. Every success must be followed by release. The error is a
-// noCapacityError, or wraps that of ctx.
+// noCapacityError or errUnusable, or wraps that of ctx.
 func (l *limiter) acquire(ctx context.Context, p admissionParams) error {
 	now := time.Now()
-	admitted := make(chan bool, 1)
+	result := make(chan admissionResult, 1)
 	r := &admission.Request{
 		Priority: p.priority, Arrived: p.arrived.Sub(l.start), Target: p.target.Sub(l.start),
-		Deadline: p.deadline.Sub(l.start), ServiceTime: p.serviceTime, Workspace: p.workspace, Token: admitted,
+		Deadline: p.deadline.Sub(l.start), ServiceTime: p.serviceTime, Workspace: p.workspace, Token: result,
 	}
 	l.mu.Lock()
+	if l.unusable {
+		l.mu.Unlock()
+		return errUnusable
+	}
 	l.configure()
 	decision, retryAfter := l.queue.Offer(now.Sub(l.start), r)
 	l.dispatch(now)
@@ -136,12 +169,11 @@
 	defer tooLate.Stop()
 	var err error = noCapacityError{retryAfter}
 	select {
-	case ok := <-admitted:
-		if !ok {
+	case got := <-result:
+		if got == refusedResult {
 			l.shares.recordRefusal(p)
-			return err
 		}
-		return nil
+		return got.err(err)
 	case <-tooLate.C:
 	case <-ctx.Done():
 		err = errors.Wrap(ctx.Err(), "wait for capacity of the upstream")
@@ -149,11 +181,22 @@
 	l.mu.Lock()
 	cancelled := l.queue.Cancel(r)
 	l.mu.Unlock()
-	if cancelled || !<-admitted {
+	if cancelled {
 		return err
 	}
-	// The request was admitted at the same moment.
-	return nil
+	// The request was admitted, refused or withdrawn at the same moment.
+	return (<-result).err(err)
+}
+
+// err returns the error of acquire for a result; refused is that of a refusal.
+func (r admissionResult) err(refused error) error {
+	switch r {
+	case admittedResult:
+		return nil
+	case withdrawnResult:
+		return errUnusable
+	}
+	return refused
 }
 
 // capacitySignal says what a send showed about the upstream's capacity.
@@ -189,10 +232,10 @@
 func (l *limiter) dispatch(now time.Time) {
 	start, refuse := l.queue.Next(now.Sub(l.start))
 	for _, r := range start {
-		r.Token.(chan bool) <- true
+		r.Token.(chan admissionResult) <- admittedResult
 	}
 	for _, r := range refuse {
-		r.Token.(chan bool) <- false
+		r.Token.(chan admissionResult) <- refusedResult
 	}
 	at, ok := l.queue.NextWake()
 	if !ok || l.timerAt != 0 && l.timerAt <= at {
