gateway: evidence that comes while a VM connects stops the send

Cause: the quarantine of a request was decided when its run was recorded. To connect takes up to 0.7 s; evidence of other VMs that came in that time did not stop the request, which then crashed one more upstream.

Change: mayStillSend asks crash.Evidence.MayContinue once there is a connection. A run that ends a quarantine may go on. A request that is withdrawn is checked again by crashes.start and refused as not run.

TestQuarantineStopsRequestThatConnects has the evidence arrive during the dial; without the check it fails with "expected: 503, actual: 200".

--- a/core/crash/retrial.go
+++ b/core/crash/retrial.go
@@ -77,6 +77,12 @@
 	return true
 }
 
+// MayContinue reports whether a run that has started but has not been sent yet may be: evidence of
+// other VMs may have come since. The run that ends a quarantine may.
+func (e *Evidence) MayContinue(now time.Duration, fingerprint uint64) bool {
+	return e.Admit(now, fingerprint) != Quarantined || e.records[fingerprint].trial
+}
+
 func (e *Evidence) shared() bool { return e.cfg.Slot > 0 }
 
 // quarantineTime returns how long the quarantine of a level lasts.
--- a/core/crash/retrial_test.go
+++ b/core/crash/retrial_test.go
@@ -331,3 +331,24 @@
 	a.Merge(2*time.Hour, nil)
 	require.LessOrEqual(t, len(a.Snapshot(1000)), 100)
 }
+
+// TestMayContinue guards against a run that is sent although evidence of another VM came after it
+// was recorded, and against a quarantine that never ends because its trial is stopped.
+func TestMayContinue(t *testing.T) {
+	const fingerprint = 7
+	e := crash.New(sharedConfig)
+	turn := crash.Turn{Rank: 0, VMs: 1}
+	require.True(t, e.Start(0, fingerprint, turn))
+	require.True(t, e.MayContinue(0, fingerprint))
+	e.Merge(time.Second, []crash.Entry{{Fingerprint: fingerprint, Quarantined: true, Level: 1, Remaining: 30 * time.Second}})
+	require.False(t, e.MayContinue(time.Second, fingerprint))
+	e.Ended(time.Second, fingerprint)
+	now, claimed := 32*time.Second, false
+	for ; !claimed && now < time.Minute; now += tick {
+		_, claimed = e.Claim(now, fingerprint, turn)
+	}
+	require.True(t, claimed)
+	now += sharedConfig.Slot / 4
+	require.True(t, e.Start(now, fingerprint, turn))
+	require.True(t, e.MayContinue(now, fingerprint), "the trial after the quarantine")
+}
--- a/server/gateway/crashes.go
+++ b/server/gateway/crashes.go
@@ -129,6 +129,12 @@
 	return ok
 }
 
+// mayContinue reports whether a run that was recorded and not sent yet may be sent.
+func (c *crashes) mayContinue(fingerprint uint64) (ok bool) {
+	c.withEvidence(func(e *crash.Evidence, now time.Duration) { ok = e.MayContinue(now, fingerprint) })
+	return ok
+}
+
 // succeeded records that a run gave a complete response.
 func (c *crashes) succeeded(fingerprint uint64) {
 	c.withEvidence(func(e *crash.Evidence, now time.Duration) { e.Succeeded(now, fingerprint) })
--- a/server/gateway/eligibility.go
+++ b/server/gateway/eligibility.go
@@ -16,7 +16,7 @@
 
 // claimSend decides after a wait whether the chosen upstream may get the request, and uses the time
 // slot of a cold upstream. Package crash decides on quarantine when the run is recorded, which
-// follows.
+// follows, and again in mayStillSend.
 func (h *requestHandler) claimSend(q *request, v *view, u *upstream) bool {
 	boot := bootTime()
 	if !h.mayReceive(q, v, u, boot) || !h.takeColdSlot(q, v, u, boot) {
@@ -31,6 +31,9 @@
 // mayStillSend decides again after the wait for a connection. A time slot that was used before
 // counts.
 func (h *requestHandler) mayStillSend(q *request, u *upstream) bool {
+	if !h.crashes.mayContinue(q.fingerprint) {
+		return false
+	}
 	v, workspace := h.view(), q.workspaceName()
 	if failure := h.checkRequest(q, v); failure.status != 0 || q.workspaceName() != workspace {
 		// The header of the request names the workspace that the key had.
--- a/server/gateway/eligibility_test.go
+++ b/server/gateway/eligibility_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"maps"
 	"math"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/routing"
+	"dandelionhill.dev/core/shardmap"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
 )
@@ -185,3 +188,36 @@
 	require.NotEqual(t, before, q.fingerprint)
 	h.crashes.withEvidence(func(e *crash.Evidence, _ time.Duration) { require.Equal(t, records, e.Len(), "no run is open") })
 }
+
+// TestQuarantineStopsRequestThatConnects guards against a request that is sent to an upstream although
+// evidence that it crashes upstreams came while the VM connected to it (BUDGET), and against a
+// quarantine that stops the run which may end it.
+func TestQuarantineStopsRequestThatConnects(t *testing.T) {
+	d := newDeployment(t)
+	d.allowSlowRequests()
+	fake := d.addUpstream("p1", "plain")
+	var hold atomic.Bool
+	dialing, proceed := make(chan struct{}, 100), make(chan struct{})
+	g := d.startVMWith("vm-a", d.storeAddr, func(g *Gateway) {
+		g.control.dialUpstream = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if hold.Load() {
+				dialing <- struct{}{}
+				<-proceed
+			}
+			return upstreamconn.Dial(ctx, network, address)
+		}
+	})
+	d.requireServed(g, plainPath, -1)
+	d.eventually(func() bool { return g.control.view().config.Version == 2 }, "the configuration is known")
+	runs := len(fake.Runs())
+	hold.Store(true)
+	g.control.view().upstreams["p1"].pool.CloseExpired(time.Now().Add(time.Hour))
+	status := make(chan int, 1)
+	go func() { status <- d.send(g, "poison", plainPath+"poison", -1, 15*time.Second).StatusCode }()
+	receiveWithin(t, dialing, "the VM connects")
+	poison := shardmap.Fingerprint("plain", http.MethodPost, plainPath+"poison", []byte("body"))
+	g.handler.crashes.merge([]crash.Entry{{Fingerprint: poison, Quarantined: true, Level: 1, Remaining: time.Minute}})
+	close(proceed)
+	require.Equal(t, http.StatusServiceUnavailable, <-status)
+	require.Len(t, fake.Runs(), runs, "it is not sent")
+}
