core/ownership: keys are not free before the doubt that a predecessor stated

Cause: a granter that releases its lease states until when its unanswered grants can take effect. The next granter used that time for keys that their owner released, but took keys for free once the usual lease had passed after the takeover, although a grant to an upstream that takes calls late can still arrive then.

TestUnansweredGrantOfAPredecessor: before, "3.2s is not greater than or equal to 7.572448978s".

--- a/core/ownership/late_test.go
+++ b/core/ownership/late_test.go
@@ -102,3 +102,28 @@
 		require.LessOrEqual(t, at, sent+by+m.cfg.MaxHold(m.cfg.LeaseTTL)+100*time.Millisecond)
 	}
 }
+
+// TestUnansweredGrantOfAPredecessor guards against keys that another upstream gets while a grant of
+// an earlier granter, of which nobody knows whether it was answered, can still arrive: until the time that the earlier granter has stated.
+func TestUnansweredGrantOfAPredecessor(t *testing.T) {
+	const until = time.Second
+	cfg := ownership.DefaultConfig(1 << 16)
+	hold := cfg.MaxHold(cfg.LeaseTTL)
+	for name, c := range map[string]struct {
+		inDoubt, want time.Duration
+	}{
+		"in time":            {until + hold, until + hold},
+		"stated in doubt":    {until + 3*hold, until + 3*hold},
+		"released, answered": {0, until + hold},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newLateMachine(0, time.Hour)
+			predecessor := ownership.Predecessor{Until: until, MaxLeaseTTL: cfg.LeaseTTL, InDoubtUntil: c.inDoubt}
+			m.Machine = ownership.New(cfg, 2, []ownership.Entry{{Span: ownership.Span{Last: cfg.Keys - 1}, Owner: m.a, Fence: 7}}, predecessor)
+			owner, at := m.nextOwner(t, time.Hour)
+			require.Equal(t, m.b, owner)
+			require.GreaterOrEqual(t, at, c.want)
+			require.LessOrEqual(t, at, c.want+100*time.Millisecond)
+		})
+	}
+}
