core/ownership, gateway: a takeover counts calls that were sent in one step

Cause: a granter that takes over because the lease is stale, or continues as a caretaker, counted the unanswered grants of its predecessor as arriving within call_delay. Those to upstreams that ignore Expect: 100-continue leave in one step and can arrive 7 s later, when the keys may belong to another.

As it is not known which grants were unanswered, all count; the keys stay with such an upstream while it answers.

TestUnansweredGrantOfAPredecessor/late: before, "3.2s is not greater than or equal to 10.190816326s"; TestReleaseIsNoEndOfLateGrants: "2.2s is not greater than or equal to 9.190816326s".

--- a/core/ownership/late_test.go
+++ b/core/ownership/late_test.go
@@ -104,21 +104,26 @@
 }
 
 // TestUnansweredGrantOfAPredecessor guards against keys that another upstream gets while a grant of
-// an earlier granter, of which nobody knows whether it was answered, can still arrive: until the time that the earlier granter has stated.
+// an earlier granter, of which nobody knows whether it was answered, can still arrive: at an upstream
+// that takes grants late, and until the time that the earlier granter has stated.
 func TestUnansweredGrantOfAPredecessor(t *testing.T) {
-	const until = time.Second
+	const late, until = 7 * time.Second, time.Second
 	cfg := ownership.DefaultConfig(1 << 16)
 	hold := cfg.MaxHold(cfg.LeaseTTL)
 	for name, c := range map[string]struct {
-		inDoubt, want time.Duration
+		late, inDoubt, want time.Duration
 	}{
-		"in time":            {until + hold, until + hold},
-		"stated in doubt":    {until + 3*hold, until + 3*hold},
-		"released, answered": {0, until + hold},
+		"in time":            {0, until + hold, until + hold},
+		"late":               {late, until + hold, until + late + hold},
+		"stated in doubt":    {0, until + 3*hold, until + 3*hold},
+		"released, answered": {0, 0, until + hold},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newLateMachine(0, time.Hour)
 			predecessor := ownership.Predecessor{Until: until, MaxLeaseTTL: cfg.LeaseTTL, InDoubtUntil: c.inDoubt}
+			if c.late > 0 {
+				predecessor.Late = map[ownership.Owner]time.Duration{m.a: c.late}
+			}
 			m.Machine = ownership.New(cfg, 2, []ownership.Entry{{Span: ownership.Span{Last: cfg.Keys - 1}, Owner: m.a, Fence: 7}}, predecessor)
 			owner, at := m.nextOwner(t, time.Hour)
 			require.Equal(t, m.b, owner)
@@ -127,3 +132,27 @@
 		})
 	}
 }
+
+// TestReleaseIsNoEndOfLateGrants guards against keys that another upstream gets after their owner has
+// released them, while a grant of an earlier granter can still arrive there.
+func TestReleaseIsNoEndOfLateGrants(t *testing.T) {
+	const late = 7 * time.Second
+	cfg := ownership.DefaultConfig(1 << 16)
+	a, b := ownership.Owner{UpstreamID: "a", Incarnation: 1}, ownership.Owner{UpstreamID: "b", Incarnation: 1}
+	m := ownership.New(cfg, 2, []ownership.Entry{{Span: ownership.Span{Last: cfg.Keys - 1}, Owner: a, Fence: 7}}, ownership.Predecessor{
+		MaxLeaseTTL: cfg.LeaseTTL, InDoubtUntil: cfg.MaxHold(cfg.LeaseTTL), Late: map[ownership.Owner]time.Duration{a: late},
+	})
+	m.SetUpstreams([]ownership.Upstream{{Owner: a, Capacity: 1}, {Owner: b, Capacity: 1, MayKeepKeys: true, MayGainKeys: true}})
+	for now := 10 * time.Millisecond; now < time.Minute; now += 10 * time.Millisecond {
+		for _, action := range m.Tick(now, ownership.Mode{Renew: true, Move: true}) {
+			if action.Kind == ownership.Release {
+				m.ReleaseDone(now, action, ownership.Accepted, "")
+				continue
+			}
+			require.Equal(t, ownership.Write, action.Kind)
+			require.GreaterOrEqual(t, now, late+cfg.MaxHold(cfg.LeaseTTL))
+			return
+		}
+	}
+	require.Fail(t, "the keys get no owner")
+}
--- a/core/ownership/predecessor.go
+++ b/core/ownership/predecessor.go
@@ -20,6 +20,9 @@
 	// granter ended without notice; 0 if there are none. A cut that holds them up also keeps their
 	// upstream from being reached, so they count only until it is.
 	LateUntil time.Duration
+	// Late holds by how much later than MaxMessageDelay unanswered grants to an owner can arrive, see
+	// Machine.SetLate. Which grants were unanswered is not known.
+	Late map[Owner]time.Duration
 }
 
 // New returns the machine of a new term, from the stored entries. Terms must increase.
@@ -33,9 +36,14 @@
 		if e.Span.First > next {
 			m.entries = append(m.entries, &entry{Entry: Entry{Span: Span{next, e.Span.First - 1}}, moving: true})
 		}
-		until := predecessor.Until + m.safeTTL(predecessor.MaxLeaseTTL)
+		late := predecessor.Late[e.Owner]
+		until := predecessor.Until + late + m.safeTTL(predecessor.MaxLeaseTTL)
 		// A grant that takes effect until InDoubtUntil may be one that was not counted otherwise.
 		stored := &entry{Entry: e, leaseUntil: max(until, predecessor.InDoubtUntil), inDoubtUntil: predecessor.InDoubtUntil, acked: true}
+		if late > 0 {
+			m.late[e.Owner] = late
+			stored.inDoubtUntil = max(stored.inDoubtUntil, until)
+		}
 		m.entries = append(m.entries, stored)
 		if predecessor.LateUntil > 0 {
 			stored.lateUntil = predecessor.LateUntil + m.safeTTL(predecessor.MaxLeaseTTL)
--- a/server/gateway/callstyle.go
+++ b/server/gateway/callstyle.go
@@ -69,6 +69,8 @@
 		errors.Is(err, upstreamconn.ErrNotRead) && q.ctx.Err() == nil && !style.asked.Load() && style.unread.Add(1) >= unreadCallsLimit:
 		if style.whole.CompareAndSwap(false, true) {
 			q.granter.control.wholeCalls.add(u.owner())
+			// The others know before the next call, which is sent in one step.
+			go q.granter.do(func() { q.granter.sendUpdates(bootTime()) })
 		}
 	}
 	if a.Kind != ownership.Grant || err != nil || style.whole.Load() || trace.SentAt.IsZero() {
@@ -124,6 +126,16 @@
 	return slices.Contains(w.owners, owner)
 }
 
+// late returns by how much later than Bounds.CallDelay unanswered grants can arrive, see
+// ownership.Predecessor.
+func (w *wholeCalls) late() map[ownership.Owner]time.Duration {
+	late := make(map[ownership.Owner]time.Duration)
+	for _, owner := range w.all() {
+		late[owner] = lateGrants
+	}
+	return late
+}
+
 // all returns the upstreams; their number never falls.
 func (w *wholeCalls) all() []ownership.Owner {
 	w.mu.Lock()
--- a/server/gateway/callstyle_test.go
+++ b/server/gateway/callstyle_test.go
@@ -91,3 +91,20 @@
 	require.False(t, slow.calls.whole.Load())
 	require.Len(t, g.control.wholeCalls.all(), 2)
 }
+
+// TestTakeoverCountsWholeCalls guards against a granter that takes over, or takes care, and counts the
+// unanswered grants of its predecessor as arriving in time, although some were sent in one step. A
+// granter that released its lease has counted them itself.
+func TestTakeoverCountsWholeCalls(t *testing.T) {
+	e := &elector{log: zerolog.Nop(), metrics: NewMetrics(), control: newControl(nil, NewMetrics(), zerolog.Nop())}
+	e.bounds.MaxLease = strict.Duration(10 * time.Second)
+	owner := ownership.Owner{UpstreamID: "k1", Incarnation: 7}
+	e.control.wholeCalls.add(owner)
+	late := map[ownership.Owner]time.Duration{owner: lateGrants}
+	require.Equal(t, late, e.predecessor(leaseRow{}, time.Second).Late, "the lease is stale")
+	require.Equal(t, late, e.predecessor(leaseRow{lease: lease{Released: true, PredecessorsMs: 100}}, time.Second).Late, "a grant may have left since")
+	require.Equal(t, late, e.afterCaretaker(time.Second, 2*time.Second).Late)
+	released := e.predecessor(leaseRow{lease: lease{Released: true, InDoubtMs: 9000}, readAt: time.Second}, time.Second)
+	require.Empty(t, released.Late)
+	require.Equal(t, 10*time.Second, released.InDoubtUntil)
+}
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -437,8 +437,10 @@
 // until when their unanswered grants may take effect.
 func (e *elector) predecessor(previous leaseRow, until time.Duration) ownership.Predecessor {
 	predecessor := ownership.Predecessor{Until: until, MaxLeaseTTL: min(e.bounds.ownership().LeaseTTL, e.bounds.MaxLease.AsDuration())}
-	predecessor.InDoubtUntil = predecessor.Until + e.bounds.maxHold(predecessor.MaxLeaseTTL)
+	predecessor.InDoubtUntil, predecessor.Late = predecessor.Until+e.bounds.maxHold(predecessor.MaxLeaseTTL), e.control.wholeCalls.late()
 	if previous.Released && previous.PredecessorsMs == 0 {
+		// The granter that released the lease counted its unanswered grants.
+		predecessor.Late = nil
 		predecessor.InDoubtUntil = previous.readAt + time.Duration(previous.InDoubtMs)*time.Millisecond
 	}
 	return predecessor
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -169,6 +169,7 @@
 	authority := election.NewCaretaker(cfg, handed.received, handed.reported, handed.Promises)
 	predecessor := ownership.Predecessor{
 		Until: handed.received, MaxLeaseTTL: min(e.bounds.ownership().LeaseTTL, e.bounds.MaxLease.AsDuration()), InDoubtUntil: handed.received + cfg.LeaseTTL,
+		Late: e.control.wholeCalls.late(),
 	}
 	e.log.Info().Str("event", "caretaker_started").Int64("term", handed.Lease.Term).Int64("row", handed.LeaseVersion).Msg("")
 	g := newGranter(e, handed.Lease, writeCondition{lease: handed.LeaseVersion}, authority, handed.received, predecessor, systemState{owners: handed.Entries})
@@ -208,7 +209,7 @@
 			if !ended {
 				until = now + cfg.MaxSendDelay
 			}
-			e.startTerm(ctx, state, ownership.Predecessor{Until: until, MaxLeaseTTL: predecessor.MaxLeaseTTL, InDoubtUntil: until + e.bounds.maxHold(predecessor.MaxLeaseTTL)}, nil)
+			e.startTerm(ctx, state, e.afterCaretaker(until, predecessor.MaxLeaseTTL), nil)
 		}
 	default:
 	}
@@ -234,5 +235,12 @@
 	// A granter that took over and whose lease was lost with the rows may act until its lease
 	// expires.
 	until := now + election.DefaultConfig().LeaseTTL
-	e.startTerm(ctx, state, ownership.Predecessor{Until: until, MaxLeaseTTL: caretaker.predecessor.MaxLeaseTTL, InDoubtUntil: until + e.bounds.maxHold(caretaker.predecessor.MaxLeaseTTL)}, puts)
+	e.startTerm(ctx, state, e.afterCaretaker(until, caretaker.predecessor.MaxLeaseTTL), puts)
+}
+
+// afterCaretaker returns the bounds on earlier granters for a VM that was their caretaker.
+func (e *elector) afterCaretaker(until, maxLeaseTTL time.Duration) ownership.Predecessor {
+	return ownership.Predecessor{
+		Until: until, MaxLeaseTTL: maxLeaseTTL, InDoubtUntil: until + e.bounds.maxHold(maxLeaseTTL), Late: e.control.wholeCalls.late(),
+	}
 }
