server/listen: a response does not wait for a body that never ends

http.Server reads the rest of a body before it sends the head of a response of more than 2 KB, inside the handler, without a time limit: the connection counted as one with a running request and was never closed. 100 bodies that stay half sent at /metrics held its 8 connections, and no other client read the metrics. The time for the rest of a body begins with the response now.

--- a/server/listen/conn.go
+++ b/server/listen/conn.go
@@ -443,10 +443,8 @@
 		body := &body{ReadCloser: r.Body, conn: c}
 		r = r.WithContext(r.Context())
 		r.Body = body
-		next.ServeHTTP(w, r)
-		if !body.ended {
-			c.discard()
-		}
+		next.ServeHTTP(&responseWriter{w, body}, r)
+		body.discard()
 	})
 }
 
@@ -471,8 +469,38 @@
 // body is the body of a request.
 type body struct {
 	io.ReadCloser
-	conn  *Conn
-	ended bool
+	conn             *Conn
+	ended, discarded bool
+}
+
+// discard bounds the time for the rest of the body, of which the handler reads no more.
+func (b *body) discard() {
+	if !b.ended && !b.discarded {
+		b.discarded = true
+		b.conn.discard()
+	}
+}
+
+// responseWriter bounds the time for the rest of a body when the response begins: http.Server reads
+// the body first, for as long as it takes.
+type responseWriter struct {
+	http.ResponseWriter
+	body *body
+}
+
+// Unwrap is for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	w.body.discard()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.body.discard()
+	return w.ResponseWriter.Write(p)
 }
 
 // Read implements io.Reader.
--- a/server/listen/guard_test.go
+++ b/server/listen/guard_test.go
@@ -346,6 +346,17 @@
 	g.requireEnded(reader)
 }
 
+// TestResponseBeforeTheBody guards against a handler that does not read the body and waits for its end
+// when the response begins, for as long as the client likes.
+func TestResponseBeforeTheBody(t *testing.T) {
+	g := startGuarded(t, Limits{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Write(make([]byte, 8<<10)) //nolint:errcheck // more than http.Server buffers
+	})
+	_, reader := g.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nab")
+	g.requireStatus(reader, http.StatusOK)
+	g.requireEnded(reader)
+}
+
 // TestPipelinedRequests guards against pipelined requests that are answered out of order.
 func TestPipelinedRequests(t *testing.T) {
 	g := startGuarded(t, Limits{HeadBytes: 1 << 20, QueueBytes: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
