ownerhealth: the stated slowness shows slow owners earlier

Cause: an upstream that is five times slower ends some two requests a second; its latency and its work alone showed that after 3 to 4 s. Change: VMs report the stated slowness. From 3.3 on, which noise does not reach, it counts if the latency agrees; a false statement is ignored for a minute. Tests of core/ownerhealth pass.

--- a/core/ownerhealth/monitor_test.go
+++ b/core/ownerhealth/monitor_test.go
@@ -269,6 +269,27 @@
 	require.InDelta(t, 1, b.capacity(0), 0.2)
 }
 
+// TestStatedSlowness guards against a busy upstream that says that it is slow and keeps its capacity
+// for longer than 2 s, and against one that loses keys, or loses them again and again, since it says
+// so falsely.
+func TestStatedSlowness(t *testing.T) {
+	states := func(factor, slowdown float64, waiting int) outcome {
+		return func(r *Recorder, now time.Duration, _ int, owner ownership.Owner, id uint64) {
+			r.Sent(now, owner, bedWork)
+			r.Responded(now, owner, Response{Took: time.Duration(factor * float64(bedWork)), Expected: bedWork, Fingerprint: id, Waiting: waiting, Slots: bedSlots, Slowdown: slowdown})
+		}
+	}
+	b := newBed(t, 10)
+	b.run(5*time.Second, map[int]outcome{0: states(3, 1, 4), 1: states(1, 1, 0)})
+	require.Empty(t, b.changes)
+	b.run(1500*ms, map[int]outcome{0: states(15, 5, 4), 1: states(1, 5, 0)})
+	require.Equal(t, []ChangeKind{Slow}, b.kinds())
+	require.Less(t, b.capacity(0), 0.4)
+	b.run(20*time.Second, map[int]outcome{0: states(15, 5, 4), 1: states(2, 5, 2)})
+	require.Equal(t, []ChangeKind{Slow}, b.kinds())
+	require.InDelta(t, 1, b.capacity(1), 0.2)
+}
+
 // TestStartTreatsAllAsHealthy guards against a granter without measurements that moves keys.
 func TestStartTreatsAllAsHealthy(t *testing.T) {
 	b := newBed(t, 3)
--- a/core/ownerhealth/recorder.go
+++ b/core/ownerhealth/recorder.go
@@ -28,6 +28,8 @@
 	Expected float64 `cbor:"4,keyasint,omitempty"`
 	Observed float64 `cbor:"5,keyasint,omitempty"`
 	Ahead    float64 `cbor:"6,keyasint,omitempty"`
+	// Slowdown is the sum of the stated service times relative to the usual ones.
+	Slowdown float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Failure counts the failures of requests with one fingerprint at one upstream.
@@ -64,6 +66,8 @@
 	Fingerprint uint64
 	// Waiting and Slots are those that the response states; Slots is 0 if it states none.
 	Waiting, Slots int
+	// Slowdown is the service time relative to the usual one, as stated; 1 if it is not.
+	Slowdown float64
 }
 
 // pendingSends are the requests of a VM at one upstream.
@@ -153,6 +157,7 @@
 	if resp.Slots > 0 && resp.Waiting > 0 {
 		s.Ahead += resp.Expected.Seconds() * float64(resp.Waiting) / float64(resp.Slots)
 	}
+	s.Slowdown += resp.Slowdown
 	s.Expected += resp.Expected.Seconds()
 	s.Observed += resp.Took.Seconds()
 }
--- a/core/ownerhealth/speed.go
+++ b/core/ownerhealth/speed.go
@@ -17,6 +17,13 @@
 	// noise of neighbours that lasts takes it to 0.47, a slow one is at 0.2. slowSpeed bounds it
 	// relative to the service.
 	slowRatio, slowSpeed = 0.4, 0.4
+	// statedSlow is the stated slowdown from which an upstream is not only noisy: noise takes it to
+	// 3. slowdownWeight is the weight of one sample in the average.
+	statedSlow, slowdownWeight = 3.3, 0.5
+	// minTruth is the number of recent responses from which the latency says that it is false.
+	minTruth = 3
+	// distrustTime is how long a stated slowdown is ignored after it was false.
+	distrustTime = time.Minute
 	// fastAgainRatio ends that when it has lasted for fastAgainTime.
 	fastAgainRatio, fastAgainTime = 0.6, 3 * time.Second
 	// dipTime is how long a much lower recent speed leaves the lasting one as it is: it is noise, or
@@ -32,6 +39,10 @@
 // corrected for the requests ahead of them, and by the work that it completes while it is busy.
 type speed struct {
 	expected, observed, ahead, responses decaying
+	// slowdown averages the stated slowdown over the last samples.
+	slowdown float64
+	// falseUntil is until when the stated slowdown is ignored, since the latency did not agree.
+	falseUntil time.Duration
 	// lastingExpected and lastingObserved are the same over lastingWindow.
 	lastingExpected, lastingObserved decaying
 	// earlierAhead follows the number of waiting requests for each slot; responses were sent when it
@@ -63,13 +74,20 @@
 	s.expected.add(now, recentWindow, sample.Expected)
 	s.observed.add(now, recentWindow, sample.Observed)
 	s.ahead.add(now, recentWindow, ahead)
+	if n := count(sample.Succeeded); n > 0 && isPositive(sample.Slowdown) {
+		s.slowdown += slowdownWeight * (min(sample.Slowdown/float64(n), maxSlowdown) - s.slowdown)
+	}
 	s.responses.add(now, recentWindow, float64(count(sample.Succeeded)))
 	s.lastingExpected.add(now, lastingWindow, sample.Expected+ahead)
 	s.lastingObserved.add(now, lastingWindow, sample.Observed)
 }
 
-// maxAhead bounds the number of waiting requests for each slot in another VM's report.
-const maxAhead = 16
+// maxAhead bounds the number of waiting requests for each slot in another VM's report, maxSlowdown
+// the stated slowdown.
+const (
+	maxAhead    = 16
+	maxSlowdown = 100
+)
 
 // recent returns the recent speed and whether there is enough to tell. active means that the
 // upstream has requests, or has just responded.
@@ -80,6 +98,10 @@
 		return 0, false
 	}
 	ratio = work * (1 + s.earlierAhead) / s.observed.read(now, recentWindow)
+	if s.slowdown >= statedSlow && now >= s.falseUntil {
+		// The latency must agree: what an upstream states may be false.
+		return work / s.observed.read(now, recentWindow), true
+	}
 	if busy {
 		ratio = max(ratio, work/(recentWindow.Seconds()*float64(max(slots, 1))))
 	} else if s.aheadNow(now) >= busyAhead {
@@ -117,6 +139,9 @@
 // step applies the speed. usual is the recent speed of the median upstream.
 func (s *speed) step(now time.Duration, slots int, active bool, usual float64) {
 	measured, ok := s.recent(now, slots, active)
+	if ok && s.slowdown >= statedSlow && s.aheadNow(now) < busyAhead && measured >= slowRatio*s.applied() && s.responses.read(now, recentWindow) >= minTruth {
+		s.falseUntil = now + distrustTime
+	}
 	recent := min(max(measured/max(usual, 0.01), minSpeed), maxSpeed)
 	if s.slow {
 		s.stepSlow(now, recent, ok)
--- a/server/gateway/ownerhealth.go
+++ b/server/gateway/ownerhealth.go
@@ -69,7 +69,7 @@
 		case e.err == nil && !e.headers.NotRun:
 			r.Responded(now, e.owner, ownerhealth.Response{
 				Took: e.took, Expected: expected, Failed: e.status >= http.StatusInternalServerError, Fingerprint: e.fingerprint,
-				Waiting: e.headers.Load.Waiting, Slots: e.headers.Load.Slots,
+				Waiting: e.headers.Load.Waiting, Slots: e.headers.Load.Slots, Slowdown: e.headers.Load.Slowdown,
 			})
 		case e.err == nil && !e.headers.Misdirected && overloaded(e.headers.Load), e.err != nil && u.shownFull(e.err):
 			r.Full(now, e.owner)
