dandelionctl: test of the lines on owners; isolated VMs do not judge owners

Cause: the output of dandelionctl gateway on owners had no test, and a VM that reaches no upstream reported failures of all of them. Change: TestGateway expects the lines; the granter ignores reports on owners from VMs that say that they are isolated. Result: go test ./ctl/cmd/dandelionctl -run TestGateway passes; go vet.

--- a/ctl/cmd/dandelionctl/gateway_test.go
+++ b/ctl/cmd/dandelionctl/gateway_test.go
@@ -19,8 +19,8 @@
 	"dandelionhill.dev/server/gateway"
 )
 
-// TestGateway guards against a report that omits the granter, the owner of a key,
-// or a VM that does not respond.
+// TestGateway guards against a report that omits the granter, the owner of a key, an owner with a
+// reduced capacity, or a VM that does not respond.
 func TestGateway(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -35,6 +35,7 @@
 		require.NoError(t, json.NewEncoder(w).Encode(gateway.Status{
 			VM: "vm-a", Version: "3812532aaaaa", FailureDomain: "gyor-a", Ready: true, ConfigurationVersion: 7, ConfigurationSince: time.Unix(0, 0), Granter: "vm-a", Term: 3,
 			TableAgesMs: map[string]int64{"op": 1200, "servers": 80}, DomainsOut: []api.FailureDomain{"papa-b"}, Refused: map[string]int{"no_owner": 2}, Peers: []string{unreachable},
+			UnhealthyOwners: []gateway.OwnerHealth{{Service: "foglalas", Upstream: "u1", Failing: true}, {Service: "foglalas", Upstream: "u2", Capacity: 0.5, Slots: 2}},
 		}))
 	}))
 	defer vm.Close()
@@ -57,7 +58,7 @@
 	at := server.Listener.Addr().String()
 	text, code := runTool("gateway", "--store", at, "--owner", "foglalas/7")
 	require.Zero(t, code, text)
-	for _, want := range []string{"lease: vm-a, term 3", "foglalas/7: u1, fencing token 42", "papa-b", "no_owner=2", "1200 ms", "3812532aaaaa", unreachable + "  no answer"} {
+	for _, want := range []string{"lease: vm-a, term 3", "foglalas/7: u1, fencing token 42", "papa-b", "no_owner=2", "1200 ms", "3812532aaaaa", "owner u1 of foglalas: fails, keeps no keys", "owner u2 of foglalas: capacity for keys 0.5 of 2 slots", unreachable + "  no answer"} {
 		require.Contains(t, text, want)
 	}
 	text, code = runTool("--json", "gateway", "--store", at, "--owner", "foglalas/100")
--- a/server/gateway/ownerhealth.go
+++ b/server/gateway/ownerhealth.go
@@ -119,9 +119,10 @@
 	return cfg
 }
 
-// observeHealth records what a VM reports of the owners of keys.
+// observeHealth records what a VM reports of the owners of keys. One that reaches no upstream says
+// nothing of them.
 func (g *granter) observeHealth(vm api.VMID, r report, received time.Duration) {
-	if g.health != nil {
+	if g.health != nil && !r.Isolated {
 		g.health.Observe(received, vm, ownerhealth.Report{Samples: r.OwnerSamples, Failures: r.OwnerFailures, Pending: r.OwnerPending})
 	}
 }
