--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -42,7 +42,8 @@
 		}, want: 1},
 		"established before active ones of a peer with fewer": {conns: []shedding.Conn{
 			{Peer: "a", Phase: shedding.Idle, Established: true, Silent: s},
-			{Peer: "b", Phase: shedding.Body}, {Peer: "b", Phase: shedding.Body},
+			{Peer: "b", Phase: shedding.Body},
+			{Peer: "b", Phase: shedding.Body},
 		}, want: 1},
 		"idle before established": {conns: []shedding.Conn{
 			{Peer: "a", Phase: shedding.Idle, Established: true, Silent: 60 * s}, {Peer: "b", Phase: shedding.Idle},
