fakes/upstream: a run starts when it is admitted

Cause: a run was recorded from the moment after its admission. If the process does not run in between until after the deadline of the request, the run ends by that deadline, before its start. history.CheckOwnership then returns Illegal, as an owner ends what it has not begun, while Overlaps returns nothing: that is how TestStaleReads failed with "owners of a key" on a machine with load 15 to 23.

Change: admit returns the time of its check, which is before the deadline. The interval of a run grows, so the checks of owners are no weaker.

--- a/fakes/upstream/http.go
+++ b/fakes/upstream/http.go
@@ -120,7 +120,7 @@
 	deadline := time.Duration(headerInt(r, api.HeaderDeadline)) * time.Millisecond
 	fence := api.Fence(headerInt(r, api.HeaderFence))
 	rangeNumber := int(headerInt(r, api.HeaderRange))
-	ctx, stop, reason := s.admit(r, fence, rangeNumber, deadline)
+	ctx, stop, admitted, reason := s.admit(r, fence, rangeNumber, deadline)
 	if reason != "" {
 		writeShed(w, reason)
 		return
@@ -128,7 +128,7 @@
 	defer stop()
 	run := &Run{
 		Upstream: s.cfg.ID, Key: r.Header.Get(api.HeaderKey), RequestID: r.Header.Get(api.HeaderRequestID),
-		Fence: fence, Start: time.Now(),
+		Fence: fence, Start: admitted,
 	}
 	s.record(run, false)
 	run.Completed = s.execute(ctx, r.URL.Path)
@@ -137,15 +137,16 @@
 	s.writeResponse(w, r, run, body)
 }
 
-// admit checks the request, waits for a slot and returns the context of the run. A reason
-// means that the request was not run.
-func (s *Server) admit(r *http.Request, fence api.Fence, rangeNumber int, deadline time.Duration) (context.Context, func(), string) {
+// admit checks the request, waits for a slot and returns the context of the run, with the time of
+// the check, from which on the run counts: it is never after the deadline, at which the run ends. A
+// reason means that the request was not run.
+func (s *Server) admit(r *http.Request, fence api.Fence, rangeNumber int, deadline time.Duration) (context.Context, func(), time.Time, string) {
 	ctx := r.Context()
 	s.mu.Lock()
 	if s.waiting >= s.cfg.QueueLimit+s.cfg.Slots {
 		s.stats.Sheds++
 		s.mu.Unlock()
-		return nil, nil, "queue is full"
+		return nil, nil, time.Time{}, "queue is full"
 	}
 	s.waiting++
 	if s.cold() {
@@ -159,16 +160,17 @@
 		s.mu.Lock()
 		s.waiting--
 		s.mu.Unlock()
-		return nil, nil, "caller left"
+		return nil, nil, time.Time{}, "caller left"
 	}
 	s.waitUnfrozen()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting--
+	admitted := time.Now()
 	if err := s.check(r, fence, rangeNumber, deadline); err != nil {
 		s.stats.Refused++
 		<-slots
-		return nil, nil, err.Error()
+		return nil, nil, time.Time{}, err.Error()
 	}
 	s.running++
 	runCtx, cancel := context.WithTimeout(ctx, deadline-s.clock())
@@ -178,7 +180,7 @@
 		s.mu.Lock()
 		s.running--
 		s.mu.Unlock()
-	}, ""
+	}, admitted, ""
 }
 
 // check decides whether a request may start. A server without checks does not compare the
--- a/fakes/upstream/upstream_test.go
+++ b/fakes/upstream/upstream_test.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -48,3 +50,32 @@
 		t.Errorf("the run ended %v after the start, want at its deadline of 1 s", run.End.Sub(started))
 	}
 }
+
+// TestRunEndsAfterItsStart guards against a fake that records the end of a run before its start,
+// because its process did not run between the check of the request and the start, until after the
+// deadline: histories would show an owner that ends what it has not begun.
+func TestRunEndsAfterItsStart(t *testing.T) {
+	s := New(Config{ID: "u", Slots: 1, QueueLimit: 1, Checks: lease.ChecksDeadline})
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Stop()
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r.Header.Set(api.HeaderIncarnation, string(s.Incarnation()))
+	ctx, stop, admitted, reason := s.admit(r, 0, lease.NoRange, time.Hour)
+	if reason != "" {
+		t.Fatal(reason)
+	}
+	defer stop()
+	late, cancel := context.WithDeadline(ctx, admitted)
+	defer cancel()
+	for !time.Now().After(admitted) {
+		time.Sleep(time.Millisecond)
+	}
+	if end := s.endTime(late, false); end.Before(admitted) {
+		t.Errorf("the run ended %v before its start", admitted.Sub(end))
+	}
+	if deadline, _ := ctx.Deadline(); deadline.Before(admitted) {
+		t.Error("the deadline is before the start")
+	}
+}
