--- a/server/gateway/contention_test.go
+++ b/server/gateway/contention_test.go
@@ -28,9 +28,13 @@
 			if other.links.currentGranter() != nil {
 				granter, other = other, granter
 			}
-			limiterOf := func(g *Gateway) *limiter { return g.control.view().upstreams["k1"].limiter }
-			d.eventually(func() bool { return other.control.view().upstreams["k1"] != nil }, "the VM knows the upstream")
-			d.eventually(func() bool { return limiterOf(other).hasBackpressure() && limiterOf(granter).hasBackpressure() }, "the VMs know their number")
+			limiterOf := func(g *Gateway) *limiter {
+				if u := g.control.view().upstreams["k1"]; u != nil && u.limiter.hasBackpressure() {
+					return u.limiter
+				}
+				return nil
+			}
+			d.eventually(func() bool { return limiterOf(other) != nil && limiterOf(granter) != nil }, "the VMs know the upstream and their number")
 			interval := func(g *Gateway) time.Duration {
 				l := limiterOf(g)
 				l.mu.Lock()
