--- a/core/admission/contention.go
+++ b/core/admission/contention.go
@@ -30,8 +30,8 @@
 	demandWeight, departureWeight = 0.2, 0.02
 	// maxWatched bounds the upstreams that are watched at a time, and the size of messages.
 	maxWatched = 16
-	// minInterval and maxInterval bound the interval between requests of a VM.
-	minInterval, maxInterval = 10 * time.Millisecond, time.Minute
+	// minInterval and MaxInterval bound the interval between requests of a VM.
+	minInterval, MaxInterval = 10 * time.Millisecond, time.Minute
 )
 
 // ContentionReport is what a VM knows of an upstream that is watched, or that it found full.
@@ -158,7 +158,7 @@
 			rate -= demand
 		}
 	}
-	share = max(share, 1/maxInterval.Seconds())
+	share = max(share, 1/MaxInterval.Seconds())
 	return max(time.Duration(float64(time.Second)/share), minInterval)
 }
 
--- a/server/gateway/contention.go
+++ b/server/gateway/contention.go
@@ -106,7 +106,7 @@
 		if n.IntervalMs > 0 {
 			paced++
 		}
-		u.limiter.setInterval(time.Duration(max(n.IntervalMs, 0)) * time.Millisecond)
+		u.limiter.setInterval(time.Duration(min(max(n.IntervalMs, 0), admission.MaxInterval.Milliseconds())) * time.Millisecond)
 	}
 	c.mu.Lock()
 	before := c.watched
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -269,6 +269,9 @@
 	if s.Limits.CallerReadTimeout < 0 {
 		c.Add("limits.caller_read_timeout", "write a time above 0s, or leave it out for the default", "%s is out of range", s.Limits.CallerReadTimeout)
 	}
+	if s.Overload.Contention && !s.Overload.Backpressure {
+		c.Add("overload.contention", "set overload.backpressure to true too, or leave contention out", "it has no effect without backpressure")
+	}
 	if s.Limits.BuffersMB > s.MemoryMB {
 		c.Add("limits.buffers_mb", "write less than memory_mb", "%d MB exceeds the memory of the VM", s.Limits.BuffersMB)
 	}
--- a/server/gateway/settings_test.go
+++ b/server/gateway/settings_test.go
@@ -42,9 +42,9 @@
 	require.NoError(t, err)
 	require.Equal(t, Limits{ResponseHeadKB: 64, ResponseBodyKB: 100, BuffersMB: 20, ResponseWindowKB: 16, CallerReadTimeout: strict.Duration(time.Second)}, s.Limits.withDefaults())
 	require.Equal(t, int64(20<<20), s.Limits.buffersBytes(s.MemoryMB))
-	s, err = ParseSettings("overload", []byte(goodSettings[:len(goodSettings)-1]+`, "overload": {"fair": true, "fair_routes": true, "refuse_late": true, "contention": true}}`))
+	s, err = ParseSettings("overload", []byte(goodSettings[:len(goodSettings)-1]+`, "overload": {"fair": true, "fair_routes": true, "refuse_late": true, "backpressure": true, "contention": true}}`))
 	require.NoError(t, err)
-	require.Equal(t, Overload{Fair: true, FairRoutes: true, RefuseLate: true, Contention: true}, s.Overload)
+	require.Equal(t, Overload{Fair: true, FairRoutes: true, RefuseLate: true, Backpressure: true, Contention: true}, s.Overload)
 	for _, bad := range []string{
 		withLimits(`{"response_head_kb": -1}`), withLimits(`{"response_window_kb": -1}`), withLimits(`{"caller_read_timeout": "-1s"}`), withLimits(`{"caller_connections": -1}`), withLimits(`{"min_rate_window": "-1s"}`),
 		withLimits(`{"buffers_mb": 285}`),
@@ -52,6 +52,7 @@
 		strings.Replace(goodSettings, `"hold"`, `"revoke": "0s", "hold"`, 1),
 		strings.Replace(goodSettings, `"hold"`, `"quota_window": "0s", "hold"`, 1),
 		strings.Replace(goodSettings, `"hold"`, `"quota_slack": -1, "hold"`, 1),
+		goodSettings[:len(goodSettings)-1] + `, "overload": {"contention": true}}`,
 		`{}`, `{"vm": ""}`, goodSettings[:len(goodSettings)-1] + `, "memroy_mb": 1}`,
 	} {
 		_, err := ParseSettings("bad", []byte(bad))
