gateway: the memory of a message that breaks off is released

The memory of a message of an isolated VM whose connection ended before the message did was never returned to the memory of bodies.

--- a/server/gateway/budget_test.go
+++ b/server/gateway/budget_test.go
@@ -25,11 +25,17 @@
 	require.Greater(t, buffers.NewBudget(Limits{}.buffersBytes(144)).LargestBody(), int64(64<<20))
 
 	set, err := ParseSettings("set", []byte(goodSettings[:len(goodSettings)-1]+`, "limits": {"caller_connections": 50, "peer_connections": 40,
-		"health_connections": 30, "metrics_connections": 20, "connections_per_address": 10, "heads_kb": 9, "min_rate": 8, "min_rate_window": "7s"}}`))
+		"health_connections": 30, "metrics_connections": 20, "connections_per_address": 10, "heads_kb": 9, "min_rate": 8, "min_rate_window": "7s",
+		"messages_mb": 3, "messages": 2, "messages_per_connection": 1}}`))
 	require.NoError(t, err)
 	l := set.Limits.listeners(set.MemoryMB, 3075)
 	require.Equal(t, []int{50, 40, 30, 20, 10}, []int{l.callers.Connections, l.peers.Connections, l.health.Connections, l.metrics.Connections, l.callers.PerAddress})
 	require.Equal(t, int64(9<<10), l.callers.HeadBytes)
+	messages := set.Limits.messages(set.MemoryMB)
+	require.Equal(t, []int64{3 << 20, 2, 1}, []int64{messages.Bytes, int64(messages.Count), int64(messages.ConnectionCount)})
+	defaults := Limits{}.messages(set.MemoryMB)
+	require.Equal(t, Limits{}.buffersBytes(set.MemoryMB)/2, defaults.Bytes)
+	require.Less(t, defaults.ConnectionBytes, defaults.Bytes)
 	for _, limits := range []listen.Limits{l.callers, l.peers, l.health, l.metrics} {
 		require.InDelta(t, 8, limits.Progress.MinRate, 0)
 		require.Equal(t, 7*time.Second, limits.Progress.Window)
--- a/server/gateway/messages_test.go
+++ b/server/gateway/messages_test.go
@@ -68,6 +68,15 @@
 	require.Equal(t, http.StatusOK, call("/second", 0).Status, "the first request counts no longer")
 	require.Equal(t, "/second", <-served)
 	require.Empty(t, served, "no refused request was served")
+	// A connection ends in the middle of a message.
+	broken, _, err := websocket.Dial(t.Context(), "ws://"+server.Listener.Addr().String(), nil)
+	require.NoError(t, err)
+	w, err := broken.Writer(t.Context(), websocket.MessageBinary)
+	require.NoError(t, err)
+	_, err = w.Write(make([]byte, roomBytes/4))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return shared.Left() < shared.Total()-roomBytes/8 }, waitTimeout, time.Millisecond)
+	require.NoError(t, broken.CloseNow())
 	// The memory of a response is released after it was sent.
 	require.Eventually(t, func() bool { return shared.Left() == shared.Total() }, waitTimeout, time.Millisecond)
 }
--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -318,14 +318,13 @@
 	c := &servedProxyConn{ws: ws, messages: messages, guard: guard, serve: serve, ended: cancel, cancels: make(map[uint64]context.CancelFunc)}
 	for {
 		message, err := readMessage(ctx, messages, ws)
-		if err == nil {
+		switch {
+		case err == nil:
 			err = c.handle(ctx, message)
-		} else if errors.Is(err, listen.ErrMessageRefused) {
-			var id uint64
-			if id, err = frameID(message.Data); err == nil {
-				err = c.refuse(ctx, id)
-			}
-			message.Release()
+		case errors.Is(err, listen.ErrMessageRefused):
+			err = c.refuseMessage(ctx, message)
+		default:
+			message.Release() // a part of it has arrived
 		}
 		if err != nil {
 			return errors.Wrap(err, "read from an isolated VM")
@@ -333,6 +332,16 @@
 	}
 }
 
+// refuseMessage refuses the request of which only the first bytes are known.
+func (c *servedProxyConn) refuseMessage(ctx context.Context, message *listen.Message) error {
+	defer message.Release()
+	id, err := frameID(message.Data)
+	if err != nil {
+		return err
+	}
+	return c.refuse(ctx, id)
+}
+
 // refuse says that a request has not run and never will: another VM may send it.
 func (c *servedProxyConn) refuse(ctx context.Context, id uint64) error {
 	return send(ctx, c.ws, proxyFrame{ID: id, Response: &proxyResponse{
