--- a/server/listen/budget.go
+++ b/server/listen/budget.go
@@ -35,9 +35,9 @@
 	queueBytes = 32 << 10
 	// minPeerConnections is enough for a granter of 300 VMs, 300 isolated VMs and operators.
 	minPeerConnections = 640
-	// The messages that are handled at a time: an isolated VM passes on what its callers' connections
-	// ask for.
-	messageCount, connectionMessageCount = 4096, 1024
+	// The requests of isolated VMs that are handled at a time: a VM of 536 MB has 2,430 connections of
+	// callers, each with one request, and may pass them all on to one VM.
+	messageCount, connectionMessageCount = 8192, 2560
 	// messageIdleTimeout is how long a connection for proxied requests is kept without one; the VM
 	// that opened it closes it earlier.
 	messageIdleTimeout = 15 * time.Second
--- a/server/listen/guard_test.go
+++ b/server/listen/guard_test.go
@@ -393,4 +393,6 @@
 	require.Equal(t, 556, callers.Connections)
 	require.Equal(t, 417, ShareByAddress(callers.Connections))
 	require.Zero(t, NewBudget(0))
+	// The largest VM of a deployment passes the requests of all its callers on to one VM.
+	require.Less(t, NewBudget(536).CallerLimits(10_250, 24).Connections, connectionMessageCount)
 }
