server/holder: a refusal for the deadline is no sign of overload

Cause: a run can start a millisecond or two before its deadline. On the upstream's clock, which a lease reads as late as the drift allows and in whole milliseconds, the deadline has then passed, and the upstream turns the request away. The ramp counted that as a shed. One shed in a window of slow responses makes an upstream cold, and a cold upstream is given half of its ranges or fewer: a slow upstream lost ranges that it should keep for 30 s.

Change: lease.Table.MayHavePassed says whether the upstream may have refused a request for its deadline; observeShed leaves such refusals out. TestRefusalAtDeadlineIsNoShed: before, "expected: false, actual: true".

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -220,6 +220,17 @@
 	return end, end > earliest(now)
 }
 
+// MayHavePassed reports whether a deadline on the upstream's clock, as Deadline returns it, may have
+// passed there by now: the clock may be as far ahead as the drift and the age of its reading allow.
+func (t *Table) MayHavePassed(now, onUpstreamClock time.Duration, up api.UpstreamID) bool {
+	u := t.upstreams[up]
+	if u == nil {
+		return true
+	}
+	r := u.reading
+	return onUpstreamClock <= r.Clock+t.addDrift(now-r.SentAt)
+}
+
 // Expired reports whether every lease that the upstream may hold has expired.
 func (t *Table) Expired(now time.Duration, up api.UpstreamID) bool {
 	u := t.upstreams[up]
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -69,6 +69,25 @@
 	assert.False(t, ok)
 }
 
+// TestDeadlineMayHavePassed guards against a refusal for the deadline that counts as a sign of
+// overload, and against a real one that does not.
+func TestDeadlineMayHavePassed(t *testing.T) {
+	tab := NewTable(DefaultConfig())
+	assert.True(t, tab.MayHavePassed(0, time.Second, "u"), "an unknown upstream")
+	tab.Observe("u", reading("i", 1000, 0, 2))
+	until, _ := tab.Offer(2*ms, time.Second, "u")
+	tab.Acknowledge("u", until)
+	for _, left := range []time.Duration{ms, 2 * ms, 20 * ms, 200 * ms} {
+		const now = 100 * ms
+		d, ok := tab.Deadline(now, now+left, "u")
+		if !ok {
+			continue
+		}
+		assert.Equal(t, left < 10*ms, tab.MayHavePassed(now, d, "u"), left)
+		assert.True(t, tab.MayHavePassed(now+left, d, "u"), left)
+	}
+}
+
 func TestNewIncarnation(t *testing.T) {
 	tab := NewTable(DefaultConfig())
 	tab.Observe("u", reading("i", 1000, 0, 2))
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -34,7 +34,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	timer := time.AfterFunc(r.deadline-now, cancel)
-	current := &run{up: up, hedge: start.Hedge, started: now, cancel: cancel}
+	current := &run{up: up, hedge: start.Hedge, started: now, deadline: deadline, cancel: cancel}
 	r.runs[up.id] = current
 	r.attempts++
 	up.running[r.id] = r
@@ -126,7 +126,7 @@
 	var failure *platform.SendError
 	switch {
 	case err == nil && resp.Shed:
-		up.ramp.Observe(now, elapsed, true)
+		s.observeShed(now, current)
 		s.evidence.Ended(now, r.fingerprint)
 		s.retryOrEnd(r, api.Refuse(api.Shed, "the upstream shed the request").WithRetryAfter(moveRetryAfter))
 	case err == nil:
@@ -147,6 +147,14 @@
 	s.dispatchQueued(now)
 }
 
+// observeShed counts a request that its upstream has turned away, unless that may be for its deadline,
+// which says nothing of the upstream's load: a run may start a millisecond before its deadline.
+func (s *Shard) observeShed(now time.Duration, current *run) {
+	if !s.leases.MayHavePassed(now, current.deadline, current.up.id) {
+		current.up.ramp.Observe(now, now-current.started, true)
+	}
+}
+
 // keepRangeBusy keeps the range of a run whose end was not observed with its
 // owner until the run must have ended: its deadline is within the lease that was
 // valid at its start. An upstream that checks no deadlines may run it for any
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -34,7 +34,9 @@
 	up      *upstream
 	hedge   bool
 	started time.Duration
-	cancel  context.CancelFunc
+	// deadline is that of the run, on the upstream's clock.
+	deadline time.Duration
+	cancel   context.CancelFunc
 }
 
 // moveRetryAfter is the retry delay in refusals during a takeover or a move.
--- a/server/holder/straggler_test.go
+++ b/server/holder/straggler_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/ramp"
 )
 
 // keyCount returns how many of the first keys an upstream owns.
@@ -53,3 +54,35 @@
 		})
 	})
 }
+
+// TestRefusalAtDeadlineIsNoShed guards against a slow upstream that counts as cold, and loses ranges,
+// because it has refused a request whose deadline had passed there, which was started a millisecond
+// or two before. One that turns requests away and is slow counts as cold.
+func TestRefusalAtDeadlineIsNoShed(t *testing.T) {
+	for name, c := range map[string]struct {
+		left time.Duration
+		cold bool
+	}{"at its deadline": {2 * time.Millisecond, false}, "in time": {300 * time.Millisecond, true}} {
+		t.Run(name, func(t *testing.T) {
+			runWithShard(t, func(env *testEnv) {
+				env.until("an owner", func() bool { return env.send(env.shard, "key-0") })
+				for range 10 {
+					env.until("a response", func() bool { return env.send(env.shard, "key-0") })
+				}
+				owner := env.owner(rangeOfKey("key-0"))
+				env.shard.mu.Lock()
+				defer env.shard.mu.Unlock()
+				up, now := env.shard.upstreams[owner], env.now()
+				up.ramp = ramp.New(env.shard.rampConfig(), false)
+				up.ramp.SetNormalLatency(4 * time.Millisecond)
+				deadline, ok := env.shard.leases.Deadline(now, now+c.left, up.id)
+				require.True(t, ok)
+				env.shard.observeShed(now, &run{up: up, started: now, deadline: deadline})
+				for range 64 {
+					up.ramp.Observe(now, 60*time.Millisecond, false)
+				}
+				require.Equal(t, c.cold, up.ramp.Cold())
+			})
+		})
+	}
+}
