--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -57,7 +57,7 @@
 
 // BenchmarkTake measures a request of a VM that holds tokens.
 func BenchmarkTake(b *testing.B) {
-	c := NewClient(DefaultRule)
+	c := NewClient(DefaultRule, 0)
 	limit := Limit{Rate: 1e9, Burst: 1e9}
 	c.Update(0, &Update{Issuing: true, AnswersMs: 1, Grants: []Grant{{Workspace: "w", Tokens: 1 << 60}}})
 	for b.Loop() {
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -37,11 +37,14 @@
 	hadUpdate bool
 	// unlimitedUntil is until when the VM follows a granter of an earlier version.
 	unlimitedUntil time.Duration
+	change         change
 }
 
-// NewClient returns a Client without tokens and without a share.
-func NewClient(rule Rule) *Client {
-	return &Client{rule: rule, entries: make(map[api.WorkspaceName]*entry)}
+// NewClient returns a Client without tokens and without a share, of a process that starts now.
+func NewClient(rule Rule, now time.Duration) *Client {
+	c := &Client{rule: rule, entries: make(map[api.WorkspaceName]*entry)}
+	c.change.start(now, rule.Window)
+	return c
 }
 
 // entry is the state of a workspace with recent requests.
@@ -67,6 +70,7 @@
 type batch struct {
 	tokens int
 	until  time.Duration
+	short  bool // until also bounds the sending
 }
 
 // Taken is a token that a request has taken.
@@ -74,6 +78,8 @@
 	at   time.Duration
 	link int
 	sent bool
+	// sendBy is until when the request may be sent, 0 for no limit.
+	sendBy time.Duration
 	// solo means that the token is of the share of the VM, free that the workspace had no limit.
 	solo, free bool
 }
@@ -126,32 +132,28 @@
 	c.entry(now, name).waiting += change
 }
 
-// MayWait reports whether another request of a workspace may wait for a token for up to d: one
-// may always, more if tokens have come at a sufficient rate. Without a granter none may.
-func (c *Client) MayWait(now time.Duration, name api.WorkspaceName, d time.Duration) bool {
-	e := c.entry(now, name)
-	return !c.solo(now) && float64(e.waiting) < 1+e.admitted.rate(now)*d.Seconds()
-}
-
 // Take takes a token for a request. It reports false if there is none.
 func (c *Client) Take(now time.Duration, name api.WorkspaceName, l Limit) (Taken, bool) {
 	if l.Rate <= 0 || now < c.unlimitedUntil {
 		return Taken{free: true}, true
 	}
 	e := c.entry(now, name)
-	solo := c.solo(now)
-	if solo && !c.takeSlot(now, e, l) || !solo && !e.takeToken(now) {
+	taken := Taken{at: now, link: c.link, solo: c.solo(now)}
+	if taken.solo && !c.takeSlot(now, e, l) || !taken.solo && !e.takeToken(now, &taken) {
 		return Taken{}, false
 	}
 	e.admitted.add(now)
-	return Taken{at: now, link: c.link, solo: solo}, true
+	return taken, true
 }
 
-func (e *entry) takeToken(now time.Duration) bool {
+func (e *entry) takeToken(now time.Duration, taken *Taken) bool {
 	e.lapse(now)
 	if len(e.batches) == 0 {
 		return false
 	}
+	if e.batches[0].short {
+		taken.sendBy = e.batches[0].until
+	}
 	e.batches[0].tokens--
 	if e.batches[0].tokens == 0 {
 		e.batches = e.batches[1:]
@@ -214,6 +216,10 @@
 	}
 	e.unsent--
 	e.done++
+	if t.sendBy > 0 && now >= t.sendBy {
+		e.returned++
+		return false
+	}
 	t.sent = true
 	return true
 }
@@ -281,6 +287,7 @@
 // Connected begins a connection to a granter, which does not know the tokens that the VM holds.
 func (c *Client) Connected() {
 	c.link++
+	c.endFollowing()
 	for _, e := range c.entries {
 		e.batches, e.unsent, e.done, e.returned = nil, 0, 0, 0
 		e.reportedRate, e.reportedWaiting, e.reportedUnsent = 0, false, 0
@@ -291,6 +298,7 @@
 func (c *Client) Report(now time.Duration) Report {
 	var r Report
 	r.Share, _ = c.Share(now)
+	c.stateChange(now, &r)
 	solo := c.solo(now)
 	for name, e := range c.entries {
 		e.lapse(now)
@@ -311,24 +319,30 @@
 }
 
 // Update applies an update of the granter, nil if it is of an earlier version. It reports
-// whether the granter should know at once that it was received: the VM used its own share.
+// whether the granter should know at once that it was received: the VM used its own share, or follows
+// another granter.
 func (c *Client) Update(now time.Duration, u *Update) (acknowledge bool) {
 	if u == nil {
 		c.unlimitedUntil = now + soloAfter
 		return false
 	}
 	c.unlimitedUntil = 0
-	if !u.Issuing || u.AnswersMs == 0 {
+	acknowledge = c.solo(now) || !c.change.following
+	if !u.Issuing || u.AnswersMs == 0 || !c.follow(now, u) {
 		return false
 	}
-	acknowledge = c.solo(now)
 	answers := time.Duration(u.AnswersMs) * time.Millisecond
 	c.updatedAt, c.hadUpdate = now, true
-	c.share, c.phase, c.shareUntil = u.Share, u.Phase, answers+shareTTL
+	life := tokenTTL
+	if u.TokenMs > 0 {
+		life = time.Duration(u.TokenMs) * time.Millisecond
+	} else {
+		c.share, c.phase, c.shareUntil = u.Share, u.Phase, answers+shareTTL
+	}
 	for _, g := range u.Grants {
 		e := c.entry(now, g.Workspace)
 		if g.Tokens > 0 {
-			e.batches = append(e.batches, batch{tokens: g.Tokens, until: answers + tokenTTL})
+			e.batches = append(e.batches, batch{tokens: g.Tokens, until: answers + life, short: u.TokenMs > 0})
 		}
 		e.lapse(now)
 		e.granted = e.held()
--- a/core/quota/client_test.go
+++ b/core/quota/client_test.go
@@ -13,7 +13,7 @@
 
 // connectedClient returns a client that has tokens of a workspace at 10 s.
 func connectedClient(tokens int) *Client {
-	c := NewClient(DefaultRule)
+	c := NewClient(DefaultRule, 0)
 	c.Connected()
 	c.Update(secs(10), &Update{Issuing: true, AnswersMs: 10_000, Share: 0.5, Grants: []Grant{{Workspace: "w", Tokens: tokens}}})
 	return c
@@ -90,7 +90,7 @@
 // TestUnlimited guards against a limit in deployments that have none, and while the granter is of a
 // version that issues no tokens.
 func TestUnlimited(t *testing.T) {
-	c := NewClient(DefaultRule)
+	c := NewClient(DefaultRule, 0)
 	taken, ok := c.Take(secs(1), "w", Limit{})
 	require.True(t, ok)
 	require.True(t, c.Sent(secs(1), "w", Limit{}, &taken))
--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -35,9 +35,29 @@
 	// of VMs that the last of them knew.
 	predecessorsUntil time.Duration
 	earlierVMs        int
-	shares            map[api.VMID]*share
-	members           []*Member
-	buckets           map[api.WorkspaceName]*bucket
+	// inherited is what the last of them stated, nil if it is of an earlier version; stated
+	// holds what this one has stated, with nil for nothing.
+	inherited *roster
+	stated    []*roster
+	// own is the hash of the VM on which this granter runs, term its term, 0 if it is not known.
+	own  uint32
+	term int64
+	// settled means that no tokens of earlier granters are in use any more.
+	settled bool
+	// complete means that all VMs that the last granter named follow this one.
+	complete bool
+	// firstActive is when tokens were first issued for any share.
+	firstActive time.Duration
+	wasActive   bool
+	// steady is the part of the rates for which tokens are issued, and which stays with this
+	// granter for shortTTL at least.
+	steady float64
+	// credits holds the shares that VMs have lent to this granter before it was settled.
+	credits []credit
+	// shares holds the VMs in the order of their first connection.
+	shares  []*share
+	members []*Member
+	buckets map[api.WorkspaceName]*bucket
 	// issuing means that tokens are issued; active is the sum of the shares for which they are.
 	issuing bool
 	active  float64
@@ -55,19 +75,23 @@
 func NewIssuer(rule Rule, now, predecessorsUntil time.Duration, earlierVMs int) *Issuer {
 	return &Issuer{
 		rule: rule, at: now, predecessorsUntil: max(predecessorsUntil, now), earlierVMs: earlierVMs,
-		shares: make(map[api.VMID]*share), buckets: make(map[api.WorkspaceName]*bucket),
+		buckets: make(map[api.WorkspaceName]*bucket),
 	}
 }
 
 // share is the share of the rates that a VM may use by itself.
 type share struct {
+	vm   api.VMID
+	hash uint32
 	// confirmed is the share that the VM has acknowledged, or stated; sent holds those of
 	// updates that it has not acknowledged.
 	confirmed float64
 	sent      []sentShare
 	// until is when the VM can't use the share any more.
-	until  time.Duration
-	member *Member // nil while the VM is not connected
+	until time.Duration
+	// reported means that the VM has reported to this granter.
+	reported bool
+	member   *Member // nil while the VM is not connected
 }
 
 type sentShare struct {
@@ -87,6 +111,19 @@
 // Member is a VM connected to the granter.
 type Member struct {
 	share *share
+	// left means that the VM has followed a granter of a later term.
+	left bool
+	// stated is the share that the VM has stated last.
+	stated float64
+	// speaks means that the VM says whether its share is lent, started that its process has
+	// followed no other granter, loanUntil until when the share is lent to another one.
+	speaks, started bool
+	loanUntil       time.Duration
+	// used is Report.UsedMs, credited means that credits has the share of this VM.
+	used     time.Duration
+	credited bool
+	// reportedAt is when the last report was received.
+	reportedAt time.Duration
 	// issuingAt is when the last update was sent that the VM has acknowledged and that said that
 	// the granter issues; issued means that there was one.
 	issuingAt time.Duration
@@ -133,6 +170,8 @@
 	unmet bool
 	// grantedAt is when tokens were last issued.
 	grantedAt time.Duration
+	// credited is the number of Issuer.credits that the bucket has got.
+	credited int
 }
 
 func (b *bucket) lostTokens(now time.Duration) (n int) {
@@ -146,10 +185,12 @@
 // Join adds a VM that has connected. It holds no tokens that count.
 func (i *Issuer) Join(now time.Duration, vm api.VMID) *Member {
 	i.recompute(now)
-	s := i.shares[vm]
-	if s == nil {
-		s = &share{}
-		i.shares[vm] = s
+	var s *share
+	if k := slices.IndexFunc(i.shares, func(s *share) bool { return s.vm == vm }); k >= 0 {
+		s = i.shares[k]
+	} else {
+		s = &share{vm: vm, hash: hashOf(vm)}
+		i.shares = append(i.shares, s)
 	}
 	m := &Member{share: s, demands: make(map[api.WorkspaceName]*demand)}
 	s.member = m
@@ -179,9 +220,10 @@
 // update that was sent at answered. It returns the workspaces for which the VM lacks tokens.
 func (i *Issuer) Report(now time.Duration, m *Member, sentMs int64, answered time.Duration, r Report) (lacking []api.WorkspaceName) {
 	i.advance(now)
-	m.answersMs = sentMs
+	m.answersMs, m.reportedAt = sentMs, now
 	s := m.share
 	most := s.most()
+	i.observeLoan(now, m, r)
 	for len(s.sent) > 0 && s.sent[0].at <= answered {
 		s.confirmed = s.sent[0].share
 		m.issuingAt, m.issued = s.sent[0].at, true
@@ -191,6 +233,9 @@
 		// A granter before this one has leased it, at most until then.
 		s.confirmed, s.until = r.Share, now+shareTTL
 	}
+	if m.left = i.term > 0 && r.Term > i.term; m.left {
+		m.issued = false
+	}
 	i.leased += s.most() - most
 	for _, d := range r.Demands {
 		b := i.bucket(d.Workspace)
@@ -231,35 +276,9 @@
 	return b
 }
 
-// SetIssuing says whether this VM may issue tokens now. Earlier granters must have ended, and
-// the tokens that they issued have lapsed, unless the VMs that may hold them are connected.
-func (i *Issuer) SetIssuing(now time.Duration, allowed bool) {
-	i.recompute(now)
-	until := i.predecessorsUntil
-	if i.unknown(now) > minUnknown {
-		until += tokenTTL
-	}
-	i.issuing = allowed && (now >= until || i.issuing)
-	i.recompute(now)
-}
-
 // Issuing reports whether tokens are issued.
 func (i *Issuer) Issuing() bool { return i.issuing }
 
-// unknown returns the sum of the shares that VMs may hold of which this granter does not know. A
-// VM that has connected has the share that it states; if it states none, its earlier process had
-// the same as the others.
-func (i *Issuer) unknown(now time.Duration) float64 {
-	if i.earlierVMs == 0 || now >= i.predecessorsUntil+shareTTL {
-		return 0
-	}
-	unknown := 1.0
-	for _, s := range i.shares {
-		unknown -= max(s.most(), 1/float64(i.earlierVMs))
-	}
-	return max(unknown, 0)
-}
-
 // advance accounts for the time since the last call, in steps of at least advanceStep.
 func (i *Issuer) advance(now time.Duration) {
 	if now-i.at >= advanceStep {
@@ -267,30 +286,6 @@
 	}
 }
 
-// recompute determines the sum of the shares for which tokens are issued.
-func (i *Issuer) recompute(now time.Duration) {
-	i.leased = i.unknown(now)
-	active := 1 - i.leased
-	for vm, s := range i.shares {
-		most := s.most()
-		switch {
-		case s.member == nil && now >= s.until:
-			delete(i.shares, vm)
-			continue
-		case s.member == nil || !s.member.issued || now >= s.member.issuingAt+soloAfter:
-			active -= most
-		}
-		i.leased += most
-	}
-	if !i.issuing {
-		active = 0
-	}
-	active = max(active, 0)
-	// The sum may have changed at any time in between.
-	i.issuable += min(active, i.active) * max(now-i.at, 0).Seconds()
-	i.active, i.at = active, now
-}
-
 // Issue issues tokens of all workspaces to the VMs. limit returns the quota of a workspace, and
 // false if there is none of that name.
 func (i *Issuer) Issue(now time.Duration, limit func(api.WorkspaceName) (Limit, bool)) {
@@ -314,8 +309,8 @@
 		issued := i.distribute(now, name, b, all, (*demand).wantNow)
 		i.distribute(now, name, b, min(spare, all-issued), (*demand).want)
 		b.unmet = false
-		for _, d := range b.demands {
-			b.unmet = b.unmet || d.want() > 0
+		for m, d := range b.demands {
+			b.unmet = b.unmet || d.want() > 0 && i.mayGrant(now, m)
 		}
 	}
 }
@@ -326,7 +321,7 @@
 	for _, name := range names {
 		b, d := i.buckets[name], m.demands[name]
 		l, known := limit(name)
-		if b == nil || d == nil || !known || !i.issuing || b.unmet {
+		if b == nil || d == nil || !known || !i.issuing || b.unmet || !i.mayGrant(now, m) {
 			continue
 		}
 		all, spare := i.available(now, b, l)
@@ -348,6 +343,10 @@
 		return unlimited, unlimited
 	}
 	budget := i.rule.budget(l)
+	if !i.settled {
+		return i.availableInChange(now, b, l, budget, earned)
+	}
+	b.credited = len(i.credits)
 	b.tokens = min(b.tokens+earned, budget.capacity)
 	room := budget.room - b.excess - slices.Max(b.held)
 	return max(int(min(b.tokens, room)), 0), max(int(min(b.tokens, room-waitingPart*budget.room)), 0)
@@ -372,8 +371,10 @@
 // division goes to the VMs in turn.
 func (i *Issuer) distribute(now time.Duration, name api.WorkspaceName, b *bucket, left int, lacks func(*demand) int) (issued int) {
 	total := 0
-	for _, d := range b.demands {
-		total += lacks(d)
+	for m, d := range b.demands {
+		if i.mayGrant(now, m) {
+			total += lacks(d)
+		}
 	}
 	if total == 0 || left <= 0 {
 		return 0
@@ -384,7 +385,7 @@
 		for k := range members {
 			m := i.members[(k+i.turn)%members]
 			d := b.demands[m]
-			if d == nil || issued == left {
+			if d == nil || issued == left || !i.mayGrant(now, m) {
 				continue
 			}
 			n := lacks(d)
@@ -416,21 +417,27 @@
 // HasGrants reports whether tokens have been issued to a VM that its updates do not hold yet.
 func (m *Member) HasGrants() bool { return len(m.grants) > 0 }
 
-// Requeue takes back tokens of an update that was not sent.
-func (m *Member) Requeue(grants []Grant) { m.grants = MergeGrants(slices.Clone(grants), m.grants) }
-
 // Update returns the update for a VM, which is sent after now. rank and vms are the position of
 // the VM among all.
 func (i *Issuer) Update(now time.Duration, m *Member, rank, vms int) Update {
 	i.advance(now)
 	u := Update{AnswersMs: m.answersMs}
-	if !i.issuing || m.answersMs == 0 || m.share.member != m {
+	if !i.issuing || m.answersMs == 0 || m.share.member != m || !i.Serves(m) || !i.settled && !m.speaks {
+		if !i.settled {
+			grants := m.grants
+			m.grants = nil
+			i.takeBack(now, m, grants)
+		}
 		return u
 	}
 	most := m.share.most()
 	free := 1 - (i.leased - most)
 	u.Issuing, u.Grants = true, m.grants
-	u.Share = max(min(1/float64(len(i.members)), free), 0)
+	u.Share = max(min(1/float64(len(i.members)), i.shareLimit(), free), 0)
+	if !i.settled {
+		// Shares stay as they are: another granter may rely on them.
+		u.Share, u.TokenMs = m.share.confirmed, shortTTL.Milliseconds()
+	}
 	u.Phase = float64(max(rank, 0)) / float64(max(vms, 1))
 	m.grants = nil
 	m.share.sent = append(m.share.sent, sentShare{at: now, share: u.Share})
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -31,6 +31,10 @@
 	// tokenHorizon is the time for which a VM with demand holds tokens: the interval between
 	// its reports under demand, the granter's interval between issues, and the messages.
 	tokenHorizon = 400 * time.Millisecond
+	// shortTTL is the life of a token while tokens of earlier granters may be in use. A VM with
+	// waiting requests reports every 120 ms at most, and an acknowledgement that is younger than
+	// soloAfter-shortTTL covers the reports of the others.
+	shortTTL = 400 * time.Millisecond
 )
 
 // Rule is the bound on the requests of a workspace: in any Window, at most (rate * Window +
@@ -60,6 +64,9 @@
 	// room bounds, at any time, the tokens that VMs hold plus those that are issued in the
 	// following window in excess of the rate.
 	room float64
+	// extra is what the shares may add to that: requests in excess of the rate, of all shares
+	// together.
+	extra float64
 	// slotLife is how long a VM without a granter may take a token of its share, sendLife for how
 	// long after that its request may be sent.
 	slotLife, sendLife time.Duration
@@ -84,6 +91,7 @@
 	return budget{
 		capacity: max(l.Burst, minCapacity+minCapacitySeconds*l.Rate),
 		room:     l.Burst + (1-slotPart-sendPart)*overshoot - spareRoom*bound,
+		extra:    (slotPart + sendPart) * overshoot,
 		slotLife: atRate(slotPart), sendLife: atRate(sendPart),
 	}
 }
@@ -94,6 +102,18 @@
 	Share float64 `cbor:"1,keyasint,omitempty"`
 	// Demands holds the workspaces for which something has changed.
 	Demands []Demand `cbor:"2,keyasint,omitempty"`
+	// LoanMs is 1 more than the time in milliseconds until no granter that the VM followed on
+	// an earlier connection issues tokens for its share. 0 means that the VM does not say, as
+	// VMs of earlier versions, or that its share ends too soon.
+	LoanMs int64 `cbor:"3,keyasint,omitempty"`
+	// Started means that the process has not followed a granter before this connection.
+	Started bool `cbor:"4,keyasint,omitempty"`
+	// UsedMs is the time in milliseconds, of the window before the VM followed this granter, in
+	// which the VM used its share, or the whole window if it had short-lived tokens.
+	UsedMs int64 `cbor:"5,keyasint,omitempty"`
+	// Term is the highest term of a granter that the VM followed. The VM ignores the updates of
+	// granters of lower terms.
+	Term int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Demand is the demand of a VM for tokens of a workspace.
@@ -125,6 +145,12 @@
 	Phase float64 `cbor:"4,keyasint,omitempty"`
 	// Grants holds new tokens.
 	Grants []Grant `cbor:"5,keyasint,omitempty"`
+	// TokenMs is the time in milliseconds after which a request may not be sent with the tokens
+	// of this update, counted as tokenTTL. 0 means tokenTTL for a token that no request has
+	// taken, and no limit after that. With another value the share stays as it is.
+	TokenMs int64 `cbor:"6,keyasint,omitempty"`
+	// Term is the term of the granter, 0 if it is of an earlier version.
+	Term int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Grant holds tokens for requests of a workspace.
--- a/core/quota/sim_loss_test.go
+++ b/core/quota/sim_loss_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"dandelionhill.dev/api"
 )
 
@@ -21,11 +23,15 @@
 var losses = []struct {
 	name   string
 	inject func(s *sim)
+	// most is the bound on the part of the requests that is refused. Before shares were lent to
+	// the next granter it was 0.58, 0.56, 0.70 and 1.00; a tenth is the bound after the loss of a
+	// granter.
+	most float64
 }{
-	{"granter lost, next after 0.9 s", func(s *sim) { s.loseGranter(900 * time.Millisecond) }},
-	{"granter lost, next after 1.5 s", func(s *sim) { s.loseGranter(simTakeover) }},
-	{"power lost", func(s *sim) { s.losePower(0) }},
-	{"power lost, three VMs missing", func(s *sim) { s.losePower(3) }},
+	{"granter lost, next after 0.9 s", func(s *sim) { s.loseGranter(900 * time.Millisecond) }, 0.058},
+	{"granter lost, next after 1.5 s", func(s *sim) { s.loseGranter(simTakeover) }, 0.056},
+	{"power lost", func(s *sim) { s.losePower(0) }, 0.15},
+	{"power lost, three VMs missing", func(s *sim) { s.losePower(3) }, 0.25},
 }
 
 // loseGranter ends the granter with its VM.
@@ -48,7 +54,7 @@
 	}
 }
 
-// playLoss returns the requests within quotas after a loss, and how many of them were refused.
+// playLoss plays a loss with 76 VMs.
 func playLoss(t testing.TB, seed uint64, inject func(s *sim)) (s *sim) {
 	s = newSim(t, seed, 76, simWorkspaces(lossDemand, lossLimits))
 	s.measure = [2]time.Duration{lossAt, lossAt + lossCounted}
@@ -58,6 +64,8 @@
 	return s
 }
 
+// refused returns the requests of workspaces that arrived while the sim measured, and how many of them
+// were not served.
 func (s *sim) refused(names ...api.WorkspaceName) (wanted, refused int) {
 	for _, name := range names {
 		w := s.workspaces[name]
@@ -66,17 +74,19 @@
 	return wanted, refused
 }
 
-// TestLosses states how many requests within quotas are refused in the 5 s after a loss.
+// TestLosses guards against requests within quotas that are refused in the 5 s after a loss because
+// the next granter waits for the end of the earlier ones.
 func TestLosses(t *testing.T) {
 	for _, c := range losses {
 		t.Run(c.name, func(t *testing.T) {
-			s := playLoss(t, 1, c.inject)
-			wanted, refused := s.refused(s.names...)
-			t.Logf("%d of %d refused", refused, wanted)
-			for _, name := range s.names {
-				wanted, refused := s.refused(name)
-				t.Logf("%s: %d of %d refused", name, refused, wanted)
+			wanted, refused := 0, 0
+			for seed := range uint64(3) {
+				s := playLoss(t, seed, c.inject)
+				w, r := s.refused(s.names...)
+				wanted, refused = wanted+w, refused+r
 			}
+			t.Logf("%d of %d refused", refused, wanted)
+			require.Less(t, float64(refused), c.most*float64(wanted))
 		})
 	}
 }
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -25,10 +25,15 @@
 	simLinkTimeout       = 700 * time.Millisecond
 	simMemberTimeout     = 1900 * time.Millisecond
 	simMaxWait           = 150 * time.Millisecond
+	simRenewInterval     = time.Second
+	simResignAfter       = time.Second
 	// simTakeover is when a granter that is lost is replaced, simAuthority until when it may act.
 	simTakeover, simAuthority = 1500 * time.Millisecond, 3 * time.Second
 )
 
+// simLongWaits are the target latencies on deployment A, in the proportions of its routes.
+var simLongWaits = []time.Duration{600 * time.Millisecond, 600 * time.Millisecond, 600 * time.Millisecond, time.Second, 1500 * time.Millisecond, 1500 * time.Millisecond, 1500 * time.Millisecond, 2 * time.Second, 2 * time.Second, 2 * time.Second}
+
 type simWorkspace struct {
 	limit  Limit
 	demand float64 // requests per second
@@ -47,6 +52,10 @@
 	authority time.Duration // until when it may issue
 	updatesAt time.Duration
 	ended     bool
+	// writing means that a write of its lease is on the way, renewedAt is when it was sent.
+	writing   bool
+	renewedAt time.Duration
+	rewrite   bool
 }
 
 func (g *simGranter) clock(now time.Duration) time.Duration { return now + g.offset }
@@ -63,22 +72,28 @@
 }
 
 type simWaiter struct {
-	until time.Duration
-	delay time.Duration
+	began, long, end time.Duration
+	delay            time.Duration
 }
 
 type simVM struct {
-	index   int
-	id      api.VMID
-	client  *Client
-	offset  time.Duration
-	link    *simLink
-	side    int // VMs of different sides do not reach each other
-	stopped bool
-	retryAt time.Duration
-	urgent  bool
-	spend   time.Duration
-	waiters map[api.WorkspaceName][]simWaiter
+	index  int
+	id     api.VMID
+	client *Client
+	offset time.Duration
+	link   *simLink
+	// followed is the granter of the last connection of this process.
+	followed *simGranter
+	side     int // VMs of different sides do not reach each other
+	stopped  bool
+	// suspended is until when the process does not run; messages for it wait.
+	suspended time.Duration
+	retryAt   time.Duration
+	urgent    bool
+	spend     time.Duration
+	waiters   map[api.WorkspaceName][]simWaiter
+	// earlier means that the VM is of an earlier version.
+	earlier bool
 }
 
 func (v *simVM) clock(now time.Duration) time.Duration { return now + v.offset }
@@ -99,6 +114,12 @@
 	queueing  time.Duration
 	abandoned float64
 	storeDown bool
+	// stored is the roster in the lease, of the granter holder. Granters of earlier versions state none.
+	stored    *Roster
+	holder    *simGranter
+	noRosters bool
+	// countsVMs means that some granter had to rely on the number of VMs, see Issuer.unknown.
+	countsVMs bool
 	measure   [2]time.Duration
 	messages  int
 }
@@ -128,26 +149,79 @@
 
 // restart starts a new process of a VM.
 func (s *sim) restart(v *simVM) {
-	v.client, v.offset = NewClient(s.rule), time.Duration(s.rng.Int64N(int64(time.Hour)))
+	v.offset = time.Duration(s.rng.Int64N(int64(time.Hour)))
+	v.client = NewClient(s.rule, v.clock(s.now))
+	v.suspended = 0
+	for _, g := range s.granters {
+		g.ended = g.ended || g.vm == v.index
+	}
+	v.followed = nil
 	v.stopped, v.link, v.waiters = false, nil, make(map[api.WorkspaceName][]simWaiter)
 	v.retryAt = s.now + time.Duration(s.rng.Int64N(int64(100*time.Millisecond)))
 }
 
 func (s *sim) startGranter(vm int, predecessorsUntil time.Duration, earlierVMs int) {
 	offset := time.Duration(s.rng.Int64N(int64(time.Hour)))
-	s.granters = append(s.granters, &simGranter{
+	g := &simGranter{
 		issuer: NewIssuer(s.rule, s.now+offset, predecessorsUntil+offset, earlierVMs),
-		vm:     vm, offset: offset, links: make(map[*simLink]bool), term: len(s.granters), authority: time.Hour,
+		vm:     vm, offset: offset, links: make(map[*simLink]bool), term: len(s.granters) + 1, authority: time.Hour,
+	}
+	g.issuer.SetOwn(s.vms[vm].id, int64(g.term))
+	s.granters = append(s.granters, g)
+	s.holder = g
+	s.countsVMs = s.countsVMs || s.stored == nil && earlierVMs > 0
+	if s.stored != nil {
+		g.issuer.Inherit(s.stored)
+		s.stored = s.stored.Successor()
+		g.issuer.Stating(g.clock(s.now), s.stored)
+	}
+}
+
+// renew writes the lease of a granter, with its roster. The response may be late.
+func (s *sim) renew(g *simGranter) {
+	if s.noRosters || s.storeDown || g.writing || s.now-g.renewedAt < simRenewInterval && !g.rewrite {
+		return
+	}
+	g.writing, g.rewrite, g.renewedAt = true, false, s.now
+	r := g.issuer.Roster(g.clock(s.now))
+	g.issuer.Stating(g.clock(s.now), r)
+	written := (s.now + 3*simStep).Truncate(simStep)
+	s.events[written] = append(s.events[written], func() {
+		if s.holder != g {
+			return
+		}
+		if r != nil {
+			s.stored = r
+		}
+		answered := s.now + 3*simStep
+		if s.rng.IntN(10) == 0 {
+			answered += 150 * simStep
+		}
+		s.events[answered] = append(s.events[answered], func() {
+			g.writing = false
+			g.issuer.Stated(g.clock(s.now))
+		})
 	})
 }
 
 // replaceGranter ends the authority of the present granter and starts another one later.
 func (s *sim) replaceGranter(vm int, takeover, authority time.Duration, killed bool) {
 	old := s.granters[len(s.granters)-1]
-	old.authority = s.now + authority
+	old.authority = min(old.authority, s.now+authority)
 	old.ended = killed
-	until, known := s.now+authority, len(old.issuer.members)
-	s.at[s.now+takeover] = func() { s.startGranter(vm, until, known) }
+	known := len(old.issuer.members)
+	var until time.Duration
+	for _, g := range s.granters {
+		until = max(until, g.authority)
+	}
+	s.at[s.now+takeover] = func() {
+		if last := s.granters[len(s.granters)-1]; last != old {
+			// Another one has taken over meanwhile.
+			last.authority = min(last.authority, s.now+max(authority-takeover, 0))
+			until, known = max(until, last.authority), len(last.issuer.members)
+		}
+		s.startGranter(vm, until, known)
+	}
 }
 
 func (s *sim) reachable(v *simVM, g *simGranter) bool {
@@ -167,15 +241,18 @@
 
 func (s *sim) connect(v *simVM) {
 	v.retryAt = s.now + 250*time.Millisecond
+	own := slices.IndexFunc(s.granters, func(g *simGranter) bool { return g.vm == v.index && !g.ended && s.now < g.authority })
 	for i := len(s.granters) - 1; i >= 0; i-- {
 		g := s.granters[i]
-		if !s.reachable(v, g) || s.now >= g.authority {
+		if !s.reachable(v, g) || s.now >= g.authority || own >= 0 && own != i {
 			continue
 		}
 		v.link = &simLink{vm: v, granter: g, vmSeen: s.now, granterSeen: s.now, answered: -1, lastReport: s.now - simReportInterval}
 		v.link.member = g.issuer.Join(g.clock(s.now), v.id)
 		g.links[v.link] = true
+		g.rewrite = g.rewrite || !g.issuer.Serves(v.link.member)
 		v.client.Connected()
+		v.followed = g
 		v.urgent = true
 		return
 	}
@@ -186,6 +263,9 @@
 	v.urgent, l.lastReport = false, s.now
 	sentMs, r := v.clock(s.now).Milliseconds(), v.client.Report(v.clock(s.now))
 	slices.SortFunc(r.Demands, func(a, b Demand) int { return strings.Compare(string(a.Workspace), string(b.Workspace)) })
+	if v.earlier {
+		r.LoanMs, r.Started, r.UsedMs, r.Term = 0, false, 0, 0
+	}
 	answered := l.answered
 	s.deliver(&l.toGranter, func() {
 		g := l.granter
@@ -214,10 +294,15 @@
 	g := l.granter
 	sentAt := g.clock(s.now)
 	u := g.issuer.Update(sentAt, l.member, l.vm.index, len(s.vms))
+	u.Term = int64(g.term)
+	if l.vm.earlier {
+		u.Term = 0
+	}
 	slices.SortFunc(u.Grants, func(a, b Grant) int { return strings.Compare(string(a.Workspace), string(b.Workspace)) })
-	s.deliver(&l.toVM, func() {
+	var receive func()
+	receive = func() {
 		v := l.vm
-		if !s.reachable(v, g) || v.link != l {
+		if !s.reachable(v, g) || v.link != l || s.suspended(v, receive) {
 			return
 		}
 		l.vmSeen, l.answered = s.now, sentAt
@@ -227,11 +312,22 @@
 		for _, grant := range u.Grants {
 			s.serveWaiting(v, grant.Workspace)
 		}
-	})
+	}
+	s.deliver(&l.toVM, receive)
+}
+
+// suspended reports whether a VM is suspended, and runs an event when it resumes.
+func (s *sim) suspended(v *simVM, event func()) bool {
+	if s.now >= v.suspended {
+		return false
+	}
+	s.events[v.suspended] = append(s.events[v.suspended], event)
+	return true
 }
 
 func (s *sim) tickGranter(g *simGranter) {
 	now := g.clock(s.now)
+	g.ended = s.now >= g.authority+simResignAfter
 	for l := range g.links {
 		if s.now-l.granterSeen > simMemberTimeout || l.closed {
 			g.issuer.Leave(now, l.member)
@@ -240,6 +336,7 @@
 	}
 	g.issuer.SetIssuing(now, s.now < g.authority && !s.storeDown)
 	g.issuer.Issue(now, s.limit)
+	s.renew(g)
 	all := s.now-g.updatesAt >= simUpdateInterval
 	if all {
 		g.updatesAt = s.now
@@ -274,24 +371,35 @@
 			return
 		}
 	}
-	if v.client.MayWait(now, name, simMaxWait) {
+	long := simLongWaits[s.rng.IntN(len(simLongWaits))]
+	end := v.client.WaitEnd(now, now, simMaxWait, long)
+	if v.client.MayWait(now, name, w.limit, end-now) {
 		v.client.Wait(now, name, 1)
-		v.waiters[name] = append(v.waiters[name], simWaiter{until: s.now + simMaxWait, delay: delay})
+		v.waiters[name] = append(v.waiters[name], simWaiter{began: now, long: long, end: end, delay: delay})
 	}
 }
 
 func (s *sim) measured() bool { return s.now >= s.measure[0] && s.now < s.measure[1] }
 
 func (s *sim) serveWaiting(v *simVM, name api.WorkspaceName) {
-	waiters, now := v.waiters[name], v.clock(s.now)
+	now := v.clock(s.now)
+	waiters := v.waiters[name][:0]
+	for _, w := range v.waiters[name] {
+		if now >= w.end {
+			w.end = v.client.WaitEnd(now, w.began, simMaxWait, w.long)
+		}
+		if now >= w.end {
+			v.client.Wait(now, name, -1)
+			continue
+		}
+		waiters = append(waiters, w)
+	}
 	for len(waiters) > 0 {
-		if s.now < waiters[0].until {
-			taken, ok := v.client.Take(now, name, s.workspaces[name].limit)
-			if !ok {
-				break
-			}
-			s.admitted(v, name, taken, waiters[0].delay)
+		taken, ok := v.client.Take(now, name, s.workspaces[name].limit)
+		if !ok {
+			break
 		}
+		s.admitted(v, name, taken, waiters[0].delay)
 		v.client.Wait(now, name, -1)
 		waiters = waiters[1:]
 	}
@@ -301,9 +409,10 @@
 // admitted sends a request after it has waited for an upstream.
 func (s *sim) admitted(v *simVM, name api.WorkspaceName, taken Taken, delay time.Duration) {
 	w, client := s.workspaces[name], v.client
-	send := func() {
+	var send func()
+	send = func() {
 		now := v.clock(s.now)
-		if v.stopped || client != v.client {
+		if v.stopped || client != v.client || s.suspended(v, send) {
 			return
 		}
 		if s.rng.Float64() < s.abandoned {
@@ -335,7 +444,7 @@
 }
 
 func (s *sim) stepVM(v *simVM) {
-	if v.stopped {
+	if v.stopped || s.now < v.suspended {
 		return
 	}
 	if v.link != nil && (s.now-v.link.vmSeen > simLinkTimeout || v.link.granter.ended || s.now >= v.link.granter.authority) {
@@ -376,10 +485,11 @@
 		delete(s.events, s.now)
 		if s.now%simTick == 0 {
 			for _, g := range s.granters {
-				if !g.ended {
+				if !g.ended && s.now >= s.vms[g.vm].suspended {
 					s.tickGranter(g)
 				}
 			}
+			s.checkInvariants()
 		}
 		for _, name := range s.names {
 			w := s.workspaces[name]
@@ -389,7 +499,7 @@
 				if s.rng.Float64() < w.skew {
 					v = s.vms[0]
 				}
-				if !v.stopped {
+				if !v.stopped && s.now >= v.suspended {
 					s.request(v, name)
 				}
 			}
@@ -433,210 +543,3 @@
 	}
 	return workspaces
 }
-
-// TestRuleUnderFailures guards against a workspace whose requests exceed the rule in some window,
-// because two VMs use one share, or tokens of a granter outlive it.
-func TestRuleUnderFailures(t *testing.T) {
-	type failure func(s *sim)
-	half := func(s *sim) (vms []*simVM) { return s.vms[:(len(s.vms)+1)/2] }
-	failures := map[string]failure{
-		"none": func(*sim) {},
-		"queues": func(s *sim) {
-			s.queueing, s.abandoned = 3*time.Second, 0.2
-			s.at[9*time.Second] = func() { s.queueing = 0 }
-		},
-		"granter killed":   func(s *sim) { s.replaceGranter(len(s.vms)-1, simTakeover, simAuthority, true) },
-		"granter replaced": func(s *sim) { s.replaceGranter(len(s.vms)-1, 100*time.Millisecond, 50*time.Millisecond, false) },
-		"granter partitioned with half": func(s *sim) {
-			for _, v := range half(s) {
-				v.side = 1
-			}
-			s.replaceGranter(len(s.vms)-1, simTakeover, simAuthority, false)
-			s.at[s.now+12*time.Second] = func() {
-				for _, v := range s.vms {
-					v.side = 0
-				}
-			}
-		},
-		"VMs partitioned": func(s *sim) {
-			for i, v := range s.vms {
-				v.side = i % 2
-			}
-			s.at[s.now+4*time.Second] = func() {
-				for _, v := range s.vms {
-					v.side = 0
-				}
-			}
-		},
-		"VMs partitioned to the end": func(s *sim) {
-			for i, v := range s.vms {
-				v.side = i % 2
-			}
-		},
-		"VMs partitioned again and again": func(s *sim) {
-			for k := range 6 {
-				s.at[s.now+time.Duration(k)*1300*time.Millisecond+simStep] = func() {
-					for i, v := range s.vms {
-						v.side = (i + k) % 3 % 2 * (1 - k%2)
-					}
-				}
-			}
-		},
-		"store down": func(s *sim) {
-			s.storeDown = true
-			s.at[s.now+3*time.Second] = func() { s.storeDown = false }
-		},
-		"flood after a short pause": func(s *sim) {
-			for _, w := range s.workspaces {
-				w.demand *= 0.01
-			}
-			s.at[s.now+600*time.Millisecond] = func() {
-				for _, w := range s.workspaces {
-					w.demand *= 800
-				}
-			}
-		},
-		"flood after a pause": func(s *sim) {
-			for _, w := range s.workspaces {
-				w.demand /= 4
-			}
-			s.at[s.now+3*time.Second] = func() {
-				for _, w := range s.workspaces {
-					w.demand *= 16
-				}
-			}
-		},
-		"no granter for long": func(s *sim) { s.replaceGranter(0, 14*time.Second, simAuthority, true) },
-		"VMs start and stop": func(s *sim) {
-			for _, v := range half(s)[1:] {
-				v.stopped = true
-			}
-			for range 1 + len(s.vms)/4 {
-				s.addVM()
-			}
-			s.at[s.now+2*time.Second] = func() {
-				for _, v := range s.vms {
-					if v.stopped {
-						s.restart(v)
-					}
-				}
-			}
-		},
-		"all VMs restarted": func(s *sim) {
-			s.replaceGranter(0, simTakeover, simAuthority, true)
-			for _, v := range s.vms {
-				v.stopped = true
-			}
-			s.at[s.now+time.Second] = func() {
-				for _, v := range s.vms {
-					s.restart(v)
-				}
-			}
-		},
-	}
-	for name, inject := range failures {
-		for i, vms := range []int{2, 11, 76} {
-			t.Run(fmt.Sprint(name, " ", vms), func(t *testing.T) {
-				workspaces := simWorkspaces(2, map[api.WorkspaceName]Limit{"one": {1, 1}, "five": {5, 0}, "forty": {40, 40}, "large": {329, 329}, "steady": {300, 0}})
-				workspaces["forty"].skew = 0.3
-				s := newSim(t, uint64(i), vms, workspaces)
-				s.at[5*time.Second] = func() { inject(s) }
-				s.run(21 * time.Second)
-				s.checkWindows()
-			})
-		}
-	}
-}
-
-// TestRuleWithManyVMs guards against shares that are too small to be divided: of 300 VMs each has
-// less than one request of a small workspace in a window.
-func TestRuleWithManyVMs(t *testing.T) {
-	s := newSim(t, 1, 300, simWorkspaces(2, map[api.WorkspaceName]Limit{"one": {1, 0}, "large": {329, 0}}))
-	s.at[6*time.Second] = func() { s.replaceGranter(1, simTakeover, simAuthority, true) }
-	s.at[12*time.Second] = func() {
-		for i, v := range s.vms {
-			v.side = i % 3 % 2
-		}
-	}
-	s.run(18 * time.Second)
-	s.checkWindows()
-}
-
-// TestHalvedRate guards against VMs that spend the tokens of an earlier, higher rate after the
-// configuration has halved it.
-func TestHalvedRate(t *testing.T) {
-	const changed, applied = 8 * time.Second, 2500 * time.Millisecond
-	s := newSim(t, 1, 76, simWorkspaces(3, map[api.WorkspaceName]Limit{"five": {5, 5}, "large": {400, 400}}))
-	s.at[changed] = func() {
-		for _, w := range s.workspaces {
-			w.limit.Rate /= 2
-			w.limit.Burst /= 2
-		}
-	}
-	s.run(changed)
-	for name, w := range s.workspaces {
-		s.checkBound(name, w.sent, s.rule.Bound(w.limit))
-		w.sent = nil
-	}
-	s.run(20 * time.Second)
-	for name, w := range s.workspaces {
-		first, _ := slices.BinarySearch(w.sent, changed+applied)
-		s.checkBound(name, w.sent[first:], s.rule.Bound(w.limit))
-	}
-}
-
-// utilizationCases are numbers of VMs with limits of workspaces and the time to play.
-var utilizationCases = []struct {
-	vms    int
-	limits map[api.WorkspaceName]Limit
-	play   time.Duration
-}{
-	{1, map[api.WorkspaceName]Limit{"1": {1, 1}, "40": {40, 40}}, 45 * time.Second},
-	{11, map[api.WorkspaceName]Limit{"1": {1, 1}, "5": {5, 0}}, 45 * time.Second},
-	{11, map[api.WorkspaceName]Limit{"40": {40, 40}, "329": {329, 329}, "1000": {1000, 0}}, 10 * time.Second},
-	{76, map[api.WorkspaceName]Limit{"1": {1, 1}, "5": {5, 5}}, 45 * time.Second},
-	{76, map[api.WorkspaceName]Limit{"40": {40, 40}, "329": {329, 329}, "1000": {1000, 0}}, 10 * time.Second},
-	{300, map[api.WorkspaceName]Limit{"5": {5, 5}, "329": {329, 329}}, 20 * time.Second},
-	{300, map[api.WorkspaceName]Limit{"5000": {5000, 0}}, 7 * time.Second},
-}
-
-// TestUtilization guards against quotas of which a part is refused below the rate, because VMs
-// hold tokens that others lack.
-func TestUtilization(t *testing.T) {
-	for _, c := range utilizationCases {
-		for _, demand := range []float64{0.7, 1.2} {
-			t.Run(fmt.Sprint(c.vms, " VMs, demand ", demand, " ", len(c.limits)), func(t *testing.T) {
-				s := newSim(t, uint64(c.vms), c.vms, simWorkspaces(demand, c.limits))
-				s.run(c.play)
-				s.checkWindows()
-				for _, name := range s.names {
-					least := 0.95
-					if c.vms >= 76 && s.workspaces[name].limit.Rate <= 5 {
-						least = 0.9
-					}
-					require.Greater(t, s.utilization(name), least, "rate %s", name)
-				}
-			})
-		}
-	}
-}
-
-// BenchmarkUtilization reports, by rate of the workspace, the part of the rate that was served, and
-// the messages in a second.
-func BenchmarkUtilization(b *testing.B) {
-	for _, c := range utilizationCases {
-		for _, demand := range []float64{0.7, 1.2, 7.5} {
-			b.Run(fmt.Sprint("vms=", c.vms, "/demand=", demand, "/workspaces=", len(c.limits)), func(b *testing.B) {
-				for range b.N {
-					s := newSim(b, uint64(c.vms), c.vms, simWorkspaces(demand, c.limits))
-					s.run(c.play)
-					s.checkWindows()
-					for _, name := range s.names {
-						b.ReportMetric(s.utilization(name), "served/"+string(name))
-					}
-					b.ReportMetric(float64(s.messages)/s.now.Seconds(), "messages/s")
-				}
-			})
-		}
-	}
-}
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -414,7 +414,7 @@
 // next term is above all that can have been, and keys have no owner. They are assigned when
 // the granters that are not known can no longer act and their leases have expired.
 func (e *elector) withoutOwners(state systemState, predecessor *ownership.Predecessor) systemState {
-	state.owners = nil
+	state.owners, state.lease.Quotas = nil, nil
 	state.lease.Term = max(state.lease.Term, e.knownTerm()) + maxLostTerms
 	leases := time.Duration(float64(predecessor.MaxLeaseTTL) * (1 + leaseMargin))
 	predecessor.Until = max(predecessor.Until, bootTime()+election.DefaultConfig().LeaseTTL) + leases
@@ -455,7 +455,7 @@
 	previous := state.lease
 	next := lease{
 		VM: e.self, Incarnation: e.incarnation, Address: e.address, Term: previous.Term + 1, Seq: 1,
-		RenewedAtMs: state.clock.Milliseconds(), VMs: previous.VMs, Largest: previous.Largest,
+		RenewedAtMs: state.clock.Milliseconds(), VMs: previous.VMs, Largest: previous.Largest, Quotas: previous.Quotas.Successor(),
 		PredecessorsMs: max(predecessor.Until-previous.readAt+callTimeout, 0).Milliseconds(), Era: state.era,
 	}
 	sent := bootTime()
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -104,7 +104,8 @@
 	g.renewUntil.Store(int64(authority.RenewUntil(sent)))
 	g.quarantines = quarantinesOf(stored.crashes)
 	g.calls = newCallQueues(g)
-	g.quotas = newQuotaIssuer(e.bounds.quotaRule(), bootTime(), predecessor.Until, l.VMs, e.self)
+	g.quotas = newQuotaIssuer(e.bounds.quotaRule(), bootTime(), predecessor.Until, l.VMs, e.self, l.Term)
+	g.inheritQuotas(stored.lease.Quotas)
 	// There is a rank for each VM that the previous granter knew, to be taken when it
 	// connects.
 	g.ranks = make([]rank, max(l.VMs, 1))
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -12,6 +12,7 @@
 	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/core/quota"
 	"dandelionhill.dev/platform/fleet"
 )
 
@@ -60,6 +61,9 @@
 	// 0 if it is not known.
 	Largest int64 `cbor:"13,keyasint,omitempty" json:",omitempty"`
 
+	// Quotas says which VMs may have tokens of workspaces, nil without quotas.
+	Quotas *quota.Roster `cbor:"14,keyasint,omitempty" json:"-"`
+
 	// unconfirmed means that the lease was not read from the store.
 	unconfirmed bool
 }
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -70,6 +70,7 @@
 		g.authority.Promised(m.vm, accepted, promise)
 		g.members[m] = true
 		m.quota = g.quotas.issuer.Join(bootTime(), m.vm)
+		g.nameMember(m.quota)
 		g.joinCount++
 		g.assignRank(m)
 		g.log.Info().Str("event", "vm_joined").Str("peer", string(m.vm)).Int("vms", len(g.ranks)).Msg("")
--- a/server/gateway/quota.go
+++ b/server/gateway/quota.go
@@ -21,6 +21,9 @@
 	maxTokenWait = 150 * time.Millisecond
 	// tokenWaitShare is the share of the remaining time of a request up to which it waits.
 	tokenWaitShare = 0.25
+	// sharePollInterval is the time between looks for tokens of the VM's share while requests wait: a
+	// share of a large quota has some in a second.
+	sharePollInterval = 25 * time.Millisecond
 )
 
 // quotas admits the requests of workspaces within their quotas on this VM, see core/quota.
@@ -38,6 +41,7 @@
 	waiting map[api.WorkspaceName][]*tokenWaiter // first come, first served
 	counts  map[api.WorkspaceName]*quotaCounts
 	solo    bool // as last logged
+	polling bool // see pollShare
 	// labels are the names of the workspaces that have a label of their own.
 	config *routing.Configuration // from which labels were determined
 	labels map[api.WorkspaceName]bool
@@ -62,7 +66,7 @@
 
 func newQuotas(rule quota.Rule, m *Metrics, log zerolog.Logger) *quotas {
 	return &quotas{
-		metrics: m, log: log, reportNow: func() {}, now: bootTime, maxWait: maxTokenWait, client: quota.NewClient(rule), solo: true,
+		metrics: m, log: log, reportNow: func() {}, now: bootTime, maxWait: maxTokenWait, client: quota.NewClient(rule, bootTime()), solo: true,
 		waiting: make(map[api.WorkspaceName][]*tokenWaiter), counts: make(map[api.WorkspaceName]*quotaCounts),
 	}
 }
@@ -95,23 +99,22 @@
 		}
 		return outcome{}
 	}
-	patience := min(s.maxWait, time.Duration(tokenWaitShare*float64(q.remaining())))
-	if !s.client.MayWait(now, name, patience) {
+	short, long := s.patience(q)
+	began := now
+	until := s.client.WaitEnd(now, began, short, long)
+	if !s.client.MayWait(now, name, limit, until-now) {
 		defer s.mu.Unlock()
 		return s.refuse(now, name, limit)
 	}
 	w := &tokenWaiter{limit: limit, taken: make(chan struct{})}
 	s.waiting[name] = append(s.waiting[name], w)
 	s.client.Wait(now, name, 1)
+	if s.client.Changing(now) {
+		s.pollShare()
+	}
 	s.mu.Unlock()
 	s.reportNow()
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-w.taken:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	s.await(ctx, w, began, until, short, long)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now = s.now()
@@ -130,6 +133,68 @@
 	return s.refuse(now, name, limit)
 }
 
+// patience returns for how long a request waits for a token, and for how long while the granter is
+// being replaced: within its target latency, if the configuration states one.
+func (s *quotas) patience(q *request) (short, long time.Duration) {
+	long = time.Duration(tokenWaitShare * float64(q.remaining()))
+	if q.route != nil && q.route.TargetLatency > 0 {
+		long = min(long, q.route.TargetLatency-time.Since(q.arrived))
+	} else {
+		long = min(long, s.maxWait)
+	}
+	return min(s.maxWait, time.Duration(tokenWaitShare*float64(q.remaining()))), long
+}
+
+// await returns when a request has got a token, has ended or has waited until a time, which is later
+// if the granter turns out to be lost.
+func (s *quotas) await(ctx context.Context, w *tokenWaiter, began, until, short, long time.Duration) {
+	timer := time.NewTimer(until - began)
+	defer timer.Stop()
+	for {
+		select {
+		case <-w.taken:
+			return
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		s.mu.Lock()
+		now := s.now()
+		next := s.client.WaitEnd(now, began, short, long)
+		if next > until {
+			s.pollShare()
+		}
+		s.mu.Unlock()
+		if next <= until {
+			return
+		}
+		timer.Reset(max(next-now, 0))
+		until = next
+	}
+}
+
+// pollShare admits requests that wait while this VM uses its share, whose tokens come without an
+// update; s.mu is held.
+func (s *quotas) pollShare() {
+	if s.polling {
+		return
+	}
+	s.polling = true
+	time.AfterFunc(sharePollInterval, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now := s.now()
+		s.polling = false
+		s.logSolo(now)
+		for name := range s.waiting {
+			s.admitWaiting(now, name)
+		}
+		if len(s.waiting) > 0 && s.client.Changing(now) {
+			s.pollShare()
+		}
+	})
+}
+
 // takeNow takes a token that the VM holds; s.mu is held.
 func (s *quotas) takeNow(now time.Duration, q *request, name api.WorkspaceName, limit quota.Limit) bool {
 	s.logSolo(now)
@@ -214,13 +279,19 @@
 func (s *quotas) connected() {
 	s.mu.Lock()
 	s.client.Connected()
-	limited := len(s.labels) > 0
 	s.mu.Unlock()
-	if limited {
+	if s.limited() {
 		s.reportNow()
 	}
 }
 
+// limited reports whether a workspace of the configuration has a quota.
+func (s *quotas) limited() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.labels) > 0
+}
+
 // report returns what the granter should know.
 func (s *quotas) report() *quota.Report {
 	s.mu.Lock()
--- a/server/gateway/quota_test.go
+++ b/server/gateway/quota_test.go
@@ -213,7 +213,7 @@
 // TestReplacedUpdateKeepsItsTokens guards against tokens that are counted as held by a VM and never
 // reach it, because the update with them was replaced before it was sent.
 func TestReplacedUpdateKeepsItsTokens(t *testing.T) {
-	g := &granter{quotas: newQuotaIssuer(quota.DefaultRule, 0, 0, 0, "vm-a")}
+	g := &granter{quotas: newQuotaIssuer(quota.DefaultRule, 0, 0, 0, "vm-a", 1)}
 	m := &member{quota: g.quotas.issuer.Join(0, "vm-b")}
 	g.quotas.issuer.SetIssuing(0, true)
 	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/server/gateway/quotaissuer.go
+++ b/server/gateway/quotaissuer.go
@@ -17,16 +17,45 @@
 	own    *quota.Member // this VM
 	// issuing means that the last determination allowed it, as last logged.
 	issuing bool
+	// settled is Issuer.Settled, as last logged.
+	settled bool
 	news    news
 	newsAt  time.Duration
 }
 
-func newQuotaIssuer(rule quota.Rule, now, predecessorsUntil time.Duration, earlierVMs int, self api.VMID) *quotaIssuer {
+func newQuotaIssuer(rule quota.Rule, now, predecessorsUntil time.Duration, earlierVMs int, self api.VMID, term int64) *quotaIssuer {
 	i := &quotaIssuer{issuer: quota.NewIssuer(rule, now, predecessorsUntil, earlierVMs)}
 	i.own = i.issuer.Join(now, self)
+	i.issuer.SetOwn(self, term)
 	return i
 }
 
+// inheritQuotas takes over the roster of the previous granter, as the lease states it. The lease of
+// this one states the same VMs until it is written again.
+func (g *granter) inheritQuotas(previous *quota.Roster) {
+	if previous == nil {
+		return
+	}
+	g.quotas.issuer.Inherit(previous)
+	g.quotas.issuer.Stating(bootTime(), g.lease.Quotas)
+}
+
+// quotaRoster returns the roster for the lease, nil without quotas.
+func (g *granter) quotaRoster(now time.Duration) *quota.Roster {
+	if !g.control.quotas.limited() {
+		return nil
+	}
+	return g.quotas.issuer.Roster(now)
+}
+
+// nameMember has the lease written if it does not name a VM that has connected: until then the VM
+// gets no tokens.
+func (g *granter) nameMember(m *quota.Member) {
+	if !g.quotas.issuer.Serves(m) {
+		g.rewrite = true
+	}
+}
+
 // quotaLimit returns the quota of a workspace in the configuration of this VM.
 func (g *granter) quotaLimit(name api.WorkspaceName) (quota.Limit, bool) {
 	w := g.control.view().config.Workspaces[name]
@@ -37,10 +66,10 @@
 func (g *granter) issueQuotas(now time.Duration) {
 	q := g.quotas
 	g.exchangeOwnQuota(now)
-	q.issuer.SetIssuing(now, g.mayRenew() && now >= g.predecessor.Until)
-	if issuing := q.issuer.Issuing(); issuing != q.issuing {
-		q.issuing = issuing
-		g.log.Info().Str("event", "quota_issuing").Bool("issuing", issuing).Int64("term", g.term).Msg("")
+	q.issuer.SetIssuing(now, g.mayRenew())
+	if issuing, settled := q.issuer.Issuing(), q.issuer.Settled(); issuing != q.issuing || settled != q.settled {
+		q.issuing, q.settled = issuing, settled
+		g.log.Info().Str("event", "quota_issuing").Bool("issuing", issuing).Bool("settled", settled).Float64("share", q.issuer.Active()).Int64("term", g.term).Msg("")
 	}
 	q.issuer.Issue(now, g.quotaLimit)
 	g.updateOwnQuota(now)
@@ -60,6 +89,7 @@
 // updateOwnQuota applies the tokens of this VM.
 func (g *granter) updateOwnQuota(now time.Duration) {
 	u := g.quotas.issuer.Update(now, g.quotas.own, g.rankOf(g.self), len(g.ranks))
+	u.Term = g.term
 	g.control.quotas.update(&u)
 }
 
@@ -105,9 +135,10 @@
 // that it replaces.
 func (g *granter) quotaUpdate(u update, m *member, replaced *quota.Update) *quota.Update {
 	if replaced != nil {
-		m.quota.Requeue(replaced.Grants)
+		g.quotas.issuer.TakeBack(time.Duration(u.SentAtMs)*time.Millisecond, m.quota, *replaced)
 	}
 	// The VM acknowledges the time that the update states.
 	out := g.quotas.issuer.Update(time.Duration(u.SentAtMs)*time.Millisecond, m.quota, u.Rank, u.VMs)
+	out.Term = g.term
 	return &out
 }
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -50,6 +50,8 @@
 		// After a restore of the store, the rows that are left are those of the older copy.
 		next.Era = g.lease.Era
 	}
+	next.Quotas = g.quotaRoster(now)
+	g.quotas.issuer.Stating(now, next.Quotas)
 	g.writing, g.rewrite = true, false
 	g.authority.Renewing(clock.latestLocal(now))
 	go g.write(ctx, now, next, services, puts)
@@ -129,6 +131,7 @@
 		g.termOver = true
 		return
 	}
+	g.quotas.issuer.Stated(bootTime())
 	g.storedRows.markStored(owners)
 	g.lease, g.condition, g.renewedAt = next, g.condition.after(page.Version), renewedAt
 	g.authority.Renewed(renewedAt)
