--- a/server/gateway/ownerhealth_test.go
+++ b/server/gateway/ownerhealth_test.go
@@ -26,12 +26,22 @@
 	})
 }
 
+// ownerServiceTime is how long a request runs on an upstream.
+const ownerServiceTime = 30 * time.Millisecond
+
 // TestKeysOfFailingOwnerMove guards against keys that stay with an owner that answers every request
 // with 500, with failures that one VM sees and does not report, and with a granter that ignores them.
 func TestKeysOfFailingOwnerMove(t *testing.T) {
 	d := newDeployment(t)
 	for _, id := range []string{"k1", "k2", "k3"} {
 		d.addUpstream(id, "keyed")
+		// Responses without a service time take microseconds, of which the scheduling of a busy machine
+		// makes a multiple: a second upstream then counts as slow, and two of three unhealthy ones are
+		// taken for a fault of all.
+		d.upstreams[id].SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(ownerServiceTime)
+			w.Header().Set(fleet.HeaderSignature, "seal")
+		})
 	}
 	a, b := d.startVMWithOwnerHealth("vm-a"), d.startVMWithOwnerHealth("vm-b")
 	d.requireServed(a, keyedPath, 1)
@@ -39,6 +49,7 @@
 	d.eventually(func() bool { return allOwned(a) && allOwned(b) }, "all keys have owners")
 	owner := string(a.control.view().owners["keyed"].owner(1))
 	d.upstreams[owner].SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(ownerServiceTime)
 		w.Header().Set(fleet.HeaderSignature, "seal")
 		w.WriteHeader(http.StatusInternalServerError)
 	})
