--- a/core/hedge/hedge.go
+++ b/core/hedge/hedge.go
@@ -1,6 +1,7 @@
 // Package hedge decides when an idempotent request on an unkeyed service is
 // also sent to a second upstream: after the observed 95th percentile of the
-// latency, within a budget that is a share of the requests.
+// latency, within a budget that is a share of the requests. Controller serves one
+// shard; Policy uses Controllers for the routes and services of an entry VM.
 package hedge
 
 import (
@@ -32,7 +33,8 @@
 	observations int
 	tokens       float64
 	delay        time.Duration
-	sinceRefresh int // observations since delay was computed
+	median       time.Duration
+	sinceRefresh int // observations since delay and median were computed
 }
 
 // refreshEvery is the number of observations between computations of the
@@ -69,7 +71,7 @@
 		return 0, false
 	}
 	if c.delay == 0 || c.sinceRefresh >= refreshEvery {
-		c.delay, c.sinceRefresh = c.latency.quantile(c.cfg.Quantile), 0
+		c.delay, c.median, c.sinceRefresh = c.latency.quantile(c.cfg.Quantile), c.latency.quantile(0.5), 0
 	}
 	return c.delay, true
 }
@@ -92,3 +94,6 @@
 	c.tokens = math.Max(0, c.tokens-1)
 	return true
 }
+
+// Refund returns the budget of a hedge that was allowed and not sent.
+func (c *Controller) Refund() { c.tokens = math.Min(c.cfg.Burst, c.tokens+1) }
