gateway: hedged requests

Cause: a repeatable request waits for its first upstream even when that takes far longer than usual and others have free slots. Change: with the setting hedging.share a request of a service without keys is sent to a second upstream after the 95th percentile of its route. The second send has its own copy of the request's state, which is added at the end; the first complete response wins, the other send is cancelled, frees its slot and counts as no failure and no crash. Each hedge takes a retry. Result: the new tests pass with -race; without the setting the path is as before.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -130,6 +130,19 @@
 	return Wait, wait
 }
 
+// TryStart adds a request that starts now or not at all. It reports whether it has a slot.
+func (q *Queue) TryStart(now time.Duration, r *Request) bool {
+	if len(q.waiting) > 0 || !q.canStart(now) {
+		return false
+	}
+	q.pressure.arrive(now, r)
+	if q.shares != nil {
+		q.shares.Arrive(now, r.Flow)
+	}
+	q.start(now, r)
+	return true
+}
+
 // wait returns the expected time until a request starts that has others ahead.
 func (q *Queue) wait(now time.Duration, ahead int) time.Duration {
 	// On average, the running requests have used half of their time.
--- a/server/buffers/buffers.go
+++ b/server/buffers/buffers.go
@@ -120,6 +120,15 @@
 	r.budget.left.Add(bytes)
 }
 
+// Absorb takes over the bytes of another reservation, which is empty afterwards.
+func (r *Reservation) Absorb(other *Reservation) {
+	if r == nil {
+		other.Release()
+		return
+	}
+	r.taken.Add(other.taken.Swap(0))
+}
+
 // Release returns all bytes to the budget.
 func (r *Reservation) Release() { r.budget.left.Add(r.taken.Swap(0)) }
 
--- a/server/gateway/crashes.go
+++ b/server/gateway/crashes.go
@@ -69,6 +69,12 @@
 	return yes
 }
 
+// suspected reports whether a request may have crashed an upstream, or must not run beside others.
+func (c *crashes) suspected(fingerprint uint64) (yes bool) {
+	c.withEvidence(func(e *crash.Evidence, now time.Duration) { yes = e.Admit(now, fingerprint) != crash.Normal })
+	return yes
+}
+
 // setKnown records that this VM has what was known before it started.
 func (c *crashes) setKnown() { c.knownOnce.Do(func() { close(c.known) }) }
 
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -64,7 +64,8 @@
 			u.limiter.release(0, capacityUnknown)
 			return nil, h.finalOutcome(ctx, q, outcome{reason: quarantined, status: http.StatusServiceUnavailable, retryAfter: quarantineTime})
 		}
-		resp, headers, err := h.send(ctx, q, u)
+		sent := h.sendHedged(ctx, q, u, avoid)
+		u, resp, headers, err := sent.to, sent.resp, sent.headers, sent.err
 		h.quotas.afterSend(q)
 		switch {
 		case err == nil && !headers.NotRun:
@@ -105,6 +106,9 @@
 			avoid = make(map[api.UpstreamID]bool)
 		}
 		avoid[u.id] = true
+		if sent.other != nil {
+			avoid[sent.other.id] = true
+		}
 	}
 }
 
@@ -219,17 +223,9 @@
 	if u.limiter.permitWait() > 0 && !h.limits.hasIssuer() {
 		return noCapacityError{retryAfter: shortRetryAfter}
 	}
-	target := q.deadline
-	if q.route.TargetLatency > 0 {
-		target = q.arrived.Add(q.route.TargetLatency)
-	}
-	expected := time.Duration(h.stats.expectedLatency(q.route.Name) * float64(time.Second))
 	began := time.Now()
 	defer func() { h.metrics.queued.WithLabelValues(string(q.service.Name)).Observe(time.Since(began).Seconds()) }()
-	err := u.limiter.acquire(ctx, admissionParams{
-		priority: q.priority(), arrived: q.arrived, target: target, deadline: q.deadline, serviceTime: expected,
-		flow: h.flow(q),
-	})
+	err := u.limiter.acquire(ctx, h.admissionParams(q))
 	var noCapacity noCapacityError
 	if errors.As(err, &noCapacity) {
 		h.metrics.queueRefusals.WithLabelValues(q.route.Name, string(noCapacity.reason())).Inc()
@@ -237,6 +233,18 @@
 	return err
 }
 
+// admissionParams returns the parameters of a request to be admitted.
+func (h *requestHandler) admissionParams(q *request) admissionParams {
+	target := q.deadline
+	if q.route.TargetLatency > 0 {
+		target = q.arrived.Add(q.route.TargetLatency)
+	}
+	return admissionParams{
+		priority: q.priority(), arrived: q.arrived, target: target, deadline: q.deadline, flow: h.flow(q),
+		serviceTime: time.Duration(h.stats.expectedLatency(q.route.Name) * float64(time.Second)),
+	}
+}
+
 // busyOutcome returns the outcome of a failed acquire for an upstream.
 func busyOutcome(u *upstream, err error) outcome {
 	cause := busy
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -89,6 +89,7 @@
 			buffers: budget, metrics: m, log: log, stats: st, crashes: cr, limits: c.limits, quotas: c.quotas, reach: c.reach,
 			leaving: c.leaving, cold: c.cold, movesPaused: &c.movesPaused, configurationAge: c.operatorFeed.age,
 			adoptConfiguration: c.adoptConfiguration, large: newLargeResponses(limits, s.Resources.LinkMbps, m),
+			hedges: newHedges(s.Hedging),
 		}),
 		elector: &elector{
 			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -115,6 +115,8 @@
 	// adoptConfiguration applies a row of another VM and waits until its version is in force.
 	adoptConfiguration func(ctx context.Context, row fleet.Row, version int64) bool
 	large              largeResponses
+	// hedges decides on second sends, nil without Settings.Hedging.
+	hedges *hedges
 }
 
 // requestHandler handles the requests of callers.
@@ -205,6 +207,8 @@
 	agreed int64
 	// streamable means that the caller recognizes a response that breaks off.
 	streamable bool
+	// exchanged, unless it is nil, is called when the exchange of the current send has ended.
+	exchanged func()
 }
 
 // priority returns the rank of the request; 0 is the most urgent.
--- /dev/null
+++ b/server/gateway/hedging_test.go
@@ -0,0 +1,445 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/hedge"
+	"dandelionhill.dev/core/shardmap"
+	"dandelionhill.dev/platform/fleet"
+)
+
+// hedging is a deployment with a VM that hedges, whose upstreams respond by the order in which the
+// sends of a request arrive: the first send is handled by roles[0].
+type hedging struct {
+	*deployment
+	g *Gateway
+
+	mu       sync.Mutex
+	arrivals map[string][]string // upstreams by request
+	roles    []http.HandlerFunc
+}
+
+func startHedging(t *testing.T, upstreams int, share float64, prepare func(d *deployment)) *hedging {
+	d := &hedging{deployment: newDeployment(t), arrivals: make(map[string][]string)}
+	d.allowSlowRequests()
+	prepare(d.deployment)
+	for n := range upstreams {
+		d.addUpstream(fmt.Sprint("p", n), "plain")
+	}
+	d.g = d.startVMWith("vm-a", d.storeAddr, func(g *Gateway) { g.handler.hedges = newHedges(Hedging{Share: share}) })
+	d.requireServed(d.g, plainPath, -1)
+	d.eventually(func() bool { return len(d.g.control.view().services["plain"]) == upstreams && d.limits(4) }, "the VM knows the upstreams and its share of them")
+	for id, u := range d.upstreams {
+		u.SetHandler(func(w http.ResponseWriter, r *http.Request) { d.handle(id, w, r) })
+	}
+	d.each(func(u *upstream) { u.load, u.loadAt = fleet.Load{Slots: 2}, time.Now().Add(time.Hour) })
+	d.g.handler.hedges.withPolicy(func(p *hedge.Policy) {
+		for range 1000 {
+			p.Observe("k", 5*time.Millisecond)
+			p.Observe("p", 5*time.Millisecond)
+			p.Observe("d", 5*time.Millisecond)
+		}
+	})
+	return d
+}
+
+// each calls f for each upstream of the VM.
+func (d *hedging) each(f func(u *upstream)) {
+	for _, u := range d.g.control.view().upstreams {
+		u.mu.Lock()
+		f(u)
+		u.mu.Unlock()
+	}
+}
+
+func (d *hedging) limits(least int32) bool {
+	for _, u := range d.g.control.view().services["plain"] {
+		if u.limit.Load() < least {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *hedging) handle(id string, w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	request := r.Header.Get(fleet.HeaderRequestID)
+	role := min(len(d.arrivals[request]), len(d.roles)-1)
+	d.arrivals[request] = append(d.arrivals[request], id)
+	handler := d.roles[role]
+	d.mu.Unlock()
+	w.Header().Set("X-Upstream", id)
+	handler(w, r)
+}
+
+// arrived returns the upstreams that got a request, in order.
+func (d *hedging) arrived(request string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.arrivals[request]
+}
+
+func (d *hedging) count(result string) int {
+	return int(testutil.ToFloat64(d.g.metrics.hedges.WithLabelValues("plain", result)))
+}
+
+func (d *hedging) skipped(service string, skip hedge.Skip) int {
+	return int(testutil.ToFloat64(d.g.metrics.hedgesSkipped.WithLabelValues(service, string(skip))))
+}
+
+// saveBudget gives the VM the budget of some hedges.
+func (d *hedging) saveBudget() {
+	d.g.handler.hedges.withPolicy(func(p *hedge.Policy) {
+		for range 200 {
+			p.Count("plain")
+			p.Count("keyed")
+		}
+	})
+}
+
+func respond(body []byte) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(fleet.HeaderSignature, "seal")
+		w.WriteHeader(http.StatusNonAuthoritativeInfo)
+		_, _ = w.Write(body)
+	}
+}
+
+func respondServerError(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(fleet.HeaderSignature, "seal")
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+// untilCancelled handles a request until its connection is closed, and then sends to cancelled.
+func untilCancelled(cancelled chan<- struct{}) http.HandlerFunc {
+	return func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	}
+}
+
+// after handles a request once c is closed.
+func after(c <-chan struct{}, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-c:
+			next(w, r)
+		case <-r.Context().Done():
+		}
+	}
+}
+
+// before closes c when a request arrives.
+func before(c chan<- struct{}, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		close(c)
+		next(w, r)
+	}
+}
+
+// requireNoFault checks that an upstream whose send was cancelled counts as healthy.
+func (d *hedging) requireNoFault(id, request, path string) {
+	d.t.Helper()
+	require.Zero(d.t, failureRate(d.g, id))
+	d.each(func(u *upstream) { require.True(d.t, u.avoidUntil.IsZero(), u.id) })
+	require.False(d.t, d.g.handler.crashes.suspected(shardmap.Fingerprint("plain", http.MethodPost, path, []byte("body"))))
+	require.Zero(d.t, testutil.ToFloat64(d.g.metrics.failedSends.WithLabelValues("plain", "request_ended")))
+	require.Len(d.t, d.arrived(request), 2)
+	d.requireIdle(d.g)
+}
+
+// TestSecondSendWins guards against a request that waits for a slow upstream, a response that is
+// changed on the way, and a loser that works on or counts as failed.
+func TestSecondSendWins(t *testing.T) {
+	for name, path := range map[string]string{"whole": plainPath, "streamed": downloadPath} {
+		t.Run(name, func(t *testing.T) {
+			d := startHedging(t, 2, 0.05, configureDownloads)
+			d.saveBudget()
+			cancelled, body := make(chan struct{}, 1), largeBody(540_000)
+			var deadline string
+			d.roles = []http.HandlerFunc{untilCancelled(cancelled), func(w http.ResponseWriter, r *http.Request) {
+				deadline = r.Header.Get(fleet.HeaderDeadlineMs)
+				respond(body)(w, r)
+			}}
+			resp, got := d.request(d.g, http.MethodPost, "hedged", path, -1, 15*time.Second)
+			require.Equal(t, http.StatusNonAuthoritativeInfo, resp.StatusCode)
+			require.True(t, string(body) == got, "%d bytes arrived", len(got))
+			require.Equal(t, "seal", resp.Header.Get(fleet.HeaderSignature))
+			arrived := d.arrived("hedged")
+			require.Equal(t, arrived[1], resp.Header.Get("X-Upstream"))
+			require.NotEqual(t, arrived[0], arrived[1])
+			receiveWithin(t, cancelled, "the first upstream learns that its work is not needed")
+			left, err := strconv.Atoi(deadline)
+			require.NoError(t, err)
+			require.LessOrEqual(t, left, 15000-5, "the second send states the remaining time")
+			require.Equal(t, 1, d.count(hedgeSent))
+			require.Equal(t, 1, d.count(hedgeWon))
+			d.requireNoFault(arrived[0], "hedged", path)
+			d.each(func(u *upstream) {
+				if string(u.id) == arrived[0] {
+					require.Greater(t, u.latency, 0.0, "the time until the end counts")
+				}
+			})
+		})
+	}
+}
+
+// configureDownloads adds the route downloadPath with large responses.
+func configureDownloads(d *deployment) {
+	value := bytes.Replace(d.configuration(3, "keyed"), []byte(`"Routes":{`), fmt.Appendf(nil,
+		`"Routes":{"d":{"Host":%q,"Prefix":%q,"RouteType":"download","TimeoutS":20,"TargetLatencyS":2.5,"Service":"plain","MaxAttempts":2},`,
+		testHost, downloadPath), 1)
+	d.store.Put("op", "config", value)
+}
+
+// TestFirstSendWins guards against a second send that works on, holds its slot or counts as failed
+// after the first one has had a response.
+func TestFirstSendWins(t *testing.T) {
+	for name, path := range map[string]string{"whole": plainPath, "streamed": downloadPath} {
+		t.Run(name, func(t *testing.T) {
+			d := startHedging(t, 2, 0.05, configureDownloads)
+			d.saveBudget()
+			second, cancelled, body := make(chan struct{}), make(chan struct{}, 1), largeBody(540_000)
+			d.roles = []http.HandlerFunc{after(second, respond(body)), before(second, untilCancelled(cancelled))}
+			resp, got := d.request(d.g, http.MethodPost, "hedged", path, -1, 15*time.Second)
+			require.Equal(t, http.StatusNonAuthoritativeInfo, resp.StatusCode)
+			require.True(t, string(body) == got, "%d bytes arrived", len(got))
+			require.Equal(t, d.arrived("hedged")[0], resp.Header.Get("X-Upstream"))
+			receiveWithin(t, cancelled, "the second upstream learns that its work is not needed")
+			require.Equal(t, 1, d.count(hedgeLost))
+			d.requireNoFault(d.arrived("hedged")[1], "hedged", path)
+		})
+	}
+}
+
+// TestDiscardedResponse guards against a slot and a connection that a streamed response keeps when
+// it comes second.
+func TestDiscardedResponse(t *testing.T) {
+	d, g := withDownloads(t, func(*Gateway) {})
+	d.upstreams["p1"].SetHandler(respond(largeBody(540_000)))
+	h, v := g.handler, g.control.view()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+testHost+downloadPath, nil)
+	require.NoError(t, err)
+	r.RequestURI = downloadPath
+	q := &request{http: r, params: fleet.ParseRequestHeaders(r.Header), arrived: time.Now(), deadline: time.Now().Add(time.Minute), header: http.Header{}, streamable: true, buffers: h.buffers.Reserve()}
+	require.Zero(t, h.checkRequest(q, v).status)
+	u, failure := h.choose(t.Context(), q, v, nil)
+	require.NotNil(t, u, failure)
+	require.True(t, h.crashes.start(q.fingerprint))
+	sent := h.sendOnce(t.Context(), q, u)
+	require.NoError(t, sent.err)
+	require.NotNil(t, sent.resp.Stream)
+	require.Equal(t, 1, u.limiter.load())
+	sent.discard()
+	q.buffers.Release()
+	d.requireIdle(g)
+}
+
+// TestBothSendsFail guards against more runs than MaxAttempts, against a request that may have run
+// and is answered as not run, and against one that fails although a third upstream may run it.
+func TestBothSendsFail(t *testing.T) {
+	for name, test := range map[string]struct {
+		first, second http.HandlerFunc
+		status, sends int
+	}{
+		"both broken":       {resetConnection, resetConnection, http.StatusBadGateway, 2},
+		"error and broken":  {respondServerError, resetConnection, http.StatusInternalServerError, 2},
+		"broken and error":  {resetConnection, respondServerError, http.StatusInternalServerError, 2},
+		"broken and shed":   {resetConnection, shedRequest, http.StatusNonAuthoritativeInfo, 3},
+		"shed and broken":   {shedRequest, resetConnection, http.StatusNonAuthoritativeInfo, 3},
+		"both shed":         {shedRequest, shedRequest, http.StatusNonAuthoritativeInfo, 3},
+		"broken and served": {resetConnection, respond(nil), http.StatusNonAuthoritativeInfo, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startHedging(t, 3, 0.05, func(*deployment) {})
+			d.saveBudget()
+			second, firstEnded := make(chan struct{}), make(chan struct{})
+			d.roles = []http.HandlerFunc{
+				after(second, func(w http.ResponseWriter, r *http.Request) {
+					defer close(firstEnded)
+					test.first(w, r)
+				}),
+				before(second, after(firstEnded, test.second)),
+				respond(nil),
+			}
+			resp, _ := d.request(d.g, http.MethodPost, "hedged", plainPath, -1, 15*time.Second)
+			require.Equal(t, test.status, resp.StatusCode)
+			arrived := d.arrived("hedged")
+			require.Len(t, arrived, test.sends)
+			require.NotEqual(t, arrived[0], arrived[1])
+			require.NotContains(t, arrived[:2], append(arrived, "none")[2])
+			require.Equal(t, 1, d.count(hedgeSent))
+			d.requireIdle(d.g)
+		})
+	}
+}
+
+// TestCallerLeavesHedgedRequest guards against upstreams that work on for a caller that has left.
+func TestCallerLeavesHedgedRequest(t *testing.T) {
+	d := startHedging(t, 2, 0.05, func(*deployment) {})
+	d.saveBudget()
+	second, cancelled := make(chan struct{}), make(chan struct{}, 2)
+	d.roles = []http.HandlerFunc{untilCancelled(cancelled), before(second, untilCancelled(cancelled))}
+	ctx, leave := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.g.settings.Listen.Callers+plainPath, nil)
+	require.NoError(t, err)
+	req.Host = testHost
+	req.Header.Set(fleet.HeaderRequestID, "left")
+	go func() {
+		<-second
+		leave()
+	}()
+	_, err = http.DefaultClient.Do(req)
+	require.ErrorIs(t, err, context.Canceled)
+	receiveWithin(t, cancelled, "one upstream learns that the caller has left")
+	receiveWithin(t, cancelled, "the other upstream learns that the caller has left")
+	d.requireIdle(d.g)
+	require.Len(t, d.arrived("left"), 2)
+}
+
+// TestNotHedged guards against second sends of requests that must not have any, or that upstreams
+// have no room for. The first upstream responds when the VM has decided against a second send.
+func TestNotHedged(t *testing.T) {
+	second := func(d *hedging, f func(u *upstream)) {
+		d.each(f) // the first send has passed, so the state of the other upstream decides
+	}
+	for name, test := range map[string]struct {
+		skip hedge.Skip
+		// prepare is called before the request is sent, meanwhile while it is at its first upstream.
+		prepare, meanwhile func(d *hedging)
+	}{
+		"busy":         {skip: hedge.NoSlot, meanwhile: func(d *hedging) { second(d, func(u *upstream) { u.load.Running = 2 }) }},
+		"unknown load": {skip: hedge.NoSlot, meanwhile: func(d *hedging) { second(d, func(u *upstream) { u.loadAt = time.Time{} }) }},
+		"avoided": {skip: hedge.NoSlot, meanwhile: func(d *hedging) {
+			second(d, func(u *upstream) { u.avoidUntil = time.Now().Add(time.Hour) })
+		}},
+		"cold": {skip: hedge.NoSlot, meanwhile: func(d *hedging) {
+			second(d, func(u *upstream) { u.statedCold.Store(int64(bootTime() + time.Hour)) })
+		}},
+		"resting":  {skip: hedge.NoSlot, meanwhile: func(d *hedging) { second(d, func(u *upstream) { u.rest(time.Hour) }) }},
+		"leaving":  {skip: hedge.NoSlot, meanwhile: func(d *hedging) { second(d, func(u *upstream) { u.leavingSince.Store(1) }) }},
+		"stopping": {skip: hedge.Stopping, meanwhile: func(d *hedging) { d.g.handler.stopBy(time.Now().Add(time.Minute)) }},
+		"budget": {skip: hedge.Budget, prepare: func(d *hedging) {
+			d.g.handler.hedges.withPolicy(func(p *hedge.Policy) {
+				for p.Take("plain") {
+				}
+			})
+		}},
+		"retry budget": {skip: hedge.RetryBudget, prepare: func(d *hedging) {
+			d.g.handler.mu.Lock()
+			defer d.g.handler.mu.Unlock()
+			budget := d.g.handler.retryBudget("plain")
+			budget.Ratio = 0
+			for budget.Take(time.Since(d.g.handler.start)) {
+			}
+		}},
+		"suspect": {skip: hedge.Suspect, prepare: func(d *hedging) {
+			print := shardmap.Fingerprint("plain", http.MethodPost, plainPath, []byte("body"))
+			d.g.handler.crashes.withEvidence(func(e *crash.Evidence, now time.Duration) {
+				e.Started(now, print)
+				e.Crashed(now, []uint64{print})
+			})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startHedging(t, 2, 0.05, func(*deployment) {})
+			d.saveBudget()
+			if test.prepare != nil {
+				test.prepare(d)
+			}
+			d.roles = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+				if test.meanwhile != nil {
+					test.meanwhile(d)
+				}
+				for d.skipped("plain", test.skip) == 0 && r.Context().Err() == nil {
+					time.Sleep(time.Millisecond)
+				}
+				respond(nil)(w, r)
+			}}
+			resp, _ := d.request(d.g, http.MethodPost, "single", plainPath, -1, 15*time.Second)
+			require.Equal(t, http.StatusNonAuthoritativeInfo, resp.StatusCode)
+			require.Len(t, d.arrived("single"), 1)
+			require.Zero(t, d.count(hedgeSent))
+			d.requireIdle(d.g)
+		})
+	}
+}
+
+// TestKindsNotHedged guards against second sends of requests that must run once, that belong to the
+// owner of a key, or whose route allows one run.
+func TestKindsNotHedged(t *testing.T) {
+	replace := func(from, to string) func(d *deployment) {
+		return func(d *deployment) {
+			d.store.Put("op", "config", bytes.ReplaceAll(d.configuration(3, "keyed"), []byte(from), []byte(to)))
+		}
+	}
+	for name, test := range map[string]struct {
+		path, service string
+		key           int
+		skip          hedge.Skip
+		configure     func(d *deployment)
+	}{
+		"once":   {plainPath, "plain", -1, hedge.None, replace(`"idempotent"`, `"non_idempotent"`)},
+		"keyed":  {keyedPath, "keyed", 7, hedge.Keyed, replace(`"non_idempotent"`, `"idempotent"`)},
+		"1 send": {plainPath, "plain", -1, hedge.Attempts, replace(`"MaxAttempts":2`, `"MaxAttempts":1`)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startHedging(t, 2, 0.05, func(d *deployment) {
+				test.configure(d)
+				d.addUpstream("k0", "keyed")
+				d.addUpstream("k1", "keyed")
+			})
+			d.saveBudget()
+			d.roles = []http.HandlerFunc{respond(nil)}
+			d.eventually(func() bool {
+				resp, _ := d.do(d.g, http.MethodPost, test.path, test.key, 2*time.Second)
+				return resp.StatusCode == http.StatusNonAuthoritativeInfo
+			}, "the route is served")
+			before := d.skipped(test.service, test.skip)
+			d.roles = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(50 * time.Millisecond) // ten times the usual time of the route
+				respond(nil)(w, r)
+			}}
+			resp, _ := d.request(d.g, http.MethodPost, "single", test.path, test.key, 15*time.Second)
+			require.Equal(t, http.StatusNonAuthoritativeInfo, resp.StatusCode)
+			require.Len(t, d.arrived("single"), 1)
+			require.Zero(t, d.count(hedgeSent))
+			if test.skip != hedge.None {
+				require.Equal(t, before+1, d.skipped(test.service, test.skip))
+			}
+		})
+	}
+}
+
+// TestHedgeBudget guards against more second sends than the share of the requests, and against
+// second sends without the setting.
+func TestHedgeBudget(t *testing.T) {
+	d := startHedging(t, 2, 0.05, func(*deployment) {})
+	d.roles = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		for spent := d.skipped("plain", hedge.Budget); d.skipped("plain", hedge.Budget) == spent && r.Context().Err() == nil; {
+			time.Sleep(time.Millisecond)
+		}
+		respond(nil)(w, r)
+	}, respond(nil)}
+	const requests = 45
+	for n := range requests {
+		resp, _ := d.request(d.g, http.MethodPost, strconv.Itoa(n), plainPath, -1, 15*time.Second)
+		require.Equal(t, http.StatusNonAuthoritativeInfo, resp.StatusCode)
+	}
+	sent := d.count(hedgeSent)
+	require.Equal(t, requests, sent+d.skipped("plain", hedge.Budget))
+	require.GreaterOrEqual(t, sent, 2)
+	require.LessOrEqual(t, float64(sent), 0.05*float64(requests+d.requests))
+	require.Nil(t, newHedges(Hedging{}))
+}
--- a/server/gateway/limiter.go
+++ b/server/gateway/limiter.go
@@ -155,10 +155,8 @@
 func (l *limiter) acquire(ctx context.Context, p admissionParams) error {
 	now := time.Now()
 	result := make(chan admissionResult, 1)
-	r := &admission.Request{
-		Priority: p.priority, Arrived: p.arrived.Sub(l.start), Target: p.target.Sub(l.start),
-		Deadline: p.deadline.Sub(l.start), ServiceTime: p.serviceTime, Flow: p.flow, Token: result,
-	}
+	r := l.request(p)
+	r.Token = result
 	l.mu.Lock()
 	if l.unusable {
 		l.mu.Unlock()
@@ -215,6 +213,14 @@
 	return refused
 }
 
+// request returns a request of the queue.
+func (l *limiter) request(p admissionParams) *admission.Request {
+	return &admission.Request{
+		Priority: p.priority, Arrived: p.arrived.Sub(l.start), Target: p.target.Sub(l.start),
+		Deadline: p.deadline.Sub(l.start), ServiceTime: p.serviceTime, Flow: p.flow,
+	}
+}
+
 // capacitySignal says what a send showed about the upstream's capacity.
 type capacitySignal int
 
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -83,6 +83,9 @@
 	unhealthyOwners *prometheus.GaugeVec
 	// contended is the number of upstreams whose requests this VM paces on the granter's word.
 	contended prometheus.Gauge
+	// hedges counts the second sends: service, result; hedgesSkipped the requests that took long
+	// enough for one and got none: service, reason.
+	hedges, hedgesSkipped *prometheus.CounterVec
 	// unauthorized counts the requests refused with 401, by cause.
 	unauthorized *prometheus.CounterVec
 }
@@ -124,6 +127,8 @@
 		rests:             counter("upstream_rests_total", "Responses of upstreams that want no requests from this VM for a time.", "service"),
 		workspaceRequests: counter("workspace_requests_total", "Requests of workspaces with a quota that were admitted or refused, and tokens returned; the workspaces with the highest rates have a label of their own.", "workspace", "result"),
 		unauthorized:      counter(unauthorizedRequests, "Requests refused with 401, by cause.", "cause"),
+		hedges:            counter("hedges_total", "Second sends of requests whose first took unusually long, by result: sent, won, lost or failed.", "service", "result"),
+		hedgesSkipped:     counter("hedges_skipped_total", "Requests whose first send took unusually long and that were not sent to a second upstream, by reason.", "service", "reason"),
 		isolated:          gauge("isolated", "1 while no upstream can be reached from this VM."),
 		queued:            histogram("queue_seconds", "Time for which a request waits for capacity of an upstream."),
 		fairRefusals:      counter("fair_refusals_total", "Requests refused while they waited, by workspace.", "workspace"),
@@ -175,6 +180,8 @@
 		m.proxyServed,
 		m.leaving,
 		m.rests,
+		m.hedges,
+		m.hedgesSkipped,
 		m.unauthorized,
 		m.workspaceRequests,
 		m.exchanged,
--- a/server/gateway/send.go
+++ b/server/gateway/send.go
@@ -51,6 +51,9 @@
 		},
 		Window: h.large.windowOf(q), MayStream: func(status int) bool { return mayStream(status, headers) },
 	})
+	if q.exchanged != nil {
+		q.exchanged()
+	}
 	now := time.Now()
 	took := now.Sub(began)
 	silent := watch.dropped(sendCtx, err)
@@ -81,6 +84,9 @@
 			q.sends++
 			q.mayHaveRun++
 		}
+		if lostRace(ctx, u, took) {
+			return nil, headers, err
+		}
 		why := sendFailureReason(ctx, err)
 		if silent {
 			why = rejectedBySilence
--- a/server/gateway/settings.go
+++ b/server/gateway/settings.go
@@ -12,6 +12,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/config/strict"
 	"dandelionhill.dev/core/election"
+	"dandelionhill.dev/core/hedge"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/quota"
 	"dandelionhill.dev/platform/fleet"
@@ -43,6 +44,8 @@
 	Limits Limits `json:"limits,omitempty"`
 	// Overload holds the switches of the handling of overload.
 	Overload Overload `json:"overload,omitempty"`
+	// Hedging says how many requests are sent to a second upstream.
+	Hedging Hedging `json:"hedging,omitempty"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -184,6 +187,13 @@
 	Contention bool `json:"contention,omitempty"`
 }
 
+// Hedging configures hedged requests.
+type Hedging struct {
+	// Share is the number of extra sends as a share of the requests of a service, 0 for none and
+	// hedge.MaxShare at most.
+	Share float64 `json:"share,omitempty"`
+}
+
 // Defaults of Limits.
 const (
 	defaultResponseHeadKB = 64
@@ -280,6 +290,9 @@
 	if s.Limits.CallerReadTimeout < 0 {
 		c.Add("limits.caller_read_timeout", "write a time above 0s, or leave it out for the default", "%s is out of range", s.Limits.CallerReadTimeout)
 	}
+	if s.Hedging.Share < 0 || s.Hedging.Share > hedge.MaxShare {
+		c.Add("hedging.share", "write a share of the requests from 0 (no hedges) to 0.2, for example 0.05", "%v is out of range", s.Hedging.Share)
+	}
 	if s.Limits.BuffersMB > s.MemoryMB {
 		c.Add("limits.buffers_mb", "write less than memory_mb", "%d MB exceeds the memory of the VM", s.Limits.BuffersMB)
 	}
--- a/server/gateway/settings_test.go
+++ b/server/gateway/settings_test.go
@@ -45,7 +45,16 @@
 	s, err = ParseSettings("overload", []byte(goodSettings[:len(goodSettings)-1]+`, "overload": {"fair": true, "fair_routes": true, "refuse_late": true, "contention": true}}`))
 	require.NoError(t, err)
 	require.Equal(t, Overload{Fair: true, FairRoutes: true, RefuseLate: true, Contention: true}, s.Overload)
+	withHedging := func(share string) string {
+		return goodSettings[:len(goodSettings)-1] + `, "hedging": {"share": ` + share + `}}`
+	}
+	s, err = ParseSettings("hedging", []byte(withHedging("0.2")))
+	require.NoError(t, err)
+	require.InDelta(t, 0.2, s.Hedging.Share, 0)
+	_, err = ParseSettings("hedging", []byte(withHedging("0.21")))
+	require.ErrorContains(t, err, "write a share of the requests from 0 (no hedges) to 0.2")
 	for _, bad := range []string{
+		withHedging("-0.01"),
 		withLimits(`{"response_head_kb": -1}`), withLimits(`{"response_window_kb": -1}`), withLimits(`{"caller_read_timeout": "-1s"}`), withLimits(`{"caller_connections": -1}`), withLimits(`{"min_rate_window": "-1s"}`),
 		withLimits(`{"buffers_mb": 285}`),
 		goodSettings[:len(goodSettings)-1] + `, "log_level": "loud"}`,
--- a/server/gateway/upstream.go
+++ b/server/gateway/upstream.go
@@ -93,6 +93,14 @@
 	u.failureRate += latencyWeight * (result - u.failureRate)
 }
 
+// recordOverdue records that a send ended without a response after a time, because another one won.
+// Otherwise the average of a slow upstream would come from its fast responses alone.
+func (u *upstream) recordOverdue(took time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.latency += latencyWeight * max(took.Seconds()-u.latency, 0)
+}
+
 // recordFailure records that no complete response arrived.
 func (u *upstream) recordFailure(now time.Time) {
 	u.mu.Lock()
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -161,6 +161,9 @@
 	}
 }
 
+// Merge adds the connections of another set.
+func (s *Connections) Merge(other Connections) { s.conns = append(s.conns, other.conns...) }
+
 func (s *Connections) contains(c *conn) bool { return s != nil && slices.Contains(s.conns, c) }
 
 // Limits bounds a response, in bytes.
