ownership, ownerhealth: hot keys wait for their move, speeds settle sooner

Change: the other keys leave first; the bucket moves 1 s after the rise at the earliest, and to an upstream of 1.6 times the capacity. The other keys leave from 0.6 of the owner's capacity on, since the observed load lags. Speeds are applied in steps of 0.1 with less weight of the initial value.

--- a/core/ownerhealth/speed.go
+++ b/core/ownerhealth/speed.go
@@ -30,9 +30,9 @@
 	// the upstream is about to count as slow.
 	dipTime = 2 * time.Second
 	// speedTolerance is the relative change from which another lasting speed is applied.
-	speedTolerance = 0.15
+	speedTolerance = 0.1
 	// priorLatency is the latency, in seconds, with which an upstream without responses has speed 1.
-	priorLatency = 0.3
+	priorLatency = 0.1
 )
 
 // speed measures the speed of one upstream relative to its service: by the latency of responses,
--- a/core/ownership/hot.go
+++ b/core/ownership/hot.go
@@ -12,15 +12,19 @@
 	// hotShare is the share of the mean capacity from which a bucket counts as hot, coolShare that
 	// below which it no longer does.
 	hotShare, coolShare = 0.5, 0.25
-	// fullShare is the share of its capacity from which the owner of a hot bucket gives up its other
-	// keys: below it they are served in time beside the bucket.
-	fullShare = 0.8
+	// sharedUse is the share of its capacity from which the owner of a hot bucket gives up its other
+	// keys: below it they are served in time beside the bucket. The observed load lags behind a rise.
+	sharedUse = 0.6
+	// fullUse is the share of its owner's capacity from which a hot bucket may move to another one.
+	fullUse = 0.8
 	// maxAlone is the largest share of the upstreams that own a hot bucket alone; beyond it the
 	// others would bear too much.
 	maxAlone = 0.2
 	// fasterFactor is how much more capacity another upstream must have to become the owner of a hot
-	// bucket, hotMoveInterval the shortest time between two such moves: meanwhile its requests wait.
-	fasterFactor, hotMoveInterval = 1.4, 5 * time.Second
+	// bucket. Its requests wait while it moves, for up to 2 s from a slow owner with a full queue: at
+	// 1.6 times the capacity that is regained after 4 s. hotMoveInterval is the shortest time between
+	// two such moves, hotMoveDelay that from the rise of the load to the first.
+	fasterFactor, hotMoveInterval, hotMoveDelay = 1.6, 5 * time.Second, time.Second
 )
 
 // hotBucket is a bucket with the load of a large part of an upstream.
@@ -42,7 +46,7 @@
 		return
 	}
 	byID := m.upstreamLoads(now)
-	m.findHot(byID)
+	m.findHot(now, byID)
 	m.hot.alone = make(map[api.UpstreamID]int)
 	for _, h := range m.hot.buckets {
 		e := m.entryOf(h.bucket * KeysPerBucket)
@@ -69,7 +73,7 @@
 }
 
 // findHot updates the hot buckets.
-func (m *Machine) findHot(byID map[api.UpstreamID]*upstreamLoad) {
+func (m *Machine) findHot(now time.Duration, byID map[api.UpstreamID]*upstreamLoad) {
 	capacity := 0.0
 	for _, u := range byID {
 		capacity += u.Capacity
@@ -87,10 +91,10 @@
 		}
 		if h == nil {
 			owner := byID[m.entryOf(bucket*KeysPerBucket).next().UpstreamID]
-			if owner == nil || owner.load < fullShare*owner.Capacity*m.cfg.LoadWindow.Seconds() {
+			if owner == nil || owner.load < sharedUse*owner.Capacity*m.cfg.LoadWindow.Seconds() {
 				continue
 			}
-			h = &hotBucket{bucket: bucket, movedAt: -hotMoveInterval}
+			h = &hotBucket{bucket: bucket, movedAt: now + hotMoveDelay - hotMoveInterval}
 		}
 		h.load = load
 		m.hot.buckets = append(m.hot.buckets, h)
@@ -104,7 +108,7 @@
 // fasterOwner returns an upstream with much more capacity than the owner of a hot bucket that the
 // owner cannot serve. If the owner has a hotter one, it returns the fastest without one.
 func (m *Machine) fasterOwner(byID map[api.UpstreamID]*upstreamLoad, owner *upstreamLoad, h *hotBucket, taken bool) (best *upstreamLoad) {
-	if !taken && h.load < fullShare*owner.Capacity*m.cfg.LoadWindow.Seconds() {
+	if !taken && h.load < fullUse*owner.Capacity*m.cfg.LoadWindow.Seconds() {
 		return nil
 	}
 	for _, u := range moveTargets(byID) {
