gateway: test of the capacity of owners that are cold or have failed

Cause: the bound on cold owners and the rule without a store had no test. Change: TestOwnerCapacity.

--- a/server/gateway/ownerhealth_test.go
+++ b/server/gateway/ownerhealth_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/ownerhealth"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/routing"
@@ -121,3 +122,41 @@
 	g.observeHealth("vm-b", r, time.Hour)
 	require.Equal(t, ownerhealth.Verdict{Capacity: 1}, g.health.Verdict(ownership.Owner{UpstreamID: "k1"}))
 }
+
+// TestOwnerCapacity guards against a cold owner that gets more keys than its rate bears, against an
+// owner whose keys are taken while no other can get them, and against a change without the switch.
+func TestOwnerCapacity(t *testing.T) {
+	u := newUpstream(&registration{Upstream: routing.Upstream{ID: "k1", Service: "keyed", Slots: 6}}, upstreamconn.Limits{}, upstreamconn.Network{}, func() {})
+	v := &view{config: &routing.Configuration{Services: map[api.ServiceName]*routing.Service{"keyed": {Name: "keyed", Keyed: true, ColdRate: 5}}}}
+	now := time.Hour
+	g := &granter{elector: &elector{stats: newTrafficStats()}, health: ownerhealth.NewMonitor(), speeds: ownerhealth.Speeds{"k1": 0.5}}
+	capacity, healthy := g.ownerCapacity(v, u, now)
+	require.Equal(t, 6.0, capacity)
+	require.True(t, healthy)
+	u.coldAtLeastUntil(now + time.Minute)
+	capacity, _ = g.ownerCapacity(v, u, now)
+	require.InDelta(t, 5*initialLatency, capacity, 1e-9)
+
+	// All requests of the upstream fail, those of another one do not.
+	other := ownership.Owner{UpstreamID: "k2"}
+	for range 20 {
+		now += 100 * time.Millisecond
+		for _, vm := range []api.VMID{"vm-a", "vm-b"} {
+			g.observeHealth(vm, report{
+				OwnerSamples:  []ownerhealth.Sample{{Owner: other, Succeeded: 1, Expected: 1, Observed: 1}},
+				OwnerFailures: []ownerhealth.Failure{{Owner: u.owner(), Responses: 1}},
+			}, now)
+		}
+		g.health.Step(now, "keyed", []ownerhealth.Candidate{{Owner: u.owner(), Slots: 6, Usable: true}, {Owner: other, Slots: 6, Usable: true}})
+	}
+	_, healthy = g.ownerCapacity(v, u, now)
+	require.False(t, healthy)
+	g.storeUnreachable.Store(true)
+	_, healthy = g.ownerCapacity(v, u, now)
+	require.True(t, healthy)
+
+	g.health = nil
+	capacity, healthy = g.ownerCapacity(v, u, now)
+	require.Equal(t, 3.0, capacity)
+	require.True(t, healthy)
+}
