gateway: a request that has ended chooses no other upstream

Cause: acquire reported an unusable upstream to a request whose context had ended too, and the request chose again, without a pause until the view that says so was published.

Change: the end of the context goes first. TestUsableAgain checks it.

TestLastGrantOfPredecessor gives its elector the control that predecessor reads since "a takeover counts calls that were sent in one step"; without it the test, and with it the run of the package, ended with a nil pointer.

--- a/server/gateway/limiter.go
+++ b/server/gateway/limiter.go
@@ -149,6 +149,9 @@
 	l.mu.Lock()
 	if l.unusable {
 		l.mu.Unlock()
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "wait for another upstream")
+		}
 		return errUnusable
 	}
 	l.configure()
--- a/server/gateway/predecessor_test.go
+++ b/server/gateway/predecessor_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/core/config/strict"
@@ -17,7 +18,7 @@
 func TestLastGrantOfPredecessor(t *testing.T) {
 	const until, step = time.Minute, 10 * time.Millisecond
 	cfg := ownership.DefaultConfig(fleet.KeyCount)
-	e := &elector{bounds: Bounds{MaxLease: strict.Duration(time.Minute)}}
+	e := &elector{bounds: Bounds{MaxLease: strict.Duration(time.Minute)}, control: newControl(nil, NewMetrics(), zerolog.Nop())}
 	from, to := ownership.Owner{UpstreamID: "k1"}, ownership.Owner{UpstreamID: "k2"}
 	m := ownership.New(cfg, 2, []ownership.Entry{{Span: ownership.Span{Last: fleet.KeyCount - 1}, Owner: from, Fence: 1}}, e.predecessor(leaseRow{}, until))
 	m.SetUpstreams([]ownership.Upstream{{Owner: from, Capacity: 1}, {Owner: to, Capacity: 1, MayKeepKeys: true, MayGainKeys: true}})
--- a/server/gateway/withdraw_test.go
+++ b/server/gateway/withdraw_test.go
@@ -68,6 +68,9 @@
 	u := g.control.view().upstreams["p1"]
 	apply(g, func(s *state) { editRegistration(func(r *registration) { r.Draining = true })(s, u) })
 	require.ErrorIs(t, g.handler.acquire(t.Context(), newTestRequest(t, g, plainPath, -1), u), errUnusable)
+	ended, end := context.WithCancel(t.Context())
+	end()
+	require.ErrorIs(t, g.handler.acquire(ended, newTestRequest(t, g, plainPath, -1), u), context.Canceled, "a request that has ended chooses no other")
 	apply(g, func(s *state) { editRegistration(func(r *registration) { r.Draining = false })(s, u) })
 	resp, _ := d.do(g, "POST", plainPath, -1, 10*time.Second)
 	require.Equal(t, 200, resp.StatusCode)
