--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -445,6 +446,24 @@
 	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, data), "send a message between VMs")
 }
 
+// encoding writes into buffers of the caller.
+var encoding = sync.OnceValues(func() (cbor.UserBufferEncMode, error) { return cbor.EncOptions{}.UserBufferEncMode() })
+
+// sendSized is send with a buffer of about the size of the encoded message.
+func sendSized(ctx context.Context, conn *websocket.Conn, message any, size int) error {
+	mode, err := encoding()
+	if err != nil {
+		return errors.Wrap(err, "encode a message between VMs")
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, size))
+	if err := mode.MarshalToBuffer(message, buffer); err != nil {
+		return errors.Wrap(err, "encode a message between VMs")
+	}
+	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+	defer cancel()
+	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, buffer.Bytes()), "send a message between VMs")
+}
+
 func receive(ctx context.Context, conn *websocket.Conn, message any, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -28,6 +28,8 @@
 	// proxyPingInterval is the interval of pings while requests wait for a response. The
 	// connection ends if a pong takes longer than linkTimeout.
 	proxyPingInterval = 400 * time.Millisecond
+	// encodingMargin is the usual size of an encoded response without its body.
+	encodingMargin = 2 << 10
 	// proxyIdleTimeout is how long a connection without requests is kept.
 	proxyIdleTimeout = 5 * time.Second
 )
@@ -398,12 +400,13 @@
 	if requestCtx.Err() != nil {
 		return
 	}
-	releaseCopy, ok := c.messages.Reserve(requestCtx, int64(len(resp.Body)))
+	size := len(resp.Body) + encodingMargin
+	releaseCopy, ok := c.messages.Reserve(requestCtx, int64(size))
 	defer releaseCopy()
 	if !ok {
 		resp = &proxyResponse{Reason: responseLost, FailureStatus: http.StatusBadGateway, Upstream: resp.Upstream, Sends: resp.Sends, MayHaveRun: resp.MayHaveRun}
 	}
-	if err := send(ctx, c.ws, proxyFrame{ID: frame.ID, Response: resp}); err != nil {
+	if err := sendSized(ctx, c.ws, proxyFrame{ID: frame.ID, Response: resp}, size); err != nil {
 		c.ended()
 	}
 }
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -21,6 +21,8 @@
 	// inlineBytes is the further memory that each connection has without a grant, so that the usual
 	// reports of other VMs arrive then too.
 	inlineBytes = 8 << 10
+	// pieceBytes is the size of the pieces in which a longer message is read.
+	pieceBytes = 64 << 10
 	// itemCost is the memory of a decoded data item beside its bytes: 131,072 empty maps in an array
 	// are as many structures.
 	itemCost = 64
@@ -198,27 +200,54 @@
 	return m, nil
 }
 
+// pieces holds buffers of pieceBytes. A flood of messages that are refused would otherwise leave
+// garbage faster than the collector takes it.
+var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+
+// read reads a message in pieces and joins them at its end.
 func (m *Message) read(src io.Reader) error {
+	var full []*[pieceBytes]byte
+	defer func() {
+		for _, piece := range full {
+			pieces.Put(piece)
+		}
+	}()
 	m.Data = make([]byte, 0, shortMessageBytes)
+	current, total := m.Data, int64(0)
 	for {
-		if len(m.Data) == cap(m.Data) {
-			// One byte more than the limit, so that the end is read without growing again.
-			size := min(2*int64(cap(m.Data)), m.conn.limit+1)
-			if size <= int64(cap(m.Data)) {
+		if len(current) == cap(current) {
+			if total > m.conn.limit {
 				return ErrMessageTooLarge
 			}
+			size := int64(pieceBytes)
+			if len(full) == 0 {
+				size = min(2*int64(cap(current)), pieceBytes)
+			}
 			if !m.conn.take(size) {
 				return m.refuse(src, MessageMemory)
 			}
-			larger := make([]byte, len(m.Data), size)
-			copy(larger, m.Data)
-			m.conn.give(m.raw)
-			m.Data, m.raw = larger, size
+			switch {
+			case size < pieceBytes:
+				current = append(make([]byte, 0, size), current...)
+				m.conn.give(m.raw)
+				m.raw, m.Data = size, current
+			case len(full) == 0:
+				piece := pieces.Get().(*[pieceBytes]byte)
+				full = append(full, piece)
+				current = append(piece[:0], current...)
+				m.conn.give(m.raw)
+				m.raw, m.Data = size, current
+			default:
+				piece := pieces.Get().(*[pieceBytes]byte)
+				full = append(full, piece)
+				current = piece[:0]
+				m.raw += size
+			}
 		}
-		n, err := src.Read(m.Data[len(m.Data):cap(m.Data)])
-		m.Data = m.Data[:len(m.Data)+n]
+		n, err := src.Read(current[len(current):cap(current)])
+		current, total = current[:len(current)+n], total+int64(n)
 		if errors.Is(err, io.EOF) {
-			return nil
+			return m.join(current, full, total)
 		}
 		if err != nil {
 			return errors.Wrap(err, "read a message")
@@ -226,6 +255,24 @@
 	}
 }
 
+// join sets Data to the whole message, whose last piece may be shorter.
+func (m *Message) join(last []byte, full []*[pieceBytes]byte, total int64) error {
+	if len(full) == 0 {
+		m.Data = last
+		return nil
+	}
+	if !m.conn.take(total) {
+		return m.refuse(nil, MessageMemory)
+	}
+	joined := make([]byte, 0, total)
+	for _, piece := range full[:len(full)-1] {
+		joined = append(joined, piece[:]...)
+	}
+	m.conn.give(m.raw)
+	m.Data, m.raw = append(joined, last...), total
+	return nil
+}
+
 func (m *Message) takeDecoded(further int64) bool {
 	bytes := m.cost + further - m.decoded
 	if !m.conn.take(bytes) {
--- a/server/listen/messages_test.go
+++ b/server/listen/messages_test.go
@@ -207,3 +207,25 @@
 	require.Equal(t, []Reason{ConnectionLimit, ConnectionLimit}, g.closed())
 	require.Len(t, g.guard.all(), 1)
 }
+
+// TestMessageBytes guards against a message whose pieces are joined wrongly, and against pieces that
+// are used again too early.
+func TestMessageBytes(t *testing.T) {
+	m, shared := newMessages(144)
+	for _, size := range []int{0, 1, shortMessageBytes, shortMessageBytes + 1, pieceBytes - 1, pieceBytes, pieceBytes + 1, 3*pieceBytes - 1, 3 * pieceBytes, 1 << 20, largestMessage} {
+		want := make([]byte, size)
+		for i := range want {
+			want[i] = byte(i*7 + i>>8)
+		}
+		c := m.Connection(nil, largestMessage)
+		message, err := c.Read(func() (io.Reader, error) { return bytes.NewReader(want), nil }, noItems)
+		require.NoError(t, err, size)
+		other, err := c.Read(of(2*pieceBytes), noItems)
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(want, message.Data), size)
+		message.Release()
+		other.Release()
+		require.Zero(t, c.used)
+	}
+	require.Equal(t, shared.Total(), shared.Left())
+}
