--- a/server/gateway/eligibility.go
+++ b/server/gateway/eligibility.go
@@ -56,6 +56,9 @@
 	if q.remaining() <= 0 {
 		return outcome{reason: timeoutUnsent, status: http.StatusServiceUnavailable}
 	}
+	if q.hasRoom != nil && !q.hasRoom() {
+		return outcome{reason: messagesFull, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter}
+	}
 	if q.agreed != 0 && v.configVersion() != q.agreed {
 		return outcome{reason: newerConfiguration, status: http.StatusServiceUnavailable}
 	}
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -196,6 +196,9 @@
 	// for the retry budget. proxy is the VM to which this one passed it last.
 	proxied, counted bool
 	proxy            string
+	// hasRoom reports whether the VM has room for the response to a proxied request; nil if the caller
+	// is connected to this VM.
+	hasRoom func() bool
 	// agreed is the version of the configuration by which a proxied request must be handled, 0 if
 	// the isolated VM takes any.
 	agreed int64
--- a/server/gateway/messages_test.go
+++ b/server/gateway/messages_test.go
@@ -81,6 +81,36 @@
 	require.Eventually(t, func() bool { return shared.Left() == shared.Total() }, waitTimeout, time.Millisecond)
 }
 
+// TestUnreadResponsesOfIsolatedVMs guards against responses that isolated VMs do not read and that take
+// the memory of callers, and against a refusal of a request that was sent.
+func TestUnreadResponsesOfIsolatedVMs(t *testing.T) {
+	d := newDeployment(t)
+	u := d.addUpstream("p1", "plain")
+	g := d.startVM("vm-a")
+	d.requireServed(g, plainPath, -1)
+	u.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(fleet.HeaderSignature, "seal")
+		w.Write(make([]byte, 4<<20)) //nolint:errcheck // the VM reads it
+	})
+	var unread []*proxyResponse
+	for {
+		resp := g.proxies.serve(t.Context(), &proxyRequest{Method: http.MethodGet, Target: plainPath, Host: testHost, TimeoutMs: 10_000})
+		if resp.Status != http.StatusOK {
+			require.Equal(t, messagesFull, resp.Reason)
+			require.True(t, resp.notTaken())
+			resp.release()
+			break
+		}
+		unread = append(unread, resp)
+	}
+	require.NotEmpty(t, unread)
+	require.Greater(t, g.handler.buffers.Left(), g.handler.buffers.Total()/2)
+	for _, resp := range unread {
+		resp.release()
+	}
+	require.True(t, g.proxies.hasRoom())
+}
+
 // TestFrameID guards against a refusal of the wrong request.
 func TestFrameID(t *testing.T) {
 	for _, id := range []uint64{0, 1, 23, 24, 255, 70_000, 1 << 40} {
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -53,6 +53,8 @@
 	metrics    *Metrics
 	log        zerolog.Logger
 	stopping   *atomic.Bool
+	// heldBytes are those of responses that wait to be sent to isolated VMs.
+	heldBytes atomic.Int64
 	// serving is the number of requests of isolated VMs.
 	serving atomic.Int64
 
@@ -215,6 +217,13 @@
 	}
 }
 
+// hasRoom reports whether a request of an isolated VM may be sent: responses that the isolated VMs do
+// not read must leave memory to callers.
+func (p *proxies) hasRoom() bool {
+	limit := p.accepted.ResponseBytes()
+	return limit == 0 || p.heldBytes.Load() < limit
+}
+
 // serve sends a request of an isolated VM to an upstream.
 func (p *proxies) serve(ctx context.Context, req *proxyRequest) (out *proxyResponse) {
 	p.serving.Add(1)
@@ -228,8 +237,14 @@
 			reservation.Release()
 		}
 	}()
-	q, resp, failure := p.handler.serveProxied(ctx, req, reservation, p.stopping.Load())
-	out = &proxyResponse{release: reservation.Release, Upstream: q.lastUpstream, Sends: q.sends, MayHaveRun: q.mayHaveRun, NeedsConfiguration: failure.reason == noConfiguration}
+	q, resp, failure := p.handler.serveProxied(ctx, req, reservation, p.hasRoom, p.stopping.Load())
+	held := reservation.Taken()
+	p.heldBytes.Add(held)
+	release := func() {
+		p.heldBytes.Add(-held)
+		reservation.Release()
+	}
+	out = &proxyResponse{release: release, Upstream: q.lastUpstream, Sends: q.sends, MayHaveRun: q.mayHaveRun, NeedsConfiguration: failure.reason == noConfiguration}
 	out.Configuration = p.handler.view().configVersion()
 	if resp != nil {
 		p.metrics.proxyServed.WithLabelValues("answered").Inc()
@@ -259,9 +274,9 @@
 
 // serveProxied sends a request of an isolated VM to an upstream. reservation holds the memory of the
 // response; that of the body is held by the message.
-func (h *requestHandler) serveProxied(ctx context.Context, req *proxyRequest, reservation *buffers.Reservation, stopping bool) (*request, *upstreamconn.Response, outcome) {
+func (h *requestHandler) serveProxied(ctx context.Context, req *proxyRequest, reservation *buffers.Reservation, hasRoom func() bool, stopping bool) (*request, *upstreamconn.Response, outcome) {
 	q := &request{
-		arrived: time.Now(), buffers: reservation, body: req.Body, proxied: true, counted: req.Counted, mayHaveRun: req.MayHaveRun,
+		arrived: time.Now(), buffers: reservation, hasRoom: hasRoom, body: req.Body, proxied: true, counted: req.Counted, mayHaveRun: req.MayHaveRun,
 	}
 	if req.Exact {
 		q.agreed = req.Configuration
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -69,6 +69,9 @@
 	sharedUsed, count atomic.Int64
 }
 
+// ResponseBytes returns the most bytes of responses that wait to be sent, 0 for no limit.
+func (m *Messages) ResponseBytes() int64 { return m.limits.Bytes / 2 }
+
 // NewMessages returns the grants of a listener. reserved and shared are nil for no limit.
 func NewMessages(limits MessageLimits, guard *Guard, reserved, shared *buffers.Budget) *Messages {
 	return &Messages{limits: limits, guard: guard, reserved: reserved, shared: shared}
