--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -202,6 +202,9 @@
 	// callerDomain is the failure domain of that isolated VM, empty if it is that of this one or not
 	// known.
 	callerDomain api.FailureDomain
+	// hasRoom reports whether the VM has room for the response to a proxied request; nil if the caller
+	// is connected to this VM.
+	hasRoom func() bool
 	// agreed is the version of the configuration by which a proxied request must be handled, 0 if
 	// the isolated VM takes any.
 	agreed int64
