gateway: tests for the target of a hedge and for the end of the first exchange

Cause: nothing failed if a hedge stayed in the failure domain of the first send, or began while a crash was being verified. Change: TestHedgeTarget, TestNoSecondSendAfterExchange. Result: both pass with -race.

--- a/server/gateway/hedging_test.go
+++ b/server/gateway/hedging_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/hedge"
 	"dandelionhill.dev/core/shardmap"
@@ -223,21 +224,107 @@
 	}
 }
 
-// TestDiscardedResponse guards against a slot and a connection that a streamed response keeps when
-// it comes second.
-func TestDiscardedResponse(t *testing.T) {
-	d, g := withDownloads(t, func(*Gateway) {})
-	d.upstreams["p1"].SetHandler(respond(largeBody(540_000)))
+// startRequest returns a request that is about to be sent to u, with the slot taken.
+func startRequest(t *testing.T, g *Gateway, path string) (q *request, u *upstream) {
 	h, v := g.handler, g.control.view()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+testHost+downloadPath, nil)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+testHost+path, nil)
 	require.NoError(t, err)
-	r.RequestURI = downloadPath
-	q := &request{http: r, params: fleet.ParseRequestHeaders(r.Header), arrived: time.Now(), deadline: time.Now().Add(time.Minute), header: http.Header{}, streamable: true, buffers: h.buffers.Reserve()}
+	r.RequestURI = path
+	q = &request{
+		http: r, params: fleet.ParseRequestHeaders(r.Header), arrived: time.Now(), deadline: time.Now().Add(time.Minute),
+		header: http.Header{}, streamable: true, buffers: h.buffers.Reserve(), attempts: 1,
+	}
 	require.Zero(t, h.checkRequest(q, v).status)
 	u, failure := h.choose(t.Context(), q, v, nil)
 	require.NotNil(t, u, failure)
 	require.True(t, h.crashes.start(q.fingerprint))
-	sent := h.sendOnce(t.Context(), q, u)
+	return q, u
+}
+
+// TestNoSecondSendAfterExchange guards against a request that crashes a second upstream while the
+// VM verifies whether it has crashed the first one.
+func TestNoSecondSendAfterExchange(t *testing.T) {
+	d := startHedging(t, 2, 0.05, func(*deployment) {})
+	d.saveBudget()
+	d.roles = []http.HandlerFunc{resetConnection}
+	q, u := startRequest(t, d.g, plainPath)
+	race := d.g.handler.newHedgeRace(t.Context(), q, u, nil)
+	ended := 0
+	q.exchanged = func() {
+		ended++
+		race.close()
+		// The first run is still recorded: nothing is known of a crash.
+		require.False(t, d.g.handler.crashes.suspected(q.fingerprint))
+		race.run()
+	}
+	require.Error(t, d.g.handler.sendOnce(t.Context(), q, u).err)
+	require.Equal(t, 1, ended)
+	require.Equal(t, hedge.Changed, race.take(race.first), "the end of the exchange is seen after all other checks")
+	require.Zero(t, d.count(hedgeSent))
+	require.Len(t, d.arrived(""), 1)
+	q.buffers.Release()
+	d.requireIdle(d.g)
+}
+
+// TestHedgeTarget guards against a second send to the failure domain that slows the first one, to a
+// far slower upstream in another domain, or behind requests that wait.
+func TestHedgeTarget(t *testing.T) {
+	d := startHedging(t, 3, 0.05, func(*deployment) {})
+	q, first := startRequest(t, d.g, plainPath)
+	h, v := d.g.handler, d.g.control.view()
+	var others []*upstream
+	for _, u := range v.services["plain"] {
+		if u != first {
+			others = append(others, u)
+		}
+	}
+	near, far := others[0], others[1]
+	reg := *far.registration.Load()
+	reg.Domain = "zone-b"
+	far.registration.Store(&reg)
+	target := func(nearLatency, farLatency float64, exclude ...*upstream) *upstream {
+		near.mu.Lock()
+		near.latency = nearLatency
+		near.mu.Unlock()
+		far.mu.Lock()
+		far.latency = farLatency
+		far.mu.Unlock()
+		excluded := map[api.UpstreamID]bool{first.id: true}
+		for _, u := range exclude {
+			excluded[u.id] = true
+		}
+		return h.hedgeTarget(q, v, first, excluded)
+	}
+	require.Same(t, far, target(0.1, 0.12))
+	require.Same(t, near, target(0.1, 1), "the other domain is far slower")
+	require.Same(t, near, target(0.1, 0.12, far))
+	require.Nil(t, target(0.1, 0.12, near, far))
+
+	var taken int
+	for range 100 {
+		if near.limiter.tryAcquire(h.admissionParams(q)) {
+			taken++
+		}
+	}
+	require.Equal(t, int(near.limit.Load()), taken)
+	for range taken {
+		near.limiter.release(0, capacityUnknown)
+	}
+	near.limiter.setUsable(false)
+	require.False(t, near.limiter.tryAcquire(h.admissionParams(q)))
+	h.crashes.ended(q.fingerprint)
+	first.limiter.release(0, capacityUnknown)
+	q.buffers.Release()
+	d.requireIdle(d.g)
+}
+
+// TestDiscardedResponse guards against a slot and a connection that a streamed response keeps when
+// it comes second.
+func TestDiscardedResponse(t *testing.T) {
+	d, g := withDownloads(t, func(*Gateway) {})
+	d.upstreams["p1"].SetHandler(respond(largeBody(540_000)))
+	q, u := startRequest(t, g, downloadPath)
+	sent := g.handler.sendOnce(t.Context(), q, u)
 	require.NoError(t, sent.err)
 	require.NotNil(t, sent.resp.Stream)
 	require.Equal(t, 1, u.limiter.load())
