gateway: hedge tests do not depend on the order in which sends arrive

Change: the timer of the second send is a dependency, and the tests let it end when the first send has arrived. TestBothSendsFail fails if the second upstream gets the request again, and TestNoSecondSendAfterExchange if a crash that is being verified does not prevent the second send.

--- a/server/gateway/hedging.go
+++ b/server/gateway/hedging.go
@@ -36,6 +36,9 @@
 
 // hedges decides on the second sends of this VM.
 type hedges struct {
+	// afterFunc calls a function after a time, as time.AfterFunc does.
+	afterFunc func(d time.Duration, f func()) *time.Timer
+
 	mu     sync.Mutex
 	policy *hedge.Policy
 }
@@ -45,7 +48,7 @@
 	if s.Share <= 0 {
 		return nil
 	}
-	return &hedges{policy: hedge.NewPolicy(hedge.Config{Share: s.Share})}
+	return &hedges{afterFunc: time.AfterFunc, policy: hedge.NewPolicy(hedge.Config{Share: s.Share})}
 }
 
 func (s *hedges) withPolicy(f func(p *hedge.Policy)) {
@@ -140,7 +143,7 @@
 	if skip == hedge.None {
 		race = h.newHedgeRace(ctx, q, u, avoid)
 		firstCtx = race.firstCtx
-		timer := time.AfterFunc(after, func() { guard{h.metrics, h.log}.run("hedge", race.run) })
+		timer := h.hedges.afterFunc(after, func() { guard{h.metrics, h.log}.run("hedge", race.run) })
 		defer timer.Stop()
 		q.exchanged = race.close
 		defer func() { q.exchanged = nil }()
--- a/server/gateway/hedging_test.go
+++ b/server/gateway/hedging_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +21,7 @@
 	"dandelionhill.dev/core/hedge"
 	"dandelionhill.dev/core/shardmap"
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/upstreamconn"
 )
 
 // hedging is a deployment with a VM that hedges, whose upstreams respond by the order in which the
@@ -29,6 +33,13 @@
 	mu       sync.Mutex
 	arrivals map[string][]string // upstreams by request
 	roles    []http.HandlerFunc
+	// timer is that of the last request. The second send is due when the first has arrived.
+	timer *time.Timer
+	// due begins the second send; manual means that the test calls it.
+	due    func()
+	manual bool
+	// dialled, unless it is nil, is called before the VM connects to an upstream.
+	dialled atomic.Pointer[func()]
 }
 
 func startHedging(t *testing.T, upstreams int, share float64, prepare func(d *deployment)) *hedging {
@@ -38,9 +49,26 @@
 	for n := range upstreams {
 		d.addUpstream(fmt.Sprint("p", n), "plain")
 	}
-	d.g = d.startVMWith("vm-a", d.storeAddr, func(g *Gateway) { g.handler.hedges = newHedges(Hedging{Share: share}) })
+	d.g = d.startVMWith("vm-a", d.storeAddr, func(g *Gateway) {
+		g.control.dialUpstream = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if f := d.dialled.Load(); f != nil {
+				(*f)()
+			}
+			return upstreamconn.Dial(ctx, network, address)
+		}
+		g.handler.hedges = newHedges(Hedging{Share: share})
+		g.handler.hedges.afterFunc = func(_ time.Duration, f func()) *time.Timer {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.due, d.timer = f, time.AfterFunc(time.Hour, f)
+			return d.timer
+		}
+	})
 	d.requireServed(d.g, plainPath, -1)
-	d.eventually(func() bool { return len(d.g.control.view().services["plain"]) == upstreams && d.limits(4) }, "the VM knows the upstreams and its share of them")
+	d.eventually(func() bool {
+		v := d.g.control.view()
+		return len(v.services["plain"]) == upstreams && d.limits(4) && v.hasRank(bootTime()) && v.clock.known
+	}, "the VM knows the upstreams, its share of them and its time slots")
 	for id, u := range d.upstreams {
 		u.SetHandler(func(w http.ResponseWriter, r *http.Request) { d.handle(id, w, r) })
 	}
@@ -79,6 +107,9 @@
 	role := min(len(d.arrivals[request]), len(d.roles)-1)
 	d.arrivals[request] = append(d.arrivals[request], id)
 	handler := d.roles[role]
+	if d.timer != nil && !d.manual && len(d.arrivals[request]) == 1 {
+		d.timer.Reset(0)
+	}
 	d.mu.Unlock()
 	w.Header().Set("X-Upstream", id)
 	handler(w, r)
@@ -168,11 +199,15 @@
 			d := startHedging(t, 2, 0.05, configureDownloads)
 			d.saveBudget()
 			cancelled, body := make(chan struct{}, 1), largeBody(540_000)
-			var deadline string
-			d.roles = []http.HandlerFunc{untilCancelled(cancelled), func(w http.ResponseWriter, r *http.Request) {
-				deadline = r.Header.Get(fleet.HeaderDeadlineMs)
-				respond(body)(w, r)
-			}}
+			deadlines := make(chan int, 2)
+			stated := func(next http.HandlerFunc) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					ms, _ := strconv.Atoi(r.Header.Get(fleet.HeaderDeadlineMs))
+					deadlines <- ms
+					next(w, r)
+				}
+			}
+			d.roles = []http.HandlerFunc{stated(untilCancelled(cancelled)), stated(respond(body))}
 			resp, got := d.request(d.g, http.MethodPost, "hedged", path, -1, 15*time.Second)
 			require.Equal(t, http.StatusNonAuthoritativeInfo, resp.StatusCode)
 			require.True(t, string(body) == got, "%d bytes arrived", len(got))
@@ -181,9 +216,9 @@
 			require.Equal(t, arrived[1], resp.Header.Get("X-Upstream"))
 			require.NotEqual(t, arrived[0], arrived[1])
 			receiveWithin(t, cancelled, "the first upstream learns that its work is not needed")
-			left, err := strconv.Atoi(deadline)
-			require.NoError(t, err)
-			require.LessOrEqual(t, left, 15000-5, "the second send states the remaining time")
+			first, second := <-deadlines, <-deadlines
+			require.Positive(t, second)
+			require.LessOrEqual(t, second, first, "the second send states the remaining time")
 			require.Equal(t, 1, d.count(hedgeSent))
 			require.Equal(t, 1, d.count(hedgeWon))
 			d.requireNoFault(arrived[0], "hedged", path)
@@ -246,23 +281,22 @@
 func TestNoSecondSendAfterExchange(t *testing.T) {
 	d := startHedging(t, 2, 0.05, func(*deployment) {})
 	d.saveBudget()
-	d.roles = []http.HandlerFunc{resetConnection}
-	q, u := startRequest(t, d.g, plainPath)
-	race := d.g.handler.newHedgeRace(t.Context(), q, u, nil)
-	ended := 0
-	q.exchanged = func() {
-		ended++
-		race.close()
-		// The first run is still recorded: nothing is known of a crash.
-		require.False(t, d.g.handler.crashes.suspected(q.fingerprint))
-		race.run()
-	}
-	require.Error(t, d.g.handler.sendOnce(t.Context(), q, u).err)
-	require.Equal(t, 1, ended)
-	require.Equal(t, hedge.Changed, race.take(race.first), "the end of the exchange is seen after all other checks")
+	verified := make(chan struct{})
+	d.roles = []http.HandlerFunc{func(http.ResponseWriter, *http.Request) {
+		d.mu.Lock()
+		run := sync.OnceFunc(func() {
+			d.due()
+			close(verified)
+		})
+		d.mu.Unlock()
+		d.dialled.Store(&run) // the second send is due when the VM connects to the upstream again
+		panic(http.ErrAbortHandler)
+	}, respond(nil)}
+	d.manual = true
+	resp, _ := d.request(d.g, http.MethodPost, "crashes", plainPath, -1, 15*time.Second)
+	receiveWithin(t, verified, "the VM verifies whether the upstream has crashed")
+	require.Equal(t, http.StatusNonAuthoritativeInfo, resp.StatusCode, "the retry is served")
 	require.Zero(t, d.count(hedgeSent))
-	require.Len(t, d.arrived(""), 1)
-	q.buffers.Release()
 	d.requireIdle(d.g)
 }
 
@@ -357,7 +391,15 @@
 					defer close(firstEnded)
 					test.first(w, r)
 				}),
-				before(second, after(firstEnded, test.second)),
+				func(w http.ResponseWriter, r *http.Request) {
+					// The third upstream would not be chosen if the request could go back to one of the others.
+					d.each(func(u *upstream) {
+						if !slices.Contains(d.arrived("hedged"), string(u.id)) {
+							u.latency = 10
+						}
+					})
+					before(second, after(firstEnded, test.second))(w, r)
+				},
 				respond(nil),
 			}
 			resp, _ := d.request(d.g, http.MethodPost, "hedged", plainPath, -1, 15*time.Second)
@@ -398,32 +440,30 @@
 // TestNotHedged guards against second sends of requests that must not have any, or that upstreams
 // have no room for. The first upstream responds when the VM has decided against a second send.
 func TestNotHedged(t *testing.T) {
-	second := func(d *hedging, f func(u *upstream)) {
-		d.each(f) // the first send has passed, so the state of the other upstream decides
+	// one changes one of the two upstreams, so that the first send goes to the other. A cold one gets
+	// the first send if the VM has a time slot.
+	one := func(f func(u *upstream)) func(d *hedging) {
+		return func(d *hedging) { f(d.g.control.view().upstreams["p0"]) }
 	}
+	all := func(f func(u *upstream)) func(d *hedging) { return func(d *hedging) { d.each(f) } }
 	for name, test := range map[string]struct {
-		skip hedge.Skip
-		// prepare is called before the request is sent, meanwhile while it is at its first upstream.
-		prepare, meanwhile func(d *hedging)
+		skip    hedge.Skip
+		prepare func(d *hedging)
 	}{
-		"busy":         {skip: hedge.NoSlot, meanwhile: func(d *hedging) { second(d, func(u *upstream) { u.load.Running = 2 }) }},
-		"unknown load": {skip: hedge.NoSlot, meanwhile: func(d *hedging) { second(d, func(u *upstream) { u.loadAt = time.Time{} }) }},
-		"avoided": {skip: hedge.NoSlot, meanwhile: func(d *hedging) {
-			second(d, func(u *upstream) { u.avoidUntil = time.Now().Add(time.Hour) })
-		}},
-		"cold": {skip: hedge.NoSlot, meanwhile: func(d *hedging) {
-			second(d, func(u *upstream) { u.statedCold.Store(int64(bootTime() + time.Hour)) })
-		}},
-		"resting":  {skip: hedge.NoSlot, meanwhile: func(d *hedging) { second(d, func(u *upstream) { u.rest(time.Hour) }) }},
-		"leaving":  {skip: hedge.NoSlot, meanwhile: func(d *hedging) { second(d, func(u *upstream) { u.leavingSince.Store(1) }) }},
-		"stopping": {skip: hedge.Stopping, meanwhile: func(d *hedging) { d.g.handler.stopBy(time.Now().Add(time.Minute)) }},
-		"budget": {skip: hedge.Budget, prepare: func(d *hedging) {
+		"busy":         {hedge.NoSlot, all(func(u *upstream) { u.load.Running = 2 })},
+		"unknown load": {hedge.NoSlot, all(func(u *upstream) { u.loadAt = time.Time{} })},
+		"avoided":      {hedge.NoSlot, all(func(u *upstream) { u.avoidUntil = time.Now().Add(time.Hour) })},
+		"cold":         {hedge.NoSlot, all(func(u *upstream) { u.statedCold.Store(int64(bootTime() + time.Hour)) })},
+		"resting":      {hedge.NoSlot, one(func(u *upstream) { u.rest(time.Hour) })},
+		"leaving":      {hedge.NoSlot, one(func(u *upstream) { u.leavingSince.Store(int64(bootTime())) })},
+		"stopping":     {hedge.Stopping, func(d *hedging) { d.g.handler.stopBy(time.Now().Add(time.Minute)) }},
+		"budget": {hedge.Budget, func(d *hedging) {
 			d.g.handler.hedges.withPolicy(func(p *hedge.Policy) {
 				for p.Take("plain") {
 				}
 			})
 		}},
-		"retry budget": {skip: hedge.RetryBudget, prepare: func(d *hedging) {
+		"retry budget": {hedge.RetryBudget, func(d *hedging) {
 			d.g.handler.mu.Lock()
 			defer d.g.handler.mu.Unlock()
 			budget := d.g.handler.retryBudget("plain")
@@ -431,7 +471,7 @@
 			for budget.Take(time.Since(d.g.handler.start)) {
 			}
 		}},
-		"suspect": {skip: hedge.Suspect, prepare: func(d *hedging) {
+		"suspect": {hedge.Suspect, func(d *hedging) {
 			print := shardmap.Fingerprint("plain", http.MethodPost, plainPath, []byte("body"))
 			d.g.handler.crashes.withEvidence(func(e *crash.Evidence, now time.Duration) {
 				e.Started(now, print)
@@ -442,13 +482,8 @@
 		t.Run(name, func(t *testing.T) {
 			d := startHedging(t, 2, 0.05, func(*deployment) {})
 			d.saveBudget()
-			if test.prepare != nil {
-				test.prepare(d)
-			}
+			test.prepare(d)
 			d.roles = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
-				if test.meanwhile != nil {
-					test.meanwhile(d)
-				}
 				for d.skipped("plain", test.skip) == 0 && r.Context().Err() == nil {
 					time.Sleep(time.Millisecond)
 				}
@@ -514,9 +549,15 @@
 func TestHedgeBudget(t *testing.T) {
 	d := startHedging(t, 2, 0.05, func(*deployment) {})
 	d.roles = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
-		for spent := d.skipped("plain", hedge.Budget); d.skipped("plain", hedge.Budget) == spent && r.Context().Err() == nil; {
+		d.mu.Lock()
+		requests := len(d.arrivals)
+		d.mu.Unlock()
+		for d.count(hedgeSent)+d.skipped("plain", hedge.Budget) < requests && r.Context().Err() == nil {
 			time.Sleep(time.Millisecond)
 		}
+		if len(d.arrived(r.Header.Get(fleet.HeaderRequestID))) > 1 {
+			<-r.Context().Done()
+		}
 		respond(nil)(w, r)
 	}, respond(nil)}
 	const requests = 45
