--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -26,8 +26,9 @@
 	// itemCost is the memory of a decoded data item beside its bytes: 131,072 empty maps in an array
 	// are as many structures.
 	itemCost = 64
-	// handlingCost is the memory of a request that is being handled: its goroutine and its headers.
-	handlingCost = 8 << 10
+	// handlingCost is the memory of a request that is being handled, beside its bytes: its goroutine, its
+	// headers and what it waits with.
+	handlingCost = 24 << 10
 	// messageHeadBytes is how much of a refused message is kept: it names what is refused.
 	messageHeadBytes = 256
 	// grantPolls and grantInterval bound the wait for memory that closed connections release.
