--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -211,11 +212,13 @@
 // read reads a message in pieces and joins them at its end.
 func (m *Message) read(src io.Reader) error {
 	var full []*[pieceBytes]byte
-	defer func() {
+	release := func() {
 		for _, piece := range full {
 			pieces.Put(piece)
 		}
-	}()
+		full = nil
+	}
+	defer release()
 	m.Data = make([]byte, 0, shortMessageBytes)
 	current, total := m.Data, int64(0)
 	for {
@@ -228,6 +231,10 @@
 				size = min(2*int64(cap(current)), pieceBytes)
 			}
 			if !m.conn.take(size) {
+				// The rest of the message may never come: it must not hold the pieces.
+				m.Data = slices.Clone(m.Data[:min(len(m.Data), messageHeadBytes)])
+				current = nil
+				release()
 				return m.refuse(src, MessageMemory)
 			}
 			switch {
