gateway: a test for the state of the second send

Cause: with the timer as a dependency, sharing the header of the first send no longer shows as a data race in the other tests. Change: TestStateOfSecondSend. Result: it passes with -race, and fails with a shared header.

--- a/server/gateway/hedging_test.go
+++ b/server/gateway/hedging_test.go
@@ -19,6 +19,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/hedge"
+	"dandelionhill.dev/core/routing"
 	"dandelionhill.dev/core/shardmap"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/upstreamconn"
@@ -300,6 +301,17 @@
 	d.requireIdle(d.g)
 }
 
+// TestStateOfSecondSend guards against a second send that changes the header of the first one, which
+// is written to its connection meanwhile, or that counts the request again.
+func TestStateOfSecondSend(t *testing.T) {
+	q := &request{service: &routing.Service{Name: "plain"}, route: &routing.Route{Name: "p"}, header: http.Header{}, mayHaveRun: 1, sends: 1}
+	second := (&requestHandler{}).newHedgeRace(t.Context(), q, &upstream{id: "p0"}, nil).q
+	fleet.SetUpstreamHeaders(second.header, "p1", time.Second)
+	require.Empty(t, q.header)
+	require.True(t, second.counted)
+	require.Equal(t, 2, second.mayHaveRun, "the first send may run")
+}
+
 // TestHedgeTarget guards against a second send to the failure domain that slows the first one, to a
 // far slower upstream in another domain, or behind requests that wait.
 func TestHedgeTarget(t *testing.T) {
