gateway: decisions on requests that can be made without effect

The decisions took tokens, slots and budgets, and counted, in the same functions.

Queues, quotas, hedges and splitters decide on a copy of their state with the same code (Queue.Preview, Client.Copy, Policy.Preview, Splitter.Preview). No change of behaviour is intended.

Result: go test -race ./server/gateway -run 'Decisions|Hedg|Quota|Token| Auth|Key|Workspace|Status|Cold|Rest|Leaving|Retr|Select|Absen' passes (74 s); so do core/admission, hedge, quota, absence, ratelimit, routing. No existing test was changed. The whole gateway suite was not run.

--- a/core/absence/absence.go
+++ b/core/absence/absence.go
@@ -64,6 +64,15 @@
 	return now - t.since[g]
 }
 
+// Age returns for how long a key has had no owner, 0 if none was recorded as missing.
+func (t *Tracker) Age(now time.Duration, service api.ServiceName, key int) time.Duration {
+	since, known := t.since[group{service, key / groupSize}]
+	if !known {
+		return 0
+	}
+	return now - since
+}
+
 // Present records that a key has an owner.
 func (t *Tracker) Present(service api.ServiceName, key int) {
 	delete(t.since, group{service, key / groupSize})
--- a/core/hedge/policy.go
+++ b/core/hedge/policy.go
@@ -103,6 +103,23 @@
 	return after, None
 }
 
+// Preview returns what Plan would, and whether the budget of the service allows a hedge. Nothing
+// changes: copies of the controllers decide.
+func (p *Policy) Preview(r Request) (after time.Duration, skip Skip, budget bool) {
+	preview := NewPolicy(p.cfg)
+	if c := p.routes[r.Route]; c != nil {
+		route := *c
+		preview.routes[r.Route] = &route
+	}
+	if c := p.services[r.Service]; c != nil {
+		service := *c
+		preview.services[r.Service] = &service
+	}
+	preview.Count(r.Service)
+	after, skip = preview.Plan(r)
+	return after, skip, preview.Take(r.Service)
+}
+
 // InTime decides again, when the hedge is due, whether the remaining time is long enough.
 func (p *Policy) InTime(route string, remaining time.Duration) bool {
 	c := controller(p, p.routes, route)
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -130,6 +131,20 @@
 		credit = make([]int, len(r.Services))
 		s.credit[r.Name] = credit
 	}
+	return next(r, credit)
+}
+
+// Preview returns the service that Next would return. Nothing changes.
+func (s *Splitter) Preview(r *Route) api.ServiceName {
+	credit := slices.Clone(s.credit[r.Name])
+	if len(credit) != len(r.Services) {
+		credit = make([]int, len(r.Services))
+	}
+	return next(r, credit)
+}
+
+// next chooses the service of a request and adjusts the credit of each.
+func next(r *Route, credit []int) api.ServiceName {
 	total, best := 0, 0
 	for i, p := range r.Services {
 		credit[i] += p.Weight
--- a/server/gateway/authenticate.go
+++ b/server/gateway/authenticate.go
@@ -48,18 +48,29 @@
 	if q.auth.config != v.config {
 		h.authenticate(q, v.config)
 	}
+	failure := h.checkAuthorization(q)
+	if failure.status == 0 {
+		return true
+	}
+	if failure.reason == unauthorized {
+		h.metrics.unauthorized.WithLabelValues(q.auth.cause).Inc()
+	}
+	q.auth.refusal = failure
+	return false
+}
+
+// checkAuthorization returns an outcome with a status if a request may not be sent under the keys of
+// the configuration that was asked last. It changes nothing.
+func (h *requestHandler) checkAuthorization(q *request) outcome {
 	switch {
 	case !q.auth.needsKey:
-		return true
+		return outcome{}
 	case h.bounds.RevokeStrict && !h.configurationConfirmed():
-		q.auth.refusal = outcome{reason: unconfirmed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter}
-		return false
+		return outcome{reason: unconfirmed, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter}
 	case q.workspace == nil:
-		h.metrics.unauthorized.WithLabelValues(q.auth.cause).Inc()
-		q.auth.refusal = outcome{reason: unauthorized, status: http.StatusUnauthorized, err: unauthorizedError(q.auth.cause)}
-		return false
+		return outcome{reason: unauthorized, status: http.StatusUnauthorized, err: unauthorizedError(q.auth.cause)}
 	}
-	return true
+	return outcome{}
 }
 
 // authenticate finds the workspace of a request in a configuration.
--- a/server/gateway/backpressure.go
+++ b/server/gateway/backpressure.go
@@ -15,16 +15,18 @@
 )
 
 // configure applies the share of this VM; l.mu is held.
-func (l *limiter) configure() {
-	l.queue.SetLimit(int(l.limit.Load()))
+func (l *limiter) configure() { l.configureQueue(l.queue) }
+
+func (l *limiter) configureQueue(queue *admission.Queue) {
+	queue.SetLimit(int(l.limit.Load()))
 	if l.senders != nil {
-		l.queue.SetBackpressure(int(l.senders.Load()), l.slots, rand.Float64)
+		queue.SetBackpressure(int(l.senders.Load()), l.slots, rand.Float64)
 	}
-	l.queue.SetRefuseLate(l.refuseLate)
+	queue.SetRefuseLate(l.refuseLate)
 	if l.shares.active() {
-		l.queue.SetShares(l.shares)
+		queue.SetShares(l.shares)
 	} else {
-		l.queue.SetShares(nil)
+		queue.SetShares(nil)
 	}
 }
 
--- a/server/gateway/forward.go
+++ b/server/gateway/forward.go
@@ -12,7 +12,6 @@
 	"dandelionhill.dev/core/absence"
 	"dandelionhill.dev/core/ratelimit"
 	"dandelionhill.dev/core/routing"
-	"dandelionhill.dev/core/selection"
 	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/upstreamconn"
 	"dandelionhill.dev/server/wait"
@@ -172,7 +171,7 @@
 // the VM stops, a request that could not end before the process does is refused: it has not run.
 func (h *requestHandler) choose(ctx context.Context, q *request, v *view, avoid map[api.UpstreamID]bool) (*upstream, outcome) {
 	stopping := outcome{reason: vmStopping, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter}
-	if h.stop.Err() != nil && h.timeToSend(q) <= 0 {
+	if h.stopsBefore(q) {
 		return nil, stopping
 	}
 	waitCtx, cancel := context.WithCancel(ctx)
@@ -186,6 +185,11 @@
 	return u, failure
 }
 
+// stopsBefore reports whether the VM stops before a request that is sent now could end.
+func (h *requestHandler) stopsBefore(q *request) bool {
+	return h.stop.Err() != nil && h.timeToSend(q) <= 0
+}
+
 // timeToSend returns for how much longer a request may be sent while the VM stops.
 func (h *requestHandler) timeToSend(q *request) time.Duration {
 	return time.Until(time.Unix(0, h.stopAt.Load())) - stopResponseTime - h.expectedTime(q)
@@ -202,7 +206,7 @@
 		}
 		u, retryAfter, cause := h.lowestCost(q, v, avoid)
 		if u == nil {
-			return nil, outcome{reason: cause, status: http.StatusServiceUnavailable, retryAfter: max(retryAfter, shortRetryAfter)}
+			return nil, noCandidate(cause, retryAfter)
 		}
 		if err := h.acquire(ctx, q, u); errors.Is(err, errUnusable) {
 			v = h.viewAfter(ctx, v)
@@ -220,8 +224,8 @@
 
 // acquire acquires a slot of the limiter of an upstream.
 func (h *requestHandler) acquire(ctx context.Context, q *request, u *upstream) error {
-	if u.limiter.permitWait() > 0 && !h.limits.hasIssuer() {
-		return noCapacityError{retryAfter: shortRetryAfter}
+	if err := h.checkPermits(u); err != nil {
+		return err
 	}
 	began := time.Now()
 	defer func() { h.metrics.queued.WithLabelValues(string(q.service.Name)).Observe(time.Since(began).Seconds()) }()
@@ -233,6 +237,14 @@
 	return err
 }
 
+// checkPermits returns an error if an upstream limits its requests and nobody issues permits.
+func (h *requestHandler) checkPermits(u *upstream) error {
+	if u.limiter.permitWait() > 0 && !h.limits.hasIssuer() {
+		return noCapacityError{retryAfter: shortRetryAfter}
+	}
+	return nil
+}
+
 // admissionParams returns the parameters of a request to be admitted.
 func (h *requestHandler) admissionParams(q *request) admissionParams {
 	target := q.deadline
@@ -262,49 +274,14 @@
 	return failure
 }
 
-// lowestCost returns the upstream with the lowest expected latency, with a preference for
-// the VM's own failure domain. It avoids the given upstreams unless no other is usable.
-// If there is none, it returns after which time there may be, and the cause.
+// lowestCost returns the upstream with the lowest cost, see rankUpstreams, and asks for permits of
+// those with a limit.
 func (h *requestHandler) lowestCost(q *request, v *view, avoid map[api.UpstreamID]bool) (best *upstream, retryAfter time.Duration, cause reason) {
-	cause = noUpstream
-	now, boot := time.Now(), bootTime()
-	expected := h.stats.expectedLatency(q.route.Name)
-	var choice, limitedChoice selection.Choice[*upstream]
-	for pass := range 2 {
-		for _, u := range v.services[q.service.Name] {
-			if pass == 0 && (avoid[u.id] || u.isLeaving()) {
-				continue
-			}
-			if why, wait := h.checkUpstream(q, v, u, boot); why != "" {
-				if wait > 0 && (retryAfter == 0 || wait < retryAfter) {
-					retryAfter, cause = wait, why
-				}
-				continue
-			}
-			candidate := u.candidate(now, expected, h.domain)
-			if wait := u.limiter.permitWait(); wait > 0 {
-				u.limiter.requestSpare()
-				candidate.Latency += wait.Seconds()
-				limitedChoice.Add(u, candidate)
-				continue
-			}
-			if h.limits.isUnconfirmed(u, boot) {
-				best = u
-				break
-			}
-			choice.Add(u, candidate)
-		}
-		if best == nil {
-			best, _ = choice.Best(localAllowance(q.route))
-		}
-		if best != nil {
-			break
+	return h.rankUpstreams(q, v, avoid, func(c considered) {
+		if c.permitWait > 0 {
+			c.upstream.limiter.requestSpare()
 		}
-	}
-	if best == nil {
-		best, _ = limitedChoice.Best(localAllowance(q.route))
-	}
-	return best, retryAfter, cause
+	})
 }
 
 // localAllowance returns how much later than elsewhere a request may end at an upstream of
@@ -382,9 +359,9 @@
 // request.
 func (h *requestHandler) awaitOwner(ctx context.Context, q *request, v *view) (*upstream, outcome) {
 	if q.params.Key < 0 {
-		return nil, outcome{reason: badRequest, status: http.StatusBadRequest}
+		return nil, noKey
 	}
-	waitUntil := time.Now().Add(min(maxOwnerWait, q.remaining()/2))
+	waitUntil := ownerWaitEnd(q)
 	for {
 		if failure := h.checkRequest(q, v); failure.status != 0 {
 			return nil, failure
@@ -393,15 +370,9 @@
 			// A newer configuration names another service for the route.
 			return h.await(ctx, q, v, nil)
 		}
-		table := v.owners[q.service.Name]
-		q.term = table.Term
-		u := v.upstreams[table.owner(q.params.Key)]
-		why, untilReady := noOwner, time.Duration(0)
-		if u != nil {
-			why, untilReady = h.checkUpstream(q, v, u, bootTime())
-		}
-		switch why {
-		case "":
+		q.term = v.owners[q.service.Name].Term
+		u, why, untilReady := h.checkOwner(q, v)
+		if why == "" {
 			h.recordOwner(q)
 			if err := h.acquire(ctx, q, u); errors.Is(err, errUnusable) {
 				v = h.viewAfter(ctx, v)
@@ -415,37 +386,23 @@
 			}
 			u.limiter.release(0, capacityUnknown)
 			continue
-		case resting:
+		}
+		if why == resting || why == cold {
 			h.recordOwner(q)
-			if untilReady > h.spareTime(q) {
-				return nil, outcome{reason: resting, status: http.StatusServiceUnavailable, retryAfter: untilReady}
+		}
+		pause, failure := h.ownerWait(q, why, untilReady, waitUntil, h.recordAbsence)
+		if failure.status != 0 {
+			return nil, failure
+		}
+		if why == cold {
+			if !wait.For(ctx, pause) {
+				return nil, outcome{reason: cold, status: http.StatusServiceUnavailable}
 			}
+		} else if !h.awaitView(ctx, v, pause) && ctx.Err() != nil {
 			// The key may get another owner meanwhile.
-			if !h.awaitView(ctx, v, untilReady) && ctx.Err() != nil {
+			if why == resting {
 				return nil, outcome{reason: resting, status: http.StatusServiceUnavailable}
 			}
-			v = h.view()
-			continue
-		case cold:
-			h.recordOwner(q)
-			if time.Now().Add(untilReady).After(waitUntil) {
-				return nil, outcome{reason: cold, status: http.StatusServiceUnavailable, retryAfter: untilReady}
-			}
-			if !wait.For(ctx, untilReady) {
-				return nil, outcome{reason: cold, status: http.StatusServiceUnavailable}
-			}
-			v = h.view()
-			continue
-		}
-		if why == ownerLeaving && h.movesPaused.Load() {
-			return nil, outcome{reason: ownerLeaving, status: http.StatusServiceUnavailable, retryAfter: ownerForecast.Loss}
-		}
-		age := h.recordAbsence(q)
-		pause, retryAfter := ownerForecast.Decide(age, h.spareTime(q))
-		if pause == 0 {
-			return nil, outcome{reason: noOwner, status: http.StatusServiceUnavailable, retryAfter: retryAfter}
-		}
-		if !h.awaitView(ctx, v, pause) && ctx.Err() != nil {
 			return nil, outcome{reason: noOwner, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter}
 		}
 		v = h.view()
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -226,34 +226,15 @@
 	q := &request{arrived: time.Now(), params: fleet.ParseRequestHeaders(r.Header), http: r, buffers: h.buffers.Reserve()}
 	defer q.buffers.Release()
 	v := h.view()
-	if h.stopping.Load() {
-		h.refuse(w, q, outcome{reason: vmStopping, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter})
-		return
-	}
-	if v.config == nil {
-		h.refuse(w, q, outcome{reason: noConfiguration, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter})
-		return
-	}
-	if limit := v.config.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
-		h.refuse(w, q, outcome{reason: headTooLarge, status: http.StatusRequestHeaderFieldsTooLarge, err: errHeadTooLarge})
-		return
-	}
-	if q.route = v.config.Match(r.Host, r.URL.EscapedPath()); q.route == nil {
-		h.refuse(w, q, outcome{reason: noRoute, status: http.StatusNotFound})
+	if failure := h.checkArrival(q, v); failure.status != 0 {
+		h.refuse(w, q, failure)
 		return
 	}
 	if !h.authorized(q, v) {
 		h.refuse(w, q, q.auth.refusal)
 		return
 	}
-	timeout := defaultTimeout
-	if q.params.Timeout > 0 {
-		timeout = q.params.Timeout
-	}
-	if q.route.Timeout > 0 {
-		timeout = min(timeout, q.route.Timeout-responseMargin)
-	}
-	q.deadline = q.arrived.Add(timeout)
+	q.deadline = q.arrived.Add(q.timeout())
 	if failure := h.readBody(q, v.config.Limits, w); failure.status != 0 {
 		h.refuse(w, q, failure)
 		return
@@ -280,6 +261,33 @@
 	h.logResponse(q, resp.Status, err)
 }
 
+// checkArrival gives a request its route. The outcome of a request that is refused on arrival, whatever
+// its credentials, has a status.
+func (h *requestHandler) checkArrival(q *request, v *view) outcome {
+	switch {
+	case h.stopping.Load():
+		return outcome{reason: vmStopping, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter}
+	case v.config == nil:
+		return outcome{reason: noConfiguration, status: http.StatusServiceUnavailable, retryAfter: shortRetryAfter}
+	}
+	if limit := v.config.Limits.HeaderBytes; limit > 0 && headerBytes(q.http) > limit {
+		return outcome{reason: headTooLarge, status: http.StatusRequestHeaderFieldsTooLarge, err: errHeadTooLarge}
+	}
+	return h.matchRoute(q, v)
+}
+
+// timeout returns for how long a request may take, by its caller and its route.
+func (q *request) timeout() time.Duration {
+	timeout := defaultTimeout
+	if q.params.Timeout > 0 {
+		timeout = q.params.Timeout
+	}
+	if q.route.Timeout > 0 {
+		timeout = min(timeout, q.route.Timeout-responseMargin)
+	}
+	return timeout
+}
+
 // serve sends a request to an upstream, or to another VM while this one is isolated. It returns
 // the response of an upstream or the outcome of the request.
 func (h *requestHandler) serve(ctx context.Context, q *request) (*upstreamconn.Response, outcome) {
@@ -336,13 +344,22 @@
 func (h *requestHandler) retryBudget(service api.ServiceName) *ratelimit.RetryBudget {
 	budget, ok := h.retryBudgets[service]
 	if !ok {
-		budget = &ratelimit.RetryBudget{Window: h.bounds.RetryWindow.AsDuration(), Ratio: h.bounds.RetryRatio * retryBudgetShare}
+		budget = h.newRetryBudget()
 		h.retryBudgets[service] = budget
 	}
-	budget.Allowance = ratelimit.Share(h.bounds.RetryAllowance*retryBudgetShare, h.view().vms)
+	budget.Allowance = h.retryAllowance()
 	return budget
 }
 
+func (h *requestHandler) newRetryBudget() *ratelimit.RetryBudget {
+	return &ratelimit.RetryBudget{Window: h.bounds.RetryWindow.AsDuration(), Ratio: h.bounds.RetryRatio * retryBudgetShare}
+}
+
+// retryAllowance returns this VM's part of the retries that are allowed independently of requests.
+func (h *requestHandler) retryAllowance() int {
+	return ratelimit.Share(h.bounds.RetryAllowance*retryBudgetShare, h.view().vms)
+}
+
 // takeRetry takes one retry from the budget of the service.
 func (h *requestHandler) takeRetry(q *request) bool {
 	h.mu.Lock()
@@ -454,20 +471,13 @@
 	if failure.reason == callerLeft {
 		return // without a response the connection ends
 	}
-	body := refusal{Reason: failure.reason, Outcome: string(api.NotRun), Remedy: "send the request again"}
+	body := refusal{Reason: failure.reason, Outcome: string(api.NotRun), Remedy: failure.remedy()}
 	if failure.status == http.StatusBadGateway || failure.status == http.StatusGatewayTimeout {
-		body.Outcome, body.Remedy = string(api.Unknown), "find out whether the request has run before sending it again"
-	}
-	if failure.status < http.StatusInternalServerError {
-		body.Remedy = "correct the request"
+		body.Outcome = string(api.Unknown)
 	}
 	if failure.status == http.StatusUnauthorized {
-		body.Remedy = authorizationRemedy
 		w.Header().Set("WWW-Authenticate", fleet.AuthorizationScheme)
 	}
-	if failure.reason == overQuota {
-		body.Remedy = "send the request again after Retry-After, or have the quota of the workspace raised"
-	}
 	if failure.retryAfter > 0 {
 		// Jitter keeps the retries of callers from arriving together.
 		after := failure.retryAfter.Seconds() * (0.8 + 0.4*rand.Float64())
@@ -483,6 +493,21 @@
 	}
 }
 
+// remedy returns what the caller should do.
+func (o outcome) remedy() string {
+	switch {
+	case o.reason == overQuota:
+		return "send the request again after Retry-After, or have the quota of the workspace raised"
+	case o.status == http.StatusUnauthorized:
+		return authorizationRemedy
+	case o.status < http.StatusInternalServerError:
+		return "correct the request"
+	case o.status == http.StatusBadGateway, o.status == http.StatusGatewayTimeout:
+		return "find out whether the request has run before sending it again"
+	}
+	return "send the request again"
+}
+
 func (h *requestHandler) logRefusal(q *request, failure outcome) {
 	service := ""
 	if q.service != nil {
--- a/server/gateway/hedging.go
+++ b/server/gateway/hedging.go
@@ -120,13 +120,7 @@
 		return h.sendOnce(ctx, q, u)
 	}
 	service, route, repeatable := q.service.Name, q.route.Name, q.route.Idempotent
-	plan := hedge.Request{
-		Service: service, Route: route, Repeatable: repeatable, Keyed: q.service.Keyed,
-		MayHaveRun: q.mayHaveRun, MaxRuns: q.route.MaxAttempts, Remaining: q.remaining(),
-	}
-	if q.route.TargetLatency > 0 {
-		plan.UntilTarget = max(time.Until(q.arrived.Add(q.route.TargetLatency)), 0)
-	}
+	plan := h.hedgePlan(q)
 	var after time.Duration
 	var skip hedge.Skip
 	h.hedges.withPolicy(func(p *hedge.Policy) {
@@ -161,6 +155,18 @@
 	return result
 }
 
+// hedgePlan describes a request that is sent to its first upstream.
+func (h *requestHandler) hedgePlan(q *request) hedge.Request {
+	plan := hedge.Request{
+		Service: q.service.Name, Route: q.route.Name, Repeatable: q.route.Idempotent, Keyed: q.service.Keyed,
+		MayHaveRun: q.mayHaveRun, MaxRuns: q.route.MaxAttempts, Remaining: q.remaining(),
+	}
+	if q.route.TargetLatency > 0 {
+		plan.UntilTarget = max(time.Until(q.arrived.Add(q.route.TargetLatency)), 0)
+	}
+	return plan
+}
+
 // hedgeRace is a request that may get a second send. The first send uses the state of the request,
 // the second one has its own, which settle adds to it.
 type hedgeRace struct {
--- a/server/gateway/limiter.go
+++ b/server/gateway/limiter.go
@@ -126,6 +126,25 @@
 	flow                      admission.Flow
 }
 
+// preview returns how long a request would wait as far as is known, and the error with which acquire
+// would refuse it at once. Nothing changes.
+func (l *limiter) preview(p admissionParams) (wait time.Duration, err error) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unusable {
+		return 0, errUnusable
+	}
+	decision, wait, late := l.queue.Preview(now.Sub(l.start), *l.request(p), l.configureQueue)
+	switch decision {
+	case admission.Start:
+		return 0, nil
+	case admission.Refuse:
+		return 0, noCapacityError{wait, late}
+	}
+	return wait, nil
+}
+
 // setUsable records whether the upstream may get requests. While it may not, no request waits for it.
 // It returns how many waited.
 func (l *limiter) setUsable(usable bool) (withdrawn int) {
--- a/server/gateway/quota.go
+++ b/server/gateway/quota.go
@@ -90,22 +90,25 @@
 	name := q.workspace.Name
 	s.mu.Lock()
 	now := s.now()
-	s.client.Arrive(now, name)
-	if len(s.waiting[name]) == 0 && s.takeNow(now, q, name, limit) {
+	if len(s.waiting[name]) == 0 {
+		s.logSolo(now)
+	}
+	decision := s.decide(s.client, now, q)
+	switch {
+	case decision.taken:
+		q.quota = quotaUse{workspace: name, token: decision.token}
+		s.count(name, "admitted").admitted++
 		wanted := s.client.WantsReport(now, name)
 		s.mu.Unlock()
 		if wanted {
 			s.reportNow()
 		}
 		return outcome{}
-	}
-	short, long := s.patience(q)
-	began := now
-	until := s.client.WaitEnd(now, began, short, long)
-	if !s.client.MayWait(now, name, limit, until-now) {
+	case decision.refused:
 		defer s.mu.Unlock()
 		return s.refuse(now, name, limit)
 	}
+	began, until, short, long := now, decision.until, decision.short, decision.long
 	w := &tokenWaiter{limit: limit, taken: make(chan struct{})}
 	s.waiting[name] = append(s.waiting[name], w)
 	s.client.Wait(now, name, 1)
@@ -133,6 +136,55 @@
 	return s.refuse(now, name, limit)
 }
 
+// quotaDecision is what becomes of a request whose workspace has a quota.
+type quotaDecision struct {
+	taken, refused bool
+	token          quota.Taken
+	// until is until when the request waits for a token if neither. short and long are those of
+	// patience.
+	until, short, long time.Duration
+}
+
+// decide decides on a request whose workspace has a quota, by a client or a copy of it; s.mu is held.
+// It changes nothing else.
+func (s *quotas) decide(client *quota.Client, now time.Duration, q *request) (d quotaDecision) {
+	name, limit := q.workspace.Name, limitOf(q.workspace)
+	client.Arrive(now, name)
+	if len(s.waiting[name]) == 0 {
+		if d.token, d.taken = client.Take(now, name, limit); d.taken {
+			return d
+		}
+	}
+	d.short, d.long = s.patience(q)
+	d.until = client.WaitEnd(now, now, d.short, d.long)
+	d.refused = !client.MayWait(now, name, limit, d.until-now)
+	return d
+}
+
+// preview returns whether a request would wait for a token and for how long at most, and the outcome
+// with which it would be refused at once. Nothing changes: a copy of the client decides.
+func (s *quotas) preview(q *request) (wait time.Duration, failure outcome) {
+	limit := limitOf(q.workspace)
+	if limit.Rate <= 0 {
+		return 0, outcome{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, client := s.now(), s.client.Copy()
+	switch d := s.decide(client, now, q); {
+	case d.taken:
+		return 0, outcome{}
+	case !d.refused:
+		return d.until - now, outcome{}
+	}
+	return 0, overQuotaOutcome(client, now, q.workspace.Name, limit, 0.5)
+}
+
+// overQuotaOutcome is the outcome of a request over the quota; spread is that of Client.RetryAfter.
+func overQuotaOutcome(client *quota.Client, now time.Duration, name api.WorkspaceName, limit quota.Limit, spread float64) outcome {
+	return outcome{reason: overQuota, status: http.StatusTooManyRequests, retryAfter: client.RetryAfter(now, name, limit, spread)}
+}
+
 // patience returns for how long a request waits for a token, and for how long while the granter is
 // being replaced: within its target latency, if the configuration states one.
 func (s *quotas) patience(q *request) (short, long time.Duration) {
@@ -209,7 +261,7 @@
 // refuse returns the outcome of a request over the quota; s.mu is held.
 func (s *quotas) refuse(now time.Duration, name api.WorkspaceName, limit quota.Limit) outcome {
 	s.count(name, "over_quota").refused++
-	return outcome{reason: overQuota, status: http.StatusTooManyRequests, retryAfter: s.client.RetryAfter(now, name, limit, rand.Float64())}
+	return overQuotaOutcome(s.client, now, name, limit, rand.Float64())
 }
 
 // beforeSend records that a request is about to be sent to an upstream. It takes a token if the
--- a/server/gateway/view.go
+++ b/server/gateway/view.go
@@ -95,9 +95,26 @@
 }
 
 // usable reports whether an upstream may get requests.
-func (v *view) usable(u *upstream) bool {
-	reg := u.registration.Load()
-	return !reg.removed && !reg.Draining && !v.domainsOut[reg.Domain]
+func (v *view) usable(u *upstream) bool { return v.unusableCause(u) == "" }
+
+// The causes for which an upstream may get no requests of any VM.
+const (
+	causeRemoved   = "removed"
+	causeDraining  = "draining"
+	causeDomainOut = "domain_out"
+)
+
+// unusableCause returns why an upstream may get no requests, empty if it may.
+func (v *view) unusableCause(u *upstream) string {
+	switch reg := u.registration.Load(); {
+	case reg.removed:
+		return causeRemoved
+	case reg.Draining:
+		return causeDraining
+	case v.domainsOut[reg.Domain]:
+		return causeDomainOut
+	}
+	return ""
 }
 
 // registration is the registration of an upstream, as last read.
