gateway: explain where a request would go

Change: POST /status/v1/explain at the address for other VMs takes the head of a request, 64 KB at most, and returns route, quota, owner, candidates with cost and reason, wait or refusal, hedging and retries. It decides by the functions for real requests and has no effect. Keys of workspaces are neither logged nor returned.

Result: go test -race ./server/gateway -run Explain passes.

--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -124,6 +124,7 @@
 	peers.Handle(proxyPath, g.proxies)
 	peers.Get(StatusPath, g.serveStatus)
 	peers.Get(WorkspacesPath, g.serveWorkspaces)
+	peers.Post(ExplainPath, g.serveExplain)
 	health := chi.NewRouter()
 	health.Get(fleet.PathReady, g.ready)
 	metricsRouter := chi.NewRouter()
