ctl: dandelionctl explain-request

The command explain asks the daemon over the admin interface with a token; VMs of dandelionhilld gateway have none, so the command is a separate one that takes the addresses of gateway.

Result: go test -race ./ctl/cmd/dandelionctl -run 'Explain|TestGateway|Workspaces' passes.

--- a/ctl/cmd/dandelionctl/queries.go
+++ b/ctl/cmd/dandelionctl/queries.go
@@ -22,6 +22,7 @@
 	var isSettings, isPlatform bool
 	var count int
 	var store, vm, owner string
+	var request explainOptions
 	for _, c := range []*command{
 		{
 			name: "check", args: 1, usage: "check [--settings | --platform] FILE", synopsis: "check a configuration file, or a settings file, without a connection",
@@ -63,6 +64,14 @@
 			},
 			run: func(ctx context.Context, _ []string) error { return t.workspaces(ctx, store, vm) },
 		},
+		{
+			name: "explain-request", args: 2, usage: "explain-request (--vm IP:port | --store IP:port) [--all] [--method METHOD] [--key N] [--header 'NAME: VALUE'] [--workspace NAME | --api-key-file FILE] HOST PATH",
+			synopsis: "show where a VM of a deployment on the platform's store would send a request now and why, without sending it",
+			flags:    request.register,
+			run: func(ctx context.Context, args []string) error {
+				return t.explainRequest(ctx, &request, args[0], args[1])
+			},
+		},
 		{name: "version", usage: "version", synopsis: "print the version of this tool", run: t.version},
 	} {
 		c.tool = t
