gateway: tests that explanations agree with requests

Cause: an explanation that decides otherwise than the request handler misleads operators, and one with an effect changes what it explains.

It missed the split route at first: 20 explanations are a multiple of the period of the weights, so it makes 21.

--- a/server/gateway/explain_test.go
+++ b/server/gateway/explain_test.go
@@ -34,7 +34,8 @@
 
 const explainedConfiguration = `{"Version":"r7","Routes":{
 	"k":{"Host":"shop.example","Prefix":"/keyed/","RouteType":"non_idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":"keyed","MaxAttempts":2},
-	"p":{"Host":"shop.example","Prefix":"/plain/","RouteType":"idempotent","TimeoutS":20,"TargetLatencyS":0.5,"Service":"plain","MaxAttempts":2}},
+	"p":{"Host":"shop.example","Prefix":"/plain/","RouteType":"idempotent","TimeoutS":20,"TargetLatencyS":0.5,"Service":"plain","MaxAttempts":2},
+	"w":{"Host":"shop.example","Prefix":"/both/","RouteType":"idempotent","TimeoutS":20,"WeightedServices":[{"Service":"keyed","Weight":0.25},{"Service":"plain","Weight":0.75}],"MaxAttempts":2}},
 	"Services":{"keyed":{"MaxConns":50,"ColdStartS":3,"ColdPerS":5,"Sharded":true},"plain":{"MaxConns":50,"ColdStartS":3,"ColdPerS":5}},
 	"Tenants":{"huka":{"ApiKeys":["secret-key"],"RatePerS":50,"Burst":10}}}`
 
@@ -44,6 +45,7 @@
 	})}
 	x.Gateway.log, x.handler.log = zerolog.New(&x.log), zerolog.New(&x.log)
 	x.handler.domain = "zone-a"
+	x.handler.crashes.setKnown()
 	x.handler.hedges = newHedges(Hedging{Share: 0.1})
 	x.handler.hedges.withPolicy(func(p *hedge.Policy) {
 		for range 1000 {
@@ -159,11 +161,27 @@
 	require.Equal(t, http.StatusBadRequest, got.Services[0].Refusal.Status)
 }
 
+// TestExplainWeightedServices guards against shares, or a next service, that requests do not follow.
+func TestExplainWeightedServices(t *testing.T) {
+	x := newExplained(t)
+	for range 8 {
+		got, err := x.ask(t, ExplainRequest{Method: "GET", Host: testHost, Path: "/both/", Workspace: "huka"})
+		require.NoError(t, err)
+		require.Len(t, got.Services, 2)
+		require.Equal(t, []float64{0.25, 0.75}, []float64{got.Services[0].Share, got.Services[1].Share})
+		next := x.handler.splitter.Next(x.control.view().config.Match(testHost, "/both/"))
+		for _, s := range got.Services {
+			require.Equal(t, s.Service == next, s.Next)
+		}
+	}
+}
+
 // TestExplainChangesNothing guards against an explanation that takes a token, a slot or budget, that
 // counts as a request, or that reaches an upstream.
 func TestExplainChangesNothing(t *testing.T) {
 	x := newExplained(t)
 	h := x.handler
+	h.splitter.Next(x.control.view().config.Match(testHost, "/both/"))
 	h.mu.Lock()
 	h.absences.Missing(0, "keyed", 200)
 	h.retryBudget("plain").Request(0)
@@ -185,8 +203,8 @@
 	}
 	before := state()
 	require.Contains(t, before, "batches")
-	for _, r := range []ExplainRequest{plainRequest(), keyedRequest("7"), keyedRequest("200"), keyedRequest("300"), {Method: "GET", Host: testHost, Path: "/plain/"}, {Method: "GET", Host: "other", Path: "/"}} {
-		for range 20 {
+	for _, r := range []ExplainRequest{plainRequest(), keyedRequest("7"), keyedRequest("200"), keyedRequest("300"), {Method: "GET", Host: testHost, Path: "/both/", Workspace: "huka"}, {Method: "GET", Host: testHost, Path: "/plain/"}, {Method: "GET", Host: "other", Path: "/"}} {
+		for range 21 { // not a multiple of the period of the weights
 			_, err := x.ask(t, r)
 			require.NoError(t, err)
 		}
