--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -75,6 +75,8 @@
 	rests *prometheus.CounterVec
 	// workspaceRequests counts the requests of workspaces with a quota: workspace, result.
 	workspaceRequests *prometheus.CounterVec
+	// longWaits counts the requests that waited for a token for longer than maxTokenWait: result.
+	longWaits *prometheus.CounterVec
 	// unauthorized counts the requests refused with 401, by cause.
 	unauthorized *prometheus.CounterVec
 }
@@ -115,6 +117,7 @@
 		leaving:           counter("upstreams_leaving_total", "Upstreams that have said in a response that they are about to leave, by source.", "source"),
 		rests:             counter("upstream_rests_total", "Responses of upstreams that want no requests from this VM for a time.", "service"),
 		workspaceRequests: counter("workspace_requests_total", "Requests of workspaces with a quota that were admitted or refused, and tokens returned; the workspaces with the highest rates have a label of their own.", "workspace", "result"),
+		longWaits:         counter("quota_long_waits_total", "Requests that waited for a token of their workspace for longer than usual, because the granter was being replaced, by result.", "result"),
 		unauthorized:      counter(unauthorizedRequests, "Requests refused with 401, by cause.", "cause"),
 		isolated:          gauge("isolated", "1 while no upstream can be reached from this VM."),
 		queued:            histogram("queue_seconds", "Time for which a request waits for capacity of an upstream."),
--- a/server/gateway/quota.go
+++ b/server/gateway/quota.go
@@ -118,8 +118,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now = s.now()
+	result := "over_quota"
+	defer func() {
+		if now-began > s.maxWait {
+			s.metrics.longWaits.WithLabelValues(result).Inc()
+		}
+	}()
 	select {
 	case <-w.taken:
+		result = "admitted"
 		q.quota = quotaUse{workspace: name, token: w.token}
 		s.count(name, "admitted").admitted++
 		return outcome{}
--- a/server/gateway/quota_test.go
+++ b/server/gateway/quota_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,6 +175,58 @@
 	require.Zero(t, s.report().Demands[0].Waiting)
 }
 
+// TestLongWaitForToken guards against requests that are refused although the next granter issues tokens
+// within their target latency.
+func TestLongWaitForToken(t *testing.T) {
+	s := newQuotas(quota.DefaultRule, NewMetrics(), zerolog.Nop())
+	s.client = quota.NewClient(quota.DefaultRule, time.Minute)
+	var now atomic.Int64
+	now.Store(int64(time.Minute))
+	s.now = func() time.Duration { return time.Duration(now.Load()) }
+	s.maxWait = time.Millisecond
+	asked := make(chan bool, 1)
+	s.reportNow = func() {
+		select {
+		case asked <- true:
+		default:
+		}
+	}
+	q := requestOf("huka")
+	q.arrived, q.route = time.Now(), &routing.Route{TargetLatency: time.Hour}
+	done := make(chan outcome, 1)
+	go func() { done <- s.take(t.Context(), q) }()
+	<-asked
+	now.Add(int64(time.Second))
+	s.connected()
+	s.grant("huka", 1)
+	require.Zero(t, (<-done).status)
+	require.InDelta(t, 1, testutil.ToFloat64(s.metrics.longWaits.WithLabelValues("admitted")), 0)
+}
+
+// TestRosterInLease guards against a granter whose lease does not say which VMs may have tokens, so that
+// the next one waits, and against rosters in deployments without quotas.
+func TestRosterInLease(t *testing.T) {
+	d := newWorkspaceDeployment(t, nil)
+	d.setQuota("huka", 0, 0)
+	a := d.startVM("vm-a")
+	d.awaitServed(a, "huka")
+	stored := func() *quota.Roster {
+		state, err := a.control.readSystem(t.Context())
+		require.NoError(t, err)
+		return state.lease.Quotas
+	}
+	require.Nil(t, stored())
+	d.setQuota("huka", 500, 500)
+	b := d.startVM("vm-b")
+	d.eventually(func() bool { r := stored(); return r != nil && len(r.VMs) == 8 }, "the lease names both VMs")
+	d.awaitServed(b, "huka")
+	d.kill(a)
+	d.awaitServed(b, "huka")
+	state, err := b.control.readSystem(t.Context())
+	require.NoError(t, err)
+	require.NotNil(t, state.lease.Quotas)
+}
+
 // TestTokenIsCheckedBeforeASend guards against requests that wait for an upstream and are then sent
 // with the token of another workspace or of a granter that was replaced, and against retries that
 // take a second token.
