quota: a VM that reported may have gone back to an earlier granter

Cause: a granter counted the share of each VM that had reported to it as known once earlier granters had ended, also that of a VM without a share that had gone back to an earlier granter meanwhile and got a share there. It also counted itself settled by reports alone. Change: a VM's share is known if the VM follows this granter, has acknowledged as much as an earlier one may have leased, or has answered an update that was sent after their end; all VMs must have acknowledged an update before the granter is settled early.

--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -89,8 +89,10 @@
 	sent      []sentShare
 	// until is when the VM can't use the share any more.
 	until time.Duration
-	// reported means that the VM has reported to this granter.
+	// reported means that the VM has reported to this granter, answered is when the last update was
+	// sent that it had received before a report.
 	reported bool
+	answered time.Duration
 	member   *Member // nil while the VM is not connected
 }
 
@@ -223,6 +225,7 @@
 	m.answersMs, m.reportedAt = sentMs, now
 	s := m.share
 	most := s.most()
+	s.answered = max(s.answered, answered)
 	i.observeLoan(now, m, r)
 	for len(s.sent) > 0 && s.sent[0].at <= answered {
 		s.confirmed = s.sent[0].share
--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -138,19 +138,29 @@
 
 // known reports whether all that a VM may use is its share as this granter knows it. The share that a
 // VM without one had before its start may be lent to an earlier granter, unless the VM follows this one.
+// A VM that has reported may also go back to an earlier granter and get a share there, until that one
+// ends: only a report that was sent later shows that it has none.
 func (i *Issuer) known(now, margin time.Duration, s *share) bool {
-	return s.reported && (s.confirmed > 0 || now >= i.predecessorsUntil || i.lent(now, margin, s.member))
+	return s.reported && (s.confirmed >= i.earlierShare() || s.answered >= i.predecessorsUntil || i.lent(now, margin, s.member))
+}
+
+// earlierShare returns the highest share that an earlier granter may have leased to a VM.
+func (i *Issuer) earlierShare() float64 {
+	if i.inherited != nil {
+		return i.inherited.MaxShare
+	}
+	return 1 / float64(max(i.earlierVMs, 1))
 }
 
 // allConnected reports whether each VM to which an earlier granter may issue tokens follows this
 // one, the VMs of the earlier granters among them.
-func (i *Issuer) allConnected() bool {
+func (i *Issuer) allConnected(now time.Duration) bool {
 	if i.inherited == nil {
 		return false
 	}
 	connected := make(map[uint32]bool, len(i.members))
 	for _, s := range i.shares {
-		if s.member != nil && s.reported {
+		if s.reported && i.follows(now, s.member) {
 			connected[s.hash] = true
 		}
 	}
@@ -162,6 +172,13 @@
 	return true
 }
 
+// follows reports whether a VM has acknowledged an update of this granter a moment ago, so that it
+// does not go back to an earlier one. A VM that has only reported may have done so since, while its
+// connection has ended unnoticed.
+func (i *Issuer) follows(now time.Duration, m *Member) bool {
+	return m != nil && m.speaks && m.issued && now < m.issuingAt+soloAfter
+}
+
 // SetOwn sets the VM on which the granter runs, and its term. The VM is in each Roster, so that a granter all of whose
 // VMs follow another one has ended.
 func (i *Issuer) SetOwn(vm api.VMID, term int64) { i.own, i.term = hashOf(vm), term }
--- a/core/quota/succession.go
+++ b/core/quota/succession.go
@@ -37,7 +37,7 @@
 	case i.settled:
 	case now >= i.predecessorsUntil+tokenTTL:
 		i.settled = true
-	case i.allConnected():
+	case i.allConnected(now):
 		i.settled, i.complete = true, true
 		i.creditIdle(now)
 	case i.inherited == nil && now >= i.predecessorsUntil && i.unknown(now, 0) <= minUnknown:
@@ -101,7 +101,7 @@
 	// process had the same as the others.
 	unknown := 1.0
 	for _, s := range i.shares {
-		if s.reported {
+		if i.known(now, margin, s) {
 			unknown -= max(s.most(), 1/float64(i.earlierVMs))
 		}
 	}
