--- a/bench/soak/workspaces.go
+++ b/bench/soak/workspaces.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -117,28 +116,21 @@
 	return w.usable(workspaceName(rng.IntN(workspaceCount)), monotonic())
 }
 
-// tenants returns the workspaces as a table of the configuration.
-func (w *workspaces) tenants() []byte {
-	type tenant struct {
-		ApiKeys         []string
-		RatePerS, Burst float64
-	}
-	table := make(map[string]*tenant)
+// table returns the workspaces as a table of the configuration.
+func (w *workspaces) table() []byte {
+	table := make(map[string]fakes.Workspace)
 	for n := range workspaceCount {
-		table[workspaceName(n)] = &tenant{}
+		table[workspaceName(n)] = fakes.Workspace{}
 	}
-	table[workspaceName(0)].RatePerS, table[workspaceName(0)].Burst = limitedRate, limitedBurst
+	table[workspaceName(0)] = fakes.Workspace{Rate: limitedRate, Burst: limitedBurst}
 	for _, key := range w.snapshot() {
 		if key.Removed == 0 {
-			t := table[key.Workspace]
-			t.ApiKeys = append(t.ApiKeys, key.Text)
+			entry := table[key.Workspace]
+			entry.Keys = append(entry.Keys, key.Text)
+			table[key.Workspace] = entry
 		}
 	}
-	text, err := json.Marshal(table)
-	if err != nil {
-		panic(err) // the table holds texts and numbers only
-	}
-	return text
+	return fakes.EncodeWorkspaces(table)
 }
 
 // planKeyRotations replaces keys of workspaces one after the other. The actions have a source of
--- a/core/admission/contention.go
+++ b/core/admission/contention.go
@@ -10,7 +10,7 @@
 const (
 	// contentionHold is how long an upstream stays watched after a VM last found it full.
 	contentionHold = 3 * time.Second
-	// contentionTTL is how long a VM goes by its interval without news of the granter, which sends
+	// contentionTTL is how long a VM keeps its interval without an update of the granter, which sends
 	// it every 0.25 s: a new granter knows of the contention within that time, or nobody does.
 	contentionTTL = 1500 * time.Millisecond
 	// settleTime is the time from which the demand of single VMs is known well enough to give the
--- a/core/ownerhealth/senders.go
+++ b/core/ownerhealth/senders.go
@@ -11,7 +11,7 @@
 const (
 	// vmWindow is the time constant of the counts of a VM, vmTTL how long it counts without reports.
 	vmWindow, vmTTL = 3 * time.Second, 5 * time.Second
-	// minVMsForMajority is the number of VMs from which one VM's word is not enough.
+	// minVMsForMajority is the number of VMs from which the reports of a single VM are not enough.
 	minVMsForMajority = 3
 	// A VM is suspect if at least suspectShare of its sends fail, at suspectUpstreams or more, and
 	// that is suspectFactor times the share of the other VMs.
--- a/core/ownerhealth/speed.go
+++ b/core/ownerhealth/speed.go
@@ -20,10 +20,10 @@
 	// statedSlow is the stated slowdown from which an upstream is not only noisy: noise takes it to
 	// 3. slowdownWeight is the weight of one sample in the average.
 	statedSlow, slowdownWeight = 3.3, 0.5
-	// minTruth is the number of recent responses from which the latency says that it is false.
-	minTruth = 3
-	// distrustTime is how long a stated slowdown is ignored after it was false.
-	distrustTime = time.Minute
+	// minCheckedResponses is the number of recent responses from which the latency can contradict a stated slowdown.
+	minCheckedResponses = 3
+	// ignoreSlowdownFor is how long a stated slowdown is ignored after the latency contradicted it.
+	ignoreSlowdownFor = time.Minute
 	// fastAgainRatio ends that when it has lasted for fastAgainTime.
 	fastAgainRatio, fastAgainTime = 0.6, 3 * time.Second
 	// dipTime is how long a much lower recent speed leaves the lasting one as it is: it is noise, or
@@ -41,8 +41,8 @@
 	expected, observed, ahead, responses decaying
 	// slowdown averages the stated slowdown over the last samples.
 	slowdown float64
-	// falseUntil is until when the stated slowdown is ignored, since the latency did not agree.
-	falseUntil time.Duration
+	// ignoreSlowdownUntil is until when the stated slowdown is ignored, since the latency did not agree.
+	ignoreSlowdownUntil time.Duration
 	// lastingExpected and lastingObserved are the same over lastingWindow.
 	lastingExpected, lastingObserved decaying
 	// earlierAhead follows the number of waiting requests for each slot; responses were sent when it
@@ -98,7 +98,7 @@
 		return 0, false
 	}
 	ratio = work * (1 + s.earlierAhead) / s.observed.read(now, recentWindow)
-	if s.slowdown >= statedSlow && now >= s.falseUntil {
+	if s.slowdown >= statedSlow && now >= s.ignoreSlowdownUntil {
 		// The latency must agree: what an upstream states may be false.
 		return work / s.observed.read(now, recentWindow), true
 	}
@@ -139,8 +139,8 @@
 // step applies the speed. usual is the recent speed of the median upstream.
 func (s *speed) step(now time.Duration, slots int, active bool, usual float64) {
 	measured, ok := s.recent(now, slots, active)
-	if ok && s.slowdown >= statedSlow && s.aheadNow(now) < busyAhead && measured >= slowRatio*s.applied() && s.responses.read(now, recentWindow) >= minTruth {
-		s.falseUntil = now + distrustTime
+	if ok && s.slowdown >= statedSlow && s.aheadNow(now) < busyAhead && measured >= slowRatio*s.applied() && s.responses.read(now, recentWindow) >= minCheckedResponses {
+		s.ignoreSlowdownUntil = now + ignoreSlowdownFor
 	}
 	recent := min(max(measured/max(usual, 0.01), minSpeed), maxSpeed)
 	if s.slow {
--- a/server/gateway/contention.go
+++ b/server/gateway/contention.go
@@ -11,8 +11,8 @@
 	"dandelionhill.dev/core/ownership"
 )
 
-// maxContentionNews bounds the upstreams in one report or update.
-const maxContentionNews = 64
+// maxContentionUpdates bounds the upstreams in one report or update.
+const maxContentionUpdates = 64
 
 // minContentionUpdate is the shortest time between an update to all VMs and one that asks them for
 // their demand: on a busy day many upstreams are full for a moment.
@@ -29,8 +29,8 @@
 	Full bool `cbor:"4,keyasint,omitempty"`
 }
 
-// contentionNews says that an upstream is watched: the VMs report their demand for it.
-type contentionNews struct {
+// contentionUpdate says that an upstream is watched: the VMs report their demand for it.
+type contentionUpdate struct {
 	Upstream ownership.Owner `cbor:"1,keyasint"`
 	// IntervalMs is the interval that each VM keeps between its requests, 0 for none.
 	IntervalMs int64 `cbor:"2,keyasint,omitempty"`
@@ -55,8 +55,8 @@
 // upstreamFull records that an upstream was full.
 func (c *contentions) upstreamFull(u *upstream) {
 	c.mu.Lock()
-	known := c.full[u] || c.watched[u] || len(c.full) >= maxContentionNews
-	if len(c.full) < maxContentionNews {
+	known := c.full[u] || c.watched[u] || len(c.full) >= maxContentionUpdates
+	if len(c.full) < maxContentionUpdates {
 		c.full[u] = true
 	}
 	c.mu.Unlock()
@@ -93,11 +93,11 @@
 	return out
 }
 
-// receive applies the news of the granter, which name all upstreams that are watched. It reports
+// receive applies the updates of the granter, which name all upstreams that are watched. It reports
 // whether some were not watched before, on which the VM is to report at once.
-func (c *contentions) receive(v *view, news []contentionNews) (added bool) {
+func (c *contentions) receive(v *view, updates []contentionUpdate) (added bool) {
 	watched, paced := make(map[*upstream]bool), 0
-	for _, n := range news[:min(len(news), maxContentionNews)] {
+	for _, n := range updates[:min(len(updates), maxContentionUpdates)] {
 		u := v.incarnation(n.Upstream)
 		if u == nil {
 			continue
@@ -173,7 +173,7 @@
 		return
 	}
 	added := false
-	for _, r := range reports[:min(len(reports), maxContentionNews)] {
+	for _, r := range reports[:min(len(reports), maxContentionUpdates)] {
 		departure := time.Duration(0)
 		if isPositive(r.DepartureMs) && r.DepartureMs < time.Minute.Seconds()*1000 {
 			departure = time.Duration(r.DepartureMs * float64(time.Millisecond))
@@ -216,10 +216,10 @@
 	}
 }
 
-// contentionNews returns the news for all VMs.
-func (g *granter) contentionNews() (news []contentionNews) {
+// contentionUpdate returns the updates for all VMs.
+func (g *granter) contentionUpdate() (updates []contentionUpdate) {
 	for upstream, interval := range g.contention.intervals {
-		news = append(news, contentionNews{upstream, interval.Milliseconds()})
+		updates = append(updates, contentionUpdate{upstream, interval.Milliseconds()})
 	}
-	return news
+	return updates
 }
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -144,7 +144,7 @@
 
 	// Contended holds all upstreams that are watched for contention. Granters of earlier versions
 	// watch none.
-	Contended []contentionNews `cbor:"34,keyasint,omitempty"`
+	Contended []contentionUpdate `cbor:"34,keyasint,omitempty"`
 
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -191,11 +191,11 @@
 	operatorChange int64
 	peers          []string
 	limits         map[*upstream]ratelimit.StatedLimit
-	contended      []contentionNews
+	contended      []contentionUpdate
 }
 
 func (g *granter) news(peers []string) news {
-	return news{crashes: g.links.crashes.snapshot(), operatorChange: g.control.operatorFeed.newestChange(), peers: peers, limits: g.control.limits.all(), contended: g.contentionNews()}
+	return news{crashes: g.links.crashes.snapshot(), operatorChange: g.control.operatorFeed.newestChange(), peers: peers, limits: g.control.limits.all(), contended: g.contentionUpdate()}
 }
 
 // samplePeers returns at most maxPeersSent addresses, spread over all; each rank gets others.
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -81,7 +81,7 @@
 	// unhealthyOwners is the number of owners with a reduced capacity, by state, on the granter.
 	ownerHealth     *prometheus.CounterVec
 	unhealthyOwners *prometheus.GaugeVec
-	// contended is the number of upstreams whose requests this VM paces on the granter's word.
+	// contended is the number of upstreams whose requests this VM paces as the granter asks.
 	contended prometheus.Gauge
 	// hedges counts the second sends: service, result; hedgesSkipped the requests that took long
 	// enough for one and got none: service, reason.
--- a/server/gateway/quota.go
+++ b/server/gateway/quota.go
@@ -148,7 +148,7 @@
 	taken, refused bool
 	token          quota.Taken
 	// until is until when the request waits for a token if neither. short and long are those of
-	// patience.
+	// its limit.
 	until, short, long time.Duration
 }
 
@@ -162,7 +162,7 @@
 			return d
 		}
 	}
-	d.short, d.long = s.patience(q)
+	d.short, d.long = s.waitLimits(q)
 	d.until = client.WaitEnd(now, now, d.short, d.long)
 	d.refused = !client.MayWait(now, name, limit, d.until-now)
 	return d
@@ -192,9 +192,9 @@
 	return outcome{reason: overQuota, status: http.StatusTooManyRequests, retryAfter: client.RetryAfter(now, name, limit, spread)}
 }
 
-// patience returns for how long a request waits for a token, and for how long while the granter is
+// waitLimits returns for how long a request waits for a token, and for how long while the granter is
 // being replaced: within its target latency, if the configuration states one.
-func (s *quotas) patience(q *request) (short, long time.Duration) {
+func (s *quotas) waitLimits(q *request) (short, long time.Duration) {
 	long = time.Duration(tokenWaitShare * float64(q.remaining()))
 	if q.route != nil && q.route.TargetLatency > 0 {
 		long = min(long, q.route.TargetLatency-time.Since(q.arrived))
