gateway: TestExplainAgreesWithRequests does not depend on the order of the upstreams

Each upstream was made cold until a time of its own, in the order of a map. If the one that asks for rest came first, its wait was the shortest, which decides the reason that is given.

All upstreams are cold until the same time now.

--- a/server/gateway/explainagree_test.go
+++ b/server/gateway/explainagree_test.go
@@ -20,6 +20,9 @@
 			change(u)
 		}
 	}
+	// The times are the same for all upstreams, since the shortest wait decides which reason is given.
+	coldUntil := int64(bootTime() + time.Hour)
+	makeCold := func(x *explained) { each(x, func(u *upstream) { u.statedCold.Store(coldUntil) }) }
 	for name, test := range map[string]struct {
 		reason  reason
 		prepare func(x *explained)
@@ -33,8 +36,8 @@
 		"over quota":    {overQuota, func(x *explained) { x.control.quotas.now = func() time.Duration { return time.Hour } }, plainPath, nil},
 		"resting":       {resting, func(x *explained) { each(x, func(u *upstream) { u.rest(time.Hour) }) }, plainPath, nil},
 		"owner resting": {resting, func(x *explained) { each(x, func(u *upstream) { u.rest(time.Hour) }) }, keyedPath, nil},
-		"cold":          {cold, func(x *explained) { each(x, func(u *upstream) { u.statedCold.Store(int64(bootTime() + time.Hour)) }) }, plainPath, nil},
-		"owner cold":    {cold, func(x *explained) { each(x, func(u *upstream) { u.statedCold.Store(int64(bootTime() + time.Hour)) }) }, keyedPath, nil},
+		"cold":          {cold, makeCold, plainPath, nil},
+		"owner cold":    {cold, makeCold, keyedPath, nil},
 		"draining":      {noUpstream, func(x *explained) { each(x, func(u *upstream) { u.registration.Load().Draining = true }) }, plainPath, nil},
 		"owner drained": {ownerLeaving, func(x *explained) {
 			x.control.movesPaused.Store(true)
