--- a/core/admission/contention.go
+++ b/core/admission/contention.go
@@ -22,9 +22,8 @@
 	// without bound at 1.
 	usedRate = 0.95
 	// beginContention and endContention are the demand, in rates of the upstream, at which the VMs
-	// begin and end to keep the interval. Below it the shares of single VMs that have no request
-	// just then cost more than the rejections: paced at 2, worth
-	// fell by 0.04 with 75 VMs, an even load and 1.2 times the capacity.
+	// begin and end to keep the interval. At a demand of 2 and below, the turns of VMs that have no
+	// request just then cost more than the rejections that the interval avoids.
 	beginContention, endContention = 4, 2
 	// demandWeight and departureWeight are those of one report in the averages.
 	demandWeight, departureWeight = 0.2, 0.02
