core/eventqueue: one queue of events for the simulations

Five simulations (core/ownerhealth, hedge, admission, authority and bench/policy) each had a heap of events of their own, the same but for names.

They use core/eventqueue now; events of one time keep the order in which they were added. Their tests pass unchanged with the race detector.

--- a/bench/policy/engine.go
+++ b/bench/policy/engine.go
@@ -4,40 +4,17 @@
 package policy
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
-)
-
-// event is a function to call at a point of virtual time.
-type event struct {
-	at  time.Duration
-	seq uint64 // orders events with the same time by when they were scheduled
-	do  func()
-}
-
-type events []event
 
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	(*e)[last].do = nil
-	*e = (*e)[:last]
-	return x
-}
+	"dandelionhill.dev/core/eventqueue"
+)
 
 // engine runs events in order of time.
 type engine struct {
 	now    time.Duration
-	seq    uint64
-	events events
+	events eventqueue.Queue
 	rng    *rand.Rand
 	// stopped ends run early.
 	stopped bool
@@ -49,16 +26,15 @@
 
 // after schedules do after a delay.
 func (e *engine) after(delay time.Duration, do func()) {
-	e.seq++
-	heap.Push(&e.events, event{e.now + max(delay, 0), e.seq, do})
+	e.events.Add(e.now+max(delay, 0), do)
 }
 
 // run runs all events up to the given time, unless stopped is set.
 func (e *engine) run(until time.Duration) {
-	for !e.stopped && len(e.events) > 0 && e.events[0].at <= until {
-		next := heap.Pop(&e.events).(event)
-		e.now = next.at
-		next.do()
+	for !e.stopped && e.events.Due(until) {
+		var do func()
+		e.now, do = e.events.Next()
+		do()
 	}
 	e.now = until
 }
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -1,12 +1,12 @@
 package admission
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/eventqueue"
 	"dandelionhill.dev/core/ratelimit"
 	"dandelionhill.dev/core/selection"
 )
@@ -124,26 +124,6 @@
 	return (float64(r.inTime) + 0.3*float64(r.late)) / float64(max(r.requests, 1))
 }
 
-type simEvent struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type simUpstream struct {
 	index    int
 	speed    float64
@@ -199,8 +179,7 @@
 	rng, choices *rand.Rand
 	shares       []*Shares // by VM
 	now          time.Duration
-	seq          int
-	events       simEvents
+	events       eventqueue.Queue
 	upstreams    []*simUpstream
 	queues       [][]*Queue // by VM and upstream
 	wakes        map[*Queue]time.Duration
@@ -217,8 +196,7 @@
 }
 
 func (s *sim) at(t time.Duration, run func()) {
-	s.seq++
-	heap.Push(&s.events, simEvent{max(t, s.now), s.seq, run})
+	s.events.Add(max(t, s.now), run)
 }
 
 // noisy reports whether neighbours slow an upstream down now: a fifth of the time.
--- a/core/admission/simrun_test.go
+++ b/core/admission/simrun_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -208,10 +207,10 @@
 		}
 		s.at(p.length/2, more)
 	}
-	for s.events[0].at < p.length {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.run()
+	for s.events.Due(p.length - 1) {
+		var run func()
+		s.now, run = s.events.Next()
+		run()
 	}
 	var used time.Duration
 	for _, u := range s.upstreams {
--- a/core/authority/sim_test.go
+++ b/core/authority/sim_test.go
@@ -1,12 +1,12 @@
 package authority
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/eventqueue"
 	"dandelionhill.dev/core/lease"
 )
 
@@ -21,34 +21,12 @@
 	checks             lease.Checks
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	fn  func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // simulation runs machines, lease tables and guards in virtual time by discrete
 // events. now is true time, which no process can read.
 type simulation struct {
 	random     *rand.Rand
 	now        time.Duration
-	events     eventHeap
-	seq        int
+	events     eventqueue.Queue
 	nodes      []*node
 	ups        []*upstream
 	ranges     int
@@ -108,15 +86,14 @@
 }
 
 func (sim *simulation) after(d time.Duration, fn func()) {
-	sim.seq++
-	heap.Push(&sim.events, event{sim.now + d, sim.seq, fn})
+	sim.events.Add(sim.now+d, fn)
 }
 
 func (sim *simulation) run(until time.Duration) {
-	for len(sim.events) > 0 && sim.events[0].at <= until && len(sim.violations) == 0 {
-		e := heap.Pop(&sim.events).(event)
-		sim.now = e.at
-		e.fn()
+	for sim.events.Due(until) && len(sim.violations) == 0 {
+		var fn func()
+		sim.now, fn = sim.events.Next()
+		fn()
 		sim.checkHolders()
 	}
 	sim.now = max(sim.now, until)
--- a/core/hedge/sim_test.go
+++ b/core/hedge/sim_test.go
@@ -1,7 +1,6 @@
 package hedge_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/core/admission"
+	"dandelionhill.dev/core/eventqueue"
 	"dandelionhill.dev/core/hedge"
 	"dandelionhill.dev/core/selection"
 )
@@ -37,26 +37,6 @@
 	anyTime simMode = "no_limits" // without a budget and without regard to free slots
 )
 
-type simEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type simUpstream struct {
 	slow             float64
 	noisy            []bool // by noisePeriod
@@ -94,8 +74,7 @@
 	mode      simMode
 	rng       *rand.Rand
 	now       time.Duration
-	events    simEvents
-	seq       int
+	events    eventqueue.Queue
 	upstreams [simUpstreams]*simUpstream
 	vms       [simVMs]*simVM
 	latencies []time.Duration
@@ -106,8 +85,7 @@
 }
 
 func (s *simulation) at(at time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.events, simEvent{at, s.seq, do})
+	s.events.Add(at, do)
 }
 
 // endOf returns when work that starts now ends: a noisy upstream works at a third of its speed.
@@ -292,10 +270,10 @@
 		at += time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second))
 		s.at(at, s.arrive)
 	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.do()
+	for s.events.Len() > 0 {
+		var do func()
+		s.now, do = s.events.Next()
+		do()
 	}
 	slices.Sort(s.latencies)
 	quantile := func(q float64) time.Duration { return s.latencies[int(q*float64(len(s.latencies)))] }
--- a/core/ownerhealth/sim_test.go
+++ b/core/ownerhealth/sim_test.go
@@ -1,12 +1,12 @@
 package ownerhealth
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/eventqueue"
 	"dandelionhill.dev/core/ownership"
 )
 
@@ -95,27 +95,6 @@
 	slowdown float64
 }
 
-type simEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // simVM holds what a VM has to report.
 type simVM struct {
 	id       api.VMID
@@ -130,8 +109,7 @@
 	simParams
 	rng       *rand.Rand
 	now       time.Duration
-	seq       int
-	events    simEvents
+	events    eventqueue.Queue
 	upstreams []*simUpstream
 	byID      map[api.UpstreamID]*simUpstream
 	vms       []*simVM
@@ -149,8 +127,7 @@
 }
 
 func (s *sim) at(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.events, simEvent{s.now + d, s.seq, do})
+	s.events.Add(s.now+d, do)
 }
 
 // every repeats a task.
@@ -193,10 +170,10 @@
 }
 
 func (s *sim) run() simResult {
-	for s.events[0].at <= s.until {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.do()
+	for s.events.Due(s.until) {
+		var do func()
+		s.now, do = s.events.Next()
+		do()
 	}
 	s.keysLeft(s.result.back)
 	// Those that wait at an upstream have passed their deadline.
