gateway: a stalled process reads what has arrived before it loses its peers

A process that does not run for 0.7 s took its granter, and all VMs that were connected to it, for lost when it ran again: its timers expire before it has read what had arrived. All VMs of a test share one process.

The silence of another VM counts only the time in which the process runs (core/stall). An update that may have waited meanwhile is not taken for recent: its permits are not used, it confirms neither the rank nor the granter, and the ages that it states grow by the wait, until an update answers a report that was sent after the stall. Updates therefore state AnswersMs always; a granter of an earlier version does not, and its link ends after such a gap as before. Sends keep their 0.7 s: a message that was computed before a stall must not leave after it.

With the former time limit, and with updates that count from their arrival, TestStalledProcessReadsBeforeItLosesAPeer and TestDelayedUpdate fail.

A granter that stopped during an outage of the store just after its links were lost had no VM to hand over to, so that no key had an owner until the store answered. It now goes on for 1.5 s at most, until a VM has connected again and promised. TestStoppingGranterWaitsForASuccessor failed before.

--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -323,13 +323,19 @@
 func (e *elector) handleUpdate(ctx context.Context, u update) error {
 	e.control.operatorFeed.vouched(u.OperatorAgeMs, u.OperatorChange)
 	e.capacities.learn(u.Largest)
-	e.control.confirmRank()
-	e.control.limits.confirmIssuer()
 	e.control.limits.merge(e.control.view(), u.Limits, bootTime(), "granter")
-	e.control.limits.receive(e.control.view(), u.Permits)
+	// What counts from the arrival of an update does not count if it may have waited for this process
+	// to run: another granter may have given the rank to another VM, and issued the permits again.
+	e.control.limits.receive(e.control.view(), u.Permits, u.delayed == 0)
+	if u.delayed == 0 {
+		e.control.confirmRank()
+		e.control.limits.confirmIssuer()
+		e.control.outage.word(!u.StoreUnreachable, statedAge(u.StoreKnownMs))
+	} else {
+		e.links.reportNow()
+	}
 	e.control.quotas.update(u.Quota)
 	e.control.movesPaused.Store(u.StoreUnreachable)
-	e.control.outage.word(!u.StoreUnreachable, statedAge(u.StoreKnownMs))
 	e.control.operatorFeed.storeAway(u.StoreUnreachable)
 	e.control.upstreamFeed.storeAway(u.StoreUnreachable)
 	e.control.leaving.merge(e.control.view(), u.LeavingUpstreams, "granter")
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -99,9 +99,10 @@
 		},
 	}
 	m.exportVersion(buildVersion())
-	l.elector = g.elector
+	l.elector, l.stalls = g.elector, newStalls(g.recordStall)
 	g.proxies = newProxies(s, limits, g.handler, &g.draining, l.knownPeers, m, log)
 	g.handler.proxies, g.elector.proxies = g.proxies, g.proxies
+	g.proxies.stalls = l.stalls
 	cr.reportNow = l.reportNow
 	cr.place = func() (rank, vms int) {
 		v := c.view()
@@ -189,6 +190,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
+	g.links.stalls.start()
 	go g.control.run(ctx)
 	go g.control.reach.run(ctx)
 	go g.control.checkHealth(ctx)
@@ -204,7 +206,7 @@
 	for _, guard := range g.guards {
 		go guard.Run(ctx)
 	}
-	go g.watchStalls(ctx)
+	go g.links.stalls.run(ctx)
 	go func() {
 		defer close(g.electionDone)
 		g.elector.run(ctx)
--- a/server/gateway/granter.go
+++ b/server/gateway/granter.go
@@ -141,17 +141,19 @@
 	guard := guard{g.metrics, g.log}
 	ticker := time.NewTicker(granterTick)
 	defer ticker.Stop()
+	stopping := ctx.Done()
+	var giveUpAt time.Duration // while the process stops
 	for !g.termOver {
 		select {
 		case task := <-g.tasks:
 			guard.run("granter_task", task)
 		case <-ticker.C:
 			guard.run("granter_tick", func() { g.tick(callsCtx) })
-		case <-ctx.Done():
-			if !g.handOver(g.successor()) {
-				g.releaseLease(callsCtx, "")
-			}
-			g.termOver = true
+		case <-stopping:
+			stopping, giveUpAt = nil, bootTime()+successorWait
+		}
+		if stopping == nil && !g.termOver {
+			g.stopTerm(callsCtx, giveUpAt)
 		}
 	}
 	stopCalls()
@@ -265,7 +267,7 @@
 		delay = max(delay, linkTimeout)
 	}
 	g.allocator.issue(now, delay, clients)
-	g.control.limits.receive(v, g.ownPermits.takeGrants())
+	g.control.limits.receive(v, g.ownPermits.takeGrants(), true)
 	members = slices.DeleteFunc(members, func(m *member) bool { return !m.permits.hasPermits() })
 	if len(members) == 0 {
 		return
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -17,6 +17,11 @@
 // handoverTimeout bounds a handover by a stopping granter.
 const handoverTimeout = 400 * time.Millisecond
 
+// successorWait is how long a granter that stops during a store outage waits for a VM to hand over to,
+// if others were connected within rankRetention. They connect again within granterRetry, and promise
+// with their first report after the update that asks for it, linkTimeout later at most.
+const successorWait = 1500 * time.Millisecond
+
 // handover is what a granter that stops during a store outage sends to the caretaker,
 // the VM that continues to renew existing grants.
 type handover struct {
@@ -118,6 +123,28 @@
 	return true
 }
 
+// stopTerm hands over or releases the lease, because the process stops. While neither is possible and
+// other VMs may connect again, the term goes on until giveUpAt: without a granter no key has an owner
+// until the store answers.
+func (g *granter) stopTerm(ctx context.Context, giveUpAt time.Duration) {
+	now := bootTime()
+	switch {
+	case g.handOver(g.successor()):
+	case now < giveUpAt && g.authority.StoreUnreachable(now) && g.othersKnown(now):
+		return
+	default:
+		g.releaseLease(ctx, "")
+	}
+	g.termOver = true
+}
+
+// othersKnown reports whether another VM is connected or was a short time ago.
+func (g *granter) othersKnown(now time.Duration) bool {
+	return slices.ContainsFunc(g.ranks, func(r rank) bool {
+		return r.vm != "" && r.vm != g.self && (r.connected || now-r.leftAt < rankRetention)
+	})
+}
+
 // handoverSeqGap is added to the sequence number of a handed-over lease, so that it is
 // above those of writes whose results are unknown.
 const handoverSeqGap = 1000
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -19,6 +19,7 @@
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/quota"
+	"dandelionhill.dev/core/stall"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/listen"
 	"dandelionhill.dev/server/upstreamconn"
@@ -47,8 +48,10 @@
 	// reportBurst is the number of reports that a VM may send at once after a quiet time.
 	reportBurst    = 3
 	updateInterval = 250 * time.Millisecond
-	// linkTimeout is the longest time without a message from the granter.
-	linkTimeout = 700 * time.Millisecond
+	// linkTimeout is the longest time without a message from the granter, memberTimeout the longest
+	// without one of a VM at the granter. Time in which this process does not run does not count.
+	linkTimeout   = 700 * time.Millisecond
+	memberTimeout = 3*reportInterval + linkTimeout
 	// linkDialTimeout bounds the time to connect to the granter.
 	linkDialTimeout = time.Second
 	// maxFrameBytes bounds a message between VMs.
@@ -133,7 +136,8 @@
 	// to the receiver, which returns it in its reports on the same connection.
 	SentAtMs int64 `cbor:"22,keyasint,omitempty"`
 	// AnswersMs is report.SentAtMs of the last report that the granter had received before it
-	// computed Handover, 0 if there is none.
+	// computed the update, 0 if there is none. Granters of earlier versions state it only with
+	// Handover.
 	AnswersMs int64 `cbor:"23,keyasint,omitempty"`
 
 	// Largest is the largest capacity of the VMs, see lease.
@@ -148,6 +152,30 @@
 
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
+	// delayed is for how long the update may have waited for this process to run, 0 if it has not.
+	delayed time.Duration
+}
+
+// errUndated means that a message may have waited for this process, and the peer of an earlier
+// version does not say what it answers.
+var errUndated = errors.New("the age of the messages of the other VM is not known after a stall")
+
+// delay adds the time for which an update may have waited to the ages that it states.
+func (u *update) delay(by time.Duration) {
+	u.delayed = by
+	if by == 0 {
+		return
+	}
+	ms := by.Milliseconds() + 1
+	if u.OperatorAgeMs > 0 {
+		u.OperatorAgeMs += ms
+	}
+	if u.RowsAgeMs > 0 {
+		u.RowsAgeMs += ms
+	}
+	for i := range u.Limits {
+		u.Limits[i].AgeMs += ms
+	}
 }
 
 // links holds the connections between the granter and the other VMs.
@@ -163,6 +191,8 @@
 	log                  zerolog.Logger
 	// messages grants memory to the messages of other VMs.
 	messages *listen.Messages
+	// stalls finds the times at which this process did not run.
+	stalls *stalls
 	// elector provides this VM's promises, hasConfig reports whether this VM has a configuration.
 	elector   *elector
 	hasConfig func() bool
@@ -290,13 +320,19 @@
 			}
 		}
 	}()
+	arrivals := stall.NewArrivals(memberTimeout, l.stalls.clock())
 	for {
 		var rep report
-		if err = receiveBounded(ctx, messages, conn, &rep, 3*reportInterval+linkTimeout); err != nil {
+		if err = l.receiveReport(ctx, messages, conn, &rep); err != nil {
+			break
+		}
+		arrived, ok := arrivals.Received(l.stalls.clock(), time.Duration(rep.AnswersMs)*time.Millisecond)
+		if !ok {
+			err = errUndated
 			break
 		}
 		l.crashes.merge(rep.Crashes)
-		g.handleReport(member, rep)
+		g.handleReport(member, rep, arrived)
 	}
 	g.removeMember(member, err)
 }
@@ -337,6 +373,7 @@
 	l.limits.connected()
 	l.elector.control.quotas.connected()
 	var answers atomic.Int64 // SentAtMs of the last update
+	arrivals := stall.NewArrivals(linkTimeout, l.stalls.clock())
 	l.crashes.linked()
 	go func() {
 		if err := l.sendReports(ctx, conn, &answers); err != nil {
@@ -346,12 +383,18 @@
 	defer l.setFollowed(lease{}, nil, false)
 	for {
 		var u update
-		if err := receive(ctx, conn, &u, linkTimeout); err != nil {
+		if err := l.receiveUpdate(ctx, conn, &u); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
 			return err
 		}
+		now := l.stalls.clock()
+		arrived, ok := arrivals.Received(now, time.Duration(u.AnswersMs)*time.Millisecond)
+		if !ok {
+			return errUndated
+		}
+		u.delay(now - arrived)
 		answers.Store(u.SentAtMs)
 		l.crashes.merge(u.Crashes)
 		l.crashes.setKnown()
@@ -469,17 +512,38 @@
 	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, buffer.Bytes()), "send a message between VMs")
 }
 
-func receive(ctx context.Context, conn *websocket.Conn, message any, within time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
+// receiveUpdate receives an update of the granter.
+func (l *links) receiveUpdate(ctx context.Context, conn *websocket.Conn, u *update) error {
+	ctx, stop := l.stalls.within(ctx, linkTimeout)
+	defer stop()
 	_, data, err := conn.Read(ctx)
 	if err != nil {
-		return errors.Wrap(err, "receive a message between VMs")
+		return receiveError(ctx, err)
+	}
+	return errors.Wrap(cbor.Unmarshal(data, u), "decode a message between VMs")
+}
+
+// receiveReport receives a report of a VM within the limits on messages of other VMs.
+func (l *links) receiveReport(ctx context.Context, messages *listen.MessageConn, conn *websocket.Conn, rep *report) error {
+	ctx, stop := l.stalls.within(ctx, memberTimeout)
+	defer stop()
+	m, err := readMessage(ctx, messages, conn)
+	defer m.Release()
+	if err != nil {
+		return receiveError(ctx, err)
+	}
+	return errors.Wrap(cbor.Unmarshal(m.Data, rep), "decode a message between VMs")
+}
+
+// receiveError returns why a message was not received.
+func receiveError(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errPeerSilent) {
+		err = errPeerSilent
 	}
-	return errors.Wrap(cbor.Unmarshal(data, message), "decode a message between VMs")
+	return errors.Wrap(err, "receive a message between VMs")
 }
 
-// receiveBounded is receive within the limits on messages of other VMs.
+// receiveBounded receives a message within a time and the limits on messages of other VMs.
 func receiveBounded(ctx context.Context, messages *listen.MessageConn, conn *websocket.Conn, message any, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -122,21 +122,22 @@
 	g.authority.PromisedUndated(m.vm, received, promise)
 }
 
-func (g *granter) handleReport(m *member, r report) {
+// handleReport applies a report that has not arrived before a time.
+func (g *granter) handleReport(m *member, r report, arrived time.Duration) {
 	received := bootTime()
 	g.control.operatorFeed.reported(r.OperatorChange)
 	g.do(func() {
 		becameIsolated := r.Isolated && !m.isolated
 		m.leaving, m.isolated, m.reportedAtMs = r.Leaving, r.Isolated, r.SentAtMs
 		if r.ContactMs > 0 {
-			m.contactAt = received - time.Duration(r.ContactMs)*time.Millisecond
+			m.contactAt = arrived - time.Duration(r.ContactMs)*time.Millisecond
 		}
 		if becameIsolated {
 			g.log.Info().Str("event", "vm_isolated").Str("peer", string(m.vm)).Msg("")
 			defer func() { g.sendUpdate(received, m, g.news(g.peers(received))) }()
 		}
 		if r.PromiseMs > 0 {
-			g.promised(m, r, received)
+			g.promised(m, r, arrived)
 		}
 		if m.relayedTo == 0 {
 			m.relayedTo = r.RowsTo
@@ -146,10 +147,10 @@
 		}
 		g.observe(r)
 		g.observeHealth(m.vm, r, received)
-		g.observeRests(r.Rests, received)
+		g.observeRests(r.Rests, arrived)
 		g.control.leaving.merge(g.control.view(), r.LeavingUpstreams, "vm")
 		becameCold := g.control.cold.merge(g.control.view(), r.Cold, "vm")
-		if g.allocator.handleReport(g.control.view(), m.permits, r, received) || becameCold {
+		if g.allocator.handleReport(g.control.view(), m.permits, r, arrived) || becameCold {
 			g.sendUpdates(received)
 		}
 		g.handleQuotaReport(received, m, r)
@@ -218,7 +219,7 @@
 func (g *granter) sendUpdate(now time.Duration, m *member, n news) {
 	lease := g.lease
 	rank := g.rankOf(m.vm)
-	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange, SentAtMs: now.Milliseconds()}
+	u := update{Rank: rank, VMs: len(g.ranks), StoreUnreachable: g.storeUnreachable.Load(), OperatorChange: n.operatorChange, SentAtMs: now.Milliseconds(), AnswersMs: m.reportedAtMs}
 	if !u.StoreUnreachable {
 		u.StoreKnownMs = g.control.outage.knownMs()
 	}
--- a/server/gateway/messages_test.go
+++ b/server/gateway/messages_test.go
@@ -44,7 +44,7 @@
 	}))
 	t.Cleanup(server.Close)
 	opened := listen.NewMessages(listen.MessageLimits{}, nil, nil, nil)
-	c, err := dialProxy(t.Context(), server.Listener.Addr().String(), maxFrameBytes, opened)
+	c, err := dialProxy(t.Context(), server.Listener.Addr().String(), maxFrameBytes, opened, newStalls(func(time.Duration) {}))
 	require.NoError(t, err)
 	t.Cleanup(func() { c.end(errProxyIdle) })
 	call := func(target string, body int) *proxyResponse {
--- a/server/gateway/promise_test.go
+++ b/server/gateway/promise_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -41,6 +42,17 @@
 	}
 }
 
+// receive receives a message of a VM under test.
+func receive(ctx context.Context, conn *websocket.Conn, message any, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, message)
+}
+
 // TestReportNamesItsUpdate guards against promises that the granter can't date, because a report
 // does not say which update its VM had received.
 func TestReportNamesItsUpdate(t *testing.T) {
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -47,6 +47,7 @@
 	// accepted grants memory to the messages of isolated VMs, opened to those of VMs that this one
 	// has connected to.
 	accepted, opened *listen.Messages
+	stalls           *stalls
 	// knownPeers returns the addresses of VMs, of which some may be isolated too.
 	knownPeers func() []string
 	handler    *requestHandler
@@ -111,7 +112,7 @@
 	if c != nil && c.open() {
 		return c, nil
 	}
-	c, err := dialProxy(ctx, address, p.maxMessageBytes, p.opened)
+	c, err := dialProxy(ctx, address, p.maxMessageBytes, p.opened, p.stalls)
 	if err != nil {
 		return nil, err
 	}
--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -128,6 +128,7 @@
 type proxyConn struct {
 	ws       *websocket.Conn
 	messages *listen.MessageConn
+	stalls   *stalls
 
 	mu      sync.Mutex
 	lastID  uint64
@@ -139,7 +140,7 @@
 }
 
 // dialProxy connects to a VM.
-func dialProxy(ctx context.Context, address string, maxMessageBytes int64, messages *listen.Messages) (*proxyConn, error) {
+func dialProxy(ctx context.Context, address string, maxMessageBytes int64, messages *listen.Messages, stalls *stalls) (*proxyConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, proxyDialTimeout)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}
@@ -149,7 +150,7 @@
 		return nil, errors.Wrap(err, "connect to a VM that reaches the upstreams")
 	}
 	ws.SetReadLimit(maxMessageBytes)
-	c := &proxyConn{ws: ws, messages: messages.Connection(nil, maxMessageBytes), waiting: make(map[uint64]chan *proxyResponse), usedAt: time.Now(), ended: make(chan struct{})}
+	c := &proxyConn{ws: ws, messages: messages.Connection(nil, maxMessageBytes), stalls: stalls, waiting: make(map[uint64]chan *proxyResponse), usedAt: time.Now(), ended: make(chan struct{})}
 	go c.read()
 	go c.keepAlive()
 	return c, nil
@@ -207,9 +208,9 @@
 		case idle:
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), linkTimeout)
+		ctx, stop := c.stalls.within(context.Background(), linkTimeout)
 		err := c.ws.Ping(ctx)
-		cancel()
+		stop()
 		if err != nil {
 			c.end(errors.Wrap(err, "the VM that sends requests is silent"))
 			return
--- a/server/gateway/stall.go
+++ b/server/gateway/stall.go
@@ -2,50 +2,116 @@
 
 import (
 	"context"
+	"sync"
 	"time"
-)
 
-const (
-	// stallCheckInterval is the interval between looks at the clock, minStall the shortest stall
-	// that is reported.
-	stallCheckInterval = 50 * time.Millisecond
-	minStall           = 100 * time.Millisecond
+	"github.com/pkg/errors"
+
+	"dandelionhill.dev/core/stall"
 )
 
-// stallMonitor finds the times at which this process did not run: it was stopped, or waited for a
+// errPeerSilent means that another VM has sent nothing for longer than it may.
+var errPeerSilent = errors.New("the other VM is silent")
+
+// stalls finds the times at which this process did not run: it was stopped, or waited for a
 // processor.
-type stallMonitor struct {
-	lastCheck time.Duration
+type stalls struct {
+	// found is called after a stall.
+	found func(stall time.Duration)
+	// clock is bootTime: a suspension of the VM is a stall.
+	clock func() time.Duration
+
+	mu      sync.Mutex
+	monitor *stall.Monitor
 }
 
-// check returns for how long the process has not run since the last check, 0 if that is below
-// minStall.
-func (m *stallMonitor) check(now time.Duration) time.Duration {
-	stall := now - m.lastCheck - stallCheckInterval
-	m.lastCheck = now
-	if stall < minStall {
-		return 0
+func newStalls(found func(time.Duration)) *stalls {
+	return &stalls{found: found, clock: bootTime, monitor: stall.NewMonitor(bootTime())}
+}
+
+// check looks at the clock.
+func (s *stalls) check() {
+	s.mu.Lock()
+	stall := s.monitor.Check(s.clock())
+	s.mu.Unlock()
+	if stall > 0 {
+		s.found(stall)
 	}
-	return stall
 }
 
-// watchStalls reports stalls of this process until ctx ends.
-func (g *Gateway) watchStalls(ctx context.Context) {
-	monitor := stallMonitor{lastCheck: bootTime()}
-	ticker := time.NewTicker(stallCheckInterval)
+// start begins to watch. The process has not checked the clock before.
+func (s *stalls) start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.monitor = stall.NewMonitor(s.clock())
+}
+
+// run checks the clock until ctx ends.
+func (s *stalls) run(ctx context.Context) {
+	ticker := time.NewTicker(stall.CheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			if stall := monitor.check(bootTime()); stall > 0 {
-				g.recordStall(stall)
-			}
+			s.check()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// silence is the silence of another VM; the context of a call ends when the VM is lost.
+type silence struct {
+	stalls *stalls
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+
+	mu    sync.Mutex
+	state stall.Silence
+	ended bool
+}
+
+// within returns a context that ends when another VM is silent for longer than limit. The time in
+// which this process does not run does not count: what has arrived meanwhile is read first. stop must
+// be called.
+func (s *stalls) within(ctx context.Context, limit time.Duration) (silent context.Context, stop func()) {
+	silent, cancel := context.WithCancelCause(ctx)
+	w := &silence{stalls: s, cancel: cancel}
+	s.check()
+	s.mu.Lock()
+	w.state = s.monitor.Silence(s.clock(), limit)
+	s.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(limit, w.expire)
+	return silent, w.stop
+}
+
+// expire ends the context unless the process has stalled.
+func (w *silence) expire() {
+	w.stalls.check()
+	w.stalls.mu.Lock()
+	remaining := w.stalls.monitor.Remaining(w.stalls.clock(), w.state)
+	w.stalls.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.ended:
+	case remaining > 0:
+		w.timer.Reset(remaining)
+	default:
+		w.cancel(errPeerSilent)
+	}
+}
+
+func (w *silence) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.timer.Stop()
+	w.cancel(nil)
+}
+
 func (g *Gateway) recordStall(stall time.Duration) {
 	g.metrics.stalls.Inc()
 	g.metrics.stalledSeconds.Add(stall.Seconds())
--- a/server/gateway/statedlimits.go
+++ b/server/gateway/statedlimits.go
@@ -147,14 +147,17 @@
 		Str("source", source).Msg("")
 }
 
-// receive applies permits of the granter.
-func (l *statedLimits) receive(v *view, grants []permitGrant) {
+// receive applies permits of the granter. Those that are not usable only count as received, so that the
+// granter does not take them to be on their way.
+func (l *statedLimits) receive(v *view, grants []permitGrant, usable bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, grant := range grants {
 		if u := v.incarnation(grant.Upstream); u != nil {
 			l.limitOf(u).received += grant.Permits
-			u.limiter.addPermits(grant.Permits, grant.Backlog)
+			if usable {
+				u.limiter.addPermits(grant.Permits, grant.Backlog)
+			}
 		}
 	}
 }
