gateway: a VM learns that the store answers again while its granter relays

TestRemovalAfterACutFromTheStore failed once: "the VM regains the store" not within 10 s. A VM whose last call to the store had failed paused; if the granter began to relay the rows meanwhile, the VM made no call any more, and only a call shows that the store answers. It took itself to be cut off for as long as the granter relayed, and would have put removals off after the loss of the granter.

A feed whose last call has failed calls again after its pause, also while the granter relays; one call more for each failure that the granter covers. Changes that the granter relays during that call are kept (relay.record). TestStoreRegainedWhileTheGranterRelays failed before for both tables.

--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -66,12 +66,17 @@
 	// compacted means that the store has dropped its history since the last response, which came
 	// in an era of it.
 	compacted, era := false, int64(0)
+	// failed means that the store has failed the last call. Only a call of this VM shows that it answers
+	// again: what the granter relays does not.
+	failed := false
 	for ctx.Err() == nil {
 		if s.relay != nil && known && !c.watching.Load() {
 			if to, ok := s.relay.active(); ok {
 				version = max(version, to)
-				wait.For(ctx, relayCheckInterval)
-				continue
+				if !failed {
+					wait.For(ctx, relayCheckInterval)
+					continue
+				}
 			}
 		}
 		page, err := c.readChanges(ctx, s, version, known)
@@ -90,7 +95,7 @@
 					s.relay.recordFeed(page.Rows, version, !known)
 				}
 			}
-			known, compacted, era = true, false, page.Era
+			known, compacted, era, failed = true, false, page.Era, false
 			wait.For(ctx, s.interval())
 		case errors.Is(err, fleet.ErrCompacted):
 			c.log.Info().Str("event", "feed_restarted").Str("table", s.table).Int64("after", version).Msg("")
@@ -107,6 +112,7 @@
 		case ctx.Err() != nil:
 			return
 		default:
+			failed = true
 			c.setStoreAvailable(false)
 			if s.relay != nil {
 				s.relay.markFeedFailed()
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -96,6 +96,10 @@
 			r.rows = append([]fleet.Row(nil), r.rows[over:]...)
 		}
 	}
+	if !full {
+		// The granter may have relayed later changes while the call was under way.
+		to = max(r.to, to)
+	}
 	r.to, r.feedFailed = to, false
 }
 
