control: a stalled process reads what has arrived before it suspects other VMs

On a busy machine the VMs of one process take each other for unreachable or dead after each stall of a second, and a holder can lose its shard although the answers to its renewals have arrived: the control loop chooses at random between its timer and what has arrived.

After a stall (core/stall) the loop processes what arrives until it is quiet for 5 ms, 50 ms at most, before it looks at its timers, and the time of the stall does not count as silence of other VMs. What is reported as heard, the majority and Gone are as before, and authority counts from the sending of a renewal as before.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -128,6 +128,16 @@
 	}
 }
 
+// Stalled records that this process has not run for a time before now. It counts against the state of
+// no VM: nothing was read meanwhile. Reachable and HasMajority, which state what was heard, and Gone are
+// as without a stall.
+func (t *Table) Stalled(now, stall time.Duration) {
+	for _, p := range t.sorted {
+		// A heartbeat may have been read after the stall and before this call.
+		p.excused = min(p.excused+stall, now-p.lastHeard)
+	}
+}
+
 // UpdateFromList processes a reading of the platform's list. It adds unknown VMs.
 // A VM that is missing from the list keeps its state.
 func (t *Table) UpdateFromList(now time.Duration, states map[api.VMID]ListState) {
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -53,6 +53,31 @@
 	require.Equal(t, Alive, table.State("b"))
 }
 
+// TestStallOfThisProcess guards against VMs that are suspected or taken for dead because this process
+// did not run, and against a stall that makes a VM count as heard or keeps a silent one alive.
+func TestStallOfThisProcess(t *testing.T) {
+	table := New("a", DefaultConfig(), []api.VMID{"b", "c"})
+	hb := Heartbeat{From: "b", Incarnation: "1"}
+	table.HandleHeartbeat(0, hb)
+	table.Stalled(5100*ms, 5000*ms)
+	require.Equal(t, Alive, stateAt(table, 5999*ms, "b"))
+	require.Empty(t, table.Reachable(5999*ms), "it was not heard")
+	require.False(t, table.HasMajority(5999*ms))
+	require.Equal(t, Suspect, stateAt(table, 6000*ms, "b"))
+	require.Equal(t, Dead, stateAt(table, 8000*ms, "b"))
+
+	table = New("a", DefaultConfig(), nil)
+	table.HandleHeartbeat(0, hb)
+	require.Equal(t, Suspect, stateAt(table, 1500*ms, "b"))
+	table.HandleHeartbeat(1600*ms, hb)
+	table.HandleHeartbeat(1800*ms, hb)
+	table.Stalled(3900*ms, 2000*ms)
+	table.HandleHeartbeat(4000*ms, hb)
+	require.Equal(t, Alive, stateAt(table, 4000*ms, "b"), "no heartbeat was lost")
+	table.Stalled(4000*ms, 2000*ms)
+	require.Equal(t, Suspect, stateAt(table, 5000*ms, "b"), "the stall was before its last heartbeat")
+}
+
 // TestVMHeardByOthersIsUnreachable guards against treating a VM as dead because of a partition
 // between two VMs.
 func TestVMHeardByOthersIsUnreachable(t *testing.T) {
--- a/core/membership/peer.go
+++ b/core/membership/peer.go
@@ -26,6 +26,7 @@
 	firstHeard         time.Duration // of this incarnation
 	lastHeard          time.Duration // or the time when the VM became known
 	lastHeardByOthers  time.Duration // when another VM last reported this one as reachable
+	excused            time.Duration // for which this process has not run since lastHeard
 	consecutive        int           // consecutive heartbeats while not alive
 	leaving            bool          // by its own heartbeat
 
@@ -56,11 +57,11 @@
 	}
 	p.update(now, cfg)
 	// A gap of two intervals means that a heartbeat in between was lost.
-	if now-p.lastHeard >= 2*cfg.HeartbeatEvery {
+	if p.silent(now) >= 2*cfg.HeartbeatEvery {
 		p.consecutive = 0
 	}
 	p.consecutive++
-	p.lastHeard = now
+	p.lastHeard, p.excused = now, 0
 	p.leaving = hb.Leaving
 	p.update(now, cfg)
 	return true
@@ -94,7 +95,7 @@
 		p.formerIncarnations = append(p.formerIncarnations, p.incarnation)
 	}
 	p.incarnation, p.everHeard = incarnation, true
-	p.firstHeard, p.lastHeard = now, now
+	p.firstHeard, p.lastHeard, p.excused = now, now, 0
 	p.gone, p.leaving, p.consecutive = false, false, 0
 	p.state = Alive
 }
@@ -132,9 +133,12 @@
 	return p.leaving || p.listed == ListLeaving && (!p.everHeard || p.listedSince >= p.firstHeard)
 }
 
+// silent returns for how long no heartbeat has arrived while this process ran.
+func (p *peer) silent(now time.Duration) time.Duration { return now - p.lastHeard - p.excused }
+
 // update computes the state at now.
 func (p *peer) update(now time.Duration, cfg Config) {
-	silent := now - p.lastHeard
+	silent := p.silent(now)
 	heardByOthers := now-p.lastHeardByOthers < cfg.SuspectAfter
 	switch {
 	case p.gone:
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -16,6 +16,7 @@
 	"dandelionhill.dev/core/membership"
 	"dandelionhill.dev/core/placement"
 	"dandelionhill.dev/core/shardmap"
+	"dandelionhill.dev/core/stall"
 	"dandelionhill.dev/platform"
 	"dandelionhill.dev/server/metrics"
 )
@@ -36,6 +37,10 @@
 	// confirmFor is how long a confirmation of the configuration lasts. A VM
 	// without one accepts no new requests.
 	confirmFor = 2 * time.Second
+	// catchUpQuiet is how long no message arrives after a stall until the control loop has caught up, and
+	// catchUpFor the longest time that it takes. A renewal of an authority leaves 0.8 s.
+	catchUpQuiet = 5 * time.Millisecond
+	catchUpFor   = 50 * time.Millisecond
 	// maxQueuedEvents bounds the events that wait for the control goroutine.
 	maxQueuedEvents = 4096
 )
@@ -83,6 +88,7 @@
 	// store, and so has every revision that was accepted before its start.
 	storeRead bool
 	expired   expiryTracker // updated at each heartbeat
+	stalls    *stall.Monitor
 
 	nextHeartbeat, nextMaintain time.Duration
 	storeReadRunning            bool // a read of the store is in progress
@@ -108,7 +114,7 @@
 		peers:   map[api.VMID]peerState{},
 		holders: shardmap.NewHolders(shardmap.DefaultClaimExpiry),
 		shards:  map[api.ShardID]*shardState{},
-		started: cfg.Clock(),
+		started: cfg.Clock(), stalls: stall.NewMonitor(cfg.Clock()),
 	}
 	c.snapshot.Store(&Snapshot{})
 	return c
@@ -128,6 +134,7 @@
 	store := time.NewTicker(storeEvery)
 	defer store.Stop()
 	c.readStore(ctx)
+	c.stalls = stall.NewMonitor(c.cfg.Clock())
 	for {
 		select {
 		case <-ctx.Done():
@@ -136,6 +143,7 @@
 		case event := <-c.events:
 			event()
 		case <-ticker.C:
+			c.checkStall()
 			c.tick()
 		case <-store.C:
 			c.readStore(ctx)
@@ -143,6 +151,35 @@
 	}
 }
 
+// checkStall finds out whether this process has stalled. Then it processes what has arrived meanwhile
+// before other VMs count as silent and authority as expired. Authority that has expired stays so: it
+// counts from the sending of a renewal, and each use of it checks its end.
+func (c *Control) checkStall() {
+	now := c.cfg.Clock()
+	stalled := c.stalls.Check(now)
+	if stalled == 0 {
+		return
+	}
+	c.members.Stalled(now, stalled)
+	caughtUp := time.NewTimer(catchUpFor)
+	defer caughtUp.Stop()
+	events := 0
+	for quiet := false; !quiet; {
+		timer := time.NewTimer(catchUpQuiet)
+		select {
+		case event := <-c.events:
+			event()
+			events++
+		case <-timer.C:
+			quiet = true
+		case <-caughtUp.C:
+			quiet = true
+		}
+		timer.Stop()
+	}
+	c.cfg.Log.Warn().Str("event", "stalled").Int64("stalled_ms", stalled.Milliseconds()).Int("events", events).Msg("")
+}
+
 // post runs f on the control goroutine.
 func (c *Control) post(f func()) { c.events <- f }
 
