gateway: TestRemovalAfterACutFromTheStore causes the failed call that it waits for

Once the granter relays both tables it makes no call, and does not notice. The test lets it poll until a call has failed, and checks the same as before.

--- a/server/gateway/outage_test.go
+++ b/server/gateway/outage_test.go
@@ -28,7 +28,15 @@
 	d.requireServed(b, plainPath, -1)
 	d.eventually(func() bool { return b.control.outage.knownMs() > 0 && b.control.view().rank == 1 }, "it follows the granter")
 	refuse.Store(true)
-	d.eventually(func() bool { return b.control.view().storeUnavailable }, "the VM is cut off from the store")
+	d.eventually(func() bool {
+		// While the granter relays, the VM makes no call that could fail.
+		for _, r := range []*relay{b.links.relay, b.links.operatorRelay} {
+			r.mu.Lock()
+			r.activeUntil = 0
+			r.mu.Unlock()
+		}
+		return b.control.view().storeUnavailable
+	}, "the VM is cut off from the store")
 	refuse.Store(false)
 	d.eventually(func() bool { return !b.control.view().storeUnavailable }, "the VM regains the store")
 	require.Zero(t, b.control.outage.removalWait(), "the store has answered the granter")
