cluster: WaitServing states why a VM does not serve

TestStaleReads failed with "does not serve" after 120 s and no reason. The error states the last probe that failed, with its status and body. No other change.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -242,18 +243,26 @@
 }
 
 // WaitServing waits until every running VM is in rotation and serves every shard of
-// each service.
+// each service. Its error states why not, as of the last attempt.
 func (c *Cluster) WaitServing(ctx context.Context) error {
 	for _, vm := range c.VMs {
 		if !vm.Running() {
 			continue
 		}
 		for _, s := range c.Document.Services {
-			for !vm.InRotation() || !vm.servesAllShards(ctx, s) {
+			for attempts := 1; ; attempts++ {
+				why := "it is not in rotation"
+				if vm.InRotation() {
+					failure := vm.serveAllShards(ctx, s)
+					if failure == nil {
+						break
+					}
+					why = failure.Error()
+				}
 				select {
 				case <-time.After(50 * time.Millisecond):
 				case <-ctx.Done():
-					return errors.Errorf("VM %s does not serve %s", vm.Settings.VM, s.Name)
+					return errors.Errorf("VM %s does not serve %s after %d attempts: %s", vm.Settings.VM, s.Name, attempts, why)
 				}
 			}
 		}
@@ -267,39 +276,53 @@
 // maxConcurrentProbes bounds the concurrent probes of one VM.
 const maxConcurrentProbes = 16
 
-func (vm *VM) servesAllShards(ctx context.Context, s config.Service) bool {
-	var failed atomic.Bool
+// serveAllShards returns why a probe of a service has failed, nil if none has.
+func (vm *VM) serveAllShards(ctx context.Context, s config.Service) error {
+	var first atomic.Pointer[error]
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrentProbes)
 	for i := range probeKeys {
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			if !failed.Load() && !vm.probe(ctx, s, i) {
-				failed.Store(true)
+			if first.Load() != nil {
+				return
+			}
+			if err := vm.probe(ctx, s, i); err != nil && ctx.Err() == nil {
+				first.CompareAndSwap(nil, &err)
 			}
 		})
 	}
 	group.Wait()
-	return !failed.Load()
+	if failure := first.Load(); failure != nil {
+		return *failure
+	}
+	return errors.Wrap(ctx.Err(), "the time is over")
 }
 
-func (vm *VM) probe(ctx context.Context, s config.Service, i int) bool {
+func (vm *VM) probe(ctx context.Context, s config.Service, i int) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, vm.URL(s.Name, fmt.Sprintf("/probe/%d", i)), nil)
 	if err != nil {
-		return false
+		return errors.Wrap(err, "make request")
 	}
 	if s.Keyed { // an unkeyed service may run hedged copies, which have no owner
 		req.Header.Set(api.HeaderKey, fmt.Sprintf("probe-%d", i))
 	}
 	resp, err := vm.cluster.client().Do(req)
 	if err != nil {
-		return false
+		return errors.Wrapf(err, "probe %d", i)
 	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		return nil
+	}
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxProbeError))
+	return errors.Errorf("probe %d: status %d, outcome %q: %s", i, resp.StatusCode, resp.Header.Get(api.HeaderOutcome), body)
 }
 
+// maxProbeError bounds the part of a response that an error of a probe states.
+const maxProbeError = 200
+
 // Entries returns the URLs of the VMs in rotation.
 func (c *Cluster) Entries() []string {
 	var out []string
