holder: a run that its upstream ends at its deadline is no crash

Found while TestStaleReads was traced: on a busy machine a probe was refused as one that crashes upstreams ("quarantined", 422). An upstream that checks deadlines ends a run by its deadline and closes the connection. The deadline of a run is that of the VM's authority if that ends earlier, so that the VM has not cancelled the run yet, nor has a process that is late. The holder took the broken connection for a crash, and two of them quarantine a request.

A connection that breaks when the deadline of the run may have passed at the upstream is no evidence, except for upstreams that check no deadlines. A crash that a VM reads only after that deadline, because its process has stalled, is not counted by it. TestEndAtDeadlineIsNoCrash failed before ("at its deadline": quarantined).

--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -139,7 +139,7 @@
 			s.monitor.RequestCancelled(now, up.id, elapsed)
 		}
 		s.keepRangeBusy(r, current)
-		s.recordCrash(now, r, up, failure, cancelled)
+		s.recordCrash(now, r, current, failure, cancelled)
 		s.retryOrEnd(r, s.failureRefusal(cancelled, err))
 	}
 	s.resumeHot(now, r)
@@ -237,8 +237,13 @@
 
 // recordCrash records crash evidence: a broken connection makes all requests in
 // flight on the upstream suspects, once for each incarnation of the upstream.
-func (s *Shard) recordCrash(now time.Duration, r *request, up *upstream, failure *platform.SendError, cancelled bool) {
-	if failure == nil || !failure.ConnBroken || cancelled {
+// An upstream that checks deadlines ends a run by its deadline and may close the
+// connection for it. That is before the request's own deadline if the authority of
+// this VM ends earlier, or if this process is late to cancel the run.
+func (s *Shard) recordCrash(now time.Duration, r *request, current *run, failure *platform.SendError, cancelled bool) {
+	up := current.up
+	atDeadline := s.service.UpstreamChecks != config.ChecksNone && s.leases.MayHavePassed(now, current.deadline, up.id)
+	if failure == nil || !failure.ConnBroken || cancelled || atDeadline {
 		s.evidence.Ended(now, r.fingerprint)
 		return
 	}
--- a/server/holder/straggler_test.go
+++ b/server/holder/straggler_test.go
@@ -8,7 +8,10 @@
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/core/crash"
 	"dandelionhill.dev/core/ramp"
+	"dandelionhill.dev/platform"
 )
 
 // keyCount returns how many of the first keys an upstream owns.
@@ -86,3 +89,38 @@
 		})
 	}
 }
+
+// TestEndAtDeadlineIsNoCrash guards against a slow request that is quarantined as one that crashes
+// upstreams, because two of them have ended its run at its deadline by closing the connection. One whose
+// connections break before is.
+func TestEndAtDeadlineIsNoCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		left   time.Duration
+		checks config.Checks
+		want   crash.Verdict
+	}{
+		"at its deadline":                {2 * time.Millisecond, config.ChecksFence, crash.Normal},
+		"in time":                        {300 * time.Millisecond, config.ChecksFence, crash.Quarantined},
+		"the upstream ends no run by it": {2 * time.Millisecond, config.ChecksNone, crash.Quarantined},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithShard(t, func(env *testEnv) {
+				env.until("an owner", func() bool { return env.send(env.shard, "key-0") })
+				owner := env.owner(rangeOfKey("key-0"))
+				env.shard.mu.Lock()
+				defer env.shard.mu.Unlock()
+				up, now := env.shard.upstreams[owner], env.now()
+				env.shard.service.UpstreamChecks = c.checks
+				defer func() { env.shard.service.UpstreamChecks = config.ChecksFence }()
+				deadline, ok := env.shard.leases.Deadline(now, now+c.left, up.id)
+				require.True(t, ok)
+				r := &request{fingerprint: 7}
+				for range 2 {
+					up.crashedIncarnation = ""
+					env.shard.recordCrash(now, r, &run{up: up, started: now, deadline: deadline}, &platform.SendError{ConnBroken: true}, false)
+				}
+				require.Equal(t, c.want, env.shard.evidence.Admit(now, r.fingerprint))
+			})
+		})
+	}
+}
