cluster: TestStaleReads waits for the VMs under a modest load

A process that serves less is full for ever: requests that are due are sent in addition, and probes then take 2 to 3 s, with a deadline of 3 s, and are refused ("the response is expected in 2.19 s, after the deadline") or late.

The faults strike under the load as before. While the test waits for the VMs to serve, 4 requests are in progress; on an idle machine that is the same rate.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -34,6 +34,9 @@
 	Zipf    float64 // exponent of the distribution of keys, above 1; 0 is uniform
 	Rate    float64 // requests a second, all targets together
 	Workers int     // requests in progress at once
+	// Modest, unless it is nil, reports whether only modestWorkers requests may be in progress at
+	// present: a machine that serves less than Rate is then not full with the requests of the load.
+	Modest  func() bool
 	Timeout time.Duration
 	// MaxRetries is the number of times a request without an answer is sent again,
 	// through another VM and with the same request ID.
@@ -41,6 +44,12 @@
 	Seed       uint64
 }
 
+// modestWorkers and modestCheck bound a modest load, see Options.Modest.
+const (
+	modestWorkers = 4
+	modestCheck   = 5 * time.Millisecond
+)
+
 // Result is the outcome of one request, after its retries.
 type Result struct {
 	Target    Target
@@ -80,6 +89,8 @@
 		if !sleepUntil(ctx, due) {
 			break
 		}
+		for o.Modest != nil && o.Modest() && len(slots) >= modestWorkers && wait.For(ctx, modestCheck) {
+		}
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
