--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -273,6 +274,9 @@
 // probeKeys is the number of keys requested so that every shard of a service gets one.
 const probeKeys = 64
 
+// probeTimeout is the time that a probe gives a VM.
+const probeTimeout = 15 * time.Second
+
 // maxConcurrentProbes bounds the concurrent probes of one VM.
 const maxConcurrentProbes = 16
 
@@ -305,6 +309,9 @@
 	if err != nil {
 		return errors.Wrap(err, "make request")
 	}
+	// A probe shows whether a VM serves, not how fast: on a busy machine it takes longer than the default
+	// time of a request.
+	req.Header.Set(api.HeaderTimeout, strconv.FormatInt(probeTimeout.Milliseconds(), 10))
 	if s.Keyed { // an unkeyed service may run hedged copies, which have no owner
 		req.Header.Set(api.HeaderKey, fmt.Sprintf("probe-%d", i))
 	}
