gateway: TestRollingRestartWithoutStore has a clock that stands still in stalls

Leases of keys last 2 s, so that a process that does not run for longer loses them, as it must; all VMs, upstreams and the store of the test are one process.

What is checked is the same.

--- a/fakes/fleet/store.go
+++ b/fakes/fleet/store.go
@@ -32,6 +32,7 @@
 	// oldest is the oldest version whose changes are kept.
 	oldest  int64
 	start   time.Time
+	now     func() time.Time
 	faults  Faults
 	changed chan struct{}
 	calls   int
@@ -65,9 +66,12 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[fleet.RowID]fleet.Row), start: time.Now(), changed: make(chan struct{}), era: 1}
+	return &Store{rows: make(map[fleet.RowID]fleet.Row), start: time.Now(), now: time.Now, changed: make(chan struct{}), era: 1}
 }
 
+// SetClock replaces the clock that responses state. Call it before the first request.
+func (s *Store) SetClock(now func() time.Time) { s.start, s.now = now(), now }
+
 // SetFaults replaces the faults.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -190,7 +194,7 @@
 	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	w.WriteHeader(status)
 	// The connection may be closed; the caller then gets no response.
-	_ = json.NewEncoder(w).Encode(fleet.Page{Rows: rows, Version: s.version, ClockSeconds: time.Since(s.start).Seconds()})
+	_ = json.NewEncoder(w).Encode(fleet.Page{Rows: rows, Version: s.version, ClockSeconds: s.now().Sub(s.start).Seconds()})
 }
 
 func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
--- a/server/gateway/clock.go
+++ b/server/gateway/clock.go
@@ -1,15 +1,26 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
+// testClock, unless it is nil, replaces the clock of bootTime for the tests of this package.
+var testClock atomic.Pointer[func() time.Duration]
+
 // bootTime returns the time of a clock that also runs while the VM is suspended.
 // Leases and promises are measured by it: Go's monotonic clock stops during a suspension.
 func bootTime() time.Duration {
+	if clock := testClock.Load(); clock != nil {
+		return (*clock)()
+	}
+	return kernelTime()
+}
+
+func kernelTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic(errors.Wrap(err, "the kernel has no CLOCK_BOOTTIME"))
--- a/server/gateway/deployment_test.go
+++ b/server/gateway/deployment_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,6 +44,7 @@
 	vms            []*Gateway
 	requests       int
 	timeoutS       int // of the routes, in seconds
+	clock          *runningClock
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -54,6 +56,48 @@
 	return d
 }
 
+// runningClock is a clock for all of a deployment that stands still while the process of the test does
+// not run: each look at it counts maxStep at most, and the VMs look more often than that. Leases,
+// promises and the limits between VMs then do not run out because the machine is busy.
+type runningClock struct {
+	mu          sync.Mutex
+	real, shown time.Duration
+}
+
+// maxStep is above the interval of the VMs' timers.
+const maxStep = 100 * time.Millisecond
+
+func (c *runningClock) read() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := kernelTime()
+	c.shown += min(now-c.real, maxStep)
+	c.real = now
+	return c.shown
+}
+
+// stalled returns the time for which the clock has stood still.
+func (c *runningClock) stalled() time.Duration {
+	shown := c.read()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.real - shown
+}
+
+// useRunningClock gives the VMs, the store and later upstreams a runningClock until the test ends. Call
+// it before anything of the deployment starts.
+func (d *deployment) useRunningClock() {
+	now := kernelTime()
+	d.clock = &runningClock{real: now, shown: now}
+	read := d.clock.read
+	testClock.Store(&read)
+	d.t.Cleanup(func() { testClock.Store(nil) })
+	d.store.SetClock(d.wallTime)
+}
+
+// wallTime returns the time of the clock of the deployment.
+func (d *deployment) wallTime() time.Time { return time.Unix(0, int64(d.clock.read())) }
+
 // configure writes a configuration that routes keyedPath to a service.
 func (d *deployment) configure(version int, keyedTo string) {
 	d.store.Put("op", "config", d.configuration(version, keyedTo))
@@ -78,6 +122,9 @@
 
 func (d *deployment) addUpstream(id, service string) *fakes.Upstream {
 	u := fakes.NewUpstream(id, service, "zone-a")
+	if d.clock != nil {
+		u.SetClock(d.wallTime)
+	}
 	server := httptest.NewServer(u)
 	d.t.Cleanup(server.Close)
 	d.upstreams[id], d.addresses[id] = u, server.Listener.Addr().String()
