gateway: calls of the store are counted by cause

The metric store_calls_total named the call and its result only, so that an operator could not tell the reads of VMs without a granter from polls or retries. It gains the label cause; the causes of calls of feeds come from core/freshness. TestLostCallIsFollowedAtOnce compares a whole freshness.Call and expects its cause too.

--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -62,8 +62,28 @@
 type Call struct {
 	// Wait is how long the store holds the call without changes, Timeout when it is given up.
 	Wait, Timeout time.Duration
+	Cause         Cause
 }
 
+// Cause is why a VM calls the store for a table.
+type Cause string
+
+// The causes.
+const (
+	// CauseStart is the first read of a VM.
+	CauseStart Cause = "start"
+	// CauseWatch is a poll of the watcher, CauseLongPoll one of a VM that relies on the watcher,
+	// and CauseUnwatched one of a VM without a watcher.
+	CauseWatch     Cause = "feed"
+	CauseLongPoll  Cause = "feed_long"
+	CauseUnwatched Cause = "feed_unwatched"
+	// CauseReread is another read of the whole table: the store has dropped its history, or the
+	// feed lacks a change that another VM knows.
+	CauseReread Cause = "reread"
+	// CauseRetry is a call after one that got no response or a failure.
+	CauseRetry Cause = "retry"
+)
+
 // Verdict is what becomes of a call in flight.
 type Verdict int
 
@@ -111,22 +131,29 @@
 	switch {
 	case t.lost:
 		// The store may have been restored, which its next response shows.
-		return Call{Timeout: t.cfg.CallTimeout}
+		return Call{Timeout: t.cfg.CallTimeout, Cause: CauseRetry}
 	case watching:
-		return Call{Wait: t.cfg.WatchWait, Timeout: t.cfg.WatchWait + t.cfg.ResponseTime}
+		return Call{Wait: t.cfg.WatchWait, Timeout: t.cfg.WatchWait + t.cfg.ResponseTime, Cause: CauseWatch}
 	case now < t.watchedUntil:
 		t.long = true
-		return Call{Wait: t.cfg.LongWait, Timeout: t.cfg.LongWait + t.cfg.CallTimeout}
+		return Call{Wait: t.cfg.LongWait, Timeout: t.cfg.LongWait + t.cfg.CallTimeout, Cause: CauseLongPoll}
 	default:
 		wait := min(max(t.cfg.WatchWait, time.Duration(vms)*t.cfg.WaitPerVM), t.cfg.LongWait)
-		return Call{Wait: wait, Timeout: wait + t.cfg.ResponseTime}
+		return Call{Wait: wait, Timeout: wait + t.cfg.ResponseTime, Cause: CauseUnwatched}
 	}
 }
 
 // BeginRead returns the next call, which reads the whole table.
 func (t *Table) BeginRead(now time.Duration) Call {
 	t.begunAt, t.long, t.whole, t.immediate = now, false, true, true
-	return Call{Timeout: t.cfg.CallTimeout}
+	call := Call{Timeout: t.cfg.CallTimeout, Cause: CauseReread}
+	switch {
+	case t.lost:
+		call.Cause = CauseRetry
+	case !t.confirmed:
+		call.Cause = CauseStart
+	}
+	return call
 }
 
 // Answered records a response of the store: all changes up to version known, the newest of
--- a/core/freshness/freshness_test.go
+++ b/core/freshness/freshness_test.go
@@ -59,7 +59,7 @@
 	table.Answered(0, 5, 5)
 	require.Less(t, table.Begin(0, true, 11).Timeout, cfg.CallTimeout)
 	table.Lost()
-	require.Equal(t, Call{Timeout: cfg.CallTimeout}, table.Begin(time.Second, true, 11))
+	require.Equal(t, Call{Timeout: cfg.CallTimeout, Cause: CauseRetry}, table.Begin(time.Second, true, 11))
 	table.Reported(time.Second, 9)
 	verdict, _ := table.Check(time.Second + cfg.MaxLag)
 	require.Equal(t, Behind, verdict)
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -124,12 +124,13 @@
 func (e *elector) elect(ctx context.Context) {
 	var known leaseRow // the lease last read
 	var lost error     // why the connection to its granter ended
+	ended := false     // whether it has ended since the lease was read
 	for ctx.Err() == nil {
 		if next := e.followSuccessor(ctx, lost); next != nil {
 			lost = next
 			continue
 		}
-		state, err := e.readState(ctx)
+		state, err := e.readState(withCallCause(ctx, readCause(known, ended)))
 		if err != nil {
 			e.log.Warn().Str("event", "lease_not_read").Err(err).Msg("")
 			if lost = e.followWithoutStore(ctx, known.lease); !isSuccession(lost) {
@@ -139,13 +140,14 @@
 			continue
 		}
 		e.adoptStoredOwners(state)
-		ended := granterEnded(lost, state.lease.Term)
-		if known.version != state.lease.version && !ended {
+		ended = false
+		processEnded := granterEnded(lost, state.lease.Term)
+		if known.version != state.lease.version && !processEnded {
 			lost = nil
 		}
 		known = state.lease
 		e.capacities.learn(known.Largest)
-		lease := known.electionLease(e.process(), ended)
+		lease := known.electionLease(e.process(), processEnded)
 		isolated, _ := e.control.reach.isolated()
 		switch withVoter(e, func(v *election.Voter, now time.Duration) election.Step {
 			v.SetIsolated(isolated)
@@ -157,6 +159,7 @@
 		case election.Follow:
 			began := bootTime()
 			lost = e.followGranter(ctx, known.lease)
+			ended = true
 			if bootTime()-began < linkTimeout && !endsFollowing(lost) {
 				wait.For(ctx, granterRetry)
 			}
@@ -286,7 +289,7 @@
 		wait.For(ctx, e.capacities.campaignDelay()+time.Duration(rand.Int64N(int64(takeoverJitter))))
 	}
 	if l.VM != e.self && !electionLease.Vacant {
-		current, err := e.readState(ctx)
+		current, err := e.readState(withCallCause(ctx, causeTakeover))
 		if err != nil || current.lease.version != l.version {
 			return
 		}
@@ -379,7 +382,7 @@
 		e.links.reportNow()
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaseCheckTimeout)
+	ctx, cancel := context.WithTimeout(withCallCause(ctx, causeRenewalCheck), leaseCheckTimeout)
 	defer cancel()
 	state, err := e.readState(ctx)
 	if err != nil {
@@ -457,6 +460,7 @@
 // startTerm writes the lease of a new term with rows of owners, and runs the granter if that
 // succeeds. Rows of owners that are not in the state are removed.
 func (e *elector) startTerm(ctx context.Context, state systemState, predecessor ownership.Predecessor, owners []fleet.Put) {
+	ctx, runCtx := withCallCause(ctx, causeTakeover), ctx
 	previous := state.lease
 	next := lease{
 		VM: e.self, Incarnation: e.incarnation, Address: e.address, Term: previous.Term + 1, Seq: 1,
@@ -489,7 +493,7 @@
 	// The lease counts from before the moment that its row states.
 	authority := election.NewAuthority(election.DefaultConfig(), state.requestedAt, previous.VMs)
 	authority.Renewing(sent) // after that moment
-	e.runGranter(ctx, newGranter(e, next, state.condition().after(page.Version), authority, state.requestedAt, predecessor, state))
+	e.runGranter(runCtx, newGranter(e, next, state.condition().after(page.Version), authority, state.requestedAt, predecessor, state))
 }
 
 // runGranter runs a granter until its term ends.
--- a/server/gateway/feedmonitor.go
+++ b/server/gateway/feedmonitor.go
@@ -61,7 +61,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	call := begin(m.clock())
-	pollCtx, cancel := context.WithCancelCause(ctx)
+	pollCtx, cancel := context.WithCancelCause(withCallCause(ctx, callCause(call.Cause)))
 	pollCtx, stop := context.WithTimeout(pollCtx, call.Timeout)
 	m.interrupt = cancel
 	m.scheduleCheck()
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -137,7 +137,7 @@
 	sent := bootTime()
 	page, err := c.store.WaitForChanges(pollCtx, s.table, version, waits)
 	c.observeEra(page)
-	c.storeCallEnded("feed", sent, err)
+	c.storeCallEnded(pollCtx, "feed", sent, err)
 	if err == nil || errors.Is(err, fleet.ErrCompacted) {
 		return page, err
 	}
@@ -176,14 +176,14 @@
 		c.observeEra(page)
 		c.submitClock(sent, bootTime(), page)
 	}
-	c.storeCallEnded("read", sent, err)
+	c.storeCallEnded(ctx, "read", sent, err)
 	return page, err
 }
 
 // storeCallEnded counts a call of the store, and tells the feeds of a response. After a call
 // without one the next call gets a new connection: the idle ones may be silent too.
-func (c *control) storeCallEnded(call string, sent time.Duration, err error) {
-	c.metrics.recordStoreCall(call, err)
+func (c *control) storeCallEnded(ctx context.Context, call string, sent time.Duration, err error) {
+	c.metrics.recordStoreCall(call, callCauseOf(ctx), err)
 	if err == nil || errors.Is(err, fleet.ErrConflict) {
 		for _, feed := range c.feeds() {
 			feed.storeAnswered(sent)
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -186,7 +186,7 @@
 	defer stop()
 	go func() {
 		for wait.For(serving, leaseCheckInterval) {
-			if state, err := e.control.readSystem(serving); err == nil {
+			if state, err := e.control.readSystem(withCallCause(serving, causeCaretaker)); err == nil {
 				recovered <- state
 				g.do(func() { g.termOver = true })
 				return
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -296,6 +296,6 @@
 	sent := bootTime()
 	page, err := c.store.Commit(ctx, tx)
 	c.observeEra(page)
-	c.storeCallEnded("commit", sent, err)
+	c.storeCallEnded(ctx, "commit", sent, err)
 	return page, err
 }
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -116,7 +116,7 @@
 		failedSends:       counter("failed_sends_total", "Sends to upstreams without a complete response, by reason.", "service", "reason"),
 		rejectedSends:     counter("rejected_sends_total", "Sends that a full upstream rejected, by kind: shed, reset or silent.", "service", "kind"),
 		limitedSends:      counter("limited_sends_total", "Sends to upstreams that state a limit of requests per second.", "service"),
-		store:             counter("store_calls_total", "Calls of the store by result.", "call", "result"),
+		store:             counter("store_calls_total", "Calls of the store by cause and result.", "call", "cause", "result"),
 		panics:            counter("panics_total", "Handlings of a message, change or request that ended by a panic.", "task"),
 		granter:           gauge("granter", "1 while this VM grants keys."),
 		config:            gauge("configuration_version", "Version of the configuration in use."),
@@ -220,12 +220,12 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func (m *Metrics) recordStoreCall(call string, err error) {
+func (m *Metrics) recordStoreCall(call string, cause callCause, err error) {
 	result := "ok"
 	if err != nil {
 		result = "error"
 	}
-	m.store.WithLabelValues(call, result).Inc()
+	m.store.WithLabelValues(call, string(cause), result).Inc()
 }
 
 func (m *Metrics) recordRequest(service, outcome string, took time.Duration) {
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -61,6 +61,10 @@
 // lease counts from renewedAt, the time for which it states RenewedAtMs, whichever attempt takes
 // effect and when: its successor reckons from there.
 func (g *granter) write(ctx context.Context, renewedAt time.Duration, next lease, services []api.ServiceName, owners []fleet.Put) {
+	ctx = withCallCause(ctx, causeRenewal)
+	if len(owners) > 0 {
+		ctx = withCallCause(ctx, causeOwners)
+	}
 	for {
 		page, err := g.control.commit(ctx, g.condition, next, owners, nil)
 		if errors.Is(err, fleet.ErrConflict) {
@@ -169,7 +173,7 @@
 	for _, m := range g.machines {
 		next.InDoubtMs = max(next.InDoubtMs, (m.InDoubtUntil(now) - now).Milliseconds())
 	}
-	if _, err := g.control.commit(ctx, g.condition, next, nil, nil); err != nil {
+	if _, err := g.control.commit(withCallCause(ctx, causeRelease), g.condition, next, nil, nil); err != nil {
 		g.log.Warn().Str("event", "lease_not_released").Int64("term", g.term).Err(err).Msg("")
 	}
 }
