gateway: VMs poll the tables only when what the lost granter passed on is 1.6 s old

After the loss of a granter, half of the calls of 70 VMs were polls of both tables. Each VM began them 0.7 s after the granter's last message; those that relied on its word ended in vain when that was 1.6 s old, and were made again. A VM now makes no call until the rows that the granter passed on are 1.6 s old (freshness.Table.CallAt), the bound that held before with a granter that is cut off from the store. The first poll without a granter waits 0.7 s with any number of VMs: with 300 it waited 3 s, and a change was known 2.3 s after it if that poll was lost.

--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -109,8 +109,12 @@
 	// confirmedAt is a time before which the VM lacks no change, once confirmed is set.
 	confirmedAt time.Duration
 	confirmed   bool
-	// watchedUntil is until when the watcher's word counts.
-	watchedUntil time.Duration
+	// watchedUntil is until when the watcher's word counts, relayedUntil until when that counts with
+	// which it last passed all changes on.
+	watchedUntil, relayedUntil time.Duration
+	// watched means that there was a watcher since the last call without one. The first such call
+	// has a short wait whatever the number of VMs: it is late already if it is lost.
+	watched bool
 	// begunAt is when the call in flight, or the last one, began. long means that it relies on the
 	// watcher, whole that it reads the whole table, immediate that the store answers it at once.
 	begunAt                time.Duration
@@ -132,13 +136,21 @@
 	case t.lost:
 		// The store may have been restored, which its next response shows.
 		return Call{Timeout: t.cfg.CallTimeout, Cause: CauseRetry}
+	case watching && now-t.confirmedAt > t.cfg.WatchWait:
+		// This VM has just become the watcher, and the others wait for its word.
+		t.immediate = true
+		return Call{Timeout: t.cfg.CallTimeout, Cause: CauseWatch}
 	case watching:
 		return Call{Wait: t.cfg.WatchWait, Timeout: t.cfg.WatchWait + t.cfg.ResponseTime, Cause: CauseWatch}
 	case now < t.watchedUntil:
 		t.long = true
 		return Call{Wait: t.cfg.LongWait, Timeout: t.cfg.LongWait + t.cfg.CallTimeout, Cause: CauseLongPoll}
 	default:
-		wait := min(max(t.cfg.WatchWait, time.Duration(vms)*t.cfg.WaitPerVM), t.cfg.LongWait)
+		wait := t.cfg.WatchWait
+		if !t.watched {
+			wait = min(max(wait, time.Duration(vms)*t.cfg.WaitPerVM), t.cfg.LongWait)
+		}
+		t.watched = false
 		return Call{Wait: wait, Timeout: wait + t.cfg.ResponseTime, Cause: CauseUnwatched}
 	}
 }
@@ -180,7 +192,7 @@
 // before a time age ago, of which the newest that any VM has reported is newest.
 func (t *Table) Vouched(now, age time.Duration, newest int64) {
 	t.Reported(now, newest)
-	t.watchedUntil = max(t.watchedUntil, now-age+t.cfg.MaxAge)
+	t.watchedUntil, t.watched = max(t.watchedUntil, now-age+t.cfg.MaxAge), true
 	if t.known >= t.newest {
 		t.confirm(now - age)
 	}
@@ -191,10 +203,22 @@
 func (t *Table) Relayed(now, age time.Duration, known int64) {
 	t.known = max(t.known, known)
 	t.Vouched(now, age, t.newest)
+	t.relayedUntil = max(t.relayedUntil, now-age+t.cfg.MaxAge)
+}
+
+// CallAt returns when the next call is due in a VM to which the watcher has passed rows on. After
+// the last of its messages the VM lacks no change that is older than Config.MaxAge until then, and
+// the next watcher may continue meanwhile. A call that would rely on the watcher would end then
+// as Unwatched. It is due at once if the VM knows that it lacks a change, or has lost a call.
+func (t *Table) CallAt(now time.Duration) time.Duration {
+	if t.lost || t.known < t.newest {
+		return now
+	}
+	return max(now, t.relayedUntil)
 }
 
 // Unwatch ends the reliance on the watcher.
-func (t *Table) Unwatch() { t.watchedUntil, t.retry.awayUntil = 0, 0 }
+func (t *Table) Unwatch() { t.watchedUntil, t.relayedUntil, t.retry.awayUntil = 0, 0, 0 }
 
 func (t *Table) confirm(at time.Duration) {
 	if !t.confirmed || at > t.confirmedAt {
--- a/core/freshness/sim_test.go
+++ b/core/freshness/sim_test.go
@@ -34,6 +34,8 @@
 	idleUntil      time.Duration
 	pausing        bool // after a failed call
 	cut            bool // from the store
+	// relayUntil is until when the VM relies on the rows that the watcher passes on.
+	relayUntil time.Duration
 	// answeredAt is when the store last answered the VM; otherAt is when its next call to another
 	// table is due, 0 if it makes none.
 	answeredAt, otherAt time.Duration
@@ -51,6 +53,9 @@
 	silences      [][2]time.Duration
 	changes       []time.Duration
 	calls         int
+	// relays means that the watcher passes rows on, atOnce that VMs call the store as soon as it
+	// does not.
+	relays, atOnce bool
 }
 
 func newSimulation(vms int) *simulation {
@@ -105,6 +110,11 @@
 		vm.table.StoreAway(now, now-watcher.answeredAt > simAway)
 		if age, ok := watcher.table.Age(now); ok {
 			vm.table.Vouched(now, age+time.Millisecond, watcher.table.Newest())
+			if s.relays && vm.table.known > 0 {
+				vm.known = max(vm.known, watcher.known)
+				vm.table.Relayed(now, age+time.Millisecond, watcher.table.known)
+				vm.relayUntil = now + min(simLink, cfg.MaxAge-age)
+			}
 		}
 	}
 }
@@ -120,6 +130,9 @@
 		if now < vm.idleUntil || vm.pausing && now < vm.table.RetryAt(now) {
 			return
 		}
+		if !watching && (now < vm.relayUntil || !s.atOnce && now < vm.table.CallAt(now)) {
+			return
+		}
 		s.calls++
 		vm.pausing = false
 		if vm.full {
--- a/server/gateway/callcause_test.go
+++ b/server/gateway/callcause_test.go
@@ -85,3 +85,59 @@
 		return counted == received.Load()
 	}, "all calls are counted")
 }
+
+// feedCallsOf returns the calls that a VM without a granter has made for the tables that it follows.
+func feedCallsOf(g *Gateway) int {
+	calls, sum := storeCallsOf(g), 0
+	for _, cause := range []freshness.Cause{freshness.CauseLongPoll, freshness.CauseUnwatched, freshness.CauseReread, freshness.CauseRetry} {
+		sum += calls[callCause(cause)]
+	}
+	return sum
+}
+
+// TestChangeWithoutNextGranter guards against a VM that waits for the next granter instead of
+// following the tables itself: the granter is lost and no VM can take over.
+func TestChangeWithoutNextGranter(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("k1", "keyed")
+	var noLease atomic.Bool
+	store := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if noLease.Load() && (r.URL.Query().Get("Table") == systemTable || r.URL.Path == "/api/rows-tx") {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		d.store.ServeHTTP(rw, r)
+	}))
+	t.Cleanup(store.Close)
+	for i := range 3 {
+		d.requireServed(d.startVMAt(fmt.Sprint("vm-", i), store.Listener.Addr().String()), keyedPath, 1)
+	}
+	var granter *Gateway
+	others := d.vms[:0:0]
+	for _, g := range d.vms {
+		if g.links.currentGranter() != nil {
+			granter = g
+		} else {
+			others = append(others, g)
+		}
+	}
+	for _, g := range others {
+		d.eventually(func() bool { _, ok := g.links.relay.active(); return ok }, "the granter passes rows on")
+	}
+	noLease.Store(true)
+	before := make(map[*Gateway]int)
+	for _, g := range others {
+		before[g] = feedCallsOf(g)
+	}
+	granter.cancel()
+	for _, server := range granter.servers {
+		server.Close()
+	}
+	<-granter.electionDone
+	d.configure(5, "keyed")
+	for _, g := range others {
+		d.eventually(func() bool { return g.control.view().config.Version == 5 }, "the change is in force")
+		require.Greater(t, feedCallsOf(g), before[g], "it has read the change itself")
+		require.Nil(t, g.links.currentGranter())
+	}
+}
--- a/server/gateway/feedmonitor.go
+++ b/server/gateway/feedmonitor.go
@@ -51,6 +51,15 @@
 	return m.begin(ctx, func(now time.Duration) freshness.Call { return m.table.Begin(now, watching, vms) })
 }
 
+// callDelay returns how long a VM to which the granter has passed rows on may wait before its next
+// call, see freshness.Table.CallAt.
+func (m *feedMonitor) callDelay() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock()
+	return m.table.CallAt(now) - now
+}
+
 // readWhole starts a call that reads the whole table, see poll.
 func (m *feedMonitor) readWhole(ctx context.Context) (callCtx context.Context, done func()) {
 	callCtx, _, done = m.begin(ctx, m.table.BeginRead)
--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -73,6 +73,10 @@
 				wait.For(ctx, relayCheckInterval)
 				continue
 			}
+			if delay := s.monitor.callDelay(); delay > 0 {
+				wait.For(ctx, min(delay, relayCheckInterval))
+				continue
+			}
 		}
 		page, err := c.readChanges(ctx, s, version, known)
 		switch {
