gateway: a few VMs read the lease for the others while there is no granter

After the loss of a granter, 70 VMs read the lease 200 to 440 times: each every 0.25 s until one grants, and all of them before a takeover. The row of the lease now names readers (4 to 10 VMs, from 12 other VMs on). They read it every 0.125 s and when it becomes stale; the others ask one of them and read only if its word does not show that the row is unchanged, when they would have read without readers. A reader that follows the next granter names it. Who may act when has not changed, and every takeover reads the row before it writes it. An unreadable lease row is told by its term, as a lease with a slice cannot be compared.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -209,7 +209,7 @@
 		if v.isolated && l.Age < v.cfg.IsolatedPatience {
 			return Follow
 		}
-		if !v.stopping && now >= max(v.promisedUntil, v.startedAt+v.cfg.PromiseTTL) {
+		if !v.stopping && now >= v.mayCampaignAt() {
 			return Campaign
 		}
 		return Follow
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -68,6 +68,8 @@
 
 	mu    sync.Mutex
 	voter *election.Voter
+	// reads decides when this VM reads the lease while it has no granter.
+	reads *leaseReads
 	// leaseCheckedAt is when the lease was last read because the granter could not renew it.
 	leaseCheckedAt time.Duration
 	// restoredEra is the last era in which the store was found restored, restoredAt when.
@@ -125,13 +127,18 @@
 	var known leaseRow // the lease last read
 	var lost error     // why the connection to its granter ended
 	ended := false     // whether it has ended since the lease was read
+	var state systemState
+	confirmed := false      // whether a reader of the lease has found it as last read
+	var began time.Duration // of the last attempt to follow the granter
 	for ctx.Err() == nil {
 		if next := e.followSuccessor(ctx, lost); next != nil {
 			lost = next
 			continue
 		}
-		state, err := e.readState(withCallCause(ctx, readCause(known, ended)))
-		if err != nil {
+		var err error
+		if confirmed {
+			state.lease = known
+		} else if state, err = e.readState(withCallCause(ctx, readCause(known, ended))); err != nil {
 			e.log.Warn().Str("event", "lease_not_read").Err(err).Msg("")
 			if lost = e.followWithoutStore(ctx, known.lease); !isSuccession(lost) {
 				lost = nil
@@ -139,7 +146,10 @@
 			}
 			continue
 		}
-		e.adoptStoredOwners(state)
+		if !confirmed {
+			e.recordRead(state.lease)
+			e.adoptStoredOwners(state)
+		}
 		ended = false
 		processEnded := granterEnded(lost, state.lease.Term)
 		if known.version != state.lease.version && !processEnded {
@@ -149,22 +159,33 @@
 		e.capacities.learn(known.Largest)
 		lease := known.electionLease(e.process(), processEnded)
 		isolated, _ := e.control.reach.isolated()
-		switch withVoter(e, func(v *election.Voter, now time.Duration) election.Step {
+		step := withVoter(e, func(v *election.Voter, now time.Duration) election.Step {
 			v.SetIsolated(isolated)
 			return v.Next(now, lease, lost != nil)
-		}) {
+		})
+		if confirmed && (step == election.Campaign && !processEnded && !e.mayCampaign() || step == election.Follow && bootTime()-began < granterRetry) {
+			step = election.Wait
+		}
+		confirmed = false
+		switch step {
 		case election.Campaign:
 			lost = nil
 			e.campaign(ctx, state, lease)
 		case election.Follow:
-			began := bootTime()
+			began = bootTime()
 			lost = e.followGranter(ctx, known.lease)
 			ended = true
 			if bootTime()-began < linkTimeout && !endsFollowing(lost) {
-				wait.For(ctx, granterRetry)
+				var moved error
+				if known, confirmed, moved = e.awaitLease(ctx, known); moved != nil {
+					lost = moved
+				}
 			}
 		case election.Wait:
-			wait.For(ctx, granterRetry)
+			var moved error
+			if known, confirmed, moved = e.awaitLease(ctx, known); moved != nil {
+				lost = moved
+			}
 		}
 	}
 }
@@ -286,7 +307,11 @@
 func (e *elector) campaign(ctx context.Context, state systemState, electionLease election.Lease) {
 	l := state.lease
 	if l.Successor != e.self {
-		wait.For(ctx, e.capacities.campaignDelay()+time.Duration(rand.Int64N(int64(takeoverJitter))))
+		jitter := takeoverJitter
+		if e.readsForOthers(l) {
+			jitter = readerJitter
+		}
+		wait.For(ctx, e.capacities.campaignDelay()+time.Duration(rand.Int64N(int64(jitter))))
 	}
 	if l.VM != e.self && !electionLease.Vacant {
 		current, err := e.readState(withCallCause(ctx, causeTakeover))
@@ -465,7 +490,7 @@
 	next := lease{
 		VM: e.self, Incarnation: e.incarnation, Address: e.address, Term: previous.Term + 1, Seq: 1,
 		RenewedAtMs: state.clock.Milliseconds(), VMs: previous.VMs, Largest: previous.Largest, Quotas: previous.Quotas.Successor(),
-		PredecessorsMs: max(predecessor.Until-previous.readAt+callTimeout, 0).Milliseconds(), Era: state.era,
+		PredecessorsMs: max(predecessor.Until-previous.readAt+callTimeout, 0).Milliseconds(), Era: state.era, Readers: previous.Readers,
 	}
 	sent := bootTime()
 	if predecessor.Until <= sent {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -94,7 +94,7 @@
 		elector: &elector{
 			self: s.VM, incarnation: incarnation, address: s.peersAddress(), bounds: s.Bounds,
 			control: c, stats: st, links: l, metrics: m, buffers: budget, log: log,
-			voter:      election.NewVoter(election.DefaultConfig(), bootTime()),
+			voter: election.NewVoter(election.DefaultConfig(), bootTime()), reads: newLeaseReads(),
 			capacities: capacities{own: s.Resources.capacity()}, linkMbps: s.Resources.LinkMbps,
 		},
 	}
@@ -122,6 +122,7 @@
 	peers := chi.NewRouter()
 	peers.Handle(linkPath, l)
 	peers.Handle(proxyPath, g.proxies)
+	peers.Get(leasePath, g.elector.serveLease)
 	peers.Get(StatusPath, g.serveStatus)
 	peers.Get(WorkspacesPath, g.serveWorkspaces)
 	peers.Post(ExplainPath, g.serveExplain)
--- a/server/gateway/lease.go
+++ b/server/gateway/lease.go
@@ -64,6 +64,10 @@
 	// Quotas says which VMs may have tokens of workspaces, nil without quotas.
 	Quotas *quota.Roster `cbor:"14,keyasint,omitempty" json:"-"`
 
+	// Readers holds the addresses of the VMs that read the lease for the others while there is no
+	// granter, see election.Readers; empty if each VM reads it, as with granters of earlier versions.
+	Readers []string `cbor:"15,keyasint,omitempty" json:"-"`
+
 	// unconfirmed means that the lease was not read from the store.
 	unconfirmed bool
 }
@@ -157,7 +161,7 @@
 	if state.crashesErr != nil {
 		c.log.Error().Str("event", "quarantines_unreadable").Err(state.crashesErr).Msg("")
 	}
-	if state.lease.version > 0 && state.lease.lease == (lease{}) {
+	if state.lease.version > 0 && state.lease.Term == 0 {
 		c.log.Error().Str("event", "lease_unreadable").Int64("row", state.lease.version).Msg("")
 	}
 	return state, nil
--- a/server/gateway/members.go
+++ b/server/gateway/members.go
@@ -7,6 +7,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/quota"
 	"dandelionhill.dev/core/ratelimit"
 )
@@ -300,6 +301,24 @@
 	return sample(all, rank, maxProxiesSent)
 }
 
+// leaseReaders returns the addresses of the VMs that read the lease for the others if this granter is
+// lost: those with the largest capacity, which take it over without a delay, spread over all of them.
+func (g *granter) leaseReaders() []string {
+	var addresses []string
+	largest := g.largestCapacity()
+	for _, r := range g.ranks {
+		for m := range g.members {
+			if m.vm == r.vm && r.connected && m.address != "" && !m.leaving && !m.isolated && !fromMilli(m.capacity).YieldsTo(fromMilli(largest)) {
+				addresses = append(addresses, m.address)
+			}
+		}
+	}
+	if n := election.Readers(len(g.members)); n > 0 {
+		return sample(addresses, 0, n)
+	}
+	return nil
+}
+
 // baseVersion returns the version that a VM has before an update with table is sent to it.
 func baseVersion(table ownerTable, sent int64) int64 {
 	if table.Version > 0 {
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -43,6 +43,7 @@
 	// limitedSends counts the sends to upstreams that state a limit: service.
 	limitedSends *prometheus.CounterVec
 	store        *prometheus.CounterVec // call, result
+	leaseWords   *prometheus.CounterVec // result
 	panics       *prometheus.CounterVec // task
 	granter      prometheus.Gauge
 	config       prometheus.Gauge
@@ -117,6 +118,7 @@
 		rejectedSends:     counter("rejected_sends_total", "Sends that a full upstream rejected, by kind: shed, reset or silent.", "service", "kind"),
 		limitedSends:      counter("limited_sends_total", "Sends to upstreams that state a limit of requests per second.", "service"),
 		store:             counter("store_calls_total", "Calls of the store by cause and result.", "call", "cause", "result"),
+		leaseWords:        counter("lease_words_total", "Words of other VMs on the lease, asked for without a granter, by result.", "result"),
 		panics:            counter("panics_total", "Handlings of a message, change or request that ended by a panic.", "task"),
 		granter:           gauge("granter", "1 while this VM grants keys."),
 		config:            gauge("configuration_version", "Version of the configuration in use."),
@@ -172,6 +174,7 @@
 		m.failedSends,
 		m.rejectedSends,
 		m.limitedSends,
+		m.leaseWords,
 		m.panics,
 		m.store,
 		m.granter,
--- a/server/gateway/renewal.go
+++ b/server/gateway/renewal.go
@@ -28,6 +28,7 @@
 	next.Era = g.condition.era
 	next.RenewedAtMs = clock.latestMs(now)
 	next.VMs, next.Largest = len(g.members)+1, g.largestCapacity()
+	next.Readers = g.leaseReaders()
 	next.PredecessorsMs = max(g.predecessor.Until-now, 0).Milliseconds()
 	puts, services, err := g.storedRows.changesOfSome(g.pendingWrites)
 	if err != nil {
