quota: tokens of the lost granter are kept until its loan ends

A VM that reached the next granter early lost its tokens, and those of requests that waited for upstreams, up to half a second before that granter could issue for its share. The granter now says whether they may be kept (Update.KeepTokens): until the loan to the earlier one ends, and only while a VM of the roster is missing, as it cannot be settled then. When all have reported it ends them, and it is settled once each VM has acknowledged that. Updates that end tokens are sent at once.

Tokens of a new granter go first to requests of VMs whose loan has ended: these have waited for longer. A token of the VM's share that lapses while its request waits for an upstream may be taken again. A request whose token has ended waits for as long as its patience lasts.

AwaitsUpdate holds only for VMs that state their loan: others get no update that issues before the granter is settled, and would be sent one at each tick. A counter tells the requests whose tokens ended.

TestIdleTimeIsIssued has both VMs connect before they acknowledge: the order of a map decided which update came first, and a VM whose granter still misses another one now keeps its tokens.

--- a/core/quota/change.go
+++ b/core/quota/change.go
@@ -181,9 +181,10 @@
 }
 
 // WaitAgain returns until when a request waits for a token if the one that it had taken has ended before
-// its send, and whether it may wait: while the granter is being replaced, until replaceTime.
+// its send, and whether it may wait: while the granter is being replaced. p is what is left of its
+// patience.
 func (c *Client) WaitAgain(now time.Duration, name api.WorkspaceName, l Limit, p Patience) (until time.Duration, ok bool) {
-	until = now + max(p.Short, min(p.Most, c.replacedBy(now)-now))
+	until = now + max(p.Short, p.Long, min(p.Most, c.replacedBy(now)-now))
 	return until, c.Changing(now) && c.MayWait(now, name, l, until-now)
 }
 
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -28,8 +28,10 @@
 	rule    Rule
 	entries map[api.WorkspaceName]*entry
 	// link counts the connections to granters. tokenLink is the one on which the tokens came that the VM
-	// holds: they may be used until the granter of the present connection has sent an update.
+	// holds; those of an earlier connection may be used until tokensUntil, when the loan to its granter ends,
+	// unless the granter of the present one ends them.
 	link, tokenLink int
+	tokensUntil     time.Duration
 	share, phase    float64
 	shareUntil      time.Duration
 	// updatedAt is when the last update of a granter that issues was received; hadUpdate means
@@ -138,6 +140,7 @@
 	if l.Rate <= 0 || now < c.unlimitedUntil {
 		return Taken{free: true}, true
 	}
+	c.endTokens(now)
 	e := c.entry(now, name)
 	taken := Taken{at: now, link: c.tokenLink, solo: c.solo(now)}
 	if taken.solo && !c.takeSlot(now, e, l) || !taken.solo && !e.takeToken(now, &taken) {
@@ -209,8 +212,12 @@
 	}
 	if t.solo {
 		t.sent = now-t.at <= c.rule.budget(l).sendLife
+		if !t.sent && t.link == c.tokenLink && c.solo(now) {
+			c.entry(now, name).slot-- // Take may use it for as long as slotLife allows
+		}
 		return t.sent
 	}
+	c.endTokens(now)
 	e := c.entry(now, name)
 	if t.free || t.link != c.tokenLink || c.solo(now) || e.unsent == 0 {
 		return false
@@ -241,6 +248,7 @@
 // Return returns the token of a request that has ended without having run. It reports false if the
 // token does not hold any more.
 func (c *Client) Return(now time.Duration, name api.WorkspaceName, t Taken) bool {
+	c.endTokens(now)
 	if t.free || t.sent || t.link != c.tokenLink || t.solo != c.solo(now) {
 		return false
 	}
@@ -287,8 +295,11 @@
 
 // Connected begins a connection to a granter, which does not know the tokens that the VM holds. The
 // granter that issued them counts them as held until they lapse, so they may be used until this one
-// issues.
+// ends them, or the loan to the other one ends.
 func (c *Client) Connected() {
+	if c.tokenLink == c.link {
+		c.tokensUntil = c.updatedAt + soloAfter
+	}
 	c.link++
 	c.endFollowing()
 	for _, e := range c.entries {
@@ -296,6 +307,13 @@
 	}
 }
 
+// endTokens drops the tokens of an earlier connection when the loan to its granter has ended.
+func (c *Client) endTokens(now time.Duration) {
+	if now >= c.tokensUntil {
+		c.dropTokens()
+	}
+}
+
 // dropTokens drops the tokens of an earlier connection.
 func (c *Client) dropTokens() {
 	if c.tokenLink == c.link {
@@ -309,6 +327,7 @@
 
 // Report returns what has changed since the last report on the connection.
 func (c *Client) Report(now time.Duration) Report {
+	c.endTokens(now)
 	var r Report
 	r.Share, _ = c.Share(now)
 	c.stateChange(now, &r)
@@ -348,7 +367,9 @@
 	if !u.Issuing || u.AnswersMs == 0 || !c.follow(now, u) {
 		return false
 	}
-	c.dropTokens()
+	if c.endTokens(now); !u.KeepTokens || len(u.Grants) > 0 {
+		c.dropTokens()
+	}
 	answers := time.Duration(u.AnswersMs) * time.Millisecond
 	c.updatedAt, c.hadUpdate = now, true
 	life := tokenTTL
--- a/core/quota/client_test.go
+++ b/core/quota/client_test.go
@@ -79,6 +79,16 @@
 	_, ok = c.Take(secs(10.8), "w", limit)
 	require.False(t, ok)
 	require.Empty(t, c.Report(secs(10.8)).Demands)
+
+	c = connectedClient(4)
+	c.Connected()
+	require.True(t, c.Update(secs(10.5), &Update{Issuing: true, AnswersMs: 10_400, TokenMs: 400, KeepTokens: true, Term: 2}))
+	a, b = take(10.9), take(10.9)
+	require.True(t, c.Sent(secs(10.99), "w", limit, &a))
+	require.Empty(t, c.Report(secs(10.99)).Demands)
+	require.False(t, c.Sent(secs(11), "w", limit, &b), "the next granter issues for the share from now on")
+	_, ok = c.Take(secs(11), "w", limit)
+	require.False(t, ok)
 }
 
 // TestShareWithoutGranter guards against a share that is used at once by all VMs, that accumulates,
--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -50,6 +50,9 @@
 	// settled means that no tokens of earlier granters are in use any more.
 	settled   bool
 	settledAt time.Duration
+	// gathered means that all VMs that the last granter named are connected and have reported, so that this
+	// one is settled as soon as they have no tokens of earlier granters.
+	gathered bool
 	// complete means that all VMs that the last granter named follow this one.
 	complete bool
 	// firstActive is when tokens were first issued for any share.
@@ -138,6 +141,10 @@
 	issued    bool
 	// updated means that an update said that the granter issues, followed that the VM has acknowledged one.
 	updated, followed bool
+	// keeps means that the VM may have tokens of an earlier granter until loanUntil, droppedAt when the first
+	// update was sent that ends them.
+	keeps     bool
+	droppedAt time.Duration
 	// answersMs is the time of the VM's last report, on its own clock.
 	answersMs int64
 	demands   map[api.WorkspaceName]*demand
@@ -250,6 +257,9 @@
 		// A granter before this one has leased it, at most until then.
 		s.confirmed, s.until = r.Share, now+shareTTL
 	}
+	if m.droppedAt > 0 && answered >= m.droppedAt {
+		m.keeps = false
+	}
 	first := m.issued && !m.followed
 	m.followed = m.followed || m.issued
 	if m.left = i.term > 0 && r.Term > i.term; m.left {
@@ -329,8 +339,18 @@
 		if !known {
 			continue
 		}
-		issued := i.distribute(now, name, b, all, (*demand).wantNow)
-		i.distribute(now, name, b, min(spare, all-issued), (*demand).want)
+		issued := 0
+		if !i.settled {
+			// Requests of VMs whose loan to an earlier granter has ended have waited for longer.
+			issued = i.distribute(now, name, b, all, func(m *Member, d *demand) int {
+				if !i.lent(now, 0, m) {
+					return 0
+				}
+				return d.wantNow()
+			})
+		}
+		issued += i.distribute(now, name, b, all-issued, func(_ *Member, d *demand) int { return d.wantNow() })
+		i.distribute(now, name, b, min(spare, all-issued), func(_ *Member, d *demand) int { return d.want() })
 		b.unmet = false
 		for m, d := range b.demands {
 			b.unmet = b.unmet || d.want() > 0 && i.mayGrant(now, m)
@@ -342,7 +362,7 @@
 					average += d.rate / float64(len(i.members))
 				}
 			}
-			i.distribute(now, name, b, i.spareForGap(b, l), func(d *demand) int { return d.wantForGap(average) })
+			i.distribute(now, name, b, i.spareForGap(b, l), func(_ *Member, d *demand) int { return d.wantForGap(average) })
 		}
 	}
 }
@@ -411,11 +431,11 @@
 
 // distribute issues up to left tokens in proportion to what each VM lacks. What remains of the
 // division goes to the VMs in turn.
-func (i *Issuer) distribute(now time.Duration, name api.WorkspaceName, b *bucket, left int, lacks func(*demand) int) (issued int) {
+func (i *Issuer) distribute(now time.Duration, name api.WorkspaceName, b *bucket, left int, lacks func(*Member, *demand) int) (issued int) {
 	total := 0
 	for m, d := range b.demands {
 		if i.mayGrant(now, m) {
-			total += lacks(d)
+			total += lacks(m, d)
 		}
 	}
 	if total == 0 || left <= 0 {
@@ -430,7 +450,7 @@
 			if d == nil || issued == left || !i.mayGrant(now, m) {
 				continue
 			}
-			n := lacks(d)
+			n := lacks(m, d)
 			if pass == 0 {
 				n = int(float64(n) * part)
 			} else {
@@ -456,10 +476,12 @@
 	m.grants = MergeGrants(m.grants, []Grant{{Workspace: name, Tokens: n}})
 }
 
-// AwaitsUpdate reports whether the next update for a VM is the first that says that this granter issues.
-// The share of the VM is lent only after the VM has acknowledged it, so it is sent without delay.
+// AwaitsUpdate reports whether the next update for a VM is the first that says that this granter issues, or
+// that tokens of earlier granters end. The share of the VM is lent, and the granter settled, only after the
+// VM has acknowledged it, so it is sent without delay.
 func (i *Issuer) AwaitsUpdate(m *Member) bool {
-	return i.issuing && !m.updated && m.answersMs != 0 && m.share.member == m && i.Serves(m)
+	awaits := !m.updated || m.keeps && m.droppedAt == 0 && (i.settled || i.gathered)
+	return awaits && i.issuing && (i.settled || m.speaks) && m.answersMs != 0 && m.share.member == m && i.Serves(m)
 }
 
 // HasGrants reports whether tokens have been issued to a VM that its updates do not hold yet.
@@ -485,6 +507,13 @@
 	if !i.settled {
 		// Shares stay as they are: another granter may rely on them.
 		u.Share, u.TokenMs = m.share.confirmed, shortTTL.Milliseconds()
+		u.KeepTokens = !i.gathered && !m.started && now < m.loanUntil
+	}
+	switch {
+	case u.KeepTokens:
+		m.keeps, m.droppedAt = true, 0
+	case m.keeps && m.droppedAt == 0:
+		m.droppedAt = now
 	}
 	u.Phase = float64(max(rank, 0)) / float64(max(vms, 1))
 	m.grants = nil
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -160,6 +160,9 @@
 	TokenMs int64 `cbor:"6,keyasint,omitempty"`
 	// Term is the term of the granter, 0 if it is of an earlier version.
 	Term int64 `cbor:"7,keyasint,omitempty"`
+	// KeepTokens means that the VM may use tokens of an earlier granter until its loan to that one ends,
+	// as this granter issues none to it before. Otherwise such tokens end with the update.
+	KeepTokens bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant holds tokens for requests of a workspace.
--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -168,14 +168,22 @@
 }
 
 // allConnected reports whether each VM to which an earlier granter may issue tokens follows this
-// one, the VMs of the earlier granters among them.
+// one, the VMs of the earlier granters among them, and has no tokens of an earlier one.
 func (i *Issuer) allConnected(now time.Duration) bool {
+	return i.inherited != nil && i.allMembers(func(m *Member) bool {
+		return i.follows(now, m) && (!m.keeps || now >= m.loanUntil)
+	})
+}
+
+// allMembers reports whether each VM that the last granter named has reported, is connected and meets a
+// condition. Without its roster the VMs are not known.
+func (i *Issuer) allMembers(meets func(*Member) bool) bool {
 	if i.inherited == nil {
-		return false
+		return true
 	}
 	connected := make(map[uint32]bool, len(i.members))
 	for _, s := range i.shares {
-		if s.reported && i.follows(now, s.member) {
+		if s.reported && s.member != nil && meets(s.member) {
 			connected[s.hash] = true
 		}
 	}
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -398,7 +398,7 @@
 		g.updatesAt = s.now
 	}
 	for _, l := range sortedLinks(g.links, s.order) {
-		if all || l.member.HasGrants() {
+		if all || l.member.HasGrants() || g.issuer.AwaitsUpdate(l.member) {
 			s.sendUpdate(l)
 		}
 	}
@@ -495,7 +495,7 @@
 		if !client.Sent(now, name, w.limit, &taken) {
 			var ok bool
 			if taken, ok = client.Take(now, name, w.limit); !ok || !client.Sent(now, name, w.limit, &taken) {
-				end, ok := client.WaitAgain(now, name, w.limit, r.wait)
+				end, ok := client.WaitAgain(now, name, w.limit, Patience{Short: r.wait.Short, Long: r.wait.Long - (s.now - r.arrivedAt), Most: r.wait.Most})
 				if !ok {
 					r.cause = "token ended before the send"
 					return
--- a/core/quota/succession.go
+++ b/core/quota/succession.go
@@ -122,6 +122,7 @@
 
 // recompute determines the sum of the shares for which tokens are issued.
 func (i *Issuer) recompute(now time.Duration) {
+	i.gathered = i.settled || i.allMembers(func(*Member) bool { return true })
 	i.shares = slices.DeleteFunc(i.shares, func(s *share) bool { return s.member == nil && now >= s.until })
 	unknown := i.unknown(now, 0)
 	i.leased = unknown
@@ -215,6 +216,9 @@
 	if !i.Serves(m) {
 		return false
 	}
+	if !i.settled && !i.gathered && !m.started && now < m.loanUntil {
+		return false // it may use tokens of an earlier granter, see Update.KeepTokens
+	}
 	return i.settled || m.speaks && now-m.reportedAt < shortTTL/2
 }
 
--- a/core/quota/succession_test.go
+++ b/core/quota/succession_test.go
@@ -119,6 +119,57 @@
 	require.InDelta(t, 1, i.activeAt(3.01), 1e-9)
 }
 
+// TestKeptTokensPreventSettling guards against two granters whose tokens are in use beside each other without
+// bounds: while a VM may use those of an earlier one, the new one is not settled.
+func TestKeptTokensPreventSettling(t *testing.T) {
+	lent := Report{Share: 0.5, LoanMs: 1001}
+	i := succeed(rosterOf(0, "a", "b"))
+	a := i.Join(secs(0.1), "a")
+	i.Report(secs(0.1), a, 1, 0, lent)
+	require.True(t, i.AwaitsUpdate(a), "the first update is sent without delay")
+	require.True(t, i.Update(secs(0.1), a, 0, 2).KeepTokens, "the other VM is missing")
+	i.Report(secs(0.2), a, 1, secs(0.1), lent)
+	require.False(t, i.AwaitsUpdate(a))
+	b := follow(i, 0.3, "b", lent)
+	i.SetIssuing(secs(0.3), true)
+	require.False(t, i.Settled(), "VM a may use tokens until 1.1 s")
+	require.True(t, i.AwaitsUpdate(a))
+	require.False(t, i.Update(secs(0.4), a, 0, 2).KeepTokens)
+	i.Report(secs(0.4), a, 2, secs(0.1), lent)
+	i.SetIssuing(secs(0.4), true)
+	require.False(t, i.Settled(), "it has not received that update")
+	i.Report(secs(0.5), a, 2, secs(0.4), lent)
+	acknowledge(i, 0.5, b, lent)
+	i.SetIssuing(secs(0.5), true)
+	require.True(t, i.Settled())
+}
+
+// TestWideRosters guards against a granter that uses more of the overshoot than the earlier ones have left,
+// which may be of an earlier version.
+func TestWideRosters(t *testing.T) {
+	limit := Limit{Rate: 300, Burst: 300}
+	budget := DefaultRule.budget(limit)
+	require.Greater(t, budget.changeExtra, 2*budget.extra)
+	require.GreaterOrEqual(t, budget.room, limit.Burst)
+	require.InDelta(t, DefaultRule.Bound(limit)*(1-spareRoom)-limit.Rate*DefaultRule.Window.Seconds(), budget.room+budget.changeExtra, 1e-6)
+	for _, wide := range []bool{false, true} {
+		r := rosterOf(0, "a", "b")
+		r.Wide = wide
+		require.Equal(t, wide, r.Successor().Wide)
+		i := succeed(r)
+		follow(i, 1, "a", Report{Share: 0.5, LoanMs: 1})
+		follow(i, 1, "b", Report{Share: 0.5, LoanMs: 1, UsedMs: DefaultRule.Window.Milliseconds() + 1}) // had short-lived tokens
+		i.recompute(secs(1))
+		b := i.bucket("w")
+		i.available(secs(1), b, limit)
+		require.InDelta(t, 0.5*map[bool]float64{false: budget.extra, true: budget.changeExtra}[wide], b.tokens, 1e-6)
+		i.SetIssuing(secs(4.5), true)
+		require.True(t, i.Settled())
+		require.Equal(t, wide, i.Roster(secs(9.4)).Wide, "requests of its predecessors are in the window")
+		require.True(t, i.Roster(secs(9.5)).Wide)
+	}
+}
+
 // TestIdleTimeIsIssued guards against a quota that is lost while no VM had a granter, and against tokens
 // for time in which VMs had tokens or used their shares.
 func TestIdleTimeIsIssued(t *testing.T) {
@@ -134,11 +185,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := succeed(rosterOf(0, "a", "b"))
-			for vm, r := range map[api.VMID]Report{"a": c.a, "b": c.b} {
-				m := i.Join(secs(0.1), vm)
-				i.Report(secs(0.1), m, 1, 0, r)
-				acknowledge(i, c.settled, m, r)
-			}
+			a, b := i.Join(secs(0.1), "a"), i.Join(secs(0.1), "b")
+			i.Report(secs(0.1), a, 1, 0, c.a)
+			i.Report(secs(0.1), b, 1, 0, c.b)
+			acknowledge(i, c.settled, a, c.a)
+			acknowledge(i, c.settled, b, c.b)
 			i.SetIssuing(secs(c.settled), true)
 			require.Equal(t, c.early, i.Settled())
 			require.InDelta(t, c.idle, i.issuable, 1e-9)
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -88,6 +88,8 @@
 	hedges, hedgesSkipped *prometheus.CounterVec
 	// longWaits counts the requests that waited for a token for longer than maxTokenWait: result.
 	longWaits *prometheus.CounterVec
+	// endedTokens counts the requests whose token ended before they were sent: result.
+	endedTokens *prometheus.CounterVec
 	// unauthorized counts the requests refused with 401, by cause.
 	unauthorized *prometheus.CounterVec
 }
@@ -129,6 +131,7 @@
 		rests:             counter("upstream_rests_total", "Responses of upstreams that want no requests from this VM for a time.", "service"),
 		workspaceRequests: counter("workspace_requests_total", "Requests of workspaces with a quota that were admitted or refused, and tokens returned; the workspaces with the highest rates have a label of their own.", "workspace", "result"),
 		longWaits:         counter("quota_long_waits_total", "Requests that waited for a token of their workspace for longer than usual, because the granter was being replaced, by result.", "result"),
+		endedTokens:       counter("quota_ended_tokens_total", "Requests whose token ended while they waited for an upstream, because the granter was being replaced, by result.", "result"),
 		unauthorized:      counter(unauthorizedRequests, "Requests refused with 401, by cause.", "cause"),
 		hedges:            counter("hedges_total", "Second sends of requests whose first took unusually long, by result: sent, won, lost or failed.", "service", "result"),
 		hedgesSkipped:     counter("hedges_skipped_total", "Requests whose first send took unusually long and that were not sent to a second upstream, by reason.", "service", "reason"),
--- a/server/gateway/quota.go
+++ b/server/gateway/quota.go
@@ -320,7 +320,14 @@
 // takeAgain waits for a token for a request whose token ended before its send because the granter is being
 // replaced, before the requests that have had none. The request is then sent as one that has just taken a
 // token: its upstream is chosen again, as the view may have changed meanwhile.
-func (s *quotas) takeAgain(ctx context.Context, q *request) outcome {
+func (s *quotas) takeAgain(ctx context.Context, q *request) (failure outcome) {
+	defer func() {
+		result := "admitted"
+		if failure.status != 0 {
+			result = "over_quota"
+		}
+		s.metrics.endedTokens.WithLabelValues(result).Inc()
+	}()
 	s.mu.Lock()
 	now, name, limit := s.now(), q.workspace.Name, limitOf(q.workspace)
 	if s.takeNow(now, q, name, limit) {
--- a/server/gateway/quota_test.go
+++ b/server/gateway/quota_test.go
@@ -267,6 +267,7 @@
 	require.Eventually(t, func() bool { return len(s.report().Demands) > 0 }, 10*time.Second, time.Millisecond)
 	s.grant("huka", 1)
 	require.Zero(t, (<-done).status)
+	require.InDelta(t, 1, testutil.ToFloat64(s.metrics.endedTokens.WithLabelValues("admitted")), 0)
 	require.Zero(t, beforeSend(late))
 	unlimited := &request{workspace: &routing.Workspace{Name: "free"}}
 	require.Zero(t, s.take(t.Context(), unlimited).status)
--- a/server/gateway/quotaissuer.go
+++ b/server/gateway/quotaissuer.go
@@ -74,7 +74,7 @@
 	q.issuer.Issue(now, g.quotaLimit)
 	g.updateOwnQuota(now)
 	for m := range g.members {
-		if m.quota.HasGrants() {
+		if m.quota.HasGrants() || q.issuer.AwaitsUpdate(m.quota) {
 			g.sendQuota(now, m)
 		}
 	}
