bench/untrusted: floods of messages and of endless responses at the daemon without gateway

The clients speak the protocol of VMs as a compromised VM would; the upstream, a fake with a hook for its responses, states no size and stalls a kilobyte short of max_body.

--- a/bench/untrusted/daemon_test.go
+++ b/bench/untrusted/daemon_test.go
@@ -51,6 +51,12 @@
 
 // startDaemon starts one VM of an example deployment.
 func startDaemon(t *testing.T) *vm {
+	t.Helper()
+	return startDaemons(t, 1, func(*cluster.Options) {})
+}
+
+// startDaemons starts VMs of an example deployment and returns the first.
+func startDaemons(t *testing.T, vms int, change func(*cluster.Options)) *vm {
 	t.Helper()
 	path, err := binary()
 	require.NoError(t, err)
@@ -63,10 +69,12 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*startTimeout)
 	t.Cleanup(cancel)
-	c, err := cluster.Start(ctx, cluster.Options{
-		Document: doc, VMs: 1, UpstreamsPerService: 1, ServiceTime: time.Millisecond, Binary: limited, Seed: 1,
+	options := cluster.Options{
+		Document: doc, VMs: vms, UpstreamsPerService: 1, ServiceTime: time.Millisecond, Binary: limited, Seed: 1,
 		ConfigureVM: func(s *settings.Settings) { s.MemoryMB = daemonMemoryMB },
-	})
+	}
+	change(&options)
+	c, err := cluster.Start(ctx, options)
 	require.NoError(t, err)
 	t.Cleanup(c.Stop)
 	require.NoError(t, c.WaitServing(ctx))
--- a/fakes/upstream/http.go
+++ b/fakes/upstream/http.go
@@ -250,6 +250,9 @@
 	h := w.Header()
 	h.Set(api.HeaderIncarnation, string(incarnation))
 	h.Set("Content-Type", "text/plain")
+	if s.cfg.Respond != nil && s.cfg.Respond(w, r) {
+		return
+	}
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	if faults.WrongNonce {
 		h.Set(api.HeaderNonce, "crossed")
--- a/fakes/upstream/upstream.go
+++ b/fakes/upstream/upstream.go
@@ -36,6 +36,9 @@
 	NoRenewals bool
 	// Recorder records every run; nil records nothing.
 	Recorder Recorder
+	// Respond, unless it is nil, writes the response of a run, with the head of the usual one set. It
+	// returns false for the usual response.
+	Respond func(w http.ResponseWriter, r *http.Request) bool
 }
 
 // Run describes one execution of a request.
