daemon: messages between VMs and responses of upstreams take memory from the budget

server/peer reads messages through listen.Messages, on connections that it accepts and on those that it dials, whose progress is measured too (listen.Guard.Dial). A call without room is refused with shed (not-run); a message that expects no reply ends its connection; a reply without room ends its call with an unknown outcome.

--- a/api/wire/wire.go
+++ b/api/wire/wire.go
@@ -42,6 +42,9 @@
 	Type    Type            `cbor:"1,keyasint"`
 	CallID  uint64          `cbor:"2,keyasint,omitempty"`
 	Payload cbor.RawMessage `cbor:"3,keyasint,omitempty"`
+	// Release, unless it is nil, returns the memory of the frame to its budget. The handler of a message
+	// calls it when it no longer uses the frame.
+	Release func() `cbor:"-"`
 }
 
 // Hello is the first frame on a connection.
@@ -124,8 +127,29 @@
 	ContentType  string       `cbor:"4,keyasint,omitempty"`
 	Body         []byte       `cbor:"5,keyasint,omitempty"`
 	Repeated     bool         `cbor:"6,keyasint,omitempty"` // the recorded response of an earlier run
+	// Memory, unless it is nil, is the memory of Body. Whoever gets the reply releases it after Body was
+	// written.
+	Memory Memory `cbor:"-"`
 }
 
+// Memory is a part of a budget.
+type Memory interface{ Release() }
+
+// Release releases the memory of the body, once.
+func (r *Reply) Release() {
+	if r.Memory != nil {
+		r.Memory.Release()
+		r.Memory = nil
+	}
+}
+
+// Hold implements MemoryHolder.
+func (r *Reply) Hold(m Memory) { r.Memory = m }
+
+// MemoryHolder is a decoded payload that keeps the memory of its message until it is released. Payloads
+// that are none use little memory, or have a use for a short time only.
+type MemoryHolder interface{ Hold(m Memory) }
+
 // Refused returns a reply with a refusal.
 func Refused(r *api.Refusal) *Reply {
 	return &Reply{Refusal: r, RetryAfterMs: r.RetryAfter.Milliseconds()}
@@ -163,6 +187,38 @@
 	return frame, nil
 }
 
+// The keys of the fields that precede the payload.
+const typeKey, callIDKey = 1, 2
+
+// DecodeHead decodes the type and the call ID of a frame of which only the first bytes are known: they
+// are encoded first.
+func DecodeHead(data []byte) (Frame, error) {
+	const majorMap = 5
+	var frame Frame
+	if len(data) == 0 || data[0]>>majorBits != majorMap {
+		return frame, errors.Wrap(ErrFrame, "it does not begin with a map")
+	}
+	for rest, fields := data[1:], data[0]&argumentMask; fields > 0; fields-- {
+		var key uint64
+		var err error
+		if rest, err = cbor.UnmarshalFirst(rest, &key); err != nil {
+			return frame, errors.Wrap(ErrFrame, err.Error())
+		}
+		switch key {
+		case typeKey:
+			rest, err = cbor.UnmarshalFirst(rest, &frame.Type)
+		case callIDKey:
+			rest, err = cbor.UnmarshalFirst(rest, &frame.CallID)
+		default:
+			return frame, nil
+		}
+		if err != nil {
+			return frame, errors.Wrap(ErrFrame, err.Error())
+		}
+	}
+	return frame, nil
+}
+
 // Unpack decodes the payload of a frame into out.
 func (f Frame) Unpack(out any) error {
 	if err := cbor.Unmarshal(f.Payload, out); err != nil {
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -17,6 +17,7 @@
 	"dandelionhill.dev/core/placement"
 	"dandelionhill.dev/core/shardmap"
 	"dandelionhill.dev/platform"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/metrics"
 )
 
@@ -58,6 +59,8 @@
 	Clock       func() time.Duration
 	Metrics     *metrics.Metrics
 	Log         zerolog.Logger
+	// Buffers is the memory for responses of upstreams; nil means no limit.
+	Buffers *buffers.Budget
 }
 
 // Control holds the control state of one VM.
@@ -195,7 +198,12 @@
 
 // HandleMessage implements peer.Handler.
 func (c *Control) HandleMessage(from api.VMID, frame wire.Frame) {
-	c.post(func() { c.receive(from, frame) })
+	c.post(func() {
+		c.receive(from, frame)
+		if frame.Release != nil {
+			frame.Release()
+		}
+	})
 }
 
 func (c *Control) receive(from api.VMID, frame wire.Frame) {
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -40,6 +40,8 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
+	// upstreamDialTimeout bounds the time to connect to an upstream.
+	upstreamDialTimeout = time.Second
 	// Shares of the open files that each listener may use, of listen.FileShares, and the memory
 	// for heads of the listeners of other VMs and of operators.
 	callersFiles, peersFiles, adminFiles = 24, 16, 4
@@ -56,6 +58,7 @@
 	certs    *certificates
 	servers  []*http.Server
 	guards   []*listen.Guard // of servers
+	dialled  []*listen.Guard // of connections that this VM opens
 	cancel   context.CancelFunc
 }
 
@@ -102,23 +105,31 @@
 		vms = append(vms, placement.VM{ID: p.ID, Domain: p.FailureDomain})
 		peers = append(peers, peer.Peer{ID: p.ID, Address: p.Address})
 	}
+	budget, files := listen.NewBudget(s.MemoryMB), listen.OpenFiles()
+	closed := func(listener string, r listen.Reason) { m.Closed.WithLabelValues(listener, string(r)).Inc() }
+	dialled := listen.NewGuard("dialled", budget.DialledLimits(), closed, log)
+	toUpstreams := listen.NewGuard("upstreams", budget.UpstreamLimits(), closed, log)
+	var bodies *buffers.Budget
+	if budget.Buffers > 0 {
+		bodies = buffers.NewBudget(budget.Buffers)
+	}
 	ctl := control.New(control.Config{
-		Self: self, Incarnation: incarnation, VMs: vms,
+		Buffers: bodies,
+		Self:    self, Incarnation: incarnation, VMs: vms,
 		Table:   tablehttp.New("http://" + s.Platform.Table),
 		VMList:  vmhttp.New("http://" + s.Platform.VMs),
 		Objects: objecthttp.New("http://" + s.Platform.Objects),
 		Dial: func(address string, service config.Service) platform.Upstream {
-			return upstreamhttp.New(address, service.Connections, service.MaxBody)
+			client := upstreamhttp.New(address, service.Connections, service.MaxBody)
+			client.SetDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+				return toUpstreams.Dial(ctx, &net.Dialer{Timeout: upstreamDialTimeout}, network, address)
+			})
+			return client
 		},
 		Clock: clock, Metrics: m, Log: log,
 	})
 	d := &Daemon{settings: s, log: log, control: ctl, certs: certs}
 	handler := &frameHandler{Control: ctl}
-	d.hub = peer.NewHub(peer.Config{
-		Self: s.VM, Incarnation: incarnation, Peers: peers, Log: log,
-		TLS: certs.peerClientConfig(), Authorize: certs.authorizePeer,
-	}, handler)
-	budget, files := listen.NewBudget(s.MemoryMB), listen.OpenFiles()
 	callers := budget.CallerLimits(files, callersFiles)
 	callers.PerAddress = listen.ShareByAddress(callers.Connections)
 	peerLimits, adminLimits := budget.Limits(files, peersFiles, 0), budget.Limits(files, adminFiles, 0)
@@ -126,16 +137,29 @@
 	if s.MemoryMB > 0 {
 		peerLimits.HeadBytes, adminLimits.HeadBytes = otherHeadsBytes, otherHeadsBytes
 	}
-	closed := func(listener string, r listen.Reason) { m.Closed.WithLabelValues(listener, string(r)).Inc() }
 	d.guards = []*listen.Guard{
 		listen.NewGuard("callers", callers, closed, log), listen.NewGuard("peers", peerLimits, closed, log),
 		listen.NewGuard("admin", adminLimits, closed, log),
 	}
-	var bodies *buffers.Budget
-	if budget.Buffers > 0 {
-		bodies = buffers.NewBudget(budget.Buffers)
-		bodies.SetReclaimer(d.guards[0].ReclaimBodies)
+	d.dialled = []*listen.Guard{dialled, toUpstreams}
+	var accepted, opened *listen.Messages
+	if bodies != nil {
+		messages := budget.MessageLimits(budget.Buffers)
+		accepted = listen.NewMessages(messages, d.guards[1], buffers.NewBudget(budget.Messages), bodies)
+		messages.IdleTimeout = 0 // this VM decides how long it keeps them
+		opened = listen.NewMessages(messages, dialled, buffers.NewBudget(0), bodies)
+		bodies.SetReclaimer(func(needed int64) int64 {
+			released := d.guards[0].ReclaimBodies(needed)
+			if released < needed {
+				released += toUpstreams.ReclaimBodies(needed - released)
+			}
+			return released
+		})
 	}
+	d.hub = peer.NewHub(peer.Config{
+		Self: s.VM, Incarnation: incarnation, Peers: peers, Log: log, Accepted: accepted, Dialled: opened,
+		TLS: certs.peerClientConfig(), Authorize: certs.authorizePeer,
+	}, handler)
 	d.entry = entry.New(entry.Config{
 		Buffers: bodies,
 		Self:    s.VM, Snapshot: ctl.Snapshot, Forward: d.hub, Clock: clock, Metrics: m, Log: log,
@@ -170,6 +194,9 @@
 		go d.guards[i].Run(ctx)
 		go d.serve(server, listeners[i])
 	}
+	for _, guard := range d.dialled {
+		go guard.Run(ctx)
+	}
 	go d.hub.Run(ctx)
 	go d.control.Run(ctx)
 	go d.certs.watch(ctx, d.log)
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -48,7 +48,7 @@
 
 // Config holds the parameters and dependencies of an Entry.
 type Config struct {
-	// Buffers is the memory for bodies of callers; nil means no limit.
+	// Buffers is the memory for bodies of callers and the responses to them; nil means no limit.
 	Buffers  *buffers.Budget
 	Self     api.VMID
 	Snapshot func() *control.Snapshot
@@ -129,9 +129,10 @@
 	} else {
 		f.Revision = snapshot.Document.Revision
 		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(f.TimeoutMs)*time.Millisecond)
-		reply = validReply(e.run(ctx, name, f))
+		reply = keepMemory(validReply(e.run(ctx, name, f)), reservation)
 		cancel()
 	}
+	defer reply.Release()
 	if !known {
 		name = unknownService
 	}
@@ -293,11 +294,30 @@
 // validReply returns a reply that is neither a refusal nor a whole response as a refusal.
 func validReply(reply *wire.Reply) *wire.Reply {
 	if reply.Refusal == nil && (reply.Status < http.StatusOK || reply.Status > 999) {
+		reply.Release()
 		return wire.Refused(api.Refuse(api.UpstreamFailed, "the reply of the holder has no final status"))
 	}
 	return reply
 }
 
+// keepMemory passes the memory of a reply to the request of the caller, whose connection is closed for it
+// if the caller reads slowly. Without memory for a reply of another VM its outcome is unknown.
+func keepMemory(reply *wire.Reply, reservation *buffers.Reservation) *wire.Reply {
+	if reply.Memory == nil || reservation == nil {
+		return reply
+	}
+	if local, ok := reply.Memory.(*buffers.Reservation); ok {
+		reservation.Absorb(local)
+		reply.Memory = nil
+		return reply
+	}
+	defer reply.Release()
+	if reservation.Take(int64(len(reply.Body))) {
+		return reply
+	}
+	return wire.Refused(api.Refuse(api.UpstreamFailed, "the response was discarded, because the memory for bodies is used up"))
+}
+
 // respond writes the outcome of a request.
 func respond(w http.ResponseWriter, reply *wire.Reply) {
 	h := w.Header()
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -13,6 +13,7 @@
 	"dandelionhill.dev/core/dispatch"
 	"dandelionhill.dev/core/lease"
 	"dandelionhill.dev/platform"
+	"dandelionhill.dev/server/listen"
 )
 
 // startRun sends a request to an upstream. The queue has already counted the
@@ -49,6 +50,10 @@
 		Key: r.forward.Key, RequestID: r.forward.RequestID, Range: rangeNum,
 		Fence: s.cfg.Fence, Incarnation: up.incarnation, DeadlineMs: deadline.Milliseconds(),
 	}
+	if s.cfg.Buffers != nil {
+		current.memory = s.cfg.Buffers.Reserve()
+		req.Memory = listen.ResponseMemory{Reservation: current.memory}
+	}
 	go func() {
 		resp, err := up.client.Send(ctx, req)
 		timer.Stop()
@@ -142,6 +147,9 @@
 		s.recordCrash(now, r, up, failure, cancelled)
 		s.retryOrEnd(r, s.failureRefusal(cancelled, err))
 	}
+	if current.memory != nil { // no reply has the response
+		current.memory.Release()
+	}
 	s.resumeHot(now, r)
 	s.refreshLimit(now, up)
 	s.dispatchQueued(now)
@@ -232,6 +240,7 @@
 		s.recordReply(r, reply)
 		return
 	}
+	reply.Memory = current.takeMemory()
 	s.finish(r, reply)
 }
 
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -11,6 +11,7 @@
 	"dandelionhill.dev/core/dispatch"
 	"dandelionhill.dev/core/retry"
 	"dandelionhill.dev/core/shardmap"
+	"dandelionhill.dev/server/buffers"
 )
 
 // request is a request that the shard has accepted.
@@ -37,13 +38,25 @@
 	// deadline is that of the run, on the upstream's clock.
 	deadline time.Duration
 	cancel   context.CancelFunc
+	// memory is that of the response, nil without a budget or after it was passed on.
+	memory *buffers.Reservation
+}
+
+// takeMemory returns the memory of the response, which the caller releases.
+func (r *run) takeMemory() wire.Memory {
+	if r.memory == nil {
+		return nil
+	}
+	memory := r.memory
+	r.memory = nil
+	return memory
 }
 
 // moveRetryAfter is the retry delay in refusals during a takeover or a move.
 const moveRetryAfter = 100 * time.Millisecond
 
 // Serve runs a request and returns its outcome, at the latest when its deadline
-// passes or ctx is done.
+// passes or ctx is done. The caller releases the reply.
 func (s *Shard) Serve(ctx context.Context, f *wire.Forward) *wire.Reply {
 	deadline := s.cfg.Clock() + time.Duration(f.TimeoutMs)*time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(f.TimeoutMs)*time.Millisecond)
@@ -292,6 +305,8 @@
 	s.dedup.Finish(time.Now(), id, result)
 	for _, duplicate := range s.duplicates[id] {
 		copied := *reply
+		// The reply that was copied has the memory of the body.
+		copied.Memory = nil
 		copied.Repeated = reply.Refusal == nil
 		duplicate <- &copied
 	}
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -25,6 +25,7 @@
 	"dandelionhill.dev/core/retry"
 	"dandelionhill.dev/core/straggler"
 	"dandelionhill.dev/platform"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/metrics"
 )
 
@@ -40,6 +41,8 @@
 	Dial    func(address string, service config.Service) platform.Upstream
 	Metrics *metrics.Metrics
 	Log     zerolog.Logger
+	// Buffers is the memory for responses of upstreams; nil means no limit.
+	Buffers *buffers.Budget
 	// ReportAssignment is called with each new assignment of ranges. The caller
 	// calls AckAssignment with its number once a witness (another member of the
 	// shard) has stored it, so that it survives the loss of this VM.
--- a/server/listen/conn.go
+++ b/server/listen/conn.go
@@ -31,7 +31,7 @@
 
 // unwrap returns the guarded connection below others, such as those of TLS.
 func unwrap(conn net.Conn) *Conn {
-	for {
+	for conn != nil {
 		if c, ok := conn.(*Conn); ok {
 			return c
 		}
@@ -41,6 +41,7 @@
 		}
 		conn = w.NetConn()
 	}
+	return nil
 }
 
 // writeSize is the size of the pieces in which responses are written, so that their progress is
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -308,8 +309,8 @@
 
 // refuse releases the memory but for the first bytes, and reads the rest of the message.
 func (m *Message) refuse(rest io.Reader, reason Reason) error {
-	if m.conn.conn != nil {
-		m.conn.conn.guard.record(reason)
+	if guard := m.conn.messages.guard; guard != nil {
+		guard.record(reason)
 	}
 	head := append([]byte(nil), m.Data[:min(len(m.Data), messageHeadBytes)]...)
 	m.Release()
@@ -395,6 +396,12 @@
 	}
 }
 
+// Dial opens a connection for messages and measures its progress if there is a guard. Connection is
+// called with it.
+func (m *Messages) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return m.guard.Dial(ctx, &net.Dialer{}, network, address)
+}
+
 // Establish says that the connection is of use while it carries no message: it is closed after idle
 // ones when connections are short.
 func (c *MessageConn) Establish() {
--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +18,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/server/listen"
 )
 
 // Path is the HTTP path of the WebSocket endpoint.
@@ -42,6 +45,10 @@
 // a frame was queued. It is unknown whether the peer processed it.
 var ErrNoReply = errors.New("the connection to the VM was lost before the reply: the effect is unknown")
 
+// ErrReplyRefused means that the reply to a call arrived and was discarded, as there was no memory for it.
+// The peer has processed the call.
+var ErrReplyRefused = errors.New("the reply of the VM was discarded, because the memory for messages is used up: the effect is unknown")
+
 // Peer is another entry VM.
 type Peer struct {
 	ID      api.VMID
@@ -51,9 +58,10 @@
 // Handler receives frames. Its methods run on the goroutine that reads the
 // sender's connection, except HandleCall, which has a goroutine of its own.
 type Handler interface {
-	// HandleMessage handles a frame that expects no reply.
+	// HandleMessage handles a frame that expects no reply. It releases the frame.
 	HandleMessage(from api.VMID, frame wire.Frame)
-	// HandleCall handles a frame that expects a reply and returns the reply's payload.
+	// HandleCall handles a frame that expects a reply and returns the reply's payload. The hub releases
+	// the frame, and the memory of a *wire.Reply.
 	HandleCall(ctx context.Context, from api.VMID, frame wire.Frame) any
 }
 
@@ -66,6 +74,9 @@
 	Log         zerolog.Logger
 	// Authorize checks the first frame against the connection; nil accepts all.
 	Authorize func(r *http.Request, hello wire.Hello) error
+	// Accepted grants memory to the messages on connections that peers have dialled, Dialled to those on
+	// connections that this VM has dialled. nil means no limit.
+	Accepted, Dialled *listen.Messages
 }
 
 // Hub holds the connections of one VM to its peers.
@@ -84,6 +95,11 @@
 
 // NewHub returns a hub; Run connects it.
 func NewHub(cfg Config, handler Handler) *Hub {
+	for _, messages := range []**listen.Messages{&cfg.Accepted, &cfg.Dialled} {
+		if *messages == nil {
+			*messages = listen.NewMessages(listen.MessageLimits{}, nil, nil, nil)
+		}
+	}
 	hub := &Hub{cfg: cfg, handler: handler, links: map[api.VMID]*link{}, accepted: map[*inbound]struct{}{}}
 	hub.ctx, hub.stop = context.WithCancel(context.Background())
 	for _, p := range cfg.Peers {
@@ -130,7 +146,8 @@
 }
 
 // Call sends a request to a peer and decodes the reply into out. The error is
-// ErrNotSent or ErrNoReply.
+// ErrNotSent, ErrNoReply or ErrReplyRefused. If out is a wire.MemoryHolder, it has the memory of the
+// reply afterwards.
 func (h *Hub) Call(ctx context.Context, to api.VMID, kind wire.Type, payload, out any) error {
 	l, ok := h.links[to]
 	if !ok {
@@ -150,13 +167,30 @@
 		if !ok {
 			return errors.Wrapf(ErrNoReply, "VM %s", to)
 		}
-		return frame.Unpack(out)
+		return unpackReply(frame, out)
 	case <-ctx.Done():
 		h.cancelCall(l, callID)
+		l.abandonCall(callID, replies)
 		return errors.Wrapf(ErrNoReply, "VM %s: %v", to, ctx.Err())
 	}
 }
 
+// unpackReply decodes a reply and releases its memory, or passes it on.
+func unpackReply(frame reply, out any) error {
+	if frame.refused {
+		frame.message.Release()
+		return ErrReplyRefused
+	}
+	err := frame.Unpack(out)
+	frame.message.Decoded()
+	if holder, ok := out.(wire.MemoryHolder); ok && err == nil {
+		holder.Hold(frame.message)
+		return nil
+	}
+	frame.message.Release()
+	return err
+}
+
 // cancelCall tells the peer that the caller no longer waits for a call.
 func (h *Hub) cancelCall(l *link, callID uint64) {
 	if data, err := wire.Encode(wire.TypeCancel, callID, wire.Cancel{}); err == nil {
@@ -178,7 +212,15 @@
 
 // dial connects to a peer and serves the connection until it breaks.
 func (h *Hub) dial(ctx context.Context, l *link) error {
-	scheme, client := "ws://", &http.Client{Transport: &http.Transport{TLSClientConfig: h.cfg.TLS, MaxResponseHeaderBytes: maxHeadBytes}}
+	var tracked *listen.Conn
+	scheme, client := "ws://", &http.Client{Transport: &http.Transport{
+		TLSClientConfig: h.cfg.TLS, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := h.cfg.Dialled.Dial(ctx, network, address)
+			tracked, _ = conn.(*listen.Conn)
+			return conn, err
+		},
+	}}
 	if h.cfg.TLS != nil {
 		scheme = "wss://"
 	}
@@ -208,23 +250,38 @@
 		writeLoop(connCtx, conn, queue)
 	}()
 	defer closeOnDone(connCtx, conn)()
+	messages := h.cfg.Dialled.Connection(tracked, wire.MaxFrameBytes)
 	for {
-		_, data, err := conn.Read(context.Background())
-		if err != nil {
-			return errors.Wrap(err, "read")
+		message, err := readMessage(context.Background(), messages, conn)
+		r := reply{message: message, refused: errors.Is(err, listen.ErrMessageRefused)}
+		switch {
+		case err == nil:
+			r.Frame, err = wire.Decode(message.Data)
+		case r.refused:
+			// The call that waits for it ends with an unknown outcome.
+			r.Frame, err = wire.DecodeHead(message.Data)
 		}
-		frame, err := wire.Decode(data)
 		if err != nil {
-			return err
+			message.Release()
+			return errors.Wrap(err, "read")
 		}
-		if frame.Type == wire.TypeGoAway {
+		if r.Type == wire.TypeGoAway {
+			message.Release()
 			l.goAway()
 			continue
 		}
-		l.deliver(frame)
+		l.deliver(r)
 	}
 }
 
+// readMessage reads a message within the limits on messages. The message must be released.
+func readMessage(ctx context.Context, messages *listen.MessageConn, conn *websocket.Conn) (*listen.Message, error) {
+	return messages.Read(func() (io.Reader, error) {
+		_, r, err := conn.Reader(ctx)
+		return r, err
+	}, wire.Items)
+}
+
 // closeOnDone closes a connection when ctx ends, until the returned function is
 // called. Reads and writes then need no context: a cancellable one costs the
 // WebSocket library several allocations for each frame, a fifth of those of a
@@ -264,13 +321,15 @@
 	defer conn.CloseNow()
 	defer closeOnDone(h.ctx, conn)()
 	conn.SetReadLimit(wire.MaxFrameBytes)
-	hello, err := h.readHello(r, conn)
+	messages := h.cfg.Accepted.Connection(listen.ConnOf(r), wire.MaxFrameBytes)
+	hello, err := h.readHello(r, messages, conn)
 	if err != nil {
 		h.cfg.Log.Warn().Err(err).Str("event", "peer_refused").Str("remote", r.RemoteAddr).Msg("")
 		conn.Close(websocket.StatusPolicyViolation, "not a known VM")
 		return
 	}
-	in := &inbound{hub: h, from: hello.VM, conn: conn, running: map[uint64]context.CancelFunc{}}
+	messages.Establish()
+	in := &inbound{hub: h, from: hello.VM, conn: conn, messages: messages, running: map[uint64]context.CancelFunc{}}
 	if !h.accept(in) {
 		return
 	}
@@ -324,15 +383,16 @@
 }
 
 // readHello reads and checks the first frame.
-func (h *Hub) readHello(r *http.Request, conn *websocket.Conn) (wire.Hello, error) {
+func (h *Hub) readHello(r *http.Request, messages *listen.MessageConn, conn *websocket.Conn) (wire.Hello, error) {
 	var hello wire.Hello
 	ctx, cancel := context.WithTimeout(r.Context(), dialTimeout)
 	defer cancel()
-	_, data, err := conn.Read(ctx)
+	message, err := readMessage(ctx, messages, conn)
+	defer message.Release()
 	if err != nil {
 		return hello, errors.Wrap(err, "read hello frame")
 	}
-	frame, err := wire.Decode(data)
+	frame, err := wire.Decode(message.Data)
 	if err != nil {
 		return hello, err
 	}
--- a/server/peer/inbound.go
+++ b/server/peer/inbound.go
@@ -6,19 +6,38 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/pkg/errors"
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/server/listen"
 )
 
+const (
+	// encodedCopies is the number of copies of a reply's body while it is encoded: its payload, and the
+	// frame around it.
+	encodedCopies = 2
+	// encodingMargin is the usual size of an encoded reply without its body.
+	encodingMargin = 2 << 10
+	// refusedRetryAfter is the delay after which a refused request is sent again.
+	refusedRetryAfter = time.Second
+)
+
+// errMessageWithoutRoom ends a connection: the peer learns from it that a message that expects no reply
+// is lost.
+var errMessageWithoutRoom = errors.New("the memory for messages has no room for a message that expects no reply")
+
 // inbound is a connection that a peer has dialled.
 type inbound struct {
-	hub  *Hub
-	from api.VMID
-	conn *websocket.Conn
+	hub      *Hub
+	from     api.VMID
+	conn     *websocket.Conn
+	messages *listen.MessageConn
 
 	mu      sync.Mutex
 	running map[uint64]context.CancelFunc
+	// sending admits one reply at a time, as each has encoded copies.
+	sending sync.Mutex
 }
 
 func (in *inbound) serve(ctx context.Context) {
@@ -26,34 +45,69 @@
 	defer cancel()
 	defer closeOnDone(ctx, in.conn)()
 	for {
-		_, data, err := in.conn.Read(context.Background())
-		if err != nil {
+		message, err := readMessage(context.Background(), in.messages, in.conn)
+		var frame wire.Frame
+		switch {
+		case err == nil:
+			if frame, err = wire.Decode(message.Data); err == nil {
+				err = in.handle(ctx, frame, message)
+			}
+		case errors.Is(err, listen.ErrMessageRefused):
+			if frame, err = wire.DecodeHead(message.Data); err == nil {
+				err = in.refuse(frame)
+			}
+			message.Release()
+		default:
+			message.Release() // a part of it has arrived
 			return
 		}
-		frame, err := wire.Decode(data)
 		if err != nil {
-			in.hub.cfg.Log.Warn().Err(err).Str("event", "frame_refused").Str("peer", string(in.from)).Msg("")
+			message.Release()
+			in.hub.cfg.Log.Warn().Err(err).Str("event", "frame_refused").Str("type", string(frame.Type)).Str("peer", string(in.from)).Msg("")
 			return
 		}
-		switch {
-		case frame.Type == wire.TypeCancel:
-			in.cancelCall(frame.CallID)
-		case frame.CallID != 0:
-			in.startCall(ctx, frame)
-		default:
-			in.hub.handler.HandleMessage(in.from, frame)
+	}
+}
+
+// handle handles a frame and releases its message, unless it returns an error.
+func (in *inbound) handle(ctx context.Context, frame wire.Frame, message *listen.Message) error {
+	switch {
+	case frame.Type == wire.TypeCancel:
+		in.cancelCall(frame.CallID)
+		message.Release()
+	case frame.CallID == 0:
+		frame.Release = message.Release
+		in.hub.handler.HandleMessage(in.from, frame)
+	default:
+		if err := message.Handle(); err != nil {
+			return in.refuse(frame)
 		}
+		in.startCall(ctx, frame, message)
+	}
+	return nil
+}
+
+// refuse says that a call was not processed. A message that expects no reply ends the connection.
+func (in *inbound) refuse(frame wire.Frame) error {
+	if frame.CallID == 0 || frame.Type == wire.TypeCancel {
+		return errMessageWithoutRoom
 	}
+	refusal := api.Refuse(api.Shed, "the memory for messages of VM "+string(in.hub.cfg.Self)+" is used up").WithRetryAfter(refusedRetryAfter)
+	in.write(wire.TypeReply, frame.CallID, wire.Refused(refusal))
+	return nil
 }
 
-func (in *inbound) startCall(ctx context.Context, frame wire.Frame) {
+func (in *inbound) startCall(ctx context.Context, frame wire.Frame, message *listen.Message) {
 	callCtx, cancel := context.WithCancel(ctx)
 	in.mu.Lock()
 	in.running[frame.CallID] = cancel
 	in.mu.Unlock()
 	go func() {
 		defer in.cancelCall(frame.CallID)
-		in.reply(frame.CallID, in.hub.handler.HandleCall(callCtx, in.from, frame))
+		payload := in.hub.handler.HandleCall(callCtx, in.from, frame)
+		// Replies that wait for their turn hold no memory that the one before them waits for.
+		message.Release()
+		in.reply(ctx, frame.CallID, payload)
 	}()
 }
 
@@ -66,7 +120,24 @@
 	}
 }
 
-func (in *inbound) reply(callID uint64, payload any) { in.write(wire.TypeReply, callID, payload) }
+// reply sends the reply to a call. Without memory for its encoded copies its body is left out: the
+// request has run, so that its outcome is unknown to the peer.
+func (in *inbound) reply(ctx context.Context, callID uint64, payload any) {
+	response, ok := payload.(*wire.Reply)
+	if !ok {
+		in.write(wire.TypeReply, callID, payload)
+		return
+	}
+	defer response.Release()
+	in.sending.Lock()
+	defer in.sending.Unlock()
+	release, ok := in.messages.Reserve(ctx, int64(encodedCopies*len(response.Body)+encodingMargin))
+	defer release()
+	if !ok && response.Refusal == nil {
+		response = wire.Refused(api.Refuse(api.UpstreamFailed, "the response was discarded, because the memory for messages is used up"))
+	}
+	in.write(wire.TypeReply, callID, response)
+}
 
 func (in *inbound) write(kind wire.Type, callID uint64, payload any) {
 	data, err := wire.Encode(kind, callID, payload)
--- a/server/peer/link.go
+++ b/server/peer/link.go
@@ -4,8 +4,17 @@
 	"sync"
 
 	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/server/listen"
 )
 
+// reply is a reply with its memory.
+type reply struct {
+	wire.Frame
+	message *listen.Message
+	// refused means that only the head of the reply is known.
+	refused bool
+}
+
 // link is the connection that this VM dials to one peer.
 type link struct {
 	peer Peer
@@ -13,14 +22,14 @@
 	mu         sync.Mutex
 	lastCallID uint64
 	queue      chan []byte // nil while not connected or going away
-	calls      map[uint64]chan wire.Frame
+	calls      map[uint64]chan reply
 	// goingAway means that the peer accepts no more frames: closeConn closes the
 	// connection after the last reply.
 	goingAway bool
 	closeConn func()
 }
 
-func newLink(p Peer) *link { return &link{peer: p, calls: map[uint64]chan wire.Frame{}} }
+func newLink(p Peer) *link { return &link{peer: p, calls: map[uint64]chan reply{}} }
 
 // connect starts to accept frames for a new connection, which closeConn closes.
 func (l *link) connect(closeConn func()) <-chan []byte {
@@ -71,11 +80,11 @@
 	}
 }
 
-func (l *link) openCall() (uint64, <-chan wire.Frame) {
+func (l *link) openCall() (uint64, <-chan reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastCallID++
-	replies := make(chan wire.Frame, 1)
+	replies := make(chan reply, 1)
 	l.calls[l.lastCallID] = replies
 	return l.lastCallID, replies
 }
@@ -87,13 +96,28 @@
 	l.closeIfIdle()
 }
 
+// abandonCall ends a call whose caller has left, and releases its reply if it has arrived meanwhile.
+func (l *link) abandonCall(callID uint64, replies <-chan reply) {
+	l.closeCall(callID)
+	select {
+	case r, ok := <-replies:
+		if ok {
+			r.message.Release()
+		}
+	default:
+	}
+}
+
 // deliver passes a reply to its call. A reply to a call that has ended is dropped.
-func (l *link) deliver(frame wire.Frame) {
+func (l *link) deliver(r reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if replies, ok := l.calls[frame.CallID]; ok && frame.Type == wire.TypeReply {
-		replies <- frame
-		delete(l.calls, frame.CallID)
-		l.closeIfIdle()
+	replies, ok := l.calls[r.CallID]
+	if !ok || r.Type != wire.TypeReply {
+		r.message.Release()
+		return
 	}
+	replies <- r
+	delete(l.calls, r.CallID)
+	l.closeIfIdle()
 }
