daemon: memory of calls that wait to be sent, and of recorded responses

Beside what is read, two things held bodies without a budget: encoded calls that wait for a VM that does not read (up to 1,024 of 1 MB on each connection), and recorded responses (up to 256 MB a shard). A call takes memory before it is encoded and is refused as not run (shed) without it. Recorded responses have an eighth of the memory for bodies; the oldest are dropped first, and a recorded body is no larger than its response.

A request whose recorded body was dropped got the recorded status with an empty body, which looks whole. It gets an unknown outcome that names the status now; this was so before for responses above 64 KiB.

A message waits 20 ms for memory before its connection ends: 300 heartbeats of 2.2 KB that arrive at the same moment need more than what is reserved if bodies hold the rest.

The tests of server/holder run with a budget and check that each response returns its memory; the fake upstream has responses of 1,000 bytes for this.

--- a/core/dedup/storage.go
+++ b/core/dedup/storage.go
@@ -1,6 +1,9 @@
 package dedup
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
 // expiriesPerCall bounds the work of one call, so that a million IDs that expire
 // together do not block the shard. A call adds at most one ID, so expiry keeps up.
@@ -89,6 +92,17 @@
 		r.response.Body, r.response.BodyDropped = nil, true
 		return
 	}
+	for t.budget != nil && !t.budget.Take(int64(size)) {
+		if t.oldestBody == nil { // other tables have the memory
+			r.response.Body, r.response.BodyDropped = nil, true
+			return
+		}
+		t.dropOldestBody()
+	}
+	if cap(r.response.Body) > size+size/4 {
+		// The buffer that the response was read into may have twice its size.
+		r.response.Body = bytes.Clone(r.response.Body)
+	}
 	r.prev = t.newestBody
 	if t.newestBody == nil {
 		t.oldestBody = r
@@ -98,15 +112,19 @@
 	t.newestBody = r
 	t.bodyBytes += int64(size)
 	for t.bodyBytes > t.cfg.MaxTotalBodyBytes {
-		old := t.oldestBody
-		t.unlinkBody(old)
-		// Callers may still read the response, so a copy replaces it.
-		dropped := *old.response
-		dropped.Body, dropped.BodyDropped = nil, true
-		old.response = &dropped
+		t.dropOldestBody()
 	}
 }
 
+func (t *Table) dropOldestBody() {
+	old := t.oldestBody
+	t.unlinkBody(old)
+	// Callers may still read the response, so a copy replaces it.
+	dropped := *old.response
+	dropped.Body, dropped.BodyDropped = nil, true
+	old.response = &dropped
+}
+
 // unlinkBody removes r from the list of kept bodies if it is listed.
 func (t *Table) unlinkBody(r *storedResult) {
 	if r.response == nil || len(r.response.Body) == 0 {
@@ -124,4 +142,7 @@
 	}
 	r.prev, r.next = nil, nil
 	t.bodyBytes -= int64(len(r.response.Body))
+	if t.budget != nil {
+		t.budget.Return(int64(len(r.response.Body)))
+	}
 }
--- a/core/dedup/table.go
+++ b/core/dedup/table.go
@@ -114,6 +114,32 @@
 	oldestBody  *storedResult
 	newestBody  *storedResult
 	bodyBytes   int64
+	budget      Budget // nil for no limit beyond the Config
+}
+
+// Budget is memory for kept bodies that tables share.
+type Budget interface {
+	// Take takes bytes and reports whether they were free.
+	Take(bytes int64) bool
+	Return(bytes int64)
+}
+
+// SetBudget sets the budget of kept bodies. The oldest ones that it has no room for are dropped.
+func (t *Table) SetBudget(b Budget) {
+	t.budget = b
+	for t.oldestBody != nil && !b.Take(t.bodyBytes) {
+		t.budget = nil // the dropped body has not been taken
+		t.dropOldestBody()
+		t.budget = b
+	}
+}
+
+// DropBodies drops all kept bodies, and those of later results.
+func (t *Table) DropBodies() {
+	for t.oldestBody != nil {
+		t.dropOldestBody()
+	}
+	t.cfg.MaxBodyBytes = 0
 }
 
 // New returns an empty table, which refuses IDs dated before start.
--- a/core/dedup/table_test.go
+++ b/core/dedup/table_test.go
@@ -128,3 +128,47 @@
 	require.Equal(t, dedup.Recorded, next.Begin(now, open).Action)
 	require.Equal(t, dedup.Run, next.Begin(now, newID(now, 3)).Action, "fresh IDs run at once")
 }
+
+// room is a budget of some bytes.
+type room int64
+
+func (r *room) Take(bytes int64) bool {
+	if int64(*r) < bytes {
+		return false
+	}
+	*r -= room(bytes)
+	return true
+}
+
+func (r *room) Return(bytes int64) { *r += room(bytes) }
+
+// TestBodyBudget guards against recorded responses beyond the memory of all tables, and against memory
+// that is lost when bodies expire or a table ends.
+func TestBodyBudget(t *testing.T) {
+	table := dedup.New(dedup.Config{}, start)
+	now := start.Add(time.Minute)
+	finish := func(n uint64) {
+		id := newID(now, n)
+		require.Equal(t, dedup.Run, table.Begin(now, id).Action)
+		table.Finish(now, id, dedup.Result{Outcome: api.Answered, Response: &dedup.Response{Status: 200, Body: make([]byte, 100, 200)}})
+	}
+	for n := range uint64(4) {
+		finish(n)
+	}
+	left := room(250)
+	table.SetBudget(&left)
+	finish(4)
+	require.EqualValues(t, 50, left)
+	for n := range uint64(5) {
+		d := table.Begin(now, newID(now, n))
+		require.Equal(t, n < 3, d.Response.BodyDropped, "the newest are kept: %d", n)
+		require.Less(t, cap(d.Response.Body), 200, "a larger buffer is not kept")
+	}
+	now = now.Add(time.Hour)
+	table.Begin(now, newID(now, 9))
+	require.EqualValues(t, 250, left, "expired bodies are returned")
+	finish(10)
+	table.DropBodies()
+	finish(11)
+	require.EqualValues(t, 250, left)
+}
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -61,6 +61,8 @@
 	Log         zerolog.Logger
 	// Buffers is the memory for responses of upstreams; nil means no limit.
 	Buffers *buffers.Budget
+	// Recorded is the memory for the recorded responses of all shards; nil means no limit.
+	Recorded *buffers.Budget
 }
 
 // Control holds the control state of one VM.
--- a/server/control/shards.go
+++ b/server/control/shards.go
@@ -270,7 +270,7 @@
 // holdShard starts to serve a shard.
 func (c *Control) holdShard(s *shardState, fence api.Fence, in holder.PriorState) {
 	s.held = holder.New(holder.Config{
-		ID: s.id, Fence: fence, Clock: c.cfg.Clock, Dial: c.cfg.Dial, Metrics: c.cfg.Metrics, Log: c.cfg.Log, Buffers: c.cfg.Buffers,
+		ID: s.id, Fence: fence, Clock: c.cfg.Clock, Dial: c.cfg.Dial, Metrics: c.cfg.Metrics, Log: c.cfg.Log, Buffers: c.cfg.Buffers, Recorded: c.cfg.Recorded,
 		ReportAssignment: func(a wire.Assign) { c.post(func() { c.sendAssignment(s, a) }) },
 		MirrorIDs:        func(to []api.VMID, seq uint64, ids []dedup.ID) { c.sendMirror(s.id, fence, to, seq, ids) },
 	}, c.doc, in, time.Now())
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -40,6 +40,12 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
+	// messageWait is how long a message waits for memory. 300 heartbeats of 300 VMs that arrive at the
+	// same moment use more than is reserved for them, until the control loop has taken them. It delays the
+	// heartbeats after it, which come every 200 ms.
+	messageWait = 20 * time.Millisecond
+	// recordedShare of the memory for bodies, as 1/n, is for recorded responses.
+	recordedShare = 8
 	// upstreamDialTimeout bounds the time to connect to an upstream.
 	upstreamDialTimeout = time.Second
 	// Shares of the open files that each listener may use, of listen.FileShares, and the memory
@@ -109,13 +115,14 @@
 	closed := func(listener string, r listen.Reason) { m.Closed.WithLabelValues(listener, string(r)).Inc() }
 	dialled := listen.NewGuard("dialled", budget.DialledLimits(), closed, log)
 	toUpstreams := listen.NewGuard("upstreams", budget.UpstreamLimits(), closed, log)
-	var bodies *buffers.Budget
+	var bodies, recorded *buffers.Budget
 	if budget.Buffers > 0 {
-		bodies = buffers.NewBudget(budget.Buffers)
+		recorded = buffers.NewBudget(budget.Buffers / recordedShare)
+		bodies = buffers.NewBudget(budget.Buffers - recorded.Total())
 	}
 	ctl := control.New(control.Config{
-		Buffers: bodies,
-		Self:    self, Incarnation: incarnation, VMs: vms,
+		Buffers: bodies, Recorded: recorded,
+		Self: self, Incarnation: incarnation, VMs: vms,
 		Table:   tablehttp.New("http://" + s.Platform.Table),
 		VMList:  vmhttp.New("http://" + s.Platform.VMs),
 		Objects: objecthttp.New("http://" + s.Platform.Objects),
@@ -132,7 +139,7 @@
 	handler := &frameHandler{Control: ctl}
 	callers := budget.CallerLimits(files, callersFiles)
 	callers.PerAddress = listen.ShareByAddress(callers.Connections)
-	peerLimits, adminLimits := budget.Limits(files, peersFiles, 0), budget.Limits(files, adminFiles, 0)
+	peerLimits, adminLimits := budget.PeerLimits(files, peersFiles, 0), budget.PeerLimits(files, adminFiles, 0)
 	peerLimits.TLS, adminLimits.TLS = certs.peerServerConfig() != nil, certs.adminServerConfig() != nil
 	if s.MemoryMB > 0 {
 		peerLimits.HeadBytes, adminLimits.HeadBytes = otherHeadsBytes, otherHeadsBytes
@@ -144,7 +151,8 @@
 	d.dialled = []*listen.Guard{dialled, toUpstreams}
 	var accepted, opened *listen.Messages
 	if bodies != nil {
-		messages := budget.MessageLimits(budget.Buffers)
+		messages := budget.MessageLimits(bodies.Total())
+		messages.Wait = messageWait
 		accepted = listen.NewMessages(messages, d.guards[1], buffers.NewBudget(budget.Messages), bodies)
 		messages.IdleTimeout = 0 // this VM decides how long it keeps them
 		opened = listen.NewMessages(messages, dialled, buffers.NewBudget(0), bodies)
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -301,9 +301,10 @@
 }
 
 // keepMemory passes the memory of a reply to the request of the caller, whose connection is closed for it
-// if the caller reads slowly. Without memory for a reply of another VM its outcome is unknown.
+// if the caller reads slowly. A reply of another VM, and one that was recorded or is shared with other
+// requests, takes memory of its own. Without it the outcome is unknown.
 func keepMemory(reply *wire.Reply, reservation *buffers.Reservation) *wire.Reply {
-	if reply.Memory == nil || reservation == nil {
+	if len(reply.Body) == 0 || reservation == nil {
 		return reply
 	}
 	if local, ok := reply.Memory.(*buffers.Reservation); ok {
--- a/server/entry/forward.go
+++ b/server/entry/forward.go
@@ -135,6 +135,8 @@
 	switch {
 	case err == nil:
 		return attempt{reply: reply, holder: holder, sent: true}
+	case errors.Is(err, peer.ErrNoMemory):
+		return attempt{reply: wire.Refused(api.Refuse(api.Shed, err.Error()).WithRetryAfter(takeoverRetryAfter)), holder: holder}
 	case errors.Is(err, peer.ErrNotSent):
 		return attempt{reply: wire.Refused(api.Refuse(api.NotHolder, err.Error()).WithRetryAfter(takeoverRetryAfter)), holder: holder}
 	case ctx.Err() != nil:
--- a/server/entry/forward_test.go
+++ b/server/entry/forward_test.go
@@ -12,6 +12,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/control"
 	"dandelionhill.dev/server/metrics"
 	"dandelionhill.dev/server/peer"
@@ -135,3 +136,31 @@
 	require.Nil(t, validReply(&wire.Reply{Status: 204}).Refusal)
 	require.NotNil(t, validReply(wire.Refused(api.Refuse(api.Shed, ""))).Refusal)
 }
+
+// TestMemoryOfReplies guards against a reply whose memory is lost or is not that of the caller's request,
+// so that a slow reader keeps it, and against a refusal of a request that has run.
+func TestMemoryOfReplies(t *testing.T) {
+	budget := buffers.NewBudget(1 << 10)
+	request, local := budget.Reserve(), budget.Reserve()
+	require.True(t, local.Take(100))
+	reply := keepMemory(&wire.Reply{Status: 200, Body: make([]byte, 100), Memory: local}, request)
+	require.Nil(t, reply.Refusal)
+	reply.Release()
+	require.EqualValues(t, 100, request.Taken())
+	for size, refused := range map[int]bool{200: false, 1 << 10: true} {
+		remote := new(released)
+		reply = keepMemory(&wire.Reply{Status: 200, Body: make([]byte, size), Memory: remote}, request)
+		require.EqualValues(t, 1, *remote)
+		require.Equal(t, refused, reply.Refusal != nil)
+		if refused {
+			require.Equal(t, api.Unknown, reply.Refusal.Outcome)
+		}
+	}
+	request.Release()
+	require.Equal(t, budget.Total(), budget.Left())
+}
+
+// released counts how often it was released.
+type released int
+
+func (r *released) Release() { *r++ }
--- a/server/holder/env_test.go
+++ b/server/holder/env_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -21,9 +22,13 @@
 	"dandelionhill.dev/core/lease"
 	"dandelionhill.dev/core/placement"
 	"dandelionhill.dev/platform"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/metrics"
 )
 
+// responseBytes is the size of the responses of the fake upstreams.
+const responseBytes = 1000
+
 // testRanges is the number of ordinary ranges of the service under test.
 const testRanges = 64
 
@@ -49,7 +54,9 @@
 	responses   map[string]int
 	ids         uint64
 	witnessDown bool // the witness is unreachable
-	lastRefusal *api.Refusal
+	// buffers and recorded are the memory of the responses, which have responseBytes.
+	buffers, recorded *buffers.Budget
+	lastRefusal       *api.Refusal
 }
 
 // runWithShard runs a test with the holder of a shard of four upstreams. Keys
@@ -65,6 +72,7 @@
 		env := &testEnv{
 			t: t, start: time.Now(), doc: doc, upstreams: map[api.UpstreamID]*fakeUpstream{},
 			hotKeys: placement.DefaultHotKeyConfig(testRanges),
+			buffers: buffers.NewBudget(64 << 20), recorded: buffers.NewBudget(64 << 10),
 			running: map[string]map[api.UpstreamID]int{}, runs: map[string]int{}, served: map[string]map[int]int{}, responses: map[string]int{},
 		}
 		env.hotKeys.Shards, env.hotKeys.SplitAfter, env.hotKeys.MergeAfter = 1, time.Second, 3*time.Second
@@ -79,6 +87,8 @@
 			u.setHung(false)
 		}
 		time.Sleep(10 * time.Second) // all requests and renewals end
+		require.Equal(t, env.buffers.Total(), env.buffers.Left(), "the memory of each response is released")
+		require.Equal(t, env.recorded.Total(), env.recorded.Left(), "a closed shard records nothing")
 		require.Empty(t, env.overlaps)
 		require.Empty(t, env.refused)
 		for id, n := range env.runs {
@@ -98,7 +108,7 @@
 	s = New(Config{
 		ID: api.ShardID{Service: env.doc.Services[0].Name}, Fence: api.NewFence(1, env.ballot), Clock: env.now,
 		Dial:    func(address string, _ config.Service) platform.Upstream { return env.upstreamAt(address) },
-		Metrics: metrics.New(), Log: zerolog.Nop(),
+		Metrics: metrics.New(), Log: zerolog.Nop(), Buffers: env.buffers, Recorded: env.recorded,
 		ReportAssignment: func(a wire.Assign) {
 			go func() {
 				<-created
@@ -221,6 +231,7 @@
 // send sends one request for a key and waits for its outcome.
 func (env *testEnv) send(s *Shard, key string) bool {
 	reply := s.Serve(context.Background(), env.forward(key, 400*time.Millisecond))
+	defer reply.Release()
 	if reply.Refusal != nil {
 		env.mu.Lock()
 		defer env.mu.Unlock()
@@ -500,6 +511,13 @@
 	}()
 	select {
 	case r := <-result:
+		if r.Shed {
+			return r, nil
+		}
+		var err error
+		if r.Body, err = req.Memory.ReadResponse(nil, bytes.NewReader(make([]byte, responseBytes)), 1<<20); err != nil {
+			return platform.Response{}, &platform.SendError{Outcome: api.Unknown, Err: err}
+		}
 		return r, nil
 	case <-ctx.Done():
 		return platform.Response{}, &platform.SendError{Outcome: api.Unknown, Err: errNoResponse}
--- a/server/holder/handover_test.go
+++ b/server/holder/handover_test.go
@@ -72,6 +72,7 @@
 		require.Equal(t, api.NotHolder, (<-first).Refusal.Kind)
 		env.until("the successor runs the request", func() bool {
 			reply := env.shard.Serve(context.Background(), f)
+			defer reply.Release()
 			if reply.Refusal != nil {
 				require.Equal(t, api.NotRun, reply.Refusal.Outcome, "%+v", reply.Refusal)
 			}
--- a/server/holder/serve.go
+++ b/server/holder/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"dandelionhill.dev/api"
@@ -91,6 +92,11 @@
 	if a == nil {
 		return wire.Refused(api.Refuse(api.UpstreamFailed, "an earlier request with this ID ended with unknown outcome"))
 	}
+	if a.BodyDropped {
+		// Without its body the response would look whole.
+		return wire.Refused(api.Refuse(api.UpstreamFailed, "an earlier request with this ID was answered with status "+
+			strconv.Itoa(a.Status)+"; the response was too large to be kept, or there was no memory for it"))
+	}
 	return &wire.Reply{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Repeated: true}
 }
 
--- a/server/holder/shard.go
+++ b/server/holder/shard.go
@@ -43,6 +43,8 @@
 	Log     zerolog.Logger
 	// Buffers is the memory for responses of upstreams; nil means no limit.
 	Buffers *buffers.Budget
+	// Recorded is the memory for recorded responses; nil means no limit but those of the table.
+	Recorded *buffers.Budget
 	// ReportAssignment is called with each new assignment of ranges. The caller
 	// calls AckAssignment with its number once a witness (another member of the
 	// shard) has stored it, so that it survives the loss of this VM.
@@ -103,6 +105,13 @@
 	WarmUpstreams map[api.UpstreamID]api.Incarnation
 }
 
+// recordedBodies grants memory to recorded responses. It closes no connection for them, as the memory is
+// not that of connections.
+type recordedBodies struct{ *buffers.Reservation }
+
+// Take implements dedup.Budget.
+func (r recordedBodies) Take(bytes int64) bool { return r.TryTake(bytes, 0) }
+
 // New returns a shard and starts to renew the leases of its upstreams.
 func New(cfg Config, doc *config.Document, in PriorState, wall time.Time) *Shard {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -124,6 +133,9 @@
 	s.ranges = newOwnership(s.span)
 	s.hot = newHotKeys(cfg.ID, service, cfg.Clock())
 	s.restorePrior(in)
+	if cfg.Recorded != nil {
+		s.dedup.SetBudget(recordedBodies{cfg.Recorded.Reserve()})
+	}
 	s.warmBefore = in.WarmUpstreams
 	s.Configure(doc)
 	return s
@@ -337,6 +349,7 @@
 	}
 	s.closed = true
 	s.cancel()
+	s.dedup.DropBodies()
 	s.cfg.Metrics.HotKeys.DeleteLabelValues(string(s.cfg.ID.Service), s.cfg.ID.String())
 	for _, r := range s.requests {
 		if len(r.runs) == 0 {
--- a/server/holder/unreached_test.go
+++ b/server/holder/unreached_test.go
@@ -19,6 +19,7 @@
 		env.upstreams[owner].setRefusing(true, false)
 		reply := env.shard.Serve(context.Background(), env.forward(hotKey, 5*time.Second))
 		require.Nil(t, reply.Refusal)
+		reply.Release()
 		require.NotEqual(t, owner, env.owner(ordinary))
 		require.Equal(t, 1, env.upstreams[owner].refusedConns, "calls without a connection")
 	})
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -55,6 +55,9 @@
 	Count, ConnectionCount int
 	// IdleTimeout is how long a connection without a message is kept.
 	IdleTimeout time.Duration
+	// Wait is how long a message waits for memory that others return. The messages after it on its
+	// connection wait too.
+	Wait time.Duration
 }
 
 // SetBytes sets the limits on bytes, given those that are reserved and those beyond.
@@ -140,10 +143,11 @@
 	if ok || final {
 		return ok
 	}
-	if guard := c.messages.guard; guard == nil || guard.reclaim(bytes, MessageMemory, (*Conn).bodyMemory) < bytes {
-		return false
+	polls := int(c.messages.limits.Wait / grantInterval)
+	if guard := c.messages.guard; guard != nil && guard.reclaim(bytes, MessageMemory, (*Conn).bodyMemory) >= bytes {
+		polls = grantPolls
 	}
-	for range grantPolls {
+	for range polls {
 		time.Sleep(grantInterval)
 		if ok, final = c.tryTake(bytes); ok || final {
 			return ok
@@ -339,6 +343,14 @@
 	}
 }
 
+// TryReserve takes memory for a message that waits to be sent.
+func (c *MessageConn) TryReserve(bytes int64) (release func(), ok bool) {
+	if ok, _ = c.tryTake(bytes); !ok {
+		return func() {}, false
+	}
+	return func() { c.give(bytes) }, true
+}
+
 // Reserve takes memory for a response of a number of bytes, and waits for it until ctx ends.
 func (c *MessageConn) Reserve(ctx context.Context, bytes int64) (release func(), ok bool) {
 	for {
--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -45,6 +45,9 @@
 // a frame was queued. It is unknown whether the peer processed it.
 var ErrNoReply = errors.New("the connection to the VM was lost before the reply: the effect is unknown")
 
+// ErrNoMemory means that a call was not sent, because there is no memory for its encoded copies.
+var ErrNoMemory = errors.New("the memory for messages is used up: the call was not sent")
+
 // ErrReplyRefused means that the reply to a call arrived and was discarded, as there was no memory for it.
 // The peer has processed the call.
 var ErrReplyRefused = errors.New("the reply of the VM was discarded, because the memory for messages is used up: the effect is unknown")
@@ -142,11 +145,14 @@
 		h.cfg.Log.Error().Err(err).Str("event", "frame_not_encoded").Str("type", string(kind)).Msg("")
 		return false
 	}
-	return l.enqueue(data)
+	return l.enqueue(outgoing{data, noMemory})
 }
 
+// noMemory is for frames that are small, or that the protocol sends again.
+func noMemory() {}
+
 // Call sends a request to a peer and decodes the reply into out. The error is
-// ErrNotSent, ErrNoReply or ErrReplyRefused. If out is a wire.MemoryHolder, it has the memory of the
+// ErrNotSent, ErrNoMemory, ErrNoReply or ErrReplyRefused. If out is a wire.MemoryHolder, it has the memory of the
 // reply afterwards.
 func (h *Hub) Call(ctx context.Context, to api.VMID, kind wire.Type, payload, out any) error {
 	l, ok := h.links[to]
@@ -155,11 +161,19 @@
 	}
 	callID, replies := l.openCall()
 	defer l.closeCall(callID)
+	release := noMemory
+	if forward, ok := payload.(*wire.Forward); ok {
+		var err error
+		if release, err = l.reserve(int64(encodedCopies * len(forward.Body))); err != nil {
+			return errors.Wrapf(err, "VM %s", to)
+		}
+	}
 	data, err := wire.Encode(kind, callID, payload)
 	if err != nil {
+		release()
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
-	if !l.enqueue(data) {
+	if !l.enqueue(outgoing{data, release}) {
 		return errors.Wrapf(ErrNotSent, "VM %s", to)
 	}
 	select {
@@ -194,7 +208,7 @@
 // cancelCall tells the peer that the caller no longer waits for a call.
 func (h *Hub) cancelCall(l *link, callID uint64) {
 	if data, err := wire.Encode(wire.TypeCancel, callID, wire.Cancel{}); err == nil {
-		l.enqueue(data)
+		l.enqueue(outgoing{data, noMemory})
 	}
 }
 
@@ -243,14 +257,14 @@
 	}
 	connCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	queue := l.connect(cancel)
+	messages := h.cfg.Dialled.Connection(tracked, wire.MaxFrameBytes)
+	queue := l.connect(messages, cancel)
 	defer l.disconnect()
 	go func() {
 		defer cancel()
 		writeLoop(connCtx, conn, queue)
 	}()
 	defer closeOnDone(connCtx, conn)()
-	messages := h.cfg.Dialled.Connection(tracked, wire.MaxFrameBytes)
 	for {
 		message, err := readMessage(context.Background(), messages, conn)
 		r := reply{message: message, refused: errors.Is(err, listen.ErrMessageRefused)}
@@ -290,7 +304,7 @@
 	return context.AfterFunc(ctx, func() { conn.CloseNow() })
 }
 
-func writeLoop(ctx context.Context, conn *websocket.Conn, queue <-chan []byte) {
+func writeLoop(ctx context.Context, conn *websocket.Conn, queue <-chan outgoing) {
 	writeTimer := time.AfterFunc(writeTimeout, func() { conn.CloseNow() })
 	defer writeTimer.Stop()
 	for {
@@ -298,9 +312,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case data := <-queue:
+		case frame := <-queue:
 			writeTimer.Reset(writeTimeout)
-			if err := conn.Write(context.Background(), websocket.MessageBinary, data); err != nil {
+			err := conn.Write(context.Background(), websocket.MessageBinary, frame.data)
+			frame.release()
+			if err != nil {
 				return
 			}
 		}
--- a/server/peer/hub_test.go
+++ b/server/peer/hub_test.go
@@ -14,6 +14,7 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/server/listen"
 )
 
 // echo replies to calls, but to a handover only after the caller has given up.
@@ -31,8 +32,13 @@
 
 // start connects a hub to the VM "far" behind handler until the returned function is called.
 func start(t *testing.T, handler http.Handler) (hub *Hub, stop func()) {
+	return startWithin(t, handler, nil)
+}
+
+// startWithin is start with limits on the messages that the hub gets.
+func startWithin(t *testing.T, handler http.Handler, dialled *listen.Messages) (hub *Hub, stop func()) {
 	server := httptest.NewServer(handler)
-	hub = NewHub(Config{Self: "near", Peers: []Peer{{ID: "far", Address: server.Listener.Addr().String()}}, Log: zerolog.Nop()}, echo{})
+	hub = NewHub(Config{Self: "near", Peers: []Peer{{ID: "far", Address: server.Listener.Addr().String()}}, Log: zerolog.Nop(), Dialled: dialled}, echo{})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { hub.Run(ctx); close(ended) }()
--- a/server/peer/inbound.go
+++ b/server/peer/inbound.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// encodedCopies is the number of copies of a reply's body while it is encoded: its payload, and the
+	// encodedCopies is the number of copies of a body while its message is encoded: the payload, and the
 	// frame around it.
 	encodedCopies = 2
 	// encodingMargin is the usual size of an encoded reply without its body.
--- a/server/peer/link.go
+++ b/server/peer/link.go
@@ -15,13 +15,21 @@
 	refused bool
 }
 
+// outgoing is an encoded frame that waits to be sent.
+type outgoing struct {
+	data    []byte
+	release func() // returns its memory
+}
+
 // link is the connection that this VM dials to one peer.
 type link struct {
 	peer Peer
 
 	mu         sync.Mutex
 	lastCallID uint64
-	queue      chan []byte // nil while not connected or going away
+	queue      chan outgoing // nil while not connected or going away
+	sending    chan outgoing // queue, also while going away
+	messages   *listen.MessageConn
 	calls      map[uint64]chan reply
 	// goingAway means that the peer accepts no more frames: closeConn closes the
 	// connection after the last reply.
@@ -32,19 +40,41 @@
 func newLink(p Peer) *link { return &link{peer: p, calls: map[uint64]chan reply{}} }
 
 // connect starts to accept frames for a new connection, which closeConn closes.
-func (l *link) connect(closeConn func()) <-chan []byte {
+func (l *link) connect(messages *listen.MessageConn, closeConn func()) <-chan outgoing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.closeConn, l.goingAway = closeConn, false
-	l.queue = make(chan []byte, maxQueuedFrames)
+	l.closeConn, l.goingAway, l.messages = closeConn, false, messages
+	l.queue = make(chan outgoing, maxQueuedFrames)
+	l.sending = l.queue
 	return l.queue
 }
 
+// reserve takes memory for the encoded copies of a call's payload. The error is ErrNotSent or ErrNoMemory.
+func (l *link) reserve(bytes int64) (release func(), err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queue == nil {
+		return nil, ErrNotSent
+	}
+	release, ok := l.messages.TryReserve(bytes)
+	if !ok {
+		return nil, ErrNoMemory
+	}
+	return release, nil
+}
+
 // disconnect ends all calls, because their replies can no longer arrive.
 func (l *link) disconnect() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.queue = nil
+	for len(l.sending) > 0 {
+		select {
+		case frame := <-l.sending:
+			frame.release()
+		default: // the connection has taken the last one
+		}
+	}
 	for callID, replies := range l.calls {
 		close(replies)
 		delete(l.calls, callID)
@@ -66,18 +96,19 @@
 	}
 }
 
-func (l *link) enqueue(data []byte) bool {
+// enqueue queues a frame. It releases one that it does not queue.
+func (l *link) enqueue(frame outgoing) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.queue == nil {
-		return false
-	}
-	select {
-	case l.queue <- data:
-		return true
-	default:
-		return false
+	if l.queue != nil {
+		select {
+		case l.queue <- frame:
+			return true
+		default:
+		}
 	}
+	frame.release()
+	return false
 }
 
 func (l *link) openCall() (uint64, <-chan reply) {
