--- a/api/wire/fuzz_test.go
+++ b/api/wire/fuzz_test.go
@@ -36,6 +36,9 @@
 		f.Add(append(data, 0))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := DecodeHead(data); err != nil && !errors.Is(err, ErrFrame) {
+			t.Fatalf("error is not ErrFrame: %v", err)
+		}
 		frame, err := Decode(data)
 		if err != nil {
 			if !errors.Is(err, ErrFrame) {
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -129,7 +129,12 @@
 	} else {
 		f.Revision = snapshot.Document.Revision
 		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(f.TimeoutMs)*time.Millisecond)
-		reply = keepMemory(validReply(e.run(ctx, name, f)), reservation)
+		var kept bool
+		if reply, kept = keepMemory(validReply(e.run(ctx, name, f)), reservation); !kept {
+			if conn := listen.ConnOf(r); conn != nil {
+				conn.Record(listen.BodyMemory)
+			}
+		}
 		cancel()
 	}
 	defer reply.Release()
@@ -302,21 +307,21 @@
 
 // keepMemory passes the memory of a reply to the request of the caller, whose connection is closed for it
 // if the caller reads slowly. A reply of another VM, and one that was recorded or is shared with other
-// requests, takes memory of its own. Without it the outcome is unknown.
-func keepMemory(reply *wire.Reply, reservation *buffers.Reservation) *wire.Reply {
+// requests, takes memory of its own. Without it the outcome is unknown and kept is false.
+func keepMemory(reply *wire.Reply, reservation *buffers.Reservation) (out *wire.Reply, kept bool) {
 	if len(reply.Body) == 0 || reservation == nil {
-		return reply
+		return reply, true
 	}
 	if local, ok := reply.Memory.(*buffers.Reservation); ok {
 		reservation.Absorb(local)
 		reply.Memory = nil
-		return reply
+		return reply, true
 	}
 	defer reply.Release()
 	if reservation.Take(int64(len(reply.Body))) {
-		return reply
+		return reply, true
 	}
-	return wire.Refused(api.Refuse(api.UpstreamFailed, "the response was discarded, because the memory for bodies is used up"))
+	return wire.Refused(api.Refuse(api.UpstreamFailed, "the response was discarded, because the memory for bodies is used up")), false
 }
 
 // respond writes the outcome of a request.
--- a/server/entry/forward_test.go
+++ b/server/entry/forward_test.go
@@ -143,14 +143,15 @@
 	budget := buffers.NewBudget(1 << 10)
 	request, local := budget.Reserve(), budget.Reserve()
 	require.True(t, local.Take(100))
-	reply := keepMemory(&wire.Reply{Status: 200, Body: make([]byte, 100), Memory: local}, request)
+	reply, _ := keepMemory(&wire.Reply{Status: 200, Body: make([]byte, 100), Memory: local}, request)
 	require.Nil(t, reply.Refusal)
 	reply.Release()
 	require.EqualValues(t, 100, request.Taken())
 	for size, refused := range map[int]bool{200: false, 1 << 10: true} {
 		remote := new(released)
-		reply = keepMemory(&wire.Reply{Status: 200, Body: make([]byte, size), Memory: remote}, request)
+		reply, kept := keepMemory(&wire.Reply{Status: 200, Body: make([]byte, size), Memory: remote}, request)
 		require.EqualValues(t, 1, *remote)
+		require.Equal(t, !refused, kept)
 		require.Equal(t, refused, reply.Refusal != nil)
 		if refused {
 			require.Equal(t, api.Unknown, reply.Refusal.Outcome)
--- a/server/listen/conn.go
+++ b/server/listen/conn.go
@@ -251,6 +251,9 @@
 	return c.aborted
 }
 
+// Record counts a refusal on the connection, which goes on.
+func (c *Conn) Record(r Reason) { c.guard.record(r) }
+
 // Hold says what memory the present request holds.
 func (c *Conn) Hold(m Memory) {
 	c.mu.Lock()
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -78,6 +78,13 @@
 // ResponseBytes returns the most bytes of responses that wait to be sent, 0 for no limit.
 func (m *Messages) ResponseBytes() int64 { return m.limits.Bytes / 2 }
 
+// record counts a message that was refused.
+func (m *Messages) record(reason Reason) {
+	if m.guard != nil {
+		m.guard.record(reason)
+	}
+}
+
 // NewMessages returns the grants of a listener. reserved and shared are nil for no limit.
 func NewMessages(limits MessageLimits, guard *Guard, reserved, shared *buffers.Budget) *Messages {
 	return &Messages{limits: limits, guard: guard, reserved: reserved, shared: shared}
@@ -313,9 +320,7 @@
 
 // refuse releases the memory but for the first bytes, and reads the rest of the message.
 func (m *Message) refuse(rest io.Reader, reason Reason) error {
-	if guard := m.conn.messages.guard; guard != nil {
-		guard.record(reason)
-	}
+	m.conn.messages.record(reason)
 	head := append([]byte(nil), m.Data[:min(len(m.Data), messageHeadBytes)]...)
 	m.Release()
 	m.Data = head
@@ -343,9 +348,11 @@
 	}
 }
 
-// TryReserve takes memory for a message that waits to be sent.
+// TryReserve takes memory for a message that waits to be sent. It does not wait, as the memory that others
+// hold may become free only after that message was sent.
 func (c *MessageConn) TryReserve(bytes int64) (release func(), ok bool) {
 	if ok, _ = c.tryTake(bytes); !ok {
+		c.messages.record(MessageMemory)
 		return func() {}, false
 	}
 	return func() { c.give(bytes) }, true
@@ -358,7 +365,11 @@
 		if taken {
 			return func() { c.give(bytes) }, true
 		}
-		if final && !c.busy() || !wait.For(ctx, grantInterval) {
+		if final && !c.busy() {
+			c.messages.record(MessageMemory)
+			return func() {}, false
+		}
+		if !wait.For(ctx, grantInterval) {
 			return func() {}, false
 		}
 	}
