peer: four connections of one VM at most; free memory as a metric

The memory of messages is bounded for each connection and in total, but one VM could open as many connections as the listener has. A VM uses one, so that of more than four the oldest is closed and counted (connection_limit). A reply to a call that was cancelled is no longer encoded. dandelionhill_memory_free_bytes tells a full budget from the limit of one connection.

--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -153,9 +153,13 @@
 	if bodies != nil {
 		messages := budget.MessageLimits(bodies.Total())
 		messages.Wait = messageWait
-		accepted = listen.NewMessages(messages, d.guards[1], buffers.NewBudget(budget.Messages), bodies)
+		reserved := buffers.NewBudget(budget.Messages)
+		accepted = listen.NewMessages(messages, d.guards[1], reserved, bodies)
 		messages.IdleTimeout = 0 // this VM decides how long it keeps them
 		opened = listen.NewMessages(messages, dialled, buffers.NewBudget(0), bodies)
+		m.WatchMemory("bodies", bodies.Left)
+		m.WatchMemory("recorded", recorded.Left)
+		m.WatchMemory("messages_reserved", reserved.Left)
 		bodies.SetReclaimer(func(needed int64) int64 {
 			released := d.guards[0].ReclaimBodies(needed)
 			if released < needed {
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -348,6 +348,9 @@
 	}
 }
 
+// Record counts a connection that is closed for a limit of its owner.
+func (c *MessageConn) Record(r Reason) { c.messages.record(r) }
+
 // TryReserve takes memory for a message that waits to be sent. It does not wait, as the memory that others
 // hold may become free only after that message was sent.
 func (c *MessageConn) TryReserve(bytes int64) (release func(), ok bool) {
--- a/server/metrics/metrics.go
+++ b/server/metrics/metrics.go
@@ -84,6 +84,14 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// WatchMemory exports the free bytes of a part of the memory budget.
+func (m *Metrics) WatchMemory(part string, free func() int64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "dandelionhill", Name: "memory_free_bytes", Help: "Free memory of the budget, by part.",
+		ConstLabels: prometheus.Labels{"part": part},
+	}, func() float64 { return float64(free()) }))
+}
+
 // RecordResponse counts one response to a caller and its latency.
 func (m *Metrics) RecordResponse(service api.ServiceName, outcome api.Outcome, refusal *api.Refusal, took time.Duration) {
 	m.Requests.WithLabelValues(string(service), string(outcome)).Inc()
--- a/server/peer/hub.go
+++ b/server/peer/hub.go
@@ -34,6 +34,10 @@
 	redialDelay = 100 * time.Millisecond
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = time.Second
+	// maxConnsPerPeer is the number of connections that one VM may have opened to this one. A VM uses one; a
+	// connection whose end did not arrive stays until it is idle for too long, and the VM may lose several
+	// in that time.
+	maxConnsPerPeer = 4
 	// maxHeadBytes bounds the head of a peer's response.
 	maxHeadBytes = 64 << 10
 )
@@ -93,6 +97,7 @@
 	mu            sync.Mutex
 	draining      bool
 	accepted      map[*inbound]struct{}
+	lastAccepted  uint64         // number of the last accepted connection
 	acceptedConns sync.WaitGroup // counts the accepted connections
 }
 
@@ -359,15 +364,34 @@
 	return h.draining
 }
 
-// accept registers a connection, unless the hub is draining.
+// accept registers a connection, unless the hub is draining. It closes the oldest one of a VM that has
+// more than maxConnsPerPeer: a VM that has connected again does not use it.
 func (h *Hub) accept(in *inbound) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.draining {
 		return false
 	}
+	h.lastAccepted++
+	in.number = h.lastAccepted
 	h.accepted[in] = struct{}{}
 	h.acceptedConns.Add(1)
+	var oldest *inbound
+	count := 0
+	for other := range h.accepted {
+		if other.from != in.from || other.replaced {
+			continue
+		}
+		count++
+		if oldest == nil || other.number < oldest.number {
+			oldest = other
+		}
+	}
+	if count > maxConnsPerPeer {
+		oldest.replaced = true
+		oldest.messages.Record(listen.ConnectionLimit)
+		go oldest.conn.CloseNow()
+	}
 	return true
 }
 
--- a/server/peer/inbound.go
+++ b/server/peer/inbound.go
@@ -33,6 +33,10 @@
 	from     api.VMID
 	conn     *websocket.Conn
 	messages *listen.MessageConn
+	// number is that of the connection, in the order in which they were accepted; replaced means that it
+	// was closed for a newer one of its VM. The hub's mutex guards both.
+	number   uint64
+	replaced bool
 
 	mu      sync.Mutex
 	running map[uint64]context.CancelFunc
@@ -107,7 +111,7 @@
 		payload := in.hub.handler.HandleCall(callCtx, in.from, frame)
 		// Replies that wait for their turn hold no memory that the one before them waits for.
 		message.Release()
-		in.reply(ctx, frame.CallID, payload)
+		in.reply(callCtx, frame.CallID, payload)
 	}()
 }
 
@@ -131,6 +135,9 @@
 	defer response.Release()
 	in.sending.Lock()
 	defer in.sending.Unlock()
+	if ctx.Err() != nil { // the peer no longer waits
+		return
+	}
 	release, ok := in.messages.Reserve(ctx, int64(encodedCopies*len(response.Body)+encodingMargin))
 	defer release()
 	if !ok && response.Refusal == nil {
--- a/server/peer/memory_test.go
+++ b/server/peer/memory_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -83,6 +85,38 @@
 	require.Eventually(t, func() bool { return shared.Left() == shared.Total() }, waitTime, time.Millisecond)
 }
 
+// TestConnectionsOfOneVM guards against a VM that takes the connections of the others.
+func TestConnectionsOfOneVM(t *testing.T) {
+	far := NewHub(Config{Self: "far", Peers: []Peer{{ID: "near"}, {ID: "third"}}, Log: zerolog.Nop()}, echo{})
+	server := httptest.NewServer(far)
+	t.Cleanup(server.Close)
+	send := func(conn *websocket.Conn, kind wire.Type, callID uint64, vm api.VMID) {
+		data, err := wire.Encode(kind, callID, wire.Hello{VM: vm})
+		require.NoError(t, err)
+		require.NoError(t, conn.Write(t.Context(), websocket.MessageBinary, data))
+	}
+	requireReply := func(conn *websocket.Conn) {
+		send(conn, wire.TypeStatus, 1, "")
+		_, _, err := conn.Read(t.Context())
+		require.NoError(t, err)
+	}
+	connect := func(vm api.VMID) *websocket.Conn {
+		conn, _, err := websocket.Dial(t.Context(), "ws://"+server.Listener.Addr().String(), nil)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.CloseNow() })
+		send(conn, wire.TypeHello, 0, vm)
+		requireReply(conn)
+		return conn
+	}
+	other, first := connect("third"), connect("near")
+	for range maxConnsPerPeer {
+		connect("near")
+	}
+	_, _, err := first.Read(t.Context())
+	require.Error(t, err)
+	requireReply(other)
+}
+
 // TestRepliesWithoutRoom guards against a reply without room whose call waits until its deadline or
 // that ends the other calls, against a call that takes memory beyond the limits while it waits to be
 // sent, and against memory that is not released.
