--- a/server/control/control.go
+++ b/server/control/control.go
@@ -18,6 +18,7 @@
 	"dandelionhill.dev/core/shardmap"
 	"dandelionhill.dev/core/stall"
 	"dandelionhill.dev/platform"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/metrics"
 )
 
@@ -63,6 +64,10 @@
 	Clock       func() time.Duration
 	Metrics     *metrics.Metrics
 	Log         zerolog.Logger
+	// Buffers is the memory for responses of upstreams; nil means no limit.
+	Buffers *buffers.Budget
+	// Recorded is the memory for the recorded responses of all shards; nil means no limit.
+	Recorded *buffers.Budget
 }
 
 // Control holds the control state of one VM.
@@ -232,7 +237,12 @@
 
 // HandleMessage implements peer.Handler.
 func (c *Control) HandleMessage(from api.VMID, frame wire.Frame) {
-	c.post(func() { c.receive(from, frame) })
+	c.post(func() {
+		c.receive(from, frame)
+		if frame.Release != nil {
+			frame.Release()
+		}
+	})
 }
 
 func (c *Control) receive(from api.VMID, frame wire.Frame) {
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,9 @@
 	Count, ConnectionCount int
 	// IdleTimeout is how long a connection without a message is kept.
 	IdleTimeout time.Duration
+	// Wait is how long a message waits for memory that others return. The messages after it on its
+	// connection wait too.
+	Wait time.Duration
 }
 
 // SetBytes sets the limits on bytes, given those that are reserved and those beyond.
@@ -74,6 +78,13 @@
 // ResponseBytes returns the most bytes of responses that wait to be sent, 0 for no limit.
 func (m *Messages) ResponseBytes() int64 { return m.limits.Bytes / 2 }
 
+// record counts a message that was refused.
+func (m *Messages) record(reason Reason) {
+	if m.guard != nil {
+		m.guard.record(reason)
+	}
+}
+
 // NewMessages returns the grants of a listener. reserved and shared are nil for no limit.
 func NewMessages(limits MessageLimits, guard *Guard, reserved, shared *buffers.Budget) *Messages {
 	return &Messages{limits: limits, guard: guard, reserved: reserved, shared: shared}
@@ -139,10 +150,11 @@
 	if ok || final {
 		return ok
 	}
-	if guard := c.messages.guard; guard == nil || guard.reclaim(bytes, MessageMemory, (*Conn).bodyMemory) < bytes {
-		return false
+	polls := int(c.messages.limits.Wait / grantInterval)
+	if guard := c.messages.guard; guard != nil && guard.reclaim(bytes, MessageMemory, (*Conn).bodyMemory) >= bytes {
+		polls = grantPolls
 	}
-	for range grantPolls {
+	for range polls {
 		time.Sleep(grantInterval)
 		if ok, final = c.tryTake(bytes); ok || final {
 			return ok
@@ -308,9 +320,7 @@
 
 // refuse releases the memory but for the first bytes, and reads the rest of the message.
 func (m *Message) refuse(rest io.Reader, reason Reason) error {
-	if m.conn.conn != nil {
-		m.conn.conn.guard.record(reason)
-	}
+	m.conn.messages.record(reason)
 	head := append([]byte(nil), m.Data[:min(len(m.Data), messageHeadBytes)]...)
 	m.Release()
 	m.Data = head
@@ -338,6 +348,19 @@
 	}
 }
 
+// Record counts a connection that is closed for a limit of its owner.
+func (c *MessageConn) Record(r Reason) { c.messages.record(r) }
+
+// TryReserve takes memory for a message that waits to be sent. It does not wait, as the memory that others
+// hold may become free only after that message was sent.
+func (c *MessageConn) TryReserve(bytes int64) (release func(), ok bool) {
+	if ok, _ = c.tryTake(bytes); !ok {
+		c.messages.record(MessageMemory)
+		return func() {}, false
+	}
+	return func() { c.give(bytes) }, true
+}
+
 // Reserve takes memory for a response of a number of bytes, and waits for it until ctx ends.
 func (c *MessageConn) Reserve(ctx context.Context, bytes int64) (release func(), ok bool) {
 	for {
@@ -345,7 +368,11 @@
 		if taken {
 			return func() { c.give(bytes) }, true
 		}
-		if final && !c.busy() || !wait.For(ctx, grantInterval) {
+		if final && !c.busy() {
+			c.messages.record(MessageMemory)
+			return func() {}, false
+		}
+		if !wait.For(ctx, grantInterval) {
 			return func() {}, false
 		}
 	}
@@ -395,6 +422,12 @@
 	}
 }
 
+// Dial opens a connection for messages and measures its progress if there is a guard. Connection is
+// called with it.
+func (m *Messages) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return m.guard.Dial(ctx, &net.Dialer{}, network, address)
+}
+
 // Establish says that the connection is of use while it carries no message: it is closed after idle
 // ones when connections are short.
 func (c *MessageConn) Establish() {
