gateway: large proxied messages are sent in paced parts

Each send of a message between VMs had 0.7 s, whatever its size. At 10 Mbit/s 0.9 MB pass in that time, so a proxied request of 8 MB ended its connection and the small requests on it, and a ping waited behind the whole message.

The time of a message now is 0.7 s and what its bytes take at an eighth of the slower link (10 Mbit/s if neither VM states one), measured by its progress. Proxied requests and responses above 16 KB go in parts of 16 KB, each a message, paced together with large responses; VMs that do not take parts, as their handshake shows, get the message in WebSocket fragments on a connection of its own. A request that cannot arrive before its deadline is refused at once with 503 (link_too_slow) and has not run. Parts take memory from the budget of messages and count as requests that are handled.

--- a/server/gateway/delivery.go
+++ b/server/gateway/delivery.go
@@ -32,7 +32,7 @@
 func newLargeResponses(limits Limits, linkMbps float64, m *Metrics) largeResponses {
 	l := largeResponses{
 		window: int64(limits.ResponseWindowKB) << 10, readTimeout: limits.CallerReadTimeout.AsDuration(),
-		pacer: &linkPacer{start: time.Now(), pacer: delivery.NewPacer(linkMbps)},
+		pacer: newLinkPacer(linkMbps),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "streamed_responses_total", Help: "Responses delivered while they were read from the upstream, by result.",
 		}, []string{"service", "result"}),
@@ -69,11 +69,59 @@
 	return resp.Stream != nil || q.route.LargeResponses && len(resp.Body) > delivery.PieceBytes
 }
 
-// linkPacer spaces the pieces of all large responses of this VM.
+// linkPacer spaces the pieces of all large responses and of all large messages of this VM.
 type linkPacer struct {
+	// mbps is the bandwidth of the link, 0 if it is not known.
+	mbps  float64
 	start time.Time
 	mu    sync.Mutex
 	pacer *delivery.Pacer
+	// messages holds the large messages that are being sent.
+	messages map[*pacedMessage]bool
+}
+
+func newLinkPacer(mbps float64) *linkPacer {
+	return &linkPacer{mbps: mbps, start: time.Now(), pacer: delivery.NewPacer(mbps), messages: make(map[*pacedMessage]bool)}
+}
+
+// pacedMessage is a large message that is being sent.
+type pacedMessage struct {
+	pacer *linkPacer
+	left  int64
+}
+
+// begin records a large message of a number of bytes.
+func (p *linkPacer) begin(bytes int) *pacedMessage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := &pacedMessage{p, int64(bytes)}
+	p.messages[m] = true
+	return m
+}
+
+// sending returns the bytes that are left of the large messages that are being sent.
+func (p *linkPacer) sending() []int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := make([]int64, 0, len(p.messages))
+	for m := range p.messages {
+		left = append(left, m.left)
+	}
+	return left
+}
+
+// moved records a piece that had its turn.
+func (m *pacedMessage) moved(bytes int) {
+	m.pacer.mu.Lock()
+	defer m.pacer.mu.Unlock()
+	m.left = max(m.left-int64(bytes), 0)
+}
+
+// end records that the message is no longer being sent.
+func (m *pacedMessage) end() {
+	m.pacer.mu.Lock()
+	defer m.pacer.mu.Unlock()
+	delete(m.pacer.messages, m)
 }
 
 // wait waits until a piece may be sent. It reports false if ctx ends first.
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -323,8 +323,10 @@
 func (e *elector) handleUpdate(ctx context.Context, u update) error {
 	e.control.operatorFeed.vouched(u.OperatorAgeMs, u.OperatorChange)
 	e.capacities.learn(u.Largest)
-	e.control.confirmRank()
-	e.control.limits.confirmIssuer()
+	if !u.late {
+		e.control.confirmRank()
+		e.control.limits.confirmIssuer()
+	}
 	e.control.limits.merge(e.control.view(), u.Limits, bootTime(), "granter")
 	e.control.limits.receive(e.control.view(), u.Permits)
 	e.control.quotas.update(u.Quota)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -79,7 +79,7 @@
 	}
 	cr := newCrashes()
 	l := &links{
-		self: s.VM, incarnation: incarnation, address: s.peersAddress(), stats: st, crashes: cr, relay: &relay{}, operatorRelay: &relay{latestOnly: true}, limits: c.limits, log: log,
+		self: s.VM, incarnation: incarnation, address: s.peersAddress(), stats: st, crashes: cr, relay: &relay{}, operatorRelay: &relay{latestOnly: true}, limits: c.limits, log: log, mbps: s.Resources.LinkMbps,
 		peers: s.seeds(), reportRequested: make(chan struct{}, 1), hasConfig: func() bool { return c.view().config != nil },
 	}
 	g := &Gateway{
--- a/server/gateway/handler.go
+++ b/server/gateway/handler.go
@@ -46,7 +46,9 @@
 	vmStopping         reason = "stopping"     // the VM is about to end; others serve the request
 	buffersFull        reason = "buffers_full" // the memory for bodies is used up
 	// messagesFull means that the VM that was to send the request has no room for its message.
-	messagesFull  reason = "messages_full"
+	messagesFull reason = "messages_full"
+	// linkTooSlow means that the request cannot arrive at another VM before its deadline.
+	linkTooSlow   reason = "link_too_slow"
 	noUpstream    reason = "no_upstream" // the service has no usable upstream
 	busy          reason = "busy"        // the limiter admits no request before the deadline
 	late          reason = "late"        // past its target, where others can still meet theirs
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -1,9 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,12 +17,12 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/delivery"
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/quota"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/listen"
-	"dandelionhill.dev/server/upstreamconn"
 	"dandelionhill.dev/server/wait"
 )
 
@@ -146,6 +147,8 @@
 	// watch none.
 	Contended []contentionUpdate `cbor:"34,keyasint,omitempty"`
 
+	// late means that the update was under way for longer than linkTimeout: it gives this VM no rank.
+	late bool
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
 }
@@ -161,6 +164,8 @@
 	relay, operatorRelay *relay
 	limits               *statedLimits
 	log                  zerolog.Logger
+	// mbps is the bandwidth of this VM's link in Mbit/s, 0 if it is not known.
+	mbps float64
 	// messages grants memory to the messages of other VMs.
 	messages *listen.Messages
 	// elector provides this VM's promises, hasConfig reports whether this VM has a configuration.
@@ -254,6 +259,7 @@
 		return
 	}
 	accepted := bootTime()
+	maps.Copy(w.Header(), linkHeaders(l.mbps))
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		l.log.Warn().Str("event", "link_refused").Err(err).Msg("")
@@ -261,6 +267,7 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
+	link := linkTo(l.mbps, r.Header)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	messages := l.messages.Connection(listen.ConnOf(r), maxFrameBytes)
@@ -279,7 +286,7 @@
 		for {
 			select {
 			case u := <-member.updates:
-				if err := send(ctx, conn, u); err != nil {
+				if err := send(ctx, conn, link, u); err != nil {
 					return
 				}
 				if u.sent != nil {
@@ -308,10 +315,10 @@
 	defer cancel(nil)
 	dialCtx, cancelDial := context.WithTimeout(ctx, linkDialTimeout)
 	defer cancelDial()
-	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialPeer, MaxResponseHeaderBytes: maxHeaderBytes}}
 	// A VM that is not the granter responds and keeps the connection open.
 	defer client.CloseIdleConnections()
-	conn, resp, err := websocket.Dial(dialCtx, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client})
+	conn, resp, err := websocket.Dial(dialCtx, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client, HTTPHeader: linkHeaders(l.mbps)})
 	if err != nil {
 		if resp != nil && resp.Header.Get(lastGranterHeader) != "" {
 			var moved granterMovedError
@@ -327,11 +334,12 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
+	link := linkTo(l.mbps, resp.Header)
 	greeting := hello{VM: l.self, Incarnation: l.incarnation, Term: to.Term, Address: l.address, HasConfig: l.hasConfig(), Capacity: milliCapacity(l.elector.capacities.own)}
 	if to.unconfirmed {
 		greeting.PromiseMs = l.elector.promiseGranter().Milliseconds()
 	}
-	if err := send(ctx, conn, greeting); err != nil {
+	if err := send(ctx, conn, link, greeting); err != nil {
 		return err
 	}
 	l.limits.connected()
@@ -339,14 +347,14 @@
 	var answers atomic.Int64 // SentAtMs of the last update
 	l.crashes.linked()
 	go func() {
-		if err := l.sendReports(ctx, conn, &answers); err != nil {
+		if err := l.sendReports(ctx, conn, link, &answers); err != nil {
 			cancel(err)
 		}
 	}()
 	defer l.setFollowed(lease{}, nil, false)
 	for {
-		var u update
-		if err := receive(ctx, conn, &u, linkTimeout); err != nil {
+		u, err := receiveUpdate(ctx, conn, link)
+		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
@@ -390,7 +398,7 @@
 
 // sendReports sends reports to the granter until ctx ends or a send fails. answers is
 // update.SentAtMs of the last update received.
-func (l *links) sendReports(ctx context.Context, conn *websocket.Conn, answers *atomic.Int64) error {
+func (l *links) sendReports(ctx context.Context, conn *websocket.Conn, link delivery.Link, answers *atomic.Int64) error {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	var evidence crashSender
@@ -420,7 +428,7 @@
 		rep.Contended = l.elector.control.contentions.report()
 		rep.Crashes = evidence.take(l.crashes.snapshot(), bootTime())
 		rep.OperatorChange = l.elector.control.operatorFeed.newestChange()
-		if err := send(ctx, conn, rep); err != nil {
+		if err := send(ctx, conn, link, rep); err != nil {
 			return err
 		}
 		ticker.Reset(reportInterval)
@@ -441,32 +449,15 @@
 	}
 }
 
-func send(ctx context.Context, conn *websocket.Conn, message any) error {
+// send sends a control message, with the time that its bytes take over the link. Control messages are
+// not paced.
+func send(ctx context.Context, conn *websocket.Conn, link delivery.Link, message any) error {
 	data, err := cbor.Marshal(message)
 	if err != nil {
 		return errors.Wrap(err, "encode a message between VMs")
 	}
-	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
-	defer cancel()
-	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, data), "send a message between VMs")
-}
-
-// encoding writes into buffers of the caller.
-var encoding = sync.OnceValues(func() (cbor.UserBufferEncMode, error) { return cbor.EncOptions{}.UserBufferEncMode() })
-
-// sendSized is send with a buffer of about the size of the encoded message.
-func sendSized(ctx context.Context, conn *websocket.Conn, message any, size int) error {
-	mode, err := encoding()
-	if err != nil {
-		return errors.Wrap(err, "encode a message between VMs")
-	}
-	buffer := bytes.NewBuffer(make([]byte, 0, size))
-	if err := mode.MarshalToBuffer(message, buffer); err != nil {
-		return errors.Wrap(err, "encode a message between VMs")
-	}
-	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
-	defer cancel()
-	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, buffer.Bytes()), "send a message between VMs")
+	_, err = writeMessage(ctx, conn, link, data, nil)
+	return errors.Wrap(err, "send a message between VMs")
 }
 
 func receive(ctx context.Context, conn *websocket.Conn, message any, within time.Duration) error {
@@ -479,6 +470,70 @@
 	return errors.Wrap(cbor.Unmarshal(data, message), "decode a message between VMs")
 }
 
+// errLateUpdate means that an update took longer than linkTimeout and holds what may have lapsed.
+var errLateUpdate = errors.New("an update of the granter took too long: it may hold what is no longer so")
+
+// receiveUpdate receives an update of the granter, which may be silent for linkTimeout at most. An update
+// may take longer only if it has a snapshot, for a VM without a configuration, and nothing that the
+// granter gives to others after linkTimeout.
+func receiveUpdate(ctx context.Context, conn *websocket.Conn, link delivery.Link) (update, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(linkTimeout, cancel)
+	defer silence.Stop()
+	var u update
+	_, r, err := conn.Reader(ctx)
+	if err != nil {
+		return u, errors.Wrap(err, "receive a message between VMs")
+	}
+	began, moved := time.Now(), time.Now()
+	transfer := link.NewTransfer(linkTimeout)
+	var data []byte
+	piece := make([]byte, delivery.PieceBytes)
+	for {
+		silence.Reset(transfer.Next(len(piece)))
+		n, err := r.Read(piece)
+		now := time.Now()
+		transfer.Moved(n, now.Sub(moved))
+		moved = now
+		data = append(data, piece[:n]...)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return u, errors.Wrap(err, "receive a message between VMs")
+		}
+	}
+	if err := cbor.Unmarshal(data, &u); err != nil {
+		return u, errors.Wrap(err, "decode a message between VMs")
+	}
+	if took := time.Since(began); took >= linkTimeout {
+		if u.Snapshot == nil || u.lapses() {
+			return u, errLateUpdate
+		}
+		u.late = true
+		u.age(took)
+	}
+	return u, nil
+}
+
+// lapses reports whether the update holds what the granter may give to others after linkTimeout.
+func (u *update) lapses() bool {
+	return len(u.Permits) > 0 || u.Quota != nil || u.Handover != nil || len(u.Contended) > 0
+}
+
+// age adds the time for which the update was under way to the ages that it states.
+func (u *update) age(by time.Duration) {
+	for _, ms := range []*int64{&u.OperatorAgeMs, &u.RowsAgeMs, &u.StoreKnownMs} {
+		if *ms > 0 {
+			*ms += by.Milliseconds()
+		}
+	}
+	for i := range u.Limits {
+		u.Limits[i].AgeMs += by.Milliseconds()
+	}
+}
+
 // receiveBounded is receive within the limits on messages of other VMs.
 func receiveBounded(ctx context.Context, messages *listen.MessageConn, conn *websocket.Conn, message any, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
--- a/server/gateway/messages_test.go
+++ b/server/gateway/messages_test.go
@@ -30,6 +30,7 @@
 	messages := listen.NewMessages(listen.MessageLimits{Bytes: roomBytes, ConnectionBytes: roomBytes, ConnectionCount: 1}, nil, buffers.NewBudget(0), shared)
 	served, finish := make(chan string, 10), make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(partsHeader, partsVersion)
 		ws, err := websocket.Accept(w, r, nil)
 		require.NoError(t, err)
 		defer ws.CloseNow()
@@ -40,11 +41,11 @@
 			return &proxyResponse{Status: http.StatusOK, Body: make([]byte, roomBytes/4)}
 		}
 		//nolint:errcheck // the connection ends with the test
-		serveProxyConn(r.Context(), ws, messages.Connection(nil, maxFrameBytes), guard{NewMetrics(), zerolog.Nop()}, serve)
+		serveProxyConn(r.Context(), newFrameSender(ws, newLinkPacer(0), r.Header, NewMetrics()), messages.Connection(nil, maxFrameBytes), guard{NewMetrics(), zerolog.Nop()}, serve)
 	}))
 	t.Cleanup(server.Close)
 	opened := listen.NewMessages(listen.MessageLimits{}, nil, nil, nil)
-	c, err := dialProxy(t.Context(), server.Listener.Addr().String(), maxFrameBytes, opened)
+	c, err := dialProxy(t.Context(), server.Listener.Addr().String(), maxFrameBytes, opened, newLinkPacer(0), NewMetrics())
 	require.NoError(t, err)
 	t.Cleanup(func() { c.end(errProxyIdle) })
 	call := func(target string, body int) *proxyResponse {
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -56,6 +56,8 @@
 	// proxied counts the requests that this VM passed to another one while it was isolated,
 	// by result, proxyServed those of isolated VMs that it sent, by outcome.
 	proxied, proxyServed *prometheus.CounterVec
+	// largeMessages counts the messages of proxied requests that are sent in pieces: kind, result.
+	largeMessages *prometheus.CounterVec
 	// exchanged counts the configurations that isolated VMs exchanged with others, by result.
 	exchanged *prometheus.CounterVec
 	// leaving counts the upstreams that said that they leave, by the source of the news.
@@ -121,6 +123,7 @@
 		granter:           gauge("granter", "1 while this VM grants keys."),
 		config:            gauge("configuration_version", "Version of the configuration in use."),
 		exchanged:         counter("configurations_exchanged_total", "Configurations that this VM, while isolated, exchanged with another one to pass requests on, by result.", "result"),
+		largeMessages:     counter("large_messages_total", "Proxied requests and their responses that are sent to another VM in pieces, by result.", "kind", "result"),
 		proxied:           counter("proxied_requests_total", "Requests passed to another VM because no upstream can be reached from this one, by result.", "result"),
 		proxyServed:       counter("proxy_served_requests_total", "Requests sent to upstreams for VMs that reach none, by outcome.", "outcome"),
 		cold:              counter("upstreams_cold_total", "News of upstreams that have said in a response that they are cold, by source.", "source"),
@@ -180,6 +183,7 @@
 		m.isolated,
 		m.reachRounds,
 		m.proxied,
+		m.largeMessages,
 		m.proxyServed,
 		m.leaving,
 		m.rests,
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/delivery"
 	"dandelionhill.dev/core/reachability"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/buffers"
@@ -53,6 +55,8 @@
 	metrics    *Metrics
 	log        zerolog.Logger
 	stopping   *atomic.Bool
+	// pacer is that of the link of this VM.
+	pacer *linkPacer
 	// heldBytes are those of responses that wait to be sent to isolated VMs.
 	heldBytes atomic.Int64
 	// serving is the number of requests of isolated VMs.
@@ -71,7 +75,7 @@
 
 func newProxies(s *Settings, limits Limits, handler *requestHandler, stopping *atomic.Bool, knownPeers func() []string, m *Metrics, log zerolog.Logger) *proxies {
 	return &proxies{
-		self: s.VM, address: s.peersAddress(), handler: handler, stopping: stopping, knownPeers: knownPeers, metrics: m, log: log,
+		self: s.VM, address: s.peersAddress(), handler: handler, stopping: stopping, knownPeers: knownPeers, metrics: m, log: log, pacer: handler.large.pacer,
 		maxMessageBytes: int64(max(limits.ResponseBodyKB, maxProxiedBodyKB)+limits.ResponseHeadKB)<<10 + 2*maxHeaderBytes,
 		peers:           reachability.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), conns: make(map[string]*proxyConn),
 	}
@@ -103,33 +107,57 @@
 	p.peers.Done(bootTime(), peer, failed)
 }
 
-// conn returns an open connection to a VM.
-func (p *proxies) conn(ctx context.Context, address string) (*proxyConn, error) {
+// conn returns an open connection to a VM for a message with a body of a number of bytes. A VM that
+// takes no parts has a connection of its own for large ones.
+func (p *proxies) conn(ctx context.Context, address string, bytes int) (*proxyConn, error) {
+	c, err := p.openConn(ctx, address, address)
+	if err != nil || c.sender.parts || bytes <= delivery.PieceBytes {
+		return c, err
+	}
+	return p.openConn(ctx, address, address+largeConnSuffix)
+}
+
+// largeConnSuffix follows the address in the key of a connection for large messages.
+const largeConnSuffix = " large"
+
+// openConn returns the open connection with a key, a new one if there is none.
+func (p *proxies) openConn(ctx context.Context, address, key string) (*proxyConn, error) {
 	p.mu.Lock()
-	c := p.conns[address]
+	c := p.conns[key]
 	p.mu.Unlock()
 	if c != nil && c.open() {
 		return c, nil
 	}
-	c, err := dialProxy(ctx, address, p.maxMessageBytes, p.opened)
+	c, err := dialProxy(ctx, address, p.maxMessageBytes, p.opened, p.pacer, p.metrics)
 	if err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if other := p.conns[address]; other != nil && other.open() {
+	if other := p.conns[key]; other != nil && other.open() {
 		c.end(errProxyIdle)
 		return other, nil
 	}
-	for a, other := range p.conns {
+	for k, other := range p.conns {
 		if !other.open() {
-			delete(p.conns, a)
+			delete(p.conns, k)
 		}
 	}
-	p.conns[address] = c
+	p.conns[key] = c
 	return c, nil
 }
 
+// errLinkTooSlow means that a request cannot arrive at another VM in time.
+var errLinkTooSlow = errors.New("the body cannot arrive at another VM before the deadline of the request: retry at another VM, or with more time")
+
+// tooLate refuses a request that cannot arrive at a VM in time, which has not run.
+func (p *proxies) tooLate(q *request, peer string, needed time.Duration) *proxyResponse {
+	p.metrics.largeMessages.WithLabelValues("request", largeTooLate).Inc()
+	p.log.Info().Str("event", "proxied_request_too_large").Str("request", q.params.RequestID).Str("peer", peer).Int("bytes", len(q.body)).
+		Dur("needed_ms", needed).Dur("remaining_ms", q.remaining()).Float64("link_mbps", p.pacer.mbps).Msg("")
+	return &proxyResponse{Reason: linkTooSlow, FailureStatus: http.StatusServiceUnavailable, RetryAfterMs: otherVMRetryAfter.Milliseconds(), Error: errLinkTooSlow.Error()}
+}
+
 // errIsolated means that this VM reaches no upstream, and no VM that does.
 var errIsolated = errors.New("this VM reaches neither the upstreams nor another VM that does: retry at another VM")
 
@@ -151,7 +179,11 @@
 		resp, sent, err := p.callAgreed(ctx, q, peer)
 		q.proxy = peer
 		notTaken := err != nil && !sent || err == nil && resp.notTaken()
-		p.done(peer, notTaken || err != nil && ctx.Err() == nil)
+		tooSlow := err == nil && resp.Reason == linkTooSlow
+		p.done(peer, notTaken && !tooSlow || err != nil && ctx.Err() == nil)
+		if tooSlow {
+			failure = outcome{reason: linkTooSlow, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter, err: errLinkTooSlow}
+		}
 		if notTaken {
 			p.metrics.proxied.WithLabelValues("not_taken").Inc()
 			continue
@@ -185,13 +217,23 @@
 
 // call passes a request to one VM. sent means that the VM may have got it.
 func (p *proxies) call(ctx context.Context, q *request, peer string, configuration int64) (resp *proxyResponse, sent bool, err error) {
-	c, err := p.conn(ctx, peer)
+	within := func() time.Duration { return q.remaining() - proxyMargin }
+	if len(q.body) > delivery.PieceBytes {
+		// A connection is of no use if the link of this VM alone is too slow.
+		if needed, ok := delivery.NewLink(p.pacer.mbps, 0).Arrives(int64(len(q.body)), p.pacer.sending(), within()); !ok {
+			return p.tooLate(q, peer, needed), false, nil
+		}
+	}
+	c, err := p.conn(ctx, peer, len(q.body))
 	if err != nil {
 		return nil, false, err
 	}
+	if needed, ok := c.sender.arrives(len(q.body), within()); !ok {
+		return p.tooLate(q, peer, needed), false, nil
+	}
 	resp, sent, err = c.call(ctx, &proxyRequest{
 		From: p.self, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: q.upstreamHeader(), Body: q.body,
-		TimeoutMs: (q.remaining() - proxyMargin).Milliseconds(), Configuration: configuration, Exact: true,
+		TimeoutMs: within().Milliseconds(), Configuration: configuration, Exact: true,
 		Counted: q.service != nil, MayHaveRun: q.mayHaveRun, Authorization: q.credentials(), Domain: p.handler.domain,
 	})
 	if err == nil && !resp.valid() {
@@ -205,6 +247,8 @@
 
 // ServeHTTP accepts the connection of an isolated VM.
 func (p *proxies) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	maps.Copy(w.Header(), linkHeaders(p.pacer.mbps))
+	w.Header().Set(partsHeader, partsVersion)
 	ws, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		p.log.Warn().Str("event", "proxy_refused").Err(err).Msg("")
@@ -212,7 +256,7 @@
 	}
 	defer ws.CloseNow()
 	ws.SetReadLimit(p.maxMessageBytes)
-	if err := serveProxyConn(r.Context(), ws, p.accepted.Connection(listen.ConnOf(r), p.maxMessageBytes), guard{p.metrics, p.log}, p.serve); err != nil {
+	if err := serveProxyConn(r.Context(), newFrameSender(ws, p.pacer, r.Header, p.metrics), p.accepted.Connection(listen.ConnOf(r), p.maxMessageBytes), guard{p.metrics, p.log}, p.serve); err != nil {
 		p.log.Debug().Str("event", "proxy_connection_ended").Err(err).Msg("")
 	}
 }
--- a/server/gateway/proxyconfig.go
+++ b/server/gateway/proxyconfig.go
@@ -89,7 +89,11 @@
 
 // exchange sends a message about configurations, and returns the response, nil if there is none.
 func (p *proxies) exchange(ctx context.Context, peer string, req *proxyRequest) *proxyResponse {
-	c, err := p.conn(ctx, peer)
+	bytes := 0
+	if req.ConfigurationRow != nil {
+		bytes = len(req.ConfigurationRow.Value)
+	}
+	c, err := p.conn(ctx, peer, bytes)
 	if err != nil {
 		return nil
 	}
--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -13,10 +15,10 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/delivery"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/listen"
-	"dandelionhill.dev/server/upstreamconn"
 )
 
 const (
@@ -42,6 +44,8 @@
 	Response *proxyResponse `cbor:"3,keyasint,omitempty"`
 	// Cancel means that the caller has left.
 	Cancel bool `cbor:"4,keyasint,omitempty"`
+	// Part is a part of a large message, for VMs that have said that they take parts.
+	Part *proxyPart `cbor:"5,keyasint,omitempty"`
 }
 
 // proxyRequest is a request of a caller of an isolated VM.
@@ -106,7 +110,7 @@
 // VM may.
 func (r *proxyResponse) notTaken() bool {
 	switch r.Reason {
-	case isolatedVM, vmStopping, messagesFull, noConfiguration, newerConfiguration, noRoute, unconfirmed:
+	case isolatedVM, vmStopping, messagesFull, linkTooSlow, noConfiguration, newerConfiguration, noRoute, unconfirmed:
 		return r.Sends == 0
 	}
 	return false
@@ -127,29 +131,60 @@
 // proxyConn is a connection of an isolated VM to one that sends its requests.
 type proxyConn struct {
 	ws       *websocket.Conn
+	sender   *frameSender
 	messages *listen.MessageConn
+	// received is when the last bytes arrived, in nanoseconds of Unix time.
+	received *atomic.Int64
 
 	mu      sync.Mutex
 	lastID  uint64
-	waiting map[uint64]chan *proxyResponse
+	waiting map[uint64]*waitingRequest
 	usedAt  time.Time
 	// err is why the connection has ended; ended is closed then.
 	err   error
 	ended chan struct{}
+
+	// arriving holds the responses that arrive in parts; partsMu protects it and is locked before mu.
+	partsMu  sync.Mutex
+	arriving assemblies
+}
+
+// waitingRequest is a request that waits for its response.
+type waitingRequest struct {
+	response chan *proxyResponse
+	// arrived ends the sending of a request that is refused before it has been sent.
+	arrived context.CancelFunc
 }
 
 // dialProxy connects to a VM.
-func dialProxy(ctx context.Context, address string, maxMessageBytes int64, messages *listen.Messages) (*proxyConn, error) {
+func dialProxy(ctx context.Context, address string, maxMessageBytes int64, messages *listen.Messages, pacer *linkPacer, m *Metrics) (*proxyConn, error) {
+	return dialProxyWith(ctx, dialPeer, address, maxMessageBytes, messages, pacer, m)
+}
+
+// dialProxyWith is dialProxy with a function that opens connections.
+func dialProxyWith(ctx context.Context, dial dialFunc, address string, maxMessageBytes int64, messages *listen.Messages, pacer *linkPacer, m *Metrics) (*proxyConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, proxyDialTimeout)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}
+	received := new(atomic.Int64)
+	client := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{conn, received}, nil
+	}}}
 	defer client.CloseIdleConnections()
-	ws, _, err := websocket.Dial(ctx, "ws://"+address+proxyPath, &websocket.DialOptions{HTTPClient: client})
+	header := linkHeaders(pacer.mbps)
+	header.Set(partsHeader, partsVersion)
+	ws, resp, err := websocket.Dial(ctx, "ws://"+address+proxyPath, &websocket.DialOptions{HTTPClient: client, HTTPHeader: header})
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to a VM that reaches the upstreams")
 	}
 	ws.SetReadLimit(maxMessageBytes)
-	c := &proxyConn{ws: ws, messages: messages.Connection(nil, maxMessageBytes), waiting: make(map[uint64]chan *proxyResponse), usedAt: time.Now(), ended: make(chan struct{})}
+	c := &proxyConn{
+		ws: ws, sender: newFrameSender(ws, pacer, resp.Header, m), messages: messages.Connection(nil, maxMessageBytes), received: received,
+		waiting: make(map[uint64]*waitingRequest), usedAt: time.Now(), ended: make(chan struct{}), arriving: make(assemblies),
+	}
 	go c.read()
 	go c.keepAlive()
 	return c, nil
@@ -157,6 +192,11 @@
 
 // read passes responses to the requests that wait for them, until the connection ends.
 func (c *proxyConn) read() {
+	defer func() {
+		c.partsMu.Lock()
+		defer c.partsMu.Unlock()
+		c.arriving.release()
+	}()
 	for {
 		var frame proxyFrame
 		message, err := readMessage(context.Background(), c.messages, c.ws)
@@ -164,10 +204,17 @@
 		case errors.Is(err, listen.ErrMessageRefused):
 			// The request that waits for this response ends without one.
 			frame.ID, err = frameID(message.Data)
+			c.dropParts(frame.ID)
 		case err == nil:
 			err = cbor.Unmarshal(message.Data, &frame)
 		}
 		message.Release()
+		if err == nil && frame.Part != nil {
+			var whole bool
+			if whole, err = c.addPart(&frame); err == nil && !whole {
+				continue
+			}
+		}
 		if err != nil {
 			c.end(errors.Wrap(err, "read from a VM that sends requests"))
 			return
@@ -177,11 +224,44 @@
 		delete(c.waiting, frame.ID)
 		c.mu.Unlock()
 		if waiting != nil {
-			waiting <- frame.Response
+			waiting.response <- frame.Response
+			waiting.arrived()
 		}
 	}
 }
 
+// addPart adds a part of a response. It reports whether frame holds the outcome: the whole response, or
+// none if there is no memory for it.
+func (c *proxyConn) addPart(frame *proxyFrame) (whole bool, err error) {
+	c.partsMu.Lock()
+	defer c.partsMu.Unlock()
+	c.mu.Lock()
+	waiting := c.waiting[frame.ID] != nil
+	c.mu.Unlock()
+	if !waiting {
+		c.arriving.drop(frame.ID)
+		return false, nil
+	}
+	complete, message, err := c.arriving.add(c.messages, frame.ID, frame.Part)
+	switch {
+	case errors.Is(err, listen.ErrMessageRefused):
+		*frame = proxyFrame{ID: frame.ID}
+		return true, nil
+	case err != nil || complete == nil:
+		return false, err
+	}
+	message.Release()
+	*frame = *complete
+	return true, nil
+}
+
+// dropParts forgets the parts of a response that is no longer awaited.
+func (c *proxyConn) dropParts(id uint64) {
+	c.partsMu.Lock()
+	defer c.partsMu.Unlock()
+	c.arriving.drop(id)
+}
+
 // errProxyIdle means that a connection to another VM was not used for a while.
 var errProxyIdle = errors.New("the connection to the VM was not used")
 
@@ -210,7 +290,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), linkTimeout)
 		err := c.ws.Ping(ctx)
 		cancel()
-		if err != nil {
+		// A VM of an earlier version sends no pong within a large response.
+		if silent := time.Since(time.Unix(0, c.received.Load())); err != nil && silent >= linkTimeout {
 			c.end(errors.Wrap(err, "the VM that sends requests is silent"))
 			return
 		}
@@ -238,7 +319,9 @@
 // call sends a request and waits for its response. sent means that the request may have
 // reached the other VM. If ctx ends, the request is cancelled there.
 func (c *proxyConn) call(ctx context.Context, req *proxyRequest) (resp *proxyResponse, sent bool, err error) {
-	response := make(chan *proxyResponse, 1)
+	wanted, stop := context.WithCancel(ctx)
+	defer stop()
+	waiting := &waitingRequest{response: make(chan *proxyResponse, 1), arrived: stop}
 	c.mu.Lock()
 	if c.err != nil {
 		c.mu.Unlock()
@@ -246,33 +329,33 @@
 	}
 	c.lastID++
 	id := c.lastID
-	c.waiting[id], c.usedAt = response, time.Now()
+	c.waiting[id], c.usedAt = waiting, time.Now()
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
-		defer c.mu.Unlock()
 		delete(c.waiting, id)
 		c.usedAt = time.Now()
+		c.mu.Unlock()
+		c.dropParts(id)
 	}()
-	// A write that is cancelled ends the connection for all requests, so it has a time limit of
-	// its own.
-	if err := send(context.Background(), c.ws, proxyFrame{ID: id, Request: req}); err != nil {
+	sent, err = c.sender.send(wanted, proxyFrame{ID: id, Request: req})
+	if err != nil && (!errors.Is(err, errGivenUp) || !c.sender.parts) {
 		c.end(err)
-		return nil, true, err
+		return nil, sent, err
 	}
 	select {
-	case resp := <-response:
+	case resp := <-waiting.response:
 		if resp == nil {
 			return nil, true, buffers.ErrExhausted
 		}
 		return resp, true, nil
 	case <-c.ended:
-		return nil, true, c.err
+		return nil, sent, c.err
 	case <-ctx.Done():
-		if err := send(context.Background(), c.ws, proxyFrame{ID: id, Cancel: true}); err != nil {
+		if _, err := c.sender.send(context.Background(), proxyFrame{ID: id, Cancel: true}); err != nil {
 			c.end(err)
 		}
-		return nil, true, errors.Wrap(ctx.Err(), "wait for the VM that sends the request")
+		return nil, sent, errors.Wrap(ctx.Err(), "wait for the VM that sends the request")
 	}
 }
 
@@ -301,32 +384,38 @@
 
 // servedProxyConn is a connection on which an isolated VM passes its requests.
 type servedProxyConn struct {
-	ws       *websocket.Conn
+	sender   *frameSender
 	messages *listen.MessageConn
 	guard    guard
 	serve    func(context.Context, *proxyRequest) *proxyResponse
 	// ended ends the connection.
 	ended context.CancelFunc
+	// arriving holds the requests that arrive in parts. Only the reader of the connection uses it.
+	arriving assemblies
 
 	mu      sync.Mutex
 	cancels map[uint64]context.CancelFunc
-	// sending admits one response at a time, as each has an encoded copy.
+	// sending admits one response at a time, as each has an encoded copy. Those that are sent in parts
+	// have none.
 	sending sync.Mutex
 }
 
 // serveProxyConn passes the requests on a connection to serve and sends the responses, until
 // the connection ends.
-func serveProxyConn(ctx context.Context, ws *websocket.Conn, messages *listen.MessageConn, guard guard, serve func(context.Context, *proxyRequest) *proxyResponse) error {
+func serveProxyConn(ctx context.Context, sender *frameSender, messages *listen.MessageConn, guard guard, serve func(context.Context, *proxyRequest) *proxyResponse) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &servedProxyConn{ws: ws, messages: messages, guard: guard, serve: serve, ended: cancel, cancels: make(map[uint64]context.CancelFunc)}
+	c := &servedProxyConn{
+		sender: sender, messages: messages, guard: guard, serve: serve, ended: cancel, cancels: make(map[uint64]context.CancelFunc), arriving: make(assemblies),
+	}
+	defer c.arriving.release()
 	for {
-		message, err := readMessage(ctx, messages, ws)
+		message, err := readMessage(ctx, messages, sender.ws)
 		switch {
 		case err == nil:
 			err = c.handle(ctx, message)
 		case errors.Is(err, listen.ErrMessageRefused):
-			err = c.refuseMessage(ctx, message)
+			err = c.refuseMessage(message)
 		default:
 			message.Release() // a part of it has arrived
 		}
@@ -337,20 +426,22 @@
 }
 
 // refuseMessage refuses the request of which only the first bytes are known.
-func (c *servedProxyConn) refuseMessage(ctx context.Context, message *listen.Message) error {
+func (c *servedProxyConn) refuseMessage(message *listen.Message) error {
 	defer message.Release()
 	id, err := frameID(message.Data)
 	if err != nil {
 		return err
 	}
-	return c.refuse(ctx, id)
+	c.arriving.drop(id)
+	return c.refuse(id)
 }
 
 // refuse says that a request has not run and never will: another VM may send it.
-func (c *servedProxyConn) refuse(ctx context.Context, id uint64) error {
-	return send(ctx, c.ws, proxyFrame{ID: id, Response: &proxyResponse{
+func (c *servedProxyConn) refuse(id uint64) error {
+	_, err := c.sender.send(context.Background(), proxyFrame{ID: id, Response: &proxyResponse{
 		Reason: messagesFull, FailureStatus: http.StatusServiceUnavailable, RetryAfterMs: otherVMRetryAfter.Milliseconds(),
 	}})
+	return err
 }
 
 // handle handles a message and releases it.
@@ -358,8 +449,20 @@
 	var frame proxyFrame
 	err := cbor.Unmarshal(message.Data, &frame)
 	message.Decoded()
+	if err == nil && frame.Part != nil {
+		message.Release()
+		whole, joined, err := c.arriving.add(c.messages, frame.ID, frame.Part)
+		if errors.Is(err, listen.ErrMessageRefused) {
+			return c.refuse(frame.ID)
+		}
+		if err != nil || whole == nil {
+			return err
+		}
+		frame, message = *whole, joined
+	}
 	if err != nil || frame.Request == nil {
 		message.Release()
+		c.arriving.drop(frame.ID)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if stop := c.cancels[frame.ID]; frame.Cancel && stop != nil {
@@ -369,7 +472,7 @@
 	}
 	if err := message.Handle(); err != nil {
 		message.Release()
-		return c.refuse(ctx, frame.ID)
+		return c.refuse(frame.ID)
 	}
 	requestCtx, stop := context.WithCancel(ctx)
 	c.mu.Lock()
@@ -377,13 +480,13 @@
 	c.mu.Unlock()
 	go func() {
 		defer stop()
-		c.serveRequest(ctx, requestCtx, frame, message)
+		c.serveRequest(requestCtx, frame, message)
 	}()
 	return nil
 }
 
 // serveRequest sends a request and then its response, unless the caller has left.
-func (c *servedProxyConn) serveRequest(ctx, requestCtx context.Context, frame proxyFrame, message *listen.Message) {
+func (c *servedProxyConn) serveRequest(requestCtx context.Context, frame proxyFrame, message *listen.Message) {
 	resp := &proxyResponse{Reason: responseLost, FailureStatus: http.StatusBadGateway, MayHaveRun: 1}
 	c.guard.run("proxied_request", func() { resp = c.serve(requestCtx, frame.Request) })
 	if resp.release != nil {
@@ -391,24 +494,27 @@
 	}
 	// Responses that wait for their turn hold no memory that the one before them waits for.
 	message.Release()
-	c.mu.Lock()
-	delete(c.cancels, frame.ID)
-	c.mu.Unlock()
-	if requestCtx.Err() != nil {
-		return
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.cancels, frame.ID)
+	}()
+	size := len(resp.Body) + encodingMargin
+	if c.sender.parts && c.sender.isLarge(proxyFrame{Response: resp}) {
+		size = delivery.PieceBytes + encodingMargin
+	} else {
+		c.sending.Lock()
+		defer c.sending.Unlock()
 	}
-	c.sending.Lock()
-	defer c.sending.Unlock()
 	if requestCtx.Err() != nil {
 		return
 	}
-	size := len(resp.Body) + encodingMargin
 	releaseCopy, ok := c.messages.Reserve(requestCtx, int64(size))
 	defer releaseCopy()
 	if !ok {
 		resp = &proxyResponse{Reason: responseLost, FailureStatus: http.StatusBadGateway, Upstream: resp.Upstream, Sends: resp.Sends, MayHaveRun: resp.MayHaveRun}
 	}
-	if err := sendSized(ctx, c.ws, proxyFrame{ID: frame.ID, Response: resp}, size); err != nil {
+	if _, err := c.sender.send(requestCtx, proxyFrame{ID: frame.ID, Response: resp}); err != nil && !errors.Is(err, errGivenUp) {
 		c.ended()
 	}
 }
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -91,6 +91,8 @@
 	used             int64
 	reserved, shared *buffers.Reservation
 	count            int
+	// assembling is the number of messages of which parts are awaited.
+	assembling atomic.Int32
 }
 
 // Connection returns the state of a connection that has left HTTP, with messages up to limit bytes.
@@ -180,8 +182,10 @@
 	// raw is the memory of Data, decoded that of what is decoded from it, as far as it was taken.
 	raw, decoded int64
 	// cost is the memory of the decoded message.
-	cost    int64
-	counted bool
+	cost int64
+	// counted means that the message counts as one that is handled, running that its request runs,
+	// assembling that parts of it are awaited.
+	counted, running, assembling bool
 }
 
 // Read reads the next message, which next waits for. items returns the number of data items of an
@@ -296,6 +300,18 @@
 // Handle counts the message as a request that is handled until Release. It returns
 // ErrMessageRefused if the limits have no room for it.
 func (m *Message) Handle() error {
+	if !m.counted {
+		if err := m.count(); err != nil {
+			return err
+		}
+	}
+	m.running = true
+	m.conn.changeRunning(1)
+	return nil
+}
+
+// count counts the message as one that is handled, with the memory of that.
+func (m *Message) count() error {
 	if !m.takeDecoded(handlingCost) {
 		return m.refuse(nil, MessageMemory)
 	}
@@ -332,10 +348,15 @@
 func (m *Message) Release() {
 	m.conn.give(m.raw + m.decoded)
 	m.Data, m.raw, m.decoded = nil, 0, 0
+	m.endAssembly()
 	if m.counted {
 		m.counted = false
 		m.conn.uncount()
 	}
+	if m.running {
+		m.running = false
+		m.conn.changeRunning(-1)
+	}
 }
 
 // Reserve takes memory for a response of a number of bytes, and waits for it until ctx ends.
@@ -371,21 +392,20 @@
 		return false
 	}
 	c.count++
-	c.changeRunning(1)
 	return true
 }
 
 func (c *MessageConn) uncount() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.messages.count.Add(-1)
 	c.count--
-	c.mu.Unlock()
-	c.changeRunning(-1)
 }
 
+// setReading records whether a message is being read. One of which parts are awaited counts too.
 func (c *MessageConn) setReading(reading bool) {
 	if c.conn != nil {
-		c.conn.change(func() { c.conn.reading = reading })
+		c.conn.change(func() { c.conn.reading = reading || c.assembling.Load() > 0 })
 	}
 }
 
