gateway: measure control messages beside large ones at 10 Mbit/s

Control messages are not paced, and paced pieces now wait for what they take beyond the fifth of the link that is left to them.

--- a/core/delivery/delivery.go
+++ b/core/delivery/delivery.go
@@ -1,5 +1,6 @@
-// Package delivery decides how large responses reach slow callers: which responses are delivered
-// while they are read, how fast their bytes leave, and who is at fault when one breaks off.
+// Package delivery decides how large responses reach slow callers, and large messages other VMs: which
+// responses are delivered while they are read, how fast bytes leave, how long a message may take, and
+// who is at fault when a response breaks off.
 package delivery
 
 import "time"
@@ -8,7 +9,7 @@
 	// PieceBytes is the size of one write to a caller. It occupies a link of 10 Mbit/s for 13 ms,
 	// which is how long a small response or a control message may have to wait behind it.
 	PieceBytes = 16 << 10
-	// linkShare is the share of the link that large responses may use together.
+	// linkShare is the share of the link that large responses and large messages may use together.
 	linkShare = 0.8
 	// burstPieces is how many pieces may leave at once after a pause.
 	burstPieces = 2
@@ -18,20 +19,22 @@
 // may exceed the window, so that it must not be read whole before it is delivered.
 func Windowed(length, window int64) bool { return length < 0 || length > window }
 
-// Pacer spaces the pieces of all large responses of a process, in the order in which they are
+// Pacer spaces the pieces of all large responses and large messages of a process, in the order in which they are
 // asked for. The zero value does not limit. It is not safe for concurrent use.
 type Pacer struct {
 	// bytesPerSecond is 0 without a limit.
 	bytesPerSecond float64
 	// free is when the link has passed on what was granted.
 	free time.Duration
+	// unpacedFree is when the part of the link that is left to unpaced messages has passed them on.
+	unpacedFree time.Duration
 }
 
 // NewPacer returns the Pacer of a link, in Mbit/s; 0 is not known and means no limit.
 func NewPacer(linkMbps float64) *Pacer {
 	p := &Pacer{bytesPerSecond: linkShare * linkMbps * 1e6 / 8}
 	if p.bytesPerSecond > 0 {
-		p.free = -p.burst()
+		p.free, p.unpacedFree = -p.burst(), -p.burst()
 	}
 	return p
 }
@@ -45,6 +48,21 @@
 	return max(p.free-now, 0)
 }
 
+// Unpaced records a message that is sent without waiting, such as a control message. Pieces wait for
+// what such messages take beyond the part of the link that is left to them.
+func (p *Pacer) Unpaced(now time.Duration, bytes int) {
+	if p.bytesPerSecond <= 0 {
+		return
+	}
+	const spareShare = (1 - linkShare) / linkShare // of the rate of pieces
+	spare := time.Duration(float64(p.duration(bytes)) / spareShare)
+	p.unpacedFree = max(p.unpacedFree, now-time.Duration(float64(p.burst())/spareShare)) + spare
+	if excess := p.unpacedFree - now; excess > 0 {
+		p.free = max(p.free, now-p.burst()) + time.Duration(float64(excess)*spareShare)
+		p.unpacedFree = now
+	}
+}
+
 // burst returns the time that the link takes for what may leave at once.
 func (p *Pacer) burst() time.Duration { return p.duration(burstPieces * PieceBytes) }
 
--- a/core/delivery/link.go
+++ b/core/delivery/link.go
@@ -1,9 +1,12 @@
 package delivery
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
-	// assumedMbps is the bandwidth of a link that no VM states: that of the slowest links of
+	// assumedMbps is the bandwidth of an end that states none: that of the slowest links of
 	// deployments.
 	assumedMbps = 10
 	// minPeerMbps bounds from below what another VM may state as its bandwidth, so that it cannot
@@ -16,8 +19,10 @@
 
 // Link is the path between two VMs. The zero value is one of unknown bandwidth.
 type Link struct {
-	// mbps is the bandwidth of the slower end in Mbit/s, 0 if neither end states one.
+	// mbps is the bandwidth of the slower end that is known, in Mbit/s; 0 if neither end states one.
 	mbps float64
+	// lowestMbps is the lowest bandwidth that the link may have, given what is known.
+	lowestMbps float64
 	// slowPeer means that the other end is slower than this one.
 	slowPeer bool
 }
@@ -25,13 +30,16 @@
 // NewLink returns the link between this VM and another one, given what they state in Mbit/s; 0 is
 // not known.
 func NewLink(own, peer float64) Link {
-	switch {
-	case peer <= 0:
-		return Link{mbps: own}
-	case own > 0 && own <= peer:
-		return Link{mbps: own}
+	l := Link{mbps: own, lowestMbps: min(cmp.Or(own, assumedMbps), assumedMbps)}
+	if peer <= 0 {
+		return l
+	}
+	peer = max(peer, minPeerMbps)
+	l.lowestMbps = min(cmp.Or(own, assumedMbps), peer)
+	if own <= 0 || peer < own {
+		l.mbps, l.slowPeer = peer, true
 	}
-	return Link{mbps: max(peer, minPeerMbps), slowPeer: true}
+	return l
 }
 
 // PeerPacer returns the Pacer for what goes to the other end beside the pacer of this VM's link: one
@@ -45,11 +53,7 @@
 
 // minRate returns the lowest rate of a message in bytes a second.
 func (l Link) minRate() float64 {
-	mbps := l.mbps
-	if mbps <= 0 {
-		mbps = assumedMbps
-	}
-	return minRateShare * mbps * 1e6 / 8
+	return minRateShare * cmp.Or(l.lowestMbps, assumedMbps) * 1e6 / 8
 }
 
 // Arrives reports whether a message of a number of bytes can arrive within a time while others are
--- a/server/gateway/delivery.go
+++ b/server/gateway/delivery.go
@@ -84,6 +84,13 @@
 	return &linkPacer{mbps: mbps, start: time.Now(), pacer: delivery.NewPacer(mbps), messages: make(map[*pacedMessage]bool)}
 }
 
+// unpaced records a control message, which waits for no turn.
+func (p *linkPacer) unpaced(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pacer.Unpaced(time.Since(p.start), bytes)
+}
+
 // pacedMessage is a large message that is being sent.
 type pacedMessage struct {
 	pacer *linkPacer
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -79,7 +79,7 @@
 	}
 	cr := newCrashes()
 	l := &links{
-		self: s.VM, incarnation: incarnation, address: s.peersAddress(), stats: st, crashes: cr, relay: &relay{}, operatorRelay: &relay{latestOnly: true}, limits: c.limits, log: log, mbps: s.Resources.LinkMbps,
+		self: s.VM, incarnation: incarnation, address: s.peersAddress(), stats: st, crashes: cr, relay: &relay{}, operatorRelay: &relay{latestOnly: true}, limits: c.limits, log: log,
 		peers: s.seeds(), reportRequested: make(chan struct{}, 1), hasConfig: func() bool { return c.view().config != nil },
 	}
 	g := &Gateway{
@@ -99,7 +99,7 @@
 		},
 	}
 	m.exportVersion(buildVersion())
-	l.elector = g.elector
+	l.elector, l.pacer = g.elector, g.handler.large.pacer
 	g.proxies = newProxies(s, limits, g.handler, &g.draining, l.knownPeers, m, log)
 	g.handler.proxies, g.elector.proxies = g.proxies, g.proxies
 	cr.reportNow = l.reportNow
--- a/server/gateway/largemessage.go
+++ b/server/gateway/largemessage.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -190,13 +189,13 @@
 	own, peer *linkPacer
 	metrics   *Metrics
 	// part admits one part at a time: a small message waits for one at most.
-	part sync.Mutex
+	part chan struct{}
 }
 
 func newFrameSender(ws *websocket.Conn, own *linkPacer, handshake http.Header, m *Metrics) *frameSender {
 	link := linkTo(own.mbps, handshake)
 	return &frameSender{
-		ws: ws, link: link, parts: handshake.Get(partsHeader) != "", own: own, metrics: m,
+		ws: ws, link: link, parts: handshake.Get(partsHeader) != "", own: own, metrics: m, part: make(chan struct{}, 1),
 		peer: &linkPacer{start: time.Now(), pacer: link.PeerPacer()},
 	}
 }
@@ -332,7 +331,9 @@
 		}
 		part.Data = piece
 		left -= len(piece)
+		s.part <- struct{}{}
 		err := s.sendPart(transfer, proxyFrame{ID: frame.ID, Part: &part})
+		<-s.part
 		part.Size, part.Head = 0, 0
 		return err
 	}
@@ -343,8 +344,6 @@
 }
 
 func (s *frameSender) sendPart(transfer *delivery.Transfer, frame proxyFrame) error {
-	s.part.Lock()
-	defer s.part.Unlock()
 	data, err := cbor.Marshal(frame)
 	if err != nil {
 		return errors.Wrap(err, "encode a message between VMs")
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -164,8 +164,8 @@
 	relay, operatorRelay *relay
 	limits               *statedLimits
 	log                  zerolog.Logger
-	// mbps is the bandwidth of this VM's link in Mbit/s, 0 if it is not known.
-	mbps float64
+	// pacer is that of the link of this VM.
+	pacer *linkPacer
 	// messages grants memory to the messages of other VMs.
 	messages *listen.Messages
 	// elector provides this VM's promises, hasConfig reports whether this VM has a configuration.
@@ -259,7 +259,7 @@
 		return
 	}
 	accepted := bootTime()
-	maps.Copy(w.Header(), linkHeaders(l.mbps))
+	maps.Copy(w.Header(), linkHeaders(l.pacer.mbps))
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		l.log.Warn().Str("event", "link_refused").Err(err).Msg("")
@@ -267,7 +267,7 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
-	link := linkTo(l.mbps, r.Header)
+	link := l.linkTo(r.Header)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	messages := l.messages.Connection(listen.ConnOf(r), maxFrameBytes)
@@ -318,7 +318,7 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: dialPeer, MaxResponseHeaderBytes: maxHeaderBytes}}
 	// A VM that is not the granter responds and keeps the connection open.
 	defer client.CloseIdleConnections()
-	conn, resp, err := websocket.Dial(dialCtx, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client, HTTPHeader: linkHeaders(l.mbps)})
+	conn, resp, err := websocket.Dial(dialCtx, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client, HTTPHeader: linkHeaders(l.pacer.mbps)})
 	if err != nil {
 		if resp != nil && resp.Header.Get(lastGranterHeader) != "" {
 			var moved granterMovedError
@@ -334,7 +334,7 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
-	link := linkTo(l.mbps, resp.Header)
+	link := l.linkTo(resp.Header)
 	greeting := hello{VM: l.self, Incarnation: l.incarnation, Term: to.Term, Address: l.address, HasConfig: l.hasConfig(), Capacity: milliCapacity(l.elector.capacities.own)}
 	if to.unconfirmed {
 		greeting.PromiseMs = l.elector.promiseGranter().Milliseconds()
@@ -353,7 +353,7 @@
 	}()
 	defer l.setFollowed(lease{}, nil, false)
 	for {
-		u, err := receiveUpdate(ctx, conn, link)
+		u, err := receiveUpdate(ctx, conn, link.Link)
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
@@ -398,7 +398,7 @@
 
 // sendReports sends reports to the granter until ctx ends or a send fails. answers is
 // update.SentAtMs of the last update received.
-func (l *links) sendReports(ctx context.Context, conn *websocket.Conn, link delivery.Link, answers *atomic.Int64) error {
+func (l *links) sendReports(ctx context.Context, conn *websocket.Conn, link controlLink, answers *atomic.Int64) error {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	var evidence crashSender
@@ -449,14 +449,29 @@
 	}
 }
 
-// send sends a control message, with the time that its bytes take over the link. Control messages are
-// not paced.
-func send(ctx context.Context, conn *websocket.Conn, link delivery.Link, message any) error {
+// controlLink is the path of control messages to another VM.
+type controlLink struct {
+	delivery.Link
+	// pacer, unless it is nil, is that of the link of this VM.
+	pacer *linkPacer
+}
+
+// linkTo returns the path to a VM whose handshake had some headers.
+func (l *links) linkTo(peer http.Header) controlLink {
+	return controlLink{linkTo(l.pacer.mbps, peer), l.pacer}
+}
+
+// send sends a control message, with the time that its bytes take over the link. It is not paced, and
+// paced pieces wait for what control messages take beyond their part of the link.
+func send(ctx context.Context, conn *websocket.Conn, link controlLink, message any) error {
 	data, err := cbor.Marshal(message)
 	if err != nil {
 		return errors.Wrap(err, "encode a message between VMs")
 	}
-	_, err = writeMessage(ctx, conn, link, data, nil)
+	if link.pacer != nil {
+		link.pacer.unpaced(len(data))
+	}
+	_, err = writeMessage(ctx, conn, link.Link, data, nil)
 	return errors.Wrap(err, "send a message between VMs")
 }
 
--- a/server/gateway/promise_test.go
+++ b/server/gateway/promise_test.go
@@ -12,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"dandelionhill.dev/api"
-	"dandelionhill.dev/core/delivery"
 	"dandelionhill.dev/core/election"
 	fakes "dandelionhill.dev/fakes/fleet"
 )
@@ -61,7 +60,7 @@
 		}
 		for r.Context().Err() == nil {
 			var rep report
-			if send(r.Context(), conn, delivery.Link{}, update{SentAtMs: sentAt}) != nil || receive(r.Context(), conn, &rep, waitTimeout) != nil {
+			if send(r.Context(), conn, controlLink{}, update{SentAtMs: sentAt}) != nil || receive(r.Context(), conn, &rep, waitTimeout) != nil {
 				return
 			}
 			if rep.AnswersMs != 0 {
@@ -98,7 +97,7 @@
 	require.Equal(t, http.StatusSwitchingProtocols, resp.StatusCode)
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
-	require.NoError(t, send(t.Context(), conn, delivery.Link{}, hello{VM: "vm-b", Address: "127.0.0.1:1"}))
+	require.NoError(t, send(t.Context(), conn, controlLink{}, hello{VM: "vm-b", Address: "127.0.0.1:1"}))
 	d.store.SetFaults(fakes.Faults{Refuse: true})
 	handedOver := make(chan bool, 1)
 	for {
@@ -109,7 +108,7 @@
 			<-handedOver
 			return
 		}
-		require.NoError(t, send(t.Context(), conn, delivery.Link{}, report{PromiseMs: time.Minute.Milliseconds(), AnswersMs: u.SentAtMs, SentAtMs: sentAt}))
+		require.NoError(t, send(t.Context(), conn, controlLink{}, report{PromiseMs: time.Minute.Milliseconds(), AnswersMs: u.SentAtMs, SentAtMs: sentAt}))
 		if !u.StoreUnreachable {
 			continue
 		}
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -107,43 +107,48 @@
 	p.peers.Done(bootTime(), peer, failed)
 }
 
-// conn returns an open connection to a VM for a message with a body of a number of bytes. A VM that
-// takes no parts has a connection of its own for large ones.
-func (p *proxies) conn(ctx context.Context, address string, bytes int) (*proxyConn, error) {
-	c, err := p.openConn(ctx, address, address)
+// conn returns an open connection to a VM for a message with a body of a number of bytes, and a function
+// to call when the message is answered. For a VM that takes no parts, a large message has a connection of
+// its own, as it can only be given up with its connection.
+func (p *proxies) conn(ctx context.Context, address string, bytes int) (c *proxyConn, done func(), err error) {
+	c, err = p.sharedConn(ctx, address)
 	if err != nil || c.sender.parts || bytes <= delivery.PieceBytes {
-		return c, err
+		return c, func() {}, err
 	}
-	return p.openConn(ctx, address, address+largeConnSuffix)
+	if c, err = p.dial(ctx, address); err != nil {
+		return nil, nil, err
+	}
+	return c, func() { c.end(errProxyIdle) }, nil
 }
 
-// largeConnSuffix follows the address in the key of a connection for large messages.
-const largeConnSuffix = " large"
+func (p *proxies) dial(ctx context.Context, address string) (*proxyConn, error) {
+	return dialProxy(ctx, address, p.maxMessageBytes, p.opened, p.pacer, p.metrics)
+}
 
-// openConn returns the open connection with a key, a new one if there is none.
-func (p *proxies) openConn(ctx context.Context, address, key string) (*proxyConn, error) {
+// sharedConn returns the open connection for the requests to a VM.
+func (p *proxies) sharedConn(ctx context.Context, address string) (*proxyConn, error) {
 	p.mu.Lock()
-	c := p.conns[key]
+	c := p.conns[address]
 	p.mu.Unlock()
 	if c != nil && c.open() {
 		return c, nil
 	}
-	c, err := dialProxy(ctx, address, p.maxMessageBytes, p.opened, p.pacer, p.metrics)
+	c, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if other := p.conns[key]; other != nil && other.open() {
+	if other := p.conns[address]; other != nil && other.open() {
 		c.end(errProxyIdle)
 		return other, nil
 	}
-	for k, other := range p.conns {
+	for a, other := range p.conns {
 		if !other.open() {
-			delete(p.conns, k)
+			delete(p.conns, a)
 		}
 	}
-	p.conns[key] = c
+	p.conns[address] = c
 	return c, nil
 }
 
@@ -224,10 +229,11 @@
 			return p.tooLate(q, peer, needed), false, nil
 		}
 	}
-	c, err := p.conn(ctx, peer, len(q.body))
+	c, done, err := p.conn(ctx, peer, len(q.body))
 	if err != nil {
 		return nil, false, err
 	}
+	defer done()
 	if needed, ok := c.sender.arrives(len(q.body), within()); !ok {
 		return p.tooLate(q, peer, needed), false, nil
 	}
--- a/server/gateway/proxyconfig.go
+++ b/server/gateway/proxyconfig.go
@@ -93,10 +93,11 @@
 	if req.ConfigurationRow != nil {
 		bytes = len(req.ConfigurationRow.Value)
 	}
-	c, err := p.conn(ctx, peer, bytes)
+	c, done, err := p.conn(ctx, peer, bytes)
 	if err != nil {
 		return nil
 	}
+	defer done()
 	resp, _, err := c.call(ctx, req)
 	if err != nil {
 		return nil
--- a/server/gateway/slowlink_test.go
+++ b/server/gateway/slowlink_test.go
@@ -1,21 +1,30 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"maps"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/delivery"
+	"dandelionhill.dev/core/ownership"
+	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/listen"
 )
 
@@ -45,25 +54,34 @@
 	return w.free
 }
 
-// slowConn is a connection of the VM, or its other end. Bytes that wait for the wire fill a queue.
+// slowConn is a connection of the VM, or its other end. Bytes that are not on the wire yet fill a queue.
 type slowConn struct {
 	net.Conn
-	queue chan []byte
-	done  chan struct{}
-	once  sync.Once
+	wire    *sharedWire
+	slots   chan struct{}
+	packets chan slowPacket
+	done    chan struct{}
+	once    sync.Once
+}
+
+type slowPacket struct {
+	data    []byte
+	arrives time.Time
 }
 
 // newSlowConn sends what is written to conn over a wire.
 func newSlowConn(conn net.Conn, w *sharedWire) *slowConn {
-	c := &slowConn{Conn: conn, queue: make(chan []byte, sendQueueBytes/packetBytes), done: make(chan struct{})}
+	const packets = sendQueueBytes / packetBytes
+	c := &slowConn{Conn: conn, wire: w, slots: make(chan struct{}, packets), packets: make(chan slowPacket, packets), done: make(chan struct{})}
 	go func() {
 		for {
 			select {
-			case packet := <-c.queue:
-				time.Sleep(time.Until(w.pass(len(packet))))
-				if _, err := conn.Write(packet); err != nil {
+			case p := <-c.packets:
+				time.Sleep(time.Until(p.arrives))
+				if _, err := conn.Write(p.data); err != nil {
 					return
 				}
+				<-c.slots
 			case <-c.done:
 				return
 			}
@@ -77,7 +95,8 @@
 	for written < len(p) {
 		packet := append([]byte(nil), p[written:min(len(p), written+packetBytes)]...)
 		select {
-		case c.queue <- packet:
+		case c.slots <- struct{}{}:
+			c.packets <- slowPacket{packet, c.wire.pass(len(packet))}
 			written += len(packet)
 		case <-c.done:
 			return written, net.ErrClosed
@@ -145,7 +164,8 @@
 	return newSlowConn(near, &l.outward), nil
 }
 
-// serveSlowly serves proxied requests with a function. peer holds the headers of the handshake.
+// serveSlowly serves proxied requests with a function. peer holds the headers of the handshake; without
+// any, each VM takes the other one for one of an earlier version.
 func serveSlowly(peer http.Header, serve func(context.Context, *proxyRequest) *proxyResponse) func(l *slowLink) http.Handler {
 	return func(l *slowLink) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -154,6 +174,9 @@
 			if err != nil {
 				return
 			}
+			if peer == nil {
+				r.Header = nil
+			}
 			defer ws.CloseNow()
 			ws.SetReadLimit(maxLargeMessage)
 			//nolint:errcheck // the connection ends with the test
@@ -205,3 +228,275 @@
 		require.NoError(t, <-large)
 	})
 }
+
+// TestLargestResponseOnSlowLink guards against a response of legal size that ends its connection on a
+// link of 10 Mbit/s, or holds up the other responses of its connection.
+func TestLargestResponseOnSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newSlowLink(t, serveSlowly(withParts, func(_ context.Context, req *proxyRequest) *proxyResponse {
+			if req.Target == "/small" {
+				return &proxyResponse{Status: http.StatusOK}
+			}
+			return &proxyResponse{Status: http.StatusOK, Body: bytes.Repeat([]byte(req.Target), defaultBodyKB<<10/len(req.Target))}
+		}))
+		c := l.proxyConn(t)
+		large := make(chan *proxyResponse, 2)
+		for _, target := range []string{"/a", "/b"} {
+			go func() {
+				resp, _, err := c.call(t.Context(), &proxyRequest{Target: target, TimeoutMs: 60_000})
+				if err != nil || !bytes.Equal(resp.Body, bytes.Repeat([]byte(target), defaultBodyKB<<10/len(target))) {
+					resp = nil
+				}
+				large <- resp
+			}()
+		}
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			began := time.Now()
+			_, _, err := c.call(t.Context(), &proxyRequest{Target: "/small", TimeoutMs: 1000})
+			require.NoError(t, err)
+			require.Less(t, time.Since(began), 200*time.Millisecond)
+		}
+		require.NotNil(t, <-large)
+		require.NotNil(t, <-large)
+	})
+}
+
+// TestLargeMessagesWithEarlierVersions guards against large requests and responses that fail on a slow
+// link because the other VM takes no parts, and against such a VM that is told more time than the caller
+// has.
+func TestLargeMessagesWithEarlierVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var deadline time.Time
+		l := newSlowLink(t, serveSlowly(nil, func(_ context.Context, req *proxyRequest) *proxyResponse {
+			deadline = time.Now().Add(time.Duration(req.TimeoutMs) * time.Millisecond)
+			return &proxyResponse{Status: http.StatusOK, Body: req.Body}
+		}))
+		c := l.proxyConn(t)
+		want := time.Now().Add(30 * time.Second)
+		body := make([]byte, maxProxiedBodyKB<<10)
+		resp, _, err := c.call(t.Context(), &proxyRequest{Target: "/large", Body: body, TimeoutMs: 30_000})
+		require.NoError(t, err)
+		require.Len(t, resp.Body, len(body))
+		require.WithinRange(t, deadline, want.Add(-time.Second), want.Add(500*time.Millisecond))
+		require.True(t, c.open())
+	})
+}
+
+// TestLargeRequestThatIsGivenUp guards against a request whose caller has left and that goes on to use
+// the link, runs, or keeps memory at the other VM, and against the end of its connection.
+func TestLargeRequestThatIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, runs := buffers.NewBudget(64<<20), 0
+		l := newSlowLink(t, serveSlowly(withParts, func(_ context.Context, req *proxyRequest) *proxyResponse {
+			runs++
+			return &proxyResponse{Status: http.StatusOK}
+		}))
+		l.accepted = listen.NewMessages(listen.MessageLimits{Bytes: 64 << 20, ConnectionBytes: 32 << 20}, nil, buffers.NewBudget(0), shared)
+		c := l.proxyConn(t)
+		ctx, leave := context.WithTimeout(t.Context(), 2*time.Second)
+		defer leave()
+		began := time.Now()
+		_, sent, err := c.call(ctx, &proxyRequest{Target: "/large", Body: make([]byte, maxProxiedBodyKB<<10), TimeoutMs: 60_000})
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.False(t, sent, "another VM may run it")
+		require.Less(t, time.Since(began), 2500*time.Millisecond)
+		_, _, err = c.call(t.Context(), &proxyRequest{Target: "/small", TimeoutMs: 1000})
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Equal(t, 1, runs)
+		require.Equal(t, shared.Total(), shared.Left())
+		require.Empty(t, l.near.sending())
+	})
+}
+
+// TestSilentPeerWithinLargeRequest guards against a VM that is lost within a large message and counts as
+// alive for as long as the message may take.
+func TestSilentPeerWithinLargeRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newSlowLink(t, func(*slowLink) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				maps.Copy(w.Header(), withParts)
+				ws, err := websocket.Accept(w, r, nil)
+				if err != nil {
+					return
+				}
+				defer ws.CloseNow()
+				_, _, _ = ws.Read(r.Context()) // the first part
+				time.Sleep(10 * time.Second)
+			})
+		})
+		c := l.proxyConn(t)
+		began := time.Now()
+		_, sent, err := c.call(t.Context(), &proxyRequest{Target: "/large", Body: make([]byte, maxProxiedBodyKB<<10), TimeoutMs: 60_000})
+		require.Error(t, err)
+		require.False(t, sent)
+		require.False(t, c.open())
+		// What the kernel holds is sent before.
+		require.Less(t, time.Since(began), linkTimeout+proxyPingInterval+200*time.Millisecond)
+	})
+}
+
+// controlDelay returns the longest time that a control message of the isolated VM is under way beside
+// downloads, proxied bodies and other control messages, which pacer spaces.
+func controlDelay(t *testing.T, pacer *linkPacer) (longest time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		delays := make(chan time.Duration, 1000)
+		proxied := serveSlowly(withParts, func(context.Context, *proxyRequest) *proxyResponse { return &proxyResponse{Status: http.StatusOK} })
+		l := newSlowLink(t, func(l *slowLink) http.Handler {
+			mux := http.NewServeMux()
+			mux.Handle(proxyPath, proxied(l))
+			mux.HandleFunc(linkPath, func(w http.ResponseWriter, r *http.Request) {
+				ws, err := websocket.Accept(w, r, nil)
+				if err != nil {
+					return
+				}
+				defer ws.CloseNow()
+				ws.SetReadLimit(maxFrameBytes)
+				for {
+					var rep report
+					if receive(r.Context(), ws, &rep, time.Minute) != nil {
+						return
+					}
+					delays <- time.Since(time.Unix(0, rep.SentAtMs))
+				}
+			})
+			return mux
+		})
+		pacer.start = time.Now()
+		l.near = pacer
+		control := func(every time.Duration, bytes int) {
+			client := &http.Client{Transport: &http.Transport{DialContext: l.dial}}
+			ws, _, err := websocket.Dial(t.Context(), "ws://other"+linkPath, &websocket.DialOptions{HTTPClient: client})
+			require.NoError(t, err)
+			defer ws.CloseNow()
+			for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(every) {
+				rep := report{SentAtMs: time.Now().UnixNano(), LeavingUpstreams: []ownership.Owner{{UpstreamID: api.UpstreamID(make([]byte, bytes))}}}
+				require.NoError(t, send(t.Context(), ws, controlLink{delivery.NewLink(slowLinkMbps, 0), pacer}, rep))
+			}
+		}
+		var all sync.WaitGroup
+		all.Go(func() { control(37*time.Millisecond, 500) })
+		all.Go(func() { control(updateInterval, delivery.PieceBytes-600) }) // updates
+		c := l.proxyConn(t)
+		for range 2 {
+			all.Go(func() {
+				_, _, err := c.call(t.Context(), &proxyRequest{Body: make([]byte, 2<<20), TimeoutMs: 60_000})
+				require.NoError(t, err)
+			})
+			all.Go(func() { // a download
+				near, far := net.Pipe()
+				go io.Copy(io.Discard, far) //nolint:errcheck // it ends with the pipe
+				conn := newSlowConn(near, &l.outward)
+				require.NoError(t, writePieces(make([]byte, 2<<20), func(piece []byte) error {
+					pacer.wait(t.Context(), len(piece))
+					_, err := conn.Write(piece)
+					return err
+				}))
+				time.Sleep(time.Second) // its queue becomes empty
+				conn.Close()
+			})
+		}
+		all.Wait()
+		require.Greater(t, len(delays), 200)
+		for len(delays) > 0 {
+			longest = max(longest, <-delays)
+		}
+	})
+	return longest
+}
+
+// TestControlMessagesOnSlowLink guards against control messages that wait for long behind downloads and
+// proxied bodies on a link of 10 Mbit/s. It runs on a fake clock.
+func TestControlMessagesOnSlowLink(t *testing.T) {
+	piece := time.Duration(delivery.PieceBytes * 8 / (slowLinkMbps * 1e6) * float64(time.Second))
+	paced, unpaced := controlDelay(t, newLinkPacer(slowLinkMbps)), controlDelay(t, newLinkPacer(0))
+	t.Logf("longest delay of a control message: %s paced, %s not paced, %s a piece", paced, unpaced, piece)
+	// The message itself, another control message of one piece, and the two pieces that may leave at once
+	// of all that is paced.
+	require.LessOrEqual(t, paced, 4*piece)
+	require.Greater(t, unpaced, 10*piece, "the load fills the link")
+}
+
+// TestLargeUpdateOnSlowLink guards against a VM without a configuration that cannot get one from the
+// granter on a link of 10 Mbit/s, and against late updates whose permits others may have by then.
+func TestLargeUpdateOnSlowLink(t *testing.T) {
+	rows := func(bytes int) []fleet.Row { return []fleet.Row{{Key: "k", Value: make([]byte, bytes)}} }
+	for name, c := range map[string]struct {
+		sent     update
+		late     bool
+		accepted bool
+	}{
+		"in time":              {update{Rows: rows(500 << 10), OperatorAgeMs: 5}, false, true},
+		"snapshot":             {update{Snapshot: &stateSnapshot{Operator: rows(2 << 20)}, OperatorAgeMs: 5}, true, true},
+		"rows alone":           {update{Rows: rows(2 << 20)}, false, false},
+		"snapshot and permits": {update{Snapshot: &stateSnapshot{Operator: rows(2 << 20)}, Permits: []permitGrant{{Permits: 1}}}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newSlowLink(t, func(*slowLink) http.Handler {
+					return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						ws, err := websocket.Accept(w, r, nil)
+						if err != nil {
+							return
+						}
+						defer ws.CloseNow()
+						if send(r.Context(), ws, controlLink{}, c.sent) == nil {
+							_, _, _ = ws.Read(r.Context()) // until the VM closes the connection
+						}
+					})
+				})
+				ws, _, err := websocket.Dial(t.Context(), "ws://granter"+linkPath, &websocket.DialOptions{HTTPClient: &http.Client{Transport: &http.Transport{DialContext: l.dial}}})
+				require.NoError(t, err)
+				defer ws.CloseNow()
+				ws.SetReadLimit(maxFrameBytes)
+				u, err := receiveUpdate(t.Context(), ws, delivery.NewLink(slowLinkMbps, 0))
+				require.Equal(t, c.accepted, err == nil, "%v", err)
+				require.Equal(t, c.late, u.late && c.accepted)
+				if c.late {
+					require.Greater(t, u.OperatorAgeMs, linkTimeout.Milliseconds(), "the time under way is a part of its age")
+				}
+			})
+		})
+	}
+}
+
+// TestRequestThatCannotArrive guards against a request of an isolated VM that is sent although it cannot
+// arrive before its deadline, and against the refusal of one that can.
+func TestRequestThatCannotArrive(t *testing.T) {
+	d := newCutDeployment(t, 2)
+	i := other(d.granter())
+	g := d.vms[i]
+	pacer := g.proxies.pacer
+	pacer.mu.Lock()
+	pacer.mbps, pacer.pacer = 2, delivery.NewPacer(2)
+	pacer.mu.Unlock()
+	d.isolate(i)
+	const bytes = 500_000 // 2.5 s at 1.6 Mbit/s
+	post := func(deadline time.Duration) (status int, body string) {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+g.settings.Listen.Callers+plainPath, strings.NewReader(strings.Repeat("x", bytes)))
+		require.NoError(t, err)
+		req.Host = testHost
+		req.Header.Set(fleet.HeaderRequestID, "large-"+deadline.String())
+		req.Header.Set(fleet.HeaderDeadlineMs, strconv.FormatInt(deadline.Milliseconds(), 10))
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode, string(text)
+	}
+	status, body := post(2 * time.Second)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, string(linkTooSlow))
+	for _, u := range d.upstreams {
+		for _, run := range u.Runs() {
+			require.NotEqual(t, "large-2s", run.RequestID)
+		}
+	}
+	require.Zero(t, testutil.ToFloat64(g.metrics.largeMessages.WithLabelValues("request", largeGivenUp)), "it is refused before it is sent")
+	require.NotZero(t, testutil.ToFloat64(g.metrics.largeMessages.WithLabelValues("request", largeTooLate)))
+	status, body = post(18 * time.Second)
+	require.Equal(t, http.StatusOK, status, body)
+	require.EqualValues(t, 1, testutil.ToFloat64(g.metrics.largeMessages.WithLabelValues("request", largeSent)))
+}
--- /dev/null
+++ b/server/listen/assembly_test.go
@@ -0,0 +1,71 @@
+package listen
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionhill.dev/core/shedding"
+	"dandelionhill.dev/server/buffers"
+)
+
+// TestAssembly guards against messages in parts that take more memory than their bytes, or keep it
+// after they were refused, and against parts that exceed the stated size.
+func TestAssembly(t *testing.T) {
+	const part = 16 << 10
+	shared := buffers.NewBudget(16 << 20)
+	m := NewMessages(MessageLimits{Bytes: 16 << 20, ConnectionBytes: 12 << 20, ConnectionCount: 2}, nil, buffers.NewBudget(0), shared)
+	c := m.Connection(nil, largestMessage)
+	send := func(a *Assembly, bytes int) error {
+		for ; bytes > 0; bytes -= part {
+			if err := a.Append(make([]byte, min(bytes, part))); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	first, err := c.Assemble(largestMessage)
+	require.NoError(t, err)
+	require.NoError(t, send(first, part))
+	require.Less(t, c.used, int64(4*part+handlingCost), "a stated size alone holds nothing")
+	second, err := c.Assemble(largestMessage)
+	require.NoError(t, err)
+	_, err = c.Assemble(1)
+	require.ErrorIs(t, err, ErrMessageRefused, "it counts before it is whole")
+	require.NoError(t, send(first, largestMessage-part))
+	require.True(t, first.Complete())
+	require.ErrorIs(t, first.Append([]byte{0}), ErrAssembly)
+	require.LessOrEqual(t, c.used, int64(largestMessage+2*part+2*handlingCost))
+	require.ErrorIs(t, send(second, largestMessage), ErrMessageRefused)
+	require.LessOrEqual(t, c.used, int64(largestMessage+handlingCost), "what was refused holds nothing")
+	whole, err := first.Whole(100, 10)
+	require.NoError(t, err)
+	require.Len(t, whole.Data, largestMessage)
+	require.NoError(t, whole.Handle())
+	whole.Release()
+	second.Release()
+	require.Zero(t, c.used)
+	require.Zero(t, c.count)
+	require.Zero(t, c.assembling.Load())
+	require.Equal(t, shared.Total(), shared.Left())
+	for _, size := range []int64{-1, 0, largestMessage + 1} {
+		_, err = c.Assemble(size)
+		require.ErrorIs(t, err, ErrMessageTooLarge)
+	}
+}
+
+// TestAssemblyMustMakeProgress guards against a half-sent message in parts whose connection counts as
+// idle or as running a request, so that its memory is never reclaimed.
+func TestAssemblyMustMakeProgress(t *testing.T) {
+	conn := &Conn{guard: &Guard{now: func() time.Duration { return 0 }}, hijacked: true}
+	m := NewMessages(MessageLimits{}, nil, nil, nil)
+	c := m.Connection(conn, largestMessage)
+	a, err := c.Assemble(largestMessage)
+	require.NoError(t, err)
+	c.setReading(true)
+	c.setReading(false) // another message was read
+	require.Equal(t, shedding.Body, conn.phaseNow())
+	a.Release()
+	require.Equal(t, shedding.Idle, conn.phaseNow())
+}
