gateway: parts of messages leave less garbage; a stop waits for responses

A flood of messages in parts, each one part short, reached 47 MB resident with memory_mb 48: each part of 16 KB was read into buffers that doubled to 32 KB, joined and decoded, and the first form of the assembly allocated the stated size.

A VM that stops waits until its responses to isolated VMs were sent: a large one may take seconds. Paced pieces wait for control messages for 0.5 s at most.

--- a/core/delivery/delivery.go
+++ b/core/delivery/delivery.go
@@ -13,6 +13,9 @@
 	linkShare = 0.8
 	// burstPieces is how many pieces may leave at once after a pause.
 	burstPieces = 2
+	// maxYield is the longest time for which pieces wait for unpaced messages. Upstreams abort responses
+	// that remain unread for some seconds.
+	maxYield = 500 * time.Millisecond
 )
 
 // Windowed reports whether a response whose body has a stated length, negative if it is unknown,
@@ -58,7 +61,8 @@
 	spare := time.Duration(float64(p.duration(bytes)) / spareShare)
 	p.unpacedFree = max(p.unpacedFree, now-time.Duration(float64(p.burst())/spareShare)) + spare
 	if excess := p.unpacedFree - now; excess > 0 {
-		p.free = max(p.free, now-p.burst()) + time.Duration(float64(excess)*spareShare)
+		free := max(p.free, now-p.burst())
+		p.free = min(free+time.Duration(float64(excess)*spareShare), max(free, now+maxYield))
 		p.unpacedFree = now
 	}
 }
--- a/server/gateway/largemessage.go
+++ b/server/gateway/largemessage.go
@@ -391,7 +391,11 @@
 		return nil, nil, nil
 	}
 	delete(a, id)
-	head, body := m.Data[:m.head], m.Data[m.head:]
+	data, err := m.Join()
+	if err != nil {
+		return nil, nil, err
+	}
+	head, body := data[:m.head], data[m.head:]
 	whole, err := m.Whole(m.head, wire.Items(head))
 	if err != nil {
 		return nil, nil, err
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -59,8 +59,9 @@
 	pacer *linkPacer
 	// heldBytes are those of responses that wait to be sent to isolated VMs.
 	heldBytes atomic.Int64
-	// serving is the number of requests of isolated VMs.
-	serving atomic.Int64
+	// serving is the number of requests of isolated VMs, unsent that of those whose responses have not
+	// been sent whole.
+	serving, unsent atomic.Int64
 
 	// exchanging admits one exchange of configurations at a time.
 	exchanging sync.Mutex
@@ -262,7 +263,7 @@
 	}
 	defer ws.CloseNow()
 	ws.SetReadLimit(p.maxMessageBytes)
-	if err := serveProxyConn(r.Context(), newFrameSender(ws, p.pacer, r.Header, p.metrics), p.accepted.Connection(listen.ConnOf(r), p.maxMessageBytes), guard{p.metrics, p.log}, p.serve); err != nil {
+	if err := serveProxyConn(r.Context(), newFrameSender(ws, p.pacer, r.Header, p.metrics), p.accepted.Connection(listen.ConnOf(r), p.maxMessageBytes), guard{p.metrics, p.log}, p.serveUntilSent); err != nil {
 		p.log.Debug().Str("event", "proxy_connection_ended").Err(err).Msg("")
 	}
 }
@@ -274,6 +275,26 @@
 	return limit == 0 || p.heldBytes.Load() < limit
 }
 
+// serveUntilSent is serve, and counts the request until its response was sent: a large one may take
+// seconds.
+func (p *proxies) serveUntilSent(ctx context.Context, req *proxyRequest) (out *proxyResponse) {
+	p.unsent.Add(1)
+	defer func() {
+		if out == nil { // a panic
+			p.unsent.Add(-1)
+		}
+	}()
+	out = p.serve(ctx, req)
+	release := out.release
+	out.release = func() {
+		if release != nil {
+			release()
+		}
+		p.unsent.Add(-1)
+	}
+	return out
+}
+
 // serve sends a request of an isolated VM to an upstream.
 func (p *proxies) serve(ctx context.Context, req *proxyRequest) (out *proxyResponse) {
 	p.serving.Add(1)
@@ -312,11 +333,11 @@
 	return out
 }
 
-// drain waits until the requests of isolated VMs have ended.
+// drain waits until the requests of isolated VMs have ended and their responses were sent.
 func (p *proxies) drain(ctx context.Context) {
-	for p.serving.Load() > 0 {
+	for p.serving.Load() > 0 || p.unsent.Load() > 0 {
 		if !wait.For(ctx, drainCheckInterval) {
-			p.log.Warn().Str("event", "proxied_requests_cut").Int64("requests", p.serving.Load()).Msg("")
+			p.log.Warn().Str("event", "proxied_requests_cut").Int64("requests", max(p.serving.Load(), p.unsent.Load())).Msg("")
 			return
 		}
 	}
--- a/server/gateway/proxy_test.go
+++ b/server/gateway/proxy_test.go
@@ -133,6 +133,32 @@
 	receiveWithin(t, drained, "the VM stops when the request has ended")
 }
 
+// TestStopWaitsForResponsesToIsolatedVMs guards against a planned stop that cuts off a large response which
+// is still being sent to an isolated VM.
+func TestStopWaitsForResponsesToIsolatedVMs(t *testing.T) {
+	d := newDeployment(t)
+	d.addUpstream("p1", "plain")
+	g := d.startVM("vm-a")
+	d.requireServed(g, plainPath, -1)
+	resp := g.proxies.serveUntilSent(t.Context(), &proxyRequest{Method: http.MethodGet, Target: plainPath, Host: testHost, TimeoutMs: 10_000})
+	require.Equal(t, http.StatusOK, resp.Status)
+	grace, end := context.WithCancel(t.Context())
+	defer end()
+	drained := make(chan struct{})
+	go func() {
+		g.proxies.drain(grace)
+		close(drained)
+	}()
+	time.Sleep(5 * drainCheckInterval)
+	select {
+	case <-drained:
+		require.Fail(t, "the VM stops before the response was sent")
+	default:
+	}
+	resp.release()
+	receiveWithin(t, drained, "the VM stops when the response was sent")
+}
+
 // TestProxyThatIsCutOffReturnsRequests guards against a request of an isolated VM that waits for its
 // deadline at a VM which finds out meanwhile that it reaches no upstream either.
 func TestProxyThatIsCutOffReturnsRequests(t *testing.T) {
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -22,7 +22,9 @@
 	// inlineBytes is the further memory that each connection has without a grant, so that the usual
 	// reports of other VMs arrive then too.
 	inlineBytes = 8 << 10
-	// pieceBytes is the size of the pieces in which a longer message is read.
+	// usualBytes is the size of the largest usual reports. A longer message is read in pieces of
+	// pieceBytes.
+	usualBytes = 16 << 10
 	pieceBytes = 64 << 10
 	// itemCost is the memory of a decoded data item beside its bytes: 131,072 empty maps in an array
 	// are as many structures.
@@ -175,12 +177,15 @@
 
 // Message is a message that was read.
 type Message struct {
-	// Data is the message, or its first bytes if it was refused.
+	// Data is the message, or its first bytes if it was refused. It must not be used after Decoded or
+	// Release.
 	Data []byte
 
 	conn *MessageConn
 	// raw is the memory of Data, decoded that of what is decoded from it, as far as it was taken.
 	raw, decoded int64
+	// piece, unless it is nil, holds Data.
+	piece *[pieceBytes]byte
 	// cost is the memory of the decoded message.
 	cost int64
 	// counted means that the message counts as one that is handled, running that its request runs,
@@ -218,7 +223,9 @@
 	var full []*[pieceBytes]byte
 	release := func() {
 		for _, piece := range full {
-			pieces.Put(piece)
+			if piece != m.piece {
+				pieces.Put(piece)
+			}
 		}
 		full = nil
 	}
@@ -231,8 +238,8 @@
 				return ErrMessageTooLarge
 			}
 			size := int64(pieceBytes)
-			if len(full) == 0 {
-				size = min(2*int64(cap(current)), pieceBytes)
+			if len(full) == 0 && cap(current) < usualBytes {
+				size = 2 * int64(cap(current))
 			}
 			if !m.conn.take(size) {
 				// The rest of the message may never come: it must not hold the pieces.
@@ -272,9 +279,13 @@
 
 // join sets Data to the whole message, whose last piece may be shorter.
 func (m *Message) join(last []byte, full []*[pieceBytes]byte, total int64) error {
-	if len(full) == 0 {
+	switch len(full) {
+	case 0:
 		m.Data = last
 		return nil
+	case 1:
+		m.Data, m.piece = last, full[0]
+		return nil
 	}
 	if !m.conn.take(total) {
 		return m.refuse(nil, MessageMemory)
@@ -342,12 +353,22 @@
 func (m *Message) Decoded() {
 	m.conn.give(m.raw)
 	m.Data, m.raw = nil, 0
+	m.putPiece()
+}
+
+// putPiece returns the piece that holds Data, which must no longer be used.
+func (m *Message) putPiece() {
+	if m.piece != nil {
+		pieces.Put(m.piece)
+		m.piece = nil
+	}
 }
 
 // Release releases the memory of the message.
 func (m *Message) Release() {
 	m.conn.give(m.raw + m.decoded)
 	m.Data, m.raw, m.decoded = nil, 0, 0
+	m.putPiece()
 	m.endAssembly()
 	if m.counted {
 		m.counted = false
