gateway: log responses that are not sent to an isolated VM

A response that the isolated VM takes too slowly ended its connection with a debug line only. The new line names the isolated VM, the size and the error. Adds a test that a large request to a VM of an earlier version has a connection of its own; it passes with -race.

--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -515,6 +515,7 @@
 		resp = &proxyResponse{Reason: responseLost, FailureStatus: http.StatusBadGateway, Upstream: resp.Upstream, Sends: resp.Sends, MayHaveRun: resp.MayHaveRun}
 	}
 	if _, err := c.sender.send(requestCtx, proxyFrame{ID: frame.ID, Response: resp}); err != nil && !errors.Is(err, errGivenUp) {
+		c.guard.log.Info().Str("event", "proxied_response_not_sent").Str("peer", string(frame.Request.From)).Int("bytes", len(resp.Body)).Err(err).Msg("")
 		c.ended()
 	}
 }
--- a/server/gateway/slowlink_test.go
+++ b/server/gateway/slowlink_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -283,6 +284,35 @@
 	})
 }
 
+// TestConnectionToEarlierVersion guards against a large request that holds up the small ones to a VM which
+// takes no parts, and against a connection that stays open for each.
+func TestConnectionToEarlierVersion(t *testing.T) {
+	g := newDeployment(t).startVM("vm-a")
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer ws.CloseNow()
+		_, _, _ = ws.Read(r.Context()) // until the VM closes the connection
+	}))
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	small, done, err := g.proxies.conn(t.Context(), address, 100)
+	require.NoError(t, err)
+	done()
+	large, done, err := g.proxies.conn(t.Context(), address, 1<<20)
+	require.NoError(t, err)
+	require.NotSame(t, small, large)
+	done()
+	require.False(t, large.open())
+	again, _, err := g.proxies.conn(t.Context(), address, 100)
+	require.NoError(t, err)
+	require.Same(t, small, again)
+	require.True(t, small.open())
+	small.end(errProxyIdle)
+}
+
 // TestLargeRequestThatIsGivenUp guards against a request whose caller has left and that goes on to use
 // the link, runs, or keeps memory at the other VM, and against the end of its connection.
 func TestLargeRequestThatIsGivenUp(t *testing.T) {
