gateway: one rule for which proxied bodies are large

A body just below 16 KB was sent as a large one, but to a VM of an earlier version on the shared connection, which ends if such a request is given up. isLargeBody decides for the connection, the refusal and the sending.

--- a/core/delivery/link.go
+++ b/core/delivery/link.go
@@ -102,8 +102,3 @@
 func (t *Transfer) allowed(bytes int64) time.Duration {
 	return t.silence + time.Duration(float64(bytes)/t.rate*float64(time.Second))
 }
-
-// Timeout returns how long a message may take as a whole.
-func (l Link) Timeout(silence time.Duration, bytes int) time.Duration {
-	return l.NewTransfer(silence).allowed(int64(bytes))
-}
--- a/core/delivery/link_test.go
+++ b/core/delivery/link_test.go
@@ -30,7 +30,9 @@
 	require.InDelta(t, 2, pieces, 1)
 	require.Equal(t, silence, NewLink(10, 10).NewTransfer(silence).Next(1<<20), "a piece is bounded by silence")
 	// What another VM states must not hold messages for hours.
-	require.Less(t, NewLink(10, 1e-9).Timeout(silence, 1<<20), 2*time.Minute)
+	slow := NewLink(10, 1e-9).NewTransfer(silence)
+	slow.Moved(1<<20, 2*time.Minute)
+	require.Negative(t, slow.Next(PieceBytes))
 }
 
 // TestArrives guards against a request that is sent although it cannot arrive in time, and against the
--- a/server/gateway/largemessage.go
+++ b/server/gateway/largemessage.go
@@ -228,22 +228,20 @@
 
 // arrives reports whether a body can arrive before a deadline.
 func (s *frameSender) arrives(bytes int, within time.Duration) (needed time.Duration, ok bool) {
-	if bytes <= delivery.PieceBytes {
+	if !isLargeBody(bytes) {
 		return 0, true
 	}
 	return s.link.Arrives(int64(bytes), s.own.sending(), within)
 }
 
-// isLarge reports whether a frame is sent in paced pieces.
-func (s *frameSender) isLarge(frame proxyFrame) bool {
-	return len(frame.body())+encodingMargin > delivery.PieceBytes
-}
+// isLargeBody reports whether a message with a body of a number of bytes is sent in paced pieces.
+func isLargeBody(bytes int) bool { return bytes+encodingMargin > delivery.PieceBytes }
 
 // send sends a frame. A large one is given up when wanted ends, with errGivenUp; its connection goes on
 // if the other VM takes parts. Another error ends the connection. whole means that the whole frame may
 // have arrived.
 func (s *frameSender) send(wanted context.Context, frame proxyFrame) (whole bool, err error) {
-	if !s.isLarge(frame) {
+	if !isLargeBody(len(frame.body())) {
 		data, err := cbor.Marshal(frame)
 		if err != nil {
 			return false, errors.Wrap(err, "encode a message between VMs")
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -113,7 +113,7 @@
 // its own, as it can only be given up with its connection.
 func (p *proxies) conn(ctx context.Context, address string, bytes int) (c *proxyConn, done func(), err error) {
 	c, err = p.sharedConn(ctx, address)
-	if err != nil || c.sender.parts || bytes <= delivery.PieceBytes {
+	if err != nil || c.sender.parts || !isLargeBody(bytes) {
 		return c, func() {}, err
 	}
 	if c, err = p.dial(ctx, address); err != nil {
@@ -224,7 +224,7 @@
 // call passes a request to one VM. sent means that the VM may have got it.
 func (p *proxies) call(ctx context.Context, q *request, peer string, configuration int64) (resp *proxyResponse, sent bool, err error) {
 	within := func() time.Duration { return q.remaining() - proxyMargin }
-	if len(q.body) > delivery.PieceBytes {
+	if isLargeBody(len(q.body)) {
 		// A connection is of no use if the link of this VM alone is too slow.
 		if needed, ok := delivery.NewLink(p.pacer.mbps, 0).Arrives(int64(len(q.body)), p.pacer.sending(), within()); !ok {
 			return p.tooLate(q, peer, needed), false, nil
--- a/server/gateway/proxyconn.go
+++ b/server/gateway/proxyconn.go
@@ -501,7 +501,7 @@
 		delete(c.cancels, frame.ID)
 	}()
 	size := len(resp.Body) + encodingMargin
-	if c.sender.parts && c.sender.isLarge(proxyFrame{Response: resp}) {
+	if c.sender.parts && isLargeBody(len(resp.Body)) {
 		size = delivery.PieceBytes + encodingMargin
 	} else {
 		c.sending.Lock()
