--- a/core/stall/stall.go
+++ b/core/stall/stall.go
@@ -40,6 +40,9 @@
 	return stall
 }
 
+// Total returns the sum of the stalls that Check has returned.
+func (m *Monitor) Total() time.Duration { return m.total }
+
 // Silence is the silence of a peer that has begun at a time.
 type Silence struct {
 	limit, since time.Duration
--- a/server/gateway/elector.go
+++ b/server/gateway/elector.go
@@ -354,8 +354,9 @@
 	e.control.limits.merge(e.control.view(), u.Limits, bootTime(), "granter")
 	// What counts from the arrival of an update does not count if it may have waited for this process
 	// to run: another granter may have given the rank to another VM, and issued the permits again.
-	e.control.limits.receive(e.control.view(), u.Permits, u.delayed == 0)
-	if u.delayed == 0 {
+	recent := u.delayed == 0 && !u.late
+	e.control.limits.receive(e.control.view(), u.Permits, recent)
+	if recent {
 		e.control.confirmRank()
 		e.control.limits.confirmIssuer()
 		e.control.outage.word(!u.StoreUnreachable, statedAge(u.StoreKnownMs))
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -99,7 +99,7 @@
 		},
 	}
 	m.exportVersion(buildVersion())
-	l.elector, l.stalls = g.elector, newStalls(g.recordStall)
+	l.elector, l.stalls, l.pacer = g.elector, newStalls(g.recordStall), g.handler.large.pacer
 	g.proxies = newProxies(s, limits, g.handler, &g.draining, l.knownPeers, m, log)
 	g.handler.proxies, g.elector.proxies = g.proxies, g.proxies
 	g.proxies.stalls = l.stalls
--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -1,9 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,13 +17,13 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/core/crash"
+	"dandelionhill.dev/core/delivery"
 	"dandelionhill.dev/core/election"
 	"dandelionhill.dev/core/ownership"
 	"dandelionhill.dev/core/quota"
 	"dandelionhill.dev/core/stall"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/listen"
-	"dandelionhill.dev/server/upstreamconn"
 	"dandelionhill.dev/server/wait"
 )
 
@@ -154,6 +155,8 @@
 	// watch none.
 	Contended []contentionUpdate `cbor:"34,keyasint,omitempty"`
 
+	// late means that the update was under way for longer than linkTimeout: it gives this VM no rank.
+	late bool
 	// sent is closed when the update has been sent, unless it is nil.
 	sent chan struct{}
 	// delayed is for how long the update may have waited for this process to run, 0 if it has not.
@@ -193,6 +196,8 @@
 	relay, operatorRelay *relay
 	limits               *statedLimits
 	log                  zerolog.Logger
+	// pacer is that of the link of this VM.
+	pacer *linkPacer
 	// messages grants memory to the messages of other VMs.
 	messages *listen.Messages
 	// stalls finds the times at which this process did not run.
@@ -288,6 +293,7 @@
 		return
 	}
 	accepted := bootTime()
+	maps.Copy(w.Header(), linkHeaders(l.pacer.mbps))
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		l.log.Warn().Str("event", "link_refused").Err(err).Msg("")
@@ -295,6 +301,7 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
+	link := l.linkTo(r.Header)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	messages := l.messages.Connection(listen.ConnOf(r), maxFrameBytes)
@@ -313,7 +320,7 @@
 		for {
 			select {
 			case u := <-member.updates:
-				if err := send(ctx, conn, u); err != nil {
+				if err := send(ctx, conn, link, u); err != nil {
 					return
 				}
 				if u.sent != nil {
@@ -348,10 +355,10 @@
 	defer cancel(nil)
 	dialCtx, cancelDial := context.WithTimeout(ctx, linkDialTimeout)
 	defer cancelDial()
-	client := &http.Client{Transport: &http.Transport{DialContext: upstreamconn.Dial, MaxResponseHeaderBytes: maxHeaderBytes}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialPeer, MaxResponseHeaderBytes: maxHeaderBytes}}
 	// A VM that is not the granter responds and keeps the connection open.
 	defer client.CloseIdleConnections()
-	conn, resp, err := websocket.Dial(dialCtx, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client})
+	conn, resp, err := websocket.Dial(dialCtx, "ws://"+to.Address+linkPath, &websocket.DialOptions{HTTPClient: client, HTTPHeader: linkHeaders(l.pacer.mbps)})
 	if err != nil {
 		if resp != nil && resp.Header.Get(lastGranterHeader) != "" {
 			var moved granterMovedError
@@ -367,11 +374,12 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
+	link := l.linkTo(resp.Header)
 	greeting := hello{VM: l.self, Incarnation: l.incarnation, Term: to.Term, Address: l.address, HasConfig: l.hasConfig(), Capacity: milliCapacity(l.elector.capacities.own), RowsTo: l.relay.version(), OperatorTo: l.operatorRelay.version()}
 	if to.unconfirmed {
 		greeting.PromiseMs = l.elector.promiseGranter().Milliseconds()
 	}
-	if err := send(ctx, conn, greeting); err != nil {
+	if err := send(ctx, conn, link, greeting); err != nil {
 		return err
 	}
 	l.limits.connected()
@@ -380,14 +388,14 @@
 	arrivals := stall.NewArrivals(linkTimeout, l.stalls.clock())
 	l.crashes.linked()
 	go func() {
-		if err := l.sendReports(ctx, conn, &answers); err != nil {
+		if err := l.sendReports(ctx, conn, link, &answers); err != nil {
 			cancel(err)
 		}
 	}()
 	defer l.setFollowed(lease{}, nil, false)
 	for {
 		var u update
-		if err := l.receiveUpdate(ctx, conn, &u); err != nil {
+		if err := l.receiveUpdate(ctx, conn, link.Link, &u); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
@@ -437,7 +445,7 @@
 
 // sendReports sends reports to the granter until ctx ends or a send fails. answers is
 // update.SentAtMs of the last update received.
-func (l *links) sendReports(ctx context.Context, conn *websocket.Conn, answers *atomic.Int64) error {
+func (l *links) sendReports(ctx context.Context, conn *websocket.Conn, link controlLink, answers *atomic.Int64) error {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	var evidence crashSender
@@ -467,7 +475,7 @@
 		rep.Contended = l.elector.control.contentions.report()
 		rep.Crashes = evidence.take(l.crashes.snapshot(), bootTime())
 		rep.OperatorChange = l.elector.control.operatorFeed.newestChange()
-		if err := send(ctx, conn, rep); err != nil {
+		if err := send(ctx, conn, link, rep); err != nil {
 			return err
 		}
 		ticker.Reset(reportInterval)
@@ -488,43 +496,98 @@
 	}
 }
 
-func send(ctx context.Context, conn *websocket.Conn, message any) error {
+// controlLink is the path of control messages to another VM.
+type controlLink struct {
+	delivery.Link
+	// pacer, unless it is nil, is that of the link of this VM.
+	pacer *linkPacer
+}
+
+// linkTo returns the path to a VM whose handshake had some headers.
+func (l *links) linkTo(peer http.Header) controlLink {
+	return controlLink{linkTo(l.pacer.mbps, peer), l.pacer}
+}
+
+// send sends a control message, with the time that its bytes take over the link. It is not paced, and
+// paced pieces wait for what control messages take beyond their part of the link.
+func send(ctx context.Context, conn *websocket.Conn, link controlLink, message any) error {
 	data, err := cbor.Marshal(message)
 	if err != nil {
 		return errors.Wrap(err, "encode a message between VMs")
 	}
-	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
-	defer cancel()
-	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, data), "send a message between VMs")
+	if link.pacer != nil {
+		link.pacer.unpaced(len(data))
+	}
+	_, err = writeMessage(ctx, conn, link.Link, data, nil)
+	return errors.Wrap(err, "send a message between VMs")
 }
 
-// encoding writes into buffers of the caller.
-var encoding = sync.OnceValues(func() (cbor.UserBufferEncMode, error) { return cbor.EncOptions{}.UserBufferEncMode() })
+// errLateUpdate means that an update took longer than linkTimeout and holds what may have lapsed.
+var errLateUpdate = errors.New("an update of the granter took too long: it may hold what is no longer so")
 
-// sendSized is send with a buffer of about the size of the encoded message.
-func sendSized(ctx context.Context, conn *websocket.Conn, message any, size int) error {
-	mode, err := encoding()
+// receiveUpdate receives an update of the granter, which may be silent for linkTimeout at most. An update
+// may take longer only if it has a snapshot, for a VM without a configuration, and nothing that the
+// granter gives to others after linkTimeout.
+func (l *links) receiveUpdate(ctx context.Context, conn *websocket.Conn, link delivery.Link, u *update) error {
+	silence := l.stalls.begin(ctx, linkTimeout)
+	defer silence.stop()
+	_, r, err := conn.Reader(silence.ctx)
 	if err != nil {
-		return errors.Wrap(err, "encode a message between VMs")
+		return receiveError(silence.ctx, err)
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, size))
-	if err := mode.MarshalToBuffer(message, buffer); err != nil {
-		return errors.Wrap(err, "encode a message between VMs")
+	data, took, err := l.receivePieces(silence, r, link)
+	if err != nil {
+		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
-	defer cancel()
-	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, buffer.Bytes()), "send a message between VMs")
+	if err := cbor.Unmarshal(data, u); err != nil {
+		return errors.Wrap(err, "decode a message between VMs")
+	}
+	if took >= linkTimeout {
+		if u.Snapshot == nil || u.lapses() {
+			return errLateUpdate
+		}
+		u.late = true
+		u.age(took)
+	}
+	return nil
 }
 
-// receiveUpdate receives an update of the granter.
-func (l *links) receiveUpdate(ctx context.Context, conn *websocket.Conn, u *update) error {
-	ctx, stop := l.stalls.within(ctx, linkTimeout)
-	defer stop()
-	_, data, err := conn.Read(ctx)
-	if err != nil {
-		return receiveError(ctx, err)
+// receivePieces reads a message while its pieces arrive in time. It returns for how long this process
+// has run meanwhile.
+func (l *links) receivePieces(silence *silence, r io.Reader, link delivery.Link) (data []byte, took time.Duration, err error) {
+	began := l.stalls.running()
+	moved, transfer := began, link.NewTransfer(linkTimeout)
+	piece := make([]byte, delivery.PieceBytes)
+	for {
+		silence.restart(transfer.Next(len(piece)))
+		n, err := r.Read(piece)
+		now := l.stalls.running()
+		transfer.Moved(n, now-moved)
+		moved, data = now, append(data, piece[:n]...)
+		if errors.Is(err, io.EOF) {
+			return data, now - began, nil
+		}
+		if err != nil {
+			return nil, 0, receiveError(silence.ctx, err)
+		}
+	}
+}
+
+// lapses reports whether the update holds what the granter may give to others after linkTimeout.
+func (u *update) lapses() bool {
+	return len(u.Permits) > 0 || u.Quota != nil || u.Handover != nil || len(u.Contended) > 0
+}
+
+// age adds the time for which the update was under way to the ages that it states.
+func (u *update) age(by time.Duration) {
+	for _, ms := range []*int64{&u.OperatorAgeMs, &u.RowsAgeMs, &u.StoreKnownMs} {
+		if *ms > 0 {
+			*ms += by.Milliseconds()
+		}
+	}
+	for i := range u.Limits {
+		u.Limits[i].AgeMs += by.Milliseconds()
 	}
-	return errors.Wrap(cbor.Unmarshal(data, u), "decode a message between VMs")
 }
 
 // receiveReport receives a report of a VM within the limits on messages of other VMs.
--- a/server/gateway/promise_test.go
+++ b/server/gateway/promise_test.go
@@ -72,7 +72,7 @@
 		}
 		for r.Context().Err() == nil {
 			var rep report
-			if send(r.Context(), conn, update{SentAtMs: sentAt}) != nil || receive(r.Context(), conn, &rep, waitTimeout) != nil {
+			if send(r.Context(), conn, controlLink{}, update{SentAtMs: sentAt}) != nil || receive(r.Context(), conn, &rep, waitTimeout) != nil {
 				return
 			}
 			if rep.AnswersMs != 0 {
@@ -109,7 +109,7 @@
 	require.Equal(t, http.StatusSwitchingProtocols, resp.StatusCode)
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
-	require.NoError(t, send(t.Context(), conn, hello{VM: "vm-b", Address: "127.0.0.1:1"}))
+	require.NoError(t, send(t.Context(), conn, controlLink{}, hello{VM: "vm-b", Address: "127.0.0.1:1"}))
 	d.store.SetFaults(fakes.Faults{Refuse: true})
 	handedOver := make(chan bool, 1)
 	for {
@@ -120,7 +120,7 @@
 			<-handedOver
 			return
 		}
-		require.NoError(t, send(t.Context(), conn, report{PromiseMs: time.Minute.Milliseconds(), AnswersMs: u.SentAtMs, SentAtMs: sentAt}))
+		require.NoError(t, send(t.Context(), conn, controlLink{}, report{PromiseMs: time.Minute.Milliseconds(), AnswersMs: u.SentAtMs, SentAtMs: sentAt}))
 		if !u.StoreUnreachable {
 			continue
 		}
--- a/server/gateway/proxy.go
+++ b/server/gateway/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionhill.dev/api"
+	"dandelionhill.dev/core/delivery"
 	"dandelionhill.dev/core/reachability"
 	"dandelionhill.dev/platform/fleet"
 	"dandelionhill.dev/server/buffers"
@@ -54,10 +56,13 @@
 	metrics    *Metrics
 	log        zerolog.Logger
 	stopping   *atomic.Bool
+	// pacer is that of the link of this VM.
+	pacer *linkPacer
 	// heldBytes are those of responses that wait to be sent to isolated VMs.
 	heldBytes atomic.Int64
-	// serving is the number of requests of isolated VMs.
-	serving atomic.Int64
+	// serving is the number of requests of isolated VMs, unsent that of those whose responses have not
+	// been sent whole.
+	serving, unsent atomic.Int64
 
 	// exchanging admits one exchange of configurations at a time.
 	exchanging sync.Mutex
@@ -72,7 +77,7 @@
 
 func newProxies(s *Settings, limits Limits, handler *requestHandler, stopping *atomic.Bool, knownPeers func() []string, m *Metrics, log zerolog.Logger) *proxies {
 	return &proxies{
-		self: s.VM, address: s.peersAddress(), handler: handler, stopping: stopping, knownPeers: knownPeers, metrics: m, log: log,
+		self: s.VM, address: s.peersAddress(), handler: handler, stopping: stopping, knownPeers: knownPeers, metrics: m, log: log, pacer: handler.large.pacer,
 		maxMessageBytes: int64(max(limits.ResponseBodyKB, maxProxiedBodyKB)+limits.ResponseHeadKB)<<10 + 2*maxHeaderBytes,
 		peers:           reachability.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), conns: make(map[string]*proxyConn),
 	}
@@ -104,15 +109,33 @@
 	p.peers.Done(bootTime(), peer, failed)
 }
 
-// conn returns an open connection to a VM.
-func (p *proxies) conn(ctx context.Context, address string) (*proxyConn, error) {
+// conn returns an open connection to a VM for a message with a body of a number of bytes, and a function
+// to call when the message is answered. For a VM that takes no parts, a large message has a connection of
+// its own, as it can only be given up with its connection.
+func (p *proxies) conn(ctx context.Context, address string, bytes int) (c *proxyConn, done func(), err error) {
+	c, err = p.sharedConn(ctx, address)
+	if err != nil || c.sender.parts || !isLargeBody(bytes) {
+		return c, func() {}, err
+	}
+	if c, err = p.dial(ctx, address); err != nil {
+		return nil, nil, err
+	}
+	return c, func() { c.end(errProxyIdle) }, nil
+}
+
+func (p *proxies) dial(ctx context.Context, address string) (*proxyConn, error) {
+	return dialProxy(ctx, address, p.maxMessageBytes, p.opened, p.stalls, p.pacer, p.metrics)
+}
+
+// sharedConn returns the open connection for the requests to a VM.
+func (p *proxies) sharedConn(ctx context.Context, address string) (*proxyConn, error) {
 	p.mu.Lock()
 	c := p.conns[address]
 	p.mu.Unlock()
 	if c != nil && c.open() {
 		return c, nil
 	}
-	c, err := dialProxy(ctx, address, p.maxMessageBytes, p.opened, p.stalls)
+	c, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -131,6 +154,17 @@
 	return c, nil
 }
 
+// errLinkTooSlow means that a request cannot arrive at another VM in time.
+var errLinkTooSlow = errors.New("the body cannot arrive at another VM before the deadline of the request: retry at another VM, or with more time")
+
+// tooLate refuses a request that cannot arrive at a VM in time, which has not run.
+func (p *proxies) tooLate(q *request, peer string, needed time.Duration) *proxyResponse {
+	p.metrics.largeMessages.WithLabelValues("request", largeTooLate).Inc()
+	p.log.Info().Str("event", "proxied_request_too_large").Str("request", q.params.RequestID).Str("peer", peer).Int("bytes", len(q.body)).
+		Dur("needed_ms", needed).Dur("remaining_ms", q.remaining()).Float64("link_mbps", p.pacer.mbps).Msg("")
+	return &proxyResponse{Reason: linkTooSlow, FailureStatus: http.StatusServiceUnavailable, RetryAfterMs: otherVMRetryAfter.Milliseconds(), Error: errLinkTooSlow.Error()}
+}
+
 // errIsolated means that this VM reaches no upstream, and no VM that does.
 var errIsolated = errors.New("this VM reaches neither the upstreams nor another VM that does: retry at another VM")
 
@@ -152,7 +186,11 @@
 		resp, sent, err := p.callAgreed(ctx, q, peer)
 		q.proxy = peer
 		notTaken := err != nil && !sent || err == nil && resp.notTaken()
-		p.done(peer, notTaken || err != nil && ctx.Err() == nil)
+		tooSlow := err == nil && resp.Reason == linkTooSlow
+		p.done(peer, notTaken && !tooSlow || err != nil && ctx.Err() == nil)
+		if tooSlow {
+			failure = outcome{reason: linkTooSlow, status: http.StatusServiceUnavailable, retryAfter: otherVMRetryAfter, err: errLinkTooSlow}
+		}
 		if notTaken {
 			p.metrics.proxied.WithLabelValues("not_taken").Inc()
 			continue
@@ -186,13 +224,24 @@
 
 // call passes a request to one VM. sent means that the VM may have got it.
 func (p *proxies) call(ctx context.Context, q *request, peer string, configuration int64) (resp *proxyResponse, sent bool, err error) {
-	c, err := p.conn(ctx, peer)
+	within := func() time.Duration { return q.remaining() - proxyMargin }
+	if isLargeBody(len(q.body)) {
+		// A connection is of no use if the link of this VM alone is too slow.
+		if needed, ok := delivery.NewLink(p.pacer.mbps, 0).Arrives(int64(len(q.body)), p.pacer.sending(), within()); !ok {
+			return p.tooLate(q, peer, needed), false, nil
+		}
+	}
+	c, done, err := p.conn(ctx, peer, len(q.body))
 	if err != nil {
 		return nil, false, err
 	}
+	defer done()
+	if needed, ok := c.sender.arrives(len(q.body), within()); !ok {
+		return p.tooLate(q, peer, needed), false, nil
+	}
 	resp, sent, err = c.call(ctx, &proxyRequest{
 		From: p.self, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Header: q.upstreamHeader(), Body: q.body,
-		TimeoutMs: (q.remaining() - proxyMargin).Milliseconds(), Configuration: configuration, Exact: true,
+		TimeoutMs: within().Milliseconds(), Configuration: configuration, Exact: true,
 		Counted: q.service != nil, MayHaveRun: q.mayHaveRun, Authorization: q.credentials(), Domain: p.handler.domain,
 	})
 	if err == nil && !resp.valid() {
@@ -206,6 +255,8 @@
 
 // ServeHTTP accepts the connection of an isolated VM.
 func (p *proxies) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	maps.Copy(w.Header(), linkHeaders(p.pacer.mbps))
+	w.Header().Set(partsHeader, partsVersion)
 	ws, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		p.log.Warn().Str("event", "proxy_refused").Err(err).Msg("")
@@ -213,7 +264,7 @@
 	}
 	defer ws.CloseNow()
 	ws.SetReadLimit(p.maxMessageBytes)
-	if err := serveProxyConn(r.Context(), ws, p.accepted.Connection(listen.ConnOf(r), p.maxMessageBytes), guard{p.metrics, p.log}, p.serve); err != nil {
+	if err := serveProxyConn(r.Context(), newFrameSender(ws, p.pacer, r.Header, p.metrics), p.accepted.Connection(listen.ConnOf(r), p.maxMessageBytes), guard{p.metrics, p.log}, p.serveUntilSent); err != nil {
 		p.log.Debug().Str("event", "proxy_connection_ended").Err(err).Msg("")
 	}
 }
@@ -225,6 +276,26 @@
 	return limit == 0 || p.heldBytes.Load() < limit
 }
 
+// serveUntilSent is serve, and counts the request until its response was sent: a large one may take
+// seconds.
+func (p *proxies) serveUntilSent(ctx context.Context, req *proxyRequest) (out *proxyResponse) {
+	p.unsent.Add(1)
+	defer func() {
+		if out == nil { // a panic
+			p.unsent.Add(-1)
+		}
+	}()
+	out = p.serve(ctx, req)
+	release := out.release
+	out.release = func() {
+		if release != nil {
+			release()
+		}
+		p.unsent.Add(-1)
+	}
+	return out
+}
+
 // serve sends a request of an isolated VM to an upstream.
 func (p *proxies) serve(ctx context.Context, req *proxyRequest) (out *proxyResponse) {
 	p.serving.Add(1)
@@ -263,11 +334,11 @@
 	return out
 }
 
-// drain waits until the requests of isolated VMs have ended.
+// drain waits until the requests of isolated VMs have ended and their responses were sent.
 func (p *proxies) drain(ctx context.Context) {
-	for p.serving.Load() > 0 {
+	for p.serving.Load() > 0 || p.unsent.Load() > 0 {
 		if !wait.For(ctx, drainCheckInterval) {
-			p.log.Warn().Str("event", "proxied_requests_cut").Int64("requests", p.serving.Load()).Msg("")
+			p.log.Warn().Str("event", "proxied_requests_cut").Int64("requests", max(p.serving.Load(), p.unsent.Load())).Msg("")
 			return
 		}
 	}
--- a/server/gateway/stall.go
+++ b/server/gateway/stall.go
@@ -60,8 +60,18 @@
 	}
 }
 
-// silence is the silence of another VM; the context of a call ends when the VM is lost.
+// running returns for how long this process has run, without its stalls, since a fixed time.
+func (s *stalls) running() time.Duration {
+	s.check()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock() - s.monitor.Total()
+}
+
+// silence is the silence of another VM.
 type silence struct {
+	// ctx ends when the VM is lost.
+	ctx    context.Context
 	stalls *stalls
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
@@ -71,30 +81,49 @@
 	ended bool
 }
 
-// within returns a context that ends when another VM is silent for longer than limit. The time in
+// begin begins the silence of another VM, which is lost when it lasts for longer than limit. The time in
 // which this process does not run does not count: what has arrived meanwhile is read first. stop must
 // be called.
-func (s *stalls) within(ctx context.Context, limit time.Duration) (silent context.Context, stop func()) {
-	silent, cancel := context.WithCancelCause(ctx)
-	w := &silence{stalls: s, cancel: cancel}
+func (s *stalls) begin(ctx context.Context, limit time.Duration) *silence {
+	w := &silence{stalls: s, state: s.silence(limit)}
+	w.ctx, w.cancel = context.WithCancelCause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(limit, w.expire)
+	return w
+}
+
+// silence begins the silence of another VM now.
+func (s *stalls) silence(limit time.Duration) stall.Silence {
 	s.check()
 	s.mu.Lock()
-	w.state = s.monitor.Silence(s.clock(), limit)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.monitor.Silence(s.clock(), limit)
+}
+
+// within is begin for a single call: it returns the context, and stop.
+func (s *stalls) within(ctx context.Context, limit time.Duration) (silent context.Context, stop func()) {
+	w := s.begin(ctx, limit)
+	return w.ctx, w.stop
+}
+
+// restart begins the silence again, because a part of a message has arrived.
+func (w *silence) restart(limit time.Duration) {
+	state := w.stalls.silence(limit)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(limit, w.expire)
-	return silent, w.stop
+	w.state = state
+	w.timer.Reset(max(limit, 0))
 }
 
 // expire ends the context unless the process has stalled.
 func (w *silence) expire() {
 	w.stalls.check()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.stalls.mu.Lock()
 	remaining := w.stalls.monitor.Remaining(w.stalls.clock(), w.state)
 	w.stalls.mu.Unlock()
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	switch {
 	case w.ended:
 	case remaining > 0:
--- a/server/gateway/stall_test.go
+++ b/server/gateway/stall_test.go
@@ -60,7 +60,7 @@
 			}
 		}()
 		for u := range sent {
-			if send(r.Context(), conn, u) != nil {
+			if send(r.Context(), conn, controlLink{}, u) != nil {
 				return
 			}
 		}
--- a/server/listen/messages.go
+++ b/server/listen/messages.go
@@ -23,7 +23,9 @@
 	// inlineBytes is the further memory that each connection has without a grant, so that the usual
 	// reports of other VMs arrive then too.
 	inlineBytes = 8 << 10
-	// pieceBytes is the size of the pieces in which a longer message is read.
+	// usualBytes is the size of the largest usual reports. A longer message is read in pieces of
+	// pieceBytes.
+	usualBytes = 16 << 10
 	pieceBytes = 64 << 10
 	// itemCost is the memory of a decoded data item beside its bytes: 131,072 empty maps in an array
 	// are as many structures.
@@ -102,6 +104,8 @@
 	used             int64
 	reserved, shared *buffers.Reservation
 	count            int
+	// assembling is the number of messages of which parts are awaited.
+	assembling atomic.Int32
 }
 
 // Connection returns the state of a connection that has left HTTP, with messages up to limit bytes.
@@ -185,15 +189,20 @@
 
 // Message is a message that was read.
 type Message struct {
-	// Data is the message, or its first bytes if it was refused.
+	// Data is the message, or its first bytes if it was refused. It must not be used after Decoded or
+	// Release.
 	Data []byte
 
 	conn *MessageConn
 	// raw is the memory of Data, decoded that of what is decoded from it, as far as it was taken.
 	raw, decoded int64
+	// piece, unless it is nil, holds Data.
+	piece *[pieceBytes]byte
 	// cost is the memory of the decoded message.
-	cost    int64
-	counted bool
+	cost int64
+	// counted means that the message counts as one that is handled, running that its request runs,
+	// assembling that parts of it are awaited.
+	counted, running, assembling bool
 }
 
 // Read reads the next message, which next waits for. items returns the number of data items of an
@@ -226,7 +235,9 @@
 	var full []*[pieceBytes]byte
 	release := func() {
 		for _, piece := range full {
-			pieces.Put(piece)
+			if piece != m.piece {
+				pieces.Put(piece)
+			}
 		}
 		full = nil
 	}
@@ -239,8 +250,8 @@
 				return ErrMessageTooLarge
 			}
 			size := int64(pieceBytes)
-			if len(full) == 0 {
-				size = min(2*int64(cap(current)), pieceBytes)
+			if len(full) == 0 && cap(current) < usualBytes {
+				size = 2 * int64(cap(current))
 			}
 			if !m.conn.take(size) {
 				// The rest of the message may never come: it must not hold the pieces.
@@ -280,9 +291,13 @@
 
 // join sets Data to the whole message, whose last piece may be shorter.
 func (m *Message) join(last []byte, full []*[pieceBytes]byte, total int64) error {
-	if len(full) == 0 {
+	switch len(full) {
+	case 0:
 		m.Data = last
 		return nil
+	case 1:
+		m.Data, m.piece = last, full[0]
+		return nil
 	}
 	if !m.conn.take(total) {
 		return m.refuse(nil, MessageMemory)
@@ -308,6 +323,18 @@
 // Handle counts the message as a request that is handled until Release. It returns
 // ErrMessageRefused if the limits have no room for it.
 func (m *Message) Handle() error {
+	if !m.counted {
+		if err := m.count(); err != nil {
+			return err
+		}
+	}
+	m.running = true
+	m.conn.changeRunning(1)
+	return nil
+}
+
+// count counts the message as one that is handled, with the memory of that.
+func (m *Message) count() error {
 	if !m.takeDecoded(handlingCost) {
 		return m.refuse(nil, MessageMemory)
 	}
@@ -336,16 +363,31 @@
 func (m *Message) Decoded() {
 	m.conn.give(m.raw)
 	m.Data, m.raw = nil, 0
+	m.putPiece()
+}
+
+// putPiece returns the piece that holds Data, which must no longer be used.
+func (m *Message) putPiece() {
+	if m.piece != nil {
+		pieces.Put(m.piece)
+		m.piece = nil
+	}
 }
 
 // Release releases the memory of the message.
 func (m *Message) Release() {
 	m.conn.give(m.raw + m.decoded)
 	m.Data, m.raw, m.decoded = nil, 0, 0
+	m.putPiece()
+	m.endAssembly()
 	if m.counted {
 		m.counted = false
 		m.conn.uncount()
 	}
+	if m.running {
+		m.running = false
+		m.conn.changeRunning(-1)
+	}
 }
 
 // Record counts a connection that is closed for a limit of its owner.
@@ -398,21 +440,20 @@
 		return false
 	}
 	c.count++
-	c.changeRunning(1)
 	return true
 }
 
 func (c *MessageConn) uncount() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.messages.count.Add(-1)
 	c.count--
-	c.mu.Unlock()
-	c.changeRunning(-1)
 }
 
+// setReading records whether a message is being read. One of which parts are awaited counts too.
 func (c *MessageConn) setReading(reading bool) {
 	if c.conn != nil {
-		c.conn.change(func() { c.conn.reading = reading })
+		c.conn.change(func() { c.conn.reading = reading || c.assembling.Load() > 0 })
 	}
 }
 
@@ -428,6 +469,13 @@
 	return m.guard.Dial(ctx, &net.Dialer{}, network, address)
 }
 
+// Run marks the connection as one that runs a request, until done is called: between the parts of its
+// response it is not an idle one, which may be closed.
+func (c *MessageConn) Run() (done func()) {
+	c.changeRunning(1)
+	return func() { c.changeRunning(-1) }
+}
+
 // Establish says that the connection is of use while it carries no message: it is closed after idle
 // ones when connections are short.
 func (c *MessageConn) Establish() {
