--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 # The fuzz tests of the parsers of external input. Their committed inputs run with make test too;
 # here each gets new ones for FUZZ_TIME, about a minute in all.
 FUZZ_TIME := 5s
-FUZZ := server/upstreamconn:FuzzRequest server/upstreamconn:FuzzResponse server/gateway:FuzzMessages \
+FUZZ := server/upstreamconn:FuzzRequest server/upstreamconn:FuzzResponse server/gateway:FuzzMessages server/gateway:FuzzParts \
 	platform/fleet:FuzzHeaders platform/fleet:FuzzRows server/entry:FuzzRequest server/settings:FuzzParse \
 	api/wire:FuzzDecode api/wire:FuzzItems core/config:FuzzParse core/dedup:FuzzParseID
 
--- a/server/gateway/fuzz_test.go
+++ b/server/gateway/fuzz_test.go
@@ -9,6 +9,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/server/buffers"
+	"dandelionhill.dev/server/listen"
 )
 
 // FuzzMessages guards against messages of other VMs and rows of the store that crash a VM, and
@@ -50,3 +52,26 @@
 		decodeLease(fleet.Row{Value: data, Version: 1}, time.Second)
 	})
 }
+
+// FuzzParts guards against parts of another VM that end the process, are joined wrong, or leave memory in
+// use.
+func FuzzParts(f *testing.F) {
+	f.Add([]byte{1, 10, 4, 6, 1, 0, 0, 4})
+	f.Add([]byte{1, 200, 255, 16, 2, 3, 1, 3, 1, 0, 0, 200})
+	f.Fuzz(func(t *testing.T, script []byte) {
+		shared := buffers.NewBudget(1 << 20)
+		messages := listen.NewMessages(listen.MessageLimits{Bytes: 1 << 20, ConnectionBytes: 1 << 20, ConnectionCount: 3}, nil, buffers.NewBudget(0), shared)
+		conn, arriving := messages.Connection(nil, 1<<20), make(assemblies)
+		for ; len(script) >= 4; script = script[4:] {
+			id, size, head, data := uint64(script[0]%4), int64(script[1])<<9, int64(script[2]), make([]byte, int(script[3])<<6)
+			_, whole, err := arriving.add(conn, id, &proxyPart{Size: size, Head: head, Data: data})
+			if err == nil && whole != nil {
+				whole.Release()
+			}
+		}
+		arriving.release()
+		if shared.Left() != shared.Total() {
+			t.Fatalf("%d bytes are lost", shared.Total()-shared.Left())
+		}
+	})
+}
