gateway: an update must be whole 0.7 s after the one before, as it was

The bound on updates began with their first byte, so that a VM could go without a whole update for 1.4 s; it begins with the wait again. A silent granter is logged as "context deadline exceeded" as before. The tests of links, granters, silence and promises of server/gateway pass with -race.

--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -488,20 +488,27 @@
 // errLateUpdate means that an update took longer than linkTimeout and holds what may have lapsed.
 var errLateUpdate = errors.New("an update of the granter took too long: it may hold what is no longer so")
 
-// receiveUpdate receives an update of the granter, which may be silent for linkTimeout at most. An update
-// may take longer only if it has a snapshot, for a VM without a configuration, and nothing that the
-// granter gives to others after linkTimeout.
+// receiveUpdate receives an update of the granter, which must be whole within linkTimeout. It may take
+// longer, while its bytes arrive, only if it has a snapshot, for a VM without a configuration, and nothing
+// that the granter gives to others after linkTimeout.
 func receiveUpdate(ctx context.Context, conn *websocket.Conn, link delivery.Link) (update, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(linkTimeout, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(linkTimeout, func() { cancel(context.DeadlineExceeded) })
 	defer silence.Stop()
-	var u update
+	failed := func(err error) (update, error) {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return update{}, errors.Wrap(err, "receive a message between VMs")
+	}
+	began := time.Now()
 	_, r, err := conn.Reader(ctx)
 	if err != nil {
-		return u, errors.Wrap(err, "receive a message between VMs")
+		return failed(err)
 	}
-	began, moved := time.Now(), time.Now()
+	var u update
+	moved := time.Now()
 	transfer := link.NewTransfer(linkTimeout)
 	var data []byte
 	piece := make([]byte, delivery.PieceBytes)
@@ -516,7 +523,7 @@
 			break
 		}
 		if err != nil {
-			return u, errors.Wrap(err, "receive a message between VMs")
+			return failed(err)
 		}
 	}
 	if err := cbor.Unmarshal(data, &u); err != nil {
