--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -525,24 +525,31 @@
 // errLateUpdate means that an update took longer than linkTimeout and holds what may have lapsed.
 var errLateUpdate = errors.New("an update of the granter took too long: it may hold what is no longer so")
 
-// receiveUpdate receives an update of the granter, which may be silent for linkTimeout at most. An update
-// may take longer only if it has a snapshot, for a VM without a configuration, and nothing that the
-// granter gives to others after linkTimeout.
+// receiveUpdate receives an update of the granter, which must be whole within linkTimeout. It may take
+// longer, while its bytes arrive, only if it has a snapshot, for a VM without a configuration, and nothing
+// that the granter gives to others after linkTimeout. Time in which this process does not run does not
+// count.
 func (l *links) receiveUpdate(ctx context.Context, conn *websocket.Conn, link delivery.Link, u *update) error {
+	began, stalled := l.stalls.running()
 	silence := l.stalls.begin(ctx, linkTimeout)
 	defer silence.stop()
 	_, r, err := conn.Reader(silence.ctx)
 	if err != nil {
 		return receiveError(silence.ctx, err)
 	}
-	data, took, err := l.receivePieces(silence, r, link)
+	data, err := l.receivePieces(silence, r, link)
 	if err != nil {
 		return err
 	}
 	if err := cbor.Unmarshal(data, u); err != nil {
 		return errors.Wrap(err, "decode a message between VMs")
 	}
-	if took >= linkTimeout {
+	allowed := linkTimeout
+	now, stalledNow := l.stalls.running()
+	if stalledNow > stalled {
+		allowed += stall.CatchUp
+	}
+	if took := now - began; took >= allowed {
 		if u.Snapshot == nil || u.lapses() {
 			return errLateUpdate
 		}
@@ -552,23 +559,22 @@
 	return nil
 }
 
-// receivePieces reads a message while its pieces arrive in time. It returns for how long this process
-// has run meanwhile.
-func (l *links) receivePieces(silence *silence, r io.Reader, link delivery.Link) (data []byte, took time.Duration, err error) {
-	began := l.stalls.running()
-	moved, transfer := began, link.NewTransfer(linkTimeout)
+// receivePieces reads a message while its pieces arrive in time.
+func (l *links) receivePieces(silence *silence, r io.Reader, link delivery.Link) (data []byte, err error) {
+	moved, _ := l.stalls.running()
+	transfer := link.NewTransfer(linkTimeout)
 	piece := make([]byte, delivery.PieceBytes)
 	for {
 		silence.restart(transfer.Next(len(piece)))
 		n, err := r.Read(piece)
-		now := l.stalls.running()
+		now, _ := l.stalls.running()
 		transfer.Moved(n, now-moved)
 		moved, data = now, append(data, piece[:n]...)
 		if errors.Is(err, io.EOF) {
-			return data, now - began, nil
+			return data, nil
 		}
 		if err != nil {
-			return nil, 0, receiveError(silence.ctx, err)
+			return nil, receiveError(silence.ctx, err)
 		}
 	}
 }
--- a/server/gateway/stall.go
+++ b/server/gateway/stall.go
@@ -60,12 +60,13 @@
 	}
 }
 
-// running returns for how long this process has run, without its stalls, since a fixed time.
-func (s *stalls) running() time.Duration {
+// running returns for how long this process has run since a fixed time, and for how long it has stalled.
+func (s *stalls) running() (ran, stalled time.Duration) {
 	s.check()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.clock() - s.monitor.Total()
+	stalled = s.monitor.Total()
+	return s.clock() - stalled, stalled
 }
 
 // silence is the silence of another VM.
