quota: reports of sent tokens during a change, and a wait for more requests

While a new granter is not settled, the tokens that it counts as held bound what it issues, and a VM told it of sends at its next regular report only. A VM now reports them at the shortest interval until the change is over. Requests that came in the first 350 ms after the last update were refused because few could wait for the short time that was known to be left. After 150 ms without an update they may wait as while the granter is replaced, and 8 of each workspace always may.

--- a/core/quota/change.go
+++ b/core/quota/change.go
@@ -10,6 +10,9 @@
 	// absentAfter is the time without an update after which the granter counts as lost: updates
 	// come every 250 ms, and the granter looks for its tokens every 50 ms.
 	absentAfter = 350 * time.Millisecond
+	// unansweredAfter is the time without an update after which the requests that come may be those that wait
+	// for the next granter: one that is there answers a report of requests that wait sooner.
+	unansweredAfter = 150 * time.Millisecond
 	// changeTime is for how long after the last update, or its start, a VM expects another
 	// granter, changeTail for how long after it follows one, and after short-lived tokens, requests
 	// may wait for long: others that wait come first.
@@ -21,9 +24,10 @@
 	// one gets tokens (docs/workloads.md, section 10.1). Requests wait for them beyond their target
 	// latency.
 	replaceTime = 1200 * time.Millisecond
-	// waitingSkew is how many times its equal part of the requests a VM may get,
-	// unknownShare the share of a VM that has none.
+	// waitingSkew is how many times its equal part of the requests a VM may get, waitingBurst how many
+	// requests of a small workspace may happen to come to one, unknownShare the share of a VM that has none.
 	waitingSkew  = 2
+	waitingBurst = 8
 	unknownShare = 0.05
 )
 
@@ -166,14 +170,15 @@
 	return max(c.updatedAt, c.change.startedAt) + replaceTime
 }
 
-// Hurried reports whether requests wait for tokens of a granter that has just been followed. It issues
-// short-lived tokens only to VMs whose last report is recent.
+// Hurried reports whether a granter that has just been followed should get a report without delay: requests
+// wait, and it issues short-lived tokens only to VMs whose last report is recent; or requests were sent whose
+// tokens it counts as held, which bounds what it issues.
 func (c *Client) Hurried(now time.Duration) bool {
 	if !c.change.following || !c.Changing(now) {
 		return false
 	}
 	for _, e := range c.entries {
-		if e.waiting > 0 {
+		if e.waiting > 0 || e.done > 0 {
 			return true
 		}
 	}
@@ -189,14 +194,21 @@
 }
 
 // MayWait reports whether another request of a workspace may wait for a token for up to d: one may
-// always, more if tokens have come at a sufficient rate. While the granter is being replaced the
+// always, more if tokens have come at a sufficient rate. While the granter is being replaced, or may be, the
 // equal part of the VM counts as such a rate, and the requests of all workspaces are bounded.
 // Without a granter for longer none may.
 func (c *Client) MayWait(now time.Duration, name api.WorkspaceName, l Limit, d time.Duration) bool {
 	e := c.entry(now, name)
 	rate := e.admitted.rate(now)
+	changing := c.Changing(now)
+	if !changing && !c.solo(now) {
+		// The granter may be lost since the last update: requests have come without tokens since then.
+		silent := now - c.updatedAt
+		d += silent
+		changing = silent >= unansweredAfter
+	}
 	switch {
-	case c.Changing(now):
+	case changing:
 		total := 0
 		for _, other := range c.entries {
 			total += other.waiting
@@ -209,11 +221,11 @@
 			share = unknownShare
 		}
 		rate = max(rate, waitingSkew*share*l.Rate)
+		if e.waiting < waitingBurst {
+			return true
+		}
 	case c.solo(now):
 		return false
-	default:
-		// The granter may be lost since the last update: requests have come without tokens since then.
-		d += now - c.updatedAt
 	}
 	return float64(e.waiting) < 1+rate*d.Seconds()
 }
--- a/core/quota/succession_test.go
+++ b/core/quota/succession_test.go
@@ -298,8 +298,18 @@
 	require.Equal(t, secs(11.85), c.WaitEnd(secs(12.1), secs(11.7), wait), "an update has come meanwhile")
 	require.Equal(t, secs(12)+absentAfter, c.WaitEnd(secs(12.1), secs(12.1), wait), "it is not yet known")
 	require.Equal(t, secs(13.1), c.WaitEnd(secs(12.4), secs(12.1), wait))
+	require.Equal(t, secs(12)+replaceTime, c.WaitEnd(secs(12.4), secs(12.1), Patience{Long: 600 * time.Millisecond, Most: 3 * time.Second}), "until the next granter is due")
+	require.Equal(t, secs(13), c.WaitEnd(secs(12.4), secs(12.1), Patience{Long: 600 * time.Millisecond, Most: 900 * time.Millisecond}))
 	require.False(t, c.Changing(secs(17)), "no other granter comes")
 	limit := Limit{Rate: 100}
+	small := func(at float64, waiting int) bool {
+		defer c.Wait(secs(at), "small", -waiting)
+		c.Wait(secs(at), "small", waiting)
+		return c.MayWait(secs(at), "small", Limit{Rate: 1}, wait.Short)
+	}
+	require.False(t, small(12.1, 1), "the granter is there")
+	require.True(t, small(12.2, waitingBurst-1), "it may be lost")
+	require.False(t, small(12.2, waitingBurst))
 	waiting := 0
 	for ; c.MayWait(secs(14), "w", limit, long); waiting++ {
 		c.Arrive(secs(14), "w")
--- a/server/gateway/quota.go
+++ b/server/gateway/quota.go
@@ -297,8 +297,14 @@
 		return outcome{}, false
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := s.now()
+	defer func() {
+		hurried := s.client.Hurried(now)
+		s.mu.Unlock()
+		if hurried {
+			s.reportNow()
+		}
+	}()
 	if q.workspace == nil || q.quota.workspace != q.workspace.Name {
 		s.returnToken(now, q)
 	}
