--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -151,12 +151,15 @@
 	return missing
 }
 
+// shareRounding bounds the rounding errors of a share: it is computed from those of the other VMs.
+const shareRounding = 1e-9
+
 // known reports whether all that a VM may use is its share as this granter knows it. The share that a
 // VM without one had before its start may be lent to an earlier granter, unless the VM follows this one.
 // A VM that has reported may also go back to an earlier granter and get a share there, until that one
 // ends: only a report that was sent later shows that it has none.
 func (i *Issuer) known(now, margin time.Duration, s *share) bool {
-	return s.reported && (s.confirmed >= i.earlierShare() || s.answered >= i.predecessorsUntil || i.lent(now, margin, s.member))
+	return s.reported && (s.confirmed >= i.earlierShare()-shareRounding || s.answered >= i.predecessorsUntil || i.lent(now, margin, s.member))
 }
 
 // earlierShare returns the highest share that an earlier granter may have leased to a VM.
--- a/core/quota/succession_test.go
+++ b/core/quota/succession_test.go
@@ -144,6 +144,16 @@
 	require.True(t, i.Settled())
 }
 
+// TestRoundedShare guards against a share that counts twice, as that of its VM and as that of a VM that is
+// not known, because it differs from those of the others by a rounding error.
+func TestRoundedShare(t *testing.T) {
+	r := rosterOf(0, "a", "b")
+	r.MaxShare = 1.0 / 3
+	i := succeed(r)
+	i.Report(secs(0.1), i.Join(secs(0.1), "a"), 1, 0, Report{Share: 0.33333333333333326, LoanMs: 1})
+	require.InDelta(t, 1.0/3, i.unknown(secs(0.1), 0), 1e-9)
+}
+
 // TestWideRosters guards against a granter that uses more of the overshoot than the earlier ones have left,
 // which may be of an earlier version.
 func TestWideRosters(t *testing.T) {
