gateway: TestContentionIsTold has a bounded demand

It offered 200 requests at each look of the test until both VMs were told, so thousands of them, and the granter's average, of which a report is a fifth, took 7 s and more to fall below the bound (on a machine that was not late, the whole test took 10.0 s).

It offers 40 requests a second, five times the rate at which contention begins. The checks are the same.

--- a/server/gateway/contention_test.go
+++ b/server/gateway/contention_test.go
@@ -41,14 +41,16 @@
 				defer l.mu.Unlock()
 				return l.queue.Interval(time.Since(l.start))
 			}
-			// One VM has 200 requests of 1 s for an upstream that runs two at a time.
+			// One VM has 40 requests of 1 s a second for an upstream that runs two at a time. Further demand
+			// would only lengthen the time in which the granter's average falls.
+			offered, began := 0, time.Now()
 			overrun := func() {
 				l := limiterOf(other)
 				l.mu.Lock()
 				defer l.mu.Unlock()
 				now := time.Since(l.start)
 				l.configure()
-				for range 200 {
+				for ; offered < 40+int(40*time.Since(began).Seconds()); offered++ {
 					r := &admission.Request{Arrived: now, Target: now, Deadline: now, ServiceTime: time.Second}
 					if decision, _ := l.queue.Offer(now, r); decision == admission.Start {
 						l.queue.Done(0)
