holder: TestHandoverInParts reads the clock for each ID

It failed once at a load of 25: it took one time before it made 100 IDs, and IDs that are dated more than 0.5 s later are refused. The time of each call follows its ID now; the checks are the same.

--- a/server/holder/handover_test.go
+++ b/server/holder/handover_test.go
@@ -18,9 +18,10 @@
 func TestHandoverInParts(t *testing.T) {
 	const entries, body = 100, 60 << 10
 	table := dedup.New(dedup.DefaultConfig(), time.Now().Add(-time.Minute))
-	wall := time.Now()
+	var wall time.Time
 	for range entries {
 		id := uuid.Must(uuid.NewV7()).String()
+		wall = time.Now() // an ID that is dated later than that, by more than the clocks may differ, is refused
 		require.Equal(t, dedup.Run, table.Begin(wall, id).Action)
 		table.Finish(wall, id, dedup.Result{Outcome: api.Answered, Response: &dedup.Response{Status: 200, Body: make([]byte, body)}})
 	}
