gateway: hello does not state the version of the rows of a VM

With it the first update of a granter passed rows on, and a VM that starts made no call of the store after its first reads: TestRemovalAfterACutFromTheStore failed ('the VM is cut off from the store' not within 10 s), as such a VM does not learn that the store refuses it. Rows are passed on from the first report again.

Measured: that test passes 2 of 2 runs with -race without the fields, with TestChangeWithoutNextGranter, TestWordOfReader, TestReadersOfLease, TestRelay and TestStoreCallsByCause.

--- a/server/gateway/link.go
+++ b/server/gateway/link.go
@@ -70,10 +70,6 @@
 	// Capacity is the capacity of the VM for the work of the granter, in thousandths of a core; 0
 	// if it is not known.
 	Capacity int64 `cbor:"7,keyasint,omitempty"`
-	// RowsTo and OperatorTo are report.RowsTo and report.OperatorTo, so that the first update
-	// passes rows on; 0 if the VM has none, as with VMs of earlier versions.
-	RowsTo     int64 `cbor:"8,keyasint,omitempty"`
-	OperatorTo int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // update is a message from the granter.
@@ -273,7 +269,7 @@
 		l.log.Warn().Str("event", "link_refused").Str("peer", string(h.VM)).Int64("term", h.Term).Err(err).Msg("")
 		return
 	}
-	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, capacity: h.Capacity, relayedTo: h.RowsTo, operatorTo: h.OperatorTo, permits: newPermitClient(), updates: make(chan update, 1), close: cancel, ended: ctx.Done()}
+	member := &member{vm: h.VM, address: h.Address, hasConfig: h.HasConfig, capacity: h.Capacity, permits: newPermitClient(), updates: make(chan update, 1), close: cancel, ended: ctx.Done()}
 	if !g.addMember(member, accepted, time.Duration(h.PromiseMs)*time.Millisecond) {
 		return
 	}
@@ -331,7 +327,7 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrameBytes)
-	greeting := hello{VM: l.self, Incarnation: l.incarnation, Term: to.Term, Address: l.address, HasConfig: l.hasConfig(), Capacity: milliCapacity(l.elector.capacities.own), RowsTo: l.relay.version(), OperatorTo: l.operatorRelay.version()}
+	greeting := hello{VM: l.self, Incarnation: l.incarnation, Term: to.Term, Address: l.address, HasConfig: l.hasConfig(), Capacity: milliCapacity(l.elector.capacities.own)}
 	if to.unconfirmed {
 		greeting.PromiseMs = l.elector.promiseGranter().Milliseconds()
 	}
