--- a/server/gateway/outage_test.go
+++ b/server/gateway/outage_test.go
@@ -17,6 +17,7 @@
 // because this VM alone had been cut off from the store (DRAIN).
 func TestRemovalAfterACutFromTheStore(t *testing.T) {
 	d := newDeployment(t)
+	d.useRunningClock() // the word of the granter counts for 0.7 s
 	for _, id := range []string{"p1", "p2"} {
 		d.addUpstream(id, "plain")
 	}
