--- a/bench/soak/ports.go
+++ b/bench/ports/ports.go
@@ -1,4 +1,5 @@
-package soak
+// Package ports finds free ports for the processes of experiments.
+package ports
 
 import (
 	"fmt"
@@ -22,7 +23,8 @@
 
 func init() { nextPort.Store(rand.Int64N(portCount)) }
 
-func freePort(ip string) (port int, err error) {
+// Free returns a port that no process listens on.
+func Free(ip string) (port int, err error) {
 	for range portTries {
 		port = firstPort + int(nextPort.Add(1)%portCount)
 		var l net.Listener
@@ -33,7 +35,8 @@
 	return 0, errors.Wrap(err, "find a free port")
 }
 
-func freeAddress(ip string) (string, error) {
-	port, err := freePort(ip)
+// FreeAddress returns an address of an IP with a free port.
+func FreeAddress(ip string) (string, error) {
+	port, err := Free(ip)
 	return fmt.Sprintf("%s:%d", ip, port), err
 }
