httpconn: a reset that a write was told does not end a response

Callers saw: an upstream answered a long upload with a 200 without a length, sent part of the body and reset the connection while the upload was being written. They got that part as a complete response.

Cause: the kernel reports the failure of a connection once, to whichever call comes first. If the write of the request takes ECONNRESET, the next read returns the end of the stream, as after an orderly end, and a body without a length is complete there. Both readers of upstream responses, and so streamed responses, orders and requests that pass a second VM, are concerned.

Change: httpconn.Conn remembers the failure that a write was told. A read that meets the end of the stream waits for a write that is under way, which it ends, and returns that failure. EPIPE is no failure: the kernel returns it for a reset after the server had ended its side in order; so early responses with an orderly end stay complete.

Evidence: the tests order the calls (httpconntest) and let the write return before or after the read.

--- a/fakes/fleet/upstream.go
+++ b/fakes/fleet/upstream.go
@@ -83,6 +83,8 @@
 	gate chan struct{}
 	// handler, if set, handles requests in place of the default.
 	handler http.HandlerFunc
+	// earlyHandler gets requests before their bodies are read.
+	earlyHandler http.HandlerFunc
 	// observer, if set, is called with each event.
 	observer func(Event)
 	// misdirected counts the calls that were meant for another upstream.
@@ -114,6 +116,14 @@
 	u.handler = handler
 }
 
+// SetEarlyHandler sets a handler that gets requests with a body before the body is read; nil removes
+// it.
+func (u *Upstream) SetEarlyHandler(handler http.HandlerFunc) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.earlyHandler = handler
+}
+
 // SetRateLimit sets the limit that responses state, in requests per second; 0 states none.
 func (u *Upstream) SetRateLimit(perSecond float64) {
 	u.mu.Lock()
@@ -313,6 +323,13 @@
 		}
 		key = n
 	}
+	u.mu.Lock()
+	early := u.earlyHandler
+	u.mu.Unlock()
+	if early != nil && r.ContentLength != 0 {
+		early(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"dandelionhill.dev/platform/httpconn"
 	"dandelionhill.dev/server/buffers"
 )
 
@@ -215,6 +216,7 @@
 
 type conn struct {
 	net.Conn
+	checked *httpconn.Conn // all reads and writes use it
 	bounded *boundedReader
 	reader  *bufio.Reader // of bounded
 	expires time.Time     // while idle
@@ -390,8 +392,9 @@
 		}
 		return nil, &Error{Err: errors.Wrap(err, "connect to the upstream"), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
-	bounded := &boundedReader{source: c}
-	return &conn{Conn: c, bounded: bounded, reader: bufio.NewReaderSize(bounded, 4<<10)}, nil
+	checked := httpconn.NewConn(c)
+	bounded := &boundedReader{source: checked}
+	return &conn{Conn: c, checked: checked, bounded: bounded, reader: bufio.NewReaderSize(bounded, 4<<10)}, nil
 }
 
 // Do sends a request and returns the complete response, or one with a Stream (Request.Window).
@@ -515,16 +518,14 @@
 	}
 	if len(req.Body) <= inlineBody {
 		head.Write(req.Body)
-		_, err := c.Write(head.Bytes())
+		_, err := c.checked.Write(head.Bytes())
 		if req.Trace != nil && err == nil {
 			req.Trace.SentAt = time.Now()
 		}
 		written <- err
 	} else {
 		go func() {
-			buffers := net.Buffers{head.Bytes(), req.Body}
-			_, err := buffers.WriteTo(c.Conn)
-			written <- err
+			written <- c.checked.WriteBuffers(net.Buffers{head.Bytes(), req.Body})
 		}()
 	}
 	for range maxMismatched {
--- a/server/upstreamconn/conn_test.go
+++ b/server/upstreamconn/conn_test.go
@@ -22,6 +22,11 @@
 func serve(t *testing.T, handle func(conn net.Conn, r *bufio.Reader)) (pool *Pool, accepted func() int) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return serveOn(t, l, handle)
+}
+
+// serveOn is serve with a listener.
+func serveOn(t *testing.T, l net.Listener, handle func(conn net.Conn, r *bufio.Reader)) (pool *Pool, accepted func() int) {
 	t.Cleanup(func() { l.Close() })
 	conns := make(chan struct{}, 100)
 	go func() {
--- a/server/upstreamconn/order.go
+++ b/server/upstreamconn/order.go
@@ -76,7 +76,7 @@
 
 // sendHead sends a head and returns nil once the upstream asks for the body, or its response.
 func (p *Pool) sendHead(c *conn, req *Request, head []byte) (*Response, error) {
-	if _, err := c.Write(head); err != nil {
+	if _, err := c.checked.Write(head); err != nil {
 		return nil, errors.Wrap(err, "send the head of a call")
 	}
 	c.bounded.allow(p.limits.Head, ErrHeadTooLarge)
