httpconn: a response whose status is 000 to 099, or 101, is malformed

Callers saw: an upstream in trouble answered with status 000, and a caller of the own deployment got it as an answer (Client.Send). On the users' platform (Pool.Do) a body that itself reads like a response reached the caller in its place; an order took "100 Continue" from such a body for permission to send.

Cause: http.ReadResponse accepts any three digits. Pool took each status below 200 for an informational one and read on; Client.Send checked none.

Change: httpconn.CheckHead rejects a status below 100. It also rejects 101, which ends the HTTP of a connection, and to which no request of ours leads: Pool read on after it, Client.Send returned it. Such a response has an unknown outcome; on the users' platform its sends have the reason "invalid", and its connection is closed.

Left as it is: a status above 599 is passed on. RFC 9110 has clients treat it as a 5xx, and the router does.

--- a/server/gateway/brokenresponse_test.go
+++ b/server/gateway/brokenresponse_test.go
@@ -92,6 +92,14 @@
 		"reset during the upload": {func(conn net.Conn, r *http.Request) error {
 			return network.Respond(conn, []byte(brokenHead(r)+"\r\npart"))
 		}, connectionBroken},
+		"status 000": {func(conn net.Conn, r *http.Request) error {
+			_, err := io.WriteString(conn, strings.Replace(brokenHead(r), "200", "000", 1)+"Content-Length: 3\r\n\r\nbad")
+			return err
+		}, "invalid"},
+		"status 000, a body that is a response": {func(conn net.Conn, r *http.Request) error {
+			_, err := io.WriteString(conn, strings.Replace(brokenHead(r), "200", "000", 1)+"\r\n"+brokenHead(r)+"Content-Length: 3\r\n\r\nbad")
+			return err
+		}, "invalid"},
 	} {
 		for through, g := range map[string]*Gateway{"one VM": direct, "two VMs": isolated} {
 			t.Run(name+", "+through, func(t *testing.T) {
--- a/server/upstreamconn/response.go
+++ b/server/upstreamconn/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"dandelionhill.dev/platform/httpconn"
 	"dandelionhill.dev/server/buffers"
 )
 
@@ -66,9 +67,20 @@
 		// The parser may have failed on the line that was cut.
 		err = ErrHeadTooLarge
 	}
+	if err == nil {
+		err = checkHead(resp)
+	}
 	return resp, errors.Wrap(err, "read the upstream's response")
 }
 
+// checkHead returns an error for a malformed head that the parser accepts.
+func checkHead(resp *http.Response) error {
+	if err := httpconn.CheckHead(resp.StatusCode); err != nil {
+		return errors.WithMessage(ErrInvalidResponse, err.Error())
+	}
+	return nil
+}
+
 // readBody reads the body of a response. It returns for how long the connection may stay
 // idle, 0 if it must be closed.
 func (p *Pool) readBody(c *conn, req *Request, resp *http.Response) (*Response, time.Duration, error) {
