httpconn: a field whose name is no token makes a response malformed

Callers saw: an upstream in trouble sent "X Bad: v", and its answer was returned; one with "Content-Length : 3" and 8 bytes up to the end of the connection was returned with the 8 bytes as its body.

Cause: net/textproto keeps a name with a blank as it is, "for compatibility", and net/http then finds no Content-Length or Transfer-Encoding: the length of the body is another than the upstream stated.

Pool.Do applies it to informational heads too. Client.Send does not: net/http has a hook for them, but bounds their number only without it, and they have neither a body nor a field that is passed on.

Left as it is: a line that begins with a blank continues the line before it (obs-fold), which RFC 9112 lets a proxy join with a space, as net/textproto does; as the first line of a head it is an error. A control byte in a name is an error of net/textproto.

--- a/server/gateway/brokenresponse_test.go
+++ b/server/gateway/brokenresponse_test.go
@@ -100,6 +100,14 @@
 			_, err := io.WriteString(conn, strings.Replace(brokenHead(r), "200", "000", 1)+"\r\n"+brokenHead(r)+"Content-Length: 3\r\n\r\nbad")
 			return err
 		}, "invalid"},
+		"a blank in the name of a field": {func(conn net.Conn, r *http.Request) error {
+			_, err := io.WriteString(conn, brokenHead(r)+"X Bad: v\r\nContent-Length: 3\r\n\r\nbad")
+			return err
+		}, "invalid"},
+		"a blank after Content-Length": {func(conn net.Conn, r *http.Request) error {
+			_, err := io.WriteString(conn, brokenHead(r)+"Content-Length : 3\r\n\r\nbadbytes")
+			return err
+		}, "invalid"},
 	} {
 		for through, g := range map[string]*Gateway{"one VM": direct, "two VMs": isolated} {
 			t.Run(name+", "+through, func(t *testing.T) {
--- a/server/upstreamconn/malformed_test.go
+++ b/server/upstreamconn/malformed_test.go
@@ -22,6 +22,11 @@
 		"status 099, a body that is a response":  "HTTP/1.1 099 Error\r\nId: a\r\nContent-Length: 47\r\n\r\n" + whole,
 		"status 101, followed by a response":     "HTTP/1.1 101 Switching Protocols\r\nId: a\r\n\r\n" + whole,
 		"status 000 after an informational head": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Error\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+		"a blank in a name":                      "HTTP/1.1 200 OK\r\nX Bad: v\r\nId: a\r\nContent-Length: 4\r\n\r\nbody",
+		"a blank at the end of a name":           "HTTP/1.1 200 OK\r\nId: a\r\nX-Bad : v\r\nContent-Length: 4\r\n\r\nbody",
+		"a blank after Content-Length":           "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length : 3\r\n\r\nbadbytes",
+		"a blank after Transfer-Encoding":        "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+		"a blank in an informational head":       "HTTP/1.1 103 Early Hints\r\nX Bad: v\r\n\r\n" + whole,
 	} {
 		t.Run(name, func(t *testing.T) {
 			pool, _ := serve(t, func(conn net.Conn, r *bufio.Reader) {
@@ -46,6 +51,9 @@
 				if _, err := io.WriteString(conn, response+"HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 					return
 				}
+				if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+					return
+				}
 				if _, err := r.ReadByte(); err == nil {
 					t.Error("the body of the order was sent")
 				}
--- a/server/upstreamconn/response.go
+++ b/server/upstreamconn/response.go
@@ -75,7 +75,7 @@
 
 // checkHead returns an error for a malformed head that the parser accepts.
 func checkHead(resp *http.Response) error {
-	if err := httpconn.CheckHead(resp.StatusCode); err != nil {
+	if err := httpconn.CheckHead(resp.StatusCode, resp.Header); err != nil {
 		return errors.WithMessage(ErrInvalidResponse, err.Error())
 	}
 	return nil
