upstreamconn: a head that the parser rejects has the reason "invalid"

Operators saw: a response with a control byte in the name of a field was never passed on, but its send was logged and counted as connection_broken, as if the upstream had ended the connection; with backpressure it then counted as a sign that the upstream is full.

Cause: readHead did not tell an error of the parser from one of the connection.

Change: an error without one of the connection before it is ErrInvalidResponse.

Evidence: before the change 16 cases of TestMalformedHead (control bytes, a blank before the first name, a line without a colon, two lengths, no HTTP; to requests and to orders) and 2 of TestBrokenResponse fail on the reason; callers got 502 in all of them then too. TestHeadThatNetHTTPRejects passes before and after: Client.Send returned these as errors already.

--- a/server/gateway/brokenresponse_test.go
+++ b/server/gateway/brokenresponse_test.go
@@ -108,6 +108,10 @@
 			_, err := io.WriteString(conn, brokenHead(r)+"Content-Length : 3\r\n\r\nbadbytes")
 			return err
 		}, "invalid"},
+		"a control byte in the name of a field": {func(conn net.Conn, r *http.Request) error {
+			_, err := io.WriteString(conn, brokenHead(r)+"X\x01Bad: v\r\nContent-Length: 3\r\n\r\nbad")
+			return err
+		}, "invalid"},
 	} {
 		for through, g := range map[string]*Gateway{"one VM": direct, "two VMs": isolated} {
 			t.Run(name+", "+through, func(t *testing.T) {
--- a/server/upstreamconn/malformed_test.go
+++ b/server/upstreamconn/malformed_test.go
@@ -27,6 +27,14 @@
 		"a blank after Content-Length":           "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length : 3\r\n\r\nbadbytes",
 		"a blank after Transfer-Encoding":        "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
 		"a blank in an informational head":       "HTTP/1.1 103 Early Hints\r\nX Bad: v\r\n\r\n" + whole,
+		"a tab in a name":                        "HTTP/1.1 200 OK\r\nX\tBad: v\r\nId: a\r\nContent-Length: 4\r\n\r\nbody",
+		"a zero byte in a name":                  "HTTP/1.1 200 OK\r\nX\x00Bad: v\r\nId: a\r\nContent-Length: 4\r\n\r\nbody",
+		"another control byte in a name":         "HTTP/1.1 200 OK\r\nX\x01Bad: v\r\nId: a\r\nContent-Length: 4\r\n\r\nbody",
+		"a delete byte in a name":                "HTTP/1.1 200 OK\r\nX\x7fBad: v\r\nId: a\r\nContent-Length: 4\r\n\r\nbody",
+		"a blank before the first name":          "HTTP/1.1 200 OK\r\n X-Bad: v\r\nId: a\r\nContent-Length: 4\r\n\r\nbody",
+		"a line without a colon":                 "HTTP/1.1 200 OK\r\nId: a\r\nX-Bad\r\nContent-Length: 4\r\n\r\nbody",
+		"two lengths":                            "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+		"no HTTP":                                "hello\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			pool, _ := serve(t, func(conn net.Conn, r *bufio.Reader) {
--- a/server/upstreamconn/response.go
+++ b/server/upstreamconn/response.go
@@ -29,6 +29,8 @@
 	// err is the error after the last byte; exceeded means that it was returned.
 	err      error
 	exceeded bool
+	// failed means that the source has returned an error.
+	failed bool
 }
 
 // allow permits a number of bytes from now on, and sets the error after them.
@@ -44,6 +46,7 @@
 	}
 	n, err := r.source.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	r.failed = r.failed || err != nil
 	return n, err
 }
 
@@ -63,24 +66,21 @@
 // readHead reads the head of a response, which may be informational.
 func (p *Pool) readHead(c *conn, req *Request) (*http.Response, error) {
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
-	if c.bounded.exceeded {
+	malformed := err != nil && !c.bounded.failed
+	if err == nil {
+		err = httpconn.CheckHead(resp.StatusCode, resp.Header)
+		malformed = err != nil
+	}
+	switch {
+	case c.bounded.exceeded:
 		// The parser may have failed on the line that was cut.
 		err = ErrHeadTooLarge
-	}
-	if err == nil {
-		err = checkHead(resp)
+	case malformed:
+		err = errors.WithMessage(ErrInvalidResponse, err.Error())
 	}
 	return resp, errors.Wrap(err, "read the upstream's response")
 }
 
-// checkHead returns an error for a malformed head that the parser accepts.
-func checkHead(resp *http.Response) error {
-	if err := httpconn.CheckHead(resp.StatusCode, resp.Header); err != nil {
-		return errors.WithMessage(ErrInvalidResponse, err.Error())
-	}
-	return nil
-}
-
 // readBody reads the body of a response. It returns for how long the connection may stay
 // idle, 0 if it must be closed.
 func (p *Pool) readBody(c *conn, req *Request, resp *http.Response) (*Response, time.Duration, error) {
