holder, entry: the reason of a failed send is logged and counted

Operators saw (own deployment): outcome_unknown with the kind upstream_failed, the same for a response that was cut off, malformed or without memory; the cause went to the caller only. A request that was sent again left nothing, and no counter told one cause from another.

Cause: the holder logged broken connections only, once for each incarnation of the upstream; SendError named no reason.

Change: SendError has a Reason, with the words of the gateway. The holder logs send_failed with the request's ID and counts failed_sends_total by service and reason; outcome_unknown has the error. Runs that the VM itself cancelled are counted and not logged.

--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -150,7 +150,8 @@
 	if outcome == api.Unknown {
 		// Operators must learn of an unknown outcome before its caller reports it.
 		e.cfg.Log.Warn().Str("event", "outcome_unknown").Str("service", string(name)).
-			Str("kind", string(reply.Refusal.Kind)).Str("request_id", r.Header.Get(api.HeaderRequestID)).Msg("")
+			Str("kind", string(reply.Refusal.Kind)).Str("request_id", r.Header.Get(api.HeaderRequestID)).
+			Str("error", reply.Refusal.Message).Msg("")
 	}
 }
 
--- a/server/entry/forward_test.go
+++ b/server/entry/forward_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +15,9 @@
 
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/wire"
+	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/core/placement"
+	"dandelionhill.dev/core/shardmap"
 	"dandelionhill.dev/server/buffers"
 	"dandelionhill.dev/server/control"
 	"dandelionhill.dev/server/metrics"
@@ -165,3 +171,30 @@
 type released int
 
 func (r *released) Release() { *r++ }
+
+// TestUnknownOutcomeIsExplained guards against an unknown outcome whose cause is not in the log of the
+// VM that told its caller.
+func TestUnknownOutcomeIsExplained(t *testing.T) {
+	var log bytes.Buffer
+	s := &stub{replies: map[api.VMID]func(*wire.Reply) error{"holder": func(out *wire.Reply) error {
+		*out = *wire.Refused(api.Refuse(api.UpstreamFailed, "the call of the upstream failed: status 000"))
+		return nil
+	}}}
+	snapshot := holders("holder", 1)
+	snapshot.Document = &config.Document{}
+	snapshot.Services = map[api.ServiceName]control.Service{"s": {
+		Service: config.Service{Name: "s", MaxBody: 10},
+		Routes:  shardmap.New("s", 1, []placement.Shard{{First: 0, Last: 0}}, nil),
+	}}
+	snapshot.ConfirmedUntil = time.Hour
+	e := newTestEntry(s, func() *control.Snapshot { return snapshot })
+	e.cfg.Log = zerolog.New(&log)
+	w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/s/x", nil)
+	r.Header.Set(api.HeaderRequestID, "request-1")
+	r.Header.Set(api.HeaderTimeout, "1000")
+	e.Handler().ServeHTTP(w, r)
+	require.Equal(t, http.StatusBadGateway, w.Code, w.Body)
+	require.Contains(t, log.String(), `"event":"outcome_unknown"`)
+	require.Contains(t, log.String(), `"request_id":"request-1"`)
+	require.Contains(t, log.String(), `"error":"the call of the upstream failed: status 000"`)
+}
--- a/server/holder/env_test.go
+++ b/server/holder/env_test.go
@@ -57,6 +57,26 @@
 	// buffers and recorded are the memory of the responses, which have responseBytes.
 	buffers, recorded *buffers.Budget
 	lastRefusal       *api.Refusal
+	log               lockedBuffer
+}
+
+// lockedBuffer is a buffer for a log.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
 }
 
 // runWithShard runs a test with the holder of a shard of four upstreams. Keys
@@ -108,7 +128,7 @@
 	s = New(Config{
 		ID: api.ShardID{Service: env.doc.Services[0].Name}, Fence: api.NewFence(1, env.ballot), Clock: env.now,
 		Dial:    func(address string, _ config.Service) platform.Upstream { return env.upstreamAt(address) },
-		Metrics: metrics.New(), Log: zerolog.Nop(), Buffers: env.buffers, Recorded: env.recorded,
+		Metrics: metrics.New(), Log: zerolog.New(&env.log), Buffers: env.buffers, Recorded: env.recorded,
 		ReportAssignment: func(a wire.Assign) {
 			go func() {
 				<-created
@@ -356,6 +376,7 @@
 	serviceTime  time.Duration
 	refusesConns bool // accepts no connection for requests
 	refusedConns int  // requests that could not connect
+	sendError    error
 
 	mu      sync.Mutex
 	guard   *lease.Guard
@@ -479,6 +500,9 @@
 	if u.refuseConn() {
 		return platform.Response{}, &platform.SendError{Outcome: api.NotRun, Err: errNoResponse}
 	}
+	if u.sendError != nil {
+		return platform.Response{}, u.sendError
+	}
 	result := make(chan platform.Response, 1)
 	go func() {
 		if u.awaitResumed(context.Background()) != nil {
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -129,6 +129,9 @@
 	delete(up.running, r.id)
 	s.queue.Done(now, r.id, up.id, elapsed, err == nil && !resp.Shed)
 	var failure *platform.SendError
+	if err != nil {
+		s.reportFailedSend(r, up, err, cancelled, elapsed)
+	}
 	switch {
 	case err == nil && resp.Shed:
 		s.observeShed(now, current)
@@ -155,6 +158,24 @@
 	s.dispatchQueued(now)
 }
 
+// reportFailedSend counts a send without a complete response. It logs the reason, except of runs that
+// this VM has cancelled.
+func (s *Shard) reportFailedSend(r *request, up *upstream, err error, cancelled bool, elapsed time.Duration) {
+	reason, sent := platform.ConnectionBroken, true
+	var failure *platform.SendError
+	if errors.As(err, &failure) {
+		reason, sent = failure.Reason, failure.Outcome != api.NotRun
+	}
+	if cancelled {
+		reason = platform.RequestEnded
+	}
+	s.cfg.Metrics.FailedSends.WithLabelValues(string(s.cfg.ID.Service), string(reason)).Inc()
+	if !cancelled {
+		s.cfg.Log.Info().Str("event", "send_failed").Str("request_id", r.forward.RequestID).Str("upstream", string(up.id)).
+			Str("reason", string(reason)).Bool("sent", sent).Dur("took_ms", elapsed).Err(err).Msg("")
+	}
+}
+
 // observeShed counts a request that its upstream has turned away, unless that may be for its deadline,
 // which says nothing of the upstream's load: a run may start a millisecond before its deadline.
 func (s *Shard) observeShed(now time.Duration, current *run) {
@@ -218,7 +239,7 @@
 	if cancelled {
 		return api.Refuse(api.UpstreamTimeout, "the upstream did not respond in time")
 	}
-	return api.Refuse(api.UpstreamFailed, "the connection to the upstream failed: "+err.Error())
+	return api.Refuse(api.UpstreamFailed, "the call of the upstream failed: "+err.Error())
 }
 
 // handleResponse handles a complete response.
--- a/server/metrics/metrics.go
+++ b/server/metrics/metrics.go
@@ -21,6 +21,7 @@
 	Retries          *prometheus.CounterVec   // layer, reason
 	Latency          *prometheus.HistogramVec // service, outcome; seconds
 	UpstreamLatency  *prometheus.HistogramVec // service; seconds
+	FailedSends      *prometheus.CounterVec   // service, reason
 	InFlight         *prometheus.GaugeVec     // service, upstream
 	Queued           *prometheus.GaugeVec     // service, shard
 	Hedges           *prometheus.CounterVec   // service, result
@@ -50,6 +51,7 @@
 		Retries:          counter("retry_decisions_total", "Decisions to retry or not, by reason.", "layer", "reason"),
 		Latency:          histogram("request_seconds", "Time from a caller's request to its response.", "service", "outcome"),
 		UpstreamLatency:  histogram("upstream_seconds", "Time from a call of an upstream to its answer.", "service"),
+		FailedSends:      counter("failed_sends_total", "Sends to upstreams without a complete response, by reason.", "service", "reason"),
 		InFlight:         gauge("upstream_in_flight", "Requests running on an upstream.", "service", "upstream"),
 		Queued:           gauge("queued", "Requests waiting for an upstream.", "service", "shard"),
 		Closed:           counter("connections_closed_total", "Connections closed, bodies given up and requests refused for a limit on clients, by reason.", "listener", "reason"),
@@ -74,7 +76,7 @@
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.Requests, m.Refusals, m.Retries, m.Latency, m.UpstreamLatency, m.InFlight, m.Queued, m.Hedges,
 		m.OwnershipChanges, m.LeaseRenewals, m.AuthorityChanges, m.StoreCalls, m.ConfigRevision, m.ShardsHeld,
-		m.Stragglers, m.Quarantined, m.ReserveUsed, m.HotKeys, m.Closed,
+		m.Stragglers, m.Quarantined, m.ReserveUsed, m.HotKeys, m.Closed, m.FailedSends,
 	)
 	return m
 }
