platform: clients of services reject broken responses too

Seen by reading, as the causes act wherever responses are read: a service that answers a call with 200 and resets the connection before it has read the call (a transaction, an object) was taken to have carried it out.

--- a/server/gateway/follow.go
+++ b/server/gateway/follow.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"dandelionhill.dev/platform/fleet"
+	"dandelionhill.dev/platform/httpconn"
 	"dandelionhill.dev/server/upstreamconn"
 	"dandelionhill.dev/server/wait"
 )
@@ -28,9 +29,11 @@
 )
 
 // newStoreClient returns an HTTP client whose connections detect an unresponsive store.
-func newStoreClient() *http.Client {
+func newStoreClient() *http.Client { return newStoreClientOn(upstreamconn.Dial) }
+
+func newStoreClientOn(dial httpconn.DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: upstreamconn.Dial, DisableCompression: true, IdleConnTimeout: storeIdleTimeout,
+		DialContext: httpconn.Dialer(dial), DisableCompression: true, IdleConnTimeout: storeIdleTimeout,
 		MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
