ctl: a broken response is no result of a change

Seen by reading: dandelionctl took {} in a 200 without a length for the result of a call whose connection was reset before the VM had read it, and {} after "Content-Length : 2" for a sound response.

Cause: those of the readers of upstreams, see httpconn.

Change: the client uses httpconn.Dialer and checks the head. Such a call may have been carried out; the client then asks for the operation by its ID, as after a lost response.

Evidence: without the checks TestBrokenResponse fails in these two cases. The two others (status 000, JSON that is cut off) were errors before.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -24,6 +25,7 @@
 	"dandelionhill.dev/api"
 	"dandelionhill.dev/api/admin"
 	"dandelionhill.dev/core/config"
+	"dandelionhill.dev/platform/httpconn"
 	"dandelionhill.dev/server/wait"
 )
 
@@ -52,6 +54,16 @@
 	// CertificateFile and KeyFile hold the operator's own certificate and its key,
 	// for servers that ask for one.
 	CertificateFile, KeyFile string
+
+	// dialer opens connections; nil stands for a net.Dialer. Tests set it.
+	dialer httpconn.DialFunc
+}
+
+func (o Options) dial() httpconn.DialFunc {
+	if o.dialer != nil {
+		return o.dialer
+	}
+	return new(net.Dialer).DialContext
 }
 
 // Client sends requests to the first admin address that responds.
@@ -72,7 +84,7 @@
 	}
 	c := &Client{token: o.Token, AttemptTimeout: defaultAttemptTimeout, Sleep: sleep}
 	scheme := "http"
-	transport := &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}
+	transport := &http.Transport{DialContext: httpconn.Dialer(o.dial()), MaxResponseHeaderBytes: maxHeadBytes}
 	if o.CAFile != "" {
 		scheme = "https"
 		config, err := tlsConfig(o)
@@ -256,6 +268,9 @@
 		return &callError{address: address, sent: connected.Load(), err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := httpconn.CheckHead(response.StatusCode, response.Header); err != nil {
+		return &callError{address: address, sent: true, err: err}
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, admin.MaxBodyBytes+1))
 	if err != nil {
 		return &callError{address: address, sent: true, err: err}
