soak: uploads whose responses upstreams break off

With -broken an eighth of the unkeyed requests are uploads of 6 MiB, to which the upstream sends a 200 without a length and four bytes before it has read them, and resets the connection 2 ms later. The check of responses finds those that look complete; it is as before.

The soak's own proxy turned such a reset into an orderly end, by the same cause: it uses httpconn.Conn towards the server.

The fakes' early handler may decline a request.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -43,7 +43,7 @@
 func (*runCommand) Name() string     { return "run" }
 func (*runCommand) Synopsis() string { return "run seeds" }
 func (*runCommand) Usage() string {
-	return "soak run -gateway target/dandelionhilld [-from 1] [-seeds 1 | -failed] [-length 20s] [-size grown] [-key-faults] [-production COMMIT]\n"
+	return "soak run -gateway target/dandelionhilld [-from 1] [-seeds 1 | -failed] [-length 20s] [-size grown] [-key-faults] [-broken] [-production COMMIT]\n"
 }
 
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
@@ -62,6 +62,7 @@
 	f.BoolVar(&c.options.KeyFaults, "key-faults", false, "pause VMs in series, cut failure domains, run upstreams that take calls late")
 	f.BoolVar(&c.options.Restores, "restores", false, "restore the store from older copies")
 	f.BoolVar(&c.options.Workspaces, "workspaces", false, "callers with keys that are replaced, a quota, large responses and slow readers")
+	f.BoolVar(&c.options.Broken, "broken", false, "uploads whose responses upstreams break off")
 	f.DurationVar(&c.options.Duration, "length", 20*time.Second, "how long faults are injected")
 }
 
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -22,6 +22,12 @@
 	// largePath has responses of largeBytes and more.
 	largePath  = "/large/"
 	largeBytes = 300_000
+	// brokenPath is under unkeyedPath. Upstreams break their responses to its requests off, which have
+	// a body of brokenBytes: more than the kernel holds for a connection.
+	brokenPath  = unkeyedPath + "broken"
+	brokenBytes = 6 << 20
+	// Each brokenShare-th unkeyed request of a caller is for brokenPath if Options.Broken is set.
+	brokenShare = 8
 	// requestTimeout is the timeout that callers put into their requests.
 	requestTimeout = 1500 * time.Millisecond
 	// callerTimeoutMargin is how long callers wait beyond requestTimeout before the
@@ -70,6 +76,8 @@
 	longRuns func() bool
 	// apiKey, if set, returns the key of the next request; large responses are asked for then.
 	apiKey func() string
+	// broken means that some unkeyed requests are for brokenPath.
+	broken bool
 }
 
 func newCaller(vm, address string, n int, seed uint64) *caller {
@@ -86,9 +94,12 @@
 		if c.rng.IntN(10) < 7 {
 			key = c.rng.IntN(fleet.KeyCount)
 		}
-		if key < 0 && c.apiKey != nil && c.rng.IntN(largeShare) == 0 {
+		switch {
+		case key < 0 && c.apiKey != nil && c.rng.IntN(largeShare) == 0:
 			h.addCall(c.sendLarge())
-		} else {
+		case key < 0 && c.broken && c.rng.IntN(brokenShare) == 0:
+			h.addCall(c.do(http.MethodPost, brokenPath, key, io.ReadAll))
+		default:
 			h.addCall(c.send(key))
 		}
 		wait.For(ctx, pause/2+rand.N(pause))
@@ -140,8 +151,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout+callerTimeoutMargin)
 	defer cancel()
 	body := io.Reader(nil)
-	if key >= 0 {
+	switch {
+	case key >= 0:
 		body = strings.NewReader(result.ID)
+	case path == brokenPath:
+		// Equal bodies would be quarantined.
+		body = strings.NewReader(result.ID + strings.Repeat("x", brokenBytes))
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, body)
 	if err != nil {
--- a/bench/soak/configuration.go
+++ b/bench/soak/configuration.go
@@ -42,7 +42,7 @@
 		"k":{"Host":%[2]q,"Prefix":%[3]q,"RouteType":"non_idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":"keyed","MaxAttempts":2},
 		"p":{"Host":%[2]q,"Prefix":%[4]q,"RouteType":"idempotent","TimeoutS":2,"TargetLatencyS":0.5,"Service":%[5]q,"MaxAttempts":2}%[7]s},
 		"Services":{%[6]s"keyed":{"HealthPath":"/health","MaxConns":60,"ColdStartS":0,"ColdPerS":50,"Sharded":true,"WarmupS":1}},
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,"HeaderTimeoutS":3,"IdleTimeoutS":15}%[8]s}`,
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":8000000,"HeaderTimeoutS":3,"IdleTimeoutS":15}%[8]s}`,
 		d.version, soakHost, keyedPath, unkeyedPath, d.unkeyedService(), services, large, workspaces))
 	return monotonic()
 }
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"dandelionhill.dev/platform/httpconn"
 )
 
 // fault is a network fault that a proxy injects into its connections.
@@ -118,9 +120,18 @@
 	clear(p.conns)
 }
 
+// tcpOf returns the TCP connection of a proxied one.
+func tcpOf(c net.Conn) (*net.TCPConn, bool) {
+	if checked, ok := c.(*httpconn.Conn); ok {
+		c = checked.NetConn()
+	}
+	tcp, ok := c.(*net.TCPConn)
+	return tcp, ok
+}
+
 // resetOnClose makes the connection reset when it is closed.
 func resetOnClose(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := tcpOf(c); ok {
 		_ = tcp.SetLinger(0) // it is closed in any case
 	}
 }
@@ -154,12 +165,14 @@
 		resetOnClose(caller)
 		return
 	}
-	server, err := net.Dial("tcp", p.target)
+	tcp, err := net.Dial("tcp", p.target)
 	if err != nil {
 		resetOnClose(caller)
 		return
 	}
-	defer server.Close()
+	defer tcp.Close()
+	// A reset by the server must not become an orderly end.
+	server := httpconn.NewConn(tcp)
 	p.mu.Lock()
 	p.conns[caller], p.conns[server] = true, true
 	p.mu.Unlock()
@@ -221,7 +234,7 @@
 			}
 		}
 		if err == io.EOF {
-			if tcp, ok := to.(*net.TCPConn); ok {
+			if tcp, ok := tcpOf(to); ok {
 				_ = tcp.CloseWrite() // the other direction stays open
 			}
 			return true
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -52,6 +52,8 @@
 	// Workspaces adds workspaces whose keys are replaced during the run, one of them with a quota,
 	// and requests with large responses.
 	Workspaces bool
+	// Broken adds uploads whose responses are broken off.
+	Broken bool
 	// GatewayBinary is the path of the daemon, SoakBinary that of the program that runs
 	// upstreams.
 	GatewayBinary, SoakBinary string
@@ -447,6 +449,7 @@
 			if d.workspaces != nil {
 				c.apiKey = func() string { return d.workspaces.pick(c.rng) }
 			}
+			c.broken = d.Broken
 			callers.Go(func() { c.run(load, &d.history, d.Pause) })
 		}
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -26,9 +26,9 @@
 	for _, seed := range shortSeeds {
 		seeds = append(seeds, Options{Seed: seed})
 	}
-	for _, o := range append(seeds, Options{Seed: 1, Restores: true}, Options{Seed: 2, Workspaces: true}) {
+	for _, o := range append(seeds, Options{Seed: 1, Restores: true}, Options{Seed: 2, Workspaces: true}, Options{Seed: 3, Broken: true}) {
 		report, err := Run(context.Background(), Options{
-			Restores: o.Restores, Workspaces: o.Workspaces, Seed: o.Seed, VMs: 3, KeyedUpstreams: 4, UnkeyedUpstreams: 1, Duration: 8 * time.Second, CallersPerVM: 2, Pause: 40 * time.Millisecond,
+			Restores: o.Restores, Workspaces: o.Workspaces, Broken: o.Broken, Seed: o.Seed, VMs: 3, KeyedUpstreams: 4, UnkeyedUpstreams: 1, Duration: 8 * time.Second, CallersPerVM: 2, Pause: 40 * time.Millisecond,
 			GatewayBinary: filepath.Join(bin, "dandelionhilld"), SoakBinary: filepath.Join(bin, "soak"), Dir: t.TempDir(),
 		})
 		require.NoError(t, err)
--- a/bench/soak/upstream.go
+++ b/bench/soak/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -27,6 +28,8 @@
 	longRun = 700 * time.Millisecond
 	// drainTime is how long a stopping upstream is registered as draining before it exits.
 	drainTime = 1500 * time.Millisecond
+	// breakOffDelay is the time from a part of a response to the reset of its connection.
+	breakOffDelay = 2 * time.Millisecond
 	// storeTimeout bounds a call of an upstream to the store.
 	storeTimeout = 400 * time.Millisecond
 )
@@ -94,6 +97,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	})
+	u.SetEarlyHandler(breakOff)
 	listener, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -126,6 +130,26 @@
 	}
 }
 
+// breakOff responds to a request for brokenPath before it has read the body: it sends a part of a
+// response without a length and resets the connection.
+func breakOff(w http.ResponseWriter, r *http.Request) bool {
+	if r.URL.Path != brokenPath {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n\r\npart",
+		fleet.HeaderRequestID, r.Header.Get(fleet.HeaderRequestID), fleet.HeaderSignature)
+	if err == nil {
+		time.Sleep(breakOffDelay)
+	}
+	resetOnClose(conn)
+	return true
+}
+
 // register writes a registration to the store. A failed one is not retried; the next
 // one replaces it.
 func register(store *fleet.Store, id string, entry []byte) {
--- a/fakes/fleet/upstream.go
+++ b/fakes/fleet/upstream.go
@@ -84,7 +84,7 @@
 	// handler, if set, handles requests in place of the default.
 	handler http.HandlerFunc
 	// earlyHandler gets requests before their bodies are read.
-	earlyHandler http.HandlerFunc
+	earlyHandler func(w http.ResponseWriter, r *http.Request) (handled bool)
 	// observer, if set, is called with each event.
 	observer func(Event)
 	// misdirected counts the calls that were meant for another upstream.
@@ -116,9 +116,9 @@
 	u.handler = handler
 }
 
-// SetEarlyHandler sets a handler that gets requests with a body before the body is read; nil removes
-// it.
-func (u *Upstream) SetEarlyHandler(handler http.HandlerFunc) {
+// SetEarlyHandler sets a handler that gets requests with a body before the body is read, and reports
+// whether it has handled them; nil removes it.
+func (u *Upstream) SetEarlyHandler(handler func(w http.ResponseWriter, r *http.Request) (handled bool)) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.earlyHandler = handler
@@ -326,8 +326,7 @@
 	u.mu.Lock()
 	early := u.earlyHandler
 	u.mu.Unlock()
-	if early != nil && r.ContentLength != 0 {
-		early(w, r)
+	if early != nil && r.ContentLength != 0 && early(w, r) {
 		return
 	}
 	body, err := io.ReadAll(r.Body)
--- a/server/gateway/brokenresponse_test.go
+++ b/server/gateway/brokenresponse_test.go
@@ -115,12 +115,13 @@
 	} {
 		for through, g := range map[string]*Gateway{"one VM": direct, "two VMs": isolated} {
 			t.Run(name+", "+through, func(t *testing.T) {
-				fake.SetEarlyHandler(func(w http.ResponseWriter, r *http.Request) {
+				fake.SetEarlyHandler(func(w http.ResponseWriter, r *http.Request) bool {
 					conn := hijack(t, w)
 					defer conn.Close()
 					if err := c.respond(conn, r); err != nil {
 						t.Error(err)
 					}
+					return true
 				})
 				counter := direct.metrics.failedSends.WithLabelValues("keyed", c.reason)
 				before := testutil.ToFloat64(counter)
@@ -147,10 +148,11 @@
 	network := &httpconntest.Network{HoldWrite: true}
 	d, g := withDownloads(t, func(g *Gateway) { g.control.dialUpstream = network.Dial })
 	part := largeBody(300_000)
-	d.upstreams["p1"].SetEarlyHandler(func(w http.ResponseWriter, r *http.Request) {
+	d.upstreams["p1"].SetEarlyHandler(func(w http.ResponseWriter, r *http.Request) bool {
 		if err := network.Respond(hijack(t, w), append([]byte(brokenHead(r)+"\r\n"), part...)); err != nil {
 			t.Error(err)
 		}
+		return true
 	})
 	resp := d.upload(g, "upload", downloadPath, -1)
 	require.Equal(t, http.StatusOK, resp.StatusCode)
