--- a/server/gateway/brokenresponse_test.go
+++ b/server/gateway/brokenresponse_test.go
@@ -51,7 +51,7 @@
 	return resp
 }
 
-// logLines returns the lines of the log that have all of the given parts.
+// lines returns the lines of the log that have all of the given parts.
 func (l *testLog) lines(out *bytes.Buffer, parts ...string) (found []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/server/holder/run.go
+++ b/server/holder/run.go
@@ -128,10 +128,10 @@
 	delete(r.runs, up.id)
 	delete(up.running, r.id)
 	s.queue.Done(now, r.id, up.id, elapsed, err == nil && !resp.Shed)
-	var failure *platform.SendError
 	if err != nil {
 		s.reportFailedSend(r, up, err, cancelled, elapsed)
 	}
+	var failure *platform.SendError
 	switch {
 	case err == nil && resp.Shed:
 		s.observeShed(now, current)
--- a/server/upstreamconn/conn.go
+++ b/server/upstreamconn/conn.go
@@ -216,7 +216,7 @@
 
 type conn struct {
 	net.Conn
-	checked *httpconn.Conn // all reads and writes use it
+	checked *httpconn.Conn // of Conn; all reads and writes use it
 	bounded *boundedReader
 	reader  *bufio.Reader // of bounded
 	expires time.Time     // while idle
