upstreamconn: TestWholeOrder hung when its upstream closed a pooled connection

Cause: the stand-in responds with Keep-Alive and closes the connection. The product is right: such an order counts as sent.

Change: the stand-in serves further orders on the connection, so that the second one reaches it in either case, and the test checks that both bodies are there instead of waiting for them.

--- a/server/upstreamconn/order_test.go
+++ b/server/upstreamconn/order_test.go
@@ -191,14 +191,24 @@
 func TestWholeOrder(t *testing.T) {
 	bodies := make(chan string, 2)
 	pool, _ := serve(t, func(conn net.Conn, r *bufio.Reader) {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		body, _ := io.ReadAll(req.Body)
-		bodies <- req.Header.Get("Expect") + string(body)
-		if req.Header.Get("Id") == "a" {
-			_, _ = io.WriteString(conn, responseText("a", "")) // the test reads what arrives
+		// The connection stays open after a response: an upstream that closed it would not read an order
+		// that is sent at that moment.
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			bodies <- req.Header.Get("Expect") + string(body)
+			if req.Header.Get("Id") != "a" {
+				return
+			}
+			if _, err := io.WriteString(conn, responseText("a", "")); err != nil {
+				return
+			}
 		}
 	})
 	answered, lost := order("a"), order("b")
@@ -210,6 +220,7 @@
 	var failed *Error
 	require.ErrorAs(t, err, &failed)
 	require.True(t, failed.Sent)
+	require.Len(t, bodies, 2, "the upstream closes the connection after it has read the order")
 	for range 2 {
 		require.Equal(t, "keys", <-bodies)
 	}
