httpconntest: one place for the stand-ins of broken responses

Cause: five test packages repeated the size of a request that exceeds what the kernel holds, which depends on buffers that httpconntest bounds, and the tests of three clients repeated the same two servers.

No assertion changes.

--- a/ctl/client/broken_test.go
+++ b/ctl/client/broken_test.go
@@ -13,9 +13,6 @@
 	"dandelionhill.dev/platform/httpconn/httpconntest"
 )
 
-// uploadBytes exceeds what the kernel holds for a connection whose server does not read.
-const uploadBytes = 1 << 20
-
 // TestBrokenResponse guards against a change that operators take for made although the response of the
 // VM broke off or is malformed.
 func TestBrokenResponse(t *testing.T) {
@@ -24,7 +21,7 @@
 		body    []byte
 		respond func(conn net.Conn) error
 	}{
-		"reset during the call": {make([]byte, uploadBytes), func(conn net.Conn) error {
+		"reset during the call": {make([]byte, httpconntest.LargeRequest), func(conn net.Conn) error {
 			return network.Respond(conn, []byte("HTTP/1.1 200 OK\r\n\r\n{}"))
 		}},
 		"status 000": {nil, func(conn net.Conn) error {
--- a/server/gateway/brokenresponse_test.go
+++ b/server/gateway/brokenresponse_test.go
@@ -69,7 +69,7 @@
 
 // TestBrokenResponse guards against a response that an upstream has broken off, or whose head is
 // malformed, and that reaches a caller as a success, through one VM or through two, or that
-// operators cannot find afterwards (MIXED).
+// operators cannot find afterwards.
 func TestBrokenResponse(t *testing.T) {
 	network := &httpconntest.Network{HoldWrite: true}
 	d := &cutDeployment{deployment: newDeployment(t), networks: []*upstreamNetwork{{}}}
--- a/server/gateway/brokenstore_test.go
+++ b/server/gateway/brokenstore_test.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"net"
-	"net/http"
 	"syscall"
 	"testing"
 
@@ -16,11 +14,7 @@
 // reset the connection before it had read the transaction.
 func TestStoreResetDuringCommit(t *testing.T) {
 	network := &httpconntest.Network{HoldWrite: true}
-	address := httpconntest.Serve(t, func(conn net.Conn, _ *http.Request) {
-		if err := network.Respond(conn, []byte("HTTP/1.1 200 OK\r\n\r\n{}")); err != nil {
-			t.Error(err)
-		}
-	})
+	address := network.ServeReset(t, "HTTP/1.1 200 OK\r\n\r\n{}")
 	store := fleet.NewStore(address, newStoreClientOn(network.Dial))
 	_, err := store.Commit(t.Context(), fleet.Tx{Put: []fleet.Put{{Value: make([]byte, uploadBytes)}}})
 	require.ErrorIs(t, err, syscall.ECONNRESET)
--- a/server/upstreamconn/broken_test.go
+++ b/server/upstreamconn/broken_test.go
@@ -15,14 +15,10 @@
 	"dandelionhill.dev/platform/httpconn/httpconntest"
 )
 
-// uploadBytes exceeds what the kernel holds for a connection whose upstream does not read and has a
-// listener of httpconntest.
-const uploadBytes = 1 << 20
-
 // upload returns a request whose body the upstream does not read.
 func upload(id string) *Request {
 	req := get(id)
-	req.Method, req.Body = http.MethodPost, make([]byte, uploadBytes)
+	req.Method, req.Body = http.MethodPost, make([]byte, httpconntest.LargeRequest)
 	return req
 }
 
@@ -60,7 +56,7 @@
 func TestResetDuringUpload(t *testing.T) {
 	const response = "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart"
 	order := order("a")
-	order.Body = make([]byte, uploadBytes)
+	order.Body = make([]byte, httpconntest.LargeRequest)
 	for name, req := range map[string]*Request{"request": upload("a"), "order": order} {
 		for _, holdWrite := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, write returns last: %t", name, holdWrite), func(t *testing.T) {
