--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,8 +17,11 @@
 // cases are the scripts by name. Each returns whether the rule was broken. trouble is false for the
 // run without the disruption.
 var cases = map[string]func(s *system, trouble bool) (isBroken bool, err error){
-	"heads":  playHeads,
-	"upload": playUpload, "slowread": playSlowRead, "poison": playPoison,
+	"heads":    playHeads,
+	"poison":   playPoison,
+	"repeats":  playRepeats,
+	"upload":   playUpload,
+	"slowread": playSlowRead,
 }
 
 func main() {
--- a/review/standin3/poison.go
+++ b/review/standin3/poison.go
@@ -23,6 +23,8 @@
 	poisonEvery = 2 * time.Second
 	// poisonTime bounds the time for which it comes again.
 	poisonTime = 90 * time.Second
+	// crashAfter is how long a worker works on the request before it crashes.
+	crashAfter = 100 * time.Millisecond
 	// crashedFor is how long a crashed worker is down, lapse how long its entry stays.
 	crashedFor = 4 * time.Second
 	lapse      = 2600 * time.Millisecond
@@ -44,10 +46,10 @@
 	Weight  int
 }
 
-// poisonRuns records the runs of the request that crashes workers.
+// poisonRuns records the runs of the request that crashes workers, and the crashes.
 type poisonRuns struct {
-	mu   sync.Mutex
-	runs []time.Time
+	mu            sync.Mutex
+	runs, crashes []time.Time
 }
 
 func (p *poisonRuns) add() (n int) {
@@ -57,12 +59,18 @@
 	return len(p.runs)
 }
 
-// late returns the number of runs later than stableWindow after the third.
+func (p *poisonRuns) crashed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashes = append(p.crashes, time.Now())
+}
+
+// late returns the number of runs that began later than stableWindow after the third crash.
 func (p *poisonRuns) late() (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, at := range p.runs {
-		if i > 2 && at.Sub(p.runs[2]) > stableWindow {
+	for _, at := range p.runs {
+		if len(p.crashes) > 2 && at.Sub(p.crashes[2]) > stableWindow {
 			n++
 		}
 	}
@@ -117,8 +125,13 @@
 			w.s.record.add("worker %s of %s: begins to run the poisonous request, run %d, attempt %s", u.ID, w.service, n, id)
 		}
 		if poison && w.trouble {
-			once.Do(func() { close(crashed) })
-			panic(http.ErrAbortHandler)
+			time.Sleep(crashAfter)
+			once.Do(func() {
+				w.runs.crashed()
+				w.s.record.add("worker %s of %s: crashes", u.ID, w.service)
+				close(crashed)
+			})
+			select {} // the process has ended
 		}
 		time.Sleep(20 * time.Millisecond)
 		out.Header().Set(fleet.HeaderSignature, "seal-of-"+u.ID)
@@ -135,42 +148,64 @@
 	time.AfterFunc(lapse, func() { w.s.store.Remove(fleet.TableUpstreams, u.ID) })
 }
 
-// playPoison sends a request that crashes the workers that run it, again and again, on a route of
-// four services.
-func playPoison(s *system, trouble bool) (bool, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	runs := &poisonRuns{}
-	names := []string{"huvo11a", "wuno96b", "kexi44c", "mipa72d"}
-	services := make(map[string]service)
-	route := weightedRoute{Host: host, Prefix: "/pufi791/", RouteType: "non_idempotent", TimeoutS: 2, TargetLatencyS: 0.8, Priority: 1, MaxAttempts: 2}
-	for _, name := range names {
-		services[name] = service{HealthPath: "/health", MaxConns: 130, Protocol: "h1", ColdStartS: 3, ColdPerS: 3.1}
-		route.WeightedServices = append(route.WeightedServices, weightedService{name, 25})
-		for range 4 {
-			if err := (&crashingWorker{s, name, trouble, runs}).run(ctx); err != nil {
-				return false, err
-			}
+// poisonService starts the workers of a service and returns its entry of the configuration.
+func poisonService(ctx context.Context, s *system, name string, workers int, trouble bool, runs *poisonRuns) (service, error) {
+	for range workers {
+		if err := (&crashingWorker{s, name, trouble, runs}).run(ctx); err != nil {
+			return service{}, err
 		}
 	}
+	return service{HealthPath: "/health", MaxConns: 130, Protocol: "h1", ColdStartS: 3, ColdPerS: 3.1}, nil
+}
+
+// startPoison writes the configuration with one route and starts two VMs.
+func startPoison(s *system, route weightedRoute, services map[string]service) error {
 	value, err := json.Marshal(map[string]any{
 		"Version": "r7", "Routes": map[string]weightedRoute{"r-1": route}, "Services": services,
 		"Limits": limits{MaxHeaderBytes: 16384, MaxBodyBytes: 67108864, HeaderTimeoutS: 3, IdleTimeoutS: 15},
 	})
 	if err != nil {
-		return false, err
+		return err
 	}
 	s.store.Put(fleet.TableOperator, "config", value)
 	for range 2 {
 		v, err := s.startVM(284)
 		if err != nil {
-			return false, err
+			return err
 		}
 		if err := v.awaitReady(); err != nil {
-			return false, err
+			return err
 		}
 	}
 	time.Sleep(5 * time.Second)
+	return nil
+}
+
+// judgePoison records the verdict and returns whether the rule was broken.
+func judgePoison(s *system, trouble bool, runs *poisonRuns, ordinary map[string]int) bool {
+	s.record.add("ordinary requests: %v", ordinary)
+	s.record.add("runs of the poisonous request later than %v after the third crash: %d, allowed are %d", stableWindow, runs.late(), allowedRetries)
+	return trouble && runs.late() > allowedRetries
+}
+
+// playPoison sends a request that crashes the workers that run it, again and again, on a route of
+// four services.
+func playPoison(s *system, trouble bool) (bool, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	runs := &poisonRuns{}
+	services := make(map[string]service)
+	route := weightedRoute{Host: host, Prefix: "/pufi791/", RouteType: "non_idempotent", TimeoutS: 2, TargetLatencyS: 0.8, Priority: 1, MaxAttempts: 2}
+	for _, name := range []string{"huvo11a", "wuno96b", "kexi44c", "mipa72d"} {
+		var err error
+		if services[name], err = poisonService(ctx, s, name, 4, trouble, runs); err != nil {
+			return false, err
+		}
+		route.WeightedServices = append(route.WeightedServices, weightedService{name, 25})
+	}
+	if err := startPoison(s, route, services); err != nil {
+		return false, err
+	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	ordinary := make(map[string]int)
 	end := time.Now().Add(poisonTime)
@@ -182,9 +217,55 @@
 		}
 		time.Sleep(poisonEvery)
 	}
-	s.record.add("ordinary requests: %v", ordinary)
-	s.record.add("runs of the poisonous request later than %v after the third crash: %d, allowed are %d", stableWindow, runs.late(), allowedRetries)
-	return trouble && runs.late() > allowedRetries, nil
+	return judgePoison(s, trouble, runs, ordinary), nil
+}
+
+const (
+	// repeats is how often a client that does not wait sends its request at once: x = 3 more times.
+	repeats = 1 + 3
+	// repeatGap is the time between two of them.
+	repeatGap = 5 * time.Millisecond
+	// repeatEvery is the time until it comes again, repeatRounds how often it does.
+	repeatEvery  = 4 * time.Second
+	repeatRounds = 3
+)
+
+// playRepeats sends a request that crashes the workers that run it several times at once, on a route of
+// one service.
+func playRepeats(s *system, trouble bool) (bool, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	runs := &poisonRuns{}
+	const name = "huvo11a"
+	workers, err := poisonService(ctx, s, name, 16, trouble, runs)
+	if err != nil {
+		return false, err
+	}
+	route := weightedRoute{
+		Host: host, Prefix: "/pufi791/", RouteType: "non_idempotent", TimeoutS: 2, TargetLatencyS: 0.8, Priority: 1, MaxAttempts: 2,
+		WeightedServices: []weightedService{{name, 100}},
+	}
+	if err := startPoison(s, route, map[string]service{name: workers}); err != nil {
+		return false, err
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	ordinary := make(map[string]int)
+	for round := range repeatRounds {
+		var sent sync.WaitGroup
+		v := s.vms[round%len(s.vms)] // the balancer chooses by a hash of the client
+		for range repeats {
+			sent.Go(func() {
+				s.record.add("client: round %d at %s: %s", round+1, v.name, post(client, v, poisonBody, s.record))
+			})
+			time.Sleep(repeatGap)
+		}
+		sent.Wait()
+		for range 10 {
+			ordinary[post(client, s.vms[rand.IntN(len(s.vms))], fmt.Sprintf(`{"order":%d}`, rand.Uint64()), nil)]++
+		}
+		time.Sleep(repeatEvery)
+	}
+	return judgePoison(s, trouble, runs, ordinary), nil
 }
 
 // post sends a request that must not be repeated and returns what came of it.
