--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,4 +1,4 @@
-// Command standin3 plays the scripts of review/12 to 15: the platform's store, workers and clients
+// Command standin3 plays the scripts of review/12, 13 and 15: the platform's store, workers and clients
 // as stand-ins, and the entry VMs as processes of the deploy file. Run it in the repository's root.
 package main
 
@@ -17,10 +17,9 @@
 // cases are the scripts by name. Each returns whether the rule was broken. trouble is false for the
 // run without the disruption.
 var cases = map[string]func(s *system, trouble bool) (isBroken bool, err error){
-	"heads":   playHeads,
-	"poison":  playPoison,
-	"repeats": playRepeats,
-	"upload":  playUpload,
+	"heads":  playHeads,
+	"poison": playPoison,
+	"upload": playUpload,
 }
 
 func main() {
--- a/review/standin3/poison.go
+++ b/review/standin3/poison.go
@@ -220,54 +220,6 @@
 	return judgePoison(s, trouble, runs, ordinary), nil
 }
 
-const (
-	// repeats is how often a client that does not wait sends its request at once: x = 3 more times.
-	repeats = 1 + 3
-	// repeatGap is the time between two of them.
-	repeatGap = 5 * time.Millisecond
-	// repeatEvery is the time until it comes again, repeatRounds how often it does.
-	repeatEvery  = 4 * time.Second
-	repeatRounds = 3
-)
-
-// playRepeats sends a request that crashes the workers that run it several times at once, on a route of
-// one service.
-func playRepeats(s *system, trouble bool) (bool, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	runs := &poisonRuns{}
-	const name = "huvo11a"
-	workers, err := poisonService(ctx, s, name, 16, trouble, runs)
-	if err != nil {
-		return false, err
-	}
-	route := weightedRoute{
-		Host: host, Prefix: "/pufi791/", RouteType: "non_idempotent", TimeoutS: 2, TargetLatencyS: 0.8, Priority: 1, MaxAttempts: 2,
-		WeightedServices: []weightedService{{name, 100}},
-	}
-	if err := startPoison(s, route, map[string]service{name: workers}); err != nil {
-		return false, err
-	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	ordinary := make(map[string]int)
-	for round := range repeatRounds {
-		var sent sync.WaitGroup
-		v := s.vms[round%len(s.vms)] // the balancer chooses by a hash of the client
-		for range repeats {
-			sent.Go(func() {
-				s.record.add("client: round %d at %s: %s", round+1, v.name, post(client, v, poisonBody, s.record))
-			})
-			time.Sleep(repeatGap)
-		}
-		sent.Wait()
-		for range 10 {
-			ordinary[post(client, s.vms[rand.IntN(len(s.vms))], fmt.Sprintf(`{"order":%d}`, rand.Uint64()), nil)]++
-		}
-		time.Sleep(repeatEvery)
-	}
-	return judgePoison(s, trouble, runs, ordinary), nil
-}
-
 // post sends a request that must not be repeated and returns what came of it.
 func post(client *http.Client, v *vm, body string, rec *record) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
